--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# make demo    run the main job on an embedded set
+# make check   build, vet, formatter, linter, tests with the race detector
+# make lint    formatter and linter only
+# make soak    a long randomised run (SCHEDULES=n SEED=n)
+GO ?= go
+SCHEDULES ?= 200000
+SEED ?= 1
+
+.PHONY: all build demo check lint test soak generate
+
+all: build
+
+build:
+	$(GO) build -o bin/hillreel .
+
+demo: build
+	./bin/hillreel demo
+
+check: build lint test
+
+lint:
+	$(GO) vet ./...
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go' 2>/dev/null || find . -name '*.go')); \
+	if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	$(GO) tool staticcheck ./...
+
+test:
+	$(GO) test -race -timeout 20m ./...
+
+soak:
+	$(GO) test ./internal/proof/schedule -run TestSoak -count=1 -timeout 12h -v -schedules $(SCHEDULES) -seed $(SEED)
+
+generate:
+	mkdir -p bin
+	$(GO) build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	$(GO) generate ./...
--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,202 @@
+// Package client submits jobs to hillreel and submits them again safely: under the same id, to any entry,
+// until the outcome is known.
+//
+// The id must be kept with the episode or the order before Submit is called, so that a caller that dies can
+// submit the same job again. NextID gives it.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"hillreel/api"
+	"hillreel/internal/core/verdict"
+)
+
+const (
+	// batch is how many ids one call brings.
+	batch = 64
+	// lowWater: with fewer ids at hand, more are fetched in the background.
+	lowWater = 16
+	// pause is the least wait before a job is submitted again.
+	pause = 50 * time.Millisecond
+	// maxPause bounds the wait that an entry can ask for.
+	maxPause = 5 * time.Second
+)
+
+// Options configure a Client.
+type Options struct {
+	// Entries are the callers' addresses of the entries, or the balancer's alone.
+	Entries []string
+	// Connections bounds the connections to each entry.
+	Connections int
+	// Transport is for tests; nil is the usual one.
+	Transport http.RoundTripper
+}
+
+// Client is safe for use by many goroutines.
+type Client struct {
+	entries []string
+	next    atomic.Uint64
+	http    *http.Client
+
+	mu  sync.Mutex
+	ids map[string]*stock
+}
+
+// stock holds the ids of one service that nobody has used.
+type stock struct {
+	ids      []string
+	useUntil time.Time
+	fetching bool
+}
+
+// New returns a Client of at least one entry.
+func New(o Options) (*Client, error) {
+	if len(o.Entries) == 0 {
+		return nil, errors.New("client: no entries given")
+	}
+	if o.Transport == nil {
+		n := max(o.Connections, 16)
+		o.Transport = &http.Transport{MaxIdleConnsPerHost: n, IdleConnTimeout: 30 * time.Second}
+	}
+	return &Client{
+		entries: o.Entries, http: &http.Client{Transport: o.Transport}, ids: make(map[string]*stock),
+	}, nil
+}
+
+// NextID returns an unused id for a service. It seldom waits: ids are fetched ahead.
+func (c *Client) NextID(ctx context.Context, service string) (string, error) {
+	c.mu.Lock()
+	s := c.ids[service]
+	if s == nil {
+		s = &stock{}
+		c.ids[service] = s
+	}
+	if time.Now().After(s.useUntil) {
+		s.ids = nil
+	}
+	if len(s.ids) < lowWater && len(s.ids) > 0 && !s.fetching {
+		s.fetching = true
+		go c.fetch(context.WithoutCancel(ctx), service, s) //nolint:errcheck // the next call fetches itself
+	}
+	if len(s.ids) > 0 {
+		id := s.ids[0]
+		s.ids = s.ids[1:]
+		c.mu.Unlock()
+		return id, nil
+	}
+	c.mu.Unlock()
+	if err := c.fetch(ctx, service, s); err != nil {
+		return "", err
+	}
+	return c.NextID(ctx, service)
+}
+
+func (c *Client) fetch(ctx context.Context, service string, s *stock) error {
+	ctx, cancel := context.WithTimeout(ctx, maxPause)
+	defer cancel()
+	var got api.IDs
+	asked := time.Now()
+	status, err := c.call(ctx, http.MethodPost, c.entry(), "/v1/ids", api.IDRequest{Service: service, Count: batch}, &got)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.fetching = false
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK || len(got.IDs) == 0 {
+		return errors.Errorf("client: no ids for service %s: status %d", service, status)
+	}
+	// Half the time that the entry allows, so that a job still has time to run.
+	s.ids, s.useUntil = got.IDs, asked.Add(time.Duration(got.UseWithinMs/2)*time.Millisecond)
+	return nil
+}
+
+// Submit runs a job under an id and returns its outcome. It submits again, to other entries, until an
+// outcome is known or ctx ends; the error then carries the verdict may_have_run.
+func (c *Client) Submit(ctx context.Context, id string, j api.Job) (*api.Answer, error) {
+	for {
+		var a api.Answer
+		_, err := c.call(ctx, http.MethodPut, c.entry(), "/v1/jobs/"+id, j, &a)
+		if err == nil && !again(&a) {
+			return &a, nil
+		}
+		if err := sleep(ctx, a.RetryAfter()); err != nil {
+			return &a, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.Unreachable, Cause: err}
+		}
+	}
+}
+
+// again tells whether the same id should be asked about again.
+func again(a *api.Answer) bool {
+	return a.State == verdict.Unresolved && a.Reason != verdict.Expired || a.State == verdict.Running
+}
+
+// Run takes an id and submits a job under it.
+func (c *Client) Run(ctx context.Context, j api.Job) (*api.Answer, error) {
+	id, err := c.NextID(ctx, j.Service)
+	if err != nil {
+		return nil, &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.NoAgents, Cause: err}
+	}
+	return c.Submit(ctx, id, j)
+}
+
+// Read asks once where a job stands.
+func (c *Client) Read(ctx context.Context, id string) (*api.Answer, error) {
+	var a api.Answer
+	_, err := c.call(ctx, http.MethodGet, c.entry(), "/v1/jobs/"+id, nil, &a)
+	return &a, err
+}
+
+// Cancel withdraws what of a job has not started, and returns the outcome.
+func (c *Client) Cancel(ctx context.Context, id string) (*api.Answer, error) {
+	var a api.Answer
+	_, err := c.call(ctx, http.MethodDelete, c.entry(), "/v1/jobs/"+id, nil, &a)
+	return &a, err
+}
+
+// entry takes the entries in turn.
+func (c *Client) entry() string {
+	return c.entries[c.next.Add(1)%uint64(len(c.entries))]
+}
+
+func (c *Client) call(ctx context.Context, method, entry, path string, in, out any) (int, error) {
+	var body io.Reader
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return 0, errors.Wrap(err, "client: encode")
+		}
+		body = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+entry+path, body)
+	if err != nil {
+		return 0, errors.Wrap(err, "client")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, errors.Wrap(err, "client")
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode, errors.Wrap(json.NewDecoder(resp.Body).Decode(out), "client: decode")
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(min(max(d, pause), maxPause))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/core/bus/bus.go
@@ -0,0 +1,70 @@
+// Package bus carries control events inside a process, over watermill's Go channels: membership,
+// configuration, drain. Task traffic does not pass here; docs/DESIGN.md says what that would cost.
+package bus
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/ThreeDotsLabs/watermill/pubsub/gochannel"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// Topic names a kind of event.
+type Topic string
+
+// The topics and what their events hold.
+const (
+	// Members carries vms.List, each time the platform's list was read.
+	Members Topic = "members"
+	// Config carries config.Snapshot, each time a higher version was adopted.
+	Config Topic = "config"
+	// Drain carries nothing: the process is asked to leave.
+	Drain Topic = "drain"
+)
+
+// backlog is how many events a slow subscriber may be behind.
+const backlog = 64
+
+// Bus is the event bus of one process.
+type Bus struct{ channel *gochannel.GoChannel }
+
+// New returns an empty Bus.
+func New() *Bus {
+	return &Bus{gochannel.NewGoChannel(gochannel.Config{OutputChannelBuffer: backlog}, watermill.NopLogger{})}
+}
+
+// Publish sends event, as JSON, to all subscribers of topic.
+func (b *Bus) Publish(topic Topic, event any) error {
+	payload, err := json.Marshal(event)
+	if err != nil {
+		return errors.Wrapf(err, "bus: encode %s", topic)
+	}
+	return errors.Wrap(b.channel.Publish(string(topic), message.NewMessage(watermill.NewUUID(), payload)), "bus")
+}
+
+// Subscribe calls handle for each event of topic, one at a time, until ctx ends.
+func Subscribe[T any](ctx context.Context, b *Bus, topic Topic, handle func(T)) error {
+	messages, err := b.channel.Subscribe(ctx, string(topic))
+	if err != nil {
+		return errors.Wrapf(err, "bus: subscribe %s", topic)
+	}
+	go func() {
+		for m := range messages {
+			var event T
+			if err := json.Unmarshal(m.Payload, &event); err != nil {
+				logrus.WithFields(logrus.Fields{"topic": topic, "error": err.Error()}).Error("bus_event_unreadable")
+			} else {
+				handle(event)
+			}
+			m.Ack()
+		}
+	}()
+	return nil
+}
+
+// Close ends all subscriptions.
+func (b *Bus) Close() error { return b.channel.Close() }
--- /dev/null
+++ b/internal/core/settings/settings.go
@@ -0,0 +1,280 @@
+// Package settings reads INI files into typed settings and refuses what it does not understand, with the
+// file, section, key and reason. hillreel.ini documents every option beside its default; a test keeps the
+// two the same.
+package settings
+
+import (
+	"net"
+	"os"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"gopkg.in/ini.v1"
+)
+
+// Secret is a value that never appears in a log or an error.
+type Secret string
+
+// String hides the value.
+func (s Secret) String() string { return "(secret)" }
+
+// GoString hides the value.
+func (s Secret) GoString() string { return "(secret)" }
+
+// Bytes is a size, written as a number with an optional unit kb or mb.
+type Bytes int64
+
+// Address is an IP number with a port.
+type Address string
+
+// Error is a refusal of one option.
+type Error struct{ File, Section, Key, Reason string }
+
+// Error names file, section, key and reason.
+func (e *Error) Error() string {
+	return "settings: " + e.File + ": [" + e.Section + "] " + e.Key + ": " + e.Reason
+}
+
+// Load reads file over the defaults. An empty name gives the defaults alone. Every problem found is
+// reported, one error after the other.
+func Load(file string) (*Settings, error) {
+	s := &Settings{}
+	l := &loader{file: file}
+	l.defaults(s)
+	if file != "" {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			return nil, errors.Wrap(err, "settings")
+		}
+		l.parse(s, raw)
+	}
+	if len(l.problems) == 0 {
+		l.problems = append(l.problems, s.conflicts(file)...)
+	}
+	return s, l.err()
+}
+
+// Parse reads the text of a settings file over the defaults; name stands in errors.
+func Parse(name, text string) (*Settings, error) {
+	s := &Settings{}
+	l := &loader{file: name}
+	l.defaults(s)
+	l.parse(s, []byte(text))
+	if len(l.problems) == 0 {
+		l.problems = append(l.problems, s.conflicts(name)...)
+	}
+	return s, l.err()
+}
+
+type loader struct {
+	file     string
+	problems []*Error
+}
+
+func (l *loader) err() error {
+	if len(l.problems) == 0 {
+		return nil
+	}
+	lines := make([]string, len(l.problems))
+	for i, p := range l.problems {
+		lines[i] = p.Error()
+	}
+	return errors.New(strings.Join(lines, "\n"))
+}
+
+func (l *loader) problem(section, key, reason string) {
+	l.problems = append(l.problems, &Error{l.file, section, key, reason})
+}
+
+func (l *loader) defaults(s *Settings) {
+	for _, o := range options(s) {
+		if reason := set(o.value, o.def); reason != "" {
+			l.problem(o.section, o.key, "default: "+reason)
+		}
+	}
+}
+
+func (l *loader) parse(s *Settings, raw []byte) {
+	f, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true, AllowDuplicateShadowValues: true}, raw)
+	if err != nil {
+		l.problem("", "", "not INI: "+err.Error())
+		return
+	}
+	known := make(map[string]option)
+	sections := make(map[string]bool)
+	for _, o := range options(s) {
+		known[o.section+"\n"+o.key] = o
+		sections[o.section] = true
+	}
+	for _, section := range f.Sections() {
+		if section.Name() == ini.DefaultSection && len(section.Keys()) == 0 {
+			continue
+		}
+		if !sections[section.Name()] {
+			l.problem(section.Name(), "", "no such section")
+			continue
+		}
+		l.parseSection(section, known)
+	}
+}
+
+func (l *loader) parseSection(section *ini.Section, known map[string]option) {
+	for _, key := range section.Keys() {
+		o, ok := known[section.Name()+"\n"+key.Name()]
+		if !ok {
+			l.problem(section.Name(), key.Name(), "no such option")
+			continue
+		}
+		if len(key.ValueWithShadows()) > 1 {
+			l.problem(section.Name(), key.Name(), "given more than once")
+			continue
+		}
+		if reason := set(o.value, key.Value()); reason != "" {
+			l.problem(section.Name(), key.Name(), reason)
+			continue
+		}
+		if reason := o.outOfRange(); reason != "" {
+			l.problem(section.Name(), key.Name(), reason)
+		}
+	}
+}
+
+// option is one field of Settings.
+type option struct {
+	section, key, def, doc, min, max string
+	value                            reflect.Value
+}
+
+// options lists all fields in the order of the file.
+func options(s *Settings) []option {
+	var out []option
+	top := reflect.ValueOf(s).Elem()
+	for i := range top.NumField() {
+		section := top.Field(i)
+		name := top.Type().Field(i).Tag.Get("ini")
+		for k := range section.NumField() {
+			tag := section.Type().Field(k).Tag
+			out = append(out, option{
+				section: name, key: tag.Get("ini"), def: tag.Get("default"), doc: tag.Get("doc"),
+				min: tag.Get("min"), max: tag.Get("max"), value: section.Field(k),
+			})
+		}
+	}
+	return out
+}
+
+// set parses text into a field and returns the reason when it can't. A secret's text is never repeated.
+func set(v reflect.Value, text string) string {
+	text = strings.TrimSpace(text)
+	switch v.Interface().(type) {
+	case Secret, string:
+		v.SetString(text)
+	case Address:
+		if reason := checkAddress(text); reason != "" {
+			return reason
+		}
+		v.SetString(text)
+	case time.Duration:
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			return "want a duration with its unit, such as 250ms or 10s, not " + strconv.Quote(text)
+		}
+		v.SetInt(int64(d))
+	case Bytes:
+		n, err := parseBytes(text)
+		if err != nil {
+			return "want a size, such as 64kb or 8mb, not " + strconv.Quote(text)
+		}
+		v.SetInt(n)
+	case int:
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			return "want a whole number without unit, not " + strconv.Quote(text)
+		}
+		v.SetInt(int64(n))
+	case bool:
+		b, err := strconv.ParseBool(text)
+		if err != nil {
+			return "want true or false, not " + strconv.Quote(text)
+		}
+		v.SetBool(b)
+	case []string:
+		v.Set(reflect.ValueOf(splitList(text)))
+	}
+	return ""
+}
+
+func splitList(text string) []string {
+	var out []string
+	for _, part := range strings.Split(text, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			out = append(out, part)
+		}
+	}
+	return out
+}
+
+func checkAddress(text string) string {
+	if text == "" {
+		return ""
+	}
+	host, port, err := net.SplitHostPort(text)
+	if err != nil || net.ParseIP(host) == nil {
+		return "want an IP number with a port, such as 10.0.0.7:7400, not " + strconv.Quote(text)
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 0 || n > 65535 {
+		return "want a port from 0 to 65535, not " + strconv.Quote(port)
+	}
+	return ""
+}
+
+func parseBytes(text string) (int64, error) {
+	factor := int64(1)
+	lower := strings.ToLower(text)
+	switch {
+	case strings.HasSuffix(lower, "kb"):
+		factor, lower = 1<<10, strings.TrimSuffix(lower, "kb")
+	case strings.HasSuffix(lower, "mb"):
+		factor, lower = 1<<20, strings.TrimSuffix(lower, "mb")
+	}
+	n, err := strconv.ParseInt(strings.TrimSpace(lower), 10, 64)
+	if err == nil && n < 0 {
+		err = errors.New("negative")
+	}
+	return n * factor, err
+}
+
+// outOfRange compares the value with the bounds in its tags.
+func (o option) outOfRange() string {
+	limit := reflect.New(o.value.Type()).Elem()
+	if o.min != "" && set(limit, o.min) == "" && o.value.Int() < limit.Int() {
+		return "must be at least " + o.min
+	}
+	if o.max != "" && set(limit, o.max) == "" && o.value.Int() > limit.Int() {
+		return "must be at most " + o.max
+	}
+	return ""
+}
+
+// Document prints every option with its description and default, as hillreel.ini has it.
+func Document() string {
+	var b strings.Builder
+	b.WriteString("# Every option of hillreel, beside its default. An option that is left out has that default.\n")
+	b.WriteString("# Durations carry a unit (250ms, 10s), sizes may (64kb, 8mb), addresses are IP numbers with a port.\n")
+	section := ""
+	for _, o := range options(&Settings{}) {
+		if o.section != section {
+			section = o.section
+			b.WriteString("\n[" + section + "]\n")
+		}
+		b.WriteString("# " + o.doc + "\n")
+		if o.min != "" || o.max != "" {
+			b.WriteString("# Range: " + o.min + " to " + o.max + ".\n")
+		}
+		b.WriteString(strings.TrimSpace(o.key+" = "+o.def) + "\n")
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/entry/job/adopt.go
@@ -0,0 +1,213 @@
+package job
+
+import (
+	"bytes"
+	"slices"
+
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/rule"
+	"hillreel/internal/core/verdict"
+	"hillreel/internal/link/wire"
+)
+
+// adopt takes up a job whose owner is gone: it seals every agent of the job's roster under a new
+// generation, and only then knows what was started and what never will be.
+func (t *Table) adopt(req Request, j *job) {
+	if req.ID.Region != t.opt.Region {
+		req.Answer(t.brief(req.ID, verdict.Unresolved, verdict.MayHaveRun, verdict.OtherRegion,
+			"the id belongs to region "+string(req.ID.Region)+", which can't be reached from here"))
+		return
+	}
+	t.counts.Adopted++
+	counter := uint32(ident.OwnerCounter)
+	if j == nil {
+		j = t.newJob(req.ID, ident.Generation{})
+	}
+	counter = max(counter, j.gen.Counter, j.newest.Counter) + 1
+	j.gen = ident.Generation{Counter: counter, Holder: t.opt.Self}
+	j.tasks, j.left, j.decision, j.spec, j.digest = nil, 0, nil, nil, nil
+	j.roster = t.rosters[req.ID.Roster]
+	if req.Spec != nil {
+		j.setBody(req.Spec)
+	}
+	j.waiters = append(j.waiters, waiting{req, t.opt.Now()})
+	t.unsettled[j.key] = j
+	if j.roster == nil {
+		t.seek(j)
+		return
+	}
+	t.startSeal(j)
+}
+
+func (t *Table) startSeal(j *job) {
+	t.setMode(j, sealing)
+	j.sealed = make(map[ident.Incarnation]*wire.Sealed)
+	for _, a := range t.rosterAgents(j) {
+		t.sendSeal(j, a)
+	}
+	t.resolveWhenSealed(j)
+}
+
+// rosterAgents lists the agents that may start tasks of j, and must seal it: the incarnations of its roster,
+// whatever is linked now under the same names. The list is a copy.
+func (t *Table) rosterAgents(j *job) []*agent {
+	if t.opt.Omit.Holds(rule.RosterIncarnations) {
+		return slices.Clone(j.roster.agents)
+	}
+	var out []*agent
+	for _, a := range j.roster.agents {
+		out = append(out, t.linkedByName(a))
+	}
+	return out
+}
+
+func (t *Table) sendSeal(j *job, a *agent) {
+	if !a.up {
+		return
+	}
+	t.counts.Seals++
+	j.messages++
+	t.toAgent(a.inc, &wire.Msg{Kind: &wire.Msg_Seal{Seal: &wire.Seal{
+		Key: j.key.Wire(), MintedMs: j.id.MintedMs, Gen: j.gen.Wire(),
+	}}})
+}
+
+// resumeUnsettled sends again what a newly linked agent must still hear.
+func (t *Table) resumeUnsettled(a *agent) {
+	for _, j := range t.pending() {
+		switch {
+		case j.mode == sealing && j.sealed[a.inc] == nil && slices.Contains(t.rosterAgents(j), a):
+			t.sendSeal(j, a)
+		case j.mode == recording && (j.recorder == 0 || j.recorder == a.inc):
+			t.sendRecord(j)
+		}
+	}
+}
+
+func (t *Table) handleSealed(from ident.Incarnation, s *wire.Sealed) {
+	j := t.jobs[ident.KeyOf(s.GetKey())]
+	if j == nil || j.mode != sealing || ident.GenerationOf(s.GetGen()) != j.gen {
+		return
+	}
+	j.sealed[from] = s
+	t.resolveWhenSealed(j)
+}
+
+// noteWhileSealing keeps a result that an agent sends after it sealed, while others have not.
+func (j *job) noteWhileSealing(from ident.Incarnation, r *wire.Result) {
+	s := j.sealed[from]
+	if s == nil {
+		return
+	}
+	s.Running = slices.DeleteFunc(s.Running, func(x *wire.TaskRef) bool { return x.GetIndex() == r.GetIndex() })
+	if r.GetVerdict() != string(verdict.NotRun) {
+		s.Ended = append(s.Ended, r)
+	}
+}
+
+// resolveWhenSealed goes on once every agent of the roster has sealed. From silence nothing follows.
+func (t *Table) resolveWhenSealed(j *job) {
+	for _, a := range t.rosterAgents(j) {
+		silent := j.sealed[a.inc] == nil
+		if silent && (a.up || t.opt.Omit.Holds(rule.SilentAgents)) {
+			return
+		}
+	}
+	t.resolve(j)
+}
+
+func (t *Table) resolve(j *job) {
+	t.checkBody(j)
+	t.fillFromSeals(j)
+	for _, s := range j.sealed {
+		if s.GetDecision() != nil {
+			j.decision = s.GetDecision()
+			t.endFailed(j)
+			return
+		}
+	}
+	if j.spec == nil && j.failure() == "" && (len(j.tasks) == 0 || j.anyTodo()) {
+		t.setMode(j, bodyNeeded)
+		t.settleNow(j)
+		return
+	}
+	t.activate(j)
+}
+
+// settleNow answers the waiters of a job that can't go on without a body.
+func (t *Table) settleNow(j *job) {
+	waiters := j.waiters
+	j.waiters = nil
+	for _, w := range waiters {
+		t.counts.Unresolved++
+		w.req.Answer(t.progressAnswer(j, verdict.Unresolved, verdict.BodyNeeded))
+	}
+}
+
+// resumeWithBody goes on with a job that waited only for its body.
+func (t *Table) resumeWithBody(j *job) {
+	if j.mode == bodyNeeded {
+		t.activate(j)
+	}
+}
+
+// checkBody drops a body that differs from the one under which tasks have started, and its callers.
+func (t *Table) checkBody(j *job) {
+	for _, s := range j.sealed {
+		if len(s.GetBodyDigest()) == 0 || bytes.Equal(s.GetBodyDigest(), j.digest) {
+			continue
+		}
+		j.digest = s.GetBodyDigest()
+		if j.spec == nil {
+			continue
+		}
+		j.spec, j.tasks, j.left = nil, nil, 0
+		kept := j.waiters[:0]
+		for _, w := range j.waiters {
+			if w.req.Op != OpSubmit {
+				kept = append(kept, w)
+				continue
+			}
+			w.req.Answer(t.brief(j.id, verdict.Refused, verdict.MayHaveRun, verdict.DifferentBody,
+				"another body was submitted under this id; this one started nothing"))
+		}
+		j.waiters = kept
+	}
+}
+
+func (t *Table) fillFromSeals(j *job) {
+	for from, s := range j.sealed {
+		j.setCount(int(s.GetCount()))
+		for _, r := range s.GetEnded() {
+			t.fillEnded(j, from, r)
+		}
+		for _, ref := range s.GetRunning() {
+			tk := j.set(ref.GetIndex(), sent)
+			tk.agent, tk.attempt = from, ref.GetAttempt()
+			t.agent(from).tasks[taskRef{j.key, ref.GetIndex()}] = struct{}{}
+		}
+	}
+}
+
+func (t *Table) fillEnded(j *job, from ident.Incarnation, r *wire.Result) {
+	state := unsure
+	if verdict.Verdict(r.GetVerdict()) == verdict.Ran {
+		state = bad
+		if r.GetOk() {
+			state = done
+		}
+	}
+	if state == unsure && j.repeatable() {
+		// Another attempt may be running or done elsewhere; that one counts.
+		if j.tasks[r.GetIndex()].state == todo {
+			j.tasks[r.GetIndex()].attempt = r.GetAttempt()
+		}
+		return
+	}
+	tk := j.set(r.GetIndex(), state)
+	tk.agent, tk.attempt, tk.result = from, r.GetAttempt(), r
+}
+
+func (j *job) anyTodo() bool {
+	return slices.ContainsFunc(j.tasks, func(tk task) bool { return tk.state == todo })
+}
--- /dev/null
+++ b/internal/entry/job/members.go
@@ -0,0 +1,320 @@
+package job
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/rule"
+	"hillreel/internal/core/verdict"
+	"hillreel/internal/link/wire"
+)
+
+// prefetch is how many tasks beyond its slots an agent may hold, so that a slot never waits for a round trip.
+const prefetch = 2
+
+// connectBackoff is how long an agent whose upstream refuses connections gets no work.
+const connectBackoff = 250 * time.Millisecond
+
+// agent is what this entry knows of one incarnation of an agent.
+type agent struct {
+	inc      ident.Incarnation
+	name     ident.UpstreamName
+	address  ident.Address
+	zone     ident.Zone
+	services map[ident.Service]bool
+	slots    int
+	// link numbers the newest link; messages of older ones are dropped.
+	link      uint64
+	up        bool
+	gone      bool
+	leaving   bool
+	downSince time.Time
+	// tasks holds the placements of this entry that have no result yet.
+	tasks map[taskRef]struct{}
+	// others is how many tasks of other entries it holds, by its last report.
+	others    int
+	notBefore time.Time
+	now       func() time.Time
+}
+
+type taskRef struct {
+	key   ident.Key
+	index uint32
+}
+
+// room tells whether the agent may be given one more task.
+func (a *agent) room() bool {
+	if !a.up || a.leaving || a.now().Before(a.notBefore) {
+		return false
+	}
+	return len(a.tasks)+a.others < a.slots+prefetch
+}
+
+// load is how many tasks the agent holds per slot.
+func (a *agent) load() float64 {
+	return float64(len(a.tasks)+a.others) / float64(max(a.slots, 1))
+}
+
+// refused notes why an agent turned a task down.
+func (a *agent) refused(why verdict.Reason, now time.Time) {
+	switch why {
+	case verdict.QueueFull:
+		a.others = a.slots + prefetch
+	case verdict.AgentLeaving:
+		a.leaving = true
+	case verdict.ConnectFailed, verdict.Cordoned:
+		a.notBefore = now.Add(connectBackoff)
+	}
+}
+
+// peer is what this entry knows of one incarnation of another entry.
+type peer struct {
+	inc       ident.Incarnation
+	address   ident.Address
+	link      uint64
+	up        bool
+	gone      bool
+	leaving   bool
+	downSince time.Time
+}
+
+func (t *Table) agent(inc ident.Incarnation) *agent {
+	a := t.agents[inc]
+	if a == nil {
+		a = &agent{inc: inc, tasks: make(map[taskRef]struct{}), downSince: t.opt.Now(), now: t.opt.Now}
+		t.agents[inc] = a
+	}
+	return a
+}
+
+// AgentUp takes a new link to an agent. What was sent on an older one is asked about, never sent again.
+func (t *Table) AgentUp(h *wire.Hello, link uint64) {
+	a := t.agent(ident.Incarnation(h.GetIncarnation()))
+	if link < a.link {
+		return
+	}
+	a.link, a.up, a.gone, a.leaving = link, true, false, h.GetLeaving()
+	a.name, a.address = ident.UpstreamName(h.GetName()), ident.Address(h.GetAddress())
+	a.zone, a.slots = ident.Zone(h.GetZone()), int(h.GetSlots())
+	a.services = make(map[ident.Service]bool)
+	for _, s := range h.GetServices() {
+		a.services[ident.Service(s)] = true
+	}
+	t.replaceAt(a)
+	for ref := range a.tasks {
+		if j := t.jobs[ref.key]; j != nil {
+			t.sendStart(j, ref.index, a, true)
+		}
+	}
+	t.resumeUnsettled(a)
+	t.updateRosters()
+	t.pumpAll()
+}
+
+// replaceAt marks earlier lives at the same address as gone.
+func (t *Table) replaceAt(a *agent) {
+	for _, old := range t.agents {
+		if old != a && old.address == a.address && old.address != "" && !old.up {
+			t.AgentGone(old.inc)
+		}
+	}
+}
+
+// AgentDown tells that a link broke. Its tasks stay with that incarnation.
+func (t *Table) AgentDown(inc ident.Incarnation, link uint64) {
+	a := t.agents[inc]
+	if a == nil || !a.up || a.link != link {
+		return
+	}
+	a.up, a.downSince = false, t.opt.Now()
+	for _, j := range t.pending() {
+		switch {
+		case j.mode == stopping && j.withdrawing[inc]:
+			delete(j.withdrawing, inc)
+			t.decideWhenStopped(j)
+		case j.mode == recording && j.recorder == inc:
+			t.sendRecord(j)
+		}
+	}
+}
+
+// AgentGone declares that an incarnation will not come back. What it had may have run.
+func (t *Table) AgentGone(inc ident.Incarnation) {
+	a := t.agents[inc]
+	if a == nil || a.gone || a.up {
+		return
+	}
+	a.gone = true
+	for ref := range a.tasks {
+		delete(a.tasks, ref)
+		if j := t.jobs[ref.key]; j != nil && j.expects(inc, ref.index) {
+			t.unsure(j, ref.index, nil, verdict.AgentGone)
+		}
+	}
+	t.updateRosters()
+	t.pumpAll()
+}
+
+func (t *Table) handleAgentLeaving(from ident.Incarnation) {
+	t.agent(from).leaving = true
+	t.updateRosters()
+}
+
+func (t *Table) handleLoad(from ident.Incarnation, l *wire.Load) {
+	a := t.agent(from)
+	a.others = max(0, int(l.GetQueued()+l.GetRunning())-len(a.tasks))
+	for _, p := range t.services {
+		if a.services[p.service] {
+			t.pump(p)
+		}
+	}
+}
+
+// PeerUp takes a new link to another entry and tells it what an adopter would need.
+func (t *Table) PeerUp(h *wire.Hello, link uint64) {
+	inc := ident.Incarnation(h.GetIncarnation())
+	p := t.peers[inc]
+	if p == nil {
+		p = &peer{inc: inc}
+		t.peers[inc] = p
+	}
+	if link < p.link {
+		return
+	}
+	p.link, p.up, p.gone, p.leaving = link, true, false, h.GetLeaving()
+	p.address = ident.Address(h.GetAddress())
+	for _, old := range t.peers {
+		if old != p && old.address == p.address && !old.up {
+			t.PeerGone(old.inc)
+		}
+	}
+	for _, r := range t.rosters {
+		t.links.ToPeer(inc, rosterMsg(r, false))
+	}
+	for owner, s := range t.successors {
+		t.links.ToPeer(inc, successorMsg(owner, s))
+	}
+	t.seekRosters()
+	t.retryParked()
+}
+
+// PeerDown tells that a link to another entry broke. What was forwarded there is asked again: ids make
+// that safe.
+func (t *Table) PeerDown(inc ident.Incarnation, link uint64) {
+	p := t.peers[inc]
+	if p == nil || !p.up || p.link != link {
+		return
+	}
+	p.up, p.downSince = false, t.opt.Now()
+	t.reroute(inc)
+	t.updateRosters()
+}
+
+// PeerGone declares that another entry's incarnation will not come back.
+func (t *Table) PeerGone(inc ident.Incarnation) {
+	p := t.peers[inc]
+	if p == nil || p.up || p.gone {
+		return
+	}
+	p.gone = true
+	t.retryParked()
+}
+
+func (t *Table) handlePeerLeaving(from ident.Incarnation) {
+	if p := t.peers[from]; p != nil {
+		p.leaving = true
+	}
+}
+
+// suspect declares processes gone whose links have been down for too long.
+func (t *Table) suspect() {
+	now := t.opt.Now()
+	for _, a := range t.agents {
+		if !a.up && !a.gone && now.Sub(a.downSince) > t.opt.GoneAfter {
+			t.AgentGone(a.inc)
+		}
+	}
+	for _, p := range t.peers {
+		if !p.up && !p.gone && now.Sub(p.downSince) > t.opt.GoneAfter {
+			t.PeerGone(p.inc)
+		}
+	}
+	t.updateRosters()
+}
+
+// inRoster tells whether a new roster should name the agent: it has a link, or lost it only just now.
+func (t *Table) inRoster(a *agent, s ident.Service) bool {
+	if !a.services[s] || a.leaving || a.gone {
+		return false
+	}
+	return a.up || t.opt.Now().Sub(a.downSince) < t.opt.SuspectAfter
+}
+
+// linkedByName finds the agent now linked under the same upstream name. It breaks rule
+// RosterIncarnations on purpose and serves the experiment that leaves it out.
+func (t *Table) linkedByName(a *agent) *agent {
+	if a.up {
+		return a
+	}
+	for _, other := range t.agents {
+		if other.up && other.name == a.name && a.name != "" {
+			return other
+		}
+	}
+	return a
+}
+
+// adopterOf is the live entry with the highest hash for the job, so that two entries seldom contend.
+func (t *Table) adopterOf(key ident.Key) ident.Incarnation {
+	best, bestHash := ident.Incarnation(0), uint64(0)
+	consider := func(inc ident.Incarnation) {
+		h := xxhash.Sum64String(key.String() + inc.String())
+		if best == 0 || h > bestHash {
+			best, bestHash = inc, h
+		}
+	}
+	if !t.leaving {
+		consider(t.opt.Self)
+	}
+	for _, p := range t.peers {
+		if p.up && !p.leaving {
+			consider(p.inc)
+		}
+	}
+	if best == 0 {
+		return t.opt.Self
+	}
+	return best
+}
+
+// fromNewestLink tells whether a message came on the newest link to its sender.
+func (t *Table) fromNewestLink(from ident.Incarnation, link uint64) bool {
+	a := t.agents[from]
+	return a != nil && (a.link == link || !t.opt.Omit.Holds(rule.NewestLink))
+}
+
+// AgentLeavingAt marks the agent at an address as leaving, by the platform's word.
+func (t *Table) AgentLeavingAt(address ident.Address) {
+	for _, a := range t.agents {
+		if a.address == address && !a.leaving {
+			a.leaving = true
+			t.updateRosters()
+		}
+	}
+}
+
+// Unlisted tells that the platform's list no longer has an address. Whoever has no link there is gone.
+func (t *Table) Unlisted(address ident.Address) {
+	for _, a := range t.agents {
+		if a.address == address && !a.up {
+			t.AgentGone(a.inc)
+		}
+	}
+	for _, p := range t.peers {
+		if p.address == address && !p.up {
+			t.PeerGone(p.inc)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/job/roster.go
@@ -0,0 +1,209 @@
+package job
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"hillreel/internal/core/ident"
+	"hillreel/internal/link/wire"
+)
+
+// roster is the exact set of agent incarnations that may run the jobs minted under it.
+type roster struct {
+	digest  ident.RosterDigest
+	members []*wire.Member
+	// agents stands in the order of members.
+	agents []*agent
+	// announced is when its minter last named it.
+	announced time.Time
+}
+
+// pool is one service's agents and the jobs that wait for them.
+type pool struct {
+	service ident.Service
+	// current is the newest roster; mintable is the newest that a peer has acknowledged.
+	current, mintable *roster
+	queue             []*job
+}
+
+// announceEvery is the part of the retention after which an entry names its rosters to its peers again.
+const announceEvery = 4
+
+func (t *Table) pool(s ident.Service) *pool {
+	p := t.services[s]
+	if p == nil {
+		p = &pool{service: s}
+		t.services[s] = p
+	}
+	return p
+}
+
+// updateRosters makes a new roster for each service whose set of agents has changed.
+func (t *Table) updateRosters() {
+	for _, a := range t.agents {
+		for s := range a.services {
+			t.pool(s)
+		}
+	}
+	for _, p := range t.services {
+		t.updateRoster(p)
+	}
+}
+
+func (t *Table) updateRoster(p *pool) {
+	var members []*wire.Member
+	for _, a := range t.agents {
+		if t.inRoster(a, p.service) {
+			members = append(members, &wire.Member{
+				Upstream: string(a.name), Incarnation: uint64(a.inc), Address: string(a.address),
+			})
+		}
+	}
+	slices.SortFunc(members, func(a, b *wire.Member) int { return cmp.Compare(a.GetIncarnation(), b.GetIncarnation()) })
+	now := t.opt.Now()
+	digest := digestOf(p.service, members)
+	if p.current == nil || p.current.digest != digest {
+		p.current = t.keepRoster(digest, members)
+		t.announce(p.current)
+	}
+	if now.Sub(p.current.announced) > t.opt.Retention/announceEvery {
+		p.current.announced = now
+		t.announce(p.current)
+	}
+	// With nobody to acknowledge it, minting goes on: only adoption is lost, and with it nothing that is safe.
+	if p.mintable != p.current && !t.anyPeer() {
+		p.mintable = p.current
+	}
+}
+
+func (t *Table) announce(r *roster) {
+	for _, p := range t.peers {
+		if p.up {
+			t.links.ToPeer(p.inc, rosterMsg(r, false))
+		}
+	}
+}
+
+func (t *Table) anyPeer() bool {
+	for _, p := range t.peers {
+		if p.up {
+			return true
+		}
+	}
+	return false
+}
+
+func digestOf(s ident.Service, members []*wire.Member) ident.RosterDigest {
+	h := sha256.New()
+	h.Write([]byte(s))
+	for _, m := range members {
+		h.Write(binary.BigEndian.AppendUint64([]byte{0}, m.GetIncarnation()))
+	}
+	return ident.RosterDigest(h.Sum(nil)[:16])
+}
+
+func (t *Table) keepRoster(digest ident.RosterDigest, members []*wire.Member) *roster {
+	if r := t.rosters[digest]; r != nil {
+		r.announced = t.opt.Now()
+		return r
+	}
+	r := &roster{digest: digest, members: members, announced: t.opt.Now()}
+	for _, m := range members {
+		a := t.agent(ident.Incarnation(m.GetIncarnation()))
+		if a.name == "" {
+			a.name, a.address = ident.UpstreamName(m.GetUpstream()), ident.Address(m.GetAddress())
+		}
+		r.agents = append(r.agents, a)
+	}
+	t.rosters[digest] = r
+	return r
+}
+
+// dropRosters forgets rosters that nobody named for so long that no valid id can name them.
+func (t *Table) dropRosters() {
+	for d, r := range t.rosters {
+		if t.opt.Now().Sub(r.announced) > 2*t.opt.Retention && !t.inUse(r) {
+			delete(t.rosters, d)
+		}
+	}
+}
+
+func (t *Table) inUse(r *roster) bool {
+	for _, p := range t.services {
+		if p.current == r || p.mintable == r {
+			return true
+		}
+	}
+	return false
+}
+
+func rosterMsg(r *roster, asked bool) *wire.Msg {
+	return &wire.Msg{Kind: &wire.Msg_Roster{Roster: &wire.Roster{
+		Digest: r.digest[:], Members: r.members, Asked: asked,
+	}}}
+}
+
+func (t *Table) handleRoster(from ident.Incarnation, r *wire.Roster) {
+	if len(r.GetDigest()) != len(ident.RosterDigest{}) {
+		return
+	}
+	t.keepRoster(ident.RosterDigest(r.GetDigest()), r.GetMembers())
+	t.links.ToPeer(from, &wire.Msg{Kind: &wire.Msg_RosterAck{RosterAck: &wire.RosterAck{Digest: r.GetDigest()}}})
+	for _, j := range t.pending() {
+		if j.mode == seeking {
+			t.rosterFound(j)
+		}
+	}
+}
+
+func (t *Table) handleRosterAck(r *wire.RosterAck) {
+	for _, p := range t.services {
+		if p.current != nil && string(p.current.digest[:]) == string(r.GetDigest()) {
+			p.mintable = p.current
+		}
+	}
+}
+
+func (t *Table) handleRosterAsk(from ident.Incarnation, r *wire.RosterAsk) {
+	if len(r.GetDigest()) != len(ident.RosterDigest{}) {
+		return
+	}
+	if known := t.rosters[ident.RosterDigest(r.GetDigest())]; known != nil {
+		t.links.ToPeer(from, rosterMsg(known, true))
+	}
+}
+
+// seek asks all peers for the roster of a job that this entry is to run.
+func (t *Table) seek(j *job) {
+	t.setMode(j, seeking)
+	ask := &wire.Msg{Kind: &wire.Msg_RosterAsk{RosterAsk: &wire.RosterAsk{Digest: j.id.Roster[:]}}}
+	for _, p := range t.peers {
+		if p.up {
+			t.links.ToPeer(p.inc, ask)
+		}
+	}
+}
+
+func (t *Table) seekRosters() {
+	for _, j := range t.pending() {
+		if j.mode == seeking {
+			t.seek(j)
+		}
+	}
+}
+
+func (t *Table) rosterFound(j *job) {
+	r := t.rosters[j.id.Roster]
+	if r == nil {
+		return
+	}
+	j.roster = r
+	if j.gen.Counter == ident.OwnerCounter {
+		t.admit(j)
+		return
+	}
+	t.startSeal(j)
+}
--- /dev/null
+++ b/internal/entry/job/run.go
@@ -0,0 +1,337 @@
+package job
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/invariant"
+	"hillreel/internal/core/rule"
+	"hillreel/internal/core/verdict"
+	"hillreel/internal/link/wire"
+)
+
+// maxRepeats bounds how often a repeatable task is started again after it may have run.
+const maxRepeats = 2
+
+// begin makes the job that a request names, for its owner or the owner's successor.
+func (t *Table) begin(req Request, gen ident.Generation) {
+	if req.Op != OpSubmit {
+		req.Answer(t.brief(req.ID, verdict.Unknown, verdict.MayHaveRun, verdict.NotFound,
+			"no job was submitted under this id so far"))
+		return
+	}
+	j := t.newJob(req.ID, gen)
+	t.setMode(j, active)
+	j.roster = t.rosters[req.ID.Roster]
+	j.setBody(req.Spec)
+	j.waiters = append(j.waiters, waiting{req, t.opt.Now()})
+	t.unsettled[j.key] = j
+	t.counts.Jobs++
+	t.admit(j)
+}
+
+func (t *Table) newJob(id ident.JobID, gen ident.Generation) *job {
+	j := &job{id: id, key: id.Key, gen: gen}
+	t.jobs[j.key] = j
+	t.remember(j)
+	return j
+}
+
+// admit refuses what can't be run in time, before anything is sent, and queues the rest.
+func (t *Table) admit(j *job) {
+	switch {
+	case t.known != nil && !t.known[j.id.Service]:
+		t.fail(j, verdict.UnknownService)
+		return
+	case j.roster == nil:
+		t.seek(j)
+		return
+	case t.leaving:
+		t.fail(j, verdict.Leaving)
+		return
+	case j.id.Age(t.opt.Now()) > t.opt.Retention/2:
+		t.fail(j, verdict.Expired)
+		return
+	case t.waiting+len(j.tasks) > t.opt.QueueLimit:
+		t.fail(j, verdict.Overloaded)
+		return
+	}
+	t.activate(j)
+}
+
+// activate queues the tasks that are still to do.
+func (t *Table) activate(j *job) {
+	t.setMode(j, active)
+	for i := range j.tasks {
+		if j.tasks[i].state == todo {
+			t.enqueue(j, uint32(i))
+		}
+	}
+	t.watchDeadline(j)
+	if why := j.failure(); why != "" {
+		t.fail(j, why)
+		return
+	}
+	t.progress(j)
+	t.pump(t.pool(j.id.Service))
+}
+
+func (t *Table) enqueue(j *job, index uint32) {
+	j.queue = append(j.queue, index)
+	t.waiting++
+	p := t.pool(j.id.Service)
+	if !j.inPool {
+		j.inPool = true
+		p.queue = append(p.queue, j)
+	}
+}
+
+// unqueue empties a job's queue.
+func (t *Table) unqueue(j *job) {
+	t.waiting -= len(j.queue)
+	j.queue = nil
+}
+
+// maxBlocked bounds how many jobs one pump passes over because none of their own agents has room.
+const maxBlocked = 64
+
+// pump places queued tasks while agents have room. Tasks wait here, not at the agents, so that each goes
+// to whichever agent is free first.
+func (t *Table) pump(p *pool) {
+	if len(p.queue) == 0 {
+		return
+	}
+	rooms := make(map[*roster][]*agent)
+	blocked := 0
+	kept := p.queue[:0]
+	for n, j := range p.queue {
+		if blocked >= maxBlocked {
+			kept = append(kept, p.queue[n:]...)
+			break
+		}
+		if j.mode == active {
+			t.place(j, rooms)
+		}
+		if len(j.queue) == 0 {
+			j.inPool = false
+			continue
+		}
+		blocked++
+		kept = append(kept, j)
+	}
+	clear(p.queue[len(kept):])
+	p.queue = kept
+}
+
+func (t *Table) pumpAll() {
+	for _, p := range t.services {
+		t.pump(p)
+	}
+}
+
+// place sends as many of the job's tasks as its roster has room for. rooms holds, for each roster, the
+// agents that had room when this pump began and have not been filled since.
+func (t *Table) place(j *job, rooms map[*roster][]*agent) {
+	room, seen := rooms[j.roster]
+	if !seen {
+		room = slices.DeleteFunc(t.rosterAgents(j), func(a *agent) bool { return !a.room() })
+	}
+	for len(j.queue) > 0 && len(room) > 0 {
+		i := t.placer.Pick(len(room),
+			func(i int) float64 { return room[i].load() },
+			func(i int) bool { return room[i].zone == t.opt.Zone })
+		if i < 0 {
+			break
+		}
+		index := j.queue[0]
+		j.queue = j.queue[1:]
+		t.waiting--
+		t.start(j, index, room[i])
+		if !room[i].room() {
+			room[i] = room[len(room)-1]
+			room = room[:len(room)-1]
+		}
+	}
+	rooms[j.roster] = room
+}
+
+// start asks one agent to run one task. The task is that agent's until a definite not_run comes back.
+func (t *Table) start(j *job, index uint32, a *agent) {
+	tk := j.set(index, sent)
+	tk.agent = a.inc
+	tk.attempt++
+	invariant.Check(j.decision == nil && j.mode == active, invariant.NotRunIsFinal, func() logrus.Fields {
+		return logrus.Fields{"job": j.key, "task": index, "mode": j.mode}
+	})
+	a.tasks[taskRef{j.key, index}] = struct{}{}
+	t.counts.Starts++
+	t.sendStart(j, index, a, false)
+}
+
+// sendStart sends a start, or asks about one that went out on an older link.
+func (t *Table) sendStart(j *job, index uint32, a *agent, ask bool) {
+	spec := &wire.TaskSpec{}
+	if j.spec != nil {
+		spec = j.spec.GetTasks()[index]
+	}
+	j.messages++
+	t.toAgent(a.inc, &wire.Msg{Kind: &wire.Msg_Start{Start: &wire.Start{
+		Key: j.key.Wire(), MintedMs: j.id.MintedMs, Gen: j.gen.Wire(), Agent: uint64(a.inc),
+		Index: index, Count: uint32(len(j.tasks)), BodyDigest: j.digest, Service: string(j.id.Service),
+		TaskKind: spec.GetKind(), Payload: spec.GetPayload(), Repeatable: j.repeatable(),
+		Attempt: j.tasks[index].attempt, Ask: ask && t.opt.Omit.Holds(rule.AskNeverStarts),
+	}}})
+}
+
+func (t *Table) handleResult(from ident.Incarnation, r *wire.Result) {
+	t.counts.Results++
+	key, index := ident.KeyOf(r.GetKey()), r.GetIndex()
+	j := t.jobs[key]
+	v := verdict.Verdict(r.GetVerdict())
+	if v != verdict.NotRun {
+		t.acks[from] = append(t.acks[from], &wire.AckItem{Key: r.GetKey(), Index: index})
+	}
+	if j != nil && j.mode == sealing {
+		j.noteWhileSealing(from, r)
+		return
+	}
+	if j == nil || !j.expects(from, index) || !t.sameAttempt(j, r) {
+		return
+	}
+	j.messages++
+	t.release(j, index)
+	switch {
+	case v == verdict.NotRun:
+		t.notStarted(j, index, verdict.Reason(r.GetReason()))
+	case v == verdict.Ran:
+		t.ran(j, index, r)
+	default:
+		t.unsure(j, index, r, verdict.Reason(r.GetReason()))
+	}
+	t.pump(t.pool(j.id.Service))
+}
+
+// expects tells whether a result of this task from this agent means anything to this generation.
+func (j *job) expects(from ident.Incarnation, index uint32) bool {
+	if j.mode != active && j.mode != stopping {
+		return false
+	}
+	return int(index) < len(j.tasks) && j.tasks[index].state == sent && j.tasks[index].agent == from
+}
+
+func (t *Table) sameAttempt(j *job, r *wire.Result) bool {
+	return j.tasks[r.GetIndex()].attempt == r.GetAttempt() || !t.opt.Omit.Holds(rule.AttemptEcho)
+}
+
+// release frees the room that a task took at its agent.
+func (t *Table) release(j *job, index uint32) {
+	if a := t.agents[j.tasks[index].agent]; a != nil {
+		delete(a.tasks, taskRef{j.key, index})
+	}
+}
+
+// notStarted: the agent refused it or gave it back, so it is free for another.
+func (t *Table) notStarted(j *job, index uint32, why verdict.Reason) {
+	t.counts.Refused++
+	from := j.tasks[index].agent
+	tk := j.set(index, todo)
+	tk.reason, tk.agent = why, 0
+	if a := t.agents[from]; a != nil {
+		a.refused(why, t.opt.Now())
+	}
+	if j.mode == active {
+		t.enqueue(j, index)
+	}
+}
+
+func (t *Table) ran(j *job, index uint32, r *wire.Result) {
+	if r.GetOk() {
+		j.set(index, done).result = r
+		t.progress(j)
+		return
+	}
+	j.set(index, bad).result = r
+	if j.mode == active {
+		t.fail(j, verdict.TaskFailed)
+	}
+}
+
+// unsure: nobody can tell whether the task ran. Only a repeatable one is started again.
+func (t *Table) unsure(j *job, index uint32, r *wire.Result, why verdict.Reason) {
+	tk := j.set(index, unsure)
+	tk.result, tk.reason = r, why
+	if j.mode != active {
+		return
+	}
+	if j.repeatable() && tk.repeats < maxRepeats {
+		tk.repeats++
+		tk.state, tk.result = todo, nil
+		t.enqueue(j, index)
+		return
+	}
+	t.fail(j, why)
+}
+
+// progress completes an active job whose tasks are all done.
+func (t *Table) progress(j *job) {
+	if j.mode == active && j.left == 0 {
+		t.complete(j)
+	}
+}
+
+// failure says why tasks that ended before this entry took the job up make it fail, or "".
+func (j *job) failure() verdict.Reason {
+	for i := range j.tasks {
+		switch {
+		case j.tasks[i].state == bad:
+			return verdict.TaskFailed
+		case j.tasks[i].state == unsure:
+			return verdict.UpstreamLost
+		}
+	}
+	return ""
+}
+
+type deadlineItem struct {
+	at  time.Time
+	key ident.Key
+}
+
+// deadlineHeap is a heap by time.
+type deadlineHeap []deadlineItem
+
+func (h deadlineHeap) Len() int           { return len(h) }
+func (h deadlineHeap) Less(i, k int) bool { return h[i].at.Before(h[k].at) }
+func (h deadlineHeap) Swap(i, k int)      { h[i], h[k] = h[k], h[i] }
+
+// Push is for package heap.
+func (h *deadlineHeap) Push(x any) { *h = append(*h, x.(deadlineItem)) }
+
+// Pop is for package heap.
+func (h *deadlineHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+func (t *Table) watchDeadline(j *job) {
+	if ms := j.spec.GetDeadlineMs(); ms > 0 {
+		at := t.opt.Now().Add(time.Duration(ms) * time.Millisecond)
+		heap.Push(&t.deadlines, deadlineItem{at, j.key})
+	}
+}
+
+// passDeadlines gives up on jobs whose time is over; their callers hear at once.
+func (t *Table) passDeadlines() {
+	now := t.opt.Now()
+	for len(t.deadlines) > 0 && !t.deadlines[0].at.After(now) {
+		item := heap.Pop(&t.deadlines).(deadlineItem)
+		if j := t.jobs[item.key]; j != nil && j.mode == active {
+			t.fail(j, verdict.Deadline)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/process/process.go
@@ -0,0 +1,93 @@
+// Package process puts an entry's services together.
+package process
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"hillreel/internal/core/bus"
+	"hillreel/internal/core/clock"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/kernel"
+	"hillreel/internal/core/ops"
+	"hillreel/internal/core/settings"
+	"hillreel/internal/entry/caller"
+	"hillreel/internal/entry/job"
+	"hillreel/internal/entry/node"
+	"hillreel/internal/link/session"
+	"hillreel/internal/platform/vms"
+)
+
+// Names under which the services register.
+const (
+	nameNode    = "entry"
+	nameMembers = "members"
+	nameCallers = "callers"
+	nameOps     = "operators"
+)
+
+// Deps are what an embedded entry can have replaced.
+type Deps struct {
+	Dial   session.Dialer
+	Placer job.Placer
+	Log    *logrus.Entry
+}
+
+// Process is one entry.
+type Process struct {
+	set     *settings.Settings
+	log     *logrus.Entry
+	kernel  *kernel.Kernel
+	Node    *node.Node
+	Callers *caller.Server
+	Ops     *ops.Server
+}
+
+// New checks the settings that an entry needs and builds its services.
+func New(set *settings.Settings, d Deps) (*Process, error) {
+	signer, err := ident.NewSigner(set.Jobs.Keys()...)
+	if err != nil {
+		return nil, errors.New("settings: [jobs] mac_keys: must be set, the same on all entries of all regions")
+	}
+	b := bus.New()
+	p := &Process{set: set, log: d.Log, kernel: kernel.New(d.Log)}
+	p.Node = node.New(set, node.Deps{
+		Bus: b, Dial: d.Dial, Signer: signer, Placer: d.Placer, Now: clock.New(), Log: d.Log,
+	})
+	p.Callers = caller.New(set, p.Node, d.Log)
+	p.Ops = ops.New(set.Node.Ops, set.Entry.OperatorToken, p.Node.Ready, nil)
+	reader := vms.New(ident.Address(set.Platform.Address), set.Platform.ListEvery, set.Platform.Timeout, b, d.Log)
+	for _, s := range []struct {
+		name    string
+		service kernel.Service
+	}{
+		{nameNode, p.Node}, {nameMembers, reader}, {nameOps, p.Ops}, {nameCallers, p.Callers},
+	} {
+		if err := p.kernel.Register(s.name, s.service); err != nil {
+			return nil, err
+		}
+	}
+	ops.Publish(set.Node.Name, func() any { return p.Node.Status() })
+	return p, nil
+}
+
+// Start starts all services in order.
+func (p *Process) Start(ctx context.Context) error { return p.kernel.Start(ctx) }
+
+// Stop ends at once; requests in progress are cut.
+func (p *Process) Stop() { p.kernel.Stop() }
+
+// Drain leaves: no new work, the jobs in progress end, their callers are answered, and then all stops.
+// limit bounds it.
+func (p *Process) Drain(limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	p.Node.Drain(ctx)
+	if err := p.Callers.Shutdown(ctx); err != nil {
+		p.log.WithField("error", err.Error()).Warn("drain_cut_requests")
+	}
+	p.Stop()
+}
--- /dev/null
+++ b/internal/link/session/session.go
@@ -0,0 +1,254 @@
+// Package session carries messages between two hillreel processes: one yamux session over TCP, one stream
+// in it, protobuf frames on the stream. Messages arrive in the order in which they were sent, or the
+// session ends; nothing is lost in the middle.
+//
+// Messages of all kinds that wait while a write is under way go out together as one frame. The idea of
+// mixing kinds in a frame is that of the pfsync redesign; docs/MEASUREMENTS.md has the figures.
+package session
+
+import (
+	"bufio"
+	"expvar"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"hillreel/internal/link/wire"
+)
+
+const (
+	// keepAlive is how often an idle session is probed.
+	keepAlive = 1 * time.Second
+	// writeTimeout ends a session whose other side does not read.
+	writeTimeout = 3 * time.Second
+	// helloTimeout bounds the first exchange.
+	helloTimeout = 3 * time.Second
+	// maxFrame bounds a frame that is read, in bytes.
+	maxFrame = 64 << 20
+	// maxBatch bounds the messages that one frame takes.
+	maxBatch = 512
+	// maxQueue ends a session whose sender is that many messages ahead.
+	maxQueue   = 200_000
+	windowSize = 4 << 20
+)
+
+var (
+	framesOut   = expvar.NewInt("link_frames_out")
+	messagesOut = expvar.NewInt("link_messages_out")
+	bytesOut    = expvar.NewInt("link_bytes_out")
+	framesIn    = expvar.NewInt("link_frames_in")
+	messagesIn  = expvar.NewInt("link_messages_in")
+)
+
+// Traffic is what this process has sent and received on all links since it started.
+type Traffic struct{ FramesOut, MessagesOut, BytesOut, FramesIn, MessagesIn int64 }
+
+// Totals returns the traffic so far.
+func Totals() Traffic {
+	return Traffic{framesOut.Value(), messagesOut.Value(), bytesOut.Value(), framesIn.Value(), messagesIn.Value()}
+}
+
+// Session is one link to another process.
+type Session struct {
+	mux    *yamux.Session
+	stream net.Conn
+	reader *bufio.Reader
+	// Remote is the other side's first message.
+	Remote *wire.Hello
+
+	mu     sync.Mutex
+	queue  []*wire.Msg
+	wake   chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func config() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.KeepAliveInterval = keepAlive
+	c.ConnectionWriteTimeout = writeTimeout
+	c.MaxStreamWindowSize = windowSize
+	c.LogOutput = io.Discard
+	return c
+}
+
+// Dialer opens a connection to a process; tests and the embedded set put delays and cuts into it.
+type Dialer func(address string, timeout time.Duration) (net.Conn, error)
+
+// TCP is the Dialer of a real process.
+func TCP(address string, timeout time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", address, timeout)
+}
+
+// Dial connects to a process and exchanges hellos.
+func Dial(dial Dialer, address string, timeout time.Duration, hello *wire.Hello) (*Session, error) {
+	conn, err := dial(address, timeout)
+	if err != nil {
+		return nil, errors.Wrap(err, "link: dial")
+	}
+	mux, err := yamux.Client(conn, config())
+	if err != nil {
+		conn.Close()
+		return nil, errors.Wrap(err, "link: session")
+	}
+	stream, err := mux.Open()
+	if err != nil {
+		mux.Close()
+		return nil, errors.Wrap(err, "link: stream")
+	}
+	return greet(mux, stream, hello)
+}
+
+// Accept takes a connection that another process dialled and exchanges hellos.
+func Accept(conn net.Conn, hello *wire.Hello) (*Session, error) {
+	mux, err := yamux.Server(conn, config())
+	if err != nil {
+		conn.Close()
+		return nil, errors.Wrap(err, "link: session")
+	}
+	timer := time.AfterFunc(helloTimeout, func() { conn.Close() })
+	stream, err := mux.Accept()
+	if err != nil {
+		mux.Close()
+		return nil, errors.Wrap(err, "link: stream")
+	}
+	timer.Stop()
+	return greet(mux, stream, hello)
+}
+
+func greet(mux *yamux.Session, stream net.Conn, hello *wire.Hello) (*Session, error) {
+	s := &Session{
+		mux: mux, stream: stream, reader: bufio.NewReaderSize(stream, 64<<10),
+		wake: make(chan struct{}, 1), closed: make(chan struct{}),
+	}
+	if err := s.exchange(hello); err != nil {
+		mux.Close()
+		return nil, err
+	}
+	go s.write()
+	return s, nil
+}
+
+func (s *Session) exchange(hello *wire.Hello) error {
+	if err := s.stream.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
+		return errors.Wrap(err, "link: deadline")
+	}
+	first := &wire.Frame{Msgs: []*wire.Msg{{Kind: &wire.Msg_Hello{Hello: hello}}}}
+	if _, err := protodelim.MarshalTo(s.stream, first); err != nil {
+		return errors.Wrap(err, "link: send hello")
+	}
+	f, err := s.read()
+	if err != nil {
+		return errors.Wrap(err, "link: read hello")
+	}
+	if len(f.GetMsgs()) != 1 || f.GetMsgs()[0].GetHello() == nil {
+		return errors.New("link: the first message is not a hello")
+	}
+	s.Remote = f.GetMsgs()[0].GetHello()
+	return errors.Wrap(s.stream.SetDeadline(time.Time{}), "link: deadline")
+}
+
+func (s *Session) read() (*wire.Frame, error) {
+	f := &wire.Frame{}
+	err := protodelim.UnmarshalOptions{MaxSize: maxFrame}.UnmarshalFrom(s.reader, f)
+	return f, err
+}
+
+// Send queues a message and never blocks. On a session that has ended the message is dropped; one that
+// can't keep up is ended, because a hole in the order would break what its users rely on.
+func (s *Session) Send(m *wire.Msg) {
+	s.mu.Lock()
+	s.queue = append(s.queue, m)
+	full := len(s.queue) > maxQueue
+	s.mu.Unlock()
+	if full {
+		s.Close()
+		return
+	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Receive calls handle for each frame until the session ends, and returns why it ended.
+func (s *Session) Receive(handle func(msgs []*wire.Msg)) error {
+	defer s.Close()
+	for {
+		f, err := s.read()
+		if err != nil {
+			return errors.Wrap(err, "link: read")
+		}
+		framesIn.Add(1)
+		messagesIn.Add(int64(len(f.GetMsgs())))
+		handle(f.GetMsgs())
+	}
+}
+
+// Close ends the session; what is queued is dropped.
+func (s *Session) Close() {
+	s.once.Do(func() {
+		close(s.closed)
+		s.mux.Close()
+	})
+}
+
+// Flush waits until what was queued before has been written, or for the time given.
+func (s *Session) Flush(limit time.Duration) {
+	deadline := time.Now().Add(limit)
+	for time.Now().Before(deadline) {
+		s.mu.Lock()
+		n := len(s.queue)
+		s.mu.Unlock()
+		if n == 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// write sends whatever has gathered while the last write was under way. No timer holds a message back.
+func (s *Session) write() {
+	defer s.Close()
+	w := bufio.NewWriterSize(s.stream, 64<<10)
+	for {
+		select {
+		case <-s.closed:
+			return
+		case <-s.wake:
+		}
+		for {
+			batch := s.take()
+			if len(batch) == 0 {
+				break
+			}
+			n, err := protodelim.MarshalTo(w, &wire.Frame{Msgs: batch})
+			if err != nil {
+				return
+			}
+			if err := w.Flush(); err != nil {
+				return
+			}
+			framesOut.Add(1)
+			messagesOut.Add(int64(len(batch)))
+			bytesOut.Add(int64(n))
+		}
+	}
+}
+
+func (s *Session) take() []*wire.Msg {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := min(len(s.queue), maxBatch)
+	batch := s.queue[:n:n]
+	s.queue = s.queue[n:]
+	if len(s.queue) == 0 {
+		s.queue = nil
+	}
+	return batch
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,26 @@
+// Command hillreel dispatches sub-second tasks from callers to upstreams. README.md shows the way in.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"hillreel/commands"
+)
+
+func main() {
+	err := commands.New().Run(context.Background(), os.Args)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "hillreel:", err)
+	var exit cli.ExitCoder
+	if errors.As(err, &exit) {
+		os.Exit(exit.ExitCode())
+	}
+	os.Exit(commands.ExitUsage)
+}
