--- a/internal/standin/embedded/embedded_test.go
+++ b/internal/standin/embedded/embedded_test.go
@@ -26,7 +26,7 @@
 	cl, err := client.New(client.Options{Entries: set.Callers()})
 	c.Assert(err, qt.IsNil)
 	jobs := workload.Draw(workload.Profile{
-		Kind: workload.Canteen, Seed: 1, Length: 300 * time.Millisecond, Slots: 32, Load: 0.5,
+		Kind: workload.Canteen, Seed: 1, Length: time.Second, Slots: 32, Load: 0.5,
 	})
 	c.Assert(len(jobs) > 10, qt.IsTrue)
 	into := measure.New()
