proof: run the start protocol at random, and mend what it found

The randomised run drives the real control state of entries and agents over links that break, with processes that die, pause, drain and are replaced. It found, each seen as a failing schedule first: - an agent that had refused once counted as full until its load changed; - a load told on a new link was never corrected if the load came back to what others knew; - a job whose agents all leave waited for ever: it now fails as no_agents; - a repeatable task that may have run and waited again was called not_run; - a roster known only to dead peers: agents now keep the rosters that name them, so a roster that can't be had costs no job that could be sealed; - a hand-over lost with its link, and two entries that hand over to each other, left ids with nobody; - results that came while an adopter still sealed, or waited for the body, were dropped.

--- a/internal/agent/ledger/ledger.go
+++ b/internal/agent/ledger/ledger.go
@@ -124,13 +124,18 @@
 	// watermark is the latest mint time forgotten, in Unix milliseconds; it only grows.
 	watermark int64
 	ages      map[int64][]ident.Key
-	answers   answerQueue
-	leaving   bool
-	cordoned  bool
-	sentLoad  Load
-	counts    Counts
+	// rosters holds, by digest, the rosters that name this agent.
+	rosters  map[string]keptRoster
+	answers  answerQueue
+	leaving  bool
+	cordoned bool
+	sentLoad Load
+	counts   Counts
 }
 
+// unknownLoad differs from every load.
+var unknownLoad = Load{-1, -1}
+
 // Load is what an agent reports to the entries.
 type Load struct{ Queued, Running int }
 
@@ -146,6 +151,8 @@
 		jobs:  make(map[ident.Key]*job),
 		links: make(map[ident.Incarnation]uint64),
 		ages:  make(map[int64][]ident.Key),
+
+		rosters: make(map[string]keptRoster),
 	}
 	l.moveWatermark()
 	return l
@@ -157,6 +164,14 @@
 // Load returns the present load.
 func (l *Ledger) Load() Load { return Load{Queued: l.queued, Running: l.running} }
 
+// Generation returns the newest generation seen of a job, or the zero one.
+func (l *Ledger) Generation(key ident.Key) ident.Generation {
+	if j := l.jobs[key]; j != nil {
+		return j.gen
+	}
+	return ident.Generation{}
+}
+
 // Jobs returns how many jobs are remembered.
 func (l *Ledger) Jobs() int { return len(l.jobs) }
 
@@ -165,6 +180,8 @@
 func (l *Ledger) LinkUp(entry ident.Incarnation, link uint64) {
 	l.links[entry] = max(link, l.links[entry])
 	l.sender.Send(entry, l.loadMsg())
+	// What this entry was told now may differ from what the others were told last.
+	l.sentLoad = unknownLoad
 }
 
 // LinkDown forgets a link's number unless a newer link replaced it.
@@ -191,6 +208,10 @@
 		l.handleRecord(from, k.Record)
 	case *wire.Msg_Ack:
 		l.handleAck(k.Ack)
+	case *wire.Msg_Roster:
+		l.handleRoster(from, k.Roster)
+	case *wire.Msg_RosterAsk:
+		l.handleRosterAsk(from, k.RosterAsk)
 	}
 }
 
@@ -259,6 +280,7 @@
 	l.moveWatermark()
 	l.forget()
 	l.dropOldAnswers()
+	l.dropOldRosters()
 	if load := l.Load(); load != l.sentLoad {
 		l.sentLoad = load
 		for entry := range l.links {
--- a/internal/agent/ledger/messages.go
+++ b/internal/agent/ledger/messages.go
@@ -76,6 +76,10 @@
 		return
 	}
 	if t != nil && !restarts(t, s) {
+		if s.GetRepeatable() {
+			// The run that goes on here serves the newer attempt as well.
+			t.attempt = max(t.attempt, s.GetAttempt())
+		}
 		l.repeatResult(from, t)
 		return
 	}
--- a/internal/entry/job/adopt.go
+++ b/internal/entry/job/adopt.go
@@ -76,7 +76,9 @@
 func (t *Table) resumeUnsettled(a *agent) {
 	for _, j := range t.pending() {
 		switch {
-		case j.mode == sealing && j.sealed[a.inc] == nil && slices.Contains(t.rosterAgents(j), a):
+		case j.mode == sealing && slices.Contains(t.rosterAgents(j), a):
+			// Also if it has sealed: a result that it sent since may have been lost with the old link.
+			delete(j.sealed, a.inc)
 			t.sendSeal(j, a)
 		case j.mode == recording && (j.recorder == 0 || j.recorder == a.inc):
 			t.sendRecord(j)
@@ -175,37 +177,51 @@
 	}
 }
 
+// rank orders what two agents may say of one repeatable task: what succeeded counts before what runs,
+// and that before what failed. Whoever seals the same agents later comes to the same.
+var rank = map[taskState]int{todo: 0, unsure: 1, bad: 2, sent: 3, done: 4}
+
+// fillFromSeals sets the job's tasks to what its agents have told.
 func (t *Table) fillFromSeals(j *job) {
-	for from, s := range j.sealed {
+	for _, a := range t.rosterAgents(j) {
+		s := j.sealed[a.inc]
 		j.setCount(int(s.GetCount()))
 		for _, r := range s.GetEnded() {
-			t.fillEnded(j, from, r)
+			j.fill(r.GetIndex(), stateOf(r), a.inc, r.GetAttempt(), r)
 		}
 		for _, ref := range s.GetRunning() {
-			tk := j.set(ref.GetIndex(), sent)
-			tk.agent, tk.attempt = from, ref.GetAttempt()
-			t.agent(from).tasks[taskRef{j.key, ref.GetIndex()}] = struct{}{}
+			j.fill(ref.GetIndex(), sent, a.inc, ref.GetAttempt(), nil)
 		}
 	}
-}
-
-func (t *Table) fillEnded(j *job, from ident.Incarnation, r *wire.Result) {
-	state := unsure
-	if verdict.Verdict(r.GetVerdict()) == verdict.Ran {
-		state = bad
-		if r.GetOk() {
-			state = done
+	for i := range j.tasks {
+		tk := &j.tasks[i]
+		switch {
+		case tk.state == sent:
+			t.agent(tk.agent).tasks[taskRef{j.key, uint32(i)}] = struct{}{}
+		case tk.state == unsure && j.repeatable():
+			tk.state, tk.result = todo, nil
+			tk.repeats++
 		}
 	}
-	if state == unsure && j.repeatable() {
-		// Another attempt may be running or done elsewhere; that one counts.
-		if j.tasks[r.GetIndex()].state == todo {
-			j.tasks[r.GetIndex()].attempt = r.GetAttempt()
-		}
+}
+
+func (j *job) fill(index uint32, s taskState, from ident.Incarnation, attempt uint32, r *wire.Result) {
+	if rank[s] <= rank[j.tasks[index].state] {
 		return
 	}
-	tk := j.set(r.GetIndex(), state)
-	tk.agent, tk.attempt, tk.result = from, r.GetAttempt(), r
+	tk := j.set(index, s)
+	tk.agent, tk.attempt, tk.result = from, attempt, r
+	tk.last = max(tk.last, attempt)
+}
+
+func stateOf(r *wire.Result) taskState {
+	switch {
+	case r.GetVerdict() != string(verdict.Ran):
+		return unsure
+	case r.GetOk():
+		return done
+	}
+	return bad
 }
 
 func (j *job) anyTodo() bool {
--- a/internal/entry/job/decide.go
+++ b/internal/entry/job/decide.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/sirupsen/logrus"
@@ -31,10 +32,15 @@
 	for _, j := range t.blocked {
 		out = append(out, j)
 	}
-	slices.SortFunc(out, func(a, b *job) int { return compareKeys(a.key, b.key) })
+	sortJobs(out)
 	return out
 }
 
+// sortJobs gives jobs an order that does not vary, so that a run can be replayed.
+func sortJobs(jobs []*job) {
+	slices.SortFunc(jobs, func(a, b *job) int { return compareKeys(a.key, b.key) })
+}
+
 // fail gives up on an active job: what is queued is withdrawn, then the decision is recorded and told.
 func (t *Table) fail(j *job, why verdict.Reason) {
 	t.unqueue(j)
@@ -50,7 +56,7 @@
 			j.withdrawing[tk.agent] = true
 		}
 	}
-	for inc := range j.withdrawing {
+	for _, inc := range slices.Sorted(maps.Keys(j.withdrawing)) {
 		t.counts.Withdrawals++
 		j.messages++
 		t.toAgent(inc, &wire.Msg{Kind: &wire.Msg_Withdraw{Withdraw: &wire.Withdraw{
@@ -86,11 +92,7 @@
 // decide freezes the decision and records it at one agent before anybody hears of it: whoever takes the
 // job up later must be able to find it there.
 func (t *Table) decide(j *job) {
-	for i := range j.tasks {
-		if j.tasks[i].state == sent {
-			t.release(j, uint32(i))
-		}
-	}
+	t.releaseAll(j)
 	j.decision = &wire.Decision{Reason: string(j.why), Verdicts: j.verdicts()}
 	t.setMode(j, recording)
 	if !t.opt.Omit.Holds(rule.RecordedDecision) {
@@ -154,11 +156,7 @@
 	}
 	t.counts.Lost++
 	t.unqueue(j)
-	for i := range j.tasks {
-		if j.tasks[i].state == sent {
-			t.release(j, uint32(i))
-		}
-	}
+	t.releaseAll(j)
 	j.newest = ident.GenerationOf(f.GetNewest())
 	t.setMode(j, lost)
 	t.passOn(j)
@@ -173,7 +171,7 @@
 	switch j.mode {
 	case recording, sealing:
 		t.endExpired(j)
-	case active, stopping:
+	case active, bodyNeeded, stopping:
 		for i := range j.tasks {
 			if j.expects(from, uint32(i)) {
 				t.release(j, uint32(i))
@@ -243,6 +241,7 @@
 		return logrus.Fields{"job": j.key, "before": j.answer.GetState(), "now": a.GetState()}
 	})
 	j.answer = a
+	t.releaseAll(j)
 	j.spec, j.sealed, j.withdrawing = nil, nil, nil
 	j.tasks, j.queue = nil, nil
 	t.setMode(j, ended)
--- a/internal/entry/job/drain.go
+++ b/internal/entry/job/drain.go
@@ -1,6 +1,9 @@
 package job
 
 import (
+	"maps"
+	"slices"
+
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/rule"
 	"hillreel/internal/core/verdict"
@@ -34,7 +37,7 @@
 	if t.anyPeer() {
 		successor = t.adopterOf(ident.Key{Owner: t.opt.Self})
 	}
-	for _, p := range t.peers {
+	for _, p := range t.peerList {
 		if p.up {
 			t.links.ToPeer(p.inc, &wire.Msg{Kind: &wire.Msg_Leaving{Leaving: &wire.Leaving{}}})
 		}
@@ -43,9 +46,15 @@
 		return
 	}
 	t.handedTo = successor
+	t.handOverAll()
+}
+
+// handOverAll tells the successor what it answers for. It is sent again on each new link to the same
+// successor, who then knows of no less.
+func (t *Table) handOverAll() {
 	t.handOver(t.opt.Self)
-	for owner, inh := range t.inherited {
-		if inh.complete {
+	for _, owner := range slices.Sorted(maps.Keys(t.inherited)) {
+		if t.inherited[owner].complete {
 			t.handOver(owner)
 		}
 	}
@@ -122,7 +131,8 @@
 		delete(inh.inProgress, e.GetKey().GetSeq())
 		t.keepEnded(e)
 	}
-	if !h.GetLast() {
+	// An entry that leaves itself takes nothing over: what it was given stays with the agents.
+	if !h.GetLast() || t.leaving && !inh.complete {
 		return
 	}
 	inh.complete = true
@@ -163,7 +173,7 @@
 	}
 	owner := ident.Incarnation(h.GetOwner())
 	t.successors[owner] = from
-	for _, p := range t.peers {
+	for _, p := range t.peerList {
 		if p.up && p.inc != from {
 			t.links.ToPeer(p.inc, successorMsg(owner, from))
 		}
--- a/internal/entry/job/job.go
+++ b/internal/entry/job/job.go
@@ -50,8 +50,10 @@
 	state taskState
 	// agent is the one incarnation that was asked to start the task; set while state is sent, done, bad or unsure.
 	agent ident.Incarnation
-	// attempt numbers the placements; it only grows.
+	// attempt numbers the placement at agent.
 	attempt uint32
+	// last is the highest attempt known; it only grows.
+	last uint32
 	// repeats counts placements after one that may have run; only a repeatable task has any.
 	repeats int
 	// result is set in state done and bad, and in unsure if an agent said so.
@@ -123,7 +125,9 @@
 	Op   Op
 	Spec *wire.JobSpec
 	// Hops counts the entries that passed it on.
-	Hops   uint32
+	Hops uint32
+	// Adopt: the entry that passed it on found that nobody answers for the job.
+	Adopt  bool
 	Answer Waiter
 }
 
@@ -172,11 +176,12 @@
 }
 
 func (t *task) verdict() verdict.Verdict {
-	switch t.state {
-	case done, bad:
+	switch {
+	case t.state == done || t.state == bad:
 		return verdict.Ran
-	case todo:
+	case t.state == todo && t.repeats == 0:
 		return verdict.NotRun
 	}
+	// Also a repeatable task that waits to be placed again.
 	return verdict.MayHaveRun
 }
--- a/internal/entry/job/members.go
+++ b/internal/entry/job/members.go
@@ -1,6 +1,9 @@
 package job
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,6 +20,9 @@
 // connectBackoff is how long an agent whose upstream refuses connections gets no work.
 const connectBackoff = 250 * time.Millisecond
 
+// fullBackoff is how long an agent whose queue was full gets no work.
+const fullBackoff = 10 * time.Millisecond
+
 // agent is what this entry knows of one incarnation of an agent.
 type agent struct {
 	inc      ident.Incarnation
@@ -52,6 +58,15 @@
 	return len(a.tasks)+a.others < a.slots+prefetch
 }
 
+// sortedTasks lists the placements in an order that does not vary.
+func (a *agent) sortedTasks() []taskRef {
+	out := slices.Collect(maps.Keys(a.tasks))
+	slices.SortFunc(out, func(x, y taskRef) int {
+		return cmp.Or(compareKeys(x.key, y.key), cmp.Compare(x.index, y.index))
+	})
+	return out
+}
+
 // load is how many tasks the agent holds per slot.
 func (a *agent) load() float64 {
 	return float64(len(a.tasks)+a.others) / float64(max(a.slots, 1))
@@ -61,7 +76,8 @@
 func (a *agent) refused(why verdict.Reason, now time.Time) {
 	switch why {
 	case verdict.QueueFull:
-		a.others = a.slots + prefetch
+		// For a while only: its load may be reported again only when it has changed.
+		a.notBefore = now.Add(fullBackoff)
 	case verdict.AgentLeaving:
 		a.leaving = true
 	case verdict.ConnectFailed, verdict.Cordoned:
@@ -85,6 +101,7 @@
 	if a == nil {
 		a = &agent{inc: inc, tasks: make(map[taskRef]struct{}), downSince: t.opt.Now(), now: t.opt.Now}
 		t.agents[inc] = a
+		t.agentList = append(t.agentList, a)
 	}
 	return a
 }
@@ -103,19 +120,21 @@
 		a.services[ident.Service(s)] = true
 	}
 	t.replaceAt(a)
-	for ref := range a.tasks {
+	for _, ref := range a.sortedTasks() {
 		if j := t.jobs[ref.key]; j != nil {
 			t.sendStart(j, ref.index, a, true)
 		}
 	}
 	t.resumeUnsettled(a)
+	t.announceTo(a)
+	t.seekRosters()
 	t.updateRosters()
 	t.pumpAll()
 }
 
 // replaceAt marks earlier lives at the same address as gone.
 func (t *Table) replaceAt(a *agent) {
-	for _, old := range t.agents {
+	for _, old := range t.agentList {
 		if old != a && old.address == a.address && old.address != "" && !old.up {
 			t.AgentGone(old.inc)
 		}
@@ -147,7 +166,7 @@
 		return
 	}
 	a.gone = true
-	for ref := range a.tasks {
+	for _, ref := range a.sortedTasks() {
 		delete(a.tasks, ref)
 		if j := t.jobs[ref.key]; j != nil && j.expects(inc, ref.index) {
 			t.unsure(j, ref.index, nil, verdict.AgentGone)
@@ -179,22 +198,26 @@
 	if p == nil {
 		p = &peer{inc: inc}
 		t.peers[inc] = p
+		t.peerList = append(t.peerList, p)
 	}
 	if link < p.link {
 		return
 	}
 	p.link, p.up, p.gone, p.leaving = link, true, false, h.GetLeaving()
 	p.address = ident.Address(h.GetAddress())
-	for _, old := range t.peers {
+	for _, old := range t.peerList {
 		if old != p && old.address == p.address && !old.up {
 			t.PeerGone(old.inc)
 		}
 	}
-	for _, r := range t.rosters {
-		t.links.ToPeer(inc, rosterMsg(r, false))
+	for _, r := range t.sortedRosters() {
+		t.links.ToPeer(inc, rosterMsg(r))
+	}
+	for _, owner := range slices.Sorted(maps.Keys(t.successors)) {
+		t.links.ToPeer(inc, successorMsg(owner, t.successors[owner]))
 	}
-	for owner, s := range t.successors {
-		t.links.ToPeer(inc, successorMsg(owner, s))
+	if t.handedTo == inc {
+		t.handOverAll()
 	}
 	t.seekRosters()
 	t.retryParked()
@@ -231,12 +254,12 @@
 // suspect declares processes gone whose links have been down for too long.
 func (t *Table) suspect() {
 	now := t.opt.Now()
-	for _, a := range t.agents {
+	for _, a := range t.agentList {
 		if !a.up && !a.gone && now.Sub(a.downSince) > t.opt.GoneAfter {
 			t.AgentGone(a.inc)
 		}
 	}
-	for _, p := range t.peers {
+	for _, p := range t.peerList {
 		if !p.up && !p.gone && now.Sub(p.downSince) > t.opt.GoneAfter {
 			t.PeerGone(p.inc)
 		}
@@ -258,7 +281,7 @@
 	if a.up {
 		return a
 	}
-	for _, other := range t.agents {
+	for _, other := range t.agentList {
 		if other.up && other.name == a.name && a.name != "" {
 			return other
 		}
@@ -278,7 +301,7 @@
 	if !t.leaving {
 		consider(t.opt.Self)
 	}
-	for _, p := range t.peers {
+	for _, p := range t.peerList {
 		if p.up && !p.leaving {
 			consider(p.inc)
 		}
@@ -297,7 +320,7 @@
 
 // AgentLeavingAt marks the agent at an address as leaving, by the platform's word.
 func (t *Table) AgentLeavingAt(address ident.Address) {
-	for _, a := range t.agents {
+	for _, a := range t.agentList {
 		if a.address == address && !a.leaving {
 			a.leaving = true
 			t.updateRosters()
@@ -307,12 +330,12 @@
 
 // Unlisted tells that the platform's list no longer has an address. Whoever has no link there is gone.
 func (t *Table) Unlisted(address ident.Address) {
-	for _, a := range t.agents {
+	for _, a := range t.agentList {
 		if a.address == address && !a.up {
 			t.AgentGone(a.inc)
 		}
 	}
-	for _, p := range t.peers {
+	for _, p := range t.peerList {
 		if p.address == address && !p.up {
 			t.PeerGone(p.inc)
 		}
--- a/internal/entry/job/request.go
+++ b/internal/entry/job/request.go
@@ -62,17 +62,26 @@
 // settleWaiters answers those who waited long enough for something that can't be resolved now.
 func (t *Table) settleWaiters() {
 	now := t.opt.Now()
+	var late []*job
+	linked := make(map[*roster]bool)
 	for key, j := range t.unsettled {
 		if len(j.waiters) == 0 {
 			delete(t.unsettled, key)
 			continue
 		}
+		if _, seen := linked[j.roster]; j.mode == active && !seen {
+			linked[j.roster] = j.roster.linked()
+		}
+		if j.mode != active || !linked[j.roster] {
+			late = append(late, j)
+		}
+	}
+	sortJobs(late)
+	for _, j := range late {
 		if j.mode == stopping && now.Sub(j.since) >= t.opt.AnswerWait {
 			t.decide(j)
 		}
-		if j.mode != active {
-			t.settle(j, now)
-		}
+		t.settle(j, now)
 	}
 }
 
@@ -95,7 +104,7 @@
 		return verdict.RosterUnknown
 	case bodyNeeded:
 		return verdict.BodyNeeded
-	case recording, sealing:
+	case active, recording, sealing:
 		return verdict.Unreachable
 	}
 	return verdict.AnswersPending
--- a/internal/entry/job/roster.go
+++ b/internal/entry/job/roster.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
@@ -21,10 +22,29 @@
 	announced time.Time
 }
 
+// hopeless tells whether no agent of the roster will ever start a task again, but one is linked, so that
+// this can be recorded.
+func (r *roster) hopeless() bool {
+	linked := false
+	for _, a := range r.agents {
+		if !a.gone && !a.leaving {
+			return false
+		}
+		linked = linked || a.up
+	}
+	return linked
+}
+
+// linked tells whether any agent of the roster has a link.
+func (r *roster) linked() bool {
+	return slices.ContainsFunc(r.agents, func(a *agent) bool { return a.up })
+}
+
 // pool is one service's agents and the jobs that wait for them.
 type pool struct {
 	service ident.Service
-	// current is the newest roster; mintable is the newest that a peer has acknowledged.
+	// current is the newest roster; mintable is the newest that one of its agents has acknowledged. If that
+	// agent is lost, nobody can seal the roster anyway; so a roster that can't be had costs no job.
 	current, mintable *roster
 	queue             []*job
 }
@@ -43,7 +63,7 @@
 
 // updateRosters makes a new roster for each service whose set of agents has changed.
 func (t *Table) updateRosters() {
-	for _, a := range t.agents {
+	for _, a := range t.agentList {
 		for s := range a.services {
 			t.pool(s)
 		}
@@ -55,7 +75,7 @@
 
 func (t *Table) updateRoster(p *pool) {
 	var members []*wire.Member
-	for _, a := range t.agents {
+	for _, a := range t.agentList {
 		if t.inRoster(a, p.service) {
 			members = append(members, &wire.Member{
 				Upstream: string(a.name), Incarnation: uint64(a.inc), Address: string(a.address),
@@ -73,27 +93,46 @@
 		p.current.announced = now
 		t.announce(p.current)
 	}
-	// With nobody to acknowledge it, minting goes on: only adoption is lost, and with it nothing that is safe.
-	if p.mintable != p.current && !t.anyPeer() {
-		p.mintable = p.current
-	}
 }
 
+// announce gives a roster to its agents, who keep it for adopters, and to the peers, who may need it soon.
 func (t *Table) announce(r *roster) {
-	for _, p := range t.peers {
+	for _, a := range r.agents {
+		if a.up {
+			t.links.ToAgent(a.inc, rosterMsg(r))
+		}
+	}
+	for _, p := range t.peerList {
 		if p.up {
-			t.links.ToPeer(p.inc, rosterMsg(r, false))
+			t.links.ToPeer(p.inc, rosterMsg(r))
 		}
 	}
 }
 
-func (t *Table) anyPeer() bool {
-	for _, p := range t.peers {
-		if p.up {
-			return true
+// announceTo gives the current rosters that name an agent to that agent, after a new link to it.
+func (t *Table) announceTo(a *agent) {
+	for _, p := range t.services {
+		if p.current != nil && slices.Contains(p.current.agents, a) {
+			t.links.ToAgent(a.inc, rosterMsg(p.current))
 		}
 	}
-	return false
+}
+
+func (t *Table) anyPeer() bool {
+	return slices.ContainsFunc(t.peerList, func(p *peer) bool { return p.up })
+}
+
+// Roster lists the agent incarnations of a roster that this entry knows, or nil.
+func (t *Table) Roster(d ident.RosterDigest) []ident.Incarnation {
+	r := t.rosters[d]
+	if r == nil {
+		return nil
+	}
+	var out []ident.Incarnation
+	for _, a := range r.agents {
+		out = append(out, a.inc)
+	}
+	return out
 }
 
 func digestOf(s ident.Service, members []*wire.Member) ident.RosterDigest {
@@ -122,11 +161,35 @@
 	return r
 }
 
+func (t *Table) sortedRosters() []*roster {
+	return slices.SortedFunc(maps.Values(t.rosters), func(a, b *roster) int {
+		return slices.Compare(a.digest[:], b.digest[:])
+	})
+}
+
+// dropAgents forgets agents that are gone and that no roster names.
+func (t *Table) dropAgents() {
+	named := make(map[*agent]bool)
+	for _, r := range t.rosters {
+		for _, a := range r.agents {
+			named[a] = true
+		}
+	}
+	t.agentList = slices.DeleteFunc(t.agentList, func(a *agent) bool {
+		drop := a.gone && !a.up && !named[a]
+		if drop {
+			delete(t.agents, a.inc)
+		}
+		return drop
+	})
+}
+
 // dropRosters forgets rosters that nobody named for so long that no valid id can name them.
 func (t *Table) dropRosters() {
 	for d, r := range t.rosters {
 		if t.opt.Now().Sub(r.announced) > 2*t.opt.Retention && !t.inUse(r) {
 			delete(t.rosters, d)
+			t.dropAgents()
 		}
 	}
 }
@@ -140,18 +203,17 @@
 	return false
 }
 
-func rosterMsg(r *roster, asked bool) *wire.Msg {
+func rosterMsg(r *roster) *wire.Msg {
 	return &wire.Msg{Kind: &wire.Msg_Roster{Roster: &wire.Roster{
-		Digest: r.digest[:], Members: r.members, Asked: asked,
+		Digest: r.digest[:], Members: r.members,
 	}}}
 }
 
-func (t *Table) handleRoster(from ident.Incarnation, r *wire.Roster) {
+func (t *Table) handleRoster(r *wire.Roster) {
 	if len(r.GetDigest()) != len(ident.RosterDigest{}) {
 		return
 	}
 	t.keepRoster(ident.RosterDigest(r.GetDigest()), r.GetMembers())
-	t.links.ToPeer(from, &wire.Msg{Kind: &wire.Msg_RosterAck{RosterAck: &wire.RosterAck{Digest: r.GetDigest()}}})
 	for _, j := range t.pending() {
 		if j.mode == seeking {
 			t.rosterFound(j)
@@ -172,19 +234,24 @@
 		return
 	}
 	if known := t.rosters[ident.RosterDigest(r.GetDigest())]; known != nil {
-		t.links.ToPeer(from, rosterMsg(known, true))
+		t.links.ToPeer(from, rosterMsg(known))
 	}
 }
 
-// seek asks all peers for the roster of a job that this entry is to run.
+// seek asks all peers and agents for the roster of a job that this entry is to run.
 func (t *Table) seek(j *job) {
 	t.setMode(j, seeking)
 	ask := &wire.Msg{Kind: &wire.Msg_RosterAsk{RosterAsk: &wire.RosterAsk{Digest: j.id.Roster[:]}}}
-	for _, p := range t.peers {
+	for _, p := range t.peerList {
 		if p.up {
 			t.links.ToPeer(p.inc, ask)
 		}
 	}
+	for _, a := range t.agentList {
+		if a.up {
+			t.links.ToAgent(a.inc, ask)
+		}
+	}
 }
 
 func (t *Table) seekRosters() {
--- a/internal/entry/job/route.go
+++ b/internal/entry/job/route.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -13,7 +15,7 @@
 	"hillreel/internal/link/wire"
 )
 
-// maxHops bounds how many entries pass a request on before one must say that it does not know better.
+// maxHops bounds how many entries pass a request on before the job counts as nobody's.
 const maxHops = 3
 
 // forward is a request that another entry answers.
@@ -32,7 +34,12 @@
 	holder := t.holderOf(req.ID, j)
 	p := t.peers[holder]
 	switch {
+	case req.Adopt && (j == nil || p == nil || !p.up):
+		t.adopt(req, j)
 	case holder == t.opt.Self:
+		if req.ID.Key.Owner != t.opt.Self {
+			t.counts.Inherited++
+		}
 		t.begin(req, t.ownerGeneration(req.ID.Key.Owner))
 	case p != nil && p.up:
 		t.forward(req, holder)
@@ -77,7 +84,7 @@
 	if p := t.peers[holder]; p != nil {
 		return p.gone
 	}
-	for _, p := range t.peers {
+	for _, p := range t.peerList {
 		if p.up && p.address == id.Owner && holder == id.Key.Owner {
 			return true
 		}
@@ -87,15 +94,21 @@
 
 func (t *Table) routeOrphan(req Request, j *job) {
 	adopter := t.adopterOf(req.ID.Key)
-	if adopter == t.opt.Self || req.Hops >= maxHops {
+	if adopter == t.opt.Self {
 		t.adopt(req, j)
 		return
 	}
+	req.Adopt = true
 	t.forward(req, adopter)
 }
 
 func (t *Table) forward(req Request, to ident.Incarnation) {
-	if req.Hops >= maxHops {
+	if req.Hops >= maxHops && !req.Adopt {
+		// Entries that leave at the same time may each name the other. A seal settles it, whoever is right.
+		t.routeOrphan(req, t.jobs[req.ID.Key])
+		return
+	}
+	if req.Hops >= 2*maxHops {
 		req.Answer(t.brief(req.ID, verdict.Unresolved, verdict.MayHaveRun, verdict.OwnerUnclear,
 			"the entries do not agree yet on who answers for this job"))
 		return
@@ -104,7 +117,7 @@
 	t.requests++
 	t.forwards[t.requests] = &forward{req, to}
 	t.links.ToPeer(to, &wire.Msg{Kind: &wire.Msg_Forward{Forward: &wire.Forward{
-		Request: t.requests, Id: req.ID.Text, Op: string(req.Op), Spec: req.Spec, Hops: req.Hops + 1,
+		Request: t.requests, Id: req.ID.Text, Op: string(req.Op), Spec: req.Spec, Hops: req.Hops + 1, Adopt: req.Adopt,
 	}}})
 }
 
@@ -120,7 +133,7 @@
 		})
 		return
 	}
-	t.Do(Request{ID: id, Op: Op(f.GetOp()), Spec: f.GetSpec(), Hops: f.GetHops(), Answer: reply})
+	t.Do(Request{ID: id, Op: Op(f.GetOp()), Spec: f.GetSpec(), Hops: f.GetHops(), Adopt: f.GetAdopt(), Answer: reply})
 }
 
 func (t *Table) handleReply(from ident.Incarnation, r *wire.Reply) {
@@ -140,8 +153,8 @@
 
 // reroute asks again, elsewhere or later, what was forwarded to a peer that was lost.
 func (t *Table) reroute(lostPeer ident.Incarnation) {
-	for n, f := range t.forwards {
-		if f.to == lostPeer {
+	for _, n := range slices.Sorted(maps.Keys(t.forwards)) {
+		if f := t.forwards[n]; f.to == lostPeer {
 			delete(t.forwards, n)
 			t.Do(f.req)
 		}
--- a/internal/entry/job/run.go
+++ b/internal/entry/job/run.go
@@ -106,6 +106,7 @@
 		return
 	}
 	rooms := make(map[*roster][]*agent)
+	var hopeless []*job
 	blocked := 0
 	kept := p.queue[:0]
 	for n, j := range p.queue {
@@ -122,9 +123,15 @@
 		}
 		blocked++
 		kept = append(kept, j)
+		if len(rooms[j.roster]) == 0 && j.roster.hopeless() {
+			hopeless = append(hopeless, j)
+		}
 	}
 	clear(p.queue[len(kept):])
 	p.queue = kept
+	for _, j := range hopeless {
+		t.fail(j, verdict.NoAgents)
+	}
 }
 
 func (t *Table) pumpAll() {
@@ -163,7 +170,8 @@
 func (t *Table) start(j *job, index uint32, a *agent) {
 	tk := j.set(index, sent)
 	tk.agent = a.inc
-	tk.attempt++
+	tk.last++
+	tk.attempt = tk.last
 	invariant.Check(j.decision == nil && j.mode == active, invariant.NotRunIsFinal, func() logrus.Fields {
 		return logrus.Fields{"job": j.key, "task": index, "mode": j.mode}
 	})
@@ -215,9 +223,12 @@
 	t.pump(t.pool(j.id.Service))
 }
 
+// open tells whether the job's tasks may still succeed under this generation.
+func (j *job) open() bool { return j.mode == active || j.mode == bodyNeeded }
+
 // expects tells whether a result of this task from this agent means anything to this generation.
 func (j *job) expects(from ident.Incarnation, index uint32) bool {
-	if j.mode != active && j.mode != stopping {
+	if !j.open() && j.mode != stopping {
 		return false
 	}
 	return int(index) < len(j.tasks) && j.tasks[index].state == sent && j.tasks[index].agent == from
@@ -234,6 +245,15 @@
 	}
 }
 
+// releaseAll frees what the job's tasks take at their agents.
+func (t *Table) releaseAll(j *job) {
+	for i := range j.tasks {
+		if j.tasks[i].state == sent {
+			t.release(j, uint32(i))
+		}
+	}
+}
+
 // notStarted: the agent refused it or gave it back, so it is free for another.
 func (t *Table) notStarted(j *job, index uint32, why verdict.Reason) {
 	t.counts.Refused++
@@ -255,7 +275,7 @@
 		return
 	}
 	j.set(index, bad).result = r
-	if j.mode == active {
+	if j.open() {
 		t.fail(j, verdict.TaskFailed)
 	}
 }
@@ -264,7 +284,7 @@
 func (t *Table) unsure(j *job, index uint32, r *wire.Result, why verdict.Reason) {
 	tk := j.set(index, unsure)
 	tk.result, tk.reason = r, why
-	if j.mode != active {
+	if !j.open() {
 		return
 	}
 	if j.repeatable() && tk.repeats < maxRepeats {
@@ -276,9 +296,9 @@
 	t.fail(j, why)
 }
 
-// progress completes an active job whose tasks are all done.
+// progress completes a job whose tasks are all done.
 func (t *Table) progress(j *job) {
-	if j.mode == active && j.left == 0 {
+	if j.open() && j.left == 0 {
 		t.complete(j)
 	}
 }
--- a/internal/entry/job/table.go
+++ b/internal/entry/job/table.go
@@ -66,6 +66,9 @@
 	jobs   map[ident.Key]*job
 	agents map[ident.Incarnation]*agent
 	peers  map[ident.Incarnation]*peer
+	// agentList and peerList hold the same in order of first sight, so that a run can be replayed.
+	agentList []*agent
+	peerList  []*peer
 	// rosters holds every roster of the retention, this entry's and its peers'.
 	rosters  map[ident.RosterDigest]*roster
 	services map[ident.Service]*pool
@@ -102,8 +105,8 @@
 
 // Counts are totals since the start, for expvar and reports.
 type Counts struct {
-	Jobs, Complete, Failed, Unresolved, Adopted, Lost, Forwarded int64
-	Starts, Results, Refused, Withdrawals, Records, Seals        int64
+	Jobs, Complete, Failed, Unresolved, Adopted, Inherited, Lost, Forwarded int64
+	Starts, Results, Refused, Withdrawals, Records, Seals                   int64
 	// Messages counts all messages to and from agents that carry task traffic.
 	Messages int64
 }
@@ -153,7 +156,7 @@
 		return nil, verdict.New(verdict.NotRun, verdict.Leaving, "this entry is leaving; ask another")
 	}
 	p := t.services[service]
-	if p == nil || p.mintable == nil || len(p.mintable.members) == 0 {
+	if p == nil || p.mintable == nil || !p.mintable.linked() {
 		return nil, verdict.New(verdict.NotRun, verdict.NoAgents, "no agent serves "+string(service))
 	}
 	ids := make([]ident.JobID, 0, n)
@@ -209,6 +212,10 @@
 		t.handleLoad(from, k.Load)
 	case *wire.Msg_Leaving:
 		t.handleAgentLeaving(from)
+	case *wire.Msg_Roster:
+		t.handleRoster(k.Roster)
+	case *wire.Msg_RosterAck:
+		t.handleRosterAck(k.RosterAck)
 	}
 }
 
@@ -220,9 +227,7 @@
 	case *wire.Msg_Reply:
 		t.handleReply(from, k.Reply)
 	case *wire.Msg_Roster:
-		t.handleRoster(from, k.Roster)
-	case *wire.Msg_RosterAck:
-		t.handleRosterAck(k.RosterAck)
+		t.handleRoster(k.Roster)
 	case *wire.Msg_RosterAsk:
 		t.handleRosterAsk(from, k.RosterAsk)
 	case *wire.Msg_HandOver:
