proof: show that each safety rule is needed, and cause each fault alone

The search found more: an owner that was sealed away and sends nothing waited for ever once its adopter died (agents now tell it), a repeatable attempt that was taken back erased the one before it (a false not_run), and a waiter could hear unresolved in the tick in which its job failed.

--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,12 @@
 # make check   build, vet, formatter, linter, tests with the race detector
 # make lint    formatter and linter only
 # make soak    a long randomised run (SCHEDULES=n SEED=n)
+# make rules   leave out each safety rule and search for a schedule that fails (SCHEDULES=n SEED=n)
 GO ?= go
 SCHEDULES ?= 200000
 SEED ?= 1
 
-.PHONY: all build demo check lint test soak generate
+.PHONY: all build demo check lint test soak rules generate
 
 all: build
 
@@ -34,3 +35,6 @@
 	mkdir -p bin
 	$(GO) build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
 	$(GO) generate ./...
+
+rules:
+	$(GO) test ./internal/proof/schedule -run TestFindRules -count=1 -timeout 12h -v -schedules $(SCHEDULES) -seed $(SEED)
--- a/client/client.go
+++ b/client/client.go
@@ -30,6 +30,10 @@
 	pause = 50 * time.Millisecond
 	// maxPause bounds the wait that an entry can ask for.
 	maxPause = 5 * time.Second
+	// idLimit bounds one call for ids.
+	idLimit = 3 * time.Second
+	// attemptLimit is how long one entry may take over a job before another is asked under the same id.
+	attemptLimit = 15 * time.Second
 )
 
 // Options configure a Client.
@@ -101,21 +105,37 @@
 	return c.NextID(ctx, service)
 }
 
+// fetch asks the entries in turn for ids, each twice at most.
 func (c *Client) fetch(ctx context.Context, service string, s *stock) error {
-	ctx, cancel := context.WithTimeout(ctx, maxPause)
+	var err error
+	for range 2 * len(c.entries) {
+		if err = c.fetchFrom(ctx, c.entry(), service, s); err == nil || ctx.Err() != nil {
+			break
+		}
+		if err := sleep(ctx, pause); err != nil {
+			break
+		}
+	}
+	c.mu.Lock()
+	s.fetching = false
+	c.mu.Unlock()
+	return err
+}
+
+func (c *Client) fetchFrom(ctx context.Context, entry, service string, s *stock) error {
+	ctx, cancel := context.WithTimeout(ctx, idLimit)
 	defer cancel()
 	var got api.IDs
 	asked := time.Now()
-	status, err := c.call(ctx, http.MethodPost, c.entry(), "/v1/ids", api.IDRequest{Service: service, Count: batch}, &got)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s.fetching = false
+	status, err := c.call(ctx, http.MethodPost, entry, "/v1/ids", api.IDRequest{Service: service, Count: batch}, &got)
 	if err != nil {
 		return err
 	}
 	if status != http.StatusOK || len(got.IDs) == 0 {
 		return errors.Errorf("client: no ids for service %s: status %d", service, status)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	// Half the time that the entry allows, so that a job still has time to run.
 	s.ids, s.useUntil = got.IDs, asked.Add(time.Duration(got.UseWithinMs/2)*time.Millisecond)
 	return nil
@@ -125,17 +145,24 @@
 // outcome is known or ctx ends; the error then carries the verdict may_have_run.
 func (c *Client) Submit(ctx context.Context, id string, j api.Job) (*api.Answer, error) {
 	for {
-		var a api.Answer
-		_, err := c.call(ctx, http.MethodPut, c.entry(), "/v1/jobs/"+id, j, &a)
-		if err == nil && !again(&a) {
-			return &a, nil
+		a, err := c.attempt(ctx, id, j)
+		if err == nil && !again(a) {
+			return a, nil
 		}
 		if err := sleep(ctx, a.RetryAfter()); err != nil {
-			return &a, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.Unreachable, Cause: err}
+			return a, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.Unreachable, Cause: err}
 		}
 	}
 }
 
+func (c *Client) attempt(ctx context.Context, id string, j api.Job) (*api.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptLimit)
+	defer cancel()
+	var a api.Answer
+	_, err := c.call(ctx, http.MethodPut, c.entry(), "/v1/jobs/"+id, j, &a)
+	return &a, err
+}
+
 // again tells whether the same id should be asked about again.
 func again(a *api.Answer) bool {
 	return a.State == verdict.Unresolved && a.Reason != verdict.Expired || a.State == verdict.Running
--- a/internal/agent/ledger/ledger.go
+++ b/internal/agent/ledger/ledger.go
@@ -81,7 +81,10 @@
 	start *wire.Start
 	gen   ident.Generation
 	// result is set exactly when state is ended.
-	result   *wire.Result
+	result *wire.Result
+	// before is the result of an earlier attempt of a repeatable task; it counts again if this attempt
+	// is taken back.
+	before   *wire.Result
 	acked    bool
 	attempt  uint32
 	enqueued time.Time
@@ -99,7 +102,7 @@
 	tasks  map[uint32]*task
 	// decision is set at most once.
 	decision *wire.Decision
-	// past holds earlier holders; filled only when rule NewestResults is left out.
+	// past holds all holders so far; filled only when rule NewestResults is left out.
 	past map[ident.Incarnation]bool
 }
 
@@ -232,7 +235,7 @@
 		RunMs: uint32(o.RunTime.Milliseconds()),
 	}
 	if o.Verdict == verdict.NotRun {
-		delete(j.tasks, uint32(index))
+		j.undo(uint32(index))
 	} else {
 		t.state, t.result, t.start = ended, r, nil
 		l.keepAnswer(taskRef{key, uint32(index)}, len(o.Answer))
@@ -318,11 +321,21 @@
 
 // drop removes a queued task: it was never started.
 func (l *Ledger) drop(j *job, index uint32) {
-	delete(j.tasks, index)
+	j.undo(index)
 	l.queued--
 	l.counts.Withdrawn++
 }
 
+// undo takes back an attempt that sent nothing to the upstream.
+func (j *job) undo(index uint32) {
+	t := j.tasks[index]
+	if t.before == nil {
+		delete(j.tasks, index)
+		return
+	}
+	j.tasks[index] = &task{state: ended, result: t.before, attempt: t.before.GetAttempt()}
+}
+
 // report sends a result to the newest generation's holder.
 func (l *Ledger) report(j *job, r *wire.Result) {
 	m := &wire.Msg{Kind: &wire.Msg_Result{Result: r}}
--- a/internal/agent/ledger/messages.go
+++ b/internal/agent/ledger/messages.go
@@ -29,9 +29,7 @@
 	}
 	if gen.Less(j.gen) && l.opt.Omit.Holds(rule.SealGeneration) {
 		l.counts.Fenced++
-		l.sender.Send(from, &wire.Msg{Kind: &wire.Msg_Fenced{Fenced: &wire.Fenced{
-			Key: k, Gen: g, Newest: j.gen.Wire(),
-		}}})
+		l.sendFenced(from, j, gen)
 		return nil
 	}
 	l.advance(j, gen, from)
@@ -49,6 +47,11 @@
 	old := j.gen
 	if j.gen.Less(gen) {
 		j.gen = gen
+		if l.opt.Omit.Holds(rule.NewestResults) {
+			// The older holder may wait for results that now go elsewhere, and send nothing from which
+			// it would learn that.
+			l.sendFenced(j.holder, j, old)
+		}
 	}
 	invariant.Check(!j.gen.Less(old), invariant.GenerationOnlyGrow, func() logrus.Fields {
 		return logrus.Fields{"job": j.key}
@@ -61,6 +64,12 @@
 	}
 }
 
+func (l *Ledger) sendFenced(to ident.Incarnation, j *job, gen ident.Generation) {
+	l.sender.Send(to, &wire.Msg{Kind: &wire.Msg_Fenced{Fenced: &wire.Fenced{
+		Key: j.key.Wire(), Gen: gen.Wire(), Newest: j.gen.Wire(),
+	}}})
+}
+
 func (l *Ledger) handleStart(from ident.Incarnation, s *wire.Start) {
 	if ident.Incarnation(s.GetAgent()) != l.opt.Incarnation {
 		l.refuse(from, s, verdict.WrongIncarnation)
@@ -92,9 +101,13 @@
 
 func (l *Ledger) accept(j *job, s *wire.Start) {
 	j.count, j.digest = s.GetCount(), s.GetBodyDigest()
-	j.tasks[s.GetIndex()] = &task{
+	t := &task{
 		state: queued, start: s, gen: ident.GenerationOf(s.GetGen()), attempt: s.GetAttempt(), enqueued: l.opt.Now(),
 	}
+	if earlier := j.tasks[s.GetIndex()]; earlier != nil {
+		t.before = earlier.result
+	}
+	j.tasks[s.GetIndex()] = t
 	l.queue = append(l.queue, taskRef{j.key, s.GetIndex()})
 	l.queued++
 	l.counts.Accepted++
--- a/internal/core/rule/rule.go
+++ b/internal/core/rule/rule.go
@@ -11,7 +11,8 @@
 	SealGeneration Rule = "seal_generation"
 	// SilentAgents: an adopter decides nothing until every agent of the roster has sealed.
 	SilentAgents Rule = "silent_agents"
-	// NewestResults: an agent sends a job's results to the newest generation only.
+	// NewestResults: an agent sends a job's results to the newest generation only, and tells the holder
+	// of the older one that it has lost the job.
 	NewestResults Rule = "newest_results"
 	// RosterIncarnations: only the agent incarnations of its roster start tasks of a job.
 	RosterIncarnations Rule = "roster_incarnations"
--- a/internal/entry/job/request.go
+++ b/internal/entry/job/request.go
@@ -87,8 +87,17 @@
 
 func (t *Table) settle(j *job, now time.Time) {
 	kept := j.waiters[:0]
+	stuck := j.since
+	if j.mode == active {
+		stuck = j.roster.unlinkedSince()
+	}
 	for _, w := range j.waiters {
-		if now.Sub(w.since) < t.opt.AnswerWait {
+		// Until it got stuck the job was running as it should.
+		since := w.since
+		if stuck.After(since) {
+			since = stuck
+		}
+		if now.Sub(since) < t.opt.AnswerWait {
 			kept = append(kept, w)
 			continue
 		}
--- a/internal/entry/job/roster.go
+++ b/internal/entry/job/roster.go
@@ -40,6 +40,17 @@
 	return slices.ContainsFunc(r.agents, func(a *agent) bool { return a.up })
 }
 
+// unlinkedSince is when the last link to an agent of the roster broke; it has meaning only if none stands.
+func (r *roster) unlinkedSince() time.Time {
+	var last time.Time
+	for _, a := range r.agents {
+		if a.downSince.After(last) {
+			last = a.downSince
+		}
+	}
+	return last
+}
+
 // pool is one service's agents and the jobs that wait for them.
 type pool struct {
 	service ident.Service
--- a/internal/platform/table/table.go
+++ b/internal/platform/table/table.go
@@ -63,7 +63,7 @@
 // Get reads one row.
 func (c *Client) Get(ctx context.Context, key string) (Row, error) {
 	var r Row
-	err := c.call(ctx, http.MethodGet, "/rows/"+url.PathEscape(key), nil, &r)
+	err := c.call(ctx, http.MethodGet, "/row?key="+url.QueryEscape(key), nil, &r)
 	return r, err
 }
 
--- a/internal/proof/schedule/callers_test.go
+++ b/internal/proof/schedule/callers_test.go
@@ -41,7 +41,7 @@
 			weight = 6
 		}
 		out = append(out, action{weight, func() { w.ask(j, at(), job.OpSubmit) }})
-		if w.faults && j.submitted && w.rng.IntN(8) == 0 {
+		if w.faults && j.submitted && (w.flavour.cancels || w.rng.IntN(8) == 0) {
 			out = append(out, action{1, func() { w.ask(j, at(), job.OpCancel) }})
 			out = append(out, action{1, func() { w.ask(j, at(), job.OpRead) }})
 		}
--- a/internal/proof/schedule/step_test.go
+++ b/internal/proof/schedule/step_test.go
@@ -139,7 +139,11 @@
 func (w *world) ticks() []action {
 	out := []action{{4, func() { w.advance(time.Duration(w.rng.IntN(100)) * time.Millisecond) }}}
 	if w.faults {
-		out = append(out, action{1, func() { w.advance(time.Duration(w.rng.IntN(4000)) * time.Millisecond) }})
+		jump := action{1, func() { w.advance(time.Duration(w.rng.IntN(4000)) * time.Millisecond) }}
+		if w.flavour.hurry {
+			jump.weight = 5
+		}
+		out = append(out, jump)
 	}
 	for _, p := range w.procs {
 		if p.alive && !p.paused {
@@ -165,9 +169,13 @@
 // finishes end tasks that run. A paused process does not learn of it.
 func (w *world) finishes() []action {
 	var out []action
+	weight := 6
+	if w.flavour.slowTasks {
+		weight = 1
+	}
 	for _, p := range w.procs {
 		if p.alive && !p.paused && len(p.running) > 0 {
-			out = append(out, action{6, func() { p.finish(w.rng.IntN(len(p.running))) }})
+			out = append(out, action{weight, func() { p.finish(w.rng.IntN(len(p.running))) }})
 		}
 	}
 	return out
@@ -184,7 +192,8 @@
 func (w *world) faultActions() []action {
 	var out []action
 	for _, l := range w.links {
-		if !l.broken && w.rng.IntN(6) == 0 {
+		split := w.flavour.splitEntries && l.a.owner.isEntry() && l.b.owner.isEntry()
+		if !l.broken && (split || w.rng.IntN(6) == 0) {
 			out = append(out, action{1, func() { w.breakLink(l) }})
 		}
 	}
--- a/internal/proof/schedule/world_test.go
+++ b/internal/proof/schedule/world_test.go
@@ -21,7 +21,7 @@
 const (
 	// Most schedules end well before the retention, some pass it.
 	longRetention  = 10 * time.Minute
-	shortRetention = 30 * time.Second
+	shortRetention = 10 * time.Second
 	answerWait     = 2 * time.Second
 	suspectAfter   = time.Second
 	goneAfter      = 3 * time.Second
@@ -97,8 +97,18 @@
 	faults bool
 	// retention is one of the two above.
 	retention time.Duration
-	failure   string
-	stats     stats
+	flavour   flavour
+	// calm: every task is reached and succeeds, for tests of one fault.
+	calm    bool
+	failure string
+	stats   stats
+}
+
+// flavour makes some faults more frequent in a schedule than in others.
+type flavour struct {
+	// slowTasks run long; splitEntries lose the links between entries; cancels are frequent; refusals are
+	// connections that the upstream refuses; hurry lets time pass faster.
+	slowTasks, splitEntries, cancels, refusals, hurry bool
 }
 
 // stats tell what a schedule reached, so that a run that proves nothing is seen.
@@ -119,7 +129,11 @@
 	if w.rng.IntN(4) == 0 {
 		w.retention = shortRetention
 	}
-	for range 2 + w.rng.IntN(2) {
+	w.flavour = flavour{
+		slowTasks: w.rng.IntN(3) == 0, splitEntries: w.rng.IntN(3) == 0, cancels: w.rng.IntN(3) == 0,
+		refusals: w.rng.IntN(4) == 0, hurry: w.rng.IntN(3) == 0,
+	}
+	for range 1 + w.rng.IntN(3) {
 		w.addAgent(fmt.Sprintf("upstream-%d", len(w.procs)), "")
 	}
 	for range 2 + w.rng.IntN(2) {
@@ -245,12 +259,17 @@
 // Run is for the ledger: the upstream gets the task, or the connection to it fails.
 func (p *process) Run(t ledger.Task) {
 	o := ledger.Outcome{Verdict: verdict.Ran, OK: true, Answer: answerFor(t.Key, uint32(t.Index))}
+	refused := 6
+	if p.w.flavour.refusals {
+		refused = 50
+	}
 	switch n := p.w.rng.IntN(100); {
-	case n < 6:
+	case p.w.calm:
+	case n < refused:
 		o = ledger.Outcome{Verdict: verdict.NotRun, Reason: verdict.ConnectFailed}
-	case n < 9:
+	case n < refused+3:
 		o = ledger.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.UpstreamLost}
-	case n < 13:
+	case n < refused+7:
 		o = ledger.Outcome{Verdict: verdict.Ran, Reason: verdict.TaskFailed, Status: 500}
 	}
 	if o.Verdict != verdict.NotRun {
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -116,7 +116,7 @@
 		r.Use(s.misbehave)
 		r.Get("/v1/vms", s.serveVMs)
 		r.Get("/v1/rows", s.serveList)
-		r.Get("/v1/rows/*", s.serveGet)
+		r.Get("/v1/row", s.serveGet)
 		r.Post("/v1/txn", s.serveTxn)
 	})
 	r.Put("/v1/standin/fault", s.serveFault)
@@ -156,7 +156,7 @@
 func (s *Server) serveGet(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.counts.Reads++
-	row, ok := s.rows[chi.URLParam(r, "*")]
+	row, ok := s.rows[r.URL.Query().Get("key")]
 	s.mu.Unlock()
 	if !ok {
 		http.Error(w, "no such row", http.StatusNotFound)
