config: deliver configuration, in force everywhere and never back

Objects with versions in the platform's table, one head row, one transaction a change with its audit row; entries read the head and push deltas down the links, processes adopt upwards only. The operators' API has conditional writes, dry runs, roles and the audit trail; 'hillreel config' speaks to it.

Object versions are the configuration's version, so that deleting an object and making it anew brings no version back.

Tested: 2 and 10 racing operators (one wins each round, none is lost), a lost answer, the store down and slow, newcomers while the store is down.

--- a/commands/config.go
+++ b/commands/config.go
@@ -15,7 +15,7 @@
 
 func (f configCommand) define() *cli.Command {
 	return &cli.Command{
-		Name: "config", Usage: "check settings files",
+		Name: "config", Usage: "read and change configuration, and check settings files",
 		Commands: []*cli.Command{
 			{
 				Name: "check", Usage: "check a settings file and print each problem with its section and key",
@@ -25,6 +25,8 @@
 				Name: "document", Usage: "print every option with its description and default",
 				Flags: []cli.Flag{configFlag()}, Action: f.document,
 			},
+			f.getCommand(), f.setCommand(), f.deleteCommand(), f.applyCommand(), f.diffCommand(),
+			f.historyCommand(), f.statusCommand(),
 		},
 	}
 }
--- a/internal/agent/ledger/ledger.go
+++ b/internal/agent/ledger/ledger.go
@@ -131,7 +131,7 @@
 	rosters  map[string]keptRoster
 	answers  answerQueue
 	leaving  bool
-	cordoned bool
+	allow    func(ident.Service) bool
 	sentLoad Load
 	counts   Counts
 }
@@ -156,6 +156,7 @@
 		ages:  make(map[int64][]ident.Key),
 
 		rosters: make(map[string]keptRoster),
+		allow:   func(ident.Service) bool { return true },
 	}
 	l.moveWatermark()
 	return l
@@ -247,16 +248,44 @@
 // Leave makes the agent refuse new work and hand back what is queued. What has begun goes on.
 func (l *Ledger) Leave() {
 	l.leaving = true
+	l.handBack()
+}
+
+// SetAllow sets which services configuration lets the agent serve. What is queued of others is handed back.
+func (l *Ledger) SetAllow(allow func(ident.Service) bool) {
+	l.allow = allow
+	l.handBack()
+}
+
+// handBack refuses the queued tasks that may not start here any more.
+func (l *Ledger) handBack() {
+	kept := l.queue[:0]
 	for _, ref := range l.queue {
 		j := l.jobs[ref.key]
 		if j == nil || j.tasks[ref.index] == nil || j.tasks[ref.index].state != queued {
 			continue
 		}
-		attempt := j.tasks[ref.index].attempt
+		t := j.tasks[ref.index]
+		why := l.forbidden(ident.Service(t.start.GetService()))
+		if why == "" {
+			kept = append(kept, ref)
+			continue
+		}
 		l.drop(j, ref.index)
-		l.report(j, notRun(j.key, ref.index, attempt, verdict.AgentLeaving))
+		l.report(j, notRun(j.key, ref.index, t.attempt, why))
 	}
-	l.queue = nil
+	l.queue = kept
+}
+
+// forbidden says why no task of a service may start here now, or "".
+func (l *Ledger) forbidden(s ident.Service) verdict.Reason {
+	switch {
+	case l.leaving:
+		return verdict.AgentLeaving
+	case !l.allow(s):
+		return verdict.Cordoned
+	}
+	return ""
 }
 
 // Idle tells whether nothing is queued or running.
@@ -275,9 +304,6 @@
 	return n
 }
 
-// SetCordoned makes the agent refuse new work while configuration says so.
-func (l *Ledger) SetCordoned(on bool) { l.cordoned = on }
-
 // Tick forgets what has expired and reports load that has changed.
 func (l *Ledger) Tick() {
 	l.moveWatermark()
--- a/internal/agent/ledger/ledger_test.go
+++ b/internal/agent/ledger/ledger_test.go
@@ -121,9 +121,14 @@
 			f.Leave()
 		}, verdict.AgentLeaving, 1},
 		{"cordoned", func(f *fixture) {
-			f.SetCordoned(true)
+			f.SetAllow(func(ident.Service) bool { return false })
 			f.handle(owner, f.start(owner, 1, 0, 1))
 		}, verdict.Cordoned, 0},
+		{"queued when it is cordoned", func(f *fixture) {
+			f.handle(owner, f.start(owner, 1, 0, 1))
+			f.handle(owner, f.start(owner, 1, 1, 1))
+			f.SetAllow(func(ident.Service) bool { return false })
+		}, verdict.Cordoned, 1},
 		{"asked about what never arrived", func(f *fixture) {
 			s := f.start(owner, 1, 0, 1)
 			s.Ask = true
--- a/internal/agent/ledger/messages.go
+++ b/internal/agent/ledger/messages.go
@@ -92,7 +92,7 @@
 		l.repeatResult(from, t)
 		return
 	}
-	if why := l.obstacle(j); why != "" {
+	if why := l.obstacle(j, ident.Service(s.GetService())); why != "" {
 		l.refuse(from, s, why)
 		return
 	}
@@ -137,12 +137,11 @@
 }
 
 // obstacle says why no new task of j may start here, or "".
-func (l *Ledger) obstacle(j *job) verdict.Reason {
+func (l *Ledger) obstacle(j *job, s ident.Service) verdict.Reason {
+	if why := l.forbidden(s); why != "" {
+		return why
+	}
 	switch {
-	case l.leaving:
-		return verdict.AgentLeaving
-	case l.cordoned:
-		return verdict.Cordoned
 	case j.decision != nil:
 		return verdict.Withdrawn
 	case l.running >= l.opt.Slots && l.queued >= l.opt.QueueLimit:
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -12,6 +12,7 @@
 
 	"hillreel/internal/agent/ledger"
 	"hillreel/internal/agent/upstream"
+	"hillreel/internal/config/state"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/loop"
 	"hillreel/internal/core/settings"
@@ -40,6 +41,7 @@
 
 	// The fields below belong to the control goroutine.
 	ledger  *ledger.Ledger
+	config  *state.Adopter
 	links   map[ident.Incarnation]link
 	counter uint64
 	leaving bool
@@ -78,7 +80,7 @@
 func New(set *settings.Settings, now func() time.Time, log *logrus.Entry) *Node {
 	n := &Node{
 		set: set, inc: ident.NewIncarnation(), log: log, loop: loop.New[event](),
-		links: make(map[ident.Incarnation]link),
+		links: make(map[ident.Incarnation]link), config: state.NewAdopter(),
 	}
 	n.runner = upstream.New(upstream.Options{
 		Address: ident.Address(set.Agent.Upstream), Connections: set.Agent.Connections,
@@ -162,6 +164,7 @@
 	Jobs        int
 	Links       int
 	Leaving     bool
+	Config      ident.ConfigVersion
 	Counts      ledger.Counts
 }
 
@@ -169,7 +172,7 @@
 func (n *Node) Status() Status {
 	var s Status
 	n.call(func() {
-		s = Status{n.inc.String(), n.ledger.Load(), n.ledger.Jobs(), len(n.links), n.leaving, n.ledger.Counts()}
+		s = Status{n.inc.String(), n.ledger.Load(), n.ledger.Jobs(), len(n.links), n.leaving, n.config.Current().Version(), n.ledger.Counts()}
 	})
 	return s
 }
@@ -221,9 +224,7 @@
 	case linkDown:
 		n.handleLinkDown(e)
 	case received:
-		for _, m := range e.msgs {
-			n.ledger.Handle(e.from, e.number, m)
-		}
+		n.handleReceived(e)
 	case taskEnded:
 		n.ledger.Ended(e.key, e.index, e.outcome)
 	case call:
@@ -231,6 +232,16 @@
 	}
 }
 
+func (n *Node) handleReceived(e received) {
+	for _, m := range e.msgs {
+		if c := m.GetConfig(); c != nil {
+			n.handleConfig(e.from, c)
+			continue
+		}
+		n.ledger.Handle(e.from, e.number, m)
+	}
+}
+
 func (n *Node) handleLinkUp(s *session.Session) {
 	n.counter++
 	number, from := n.counter, ident.Incarnation(s.Remote.GetIncarnation())
@@ -239,6 +250,7 @@
 	}
 	n.links[from] = link{number, s}
 	n.ledger.LinkUp(from, number)
+	n.greetConfig(s)
 	if n.leaving {
 		s.Send(&wire.Msg{Kind: &wire.Msg_Leaving{Leaving: &wire.Leaving{}}})
 	}
--- a/internal/agent/process/process.go
+++ b/internal/agent/process/process.go
@@ -24,7 +24,7 @@
 // New builds an agent's services.
 func New(set *settings.Settings, log *logrus.Entry) (*Process, error) {
 	p := &Process{kernel: kernel.New(log), Node: node.New(set, clock.New(), log)}
-	p.Ops = ops.New(set.Node.Ops, set.Entry.OperatorToken, p.ready, nil)
+	p.Ops = ops.New(set.Node.Ops, ops.Tokens(set.Entry), p.ready, nil)
 	if err := p.kernel.Register("agent", p.Node); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/config/state/view.go
@@ -0,0 +1,95 @@
+package state
+
+import (
+	"k8s.io/apimachinery/pkg/labels"
+
+	"hillreel/internal/config/object"
+	"hillreel/internal/core/ident"
+)
+
+// Labels that every upstream has without an operator's doing.
+const (
+	LabelZone     = "zone"
+	LabelUpstream = "upstream"
+)
+
+// View is a state with its selectors parsed, for the hot path.
+type View struct {
+	Version  ident.ConfigVersion
+	pools    map[ident.Service][]labels.Selector
+	services map[ident.Service]object.Service
+	upstream map[ident.UpstreamName]object.Upstream
+}
+
+// NewView compiles a state. Objects that can't be read are left out: they were checked when accepted.
+func NewView(s *State) *View {
+	v := &View{
+		Version:  s.version,
+		pools:    make(map[ident.Service][]labels.Selector),
+		services: make(map[ident.Service]object.Service),
+		upstream: make(map[ident.UpstreamName]object.Upstream),
+	}
+	for _, o := range s.List("") {
+		v.add(o)
+	}
+	return v
+}
+
+func (v *View) add(o object.Object) {
+	switch o.Kind {
+	case object.KindService:
+		if s, err := object.As[object.Service](o); err == nil {
+			v.services[ident.Service(o.Name)] = s
+		}
+	case object.KindPool:
+		p, err := object.As[object.Pool](o)
+		if err != nil {
+			return
+		}
+		if sel, err := labels.Parse(p.Selector); err == nil {
+			v.pools[ident.Service(p.Service)] = append(v.pools[ident.Service(p.Service)], sel)
+		}
+	case object.KindUpstream:
+		if u, err := object.As[object.Upstream](o); err == nil {
+			v.upstream[ident.UpstreamName(o.Name)] = u
+		}
+	}
+}
+
+// Serves tells whether configuration lets an upstream serve a service: it is not cordoned, and a pool of
+// the service selects it. A service without pools is served by every upstream that offers it.
+func (v *View) Serves(u ident.UpstreamName, zone ident.Zone, s ident.Service) bool {
+	if v.upstream[u].Cordoned {
+		return false
+	}
+	pools := v.pools[s]
+	if len(pools) == 0 {
+		return true
+	}
+	set := v.Labels(u, zone)
+	for _, p := range pools {
+		if p.Matches(set) {
+			return true
+		}
+	}
+	return false
+}
+
+// Labels returns all labels of an upstream.
+func (v *View) Labels(u ident.UpstreamName, zone ident.Zone) labels.Set {
+	set := labels.Set{}
+	for k, val := range v.upstream[u].Labels {
+		set[k] = val
+	}
+	set[LabelZone], set[LabelUpstream] = string(zone), string(u)
+	return set
+}
+
+// Knows tells whether jobs of a service are taken. Without any service object all are.
+func (v *View) Knows(s ident.Service) bool {
+	if len(v.services) == 0 {
+		return true
+	}
+	_, ok := v.services[s]
+	return ok
+}
--- a/internal/core/ops/ops.go
+++ b/internal/core/ops/ops.go
@@ -36,16 +36,16 @@
 // Server is the operators' port.
 type Server struct {
 	address settings.Address
-	token   settings.Secret
+	tokens  []Token
 	ready   func() (bool, string)
 	routes  func(chi.Router)
 	server  *http.Server
 	ln      net.Listener
 }
 
-// New returns a Server. routes may be nil; its routes need the token.
-func New(address settings.Address, token settings.Secret, ready func() (bool, string), routes func(chi.Router)) *Server {
-	return &Server{address: address, token: token, ready: ready, routes: routes}
+// New returns a Server. routes may be nil; its routes need a token.
+func New(address settings.Address, tokens []Token, ready func() (bool, string), routes func(chi.Router)) *Server {
+	return &Server{address: address, tokens: tokens, ready: ready, routes: routes}
 }
 
 // Start listens.
@@ -92,13 +92,15 @@
 	w.Write([]byte(why + "\n")) //nolint:errcheck // the caller has gone
 }
 
-// authorize lets only bearers of the token pass; without a token in the settings, nobody does.
+// authorize lets only bearers of a token pass; without a token in the settings, nobody does.
 func (s *Server) authorize(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		given, isBearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if s.token != "" && isBearer && sameSecret(given, string(s.token)) {
-			next.ServeHTTP(w, r)
-			return
+		for _, t := range s.tokens {
+			if isBearer && t.Secret != "" && sameSecret(given, string(t.Secret)) {
+				next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), principalKey{}, t.Principal)))
+				return
+			}
 		}
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(http.StatusUnauthorized)
--- a/internal/core/ops/ops_test.go
+++ b/internal/core/ops/ops_test.go
@@ -28,7 +28,7 @@
 		{"no token in the settings", "", "Bearer ", "/debug/vars", 401},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			s := ops.New("127.0.0.1:0", test.token, func() (bool, string) { return false, "starting" }, nil)
+			s := ops.New("127.0.0.1:0", ops.Tokens(settings.Entry{OperatorToken: test.token}), func() (bool, string) { return false, "starting" }, nil)
 			qt.Assert(t, s.Start(context.Background()), qt.IsNil)
 			defer s.Stop()
 			req, err := http.NewRequest("GET", "http://"+s.Address()+test.path, nil)
--- a/internal/core/settings/options.go
+++ b/internal/core/settings/options.go
@@ -1,6 +1,9 @@
 package settings
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Settings are all options of all roles.
 type Settings struct {
@@ -39,7 +42,8 @@
 	MaxConnections int           `ini:"max_connections" default:"10000" min:"1" max:"1000000" doc:"Most connections of callers at once; more wait unaccepted."`
 	QueueLimit     int           `ini:"queue_limit" default:"20000" min:"1" max:"10000000" doc:"Most tasks that wait for an agent; a job that would pass it is refused as not_run."`
 	AnswerBytes    Bytes         `ini:"answer_bytes" default:"256mb" min:"1mb" max:"16384mb" doc:"Most bytes of answers kept for ended jobs; the oldest go first, their verdicts stay."`
-	OperatorToken  Secret        `ini:"operator_token" default:"" doc:"Bearer token of the operators' port. Without one only health is served there."`
+	OperatorToken  Secret        `ini:"operator_token" default:"" doc:"Bearer token of the operators' port with all rights. Without any token only health is served there. Secret."`
+	OperatorTokens Secrets       `ini:"operator_tokens" default:"" doc:"More tokens, separated by commas, each name/role/token; the role is read, all, or team=NAME (change that team's limits). Secret."`
 }
 
 // Agent holds an agent's options.
@@ -58,7 +62,7 @@
 
 // Jobs holds the options that all entries and agents of a region must share.
 type Jobs struct {
-	MACKeys    []string      `ini:"mac_keys" default:"" doc:"Keys that authenticate job ids, separated by commas, at least 16 characters each: the first signs, all are accepted. Secret."`
+	MACKeys    Secrets       `ini:"mac_keys" default:"" doc:"Keys that authenticate job ids, separated by commas, at least 16 characters each: the first signs, all are accepted. Secret."`
 	Retention  time.Duration `ini:"retention" default:"10m" min:"1s" max:"24h" doc:"How long a job id is valid and its job remembered, from the id's minting."`
 	AnswerWait time.Duration `ini:"answer_wait" default:"2s" min:"10ms" max:"1m" doc:"How long a caller waits for a job that can't be settled now, before it hears unresolved."`
 }
@@ -118,6 +122,11 @@
 	if s.Agent.Upstream != "" && checkAddress(s.Agent.Upstream) != "" {
 		add("agent", "upstream", checkAddress(s.Agent.Upstream))
 	}
+	for _, t := range s.Entry.OperatorTokens {
+		if strings.Count(string(t), "/") != 2 {
+			add("entry", "operator_tokens", "want name/role/token")
+		}
+	}
 	switch s.Log.Level {
 	case "debug", "info", "warning", "error":
 	default:
--- a/internal/core/settings/settings.go
+++ b/internal/core/settings/settings.go
@@ -24,6 +24,9 @@
 // GoString hides the value.
 func (s Secret) GoString() string { return "(secret)" }
 
+// Secrets is a list of values that never appear in a log or an error.
+type Secrets []Secret
+
 // Bytes is a size, written as a number with an optional unit kb or mb.
 type Bytes int64
 
@@ -201,6 +204,12 @@
 			return "want true or false, not " + strconv.Quote(text)
 		}
 		v.SetBool(b)
+	case Secrets:
+		var out Secrets
+		for _, part := range splitList(text) {
+			out = append(out, Secret(part))
+		}
+		v.Set(reflect.ValueOf(out))
 	case []string:
 		v.Set(reflect.ValueOf(splitList(text)))
 	}
--- a/internal/core/settings/settings_test.go
+++ b/internal/core/settings/settings_test.go
@@ -37,7 +37,7 @@
 func TestSecretsStaySecret(t *testing.T) {
 	_, err := settings.Parse("f.ini", "[jobs]\nmac_keys = hush\n[entry]\noperator_token = hush")
 	qt.Assert(t, err, qt.ErrorMatches, `.*mac_keys: a key is shorter than 16 characters`)
-	s, err := settings.Parse("f.ini", "[entry]\noperator_token = hush")
+	s, err := settings.Parse("f.ini", "[jobs]\nmac_keys = hush-hush-hush-hush\n[entry]\noperator_token = hush\noperator_tokens = a/read/hush")
 	qt.Assert(t, err, qt.IsNil)
 	for _, format := range []string{"%v", "%+v", "%#v", "%s"} {
 		qt.Assert(t, fmt.Sprintf(format, s), qt.Not(qt.Contains), "hush")
--- a/internal/entry/job/members.go
+++ b/internal/entry/job/members.go
@@ -25,10 +25,12 @@
 
 // agent is what this entry knows of one incarnation of an agent.
 type agent struct {
-	inc      ident.Incarnation
-	name     ident.UpstreamName
-	address  ident.Address
-	zone     ident.Zone
+	inc     ident.Incarnation
+	name    ident.UpstreamName
+	address ident.Address
+	zone    ident.Zone
+	// offers holds the services that the agent can serve; services those that configuration lets it serve.
+	offers   []ident.Service
 	services map[ident.Service]bool
 	slots    int
 	// link numbers the newest link; messages of older ones are dropped.
@@ -115,10 +117,11 @@
 	a.link, a.up, a.gone, a.leaving = link, true, false, h.GetLeaving()
 	a.name, a.address = ident.UpstreamName(h.GetName()), ident.Address(h.GetAddress())
 	a.zone, a.slots = ident.Zone(h.GetZone()), int(h.GetSlots())
-	a.services = make(map[ident.Service]bool)
+	a.offers = nil
 	for _, s := range h.GetServices() {
-		a.services[ident.Service(s)] = true
+		a.offers = append(a.offers, ident.Service(s))
 	}
+	t.allow(a)
 	t.replaceAt(a)
 	for _, ref := range a.sortedTasks() {
 		if j := t.jobs[ref.key]; j != nil {
@@ -132,6 +135,17 @@
 	t.pumpAll()
 }
 
+// allow works out which of its services configuration lets an agent serve.
+func (t *Table) allow(a *agent) {
+	a.services = make(map[ident.Service]bool)
+	for _, s := range a.offers {
+		t.pool(s)
+		if t.view.Serves(a.name, a.zone, s) {
+			a.services[s] = true
+		}
+	}
+}
+
 // replaceAt marks earlier lives at the same address as gone.
 func (t *Table) replaceAt(a *agent) {
 	for _, old := range t.agentList {
@@ -341,3 +355,31 @@
 		}
 	}
 }
+
+// Upstream is an upstream whose agent is linked, as operators read it.
+type Upstream struct {
+	Name    ident.UpstreamName `json:"name"`
+	Zone    ident.Zone         `json:"zone"`
+	Address ident.Address      `json:"address"`
+	Offers  []ident.Service    `json:"offers"`
+	// Serves holds the services that configuration lets it serve.
+	Serves  []ident.Service `json:"serves"`
+	Slots   int             `json:"slots"`
+	Load    float64         `json:"tasks_per_slot"`
+	Leaving bool            `json:"leaving,omitempty"`
+}
+
+// Upstreams lists the upstreams whose agents are linked.
+func (t *Table) Upstreams() []Upstream {
+	var out []Upstream
+	for _, a := range t.agentList {
+		if a.up {
+			out = append(out, Upstream{
+				Name: a.name, Zone: a.zone, Address: a.address, Offers: a.offers,
+				Serves: slices.Sorted(maps.Keys(a.services)), Slots: a.slots, Load: a.load(), Leaving: a.leaving,
+			})
+		}
+	}
+	slices.SortFunc(out, func(a, b Upstream) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
--- a/internal/entry/job/roster.go
+++ b/internal/entry/job/roster.go
@@ -74,11 +74,6 @@
 
 // updateRosters makes a new roster for each service whose set of agents has changed.
 func (t *Table) updateRosters() {
-	for _, a := range t.agentList {
-		for s := range a.services {
-			t.pool(s)
-		}
-	}
 	for _, p := range t.services {
 		t.updateRoster(p)
 	}
--- a/internal/entry/job/run.go
+++ b/internal/entry/job/run.go
@@ -44,7 +44,7 @@
 // admit refuses what can't be run in time, before anything is sent, and queues the rest.
 func (t *Table) admit(j *job) {
 	switch {
-	case t.known != nil && !t.known[j.id.Service]:
+	case !t.view.Knows(j.id.Service):
 		t.fail(j, verdict.UnknownService)
 		return
 	case j.roster == nil:
@@ -145,7 +145,7 @@
 func (t *Table) place(j *job, rooms map[*roster][]*agent) {
 	room, seen := rooms[j.roster]
 	if !seen {
-		room = slices.DeleteFunc(t.rosterAgents(j), func(a *agent) bool { return !a.room() })
+		room = slices.DeleteFunc(t.rosterAgents(j), func(a *agent) bool { return !a.room() || !a.services[j.id.Service] })
 	}
 	for len(j.queue) > 0 && len(room) > 0 {
 		i := t.placer.Pick(len(room),
--- a/internal/entry/job/table.go
+++ b/internal/entry/job/table.go
@@ -27,6 +27,23 @@
 	Pick(n int, load func(i int) float64, near func(i int) bool) int
 }
 
+// View is what the newest configuration says.
+type View interface {
+	// Serves tells whether an upstream may serve a service.
+	Serves(u ident.UpstreamName, zone ident.Zone, s ident.Service) bool
+	// Knows tells whether jobs of a service are taken.
+	Knows(s ident.Service) bool
+}
+
+// anything is the View before any configuration.
+type anything struct{}
+
+// Serves is always true.
+func (anything) Serves(ident.UpstreamName, ident.Zone, ident.Service) bool { return true }
+
+// Knows is always true.
+func (anything) Knows(ident.Service) bool { return true }
+
 // Waiter takes the answer to one request; it is called exactly once.
 type Waiter func(a *wire.Answer)
 
@@ -99,7 +116,7 @@
 	// handedTo is the successor once the hand-over was sent; from then on unlisted own ids are the successor's.
 	handedTo ident.Incarnation
 	started  time.Time
-	known    map[ident.Service]bool
+	view     View
 	counts   Counts
 }
 
@@ -128,6 +145,7 @@
 		acks:       make(map[ident.Incarnation][]*wire.AckItem),
 		ages:       make(map[int64][]ident.Key),
 		started:    opt.Now(),
+		view:       anything{},
 	}
 	t.moveWatermark()
 	return t
@@ -170,6 +188,16 @@
 	return ids, nil
 }
 
+// SetView puts a newer configuration in force.
+func (t *Table) SetView(v View) {
+	t.view = v
+	for _, a := range t.agentList {
+		t.allow(a)
+	}
+	t.updateRosters()
+	t.pumpAll()
+}
+
 // Tick does what time alone brings: expiry, deadlines, suspicion, answers to callers who waited long enough.
 // The entry calls it some twenty times a second.
 func (t *Table) Tick() {
--- a/internal/entry/node/links.go
+++ b/internal/entry/node/links.go
@@ -108,6 +108,7 @@
 	} else {
 		n.table.PeerUp(h, number)
 	}
+	n.greetConfig(from, h)
 	n.log.WithFields(logrus.Fields{"peer_role": role, "peer": h.GetName(), "incarnation": from}).Info("link_up")
 	go func() {
 		err := e.session.Receive(func(msgs []*wire.Msg) { n.loop.Post(received{role, from, number, msgs}) })
@@ -125,6 +126,7 @@
 		return
 	}
 	delete(held, e.from)
+	n.forgetConfig(e.from)
 	if e.role == string(vms.Agent) {
 		n.table.AgentDown(e.from, e.number)
 	} else {
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -37,6 +37,7 @@
 
 	// The fields below belong to the control goroutine.
 	table   *job.Table
+	config  *configControl
 	agents  map[ident.Incarnation]link
 	peers   map[ident.Incarnation]link
 	counter uint64
@@ -89,7 +90,7 @@
 func New(set *settings.Settings, d Deps) *Node {
 	return &Node{
 		set: set, inc: ident.NewIncarnation(), log: d.Log, bus: d.Bus, dial: d.Dial, signer: d.Signer,
-		placer: d.Placer, now: d.Now, loop: loop.New[event](),
+		placer: d.Placer, now: d.Now, loop: loop.New[event](), config: newConfigControl(),
 		agents:  make(map[ident.Incarnation]link),
 		peers:   make(map[ident.Incarnation]link),
 		dialled: make(map[ident.Address]context.CancelFunc),
@@ -116,6 +117,9 @@
 	if err := bus.Subscribe(n.ctx, n.bus, bus.Members, func(l vms.List) { n.loop.Post(members{l}) }); err != nil {
 		return err
 	}
+	if err := n.subscribeConfig(); err != nil {
+		return err
+	}
 	go n.accept()
 	n.log.WithFields(logrus.Fields{"incarnation": n.inc, "link": ln.Addr()}).Info("entry_started")
 	return nil
@@ -194,6 +198,7 @@
 	Open        int
 	Waiting     int
 	Leaving     bool
+	Config      ident.ConfigVersion
 	Counts      job.Counts
 }
 
@@ -203,7 +208,7 @@
 	n.call(func() {
 		s = Status{
 			n.inc.String(), len(n.agents), len(n.peers), n.table.Open(), n.table.Waiting(),
-			n.table.Leaving(), n.table.Counts(),
+			n.table.Leaving(), n.config.adopter.Current().Version(), n.table.Counts(),
 		}
 	})
 	return s
@@ -240,6 +245,8 @@
 		n.handleLinkDown(e)
 	case received:
 		n.handleReceived(e)
+	case newState:
+		n.handleNewState(e.state)
 	case members:
 		n.handleMembers(e.list)
 	case call:
@@ -249,6 +256,14 @@
 
 func (n *Node) handleReceived(e received) {
 	for _, m := range e.msgs {
+		if c := m.GetConfig(); c != nil {
+			n.handleConfig(e.from, c)
+			continue
+		}
+		if c := m.GetConfigRunning(); c != nil {
+			n.handleConfigRunning(e.from, c)
+			continue
+		}
 		if e.role == string(vms.Agent) {
 			n.table.FromAgent(e.from, e.number, m)
 			continue
--- /dev/null
+++ b/internal/entry/operator/operator.go
@@ -0,0 +1,156 @@
+// Package operator serves the operators' API of an entry: configuration objects with versions, conditional
+// changes, dry runs, the audit trail, and how far a change is in force. docs/ADMIN.md describes the calls.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"hillreel/internal/config/object"
+	"hillreel/internal/config/state"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/verdict"
+	"hillreel/internal/entry/job"
+	"hillreel/internal/entry/node"
+	"hillreel/internal/platform/config"
+)
+
+// Store keeps configuration.
+type Store interface {
+	Apply(ctx context.Context, c config.Change) (config.Audit, error)
+	History(ctx context.Context, r object.Ref) ([]config.Audit, error)
+}
+
+// Node is what the API needs of the entry.
+type Node interface {
+	State() *state.State
+	ConfigStatus() node.ConfigStatus
+	Upstreams() []job.Upstream
+}
+
+// Reader is told when something was changed here.
+type Reader interface{ Nudge() }
+
+// Server serves the API.
+type Server struct {
+	store  Store
+	node   Node
+	reader Reader
+	log    *logrus.Entry
+}
+
+// New returns a Server.
+func New(s Store, n Node, r Reader, log *logrus.Entry) *Server {
+	return &Server{s, n, r, log}
+}
+
+// Routes adds the API's routes; whoever calls them was authorized.
+func (s *Server) Routes(r chi.Router) {
+	r.Get("/v1/config", s.list)
+	r.Get("/v1/config/{kind}", s.list)
+	r.Get("/v1/config/{kind}/{name}", s.get)
+	r.Put("/v1/config/{kind}/{name}", s.put)
+	r.Patch("/v1/config/{kind}/{name}", s.patch)
+	r.Delete("/v1/config/{kind}/{name}", s.delete)
+	r.Get("/v1/config-status", func(w http.ResponseWriter, _ *http.Request) { write(w, http.StatusOK, s.node.ConfigStatus()) })
+	r.Get("/v1/audit", s.audit)
+	r.Get("/v1/upstreams", func(w http.ResponseWriter, _ *http.Request) { write(w, http.StatusOK, s.node.Upstreams()) })
+}
+
+// Refusal is the body of every error.
+type Refusal struct {
+	Verdict verdict.Verdict `json:"verdict"`
+	Reason  verdict.Reason  `json:"reason"`
+	Field   string          `json:"field,omitempty"`
+	Message string          `json:"message"`
+	// Present is the object as it is, with a conflict.
+	Present *object.Object `json:"present,omitempty"`
+	// ChangeID lets the same change be sent again without taking effect twice.
+	ChangeID string `json:"change_id,omitempty"`
+}
+
+// Objects is a list of objects at one version of the configuration.
+type Objects struct {
+	Version ident.ConfigVersion `json:"config_version"`
+	Objects []object.Object     `json:"objects"`
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	kind := object.Kind(chi.URLParam(r, "kind"))
+	st := s.node.State()
+	out := Objects{Version: st.Version(), Objects: st.List(kind)}
+	if out.Objects == nil {
+		out.Objects = []object.Object{}
+	}
+	write(w, http.StatusOK, out)
+}
+
+func refOf(r *http.Request) object.Ref {
+	return object.Ref{Kind: object.Kind(chi.URLParam(r, "kind")), Name: object.Name(chi.URLParam(r, "name"))}
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	o, ok := s.node.State().Get(refOf(r))
+	if !ok {
+		refuse(w, http.StatusNotFound, Refusal{
+			Verdict: verdict.NotRun, Reason: verdict.NotFound, Field: "name", Message: "there is no " + refOf(r).String(),
+		})
+		return
+	}
+	w.Header().Set("ETag", etag(o.Version))
+	write(w, http.StatusOK, o)
+}
+
+// Trail is the audit trail, oldest first.
+type Trail struct {
+	Changes []config.Audit `json:"changes"`
+}
+
+func (s *Server) audit(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	changes, err := s.store.History(r.Context(), object.Ref{Kind: object.Kind(q.Get("kind")), Name: object.Name(q.Get("name"))})
+	if err != nil {
+		s.refuseError(w, err, "")
+		return
+	}
+	if changes == nil {
+		changes = []config.Audit{}
+	}
+	write(w, http.StatusOK, Trail{changes})
+}
+
+// refuseError maps an error to a status and a body.
+func (s *Server) refuseError(w http.ResponseWriter, err error, changeID string) {
+	var field *object.FieldError
+	var conflict *config.Conflict
+	out := Refusal{Verdict: verdict.Of(err), Message: err.Error(), ChangeID: changeID}
+	status := http.StatusServiceUnavailable
+	var ve *verdict.Error
+	switch {
+	case errors.As(err, &field):
+		status = http.StatusBadRequest
+		out.Verdict, out.Reason, out.Field = verdict.NotRun, verdict.BadRequest, field.Field
+	case errors.As(err, &conflict):
+		status = http.StatusConflict
+		out.Verdict, out.Reason, out.Present = verdict.NotRun, verdict.Conflict, &conflict.Present
+	case errors.As(err, &ve):
+		out.Reason = ve.Reason
+		if ve.Reason == verdict.BadRequest {
+			status, out.Field = http.StatusBadRequest, "change_id"
+		}
+	}
+	refuse(w, status, out)
+}
+
+func refuse(w http.ResponseWriter, status int, r Refusal) { write(w, status, r) }
+
+func write(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v) //nolint:errcheck // the operator has gone
+}
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -17,7 +17,10 @@
 	"hillreel/internal/entry/caller"
 	"hillreel/internal/entry/job"
 	"hillreel/internal/entry/node"
+	"hillreel/internal/entry/operator"
 	"hillreel/internal/link/session"
+	"hillreel/internal/platform/config"
+	"hillreel/internal/platform/table"
 	"hillreel/internal/platform/vms"
 )
 
@@ -25,6 +28,7 @@
 const (
 	nameNode    = "entry"
 	nameMembers = "members"
+	nameConfig  = "config"
 	nameCallers = "callers"
 	nameOps     = "operators"
 )
@@ -58,13 +62,16 @@
 		Bus: b, Dial: d.Dial, Signer: signer, Placer: d.Placer, Now: clock.New(), Log: d.Log,
 	})
 	p.Callers = caller.New(set, p.Node, d.Log)
-	p.Ops = ops.New(set.Node.Ops, set.Entry.OperatorToken, p.Node.Ready, nil)
+	store := config.New(table.New(ident.Address(set.Platform.Address), set.Platform.Timeout), time.Now)
+	configs := config.NewReader(store, set.Platform.HeadEvery, b, d.Log)
+	api := operator.New(store, p.Node, configs, d.Log)
+	p.Ops = ops.New(set.Node.Ops, ops.Tokens(set.Entry), p.Node.Ready, api.Routes)
 	reader := vms.New(ident.Address(set.Platform.Address), set.Platform.ListEvery, set.Platform.Timeout, b, d.Log)
 	for _, s := range []struct {
 		name    string
 		service kernel.Service
 	}{
-		{nameNode, p.Node}, {nameMembers, reader}, {nameOps, p.Ops}, {nameCallers, p.Callers},
+		{nameNode, p.Node}, {nameMembers, reader}, {nameConfig, configs}, {nameOps, p.Ops}, {nameCallers, p.Callers},
 	} {
 		if err := p.kernel.Register(s.name, s.service); err != nil {
 			return nil, err
--- a/internal/standin/embedded/embedded.go
+++ b/internal/standin/embedded/embedded.go
@@ -114,7 +114,7 @@
 	set.Node = settings.Node{Name: name, Zone: string(s.Zone(i)), Region: "region-1", Link: anyPort, Ops: anyPort}
 	set.Entry.Callers = anyPort
 	set.Entry.OperatorToken = Token
-	set.Jobs.MACKeys = []string{"embedded-set-mac-key"}
+	set.Jobs.MACKeys = settings.Secrets{"embedded-set-mac-key"}
 	set.Platform.Address = settings.Address(s.address)
 	set.Platform.ListEvery = 100 * time.Millisecond
 	set.Agent.Slots = s.opt.Slots
