--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# make demo    run the main job on an embedded set
+# make demo    run the main job on an embedded set (ARGS=--keep keeps it running)
 # make check   build, vet, formatter, linter, tests with the race detector
 # make lint    formatter and linter only
 # make soak    a long randomised run (SCHEDULES=n SEED=n)
@@ -15,7 +15,7 @@
 	$(GO) build -o bin/hillreel .
 
 demo: build
-	./bin/hillreel demo
+	./bin/hillreel demo $(ARGS)
 
 check: build lint test
 
--- a/api/api.go
+++ b/api/api.go
@@ -39,6 +39,20 @@
 	Tasks      []Task `json:"tasks"`
 }
 
+// SingleTask is a request that is not a job: one task.
+type SingleTask struct {
+	Service    string `json:"service"`
+	Team       string `json:"team,omitempty"`
+	DeadlineMs uint32 `json:"deadline_ms,omitempty"`
+	Repeatable bool   `json:"repeatable,omitempty"`
+	Task
+}
+
+// Job returns the job of that one task.
+func (s SingleTask) Job() Job {
+	return Job{s.Service, s.Team, s.DeadlineMs, s.Repeatable, []Task{s.Task}}
+}
+
 // TaskAnswer is the part of an answer for one task.
 type TaskAnswer struct {
 	Index   uint32  `json:"index"`
--- a/commands/demo.go
+++ b/commands/demo.go
@@ -60,7 +60,7 @@
 	}
 	seed := uint64(c.Uint("seed"))
 	set, err := embedded.Start(embedded.Options{
-		Entries: demoEntries, Agents: demoAgents, Slots: demoSlots, Seed: seed, Log: log,
+		Entries: demoEntries, Agents: demoAgents, Slots: demoSlots, Seed: seed, Log: log, FixedPorts: c.Bool("keep"),
 	})
 	if err != nil {
 		return cli.Exit(err.Error(), ExitFailed)
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -16,6 +16,7 @@
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/loop"
 	"hillreel/internal/core/settings"
+	"hillreel/internal/core/verdict"
 	"hillreel/internal/link/session"
 	"hillreel/internal/link/wire"
 )
@@ -226,6 +227,11 @@
 	case received:
 		n.handleReceived(e)
 	case taskEnded:
+		if e.outcome.Verdict == verdict.MayHaveRun {
+			n.log.WithFields(logrus.Fields{
+				"job": e.key, "task": e.index, "verdict": e.outcome.Verdict, "reason": e.outcome.Reason,
+			}).Warn("task_unsure")
+		}
 		n.ledger.Ended(e.key, e.index, e.outcome)
 	case call:
 		e.f()
--- a/internal/core/bus/bus.go
+++ b/internal/core/bus/bus.go
@@ -1,5 +1,5 @@
-// Package bus carries control events inside a process, over watermill's Go channels: membership,
-// configuration, drain. Task traffic does not pass here; docs/DESIGN.md says what that would cost.
+// Package bus carries control events inside a process, over watermill's Go channels: membership
+// and configuration. Task traffic does not pass here; docs/DESIGN.md says what that would cost.
 package bus
 
 import (
@@ -20,10 +20,8 @@
 const (
 	// Members carries vms.List, each time the platform's list was read.
 	Members Topic = "members"
-	// Config carries config.Snapshot, each time a higher version was adopted.
+	// Config carries state.Delta, from nothing, each time a higher version was adopted.
 	Config Topic = "config"
-	// Drain carries nothing: the process is asked to leave.
-	Drain Topic = "drain"
 )
 
 // backlog is how many events a slow subscriber may be behind.
@@ -34,7 +32,9 @@
 
 // New returns an empty Bus.
 func New() *Bus {
-	return &Bus{gochannel.NewGoChannel(gochannel.Config{OutputChannelBuffer: backlog}, watermill.NopLogger{})}
+	// Without waiting for the acknowledgement, events overtake each other.
+	config := gochannel.Config{OutputChannelBuffer: backlog, BlockPublishUntilSubscriberAck: true}
+	return &Bus{gochannel.NewGoChannel(config, watermill.NopLogger{})}
 }
 
 // Publish sends event, as JSON, to all subscribers of topic.
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -77,6 +77,7 @@
 	r := chi.NewRouter()
 	r.Post("/v1/ids", s.postIDs)
 	r.Post("/v1/jobs", s.postJob)
+	r.Post("/v1/tasks", s.postTask)
 	r.Put("/v1/jobs/{id}", s.putJob)
 	r.Get("/v1/jobs/{id}", s.getJob)
 	r.Delete("/v1/jobs/{id}", s.deleteJob)
--- a/internal/entry/caller/jobs.go
+++ b/internal/entry/caller/jobs.go
@@ -46,6 +46,21 @@
 // postJob runs a job that its caller will never submit again: the id is minted here.
 func (s *Server) postJob(w http.ResponseWriter, r *http.Request) {
 	spec, bad := s.readSpec(w, r)
+	s.runUnnamed(w, r, spec, bad)
+}
+
+// postTask runs one task on the same path as a job.
+func (s *Server) postTask(w http.ResponseWriter, r *http.Request) {
+	var in api.SingleTask
+	bad := s.decode(w, r, &in)
+	var spec *wire.JobSpec
+	if bad == nil {
+		spec, bad = s.specOf(in.Job())
+	}
+	s.runUnnamed(w, r, spec, bad)
+}
+
+func (s *Server) runUnnamed(w http.ResponseWriter, r *http.Request, spec *wire.JobSpec, bad *requestError) {
 	if bad != nil {
 		s.refuse(w, bad, verdict.NotRun)
 		return
--- a/internal/entry/caller/read.go
+++ b/internal/entry/caller/read.go
@@ -47,6 +47,11 @@
 	if bad := s.decode(w, r, &in); bad != nil {
 		return nil, bad
 	}
+	return s.specOf(in)
+}
+
+// specOf checks a job field by field.
+func (s *Server) specOf(in api.Job) (*wire.JobSpec, *requestError) {
 	switch {
 	case in.Service == "":
 		return nil, badField("service", "must be set")
--- a/internal/entry/job/adopt.go
+++ b/internal/entry/job/adopt.go
@@ -30,6 +30,7 @@
 	if req.Spec != nil {
 		j.setBody(req.Spec)
 	}
+	t.log(j).Info("job_adopted")
 	j.waiters = append(j.waiters, waiting{req, t.opt.Now()})
 	t.unsettled[j.key] = j
 	if j.roster == nil {
--- a/internal/entry/job/decide.go
+++ b/internal/entry/job/decide.go
@@ -155,6 +155,7 @@
 		return
 	}
 	t.counts.Lost++
+	t.log(j).WithField("newest", f.GetNewest().GetCounter()).Info("job_lost")
 	t.unqueue(j)
 	t.releaseAll(j)
 	j.newest = ident.GenerationOf(f.GetNewest())
@@ -196,6 +197,9 @@
 // endFailed tells the recorded decision.
 func (t *Table) endFailed(j *job) {
 	t.counts.Failed++
+	t.log(j).WithFields(logrus.Fields{
+		"reason": j.decision.GetReason(), "verdict": summary(j.decision.GetVerdicts()),
+	}).Info("job_failed")
 	a := &wire.Answer{
 		Id: j.id.Text, State: string(verdict.Failed), Reason: j.decision.GetReason(),
 		Verdict: string(summary(j.decision.GetVerdicts())), Messages: j.messages,
@@ -214,6 +218,11 @@
 	t.end(j, a)
 }
 
+// log begins an event about a job.
+func (t *Table) log(j *job) *logrus.Entry {
+	return t.opt.Log.WithFields(logrus.Fields{"job": j.key, "gen": j.gen.Counter, "tasks": len(j.tasks)})
+}
+
 // summary is the verdict on the whole: not_run only if that holds for every task.
 func summary(verdicts []string) verdict.Verdict {
 	count := make(map[string]int)
--- a/internal/entry/job/request.go
+++ b/internal/entry/job/request.go
@@ -102,7 +102,9 @@
 			continue
 		}
 		t.counts.Unresolved++
-		w.req.Answer(t.progressAnswer(j, verdict.Unresolved, t.unresolvedReason(j)))
+		why := t.unresolvedReason(j)
+		t.log(j).WithField("reason", why).Info("job_unresolved")
+		w.req.Answer(t.progressAnswer(j, verdict.Unresolved, why))
 	}
 	j.waiters = kept
 }
--- a/internal/entry/job/table.go
+++ b/internal/entry/job/table.go
@@ -9,6 +9,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/rule"
 	"hillreel/internal/core/verdict"
@@ -70,7 +72,9 @@
 	// MaxTasks bounds a job.
 	MaxTasks int
 	// Now must never go backwards.
-	Now  func() time.Time
+	Now func() time.Time
+	// Log gets one event for each job that fails, is adopted, lost or unresolved.
+	Log  *logrus.Entry
 	Omit rule.Set
 }
 
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -111,7 +111,7 @@
 		Retention: n.set.Jobs.Retention, AnswerWait: n.set.Jobs.AnswerWait,
 		SuspectAfter: n.set.Links.SuspectAfter, GoneAfter: n.set.Links.GoneAfter,
 		QueueLimit: n.set.Entry.QueueLimit, AnswerBytes: int(n.set.Entry.AnswerBytes),
-		MaxTasks: n.set.Entry.MaxTasks, Now: n.now,
+		MaxTasks: n.set.Entry.MaxTasks, Now: n.now, Log: n.log,
 	}, (*links)(n), n.placer)
 	go n.loop.Run(n.set.Links.Tick, n.handle, n.table.Tick)
 	if err := bus.Subscribe(n.ctx, n.bus, bus.Members, func(l vms.List) { n.loop.Post(members{l}) }); err != nil {
--- /dev/null
+++ b/internal/link/session/session_test.go
@@ -0,0 +1,80 @@
+package session_test
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/link/session"
+	"hillreel/internal/link/wire"
+)
+
+func pair(t *testing.T) (dialled, accepted *session.Session) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer ln.Close()
+	got := make(chan *session.Session, 1)
+	go func() {
+		conn, err := ln.Accept()
+		if err == nil {
+			s, _ := session.Accept(conn, &wire.Hello{Name: "b"})
+			got <- s
+		}
+	}()
+	dialled, err = session.Dial(session.TCP, ln.Addr().String(), time.Second, &wire.Hello{Name: "a"})
+	qt.Assert(t, err, qt.IsNil)
+	accepted = <-got
+	t.Cleanup(dialled.Close)
+	t.Cleanup(accepted.Close)
+	return dialled, accepted
+}
+
+func TestMessagesArriveInOrder(t *testing.T) {
+	a, b := pair(t)
+	qt.Assert(t, a.Remote.GetName(), qt.Equals, "b")
+	qt.Assert(t, b.Remote.GetName(), qt.Equals, "a")
+	const n = 5000
+	done := make(chan int64, 1)
+	go func() {
+		next := int64(0)
+		b.Receive(func(msgs []*wire.Msg) {
+			for _, m := range msgs {
+				if m.GetPing().GetClockMs() == next {
+					next++
+				}
+			}
+			if next == n {
+				done <- next
+			}
+		})
+	}()
+	for i := range int64(n) {
+		a.Send(&wire.Msg{Kind: &wire.Msg_Ping{Ping: &wire.Ping{ClockMs: i}}})
+	}
+	qt.Assert(t, <-done, qt.Equals, int64(n))
+}
+
+func TestOtherSideNotices(t *testing.T) {
+	a, b := pair(t)
+	ended := make(chan error, 1)
+	go func() { ended <- b.Receive(func([]*wire.Msg) {}) }()
+	a.Close()
+	qt.Assert(t, <-ended, qt.IsNotNil)
+	a.Send(&wire.Msg{}) // dropped, and no panic
+}
+
+// TestStrangersAreRefused: a peer that speaks something else gets no session.
+func TestStrangersAreRefused(t *testing.T) {
+	for _, first := range []string{"GET / HTTP/1.1\r\n\r\n", "\x00\x00\x00\x00"} {
+		near, far := net.Pipe()
+		go func() {
+			io.WriteString(near, first)
+			near.Close()
+		}()
+		_, err := session.Accept(far, &wire.Hello{})
+		qt.Assert(t, err, qt.IsNotNil)
+	}
+}
--- a/internal/proof/schedule/world_test.go
+++ b/internal/proof/schedule/world_test.go
@@ -11,6 +11,7 @@
 
 	"hillreel/internal/agent/ledger"
 	"hillreel/internal/core/ident"
+	"hillreel/internal/core/logs"
 	"hillreel/internal/core/rule"
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/job"
@@ -77,6 +78,8 @@
 	broken bool
 }
 
+var quiet = logs.Discard()
+
 // world is one schedule.
 type world struct {
 	seed   uint64
@@ -185,7 +188,7 @@
 	p.table = job.New(job.Options{
 		Self: p.inc, Name: ident.EntryName(p.name), Address: p.address, Zone: "zone-1", Region: region, Signer: w.signer,
 		Retention: w.retention, AnswerWait: answerWait, SuspectAfter: suspectAfter, GoneAfter: goneAfter,
-		QueueLimit: 100, AnswerBytes: 1 << 20, MaxTasks: 100, Now: p.now, Omit: w.omit,
+		QueueLimit: 100, AnswerBytes: 1 << 20, MaxTasks: 100, Now: p.now, Log: quiet, Omit: w.omit,
 	}, p, placement.New(placement.Random, w.seed))
 	w.linkAll(p)
 	return p
--- a/internal/standin/embedded/embedded.go
+++ b/internal/standin/embedded/embedded.go
@@ -25,6 +25,12 @@
 // anyPort lets the system choose a port on loopback.
 const anyPort = "127.0.0.1:0"
 
+// The ports of entry 0 with FixedPorts, the defaults of the settings.
+const (
+	firstCallersPort = 7600
+	firstOpsPort     = 7500
+)
+
 // Token is the operators' token of an embedded set.
 const Token = "embedded-operator-token"
 
@@ -40,6 +46,8 @@
 	Seed            uint64
 	// Lag is how far the platform's list lags.
 	Lag time.Duration
+	// FixedPorts puts entry i's callers on port 7600+i and its operators on 7500+i.
+	FixedPorts bool
 	// Tune changes the settings of every process.
 	Tune func(*settings.Settings)
 	// Placer makes the placement policy of entry i; nil gives the default.
@@ -157,6 +165,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.opt.FixedPorts {
+		set.Entry.Callers = settings.Address(fmt.Sprintf("127.0.0.1:%d", firstCallersPort+i))
+		set.Node.Ops = settings.Address(fmt.Sprintf("127.0.0.1:%d", firstOpsPort+i))
+	}
 	d := entry.Deps{
 		Dial: session.TCP, Placer: placement.New(placement.LeastLoaded, s.opt.Seed+uint64(i)),
 		Log: s.opt.Log.WithFields(logrus.Fields{"role": "entry", "node": name}),
@@ -232,3 +244,6 @@
 	}
 	s.Platform.Stop()
 }
+
+// AgentAddress returns where agent i listens for entries.
+func (s *Set) AgentAddress(i int) ident.Address { return ident.Address(s.Agents[i].Node.Address()) }
