--- a/internal/load/workload/workload.go
+++ b/internal/load/workload/workload.go
@@ -3,9 +3,11 @@
 package workload
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"hillreel/api"
@@ -29,6 +31,8 @@
 	Runs []time.Duration
 	// Note comes back in each task's answer.
 	Note string
+	// Impossible: the service that it names can't run it; a refusal is its right answer.
+	Impossible bool
 }
 
 // Profile says what to draw.
@@ -44,6 +48,8 @@
 	Team string
 	// EstimateFactor multiplies the declared run times; 1 is the truth.
 	EstimateFactor float64
+	// Impossible makes jobs for a service that nobody offers.
+	Impossible bool
 	// DeadlineMs is given to each job; zero is none.
 	DeadlineMs uint32
 }
@@ -55,6 +61,9 @@
 	least, most time.Duration
 }
 
+// impossibleTasks is more than any job may have.
+const impossibleTasks = 1501
+
 // longShare is the share of tasks that last several seconds.
 const longShare = 0.002
 
@@ -103,6 +112,15 @@
 func draw(p Profile, rng *rand.Rand, at time.Duration, n int) Job {
 	j := Job{At: at, Note: fmt.Sprintf("%s-%d-%d", p.Kind, p.Seed, n)}
 	j.Service, j.Team, j.DeadlineMs = string(p.Kind), p.Team, p.DeadlineMs
+	if p.Impossible {
+		// An id of the service is had; the body names more tasks than any job may have.
+		j.Impossible = true
+		j.Tasks = make([]api.Task, impossibleTasks)
+		for i := range j.Tasks {
+			j.Tasks[i].Kind = "impossible"
+		}
+		return j
+	}
 	for _, x := range parts(p.Kind, rng) {
 		for range x.few + rng.IntN(x.many-x.few+1) {
 			j.addTask(p, x, rng)
@@ -168,3 +186,18 @@
 	}
 	return longest
 }
+
+// Shift moves all arrivals by d.
+func Shift(jobs []Job, d time.Duration) []Job {
+	for i := range jobs {
+		jobs[i].At += d
+	}
+	return jobs
+}
+
+// Merge puts two lists in order of arrival.
+func Merge(a, b []Job) []Job {
+	out := slices.Concat(a, b)
+	slices.SortStableFunc(out, func(x, y Job) int { return cmp.Compare(x.At, y.At) })
+	return out
+}
--- a/internal/standin/embedded/embedded.go
+++ b/internal/standin/embedded/embedded.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,6 +13,7 @@
 
 	agent "hillreel/internal/agent/process"
 	"hillreel/internal/core/ident"
+	"hillreel/internal/core/invariant"
 	"hillreel/internal/core/settings"
 	"hillreel/internal/entry/job"
 	entry "hillreel/internal/entry/process"
@@ -54,7 +56,9 @@
 	Placer func(i int) job.Placer
 	// Dial replaces the dialer of the entries in one availability zone.
 	Dial func(from ident.Zone) session.Dialer
-	Log  *logrus.Entry
+	// Created is called with the set before anything in it starts; it may be nil.
+	Created func(*Set)
+	Log     *logrus.Entry
 }
 
 // Set is a running set.
@@ -66,6 +70,10 @@
 	Agents    []*agent.Process
 	Entries   []*entry.Process
 	address   string
+
+	mu sync.Mutex
+	// zones holds the availability zone of each process by the address where it listens.
+	zones map[ident.Address]ident.Zone
 }
 
 func (o *Options) fill() {
@@ -86,7 +94,13 @@
 // Start builds a set and waits until every entry is linked to every agent.
 func Start(o Options) (*Set, error) {
 	o.fill()
-	s := &Set{opt: o, Platform: platform.New(o.Lag), Recorder: upstream.NewRecorder()}
+	s := &Set{
+		opt: o, Platform: platform.New(o.Lag), Recorder: upstream.NewRecorder(),
+		zones: make(map[ident.Address]ident.Zone),
+	}
+	if o.Created != nil {
+		o.Created(s)
+	}
 	address, err := s.Platform.Start(anyPort)
 	if err != nil {
 		return nil, err
@@ -192,6 +206,9 @@
 }
 
 func (s *Set) list(name string, role vms.Role, address string, i int) {
+	s.mu.Lock()
+	s.zones[ident.Address(address)] = s.Zone(i)
+	s.mu.Unlock()
 	s.Platform.SetVM(vms.VM{
 		Name: name, Role: role, Address: ident.Address(address), Zone: s.Zone(i), Region: "region-1", State: vms.Live,
 	})
@@ -206,6 +223,29 @@
 	return out
 }
 
+// ZoneOf returns the availability zone of the process that listens at address for links.
+func (s *Set) ZoneOf(address ident.Address) ident.Zone {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.zones[address]
+}
+
+// KillAgent ends upstream i and its agent at once; the platform's list drops it after its lag.
+func (s *Set) KillAgent(i int) {
+	s.Agents[i].Stop()
+	s.Upstreams[i].Stop()
+	s.Platform.RemoveVM(fmt.Sprintf("upstream-%d", i+1))
+}
+
+// KillEntry ends entry i at once.
+func (s *Set) KillEntry(i int) {
+	s.Entries[i].Stop()
+	s.Platform.RemoveVM(fmt.Sprintf("entry-%d", i+1))
+}
+
+// Violations returns how many tasks of the set's upstreams were started twice, and all violations in this process.
+func (s *Set) Violations() int64 { return invariant.Violations() }
+
 // PlatformAddress returns the address of the platform stand-in.
 func (s *Set) PlatformAddress() string { return s.address }
 
