core: fold polling, retention and control calls into one place each

What stood twice: two pollers of the platform, the forgetting of jobs by mint time in agent and entry, the call of a function on the control goroutine. Ended jobs at an entry are kept packed. Services' max_tasks and deadline_ms, which were only kept, are in force.

A test of racing operators failed once: its goroutines read the version that a winner had just moved, so a late one won rightly.

--- a/internal/agent/ledger/ledger.go
+++ b/internal/agent/ledger/ledger.go
@@ -13,6 +13,7 @@
 
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/invariant"
+	"hillreel/internal/core/retention"
 	"hillreel/internal/core/rule"
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/link/wire"
@@ -124,9 +125,8 @@
 	running int
 	// queued is the number of tasks in state queued; queue may also hold refs that were withdrawn.
 	queued int
-	// watermark is the latest mint time forgotten, in Unix milliseconds; it only grows.
-	watermark int64
-	ages      map[int64][]ident.Key
+	// ids knows which ids are valid, and when to forget a job.
+	ids *retention.Index
 	// rosters holds, by digest, the rosters that name this agent.
 	rosters  map[string]keptRoster
 	answers  answerQueue
@@ -153,12 +153,11 @@
 		opt: opt, sender: sender, runner: runner,
 		jobs:  make(map[ident.Key]*job),
 		links: make(map[ident.Incarnation]uint64),
-		ages:  make(map[int64][]ident.Key),
+		ids:   retention.New(opt.Retention, opt.Now),
 
 		rosters: make(map[string]keptRoster),
 		allow:   func(ident.Service) bool { return true },
 	}
-	l.moveWatermark()
 	return l
 }
 
@@ -306,8 +305,7 @@
 
 // Tick forgets what has expired and reports load that has changed.
 func (l *Ledger) Tick() {
-	l.moveWatermark()
-	l.forget()
+	l.ids.Tick(l.forgetJob)
 	l.dropOldAnswers()
 	l.dropOldRosters()
 	if load := l.Load(); load != l.sentLoad {
--- a/internal/agent/ledger/messages.go
+++ b/internal/agent/ledger/messages.go
@@ -18,7 +18,7 @@
 func (l *Ledger) admit(from ident.Incarnation, k *wire.Key, mintedMs int64, g *wire.Generation) *job {
 	key, gen := ident.KeyOf(k), ident.GenerationOf(g)
 	j := l.jobs[key]
-	if j == nil && mintedMs <= l.watermark {
+	if j == nil && l.ids.Expired(mintedMs) {
 		l.counts.Expired++
 		l.sender.Send(from, &wire.Msg{Kind: &wire.Msg_Expired{Expired: &wire.Expired{Key: k, Gen: g}}})
 		return nil
@@ -26,7 +26,7 @@
 	if j == nil {
 		j = &job{key: key, mintedMs: mintedMs, gen: gen, holder: from, tasks: make(map[uint32]*task)}
 		l.jobs[key] = j
-		l.remember(j)
+		l.ids.Add(mintedMs, key)
 	}
 	if gen.Less(j.gen) && l.opt.Omit.Holds(rule.SealGeneration) {
 		l.counts.Fenced++
@@ -160,7 +160,7 @@
 func (l *Ledger) handleWithdraw(from ident.Incarnation, w *wire.Withdraw) {
 	out := &wire.Withdrawn{Key: w.GetKey(), Gen: w.GetGen()}
 	reply := &wire.Msg{Kind: &wire.Msg_Withdrawn{Withdrawn: out}}
-	if l.jobs[ident.KeyOf(w.GetKey())] == nil && w.GetMintedMs() > l.watermark {
+	if l.jobs[ident.KeyOf(w.GetKey())] == nil && !l.ids.Expired(w.GetMintedMs()) {
 		// Nothing of it arrived, and links deliver in order: no record is needed to refuse it later.
 		l.sender.Send(from, reply)
 		return
--- a/internal/agent/ledger/retain.go
+++ b/internal/agent/ledger/retain.go
@@ -9,9 +9,6 @@
 	"hillreel/internal/link/wire"
 )
 
-// ageBucketMs groups jobs by mint time, so that forgetting costs nothing per job kept.
-const ageBucketMs = 1000
-
 // answerQueue holds answers in the order in which they were kept.
 type answerQueue struct {
 	items []answerItem
@@ -24,40 +21,7 @@
 	at   time.Time
 }
 
-func bucketOf(mintedMs int64) int64 { return mintedMs / ageBucketMs }
-
-func (l *Ledger) remember(j *job) {
-	b := bucketOf(j.mintedMs)
-	l.ages[b] = append(l.ages[b], j.key)
-}
-
-// moveWatermark never lowers the watermark, so a clock that jumps back can't reopen an id.
-func (l *Ledger) moveWatermark() {
-	l.watermark = max(l.watermark, l.opt.Now().Add(-l.opt.Retention).UnixMilli())
-}
-
-// forget drops the jobs whose mint time lies wholly under the watermark. A job with a task that still
-// runs is kept until it ends.
-func (l *Ledger) forget() {
-	limit := bucketOf(l.watermark)
-	for b, keys := range l.ages {
-		if b >= limit {
-			continue
-		}
-		kept := keys[:0]
-		for _, key := range keys {
-			if !l.forgetJob(key) {
-				kept = append(kept, key)
-			}
-		}
-		if len(kept) == 0 {
-			delete(l.ages, b)
-			continue
-		}
-		l.ages[b] = kept
-	}
-}
-
+// forgetJob drops a job past its retention. One with a task that still runs is kept until it ends.
 func (l *Ledger) forgetJob(key ident.Key) bool {
 	j := l.jobs[key]
 	for _, t := range j.tasks {
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -34,7 +34,7 @@
 	inc    ident.Incarnation
 	log    *logrus.Entry
 	runner Runner
-	loop   *loop.Loop[event]
+	loop   *loop.Loop
 	ln     net.Listener
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -52,9 +52,6 @@
 	session *session.Session
 }
 
-// event is what the control goroutine handles.
-type event interface{}
-
 type linkUp struct{ session *session.Session }
 
 type linkDown struct {
@@ -74,12 +71,10 @@
 	outcome ledger.Outcome
 }
 
-type call struct{ f func() }
-
 // New returns an agent that starts tasks by runner, on the clock now.
 func New(set *settings.Settings, runner Runner, now func() time.Time, log *logrus.Entry) *Node {
 	n := &Node{
-		set: set, inc: ident.NewIncarnation(), log: log, runner: runner, loop: loop.New[event](),
+		set: set, inc: ident.NewIncarnation(), log: log, runner: runner, loop: loop.New(),
 		links: make(map[ident.Incarnation]link), config: state.NewAdopter(),
 	}
 	n.ledger = ledger.New(ledger.Options{
@@ -116,7 +111,7 @@
 func (n *Node) Stop() {
 	n.ln.Close()
 	n.cancel()
-	n.call(func() {
+	n.loop.Call(func() {
 		for _, l := range n.links {
 			l.session.Close()
 		}
@@ -127,7 +122,7 @@
 // Drain refuses new work, hands back what is queued, lets what has begun end, and returns when its results
 // are acknowledged or ctx ends.
 func (n *Node) Drain(ctx context.Context) {
-	n.call(func() {
+	n.loop.Call(func() {
 		n.leaving = true
 		n.ledger.Leave()
 		for _, l := range n.links {
@@ -138,7 +133,7 @@
 	var idleSince time.Time
 	for ctx.Err() == nil {
 		idle, unacked := false, 0
-		n.call(func() { idle, unacked = n.ledger.Idle(), n.ledger.Unacked() })
+		n.loop.Call(func() { idle, unacked = n.ledger.Idle(), n.ledger.Unacked() })
 		if !idle {
 			idleSince = time.Now()
 		}
@@ -163,24 +158,12 @@
 // Status returns the present state.
 func (n *Node) Status() Status {
 	var s Status
-	n.call(func() {
+	n.loop.Call(func() {
 		s = Status{n.inc.String(), n.ledger.Load(), n.ledger.Jobs(), len(n.links), n.leaving, n.config.Current().Version(), n.ledger.Counts()}
 	})
 	return s
 }
 
-// call runs f on the control goroutine and waits for it.
-func (n *Node) call(f func()) {
-	done := make(chan struct{})
-	if !n.loop.Post(call{func() { f(); close(done) }}) {
-		return
-	}
-	select {
-	case <-done:
-	case <-n.loop.Done():
-	}
-}
-
 func (n *Node) accept() {
 	for {
 		conn, err := n.ln.Accept()
@@ -209,7 +192,7 @@
 	n.loop.Post(linkUp{s})
 }
 
-func (n *Node) handle(e event) {
+func (n *Node) handle(e loop.Event) {
 	switch e := e.(type) {
 	case linkUp:
 		n.handleLinkUp(e.session)
@@ -224,8 +207,6 @@
 			}).Warn("task_unsure")
 		}
 		n.ledger.Ended(e.key, e.index, e.outcome)
-	case call:
-		e.f()
 	}
 }
 
--- a/internal/config/state/view.go
+++ b/internal/config/state/view.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"time"
+
 	"k8s.io/apimachinery/pkg/labels"
 
 	"hillreel/internal/config/object"
@@ -91,6 +93,14 @@
 	return set
 }
 
+// MaxTasks bounds a job of a service; zero is no bound of its own.
+func (v *View) MaxTasks(s ident.Service) int { return v.services[s].MaxTasks }
+
+// Deadline is given to a service's jobs that name none; zero is none.
+func (v *View) Deadline(s ident.Service) time.Duration {
+	return time.Duration(v.services[s].DeadlineMs) * time.Millisecond
+}
+
 // Quota is a team's weight in sharing the slots; a team without one has weight 1.
 func (v *View) Quota(team ident.Team) float64 {
 	if q, ok := v.quotas[team]; ok {
--- a/internal/entry/job/decide.go
+++ b/internal/entry/job/decide.go
@@ -254,7 +254,7 @@
 	}
 	out := burn.Job{
 		Service: j.id.Service, Team: ident.Team(j.spec.GetTeam()), Took: t.opt.Now().Sub(t.started) - j.begun,
-		Complete: j.answer.GetState() == string(verdict.Complete),
+		Complete: j.outcome.state == verdict.Complete,
 	}
 	for i := range j.tasks {
 		tk := &j.tasks[i]
@@ -267,16 +267,16 @@
 }
 
 func (t *Table) end(j *job, a *wire.Answer) {
-	invariant.Check(j.answer == nil, invariant.DecidedOnce, func() logrus.Fields {
-		return logrus.Fields{"job": j.key, "before": j.answer.GetState(), "now": a.GetState()}
+	invariant.Check(j.outcome == nil, invariant.DecidedOnce, func() logrus.Fields {
+		return logrus.Fields{"job": j.key, "before": j.outcome.state, "now": a.GetState()}
 	})
-	j.answer = a
+	j.outcome = pack(a)
 	t.tellBurn(j)
 	t.releaseAll(j)
 	j.spec, j.sealed, j.withdrawing = nil, nil, nil
 	j.tasks, j.queue = nil, nil
 	t.setMode(j, ended)
 	t.keepAnswer(j)
-	t.tellAll(j)
+	t.tellAll(j, a)
 	t.tellSuccessor(j)
 }
--- a/internal/entry/job/drain.go
+++ b/internal/entry/job/drain.go
@@ -6,7 +6,6 @@
 
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/rule"
-	"hillreel/internal/core/verdict"
 	"hillreel/internal/link/wire"
 )
 
@@ -64,7 +63,7 @@
 func (t *Table) Leaving() bool { return t.leaving }
 
 func (t *Table) handOver(owner ident.Incarnation) {
-	h := &wire.HandOver{Owner: uint64(owner), WatermarkMs: t.watermark}
+	h := &wire.HandOver{Owner: uint64(owner), WatermarkMs: t.ids.Watermark()}
 	if inh := t.inherited[owner]; inh != nil {
 		h.WatermarkMs = max(h.WatermarkMs, inh.watermark)
 		for seq := range inh.inProgress {
@@ -79,7 +78,7 @@
 			continue
 		}
 		switch {
-		case j.mode == ended && verdict.State(j.answer.GetState()).Final():
+		case j.mode == ended && j.outcome.state.Final():
 			h.Ended = append(h.Ended, endedJob(j))
 		case j.mode != ended && j.mode != lost && j.gen == ident.OwnerGeneration(owner):
 			h.InProgress = append(h.InProgress, key.Seq)
@@ -100,16 +99,16 @@
 }
 
 func endedJob(j *job) *wire.EndedJob {
-	return &wire.EndedJob{Key: j.key.Wire(), MintedMs: j.id.MintedMs, BodyDigest: j.digest, Answer: j.answer}
+	return &wire.EndedJob{Key: j.key.Wire(), MintedMs: j.id.MintedMs, BodyDigest: j.digest, Answer: j.outcome.answer()}
 }
 
 // tellSuccessor passes on the outcome of a job that was in progress when this entry handed over.
 func (t *Table) tellSuccessor(j *job) {
-	if t.handedTo == 0 || !verdict.State(j.answer.GetState()).Final() {
+	if t.handedTo == 0 || !j.outcome.state.Final() {
 		return
 	}
 	t.sendHandOver(&wire.HandOver{
-		Owner: uint64(j.key.Owner), Ended: []*wire.EndedJob{endedJob(j)}, WatermarkMs: t.watermark,
+		Owner: uint64(j.key.Owner), Ended: []*wire.EndedJob{endedJob(j)}, WatermarkMs: t.ids.Watermark(),
 	})
 }
 
@@ -147,7 +146,7 @@
 		return
 	}
 	j := t.newJob(id, ident.OwnerGeneration(id.Key.Owner))
-	j.digest, j.answer = e.GetBodyDigest(), e.GetAnswer()
+	j.digest, j.outcome = e.GetBodyDigest(), pack(e.GetAnswer())
 	t.setMode(j, ended)
 	t.keepAnswer(j)
 }
--- a/internal/entry/job/job.go
+++ b/internal/entry/job/job.go
@@ -98,8 +98,8 @@
 	why      verdict.Reason
 	// newest is the generation that fenced this one, in mode lost.
 	newest ident.Generation
-	// answer is set exactly when mode is ended.
-	answer *wire.Answer
+	// outcome is set exactly when mode is ended.
+	outcome *outcome
 
 	waiters  []waiting
 	messages uint32
--- a/internal/entry/job/queue.go
+++ b/internal/entry/job/queue.go
@@ -77,8 +77,12 @@
 	if j.begun == 0 {
 		j.begun = t.opt.Now().Sub(t.started)
 	}
-	if ms := j.spec.GetDeadlineMs(); ms > 0 {
-		j.deadline = j.begun + time.Duration(ms)*time.Millisecond
+	allowed := time.Duration(j.spec.GetDeadlineMs()) * time.Millisecond
+	if allowed == 0 {
+		allowed = t.view.Deadline(j.id.Service)
+	}
+	if allowed > 0 {
+		j.deadline = j.begun + allowed
 	}
 	j.ideal = 0
 	for i := range j.tasks {
--- a/internal/entry/job/request.go
+++ b/internal/entry/job/request.go
@@ -36,7 +36,7 @@
 		return
 	}
 	if j.mode == ended {
-		req.Answer(j.answer)
+		req.Answer(j.outcome.answer())
 		return
 	}
 	if req.Op == OpRead && j.mode == active {
@@ -122,12 +122,12 @@
 }
 
 // tellAll answers every waiter with the outcome.
-func (t *Table) tellAll(j *job) {
+func (t *Table) tellAll(j *job, a *wire.Answer) {
 	waiters := j.waiters
 	j.waiters = nil
 	delete(t.unsettled, j.key)
 	for _, w := range waiters {
-		w.req.Answer(j.answer)
+		w.req.Answer(a)
 	}
 }
 
--- a/internal/entry/job/run.go
+++ b/internal/entry/job/run.go
@@ -36,7 +36,7 @@
 func (t *Table) newJob(id ident.JobID, gen ident.Generation) *job {
 	j := &job{id: id, key: id.Key, gen: gen, place: notWaiting}
 	t.jobs[j.key] = j
-	t.remember(j)
+	t.ids.Add(id.MintedMs, j.key)
 	return j
 }
 
@@ -46,6 +46,9 @@
 	case !t.view.Knows(j.id.Service):
 		t.fail(j, verdict.UnknownService)
 		return
+	case t.tooLong(j):
+		t.fail(j, verdict.TooLarge)
+		return
 	case j.roster == nil:
 		t.seek(j)
 		return
@@ -68,6 +71,12 @@
 	t.activate(j)
 }
 
+// tooLong tells whether the job has more tasks than its service allows.
+func (t *Table) tooLong(j *job) bool {
+	most := t.view.MaxTasks(j.id.Service)
+	return most > 0 && len(j.tasks) > most
+}
+
 // queueTodo lists the tasks that are still to do, and what the order needs to know of the job.
 func (t *Table) queueTodo(j *job) {
 	t.unqueue(j)
@@ -271,9 +280,8 @@
 }
 
 func (t *Table) watchDeadline(j *job) {
-	if ms := j.spec.GetDeadlineMs(); ms > 0 {
-		at := t.opt.Now().Add(time.Duration(ms) * time.Millisecond)
-		heap.Push(&t.deadlines, deadlineItem{at, j.key})
+	if j.deadline > 0 {
+		heap.Push(&t.deadlines, deadlineItem{t.started.Add(j.deadline), j.key})
 	}
 }
 
--- a/internal/entry/job/table.go
+++ b/internal/entry/job/table.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hillreel/internal/core/ident"
+	"hillreel/internal/core/retention"
 	"hillreel/internal/core/rule"
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/burn"
@@ -38,6 +39,10 @@
 	Serves(u ident.UpstreamName, zone ident.Zone, s ident.Service) bool
 	// Knows tells whether jobs of a service are taken.
 	Knows(s ident.Service) bool
+	// MaxTasks bounds a job of a service; zero is no bound of its own.
+	MaxTasks(s ident.Service) int
+	// Deadline is given to a service's jobs that name none; zero is none.
+	Deadline(s ident.Service) time.Duration
 	// Quota is a team's weight in sharing the slots; it is positive.
 	Quota(team ident.Team) float64
 }
@@ -51,6 +56,12 @@
 // Knows is always true.
 func (anything) Knows(ident.Service) bool { return true }
 
+// MaxTasks is no bound.
+func (anything) MaxTasks(ident.Service) int { return 0 }
+
+// Deadline is none.
+func (anything) Deadline(ident.Service) time.Duration { return 0 }
+
 // Quota is the same for all.
 func (anything) Quota(ident.Team) float64 { return 1 }
 
@@ -137,11 +148,10 @@
 	waiting   int
 	deadlines deadlineHeap
 	acks      map[ident.Incarnation][]*wire.AckItem
-	ages      map[int64][]ident.Key
+	// ids knows which ids are valid, and when to forget a job.
+	ids       *retention.Index
 	kept      []keptAnswer
 	keptBytes int
-	// watermark is the latest mint time forgotten, in Unix milliseconds; it only grows.
-	watermark int64
 	seq       uint64
 	leaving   bool
 	// handedTo is the successor once the hand-over was sent; from then on unlisted own ids are the successor's.
@@ -182,14 +192,13 @@
 		unsettled:  make(map[ident.Key]*job),
 		blocked:    make(map[ident.Key]*job),
 		acks:       make(map[ident.Incarnation][]*wire.AckItem),
-		ages:       make(map[int64][]ident.Key),
+		ids:        retention.New(opt.Retention, opt.Now),
 		started:    opt.Now(),
 		view:       anything{},
 		failures:   make(failureRates),
 		teams:      make(map[ident.Team]*team),
 		rateSeen:   opt.Now(),
 	}
-	t.moveWatermark()
 	return t
 }
 
@@ -250,7 +259,6 @@
 // Tick does what time alone brings: expiry, deadlines, suspicion, answers to callers who waited long enough.
 // The entry calls it some twenty times a second.
 func (t *Table) Tick() {
-	t.moveWatermark()
 	t.forget()
 	t.suspect()
 	t.passDeadlines()
--- a/internal/entry/node/config.go
+++ b/internal/entry/node/config.go
@@ -49,7 +49,7 @@
 // State returns the configuration in force here.
 func (n *Node) State() *state.State {
 	var s *state.State
-	n.call(func() { s = n.config.adopter.Current() })
+	n.loop.Call(func() { s = n.config.adopter.Current() })
 	return s
 }
 
@@ -183,7 +183,7 @@
 // ConfigStatus returns how far the newest configuration is in force.
 func (n *Node) ConfigStatus() ConfigStatus {
 	var s ConfigStatus
-	n.call(func() {
+	n.loop.Call(func() {
 		c := n.config
 		s = ConfigStatus{Version: c.adopter.Current().Version(), Processes: len(c.names) + 1, InForce: 1, TookMs: -1}
 		for inc, p := range c.names {
@@ -202,7 +202,7 @@
 
 // ForceTime returns how long a version took into force, or false if it is not, or is too old.
 func (n *Node) ForceTime(v ident.ConfigVersion) (took time.Duration, ok bool) {
-	n.call(func() { took, ok = n.config.force[v] })
+	n.loop.Call(func() { took, ok = n.config.force[v] })
 	return took, ok
 }
 
@@ -220,6 +220,6 @@
 
 // Upstreams lists the upstreams whose agents are linked here.
 func (n *Node) Upstreams() (out []job.Upstream) {
-	n.call(func() { out = n.table.Upstreams() })
+	n.loop.Call(func() { out = n.table.Upstreams() })
 	return out
 }
--- a/internal/entry/node/links.go
+++ b/internal/entry/node/links.go
@@ -76,7 +76,7 @@
 // ended. That is only a hint; safety rests on seals.
 func (n *Node) noteRefusal(address ident.Address, err error) {
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		n.loop.Post(call{func() { n.table.Unlisted(address) }})
+		n.loop.Post(func() { n.table.Unlisted(address) })
 	}
 }
 
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -36,7 +36,7 @@
 	placer job.Placer
 	ended  func(burn.Job)
 	now    func() time.Time
-	loop   *loop.Loop[event]
+	loop   *loop.Loop
 	ln     net.Listener
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -59,9 +59,6 @@
 	address ident.Address
 }
 
-// event is what the control goroutine handles.
-type event interface{}
-
 type linkUp struct {
 	session *session.Session
 	// ended is closed once the link is down; it may be nil.
@@ -83,8 +80,6 @@
 
 type members struct{ list vms.List }
 
-type call struct{ f func() }
-
 // Deps are what an entry needs of its surroundings.
 type Deps struct {
 	Bus    *bus.Bus
@@ -101,7 +96,7 @@
 func New(set *settings.Settings, d Deps) *Node {
 	return &Node{
 		set: set, inc: ident.NewIncarnation(), log: d.Log, bus: d.Bus, dial: d.Dial, signer: d.Signer,
-		ended: d.Ended, placer: d.Placer, now: d.Now, loop: loop.New[event](), config: newConfigControl(),
+		ended: d.Ended, placer: d.Placer, now: d.Now, loop: loop.New(), config: newConfigControl(),
 		agents:  make(map[ident.Incarnation]link),
 		peers:   make(map[ident.Incarnation]link),
 		dialled: make(map[ident.Address]context.CancelFunc),
@@ -149,7 +144,7 @@
 func (n *Node) Stop() {
 	n.ln.Close()
 	n.cancel()
-	n.call(func() {
+	n.loop.Call(func() {
 		for _, l := range n.agents {
 			l.session.Close()
 		}
@@ -162,18 +157,18 @@
 
 // Drain hands the unused ids over, and returns when this entry's jobs have ended or ctx ends.
 func (n *Node) Drain(ctx context.Context) {
-	n.call(n.table.Drain)
+	n.loop.Call(n.table.Drain)
 	n.log.Info("entry_leaving")
 	for ctx.Err() == nil {
 		open := 0
-		n.call(func() { open = n.table.Open() })
+		n.loop.Call(func() { open = n.table.Open() })
 		if open == 0 {
 			break
 		}
 		time.Sleep(n.set.Links.Tick)
 	}
 	var sessions []*session.Session
-	n.call(func() {
+	n.loop.Call(func() {
 		n.table.Tick()
 		for _, l := range n.agents {
 			sessions = append(sessions, l.session)
@@ -189,7 +184,7 @@
 
 // Mint returns n fresh ids.
 func (n *Node) Mint(service ident.Service, count int) (ids []ident.JobID, err error) {
-	n.call(func() { ids, err = n.table.Mint(service, count) })
+	n.loop.Call(func() { ids, err = n.table.Mint(service, count) })
 	return ids, err
 }
 
@@ -197,7 +192,7 @@
 func (n *Node) Do(req job.Request) <-chan *wire.Answer {
 	answers := make(chan *wire.Answer, 1)
 	req.Answer = func(a *wire.Answer) { answers <- a }
-	n.loop.Post(call{func() { n.table.Do(req) }})
+	n.loop.Post(func() { n.table.Do(req) })
 	return answers
 }
 
@@ -219,7 +214,7 @@
 // Status returns the present state.
 func (n *Node) Status() Status {
 	var s Status
-	n.call(func() {
+	n.loop.Call(func() {
 		s = Status{
 			n.inc.String(), len(n.agents), len(n.peers), n.table.Open(), n.table.Waiting(),
 			n.table.Leaving(), n.config.adopter.Current().Version(), n.table.Counts(),
@@ -240,18 +235,7 @@
 	return true, "ready"
 }
 
-func (n *Node) call(f func()) {
-	done := make(chan struct{})
-	if !n.loop.Post(call{func() { f(); close(done) }}) {
-		return
-	}
-	select {
-	case <-done:
-	case <-n.loop.Done():
-	}
-}
-
-func (n *Node) handle(e event) {
+func (n *Node) handle(e loop.Event) {
 	switch e := e.(type) {
 	case linkUp:
 		n.handleLinkUp(e)
@@ -263,8 +247,6 @@
 		n.handleNewState(e.state)
 	case members:
 		n.handleMembers(e.list)
-	case call:
-		e.f()
 	}
 }
 
--- a/internal/platform/config/config_test.go
+++ b/internal/platform/config/config_test.go
@@ -86,12 +86,13 @@
 			for round := range 5 {
 				var mu sync.Mutex
 				won, lost := 0, 0
+				seen := version
 				var wg sync.WaitGroup
 				for i := range n {
 					wg.Add(1)
 					go func() {
 						defer wg.Done()
-						a, err := s.Apply(ctx, change(fmt.Sprintf("%d-%d", round, i), version, i))
+						a, err := s.Apply(ctx, change(fmt.Sprintf("%d-%d", round, i), seen, i))
 						var conflict *config.Conflict
 						mu.Lock()
 						defer mu.Unlock()
--- a/internal/platform/vms/vms.go
+++ b/internal/platform/vms/vms.go
@@ -13,6 +13,7 @@
 
 	"hillreel/internal/core/bus"
 	"hillreel/internal/core/ident"
+	"hillreel/internal/core/poll"
 )
 
 // Role is what runs on a VM.
@@ -50,57 +51,25 @@
 
 // Reader reads the list again and again and publishes it on the bus.
 type Reader struct {
+	*poll.Poller
 	url    string
-	every  time.Duration
 	client *http.Client
 	bus    *bus.Bus
-	log    *logrus.Entry
-	cancel context.CancelFunc
-	done   chan struct{}
 }
 
 // New returns a Reader of the platform at address.
 func New(address ident.Address, every, timeout time.Duration, b *bus.Bus, log *logrus.Entry) *Reader {
-	return &Reader{
-		url: "http://" + string(address) + "/v1/vms", every: every,
-		client: &http.Client{Timeout: timeout}, bus: b, log: log, done: make(chan struct{}),
-	}
-}
-
-// Start begins to read. A platform that is down is no reason not to start.
-func (r *Reader) Start(context.Context) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	r.cancel = cancel
-	go r.run(ctx)
-	return nil
+	r := &Reader{url: "http://" + string(address) + "/v1/vms", client: &http.Client{Timeout: timeout}, bus: b}
+	r.Poller = poll.New("vm_list", every, r.publish, log)
+	return r
 }
 
-// Stop ends the reading.
-func (r *Reader) Stop() {
-	r.cancel()
-	<-r.done
-}
-
-func (r *Reader) run(ctx context.Context) {
-	defer close(r.done)
-	ticker := time.NewTicker(r.every)
-	defer ticker.Stop()
-	failing := false
-	for {
-		list, err := r.read(ctx)
-		if err == nil {
-			err = r.bus.Publish(bus.Members, list)
-		}
-		if (err != nil) != failing && ctx.Err() == nil {
-			failing = err != nil
-			r.log.WithFields(logrus.Fields{"readable": !failing, "error": err}).Warn("vm_list")
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+func (r *Reader) publish(ctx context.Context) error {
+	list, err := r.read(ctx)
+	if err != nil {
+		return err
 	}
+	return r.bus.Publish(bus.Members, list)
 }
 
 func (r *Reader) read(ctx context.Context) (List, error) {
--- a/internal/standin/embedded/faults_test.go
+++ b/internal/standin/embedded/faults_test.go
@@ -127,6 +127,25 @@
 	qt.Assert(t, set.Recorder.Total(), qt.Equals, int64(1))
 }
 
+func TestServiceRules(t *testing.T) {
+	set := startSet(t, embedded.Options{Agents: 1, Entries: 1})
+	status, out := operate(t, set.Entries[0].Ops.Address(), embedded.Token, "PUT", "/v1/config/service/publish", "new", `{"max_tasks":1,"deadline_ms":100}`)
+	qt.Assert(t, status, qt.Equals, 200, qt.Commentf("%v", out))
+	eventually(t, "the rules in force", everywhere(set, 1))
+	for _, test := range []struct {
+		body   string
+		reason verdict.Reason
+	}{
+		{`{"service":"publish","tasks":[{"kind":"a"},{"kind":"a"}]}`, verdict.TooLarge},
+		{`{"service":"publish","tasks":[{"kind":"a","payload":{"run_ms":60000}}]}`, verdict.Deadline},
+		{`{"service":"canteen","tasks":[{"kind":"a"}]}`, verdict.UnknownService},
+	} {
+		_, a := post(t, set.Callers()[0], "/v1/jobs", test.body)
+		qt.Assert(t, a.State, qt.Equals, verdict.Failed)
+		qt.Assert(t, a.Reason, qt.Equals, test.reason)
+	}
+}
+
 func TestDeadlineIsAnsweredAtOnce(t *testing.T) {
 	set := startSet(t, embedded.Options{Agents: 1, Entries: 1, Slots: 1})
 	begin := time.Now()
