policy: refuse nobody while nothing waits, and spread ids over the entries

Change: the client takes ids from all entries in turn; tags use learned run times only, and count from now while nothing else waits; a team that is alone is ordered by arrival. The randomised run has configuration that reaches processes at different times, and lost answers.

--- a/client/client.go
+++ b/client/client.go
@@ -55,16 +55,17 @@
 	http    *http.Client
 
 	mu  sync.Mutex
-	ids map[string]*stock
+	ids map[stockKey]*stock
 	// minted says which entry minted an id that was handed out and not submitted yet: that entry answers
 	// for it without asking another.
 	minted map[string]string
 }
 
-// stock holds the ids of one service that nobody has used.
+type stockKey struct{ entry, service string }
+
+// stock holds the ids of one service, from one entry, that nobody has used.
 type stock struct {
 	ids      []string
-	entry    string
 	useUntil time.Time
 	fetching bool
 }
@@ -79,60 +80,72 @@
 		o.Transport = &http.Transport{MaxIdleConnsPerHost: n, IdleConnTimeout: 30 * time.Second}
 	}
 	return &Client{
-		entries: o.Entries, http: &http.Client{Transport: o.Transport}, ids: make(map[string]*stock),
+		entries: o.Entries, http: &http.Client{Transport: o.Transport}, ids: make(map[stockKey]*stock),
 		minted: make(map[string]string),
 	}, nil
 }
 
-// NextID returns an unused id for a service. It seldom waits: ids are fetched ahead.
+// NextID returns an unused id for a service. It seldom waits: ids are fetched ahead, from all entries in
+// turn, so that their jobs are spread over the entries.
 func (c *Client) NextID(ctx context.Context, service string) (string, error) {
-	c.mu.Lock()
-	s := c.ids[service]
-	if s == nil {
-		s = &stock{}
-		c.ids[service] = s
+	var err error
+	for range 2 * len(c.entries) {
+		entry := c.entry()
+		if id, ok := c.take(ctx, entry, service); ok {
+			return id, nil
+		}
+		if err = c.fetchFrom(ctx, entry, service); err != nil {
+			if sleep(ctx, pause) != nil {
+				break
+			}
+			continue
+		}
+		if id, ok := c.take(ctx, entry, service); ok {
+			return id, nil
+		}
 	}
+	return "", err
+}
+
+// take takes an id from the stock of one entry, and has more fetched when few are left.
+func (c *Client) take(ctx context.Context, entry, service string) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.stock(entry, service)
 	if time.Now().After(s.useUntil) {
 		s.ids = nil
 	}
-	if len(s.ids) < lowWater && len(s.ids) > 0 && !s.fetching {
-		s.fetching = true
-		go c.fetch(context.WithoutCancel(ctx), service, s) //nolint:errcheck // the next call fetches itself
+	if len(s.ids) == 0 {
+		return "", false
 	}
-	if len(s.ids) > 0 {
-		id := s.ids[0]
-		s.ids = s.ids[1:]
-		if len(c.minted) < maxMinted {
-			c.minted[id] = s.entry
-		}
-		c.mu.Unlock()
-		return id, nil
+	if len(s.ids) < lowWater && !s.fetching {
+		s.fetching = true
+		go func() {
+			c.fetchFrom(context.WithoutCancel(ctx), entry, service) //nolint:errcheck // the next call fetches itself
+			c.mu.Lock()
+			s.fetching = false
+			c.mu.Unlock()
+		}()
 	}
-	c.mu.Unlock()
-	if err := c.fetch(ctx, service, s); err != nil {
-		return "", err
+	id := s.ids[0]
+	s.ids = s.ids[1:]
+	if len(c.minted) < maxMinted {
+		c.minted[id] = entry
 	}
-	return c.NextID(ctx, service)
+	return id, true
 }
 
-// fetch asks the entries in turn for ids, each twice at most.
-func (c *Client) fetch(ctx context.Context, service string, s *stock) error {
-	var err error
-	for range 2 * len(c.entries) {
-		if err = c.fetchFrom(ctx, c.entry(), service, s); err == nil || ctx.Err() != nil {
-			break
-		}
-		if err := sleep(ctx, pause); err != nil {
-			break
-		}
+// stock returns the ids of a service that an entry minted; the caller holds mu.
+func (c *Client) stock(entry, service string) *stock {
+	key := stockKey{entry, service}
+	if c.ids[key] == nil {
+		c.ids[key] = &stock{}
 	}
-	c.mu.Lock()
-	s.fetching = false
-	c.mu.Unlock()
-	return err
+	return c.ids[key]
 }
 
-func (c *Client) fetchFrom(ctx context.Context, entry, service string, s *stock) error {
+// fetchFrom fetches ids from one entry.
+func (c *Client) fetchFrom(ctx context.Context, entry, service string) error {
 	ctx, cancel := context.WithTimeout(ctx, idLimit)
 	defer cancel()
 	var got api.IDs
@@ -147,7 +160,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// Half the time that the entry allows, so that a job still has time to run.
-	s.entry = entry
+	s := c.stock(entry, service)
 	s.ids, s.useUntil = got.IDs, asked.Add(time.Duration(got.UseWithinMs/2)*time.Millisecond)
 	return nil
 }
--- a/internal/agent/ledger/ledger.go
+++ b/internal/agent/ledger/ledger.go
@@ -89,6 +89,8 @@
 	acked    bool
 	attempt  uint32
 	enqueued time.Time
+	// queuedFor is how long it waited for a slot.
+	queuedFor time.Duration
 }
 
 type job struct {
@@ -232,7 +234,7 @@
 	r := &wire.Result{
 		Key: key.Wire(), Index: uint32(index), Verdict: string(o.Verdict), Reason: string(o.Reason),
 		Ok: o.OK, Status: o.Status, Answer: o.Answer, Attempt: t.attempt,
-		RunMs: uint32(o.RunTime.Milliseconds()),
+		RunMs: uint32(o.RunTime.Milliseconds()), QueueMs: uint32(t.queuedFor.Milliseconds()),
 	}
 	if o.Verdict == verdict.NotRun {
 		j.undo(uint32(index))
@@ -333,6 +335,7 @@
 		}
 		t := j.tasks[ref.index]
 		t.state = running
+		t.queuedFor = l.opt.Now().Sub(t.enqueued)
 		l.queued--
 		l.running++
 		l.counts.Started++
--- a/internal/core/ident/ident.go
+++ b/internal/core/ident/ident.go
@@ -14,8 +14,6 @@
 type (
 	// UpstreamName is an upstream's name in settings and configuration.
 	UpstreamName string
-	// EntryName is an entry VM's name.
-	EntryName string
 	// Zone is an availability zone.
 	Zone string
 	// Region is a group of availability zones that share entries and agents.
--- a/internal/entry/job/share.go
+++ b/internal/entry/job/share.go
@@ -30,6 +30,10 @@
 		f = &team{}
 		t.teams[name] = f
 	}
+	if t.waiting == len(j.queue) {
+		// Nothing else waits: whoever used more than its share took it from nobody.
+		f.finish = j.begun
+	}
 	start := max(j.begun, f.finish)
 	wait = start - j.begun
 	if wait > t.opt.MaxWait {
@@ -38,11 +42,24 @@
 	if j.deadline > 0 && start >= j.deadline {
 		return wait, verdict.Overloaded
 	}
-	f.finish = start + time.Duration(float64(j.work)/(t.capacity()*t.shareOf(name)))
-	j.tag = start
+	share := t.shareOf(name)
+	f.finish = start + time.Duration(float64(t.workSeen(j))/(t.capacity()*share))
+	// Alone, a team is ordered by arrival: its tags run ahead only as far as the capacity is underrated.
+	if share < 1 {
+		j.tag = start
+	}
 	return wait, ""
 }
 
+// workSeen is the job's work by what was learned. What is declared must not refuse anybody.
+func (t *Table) workSeen(j *job) time.Duration {
+	var sum time.Duration
+	for i := range j.tasks {
+		sum += t.opt.Estimate.Seen(t.kindOf(j, uint32(i)))
+	}
+	return sum
+}
+
 // shareOf is a team's part of the capacity: its quota among those of the teams that are active.
 func (t *Table) shareOf(name ident.Team) float64 {
 	now := t.opt.Now().Sub(t.started)
--- a/internal/entry/job/table.go
+++ b/internal/entry/job/table.go
@@ -47,7 +47,10 @@
 	Quota(team ident.Team) float64
 }
 
-// anything is the View before any configuration.
+// NoView is what holds before any configuration.
+var NoView View = anything{}
+
+// anything allows everything.
 type anything struct{}
 
 // Serves is always true.
@@ -71,7 +74,6 @@
 // Options configure a Table. All fields but Omit and Services are needed.
 type Options struct {
 	Self    ident.Incarnation
-	Name    ident.EntryName
 	Address ident.Address
 	Zone    ident.Zone
 	Region  ident.Region
@@ -88,8 +90,6 @@
 	QueueLimit int
 	// AnswerBytes bounds the answers kept for ended jobs; the oldest are dropped first.
 	AnswerBytes int
-	// MaxTasks bounds a job.
-	MaxTasks int
 	// Now must never go backwards.
 	Now func() time.Time
 	// MaxRoster is about how many agents a job's roster names; it bounds what an adopter must seal.
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -112,12 +112,12 @@
 	n.ln = ln
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.table = job.New(job.Options{
-		Self: n.inc, Name: ident.EntryName(n.set.Node.Name), Address: ident.Address(n.Address()),
+		Self: n.inc, Address: ident.Address(n.Address()),
 		Zone: ident.Zone(n.set.Node.Zone), Region: ident.Region(n.set.Node.Region), Signer: n.signer,
 		Retention: n.set.Jobs.Retention, AnswerWait: n.set.Jobs.AnswerWait,
 		SuspectAfter: n.set.Links.SuspectAfter, GoneAfter: n.set.Links.GoneAfter,
 		QueueLimit: n.set.Entry.QueueLimit, AnswerBytes: int(n.set.Entry.AnswerBytes),
-		MaxTasks: n.set.Entry.MaxTasks, Now: n.now, Log: n.log,
+		Now: n.now, Log: n.log,
 		Order: order.New(order.Name(n.set.Policy.Order), n.set.Policy.Ageing), LongestFirst: n.set.Policy.LongestFirst,
 		Estimate: estimate.New(n.set.Policy.Learn), Prefetch: n.set.Policy.Prefetch, MaxWait: n.set.Policy.MaxWait, MaxRoster: n.set.Jobs.MaxRoster, Guard: n.set.Policy.Guard,
 		Ended: n.ended,
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -102,9 +102,29 @@
 func (p *Process) Drain(limit time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	p.Node.Drain(ctx)
-	if err := p.Callers.Shutdown(ctx); err != nil {
+	if err := p.drain(ctx); err != nil {
 		p.log.WithField("error", err.Error()).Warn("drain_cut_requests")
 	}
 	p.Stop()
 }
+
+// drainer is a service that can leave before it stops.
+type drainer interface{ Drain(ctx context.Context) }
+
+// listener is a service that can stop listening and let what it serves end.
+type listener interface {
+	Shutdown(ctx context.Context) error
+}
+
+func (p *Process) drain(ctx context.Context) error {
+	jobs, err := kernel.Find[drainer](p.kernel, nameNode)
+	if err != nil {
+		return err
+	}
+	jobs.Drain(ctx)
+	callers, err := kernel.Find[listener](p.kernel, nameCallers)
+	if err != nil {
+		return err
+	}
+	return callers.Shutdown(ctx)
+}
--- a/internal/link/session/session_test.go
+++ b/internal/link/session/session_test.go
@@ -42,7 +42,7 @@
 		next := int64(0)
 		b.Receive(func(msgs []*wire.Msg) {
 			for _, m := range msgs {
-				if m.GetPing().GetClockMs() == next {
+				if int64(m.GetLoad().GetQueued()) == next {
 					next++
 				}
 			}
@@ -52,7 +52,7 @@
 		})
 	}()
 	for i := range int64(n) {
-		a.Send(&wire.Msg{Kind: &wire.Msg_Ping{Ping: &wire.Ping{ClockMs: i}}})
+		a.Send(&wire.Msg{Kind: &wire.Msg_Load{Load: &wire.Load{Queued: uint32(i)}}})
 	}
 	qt.Assert(t, <-done, qt.Equals, int64(n))
 }
--- a/internal/load/capacity/state.go
+++ b/internal/load/capacity/state.go
@@ -126,9 +126,9 @@
 	log.SetOutput(io.Discard)
 	a := &agents{}
 	t := job.New(job.Options{
-		Self: self, Name: "entry", Address: "127.0.0.1:1", Zone: "zone-1", Region: "region-1", Signer: signer,
+		Self: self, Address: "127.0.0.1:1", Zone: "zone-1", Region: "region-1", Signer: signer,
 		Retention: never, AnswerWait: time.Second, SuspectAfter: time.Second, GoneAfter: time.Millisecond,
-		QueueLimit: 1 << 30, AnswerBytes: 1 << 30, MaxTasks: 1500, Now: time.Now, Order: order.New(order.Slack, 0),
+		QueueLimit: 1 << 30, AnswerBytes: 1 << 30, Now: time.Now, Order: order.New(order.Slack, 0),
 		LongestFirst: true, Estimate: estimate.New(true), Guard: true, MaxWait: never, MaxRoster: rosterSize, Log: logrus.NewEntry(log),
 	}, a, placement.New(placement.LeastLoaded, 1))
 	a.table = t
--- a/internal/policy/estimate/estimate.go
+++ b/internal/policy/estimate/estimate.go
@@ -48,6 +48,14 @@
 	l.mean += w * (float64(took) - l.mean)
 }
 
+// Seen returns what was learned of a kind, whatever is declared.
+func (e *Estimator) Seen(k Kind) time.Duration {
+	if l := e.kinds[k]; l != nil {
+		return time.Duration(l.mean)
+	}
+	return unknown
+}
+
 // Of returns the expected run time of a task.
 func (e *Estimator) Of(k Kind, declared time.Duration) time.Duration {
 	if l := e.kinds[k]; e.learn && l != nil {
--- a/internal/proof/schedule/callers_test.go
+++ b/internal/proof/schedule/callers_test.go
@@ -80,8 +80,9 @@
 func (w *world) ask(j *callerJob, p *process, op job.Op) {
 	w.trace("%s %s at %d", op, j.id.Key, p.inc)
 	j.submitted = j.submitted || op == job.OpSubmit
+	lost := w.faults && w.rng.IntN(8) == 0
 	req := job.Request{ID: j.id, Op: op, Answer: func(a *wire.Answer) {
-		if p.alive {
+		if p.alive && !lost {
 			w.told(j, a)
 		}
 	}}
--- a/internal/proof/schedule/schedule_test.go
+++ b/internal/proof/schedule/schedule_test.go
@@ -65,6 +65,9 @@
 	w.faults = false
 	for _, p := range w.procs {
 		p.paused = false
+		if p.alive {
+			p.configure("")
+		}
 	}
 	if w.count(func(p *process) bool { return p.alive && p.isEntry() && !p.table.Leaving() }) == 0 {
 		w.addEntry()
--- a/internal/proof/schedule/step_test.go
+++ b/internal/proof/schedule/step_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hillreel/internal/core/ident"
+	"hillreel/internal/entry/job"
 	"hillreel/internal/link/wire"
 )
 
@@ -197,7 +198,7 @@
 			out = append(out, action{1, func() { w.breakLink(l) }})
 		}
 	}
-	out = append(out, action{4, w.reconnectOne})
+	out = append(out, action{4, w.reconnectOne}, action{1, w.changeConfig})
 	for _, p := range w.procs {
 		switch {
 		case !p.alive:
@@ -296,6 +297,39 @@
 	}
 }
 
+// view is a configuration that cordons one upstream; the empty name cordons none.
+type view struct {
+	job.View
+	cordoned ident.UpstreamName
+}
+
+// Serves is false for the cordoned upstream.
+func (v view) Serves(u ident.UpstreamName, _ ident.Zone, _ ident.Service) bool {
+	return u != v.cordoned
+}
+
+// changeConfig brings one process a configuration, which the others may hear of later or, with the store
+// down, not at all.
+func (w *world) changeConfig() {
+	p := w.procs[w.rng.IntN(len(w.procs))]
+	cordoned := ident.UpstreamName("")
+	if w.rng.IntN(2) == 0 {
+		cordoned = ident.UpstreamName(w.procs[w.rng.IntN(len(w.procs))].name)
+	}
+	if p.alive && !p.paused {
+		w.trace("config at %d cordons %s", p.inc, cordoned)
+		p.configure(cordoned)
+	}
+}
+
+func (p *process) configure(cordoned ident.UpstreamName) {
+	if p.isEntry() {
+		p.table.SetView(view{job.NoView, cordoned})
+		return
+	}
+	p.agent.SetAllow(func(ident.Service) bool { return ident.UpstreamName(p.name) != cordoned })
+}
+
 // reconnectOne links a random pair again.
 func (w *world) reconnectOne() {
 	p, q := w.procs[w.rng.IntN(len(w.procs))], w.procs[w.rng.IntN(len(w.procs))]
--- a/internal/proof/schedule/world_test.go
+++ b/internal/proof/schedule/world_test.go
@@ -188,9 +188,9 @@
 func (w *world) addEntry() *process {
 	p := w.newProcess(fmt.Sprintf("entry-%d", w.next), "")
 	p.table = job.New(job.Options{
-		Self: p.inc, Name: ident.EntryName(p.name), Address: p.address, Zone: "zone-1", Region: region, Signer: w.signer,
+		Self: p.inc, Address: p.address, Zone: "zone-1", Region: region, Signer: w.signer,
 		Retention: w.retention, AnswerWait: answerWait, SuspectAfter: suspectAfter, GoneAfter: goneAfter,
-		QueueLimit: 100, AnswerBytes: 1 << 20, MaxTasks: 100, Now: p.now, Log: quiet,
+		QueueLimit: 100, AnswerBytes: 1 << 20, Now: p.now, Log: quiet,
 		Order: order.New(order.Names[int(w.seed)%len(order.Names)], 4), LongestFirst: true, Estimate: estimate.New(true),
 		Guard: w.seed%2 == 0, Prefetch: int(w.seed % 3), MaxWait: 5 * time.Second,
 		MaxRoster: 1 + int(w.seed%4), Omit: w.omit,
