client: give every caller an id while any entry lives

Callers at once moved a shared counter, so that chance named the dead entry on each try of one of them, and ids that one had fetched were taken by others before it looked.

Change: each caller tries the entries in turn from where it began, and keeps the first id of what it fetched.

--- a/client/client.go
+++ b/client/client.go
@@ -89,20 +89,21 @@
 // turn, so that their jobs are spread over the entries.
 func (c *Client) NextID(ctx context.Context, service string) (string, error) {
 	var err error
-	for range 2 * len(c.entries) {
-		entry := c.entry()
+	first := c.next.Add(1)
+	for i := range uint64(2 * len(c.entries)) {
+		// In turn from here on: other callers move the shared counter, and chance could name the same
+		// dead entry each time.
+		entry := c.entries[(first+i)%uint64(len(c.entries))]
 		if id, ok := c.take(ctx, entry, service); ok {
 			return id, nil
 		}
-		if err = c.fetchFrom(ctx, entry, service); err != nil {
-			if sleep(ctx, pause) != nil {
-				break
-			}
-			continue
-		}
-		if id, ok := c.take(ctx, entry, service); ok {
+		var id string
+		if id, err = c.fetchFrom(ctx, entry, service); err == nil {
 			return id, nil
 		}
+		if sleep(ctx, pause) != nil {
+			break
+		}
 	}
 	return "", err
 }
@@ -121,18 +122,26 @@
 	if len(s.ids) < lowWater && !s.fetching {
 		s.fetching = true
 		go func() {
-			c.fetchFrom(context.WithoutCancel(ctx), entry, service) //nolint:errcheck // the next call fetches itself
+			id, err := c.fetchFrom(context.WithoutCancel(ctx), entry, service)
 			c.mu.Lock()
+			defer c.mu.Unlock()
 			s.fetching = false
-			c.mu.Unlock()
+			if err == nil {
+				s.ids = append(s.ids, id)
+			}
 		}()
 	}
 	id := s.ids[0]
 	s.ids = s.ids[1:]
+	c.remember(id, entry)
+	return id, true
+}
+
+// remember notes who minted an id that is handed out; the caller holds mu.
+func (c *Client) remember(id, entry string) {
 	if len(c.minted) < maxMinted {
 		c.minted[id] = entry
 	}
-	return id, true
 }
 
 // stock returns the ids of a service that an entry minted; the caller holds mu.
@@ -144,25 +153,29 @@
 	return c.ids[key]
 }
 
-// fetchFrom fetches ids from one entry.
-func (c *Client) fetchFrom(ctx context.Context, entry, service string) error {
+// fetchFrom fetches ids from one entry: the first is the caller's own, the others go to the stock.
+func (c *Client) fetchFrom(ctx context.Context, entry, service string) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, idLimit)
 	defer cancel()
 	var got api.IDs
 	asked := time.Now()
 	status, err := c.call(ctx, http.MethodPost, entry, "/v1/ids", api.IDRequest{Service: service, Count: batch}, &got)
 	if err != nil {
-		return err
+		return "", err
 	}
 	if status != http.StatusOK || len(got.IDs) == 0 {
-		return errors.Errorf("client: no ids for service %s: status %d", service, status)
+		return "", errors.Errorf("client: no ids for service %s: status %d", service, status)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	// Half the time that the entry allows, so that a job still has time to run.
 	s := c.stock(entry, service)
-	s.ids, s.useUntil = got.IDs, asked.Add(time.Duration(got.UseWithinMs/2)*time.Millisecond)
-	return nil
+	if len(s.ids) == 0 {
+		// Half the time that the entry allows, so that a job still has time to run.
+		s.useUntil = asked.Add(time.Duration(got.UseWithinMs/2) * time.Millisecond)
+	}
+	s.ids = append(s.ids, got.IDs[1:]...)
+	c.remember(got.IDs[0], entry)
+	return got.IDs[0], nil
 }
 
 // Submit runs a job under an id and returns its outcome. It submits again, to other entries, until an
--- a/client/client_test.go
+++ b/client/client_test.go
@@ -62,6 +62,28 @@
 	}
 }
 
+// TestIDsDespiteADeadEntry: with one of two entries dead, many callers at once all get ids.
+func TestIDsDespiteADeadEntry(t *testing.T) {
+	live := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		json.NewEncoder(w).Encode(api.IDs{IDs: []string{"id"}, UseWithinMs: 60_000})
+	}))
+	defer live.Close()
+	dead := httptest.NewServer(nil)
+	dead.Close()
+	c, err := client.New(client.Options{Entries: []string{dead.Listener.Addr().String(), live.Listener.Addr().String()}})
+	qt.Assert(t, err, qt.IsNil)
+	errs := make(chan error, 200)
+	for range cap(errs) {
+		go func() {
+			_, err := c.NextID(context.Background(), "publish")
+			errs <- err
+		}()
+	}
+	for range cap(errs) {
+		qt.Assert(t, <-errs, qt.IsNil)
+	}
+}
+
 func TestOutOfPatienceMayHaveRun(t *testing.T) {
 	var seen []string
 	c, err := client.New(client.Options{Entries: []string{script(t, &seen, &api.Answer{State: verdict.Unresolved, RetryAfterMs: 60_000})}})
