job: work a new job's order out once, and drop what nobody calls

Reading the whole change again: a job that was admitted had its work, ideal and longest-first order worked out twice, once for its share and once when it was activated; admission now goes straight to placing. Three functions that nothing called are gone, both stand-ins are served by one function, and two hand-written schedules share their common beginning. Behaviour stays; 'make check' passes, with all assertions as they were.

--- a/commands/standin.go
+++ b/commands/standin.go
@@ -4,9 +4,11 @@
 	"context"
 	"strings"
 
+	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
 	"hillreel/internal/core/ident"
+	"hillreel/internal/core/settings"
 	"hillreel/internal/platform/vms"
 	"hillreel/internal/standin/platform"
 	"hillreel/internal/standin/upstream"
@@ -46,14 +48,7 @@
 		listed = append(listed, vm)
 	}
 	s := platform.New(set.Standin.Lag, listed...)
-	address, err := s.Start(string(set.Standin.Listen))
-	if err != nil {
-		return cli.Exit(err.Error(), ExitFailed)
-	}
-	log.WithField("address", address).Info("standin_started")
-	awaitSignal(ctx)
-	s.Stop()
-	return nil
+	return serveStandin(ctx, s, set.Standin.Listen, log)
 }
 
 // parseVM reads name/role/address/zone/region.
@@ -75,7 +70,18 @@
 		return err
 	}
 	s := upstream.New(upstream.NewRecorder(), set.Upstream.Least, set.Upstream.Most, uint64(set.Upstream.Seed))
-	address, err := s.Start(string(set.Upstream.Listen))
+	return serveStandin(ctx, s, set.Upstream.Listen, log)
+}
+
+// standin is what both stand-ins can do.
+type standin interface {
+	Start(address string) (string, error)
+	Stop()
+}
+
+// serveStandin runs a stand-in until the process is asked to end.
+func serveStandin(ctx context.Context, s standin, listen settings.Address, log *logrus.Entry) error {
+	address, err := s.Start(string(listen))
 	if err != nil {
 		return cli.Exit(err.Error(), ExitFailed)
 	}
--- a/internal/entry/job/run.go
+++ b/internal/entry/job/run.go
@@ -68,7 +68,7 @@
 		t.fail(j, why)
 		return
 	}
-	t.activate(j)
+	t.run(j)
 }
 
 // tooLong tells whether the job has more tasks than its service allows.
@@ -90,10 +90,15 @@
 	t.prepare(j)
 }
 
-// activate queues the tasks that are still to do.
+// activate takes up a job again: it queues the tasks that are still to do.
 func (t *Table) activate(j *job) {
-	t.setMode(j, active)
 	t.queueTodo(j)
+	t.run(j)
+}
+
+// run lets the queued tasks of a job be placed.
+func (t *Table) run(j *job) {
+	t.setMode(j, active)
 	if len(j.queue) > 0 {
 		t.setPriority(j)
 	}
--- a/internal/entry/node/config.go
+++ b/internal/entry/node/config.go
@@ -200,12 +200,6 @@
 	return s
 }
 
-// ForceTime returns how long a version took into force, or false if it is not, or is too old.
-func (n *Node) ForceTime(v ident.ConfigVersion) (took time.Duration, ok bool) {
-	n.loop.Call(func() { took, ok = n.config.force[v] })
-	return took, ok
-}
-
 // subscribeConfig adopts what the store's reader publishes.
 func (n *Node) subscribeConfig() error {
 	return bus.Subscribe(n.ctx, n.bus, bus.Config, func(d state.Delta) {
--- a/internal/load/scenario/scenario.go
+++ b/internal/load/scenario/scenario.go
@@ -12,7 +12,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"hillreel/api"
 	"hillreel/client"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/settings"
@@ -252,14 +251,3 @@
 	o.Violations = r.set.Violations()
 	return o
 }
-
-// States adds up the states of all workloads.
-func (o *Outcome) States() map[api.State]int {
-	out := make(map[api.State]int)
-	for _, w := range o.Workloads {
-		for s, n := range w.States {
-			out[s] += n
-		}
-	}
-	return out
-}
--- a/internal/proof/schedule/rules_test.go
+++ b/internal/proof/schedule/rules_test.go
@@ -70,6 +70,20 @@
 	s.deliver()
 }
 
+// refusedWhileAsked submits the job, replaces the link to the agent that got its task, and lets the upstream
+// refuse the connection after that, before the entry's question has arrived.
+func (s *scene) refusedWhileAsked(t *testing.T, entry, a *process) {
+	s.submit(entry)
+	s.breakLinksOf(a)
+	s.deliver()
+	s.connect(entry, a)
+	s.one(t, a, entry)
+	s.one(t, entry, a)
+	a.running[0].outcome.Verdict = verdict.NotRun
+	delete(s.starts, taskID(a.running[0].task.Key, uint32(a.running[0].task.Index)))
+	a.finish(0)
+}
+
 // cutWithoutLoss breaks a link whose messages all arrive late, and returns it.
 func (s *scene) cutWithoutLoss(p, q *process) *link {
 	for _, l := range s.links {
@@ -133,15 +147,7 @@
 			s.job.spec.Tasks = s.job.spec.Tasks[:1]
 			s.breakLinksOf(b)
 			s.deliver()
-			s.submit(entry)
-			s.breakLinksOf(a)
-			s.deliver()
-			s.connect(entry, a)
-			s.one(t, a, entry)
-			s.one(t, entry, a)
-			a.running[0].outcome.Verdict = verdict.NotRun
-			delete(s.starts, taskID(a.running[0].task.Key, uint32(a.running[0].task.Index)))
-			a.finish(0)
+			s.refusedWhileAsked(t, entry, a)
 			for range 2 {
 				s.one(t, entry, a)
 			}
@@ -174,15 +180,7 @@
 		{rule.AskNeverStarts, func(t *testing.T, s *scene) {
 			entry, a, b := s.entries[0], s.agents[0], s.agents[1]
 			s.oneTaskAt(entry, b)
-			s.submit(entry)
-			s.breakLinksOf(a)
-			s.deliver()
-			s.connect(entry, a)
-			s.one(t, a, entry)
-			s.one(t, entry, a)
-			a.running[0].outcome.Verdict = verdict.NotRun
-			delete(s.starts, taskID(a.running[0].task.Key, uint32(a.running[0].task.Index)))
-			a.finish(0)
+			s.refusedWhileAsked(t, entry, a)
 			s.connect(entry, b)
 			s.one(t, entry, b)
 			s.one(t, b, entry)
--- a/internal/standin/upstream/upstream.go
+++ b/internal/standin/upstream/upstream.go
@@ -47,13 +47,6 @@
 	})
 }
 
-// Starts returns how often a task was started.
-func (r *Recorder) Starts(job, index string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.starts[job+"/"+index]
-}
-
 // Total returns all starts.
 func (r *Recorder) Total() int64 {
 	r.mu.Lock()
