--- a/commands/agent.go
+++ b/commands/agent.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/urfave/cli/v3"
 
+	"hillreel/internal/agent/node"
 	agent "hillreel/internal/agent/process"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/link/session"
+	"hillreel/platform"
 )
 
 func init() { register(agentCommand{}) }
@@ -14,7 +19,7 @@
 
 func (a agentCommand) define() *cli.Command {
 	return &cli.Command{
-		Name: "agent", Usage: "run an agent: start tasks on the upstream beside it, at most once each",
+		Name: "agent", Usage: "run an agent: start, watch and stop tasks on the upstream beside it",
 		Flags: []cli.Flag{configFlag()}, Action: a.run,
 	}
 }
@@ -24,14 +29,13 @@
 	if err != nil {
 		return err
 	}
-	p, err := agent.New(set, log)
+	upstream := platform.NewUpstream(ident.Address(set.Agent.Upstream), set.Agent.Connections, set.Agent.CallTimeout, set.Agent.CallTimeout)
+	p, err := agent.New(set, agent.Deps{
+		Store: platform.NewStore(ident.Address(set.Platform.Store), set.Platform.Timeout), Upstream: upstream,
+		Beats: func(n *node.Node) http.Handler { return platform.Beats(n, log) }, Dial: session.TCP, Log: log,
+	})
 	if err != nil {
 		return cli.Exit(err.Error(), ExitUsage)
 	}
-	if err := p.Start(ctx); err != nil {
-		return cli.Exit(err.Error(), ExitFailed)
-	}
-	awaitSignal(ctx)
-	p.Drain(drainLimit)
-	return nil
+	return serve(ctx, p, log)
 }
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -26,6 +26,9 @@
 	ExitViolation = 3
 )
 
+// settingsVariable names the settings file where --config does not.
+const settingsVariable = "HILLREEL_CONFIG"
+
 // command is one subcommand.
 type command interface {
 	// define returns the subcommand for the command line.
@@ -41,7 +44,7 @@
 func New() *cli.Command {
 	root := &cli.Command{
 		Name:  "hillreel",
-		Usage: "dispatch sub-second tasks: each runs once, each job ends, each caller gets its own answer",
+		Usage: "dispatch sub-second tasks: each runs once at a time, each job ends, each caller gets its own answer",
 		Description: "Exit codes: 0 done, 1 what was asked for did not succeed, 2 command line or settings are wrong, " +
 			"3 an invariant was violated.",
 		EnableShellCompletion: true,
@@ -55,7 +58,9 @@
 
 // configFlag is the --config flag that every subcommand has.
 func configFlag() cli.Flag {
-	return &cli.StringFlag{Name: "config", Usage: "read settings from `FILE` (hillreel.ini documents them all)"}
+	return &cli.StringFlag{
+		Name: "config", Usage: "read settings from `FILE` (hillreel.ini documents them all)", Sources: cli.EnvVars(settingsVariable),
+	}
 }
 
 // load reads the settings that --config names and sets up the log.
@@ -64,16 +69,44 @@
 	if err != nil {
 		return nil, nil, cli.Exit(err.Error(), ExitUsage)
 	}
-	log, err := logs.New(os.Stderr, set.Log.Level, role, set.Node.Name)
+	log, err := logs.New(logs.NewWriter(os.Stdout, set.Log.Rate), set.Log.Level, role, set.Node.Name)
 	if err != nil {
 		return nil, nil, cli.Exit(err.Error(), ExitUsage)
 	}
 	return set, log, nil
 }
 
-// awaitSignal returns when the process is asked to end.
-func awaitSignal(ctx context.Context) {
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	<-ctx.Done()
+// awaitSignal returns when the process is asked to end. SIGHUP, which would end it too, is only noted.
+func awaitSignal(ctx context.Context, log *logrus.Entry) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			log.WithField("signal", s.String()).Info("signal")
+			if s != syscall.SIGHUP {
+				return
+			}
+		}
+	}
+}
+
+// process is an entry or an agent.
+type process interface {
+	Start(ctx context.Context) error
+	Drain()
+}
+
+// serve runs a process until it is asked to end.
+func serve(ctx context.Context, p process, log *logrus.Entry) error {
+	if err := p.Start(ctx); err != nil {
+		return cli.Exit(err.Error(), ExitFailed)
+	}
+	log.Info("started")
+	awaitSignal(ctx, log)
+	p.Drain()
+	return nil
 }
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -2,17 +2,16 @@
 
 import (
 	"context"
-	"time"
+	"net/http"
 
 	"github.com/urfave/cli/v3"
 
+	"hillreel/internal/core/ident"
+	"hillreel/internal/entry/node"
 	entry "hillreel/internal/entry/process"
-	"hillreel/internal/link/session"
+	"hillreel/platform"
 )
 
-// drainLimit bounds how long a process takes to leave.
-const drainLimit = 60 * time.Second
-
 func init() { register(entryCommand{}) }
 
 type entryCommand struct{}
@@ -30,15 +29,12 @@
 		return err
 	}
 	p, err := entry.New(set, entry.Deps{
-		Dial: session.TCP, Log: log,
+		Store: platform.NewStore(ident.Address(set.Platform.Store), set.Platform.Timeout), Config: platform.ConfigKey,
+		Decode: platform.ReadConfig, Readiness: platform.Readiness, Log: log,
+		Front: func(n *node.Node) http.Handler { return platform.NewFront(n, int64(set.Entry.MaxBody), log) },
 	})
 	if err != nil {
 		return cli.Exit(err.Error(), ExitUsage)
 	}
-	if err := p.Start(ctx); err != nil {
-		return cli.Exit(err.Error(), ExitFailed)
-	}
-	awaitSignal(ctx)
-	p.Drain(drainLimit)
-	return nil
+	return serve(ctx, p, log)
 }
--- /dev/null
+++ b/internal/agent/node/links.go
@@ -0,0 +1,244 @@
+package node
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/link/codec"
+	"hillreel/internal/link/session"
+	"hillreel/internal/link/wire"
+)
+
+// roleAgent stands in an agent's hello.
+const roleAgent = "agent"
+
+// source is who told of an entry.
+type source string
+
+const (
+	seeds source = "seeds"
+	store source = "store"
+	peers source = "peers"
+)
+
+// link is the session with one entry.
+type link struct {
+	entry   ident.Incarnation
+	session *session.Session
+	heard   time.Time
+	// config is the version that the entry has, as far as it is known.
+	config ident.ConfigVersion
+}
+
+// dialled is an entry's address that is being dialled or linked.
+type dialled struct{ cancel context.CancelFunc }
+
+// seedLinks are the seeds' addresses for links: all entries of a region use the same port.
+func (n *Node) seedLinks() []string {
+	_, port, err := net.SplitHostPort(string(n.set.Node.Link))
+	if err != nil {
+		return nil // the settings were checked
+	}
+	var out []string
+	for _, seed := range n.set.Node.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			out = append(out, net.JoinHostPort(host, port))
+		}
+	}
+	return out
+}
+
+// SetEntries tells the node which entries the store lists.
+func (n *Node) SetEntries(links []ident.Address) {
+	out := make([]string, len(links))
+	for i, l := range links {
+		out[i] = string(l)
+	}
+	n.loop.Post(entriesListed{store, out})
+}
+
+// handleListed dials entries that are new, and gives up those that nobody lists any more.
+func (n *Node) handleListed(by source, links []string) {
+	if slices.Equal(n.listed[by], links) {
+		return
+	}
+	n.listed[by] = links
+	wanted := make(map[string]bool)
+	for _, list := range n.listed {
+		for _, l := range list {
+			wanted[l] = true
+		}
+	}
+	for l := range wanted {
+		if n.dialled[l] == nil {
+			ctx, cancel := context.WithCancel(n.ctx)
+			n.dialled[l] = &dialled{cancel}
+			go n.keepLink(ctx, l)
+		}
+	}
+	for l, d := range n.dialled {
+		if !wanted[l] {
+			d.cancel()
+			delete(n.dialled, l)
+		}
+	}
+}
+
+// patience is how long a lost entry is dialled at the shorter pause; one that restarts is back within it.
+const patience = 5 * time.Second
+
+// slowDown is by how much the pause is longer afterwards.
+const slowDown = 5
+
+// keepLink dials an entry again and again until ctx ends. A link that stands when ctx ends is kept.
+func (n *Node) keepLink(ctx context.Context, address string) {
+	since := time.Now()
+	for ctx.Err() == nil {
+		s, err := session.Dial(n.dial, address, n.set.Links.DialTimeout, n.hello())
+		if err == nil {
+			n.serve(s, address)
+			since = time.Now()
+		}
+		pause := n.set.Links.RedialEvery
+		if time.Since(since) > patience {
+			pause *= slowDown
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (n *Node) hello() *wire.Hello {
+	return &wire.Hello{
+		Role: roleAgent, Name: n.set.Node.Name, Incarnation: uint64(n.inc), Zone: n.set.Node.Zone, Region: n.set.Node.Region,
+	}
+}
+
+// serve runs one link until it ends.
+func (n *Node) serve(s *session.Session, address string) {
+	if !n.loop.Post(linkUp{s, address}) {
+		s.Close()
+		return
+	}
+	err := s.Receive(func(msgs []*wire.Msg) { n.loop.Post(received{s, msgs}) })
+	n.loop.Post(linkDown{s, err})
+}
+
+func (n *Node) handleLinkUp(now time.Time, s *session.Session) {
+	id := ident.Incarnation(s.Remote.GetIncarnation())
+	if old := n.links[id]; old != nil {
+		// The entry goes by two addresses, or the older link is about to break.
+		old.session.Close()
+		n.dropLink(now, old, "replaced")
+	}
+	l := &link{entry: id, session: s, heard: now, config: ident.ConfigVersion(s.Remote.GetConfigVersion())}
+	n.links[id] = l
+	n.log.WithFields(logrus.Fields{"entry": s.Remote.GetName(), "incarnation": id}).Info("link_up")
+	n.keeper.Linked(now, id)
+	n.passConfig(l)
+}
+
+func (n *Node) handleLinkDown(now time.Time, s *session.Session, err error) {
+	l := n.linkOf(s)
+	if l == nil {
+		return
+	}
+	n.log.WithFields(logrus.Fields{"entry": s.Remote.GetName(), "incarnation": l.entry, "error": err}).Warn("link_down")
+	n.dropLink(now, l, "link_down")
+}
+
+// linkOf returns the present link of a session, or nil when another has taken its place.
+func (n *Node) linkOf(s *session.Session) *link {
+	l := n.links[ident.Incarnation(s.Remote.GetIncarnation())]
+	if l == nil || l.session != s {
+		return nil
+	}
+	return l
+}
+
+func (n *Node) dropLink(now time.Time, l *link, why string) {
+	delete(n.links, l.entry)
+	n.keeper.Unlinked(now, l.entry, why)
+}
+
+func (n *Node) handleReceived(now time.Time, s *session.Session, msgs []*wire.Msg) {
+	l := n.linkOf(s)
+	if l == nil {
+		return
+	}
+	l.heard = now
+	for _, m := range msgs {
+		n.handleMessage(now, l, m)
+	}
+}
+
+func (n *Node) handleMessage(now time.Time, l *link, m *wire.Msg) {
+	switch m := m.GetKind().(type) {
+	case *wire.Msg_Start:
+		n.keeper.Order(now, l.entry, codec.ReadOrder(m.Start))
+	case *wire.Msg_Stop:
+		task, run := codec.ReadStop(m.Stop)
+		n.keeper.StopTask(now, l.entry, task, run)
+	case *wire.Msg_Ping:
+		echo, version := codec.ReadPing(m.Ping)
+		n.keeper.Ping(l.entry, echo)
+		l.config = max(l.config, version)
+		n.passConfig(l)
+	case *wire.Msg_Config:
+		n.handleConfig(l, m.Config)
+	case *wire.Msg_Peers:
+		n.handleListed(peers, m.Peers.GetLinks())
+	default:
+		n.log.WithField("entry", l.session.Remote.GetName()).Warn("message_unknown")
+	}
+}
+
+// handleConfig keeps a configuration and passes it to entries that have an older one.
+func (n *Node) handleConfig(from *link, c *wire.Config) {
+	from.config = max(from.config, ident.ConfigVersion(c.GetVersion()))
+	if c.GetVersion() <= n.config.GetVersion() {
+		return
+	}
+	n.config = c
+	for _, l := range n.links {
+		n.passConfig(l)
+	}
+}
+
+// passConfig sends an entry the configuration if it has an older one.
+func (n *Node) passConfig(l *link) {
+	if l.config >= ident.ConfigVersion(n.config.GetVersion()) {
+		return
+	}
+	l.config = ident.ConfigVersion(n.config.GetVersion())
+	l.session.Send(codec.Config(l.config, n.config.GetRaw()))
+}
+
+// sender sends the keeper's words to entries.
+type sender Node
+
+func (s *sender) send(to ident.Incarnation, m *wire.Msg) {
+	if l := s.links[to]; l != nil {
+		l.session.Send(m)
+	}
+}
+
+// Upstream describes the upstream.
+func (s *sender) Upstream(to ident.Incarnation, u fleet.Upstream) { s.send(to, codec.Upstream(u)) }
+
+// Room tells what room there is.
+func (s *sender) Room(to ident.Incarnation, r fleet.Room) { s.send(to, codec.Room(r)) }
+
+// End tells how a run ended.
+func (s *sender) End(to ident.Incarnation, e fleet.End) { s.send(to, codec.End(e)) }
+
+// Settled tells that nothing of earlier sessions remains.
+func (s *sender) Settled(to ident.Incarnation) { s.send(to, codec.Settled()) }
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -1,115 +1,72 @@
-// Package node is the agent process: it accepts links from entries, keeps the ledger on one control
-// goroutine, and runs tasks on its upstream on others.
+// Package node is an agent's control part: it keeps the account of the upstream on one control goroutine, makes
+// the calls to the upstream, and holds a link to each entry.
 package node
 
 import (
 	"context"
-	"net"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"hillreel/internal/agent/ledger"
-	"hillreel/internal/config/state"
+	"hillreel/internal/agent/upstream"
+	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/loop"
 	"hillreel/internal/core/settings"
-	"hillreel/internal/core/verdict"
 	"hillreel/internal/link/session"
 	"hillreel/internal/link/wire"
 )
 
-// ackWait bounds how long a leaving agent waits for its last results to be acknowledged.
-const ackWait = 3 * time.Second
-
-// Runner runs one task and returns when it has ended.
-type Runner interface {
-	Run(ctx context.Context, t ledger.Task) ledger.Outcome
+// Upstream makes calls to the upstream beside this agent. An error goes with an answer of Unanswered.
+type Upstream interface {
+	Start(ctx context.Context, c upstream.StartCall) (upstream.Answer, upstream.Clock, error)
+	Stop(ctx context.Context, c upstream.StopCall) (upstream.Answer, upstream.Clock, error)
+	Hold(ctx context.Context, c upstream.HoldCall) (upstream.Held, error)
 }
 
-// Node is one agent.
+// Node is the control part of one agent.
 type Node struct {
-	set    *settings.Settings
-	inc    ident.Incarnation
-	log    *logrus.Entry
-	runner Runner
-	loop   *loop.Loop
-	ln     net.Listener
-	ctx    context.Context
-	cancel context.CancelFunc
-
-	// The fields below belong to the control goroutine.
-	ledger  *ledger.Ledger
-	config  *state.Adopter
-	links   map[ident.Incarnation]link
-	counter uint64
-	leaving bool
-}
-
-type link struct {
-	number  uint64
-	session *session.Session
-}
-
-type linkUp struct{ session *session.Session }
-
-type linkDown struct {
-	from   ident.Incarnation
-	number uint64
-}
-
-type received struct {
-	from   ident.Incarnation
-	number uint64
-	msgs   []*wire.Msg
-}
-
-type taskEnded struct {
-	key     ident.Key
-	index   ident.TaskIndex
-	outcome ledger.Outcome
-}
-
-// New returns an agent that starts tasks by runner, on the clock now.
-func New(set *settings.Settings, runner Runner, now func() time.Time, log *logrus.Entry) *Node {
+	set      *settings.Settings
+	log      *logrus.Entry
+	dial     session.Dialer
+	upstream Upstream
+	inc      ident.Incarnation
+	loop     *loop.Loop
+	ctx      context.Context
+	cancel   context.CancelFunc
+
+	// The control goroutine owns what follows.
+	keeper  *upstream.Keeper
+	links   map[ident.Incarnation]*link
+	dialled map[string]*dialled
+	listed  map[source][]string
+	config  *wire.Config
+	ticked  time.Time
+}
+
+// New returns a Node that has not started.
+func New(set *settings.Settings, u Upstream, dial session.Dialer, log *logrus.Entry) *Node {
+	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
-		set: set, inc: ident.NewIncarnation(), log: log, runner: runner, loop: loop.New(),
-		links: make(map[ident.Incarnation]link), config: state.NewAdopter(),
+		set: set, log: log, dial: dial, upstream: u, inc: ident.NewIncarnation(), loop: loop.New(), ctx: ctx, cancel: cancel,
+		links: make(map[ident.Incarnation]*link), dialled: make(map[string]*dialled), listed: make(map[source][]string),
+		config: &wire.Config{}, ticked: time.Now(),
 	}
-	n.ledger = ledger.New(ledger.Options{
-		Incarnation: n.inc, Slots: set.Agent.Slots, QueueLimit: set.Agent.QueueLimit,
-		Retention: set.Jobs.Retention, AnswerGrace: set.Agent.AnswerGrace,
-		AnswerBytes: int(set.Agent.AnswerBytes), Now: now,
-	}, (*sender)(n), (*starter)(n))
+	l := set.Links
+	timing := fleet.Timing{Silence: l.Silence, Lease: l.Lease, StopBudget: l.StopBudget, KeepAlive: l.KeepAlive}
+	n.keeper = upstream.New(timing, time.Now(), (*caller)(n), (*sender)(n), newObserver(log))
 	return n
 }
 
-// Start listens for entries.
+// Start starts the control goroutine and dials the seeds.
 func (n *Node) Start(context.Context) error {
-	ln, err := net.Listen("tcp", string(n.set.Node.Link))
-	if err != nil {
-		return errors.Wrap(err, "agent: listen for entries")
-	}
-	n.ln = ln
-	n.ctx, n.cancel = context.WithCancel(context.Background())
-	go n.loop.Run(n.set.Links.Tick, n.handle, n.ledger.Tick)
-	go n.accept()
-	n.log.WithFields(logrus.Fields{
-		"incarnation": n.inc, "link": ln.Addr(), "upstream": n.set.Agent.Upstream, "slots": n.set.Agent.Slots,
-	}).Info("agent_started")
+	go n.loop.Run(n.set.Links.Tick, n.handle, n.tick)
+	n.loop.Post(entriesListed{seeds, n.seedLinks()})
 	return nil
 }
 
-// Address returns where the agent listens.
-func (n *Node) Address() string { return n.ln.Addr().String() }
-
-// Incarnation returns this agent's incarnation.
-func (n *Node) Incarnation() ident.Incarnation { return n.inc }
-
-// Stop ends at once; what runs on the upstream is cut.
+// Stop ends at once.
 func (n *Node) Stop() {
-	n.ln.Close()
 	n.cancel()
 	n.loop.Call(func() {
 		for _, l := range n.links {
@@ -119,152 +76,154 @@
 	n.loop.Stop()
 }
 
-// Drain refuses new work, hands back what is queued, lets what has begun end, and returns when its results
-// are acknowledged or ctx ends.
-func (n *Node) Drain(ctx context.Context) {
-	n.loop.Call(func() {
-		n.leaving = true
-		n.ledger.Leave()
-		for _, l := range n.links {
-			l.session.Send(&wire.Msg{Kind: &wire.Msg_Leaving{Leaving: &wire.Leaving{}}})
-		}
-	})
-	n.log.Info("agent_leaving")
-	var idleSince time.Time
-	for ctx.Err() == nil {
-		idle, unacked := false, 0
-		n.loop.Call(func() { idle, unacked = n.ledger.Idle(), n.ledger.Unacked() })
-		if !idle {
-			idleSince = time.Now()
-		}
-		if idle && (unacked == 0 || time.Since(idleSince) > ackWait) {
-			return
-		}
-		time.Sleep(n.set.Links.Tick)
-	}
-}
+// Beat handles a heartbeat of the upstream.
+func (n *Node) Beat(b upstream.Beat) { n.loop.Post(b) }
 
-// Status is what metrics show of an agent.
-type Status struct {
-	Incarnation string
-	Load        ledger.Load
-	Jobs        int
-	Links       int
-	Leaving     bool
-	Config      ident.ConfigVersion
-	Counts      ledger.Counts
+// Left handles the upstream's word that it has ended.
+func (n *Node) Left(id ident.UpstreamID) { n.loop.Post(left{id}) }
+
+// Leave makes the agent take no more work.
+func (n *Node) Leave() { n.loop.Post(func() { n.keeper.Leave(); n.keeper.Flush(time.Now()) }) }
+
+// Runs returns how many runs are, or may be, at the upstream.
+func (n *Node) Runs() (count int) {
+	n.loop.Call(func() { count = n.keeper.Runs() })
+	return count
 }
 
-// Status returns the present state.
-func (n *Node) Status() Status {
-	var s Status
+// Ready tells whether the agent has an upstream and an entry.
+func (n *Node) Ready() (ok bool, why string) {
+	ok, why = false, "stopped"
 	n.loop.Call(func() {
-		s = Status{n.inc.String(), n.ledger.Load(), n.ledger.Jobs(), len(n.links), n.leaving, n.config.Current().Version(), n.ledger.Counts()}
+		switch _, known := n.keeper.Known(); {
+		case !known:
+			why = "no heartbeat of the upstream yet"
+		case len(n.links) == 0:
+			why = "no entry is linked"
+		default:
+			ok, why = true, "ready"
+		}
 	})
-	return s
+	return ok, why
 }
 
-func (n *Node) accept() {
-	for {
-		conn, err := n.ln.Accept()
-		if err != nil {
-			return
-		}
-		go n.serve(conn)
+// The events that the control goroutine handles, beside upstream.Beat.
+type (
+	left   struct{ id ident.UpstreamID }
+	linkUp struct {
+		session *session.Session
+		link    string
 	}
-}
-
-func (n *Node) hello() *wire.Hello {
-	return &wire.Hello{
-		Role: "agent", Name: n.set.Node.Name, Incarnation: uint64(n.inc), Address: n.Address(),
-		Zone: n.set.Node.Zone, Region: n.set.Node.Region, Services: n.set.Agent.Services,
-		Slots: uint32(n.set.Agent.Slots), QueueLimit: uint32(n.set.Agent.QueueLimit),
-		ClockMs: time.Now().UnixMilli(),
+	linkDown struct {
+		session *session.Session
+		err     error
 	}
-}
-
-func (n *Node) serve(conn net.Conn) {
-	s, err := session.Accept(conn, n.hello())
-	if err != nil {
-		n.log.WithField("error", err.Error()).Debug("link_refused")
-		return
+	received struct {
+		session *session.Session
+		msgs    []*wire.Msg
 	}
-	n.loop.Post(linkUp{s})
-}
+	startDone struct {
+		call   upstream.StartCall
+		answer upstream.Answer
+		clock  upstream.Clock
+	}
+	stopDone struct {
+		call   upstream.StopCall
+		answer upstream.Answer
+		clock  upstream.Clock
+	}
+	holdDone struct {
+		call upstream.HoldCall
+		held upstream.Held
+	}
+	entriesListed struct {
+		by    source
+		links []string
+	}
+)
 
 func (n *Node) handle(e loop.Event) {
+	n.catchUp(time.Now())
+	now := time.Now()
 	switch e := e.(type) {
+	case upstream.Beat:
+		n.keeper.Beat(now, e)
+	case left:
+		n.log.WithField("upstream", e.id).Info("upstream_left")
+		n.keeper.Left(now, e.id)
 	case linkUp:
-		n.handleLinkUp(e.session)
+		n.handleLinkUp(now, e.session)
 	case linkDown:
-		n.handleLinkDown(e)
+		n.handleLinkDown(now, e.session, e.err)
 	case received:
-		n.handleReceived(e)
-	case taskEnded:
-		if e.outcome.Verdict == verdict.MayHaveRun {
-			n.log.WithFields(logrus.Fields{
-				"job": e.key, "task": e.index, "verdict": e.outcome.Verdict, "reason": e.outcome.Reason,
-			}).Warn("task_unsure")
-		}
-		n.ledger.Ended(e.key, e.index, e.outcome)
+		n.handleReceived(now, e.session, e.msgs)
+	case startDone:
+		n.keeper.StartDone(now, e.call, e.answer, e.clock)
+	case stopDone:
+		n.keeper.StopDone(now, e.call, e.answer, e.clock)
+	case holdDone:
+		n.keeper.HoldDone(now, e.call, e.held)
+	case entriesListed:
+		n.handleListed(e.by, e.links)
 	}
+	n.keeper.Flush(now)
 }
 
-func (n *Node) handleReceived(e received) {
-	for _, m := range e.msgs {
-		if c := m.GetConfig(); c != nil {
-			n.handleConfig(e.from, c)
-			continue
-		}
-		n.ledger.Handle(e.from, e.number, m)
+// catchUp lets time pass before anything else when the process has stood still: an entry's runs, and orders that
+// came meanwhile, may have expired.
+func (n *Node) catchUp(now time.Time) {
+	if gap := now.Sub(n.ticked); gap > n.set.Links.Silence/2 {
+		n.log.WithField("gap_ms", gap.Milliseconds()).Warn("process_stood_still")
+		n.tick()
 	}
 }
 
-func (n *Node) handleLinkUp(s *session.Session) {
-	n.counter++
-	number, from := n.counter, ident.Incarnation(s.Remote.GetIncarnation())
-	if old, ok := n.links[from]; ok {
-		go old.session.Close()
-	}
-	n.links[from] = link{number, s}
-	n.ledger.LinkUp(from, number)
-	n.greetConfig(s)
-	if n.leaving {
-		s.Send(&wire.Msg{Kind: &wire.Msg_Leaving{Leaving: &wire.Leaving{}}})
-	}
-	n.log.WithFields(logrus.Fields{"entry": s.Remote.GetName(), "incarnation": from}).Info("link_up")
-	go func() {
-		err := s.Receive(func(msgs []*wire.Msg) { n.loop.Post(received{from, number, msgs}) })
-		n.log.WithFields(logrus.Fields{"entry": s.Remote.GetName(), "error": err.Error()}).Info("link_down")
-		n.loop.Post(linkDown{from, number})
-	}()
-}
-
-func (n *Node) handleLinkDown(e linkDown) {
-	n.ledger.LinkDown(e.from, e.number)
-	if n.links[e.from].number == e.number {
-		delete(n.links, e.from)
+func (n *Node) tick() {
+	now := time.Now()
+	n.ticked = now
+	n.keeper.Tick(now)
+	for _, l := range n.links {
+		if now.Sub(l.heard) > n.set.Links.Silence {
+			n.log.WithFields(logrus.Fields{"entry": l.session.Remote.GetName(), "silent_ms": now.Sub(l.heard).Milliseconds()}).Warn("link_silent")
+			l.session.Close()
+			n.dropLink(now, l, "silent")
+		}
 	}
+	n.keeper.Flush(now)
 }
 
-// sender sends the ledger's messages over the links.
-type sender Node
+// caller makes the keeper's calls, each on a goroutine of its own.
+type caller Node
 
-// Send drops the message when there is no link.
-func (s *sender) Send(to ident.Incarnation, m *wire.Msg) {
-	if l, ok := s.links[to]; ok {
-		l.session.Send(m)
-	}
+// Start starts a run.
+func (c *caller) Start(call upstream.StartCall) {
+	go func() {
+		a, clock, err := c.upstream.Start(c.ctx, call)
+		if err != nil {
+			c.log.WithFields(logrus.Fields{"task": call.Task, "run": call.Run, "error": err.Error()}).Info("start_unanswered")
+		}
+		c.loop.Post(startDone{call, a, clock})
+	}()
 }
 
-// starter runs the ledger's tasks, each on a goroutine of its own.
-type starter Node
+// Stop stops a run.
+func (c *caller) Stop(call upstream.StopCall) {
+	go func() {
+		a, clock, err := c.upstream.Stop(c.ctx, call)
+		if err != nil {
+			c.log.WithFields(logrus.Fields{"task": call.Task, "run": call.Run, "error": err.Error()}).Info("stop_unanswered")
+		}
+		c.loop.Post(stopDone{call, a, clock})
+	}()
+}
 
-// Run begins a task.
-func (s *starter) Run(t ledger.Task) {
-	n := (*Node)(s)
+// Hold extends the lease and asks what runs.
+func (c *caller) Hold(call upstream.HoldCall) {
 	go func() {
-		outcome := n.runner.Run(n.ctx, t)
-		n.loop.Post(taskEnded{t.Key, t.Index, outcome})
+		h, err := c.upstream.Hold(c.ctx, call)
+		if err != nil {
+			c.log.WithField("error", err.Error()).Debug("hold_unanswered")
+		}
+		c.loop.Post(holdDone{call, h})
 	}()
 }
--- /dev/null
+++ b/internal/agent/node/observe.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/metrics"
+)
+
+// observer logs and counts an agent's decisions. Runs that end well are only counted: their job's entry logs
+// the job.
+type observer struct {
+	log      *logrus.Entry
+	counters *metrics.Counters
+	times    *metrics.Latencies
+}
+
+func newObserver(log *logrus.Entry) *observer {
+	return &observer{log, metrics.NewCounters("agent"), metrics.NewLatencies("run_ms")}
+}
+
+// Ended notes the end of a run.
+func (o *observer) Ended(owner ident.Incarnation, e fleet.End) {
+	o.counters.Add("runs_"+string(e.Outcome), 1)
+	if e.Outcome == job.Done {
+		o.times.Record("done", e.Took)
+		return
+	}
+	o.log.WithFields(logrus.Fields{
+		"job": e.Task.Job, "task": e.Task, "run": e.Run, "outcome": e.Outcome, "reason": e.Reason,
+		"took_ms": e.Took.Milliseconds(), "entry_incarnation": owner,
+	}).Info("run_ended")
+}
+
+// State logs a change of what entries are told of the upstream.
+func (o *observer) State(from, to fleet.State, why string) {
+	o.counters.Add("state_"+string(to), 1)
+	o.log.WithFields(logrus.Fields{"from": from, "to": to, "why": why}).Info("upstream_state")
+}
+
+// Orphaned logs that the runs of a lost entry are stopped.
+func (o *observer) Orphaned(owner ident.Incarnation, runs int, why string) {
+	o.counters.Add("runs_orphaned", int64(runs))
+	o.log.WithFields(logrus.Fields{"entry_incarnation": owner, "runs": runs, "why": why}).Warn("runs_orphaned")
+}
+
+// Unsure logs a start that got no answer.
+func (o *observer) Unsure(task job.TaskID, run job.Run) {
+	o.counters.Add("starts_unsure", 1)
+	o.log.WithFields(logrus.Fields{"job": task.Job, "task": task, "run": run}).Info("start_unsure")
+}
--- a/internal/agent/process/process.go
+++ b/internal/agent/process/process.go
@@ -3,66 +3,110 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"hillreel/internal/agent/node"
-	"hillreel/internal/agent/upstream"
-	"hillreel/internal/core/clock"
+	"hillreel/internal/core/bus"
+	"hillreel/internal/core/follow"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/kernel"
 	"hillreel/internal/core/ops"
 	"hillreel/internal/core/settings"
+	"hillreel/internal/core/web"
+	"hillreel/internal/link/members"
+	"hillreel/internal/link/session"
 )
 
+// Names under which the services register.
+const (
+	nameNode    = "agent"
+	nameBeats   = "heartbeats"
+	nameEntries = "entries"
+	nameMetrics = "metrics"
+)
+
+// Deps are what an agent gets from outside.
+type Deps struct {
+	Store    follow.Store
+	Upstream node.Upstream
+	// Beats makes the handler of the upstream's heartbeats.
+	Beats func(n *node.Node) http.Handler
+	Dial  session.Dialer
+	Log   *logrus.Entry
+}
+
 // Process is one agent.
 type Process struct {
+	set    *settings.Settings
+	log    *logrus.Entry
 	kernel *kernel.Kernel
 	Node   *node.Node
-	Ops    *ops.Server
+	bus    *bus.Bus
 }
 
 // New builds an agent's services.
-func New(set *settings.Settings, log *logrus.Entry) (*Process, error) {
+func New(set *settings.Settings, d Deps) (*Process, error) {
 	if set.Agent.Upstream == "" {
 		return nil, errors.New("settings: [agent] upstream: must be set")
 	}
-	runner := upstream.New(upstream.Options{
-		Address: ident.Address(set.Agent.Upstream), Connections: set.Agent.Connections,
-		ConnectTimeout: set.Agent.ConnectTimeout, TaskTimeout: set.Agent.TaskTimeout,
-		AnswerLimit: int64(set.Agent.AnswerLimit),
+	p := &Process{set: set, log: d.Log, kernel: kernel.New(d.Log), bus: bus.New()}
+	p.Node = node.New(set, d.Upstream, d.Dial, d.Log)
+	dir := members.NewDirectory(func(links []ident.Address) {
+		if err := p.bus.Publish(bus.Entries, links); err != nil {
+			p.log.WithField("error", err.Error()).Error("event_not_published")
+		}
 	})
-	p := &Process{kernel: kernel.New(log), Node: node.New(set, runner, clock.New(), log)}
-	p.Ops = ops.New(set.Node.Ops, ops.Tokens(set.Entry), p.ready, nil)
-	if err := p.kernel.Register("agent", p.Node); err != nil {
-		return nil, err
+	for _, s := range []struct {
+		name    string
+		service kernel.Service
+	}{
+		{nameNode, p.Node},
+		{nameBeats, web.New("heartbeats", set.Agent.Control, d.Beats(p.Node), web.Small)},
+		{nameEntries, follow.New(d.Store, members.Table, set.Platform.ListWait, dir.Change, d.Log)},
+		{nameMetrics, web.New("metrics", set.Node.Metrics, ops.Handler(nil, p.Node.Ready, nil), web.Small)},
+	} {
+		if err := p.kernel.Register(s.name, s.service); err != nil {
+			return nil, err
+		}
 	}
-	if err := p.kernel.Register("operators", p.Ops); err != nil {
-		return nil, err
-	}
-	ops.Publish(set.Node.Name, func() any { return p.Node.Status() })
-	return p, nil
-}
-
-func (p *Process) ready() (bool, string) {
-	if p.Node.Status().Leaving {
-		return false, "leaving"
-	}
-	return true, "ready"
+	return p, bus.Subscribe(context.Background(), p.bus, bus.Entries, p.Node.SetEntries)
 }
 
 // Start starts all services in order.
 func (p *Process) Start(ctx context.Context) error { return p.kernel.Start(ctx) }
 
-// Stop ends at once; tasks that run are cut.
-func (p *Process) Stop() { p.kernel.Stop() }
+// Stop ends at once. What runs at the upstream is killed when its lease lapses.
+func (p *Process) Stop() {
+	p.kernel.Stop()
+	if err := p.bus.Close(); err != nil {
+		p.log.WithField("error", err.Error()).Warn("bus_not_closed")
+	}
+}
+
+const (
+	// leaveMargin is what of the grace is left for telling the last ends and for closing.
+	leaveMargin = 400 * time.Millisecond
+	// leavePoll is how often a leaving agent looks whether anything still runs.
+	leavePoll = 20 * time.Millisecond
+	// lastWords is how long the last ends have to get to their entries.
+	lastWords = 50 * time.Millisecond
+)
 
-// Drain leaves: no new work, what has begun ends, and then all stops. limit bounds it.
-func (p *Process) Drain(limit time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	p.Node.Drain(ctx)
+// Drain leaves: no new work, what runs may end, and then all stops. The grace of the settings bounds it.
+func (p *Process) Drain() {
+	began := time.Now()
+	p.log.WithField("runs", p.Node.Runs()).Info("leaving")
+	p.Node.Leave()
+	until := began.Add(p.set.Agent.Grace - leaveMargin)
+	for p.Node.Runs() > 0 && time.Now().Before(until) {
+		time.Sleep(leavePoll)
+	}
+	time.Sleep(lastWords)
+	left := p.Node.Runs()
 	p.Stop()
+	p.log.WithFields(logrus.Fields{"took_ms": time.Since(began).Milliseconds(), "runs_left": left}).Info("left")
 }
--- /dev/null
+++ b/internal/agent/upstream/hold.go
@@ -0,0 +1,200 @@
+package upstream
+
+import (
+	"time"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/job"
+)
+
+// holdRetry is the pause after a hold that failed.
+const holdRetry = 30 * time.Millisecond
+
+// hold asks the upstream what runs, unless that is under way.
+func (k *Keeper) hold(now time.Time) {
+	if k.holding || !k.known {
+		return
+	}
+	k.holding = true
+	c := HoldCall{Call: k.call(now), Seen: k.seen, Wait: k.timing.KeepAlive}
+	if len(k.runs) > 0 && !k.mustLapse(now) {
+		c.Until = k.lease(now)
+	}
+	if !k.looked || k.undecided() {
+		c.Wait = 0
+	}
+	k.caller.Hold(c)
+}
+
+// undecided tells whether some run's fate depends on the next answer.
+func (k *Keeper) undecided() bool {
+	for _, r := range k.runs {
+		if r.phase == unsure {
+			return true
+		}
+	}
+	return len(k.strays) > 0
+}
+
+// mustLapse tells whether a lost entry's run has resisted its stop for too long: then all leases lapse.
+func (k *Keeper) mustLapse(now time.Time) bool {
+	for _, r := range k.runs {
+		if r.stop != nil && r.stop.orphan && now.Sub(r.stop.since) >= k.timing.StopBudget {
+			return true
+		}
+	}
+	return false
+}
+
+// HoldDone handles the answer to a HoldCall.
+func (k *Keeper) HoldDone(now time.Time, c HoldCall, h Held) {
+	k.holding = false
+	if c.Instance != k.up.ID || !k.known {
+		k.hold(now)
+		return
+	}
+	switch h.Answer {
+	case OK:
+		k.read(now, h.Clock)
+		k.held(now, c, h)
+		k.hold(now)
+	case WrongInstance:
+		k.end(now)
+		k.touchAll()
+	case Fenced:
+		k.bump(now)
+		k.hold(now)
+	default:
+		k.failures++
+		k.holdAt = now.Add(holdRetry)
+		k.touchAll()
+	}
+}
+
+// held takes in what the upstream lists.
+func (k *Keeper) held(now time.Time, c HoldCall, h Held) {
+	if k.failures > 0 || !k.looked {
+		k.touchAll()
+	}
+	k.failures = 0
+	for _, f := range h.Finished {
+		k.ended(now, f)
+	}
+	listed := make(map[job.TaskID]Listed, len(h.Running))
+	for _, l := range h.Running {
+		listed[l.Task] = l
+		k.progress(now, c, l)
+	}
+	for _, r := range k.sorted() {
+		if l, ok := listed[r.task]; ok && l.Run == r.number {
+			continue
+		}
+		if r.phase != starting && c.Sent.After(r.sure) {
+			k.absent(now, r)
+		}
+	}
+	for key, at := range k.strays {
+		l, ok := listed[key.task]
+		if (!ok || l.Run != key.run) && !at.IsZero() && c.Sent.After(at) {
+			delete(k.strays, key)
+			k.touchAll()
+		}
+	}
+	k.looked = true
+}
+
+// ended handles one listed end.
+func (k *Keeper) ended(now time.Time, f Finished) {
+	if f.N <= k.seen {
+		return
+	}
+	k.seen = f.N
+	delete(k.strays, strayKey{f.Task, f.Run})
+	r := k.runs[f.Task]
+	if r == nil || r.number != f.Run {
+		return
+	}
+	switch f.How {
+	case HowDone:
+		k.finish(now, r, job.Done, "", f.Checkpoint)
+	case HowFailed:
+		k.finish(now, r, job.Failed, "", f.Checkpoint)
+	case HowStopped:
+		if r.stop != nil {
+			k.finish(now, r, r.stop.outcome, r.stop.reason, f.Checkpoint)
+			return
+		}
+		k.finish(now, r, job.Lost, fleet.OnRequest, f.Checkpoint)
+	default:
+		k.finish(now, r, job.Lost, fleet.LeaseLapsed, f.Checkpoint)
+	}
+}
+
+// absent handles a run that is surely not at the upstream, though no end was listed.
+func (k *Keeper) absent(now time.Time, r *run) {
+	switch {
+	case r.stop != nil:
+		k.finish(now, r, r.stop.outcome, r.stop.reason, "")
+	case r.phase == unsure:
+		k.finish(now, r, job.NotStarted, fleet.NeverArrived, "")
+	default:
+		k.finish(now, r, job.Lost, fleet.NotListed, "")
+	}
+}
+
+// progress handles one run that the upstream lists as running.
+func (k *Keeper) progress(now time.Time, c HoldCall, l Listed) {
+	r := k.runs[l.Task]
+	if r == nil || r.number != l.Run {
+		k.stray(now, l)
+		return
+	}
+	if r.phase != running && (r.phase == unsure || c.Sent.After(r.begun)) {
+		r.phase, r.sure = running, now
+	}
+	if l.Percent > r.percent {
+		r.percent, r.advanced = l.Percent, now
+		k.sample(now, r)
+	}
+	if r.stop == nil && k.stalled(now, r) {
+		k.stopRun(now, r, stopping{outcome: job.Stalled, reason: fleet.NoProgress})
+	}
+}
+
+// stray stops a run that nobody here has ordered: one of an earlier agent, or a start that came late.
+func (k *Keeper) stray(now time.Time, l Listed) {
+	key := strayKey{l.Task, l.Run}
+	if at, ok := k.strays[key]; ok && (at.IsZero() || now.Sub(at) < stopRetry) {
+		return
+	}
+	k.strays[key] = time.Time{}
+	k.caller.Stop(StopCall{Call: k.call(now), Task: l.Task, Run: l.Run})
+	k.touchAll()
+}
+
+// Tick does what time alone brings about.
+func (k *Keeper) Tick(now time.Time) {
+	for entry, s := range k.sessions {
+		if s.linked && s.heard && !k.fresh(now, s) {
+			k.orphan(now, entry, "silent")
+		}
+	}
+	if k.known && !k.holding && !now.Before(k.holdAt) {
+		k.hold(now)
+	}
+	if k.failures > 0 && len(k.runs) > 0 && k.lapsed(now) {
+		k.bump(now)
+		k.loseAll(now, fleet.LeaseLapsed)
+	}
+	for _, r := range k.sorted() {
+		if r.stop != nil && !r.stop.calling && now.Sub(r.stop.sent) >= stopRetry {
+			k.callStop(now, r)
+		}
+	}
+	for key, at := range k.strays {
+		if at.IsZero() && k.known {
+			// The stop before it got no answer yet or none at all; a second one does no harm.
+			k.caller.Stop(StopCall{Call: k.call(now), Task: key.task, Run: key.run})
+		}
+	}
+}
--- /dev/null
+++ b/internal/agent/upstream/life.go
@@ -0,0 +1,90 @@
+package upstream
+
+import (
+	"time"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+)
+
+// Beat is a heartbeat of the upstream.
+type Beat struct {
+	fleet.Upstream
+	// Sequence rises with each heartbeat of one life.
+	Sequence uint64
+	Clock    Clock
+	// Draining: it takes no more work and ends soon.
+	Draining bool
+}
+
+// Beat handles a heartbeat.
+func (k *Keeper) Beat(now time.Time, b Beat) {
+	if k.past[b.ID] {
+		return
+	}
+	if !k.known || b.ID != k.up.ID {
+		k.begin(now, b)
+	}
+	if b.Sequence < k.sequence {
+		return
+	}
+	k.sequence = b.Sequence
+	if b.Draining {
+		k.leaving = true
+	}
+	k.up.Labels, k.up.Total = b.Labels, b.Total
+	k.touchAll()
+}
+
+// begin takes up a new life of the upstream: whatever ran in the one before is gone.
+func (k *Keeper) begin(now time.Time, b Beat) {
+	if k.known {
+		k.end(now)
+	}
+	k.known, k.up = true, b.Upstream
+	k.sequence, k.seen, k.until = 0, 0, 0
+	k.clock = reading{b.Clock, now}
+	// Every token of an earlier agent was at most the upstream's clock at that time.
+	k.token, k.bumped = Token(time.Duration(b.Clock).Milliseconds())+1, now
+	k.looked, k.failures, k.leaving = false, 0, false
+	k.health = health{}
+	for to, s := range k.sessions {
+		if s.linked {
+			k.entries.Upstream(to, k.up)
+		}
+	}
+	k.hold(now)
+}
+
+// end forgets the present life.
+func (k *Keeper) end(now time.Time) {
+	k.past[k.up.ID] = true
+	k.known, k.looked = false, false
+	clear(k.strays)
+	k.loseAll(now, fleet.UpstreamGone)
+}
+
+// loseAll ends every run as lost.
+func (k *Keeper) loseAll(now time.Time, why fleet.Reason) {
+	for _, r := range k.sorted() {
+		k.finish(now, r, job.Lost, why, "")
+	}
+}
+
+// Left handles an upstream that says it has ended.
+func (k *Keeper) Left(now time.Time, id ident.UpstreamID) {
+	if k.known && k.up.ID == id {
+		k.end(now)
+	}
+	k.past[id] = true
+	k.touchAll()
+}
+
+// lapsed tells whether the newest lease has surely run out, so that nothing runs any more.
+func (k *Keeper) lapsed(now time.Time) bool {
+	return k.upstreamClock(now) > k.until+Clock(lapseMargin)
+}
+
+// lapseMargin is the upstream's own time to kill what has lapsed: stop_ms on all deployments seen.
+const lapseMargin = 50 * time.Millisecond
--- /dev/null
+++ b/internal/agent/upstream/order.go
@@ -0,0 +1,333 @@
+package upstream
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+)
+
+// maxUnsent bounds the ends that are kept for an entry whose session broke.
+const maxUnsent = 256
+
+// unsentFor is how long they are kept: an entry that is back later has settled its tasks by time.
+const unsentFor = 2 * time.Second
+
+// Linked handles a new session with an entry.
+func (k *Keeper) Linked(now time.Time, entry ident.Incarnation) {
+	s := k.sessions[entry]
+	if s == nil {
+		s = &session{}
+		k.sessions[entry] = s
+	}
+	if s.linked {
+		k.Unlinked(now, entry, "replaced")
+	}
+	*s = session{epoch: s.epoch + 1, linked: true, dirty: true, urgent: true, unsent: s.unsent}
+	if k.known {
+		k.entries.Upstream(entry, k.up)
+	}
+	for _, l := range s.unsent {
+		if now.Sub(l.at) < unsentFor {
+			k.entries.End(entry, l.end)
+		}
+	}
+	s.unsent = nil
+	k.settle(entry)
+}
+
+// Unlinked handles the end of an entry's session: its runs have nobody left who wants them.
+func (k *Keeper) Unlinked(now time.Time, entry ident.Incarnation, why string) {
+	s := k.sessions[entry]
+	if s == nil || !s.linked {
+		return
+	}
+	s.linked = false
+	k.orphan(now, entry, why)
+}
+
+// orphan stops all runs of an entry.
+func (k *Keeper) orphan(now time.Time, entry ident.Incarnation, why string) {
+	n := 0
+	for _, r := range k.sorted() {
+		if r.next != nil && r.next.owner == entry {
+			r.next = nil
+		}
+		if r.owner == entry && (r.stop == nil || !r.stop.orphan) {
+			k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.OnRequest, orphan: true})
+			n++
+		}
+	}
+	if n > 0 {
+		k.observer.Orphaned(entry, n, why)
+	}
+}
+
+// sorted returns all runs in the order of their ids, so that runs of the state machine repeat.
+func (k *Keeper) sorted() []*run {
+	out := make([]*run, 0, len(k.runs))
+	for _, r := range k.runs {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b *run) int { return compareTasks(a.task, b.task) })
+	return out
+}
+
+func compareTasks(a, b job.TaskID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+}
+
+// Ping handles a keep-alive of an entry.
+func (k *Keeper) Ping(entry ident.Incarnation, echoed time.Duration) {
+	if s := k.sessions[entry]; s != nil && s.linked && echoed > s.echoed {
+		s.echoed, s.heard = echoed, true
+	}
+}
+
+// fresh tells whether an entry was heard recently enough to keep its runs. It counts from when the agent
+// sent the reading that came back, so that a message held up on the way keeps nothing alive.
+func (k *Keeper) fresh(now time.Time, s *session) bool {
+	return s != nil && s.linked && s.heard && k.uptime(now)-s.echoed < k.timing.Silence
+}
+
+// Order handles an entry's order.
+func (k *Keeper) Order(now time.Time, entry ident.Incarnation, o fleet.Order) {
+	s := k.sessions[entry]
+	if s == nil || !s.linked {
+		return
+	}
+	s.seq, s.dirty = o.Seq, true
+	for i := range o.Tasks {
+		k.orderTask(now, waiting{owner: entry, epoch: s.epoch, order: o, index: i})
+	}
+}
+
+// orderTask starts one task of an order, refuses it, or lets it wait for the end of an earlier run.
+func (k *Keeper) orderTask(now time.Time, w waiting) {
+	task, number := w.order.Task(w.index), w.order.Tasks[w.index].Run
+	s := k.sessions[w.owner]
+	if !k.fresh(now, s) || s.epoch != w.epoch {
+		k.refuse(now, w, fleet.StaleSession)
+		return
+	}
+	if r := k.runs[task]; r != nil {
+		if r.owner == w.owner && r.number == number && r.epoch == w.epoch {
+			return
+		}
+		// The caller has sent the job again after its entry was lost: the old run must be gone first.
+		if r.next != nil {
+			k.refuse(now, *r.next, fleet.StaleSession)
+		}
+		r.next = &w
+		k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.OnRequest})
+		return
+	}
+	if !k.stateFor(now, w.owner).Accepts() {
+		k.refuse(now, w, fleet.NotAccepting)
+		return
+	}
+	if !w.order.Each.Fits(k.free()) {
+		k.refuse(now, w, fleet.NoRoom)
+		return
+	}
+	k.startRun(now, w)
+}
+
+func (k *Keeper) refuse(now time.Time, w waiting, why fleet.Reason) {
+	k.tell(now, w.owner, fleet.End{
+		Task: w.order.Task(w.index), Run: w.order.Tasks[w.index].Run, Outcome: job.NotStarted, Reason: why,
+	})
+}
+
+func (k *Keeper) startRun(now time.Time, w waiting) {
+	t := w.order.Tasks[w.index]
+	r := &run{
+		task: w.order.Task(w.index), number: t.Run, owner: w.owner, epoch: w.epoch, spec: w.order.Spec,
+		each: w.order.Each, estimate: w.order.Estimate, earlier: t.Failures, checkpoint: t.Checkpoint,
+		phase: starting, begun: now, advanced: now,
+	}
+	k.runs[r.task] = r
+	k.health.started(now)
+	k.callStart(now, r)
+	k.touchAll()
+}
+
+func (k *Keeper) callStart(now time.Time, r *run) {
+	k.caller.Start(StartCall{
+		Call: k.call(now), Task: r.task, Run: r.number, Spec: r.spec, Checkpoint: r.checkpoint, Until: k.lease(now),
+	})
+}
+
+// StopTask handles an entry's wish to stop a run. Its end is told when it is certain.
+func (k *Keeper) StopTask(now time.Time, entry ident.Incarnation, task job.TaskID, number job.Run) {
+	r := k.runs[task]
+	if r != nil && r.next != nil && r.next.owner == entry && r.next.order.Tasks[r.next.index].Run == number {
+		k.refuse(now, *r.next, fleet.OnRequest)
+		r.next = nil
+		return
+	}
+	if r == nil || r.owner != entry || r.number != number {
+		k.tell(now, entry, fleet.End{Task: task, Run: number, Outcome: job.NotStarted, Reason: fleet.NotListed})
+		return
+	}
+	k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.OnRequest})
+}
+
+// stopRun begins to stop a run, or makes a stop under way more urgent.
+func (k *Keeper) stopRun(now time.Time, r *run, why stopping) {
+	if r.stop != nil {
+		if why.orphan && !r.stop.orphan {
+			r.stop.orphan, r.stop.since = true, now
+		}
+		return
+	}
+	why.since = now
+	r.stop = &why
+	k.callStop(now, r)
+}
+
+// stopRetry is after how long an unanswered stop is sent again.
+const stopRetry = 100 * time.Millisecond
+
+func (k *Keeper) callStop(now time.Time, r *run) {
+	if !k.known {
+		return
+	}
+	r.stop.sent, r.stop.calling = now, true
+	k.caller.Stop(StopCall{Call: k.call(now), Task: r.task, Run: r.number})
+}
+
+// StartDone handles the answer to a StartCall.
+func (k *Keeper) StartDone(now time.Time, c StartCall, a Answer, clock Clock) {
+	if c.Instance != k.up.ID || !k.known {
+		return
+	}
+	if a == OK {
+		k.read(now, clock)
+	}
+	r := k.runs[c.Task]
+	if a == WrongInstance {
+		k.end(now)
+		k.touchAll()
+		return
+	}
+	if r == nil || r.number != c.Run || r.phase != starting {
+		return
+	}
+	switch a {
+	case OK:
+		r.phase, r.sure, r.advanced = running, now, now
+	case Unanswered:
+		k.observer.Unsure(r.task, r.number)
+		k.bump(now)
+		r.phase, r.sure = unsure, now
+		k.hold(now)
+	case Fenced:
+		k.fenced(now, r, c)
+	case Used:
+		k.finish(now, r, job.Used, fleet.Refused, "")
+	case Full:
+		k.finish(now, r, job.NotStarted, fleet.NoRoom, "")
+	default:
+		k.health.bad(now)
+		k.finish(now, r, job.NotStarted, fleet.Refused, "")
+	}
+}
+
+// fenced sends a start again that a newer token of this agent has overtaken.
+func (k *Keeper) fenced(now time.Time, r *run, c StartCall) {
+	if r.stop != nil {
+		k.finish(now, r, r.stop.outcome, r.stop.reason, "")
+		return
+	}
+	if c.Token >= k.token {
+		// Somebody else has called the upstream: its earlier agent is not quite gone.
+		k.bump(now)
+	}
+	k.callStart(now, r)
+}
+
+// StopDone handles the answer to a StopCall.
+func (k *Keeper) StopDone(now time.Time, c StopCall, a Answer, clock Clock) {
+	if c.Instance != k.up.ID || !k.known {
+		return
+	}
+	if a == OK {
+		k.read(now, clock)
+	}
+	if at, ok := k.strays[strayKey{c.Task, c.Run}]; ok && a == OK && at.IsZero() {
+		k.strays[strayKey{c.Task, c.Run}] = now
+	}
+	r := k.runs[c.Task]
+	if r == nil || r.number != c.Run || r.stop == nil {
+		return
+	}
+	r.stop.calling = false
+	switch a {
+	case OK:
+		r.phase, r.sure = running, now
+	case Fenced:
+		k.bump(now)
+		k.callStop(now, r)
+	}
+}
+
+// finish takes a run out of the account, tells its entry, and lets the task's next run begin.
+func (k *Keeper) finish(now time.Time, r *run, o job.Outcome, why fleet.Reason, checkpoint string) {
+	delete(k.runs, r.task)
+	e := fleet.End{Task: r.task, Run: r.number, Outcome: o, Took: now.Sub(r.begun), Checkpoint: checkpoint, Reason: why}
+	if o == job.NotStarted || o == job.Used {
+		e.Took = 0
+	}
+	k.judge(now, r, e)
+	k.observer.Ended(r.owner, e)
+	k.tellRun(now, r, e)
+	k.settle(r.owner)
+	k.touchAll()
+	if r.next != nil {
+		k.orderTask(now, *r.next)
+	}
+}
+
+// tellRun tells the owner of a run how it ended, or keeps that until the owner is back.
+func (k *Keeper) tellRun(now time.Time, r *run, e fleet.End) {
+	s := k.sessions[r.owner]
+	if s == nil {
+		return
+	}
+	if !s.linked {
+		s.unsent = append(s.unsent, late{e, now})
+		if len(s.unsent) > maxUnsent {
+			s.unsent = s.unsent[1:]
+		}
+		return
+	}
+	k.tell(now, r.owner, e)
+}
+
+func (k *Keeper) tell(_ time.Time, to ident.Incarnation, e fleet.End) {
+	s := k.sessions[to]
+	if s == nil || !s.linked {
+		return
+	}
+	s.urgent, s.dirty = true, true
+	k.entries.End(to, e)
+}
+
+// settle tells an entry once that no run of its earlier sessions remains.
+func (k *Keeper) settle(entry ident.Incarnation) {
+	s := k.sessions[entry]
+	if s == nil || !s.linked || s.settled {
+		return
+	}
+	for _, r := range k.runs {
+		if r.owner == entry && r.epoch != s.epoch {
+			return
+		}
+	}
+	s.settled = true
+	k.entries.Settled(entry)
+}
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -1,169 +1,334 @@
-// Package upstream runs tasks on the agent's upstream over HTTP and says of each whether it may have run.
+// Package upstream keeps an agent's account of the upstream beside it: which runs are there, what room is
+// left, and which entries still want their runs. It is a state machine without I/O and without a clock of its
+// own; one goroutine uses it.
 //
-// A task is sent once. Go's transport sends some requests again by itself; the requests here are built so
-// that it can do that only when no byte was written: POST, without an idempotency key, and with a body that
-// can't be read again.
+// Only the agent starts tasks on its upstream, so its account decides whether a task fits. A run that is being
+// stopped, or whose start got no answer, counts as there until the upstream has said otherwise.
 package upstream
 
 import (
-	"bytes"
-	"context"
-	"io"
-	"net"
-	"net/http"
-	"net/http/httptrace"
-	"strconv"
-	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
-	"hillreel/internal/agent/ledger"
+	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
-	"hillreel/internal/core/verdict"
+	"hillreel/internal/core/job"
 )
 
-// Headers of a task's request and of its answer.
+// Clock is a reading of the upstream's steady clock, as a time since it started.
+type Clock time.Duration
+
+// Token is a fencing token: the upstream does nothing for one lower than the highest that it has seen.
+type Token uint64
+
+// Call is what every call to an upstream carries.
+type Call struct {
+	// Instance is the life of the upstream that is meant.
+	Instance ident.UpstreamID
+	Token    Token
+	// Sent is when the call was made.
+	Sent time.Time
+}
+
+// StartCall starts one run.
+type StartCall struct {
+	Call
+	Task       job.TaskID
+	Run        job.Run
+	Spec       string
+	Checkpoint string
+	// Until is the lease that the start extends to.
+	Until Clock
+}
+
+// StopCall stops one run, or makes sure that it never starts.
+type StopCall struct {
+	Call
+	Task job.TaskID
+	Run  job.Run
+}
+
+// HoldCall extends the lease and asks what runs and what has ended.
+type HoldCall struct {
+	Call
+	// Until is the lease; zero leaves it as it is.
+	Until Clock
+	// Seen acknowledges ends up to this number.
+	Seen uint64
+	// Wait is how long the upstream may hold the answer back until a run ends.
+	Wait time.Duration
+}
+
+// Answer says what a call brought.
+type Answer string
+
+// The answers.
 const (
-	headerJob     = "Hillreel-Job"
-	headerIndex   = "Hillreel-Index"
-	headerService = "Hillreel-Service"
-	// headerVerdict lets an upstream say that it did not run a task: "not_run", with status 503.
-	headerVerdict = "Hillreel-Verdict"
+	// OK: done.
+	OK Answer = "ok"
+	// Fenced: the token is too low.
+	Fenced Answer = "fenced"
+	// Used: the upstream knows this run, or a higher one, as ended.
+	Used Answer = "used"
+	// Full: the upstream guards its own room and has none.
+	Full Answer = "full"
+	// Declined: the upstream did nothing, for another reason.
+	Declined Answer = "declined"
+	// WrongInstance: another life of the upstream answered.
+	WrongInstance Answer = "wrong_instance"
+	// Unanswered: nothing is known.
+	Unanswered Answer = "unanswered"
 )
 
-// idleTimeout is shorter than what HTTP servers usually allow, so that we close idle connections first.
-const idleTimeout = 4 * time.Second
-
-// Options configure a Client.
-type Options struct {
-	Address        ident.Address
-	Connections    int
-	ConnectTimeout time.Duration
-	TaskTimeout    time.Duration
-	AnswerLimit    int64
-}
-
-// Client runs tasks on one upstream.
-type Client struct {
-	opt       Options
-	transport *http.Transport
-}
-
-// New returns a Client.
-func New(opt Options) *Client {
-	c := &Client{opt: opt}
-	dialer := &net.Dialer{Timeout: opt.ConnectTimeout}
-	c.transport = &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &countingConn{Conn: conn}, nil
-		},
-		MaxIdleConnsPerHost: opt.Connections,
-		MaxConnsPerHost:     opt.Connections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}
-	return c
+// Listed is a run that the upstream lists as running.
+type Listed struct {
+	Task       job.TaskID
+	Run        job.Run
+	Checkpoint string
+	// Percent of its work that is done.
+	Percent int
+}
+
+// Finished is an end that the upstream lists.
+type Finished struct {
+	// N rises from 1 in each life of the upstream.
+	N          uint64
+	Task       job.TaskID
+	Run        job.Run
+	How        How
+	Checkpoint string
 }
 
-// countingConn counts the bytes written, so that "nothing was written" can be told from "something was".
-type countingConn struct {
-	net.Conn
-	written atomic.Int64
+// How says how a run ended at the upstream.
+type How string
+
+// The ends that occur.
+const (
+	HowDone    How = "done"
+	HowFailed  How = "failed"
+	HowStopped How = "stopped"
+	HowLapsed  How = "lapsed"
+)
+
+// Held is the result of a HoldCall.
+type Held struct {
+	Answer   Answer
+	Clock    Clock
+	Running  []Listed
+	Finished []Finished
 }
 
-// Write counts before it writes: a write that fails halfway counts as well.
-func (c *countingConn) Write(b []byte) (int, error) {
-	c.written.Add(int64(len(b)))
-	return c.Conn.Write(b)
+// Caller makes calls to the upstream. Each is answered later by StartDone, StopDone or HoldDone.
+type Caller interface {
+	Start(c StartCall)
+	Stop(c StopCall)
+	Hold(c HoldCall)
 }
 
-// watch notes which connection a request got and what had been written on it before.
-type watch struct {
-	conn *countingConn
-	base int64
+// Entries sends to the entries that are linked.
+type Entries interface {
+	Upstream(to ident.Incarnation, u fleet.Upstream)
+	Room(to ident.Incarnation, r fleet.Room)
+	End(to ident.Incarnation, e fleet.End)
+	Settled(to ident.Incarnation)
 }
 
-func (w *watch) got(info httptrace.GotConnInfo) {
-	conn, ok := info.Conn.(*countingConn)
-	if !ok {
-		return
-	}
-	w.conn, w.base = conn, conn.written.Load()
+// Observer is told of what changes the agent's beliefs, for logs and metrics.
+type Observer interface {
+	// Ended is called once for each run that an entry has ordered.
+	Ended(owner ident.Incarnation, e fleet.End)
+	// State is called when the state told to entries changes, with what decided it.
+	State(from, to fleet.State, why string)
+	// Orphaned is called when the runs of a lost entry are stopped.
+	Orphaned(owner ident.Incarnation, runs int, why string)
+	// Unsure is called when a start got no answer.
+	Unsure(task job.TaskID, run job.Run)
 }
 
-// untouched tells whether no byte of the request can have reached the upstream.
-func (w *watch) untouched() bool {
-	return w.conn == nil || w.conn.written.Load() == w.base
+// Keeper is the account of one upstream.
+type Keeper struct {
+	timing   fleet.Timing
+	caller   Caller
+	entries  Entries
+	observer Observer
+	start    time.Time
+
+	// up is the upstream's present life; known is false before its first heartbeat.
+	up    fleet.Upstream
+	known bool
+	// past holds earlier lives, whose late heartbeats are ignored.
+	past     map[ident.UpstreamID]bool
+	sequence uint64
+	leaving  bool
+
+	token Token
+	// bumped is when token was last raised.
+	bumped time.Time
+	seen   uint64
+	clock  reading
+	// until is the latest lease that any call carried.
+	until Clock
+
+	// looked is false until a hold of this life was answered: before, it isn't known what runs.
+	looked   bool
+	holding  bool
+	holdAt   time.Time
+	failures int
+	// strays are runs at the upstream that nobody here ordered.
+	strays map[strayKey]time.Time
+
+	runs     map[job.TaskID]*run
+	sessions map[ident.Incarnation]*session
+	health   health
+	told     fleet.State
 }
 
-// Close drops idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+type strayKey struct {
+	task job.TaskID
+	run  job.Run
+}
 
-// Run runs one task and returns when it has ended.
-func (c *Client) Run(ctx context.Context, t ledger.Task) ledger.Outcome {
-	begin := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, c.opt.TaskTimeout)
-	defer cancel()
-	w := &watch{}
-	req, err := c.request(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: w.got}), t)
-	if err != nil {
-		return ledger.Outcome{Verdict: verdict.NotRun, Reason: verdict.BadRequest}
-	}
-	resp, err := c.transport.RoundTrip(req)
-	if err != nil && w.untouched() {
-		return ledger.Outcome{Verdict: verdict.NotRun, Reason: verdict.ConnectFailed}
-	}
-	if err != nil {
-		return ledger.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.UpstreamLost, RunTime: time.Since(begin)}
-	}
-	out := c.read(resp)
-	out.RunTime = time.Since(begin)
-	return out
+// reading is the newest known reading of the upstream's clock.
+type reading struct {
+	clock Clock
+	at    time.Time
 }
 
-func (c *Client) request(ctx context.Context, t ledger.Task) (*http.Request, error) {
-	// The wrapper hides that the payload could be read again.
-	body := io.NopCloser(bytes.NewReader(t.Payload))
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(c.opt.Address)+"/task", body)
-	if err != nil {
-		return nil, errors.Wrap(err, "upstream")
-	}
-	req.ContentLength = int64(len(t.Payload))
-	if len(t.Payload) == 0 {
-		req.Body = http.NoBody
-	}
-	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(headerJob, t.Key.String())
-	req.Header.Set(headerIndex, strconv.FormatUint(uint64(t.Index), 10))
-	req.Header.Set(headerService, string(t.Service))
-	req.Header.Set("Hillreel-Task-Kind", t.Kind)
-	return req, nil
-}
-
-func (c *Client) read(resp *http.Response) ledger.Outcome {
-	defer resp.Body.Close()
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(headerVerdict) == string(verdict.NotRun) {
-		return ledger.Outcome{Verdict: verdict.NotRun, Reason: verdict.UpstreamRefused}
-	}
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, c.opt.AnswerLimit+1))
-	out := ledger.Outcome{
-		Verdict: verdict.Ran, Status: uint32(resp.StatusCode), Answer: answer,
-		OK: resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices,
-	}
-	if err != nil {
-		return ledger.Outcome{Verdict: verdict.MayHaveRun, Reason: verdict.UpstreamLost}
+// phase is where a run stands.
+type phase string
+
+const (
+	starting phase = "starting"
+	unsure   phase = "unsure"
+	running  phase = "running"
+)
+
+// run is one run at the upstream.
+type run struct {
+	task     job.TaskID
+	number   job.Run
+	owner    ident.Incarnation
+	epoch    uint64
+	spec     string
+	each     job.Resources
+	estimate time.Duration
+	// earlier counts failures of the job before this run.
+	earlier    uint32
+	checkpoint string
+
+	phase phase
+	begun time.Time
+	// sure is from when on a hold that does not list the run proves that it is not there.
+	sure time.Time
+
+	percent  int
+	advanced time.Time
+	sampled  bool
+
+	// stop is nil until the run is to be stopped.
+	stop *stopping
+	// next waits for this run's end: the same task, ordered anew.
+	next *waiting
+}
+
+// stopping says why and since when a run is being stopped.
+type stopping struct {
+	outcome job.Outcome
+	reason  fleet.Reason
+	since   time.Time
+	sent    time.Time
+	// calling is true while a stop call is under way.
+	calling bool
+	// orphan is true when the owner is lost, so that the stop must succeed within the budget.
+	orphan bool
+}
+
+// waiting is an order for a task that still runs here for somebody else.
+type waiting struct {
+	owner ident.Incarnation
+	epoch uint64
+	order fleet.Order
+	index int
+}
+
+// session is what an agent knows of one entry.
+type session struct {
+	epoch  uint64
+	linked bool
+	// echoed is the newest reading of the agent's clock that the entry has returned.
+	echoed time.Duration
+	// heard is false until the session has returned a reading.
+	heard   bool
+	seq     uint64
+	dirty   bool
+	urgent  bool
+	sent    time.Time
+	settled bool
+	unsent  []late
+}
+
+// late is an end that could not be told yet.
+type late struct {
+	end fleet.End
+	at  time.Time
+}
+
+// New returns a Keeper that knows nothing yet.
+func New(t fleet.Timing, now time.Time, c Caller, e Entries, o Observer) *Keeper {
+	return &Keeper{
+		timing: t, caller: c, entries: e, observer: o, start: now,
+		past:     make(map[ident.UpstreamID]bool),
+		strays:   make(map[strayKey]time.Time),
+		runs:     make(map[job.TaskID]*run),
+		sessions: make(map[ident.Incarnation]*session),
+		told:     fleet.Clearing,
 	}
-	if int64(len(answer)) > c.opt.AnswerLimit {
-		out.Answer, out.OK, out.Reason = nil, false, verdict.TooLarge
-		return out
+}
+
+// uptime is the agent's steady clock.
+func (k *Keeper) uptime(now time.Time) time.Duration { return now.Sub(k.start) }
+
+// upstreamClock is a reading that the upstream's clock has surely passed.
+func (k *Keeper) upstreamClock(now time.Time) Clock {
+	if k.clock.at.IsZero() {
+		return 0
 	}
-	if !out.OK {
-		out.Reason = verdict.TaskFailed
+	since := now.Sub(k.clock.at)
+	return k.clock.clock + Clock(float64(since)/slowest)
+}
+
+// slowest is how much slower than a true clock an upstream's may run; the platform allows 2%.
+const slowest = 1.02
+
+// read notes a reading that came with an answer.
+func (k *Keeper) read(now time.Time, c Clock) {
+	if c > k.upstreamClock(now) {
+		k.clock = reading{c, now}
 	}
-	return out
 }
+
+// lease returns the lease that a call made now carries.
+func (k *Keeper) lease(now time.Time) Clock {
+	until := k.upstreamClock(now) + Clock(k.timing.Lease)
+	k.until = max(k.until, until)
+	return until
+}
+
+// call returns what every call made now carries.
+func (k *Keeper) call(now time.Time) Call {
+	return Call{Instance: k.up.ID, Token: k.token, Sent: now}
+}
+
+// bump raises the token, so that calls made before can do nothing from the next answered call on.
+func (k *Keeper) bump(now time.Time) {
+	k.token = max(k.token+1, Token(time.Duration(k.upstreamClock(now)).Milliseconds()))
+	k.bumped = now
+}
+
+// Runs returns how many runs are, or may be, at the upstream.
+func (k *Keeper) Runs() int { return len(k.runs) }
+
+// Leave makes the agent take no more work.
+func (k *Keeper) Leave() { k.leaving = true; k.touchAll() }
+
+// Known returns the upstream and whether it has been heard of.
+func (k *Keeper) Known() (fleet.Upstream, bool) { return k.up, k.known }
--- a/internal/core/bus/bus.go
+++ b/internal/core/bus/bus.go
@@ -18,10 +18,8 @@
 
 // The topics and what their events hold.
 const (
-	// Members carries vms.List, each time the platform's list was read.
-	Members Topic = "members"
-	// Config carries state.Delta, from nothing, each time a higher version was adopted.
-	Config Topic = "config"
+	// Entries carries the link addresses of all entries, each time the store's list of them was read.
+	Entries Topic = "entries"
 )
 
 // backlog is how many events a slow subscriber may be behind.
--- /dev/null
+++ b/internal/core/fleet/fleet.go
@@ -0,0 +1,152 @@
+// Package fleet defines what entries and agents tell each other about upstreams and runs.
+package fleet
+
+import (
+	"time"
+
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+)
+
+// State says whether an upstream takes new tasks.
+type State string
+
+// The states.
+const (
+	// Ready: it takes what fits its free room.
+	Ready State = "ready"
+	// Probing: it has failed or stalled too much; it takes one task of the receiver's to find out more.
+	Probing State = "probing"
+	// Suspect: as Probing, but not now or not from the receiver.
+	Suspect State = "suspect"
+	// Leaving: the upstream or its agent ends soon.
+	Leaving State = "leaving"
+	// Clearing: the agent does not know yet all that runs there.
+	Clearing State = "clearing"
+	// Unreachable: the agent gets no answer from its upstream.
+	Unreachable State = "unreachable"
+)
+
+// Accepts tells whether a task may be offered in this state.
+func (s State) Accepts() bool { return s == Ready || s == Probing }
+
+// Upstream describes the upstream beside an agent.
+type Upstream struct {
+	ID      ident.UpstreamID
+	Service ident.Service
+	Labels  []job.Label
+	Total   job.Resources
+}
+
+// Has tells whether the upstream carries a label; every upstream carries the empty one.
+func (u *Upstream) Has(l job.Label) bool {
+	if l == "" {
+		return true
+	}
+	for _, have := range u.Labels {
+		if have == l {
+			return true
+		}
+	}
+	return false
+}
+
+// Room is what an upstream can take now.
+type Room struct {
+	Free job.Resources
+	// Seq is the newest Order of the receiver's session that Free takes into account.
+	Seq uint64
+	// Clock is the agent's steady clock when it sent this.
+	Clock time.Duration
+	State State
+	// Pace is the recent ratio of run times to estimates; zero is unknown.
+	Pace float64
+}
+
+// Order asks an agent to start tasks of one step.
+type Order struct {
+	// Seq counts the orders of one session from 1.
+	Seq      uint64
+	Job      job.ID
+	Step     uint32
+	Spec     string
+	Each     job.Resources
+	Estimate time.Duration
+	Tasks    []TaskRun
+}
+
+// TaskRun is one task in an Order.
+type TaskRun struct {
+	Index uint32
+	Run   job.Run
+	// Failures counts the failed runs of the job so far; with none, a failure says more of the upstream.
+	Failures uint32
+	// Checkpoint is what an earlier run saved; empty is none.
+	Checkpoint string
+}
+
+// Task returns the id of one task of the order.
+func (o *Order) Task(i int) job.TaskID {
+	return job.TaskID{Job: o.Job, Step: o.Step, Index: o.Tasks[i].Index}
+}
+
+// End reports how a run ended.
+type End struct {
+	Task    job.TaskID
+	Run     job.Run
+	Outcome job.Outcome
+	// Took is how long it ran, zero if it did not.
+	Took       time.Duration
+	Checkpoint string
+	// Reason explains an outcome that is not the task's own.
+	Reason Reason
+}
+
+// Reason says why a run ended otherwise than by itself, in one word.
+type Reason string
+
+// The reasons.
+const (
+	NoRoom        Reason = "no_room"
+	NotAccepting  Reason = "not_accepting"
+	StaleSession  Reason = "stale_session"
+	Refused       Reason = "upstream_refused"
+	NeverArrived  Reason = "never_arrived"
+	LeaseLapsed   Reason = "lease_lapsed"
+	UpstreamGone  Reason = "upstream_gone"
+	NoProgress    Reason = "no_progress"
+	OnRequest     Reason = "on_request"
+	NotListed     Reason = "not_listed"
+	AgentSilent   Reason = "agent_silent"
+	AgentReplaced Reason = "agent_replaced"
+	Moved         Reason = "moved"
+)
+
+// Timing holds the times on which the safety of placing a task again rests. Entries and agents share them.
+type Timing struct {
+	// Silence is how long an agent keeps an entry's runs without hearing from it.
+	Silence time.Duration
+	// Lease is how long the upstream keeps runs without hearing from its agent, by its own clock.
+	Lease time.Duration
+	// StopBudget is how long an agent tries to stop a run before it lets the lease of all lapse.
+	StopBudget time.Duration
+	// KeepAlive is the longest pause between two messages on a session.
+	KeepAlive time.Duration
+}
+
+// slowClock is how much longer a lease lasts on an upstream's clock that runs slow: the platform allows 2%.
+const slowClock = 1.02
+
+// settleMargin covers the upstream's own time to kill a lapsed run (stop_ms, 50 ms on all deployments seen)
+// and as much again for timers that fire late.
+const settleMargin = 100 * time.Millisecond
+
+// SettleAfter is how long after an entry last heard an agent's clock no run of that entry remains there.
+func (t Timing) SettleAfter() time.Duration {
+	return t.Silence + t.StopBudget + LeaseBound(t.Lease) + settleMargin
+}
+
+// LeaseBound is how long a lease can last by a true clock.
+func LeaseBound(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease) * slowClock)
+}
--- /dev/null
+++ b/internal/core/follow/follow.go
@@ -0,0 +1,126 @@
+// Package follow keeps a copy of one table of the platform's store: it reads the whole table once and then
+// waits for changes, reading the whole again when the store has forgotten them.
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"hillreel/internal/core/rows"
+)
+
+// Store is what a Follower needs of the store.
+type Store interface {
+	List(ctx context.Context, table rows.Table, part string) (rows.Page, error)
+	Watch(ctx context.Context, table rows.Table, after rows.Version, wait time.Duration) (rows.Page, error)
+}
+
+// The pauses after a failed reading: short at first, because an outage is often over at once, and no longer
+// than the shortest bound on putting a configuration in force (2 s) allows after the store's return.
+const (
+	firstPause = 50 * time.Millisecond
+	maxPause   = 500 * time.Millisecond
+)
+
+// Change is called with the rows that are new or were removed; whole is true when they are all there are.
+type Change func(changed []rows.Row, whole bool, now time.Duration)
+
+// Follower follows one table.
+type Follower struct {
+	store  Store
+	table  rows.Table
+	wait   time.Duration
+	change Change
+	log    *logrus.Entry
+
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New returns a Follower that has not begun. wait bounds one call that waits for changes: a change is noticed
+// at most that much later when the store falls silent and returns.
+func New(s Store, table rows.Table, wait time.Duration, c Change, log *logrus.Entry) *Follower {
+	return &Follower{
+		store: s, table: table, wait: wait, change: c, log: log.WithField("table", string(table)), done: make(chan struct{}),
+	}
+}
+
+// Start begins; that the store can't be read is no reason not to.
+func (f *Follower) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	go f.run(ctx)
+	return nil
+}
+
+// Stop ends it and waits.
+func (f *Follower) Stop() {
+	f.cancel()
+	<-f.done
+}
+
+func (f *Follower) run(ctx context.Context) {
+	defer close(f.done)
+	var at rows.Version
+	known, failing := false, false
+	pause := firstPause
+	for ctx.Err() == nil {
+		err := f.step(ctx, &at, &known)
+		if ctx.Err() != nil {
+			return
+		}
+		f.note(err, &failing)
+		if err == nil {
+			pause = firstPause
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, maxPause)
+	}
+}
+
+// step reads the whole table, or waits for changes.
+func (f *Follower) step(ctx context.Context, at *rows.Version, known *bool) error {
+	if !*known {
+		page, err := f.store.List(ctx, f.table, "")
+		if err != nil {
+			return err
+		}
+		f.change(page.Rows, true, page.Now)
+		*at, *known = page.Version, true
+		return nil
+	}
+	page, err := f.store.Watch(ctx, f.table, *at, f.wait)
+	if errors.Is(err, rows.ErrHistoryGone) {
+		*known = false
+		f.log.WithField("version", uint64(*at)).Info("store_history_gone")
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	*at = max(*at, page.Version)
+	if len(page.Rows) > 0 {
+		f.change(page.Rows, false, page.Now)
+	}
+	return nil
+}
+
+// note logs when the table becomes unreadable, and when it is readable again.
+func (f *Follower) note(err error, failing *bool) {
+	if (err != nil) == *failing {
+		return
+	}
+	*failing = err != nil
+	if err != nil {
+		f.log.WithField("error", err.Error()).Warn("store_lost")
+		return
+	}
+	f.log.Info("store_regained")
+}
--- a/internal/core/logs/logs.go
+++ b/internal/core/logs/logs.go
@@ -1,15 +1,91 @@
-// Package logs sets up logging: one line of key=value pairs for each event.
+// Package logs sets up logging: one line of key=value pairs for each event. Lines are written by a goroutine of
+// their own, at a bounded rate; what does not fit is dropped and counted, so that logging never holds up work.
 package logs
 
 import (
+	"expvar"
 	"io"
+	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 )
 
-// New returns the logger of one process. Every line names its role and node.
-func New(out io.Writer, level, role, node string) (*logrus.Entry, error) {
+// dropped counts lines that were not written.
+var dropped = expvar.NewInt("log_lines_dropped")
+
+// backlog is how many lines may wait to be written.
+const backlog = 1024
+
+// burst is how many seconds' worth of lines may come at once.
+const burst = 5
+
+// Writer passes lines on to another writer without ever blocking its caller.
+type Writer struct {
+	out   io.Writer
+	lines chan []byte
+	rate  float64
+
+	mu     sync.Mutex
+	tokens float64
+	filled time.Time
+}
+
+// NewWriter returns a Writer that passes on at most rate lines a second, over a few seconds.
+func NewWriter(out io.Writer, rate int) *Writer {
+	w := &Writer{
+		out: out, lines: make(chan []byte, backlog), rate: float64(rate), tokens: float64(rate * burst), filled: time.Now(),
+	}
+	go w.run()
+	return w
+}
+
+// Write queues a line. It never fails.
+func (w *Writer) Write(line []byte) (int, error) {
+	if !w.take(time.Now()) {
+		dropped.Add(1)
+		return len(line), nil
+	}
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+func (w *Writer) take(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tokens = min(w.tokens+now.Sub(w.filled).Seconds()*w.rate, w.rate*burst)
+	w.filled = now
+	if w.tokens < 1 {
+		return false
+	}
+	w.tokens--
+	return true
+}
+
+// run writes what has gathered, as much at once as there is.
+func (w *Writer) run() {
+	for line := range w.lines {
+		for more := true; more; {
+			select {
+			case next := <-w.lines:
+				line = append(line, next...)
+			default:
+				more = false
+			}
+		}
+		if _, err := w.out.Write(line); err != nil {
+			dropped.Add(1)
+		}
+	}
+}
+
+// New returns the logger of one process, writing to out. Every line names its role and node.
+func New(out io.Writer, level string, role, node string) (*logrus.Entry, error) {
 	parsed, err := logrus.ParseLevel(level)
 	if err != nil {
 		return nil, errors.Wrap(err, "log level")
--- /dev/null
+++ b/internal/core/metrics/metrics.go
@@ -0,0 +1,83 @@
+// Package metrics holds the counters and latency histograms of a process and serves them by expvar.
+package metrics
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// The bounds and precision of a histogram: 1 ms to 2 min, two digits.
+const (
+	lowestUs  = 100
+	highestUs = 120_000_000
+	digits    = 2
+)
+
+// Counters counts events by name.
+type Counters struct{ vars *expvar.Map }
+
+// NewCounters publishes an empty set of counters under a name, once a process.
+func NewCounters(name string) *Counters {
+	if v, ok := expvar.Get(name).(*expvar.Map); ok {
+		return &Counters{v}
+	}
+	return &Counters{expvar.NewMap(name)}
+}
+
+// Add counts n events.
+func (c *Counters) Add(event string, n int64) { c.vars.Add(event, n) }
+
+// Latencies holds one histogram for each key.
+type Latencies struct {
+	mu   sync.Mutex
+	keys map[string]*hdrhistogram.Histogram
+}
+
+// NewLatencies publishes an empty set of histograms under a name.
+func NewLatencies(name string) *Latencies {
+	l := &Latencies{keys: make(map[string]*hdrhistogram.Histogram)}
+	if expvar.Get(name) == nil {
+		expvar.Publish(name, expvar.Func(l.report))
+	}
+	return l
+}
+
+// Record adds one time.
+func (l *Latencies) Record(key string, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := l.keys[key]
+	if h == nil {
+		h = hdrhistogram.New(lowestUs, highestUs, digits)
+		l.keys[key] = h
+	}
+	us := min(max(d.Microseconds(), lowestUs), highestUs)
+	if err := h.RecordValue(us); err != nil {
+		panic("metrics: " + err.Error()) // the value was just brought into range
+	}
+}
+
+// summary is what is served of one histogram, in milliseconds.
+type summary struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+func (l *Latencies) report() any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]summary, len(l.keys))
+	for key, h := range l.keys {
+		ms := func(us int64) float64 { return float64(us) / 1000 }
+		out[key] = summary{
+			h.TotalCount(), ms(h.ValueAtQuantile(50)), ms(h.ValueAtQuantile(95)), ms(h.ValueAtQuantile(99)), ms(h.Max()),
+		}
+	}
+	return out
+}
--- a/internal/core/settings/settings.go
+++ b/internal/core/settings/settings.go
@@ -240,6 +240,11 @@
 	return ""
 }
 
+// tokenParts is name, role and token.
+const tokenParts = 3
+
+func splitToken(text string) []string { return strings.SplitN(text, "/", tokenParts) }
+
 func splitList(text string) []string {
 	var out []string
 	for _, part := range strings.Split(text, ",") {
--- /dev/null
+++ b/internal/core/web/web.go
@@ -0,0 +1,75 @@
+// Package web runs an HTTP server as a service of the kernel.
+package web
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/net/netutil"
+
+	"hillreel/internal/core/settings"
+)
+
+// Options bound what clients may do.
+type Options struct {
+	// HeaderTimeout and ReadTimeout bound the reading of headers and of a whole request, IdleTimeout the pause
+	// between two requests.
+	HeaderTimeout, ReadTimeout, IdleTimeout time.Duration
+	// MaxHeader bounds headers, in bytes.
+	MaxHeader int
+	// MaxConnections bounds open connections; more wait unaccepted. Zero is no bound.
+	MaxConnections int
+}
+
+// Small suits servers that only other processes of the platform or an operator call.
+var Small = Options{
+	HeaderTimeout: 3 * time.Second, ReadTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second, MaxHeader: 16 << 10,
+	MaxConnections: 64,
+}
+
+// Server is one HTTP server.
+type Server struct {
+	name    string
+	address settings.Address
+	server  *http.Server
+	options Options
+	ln      net.Listener
+	once    sync.Once
+}
+
+// New returns a Server that has not started; name stands in errors.
+func New(name string, address settings.Address, h http.Handler, o Options) *Server {
+	return &Server{name: name, address: address, options: o, server: &http.Server{
+		Handler: h, ReadHeaderTimeout: o.HeaderTimeout, ReadTimeout: o.ReadTimeout, IdleTimeout: o.IdleTimeout,
+		MaxHeaderBytes: o.MaxHeader,
+	}}
+}
+
+// Start listens.
+func (s *Server) Start(context.Context) error {
+	ln, err := net.Listen("tcp", string(s.address))
+	if err != nil {
+		return errors.Wrapf(err, "listen for %s", s.name)
+	}
+	if s.options.MaxConnections > 0 {
+		ln = netutil.LimitListener(ln, s.options.MaxConnections)
+	}
+	s.ln = ln
+	go s.server.Serve(ln) //nolint:errcheck // it ends with Stop or Shutdown
+	return nil
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() string { return s.ln.Addr().String() }
+
+// Shutdown stops listening, and returns when the requests in progress are answered or ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
+
+// Stop ends at once.
+func (s *Server) Stop() {
+	s.once.Do(func() { s.server.Close() }) //nolint:errcheck // nothing is left to do about it
+}
--- /dev/null
+++ b/internal/entry/dispatch/agents.go
@@ -0,0 +1,180 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+)
+
+// agent is what the entry knows of one agent.
+type agent struct {
+	id   ident.Incarnation
+	zone ident.Zone
+	// linked is true while there is a session.
+	linked bool
+	// described is true once the session has told of an upstream and its room.
+	described bool
+	up        fleet.Upstream
+	room      fleet.Room
+	// heard is when the newest reading of the agent's clock came; the entry echoes none that came later.
+	heard time.Time
+	// seq numbers the session's orders; sent lists those that room does not reflect yet, pending sums them.
+	seq     uint64
+	sent    []sent
+	pending job.Resources
+	probing bool
+	// runs holds the tasks that are, or may be, there.
+	runs map[job.TaskID]*task
+}
+
+type sent struct {
+	seq   uint64
+	total job.Resources
+}
+
+// free is the room that this entry has not given away yet.
+func (a *agent) free() job.Resources { return a.room.Free.Sub(a.pending) }
+
+// Linked handles a new session with an agent.
+func (t *Table) Linked(now time.Time, id ident.Incarnation, zone ident.Zone) {
+	a := t.agents[id]
+	if a == nil {
+		a = &agent{id: id, runs: make(map[job.TaskID]*task), heard: now}
+		t.agents[id] = a
+		t.order = append(t.order, a)
+	}
+	if a.linked {
+		t.Unlinked(now, id)
+	}
+	a.zone, a.linked, a.described, a.seq, a.sent, a.pending = zone, true, false, 0, nil, job.Resources{}
+}
+
+// Unlinked handles the end of a session: what was placed there may still run for a while.
+func (t *Table) Unlinked(now time.Time, id ident.Incarnation) {
+	a := t.agents[id]
+	if a == nil || !a.linked {
+		return
+	}
+	a.linked, a.described = false, false
+	for _, k := range a.runs {
+		k.phase = lost
+	}
+	if len(a.runs) > 0 {
+		t.observer.Lost(id, len(a.runs), "agent_lost")
+	}
+	t.expire(now, a)
+}
+
+// Upstream handles an agent's description of its upstream.
+func (t *Table) Upstream(id ident.Incarnation, u fleet.Upstream) {
+	if a := t.agents[id]; a != nil {
+		a.up = u
+	}
+}
+
+// Room handles an agent's news of its room.
+func (t *Table) Room(now time.Time, id ident.Incarnation, r fleet.Room) {
+	a := t.agents[id]
+	if a == nil || !a.linked {
+		return
+	}
+	a.heard, a.room, a.described, a.probing = now, r, a.up.ID != "", false
+	a.pending = job.Resources{}
+	rest := a.sent[:0]
+	for _, s := range a.sent {
+		if s.seq > r.Seq {
+			rest = append(rest, s)
+			a.pending = a.pending.Add(s.total)
+			a.probing = true
+		}
+	}
+	a.sent = rest
+	t.learnPace()
+	t.replaced(now, a)
+	t.Pump(now)
+}
+
+// replaced settles the runs of earlier agents of an upstream: its new agent takes work only once it knows that
+// nothing of theirs remains.
+func (t *Table) replaced(now time.Time, by *agent) {
+	if by.up.ID == "" || !by.room.State.Accepts() {
+		return
+	}
+	for _, a := range slices.Clone(t.order) {
+		if a != by && !a.linked && a.up.ID == by.up.ID {
+			t.settle(now, a, fleet.AgentReplaced)
+		}
+	}
+}
+
+// Settled handles an agent's word that nothing of this entry's earlier sessions remains there.
+func (t *Table) Settled(now time.Time, id ident.Incarnation) {
+	if a := t.agents[id]; a != nil {
+		t.settle(now, a, fleet.AgentSilent)
+		t.Pump(now)
+	}
+}
+
+// settle lets the tasks that were lost with an agent be placed again.
+func (t *Table) settle(now time.Time, a *agent, why fleet.Reason) {
+	n := 0
+	for _, k := range sortedTasks(a.runs) {
+		if k.phase != lost {
+			continue
+		}
+		n++
+		t.ended(now, a, k, fleet.End{Task: k.id, Run: k.run, Outcome: job.Lost, Reason: why})
+	}
+	if n > 0 {
+		t.observer.Lost(a.id, n, "agent_settled")
+	}
+	t.expire(now, a)
+}
+
+func sortedTasks(m map[job.TaskID]*task) []*task {
+	out := make([]*task, 0, len(m))
+	for _, k := range m {
+		out = append(out, k)
+	}
+	slices.SortFunc(out, func(a, b *task) int {
+		if a.id.Job != b.id.Job {
+			if a.id.Job < b.id.Job {
+				return -1
+			}
+			return 1
+		}
+		if a.id.Step != b.id.Step {
+			return int(a.id.Step) - int(b.id.Step)
+		}
+		return int(a.id.Index) - int(b.id.Index)
+	})
+	return out
+}
+
+// expire forgets an agent that is not linked and has nothing.
+func (t *Table) expire(_ time.Time, a *agent) {
+	if a.linked || len(a.runs) > 0 {
+		return
+	}
+	delete(t.agents, a.id)
+	t.order = slices.DeleteFunc(t.order, func(o *agent) bool { return o == a })
+}
+
+// learnPace takes the median of all paces, by which objectives and upstreams are judged.
+func (t *Table) learnPace() {
+	var paces []float64
+	for _, a := range t.order {
+		if a.linked && a.room.Pace > 0 {
+			paces = append(paces, a.room.Pace)
+		}
+	}
+	if len(paces) == 0 {
+		t.pace = 1
+		return
+	}
+	slices.Sort(paces)
+	t.pace = paces[len(paces)/2]
+}
--- /dev/null
+++ b/internal/entry/dispatch/ends.go
@@ -0,0 +1,143 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/verdict"
+)
+
+// minAttempts is how many failed runs at different upstreams it takes at least to fail a job that need not be
+// kept. A bad upstream fails what it starts at once, so that a job's own two attempts could both meet one.
+const minAttempts = 3
+
+// usedStep is by how much a run's number rises when the upstream has seen it: the job was sent before, and its
+// earlier entry has used numbers from 1 on.
+const usedStep = 8
+
+// Ended handles the end of a run.
+func (t *Table) Ended(now time.Time, id ident.Incarnation, e fleet.End) {
+	a := t.agents[id]
+	if a == nil {
+		return
+	}
+	k := a.runs[e.Task]
+	if k == nil || k.run != e.Run {
+		return
+	}
+	t.ended(now, a, k, e)
+	t.Pump(now)
+}
+
+// ended takes a run off its agent and decides what becomes of the task.
+func (t *Table) ended(now time.Time, a *agent, k *task, e fleet.End) {
+	delete(a.runs, k.id)
+	j := k.job
+	j.out--
+	j.longest = max(j.longest, e.Took)
+	if e.Checkpoint != "" {
+		k.checkpoint = e.Checkpoint
+	}
+	upstream := a.up.ID
+	k.agent = nil
+	if j.ending {
+		k.phase = over
+		t.observer.Ended(a.id, e, "given_up")
+		t.forget(now, j)
+		return
+	}
+	switch e.Outcome {
+	case job.Done:
+		t.observer.Ended(a.id, e, "done")
+		t.done(now, k)
+		return
+	case job.Failed:
+		j.failures++
+		k.failures++
+		k.avoid = append(k.avoid, upstream)
+		if k.failures >= max(j.route.Attempts, minAttempts) {
+			t.observer.Ended(a.id, e, "job_fails")
+			k.phase = over
+			t.close(now, j, Answer{State: verdict.Failed, Verdict: verdict.Ran, Reason: verdict.TaskFailed})
+			return
+		}
+	case job.Stalled:
+		if !slices.Contains(k.avoid, upstream) {
+			k.avoid = append(k.avoid, upstream)
+		}
+	case job.Used:
+		k.run += usedStep
+		j.runs--
+	case job.NotStarted:
+		// Nothing was started: what this job has begun is unchanged.
+		j.runs--
+	}
+	t.observer.Ended(a.id, e, "again")
+	j.begun = j.begun && (j.runs > 0)
+	t.wait(k)
+}
+
+// done ends a task well, and its job with the last one.
+func (t *Table) done(now time.Time, k *task) {
+	j := k.job
+	k.phase = over
+	j.remaining--
+	j.left[k.id.Step]--
+	if j.remaining == 0 {
+		t.close(now, j, Answer{State: verdict.Complete, Verdict: verdict.Ran})
+		return
+	}
+	if j.left[k.id.Step] == 0 {
+		t.unblock(j)
+	}
+}
+
+// Tick does what time alone brings about.
+func (t *Table) Tick(now time.Time) {
+	t.settleSilent(now)
+	for _, j := range t.sortedJobs() {
+		switch {
+		case j.ending:
+		case !j.deadline.IsZero() && now.After(j.deadline):
+			t.expireJob(now, j)
+		case !j.begun && now.After(j.startBy):
+			// It can't be in time any more, and nothing of it was offered to an upstream.
+			t.close(now, j, Answer{
+				State: verdict.Refused, Verdict: verdict.NotRun, Reason: verdict.Overloaded, RetryAfter: refusedRetry,
+			})
+		}
+	}
+	t.Pump(now)
+}
+
+// expireJob gives up a job whose caller waits no longer.
+func (t *Table) expireJob(now time.Time, j *jobState) {
+	if j.begun {
+		t.close(now, j, Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Deadline})
+		return
+	}
+	t.close(now, j, Answer{
+		State: verdict.Refused, Verdict: verdict.NotRun, Reason: verdict.Deadline, RetryAfter: refusedRetry,
+	})
+}
+
+// settleSilent settles agents that have been lost for so long that nothing runs there any more.
+func (t *Table) settleSilent(now time.Time) {
+	for _, a := range slices.Clone(t.order) {
+		if !a.linked && now.Sub(a.heard) >= t.opts.Timing.SettleAfter() {
+			t.settle(now, a, fleet.AgentSilent)
+		}
+	}
+}
+
+func (t *Table) sortedJobs() []*jobState {
+	out := make([]*jobState, 0, len(t.jobs))
+	for _, j := range t.jobs {
+		out = append(out, j)
+	}
+	slices.SortFunc(out, before)
+	return out
+}
--- a/internal/entry/node/links.go
+++ b/internal/entry/node/links.go
@@ -1,159 +1,163 @@
 package node
 
 import (
-	"context"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+	"hillreel/internal/link/codec"
 	"hillreel/internal/link/session"
 	"hillreel/internal/link/wire"
-	"hillreel/internal/platform/vms"
 )
 
+// roleEntry stands in an entry's hello.
+const roleEntry = "entry"
+
 func (n *Node) hello() *wire.Hello {
-	return &wire.Hello{
-		Role: string(vms.Entry), Name: n.set.Node.Name, Incarnation: uint64(n.inc), Address: n.Address(),
-		Zone: n.set.Node.Zone, Region: n.set.Node.Region, ClockMs: time.Now().UnixMilli(),
+	h := &wire.Hello{
+		Role: roleEntry, Name: n.set.Node.Name, Incarnation: uint64(n.inc), Zone: n.set.Node.Zone,
+		Region: n.set.Node.Region, Link: n.Address(),
+	}
+	if t := n.routes.Load(); t != nil {
+		h.ConfigVersion = uint64(t.Version)
 	}
+	return h
 }
 
-// handleMembers dials what the list has new and stops dialling what it has no more. A link that stands is
-// kept: the list lags, the link does not.
-func (n *Node) handleMembers(list vms.List) {
-	wanted := make(map[ident.Address]bool)
-	for _, vm := range list.VMs {
-		if vm.Region != ident.Region(n.set.Node.Region) || vm.Address == ident.Address(n.Address()) {
-			continue
+// accept takes the links that agents open.
+func (n *Node) accept() {
+	for {
+		conn, err := n.ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
 		}
-		// Of two entries, the one with the lower address dials.
-		if vm.Role == vms.Entry && vm.Address < ident.Address(n.Address()) {
+		if err != nil {
+			n.log.WithField("error", err.Error()).Warn("link_not_accepted")
+			time.Sleep(n.set.Links.RedialEvery)
 			continue
 		}
-		if vm.Role == vms.Agent && vm.State == vms.Leaving {
-			n.table.AgentLeavingAt(vm.Address)
-		}
-		wanted[vm.Address] = true
-		if n.dialled[vm.Address] == nil {
-			ctx, cancel := context.WithCancel(n.ctx)
-			n.dialled[vm.Address] = cancel
-			go n.keepLink(ctx, vm.Address)
-		}
-	}
-	for address, cancel := range n.dialled {
-		if !wanted[address] {
-			cancel()
-			delete(n.dialled, address)
-			n.table.Unlisted(address)
-		}
+		go n.serve(conn)
 	}
 }
 
-// keepLink dials address again and again until ctx ends.
-func (n *Node) keepLink(ctx context.Context, address ident.Address) {
-	for ctx.Err() == nil {
-		s, err := session.Dial(n.dial, string(address), n.set.Links.DialTimeout, n.hello())
-		if err == nil {
-			ended := make(chan struct{})
-			if n.loop.Post(linkUp{s, ended}) {
-				<-ended
-			}
-		} else {
-			n.noteRefusal(address, err)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(n.set.Links.RedialEvery):
-		}
+// serve runs one link until it ends.
+func (n *Node) serve(conn net.Conn) {
+	s, err := session.Accept(conn, n.hello())
+	if err != nil {
+		n.log.WithField("error", err.Error()).Info("link_greeting_failed")
+		return
+	}
+	if !n.loop.Post(linkUp{s}) {
+		s.Close()
+		return
 	}
+	err = s.Receive(func(msgs []*wire.Msg) { n.loop.Post(received{s, msgs}) })
+	n.loop.Post(linkDown{s, err})
 }
 
-// noteRefusal takes a refused connection as the word that nobody listens there any more: its process has
-// ended. That is only a hint; safety rests on seals.
-func (n *Node) noteRefusal(address ident.Address, err error) {
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		n.loop.Post(func() { n.table.Unlisted(address) })
+func (n *Node) handleLinkUp(now time.Time, s *session.Session) {
+	id := ident.Incarnation(s.Remote.GetIncarnation())
+	if old := n.links[id]; old != nil {
+		old.session.Close()
+		n.dropLink(now, old)
+	}
+	n.links[id] = &link{
+		agent: id, session: s, heard: now, pinged: now, config: ident.ConfigVersion(s.Remote.GetConfigVersion()),
+	}
+	n.linked.Store(int32(len(n.links)))
+	n.log.WithFields(logrus.Fields{"agent": s.Remote.GetName(), "incarnation": id, "zone": s.Remote.GetZone()}).Info("link_up")
+	n.table.Linked(now, id, ident.Zone(s.Remote.GetZone()))
+	if len(n.peers) > 0 {
+		s.Send(codec.Peers(n.peers))
 	}
 }
 
-// probe asks whether anybody listens at the address of a process whose link was lost. Those who were dialled
-// would not notice otherwise.
-func (n *Node) probe(address ident.Address) {
-	conn, err := n.dial(string(address), n.set.Links.DialTimeout)
-	if err != nil {
-		n.noteRefusal(address, err)
+func (n *Node) handleLinkDown(now time.Time, s *session.Session, err error) {
+	l := n.linkOf(s)
+	if l == nil {
 		return
 	}
-	conn.Close()
+	n.log.WithFields(logrus.Fields{"agent": s.Remote.GetName(), "incarnation": l.agent, "error": err}).Warn("link_down")
+	n.dropLink(now, l)
 }
 
-func (n *Node) accept() {
-	for {
-		conn, err := n.ln.Accept()
-		if err != nil {
-			return
-		}
-		go func(conn net.Conn) {
-			s, err := session.Accept(conn, n.hello())
-			if err != nil {
-				n.log.WithField("error", err.Error()).Debug("link_refused")
-				return
-			}
-			if !n.loop.Post(linkUp{s, nil}) {
-				s.Close()
-			}
-		}(conn)
+// linkOf returns the present link of a session, or nil when another has taken its place.
+func (n *Node) linkOf(s *session.Session) *link {
+	l := n.links[ident.Incarnation(s.Remote.GetIncarnation())]
+	if l == nil || l.session != s {
+		return nil
 	}
+	return l
 }
 
-func (n *Node) linksOf(role string) map[ident.Incarnation]link {
-	if role == string(vms.Agent) {
-		return n.agents
+func (n *Node) dropLink(now time.Time, l *link) {
+	delete(n.links, l.agent)
+	n.linked.Store(int32(len(n.links)))
+	n.table.Unlinked(now, l.agent)
+}
+
+func (n *Node) handleReceived(now time.Time, s *session.Session, msgs []*wire.Msg) {
+	l := n.linkOf(s)
+	if l == nil {
+		return
+	}
+	l.heard = now
+	for _, m := range msgs {
+		n.handleMessage(now, l, m)
 	}
-	return n.peers
 }
 
-func (n *Node) handleLinkUp(e linkUp) {
-	h := e.session.Remote
-	n.counter++
-	number, from, role := n.counter, ident.Incarnation(h.GetIncarnation()), h.GetRole()
-	held := n.linksOf(role)
-	if old, ok := held[from]; ok {
-		go old.session.Close()
-	}
-	held[from] = link{number, e.session, ident.Address(h.GetAddress())}
-	if role == string(vms.Agent) {
-		n.table.AgentUp(h, number)
-	} else {
-		n.table.PeerUp(h, number)
-	}
-	n.greetConfig(from, h)
-	n.log.WithFields(logrus.Fields{"peer_role": role, "peer": h.GetName(), "incarnation": from}).Info("link_up")
-	go func() {
-		err := e.session.Receive(func(msgs []*wire.Msg) { n.loop.Post(received{role, from, number, msgs}) })
-		n.log.WithFields(logrus.Fields{"peer_role": role, "peer": h.GetName(), "error": err.Error()}).Info("link_down")
-		n.loop.Post(linkDown{role, from, number})
-		if e.ended != nil {
-			close(e.ended)
+func (n *Node) handleMessage(now time.Time, l *link, m *wire.Msg) {
+	switch m := m.GetKind().(type) {
+	case *wire.Msg_Upstream:
+		n.table.Upstream(l.agent, codec.ReadUpstream(m.Upstream))
+	case *wire.Msg_Room:
+		r := codec.ReadRoom(m.Room)
+		first := l.clock == 0
+		l.clock = r.Clock
+		if first {
+			n.ping(now, l)
 		}
-	}()
+		n.table.Room(now, l.agent, r)
+	case *wire.Msg_Ended:
+		n.table.Ended(now, l.agent, codec.ReadEnd(m.Ended))
+	case *wire.Msg_Settled:
+		n.table.Settled(now, l.agent)
+	case *wire.Msg_Config:
+		n.handleRelayed(l, m.Config)
+	default:
+		n.log.WithField("agent", l.session.Remote.GetName()).Warn("message_unknown")
+	}
 }
 
-func (n *Node) handleLinkDown(e linkDown) {
-	held := n.linksOf(e.role)
-	if held[e.from].number != e.number {
-		return
+// ping lets an agent keep this entry's runs.
+func (n *Node) ping(now time.Time, l *link) {
+	l.pinged = now
+	var v ident.ConfigVersion
+	if t := n.routes.Load(); t != nil {
+		v = t.Version
 	}
-	go n.probe(held[e.from].address)
-	delete(held, e.from)
-	n.forgetConfig(e.from)
-	if e.role == string(vms.Agent) {
-		n.table.AgentDown(e.from, e.number)
-	} else {
-		n.table.PeerDown(e.from, e.number)
+	l.session.Send(codec.Ping(l.clock, v))
+}
+
+// sender sends the table's orders to agents.
+type sender Node
+
+// Order sends an order.
+func (s *sender) Order(agent ident.Incarnation, o fleet.Order) {
+	if l := s.links[agent]; l != nil {
+		l.session.Send(codec.Order(o))
+	}
+}
+
+// Stop sends the wish to stop a run.
+func (s *sender) Stop(agent ident.Incarnation, t job.TaskID, r job.Run) {
+	if l := s.links[agent]; l != nil {
+		l.session.Send(codec.Stop(t, r))
 	}
 }
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -1,9 +1,10 @@
-// Package node is the entry process's control part: it keeps the table of jobs on one control goroutine,
-// holds the links to the agents of its region and to the other entries, and follows the platform's list.
+// Package node is an entry's control part: it keeps the table of jobs on one control goroutine, and holds the
+// links that agents open to it.
 package node
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"time"
@@ -11,276 +12,248 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"hillreel/internal/config/object"
-	"hillreel/internal/core/bus"
+	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
 	"hillreel/internal/core/loop"
+	"hillreel/internal/core/route"
 	"hillreel/internal/core/settings"
-	"hillreel/internal/entry/burn"
-	"hillreel/internal/entry/job"
+	"hillreel/internal/entry/dispatch"
 	"hillreel/internal/link/session"
 	"hillreel/internal/link/wire"
-	"hillreel/internal/platform/vms"
-	"hillreel/internal/policy/estimate"
-	"hillreel/internal/policy/order"
 )
 
-// Node is one entry.
+// Node is the control part of one entry.
 type Node struct {
 	set    *settings.Settings
-	inc    ident.Incarnation
 	log    *logrus.Entry
-	bus    *bus.Bus
-	dial   session.Dialer
-	signer *ident.Signer
-	placer job.Placer
-	ended  func(burn.Job)
-	now    func() time.Time
+	inc    ident.Incarnation
 	loop   *loop.Loop
+	decode Decoder
 	ln     net.Listener
-	ctx    context.Context
-	cancel context.CancelFunc
-	// objectives is a snapshot that any goroutine may read.
-	objectives atomic.Pointer[[]object.Objective]
 
-	// The fields below belong to the control goroutine.
-	table   *job.Table
-	config  *configControl
-	agents  map[ident.Incarnation]link
-	peers   map[ident.Incarnation]link
-	counter uint64
-	// dialled holds the addresses that a goroutine keeps a link to.
-	dialled map[ident.Address]context.CancelFunc
-}
+	// The control goroutine owns what follows.
+	table   *dispatch.Table
+	links   map[ident.Incarnation]*link
+	callers map[dispatch.CallerID]chan dispatch.Answer
+	peers   []string
+	ticked  time.Time
 
-type link struct {
-	number  uint64
-	session *session.Session
-	address ident.Address
+	routes  atomic.Pointer[route.Table]
+	lastID  atomic.Uint64
+	linked  atomic.Int32
+	leaving atomic.Bool
 }
 
-type linkUp struct {
+// link is the session with one agent.
+type link struct {
+	agent   ident.Incarnation
 	session *session.Session
-	// ended is closed once the link is down; it may be nil.
-	ended chan struct{}
-}
-
-type linkDown struct {
-	role   string
-	from   ident.Incarnation
-	number uint64
+	// heard is when the last frame came, pinged when the last keep-alive went out.
+	heard, pinged time.Time
+	// clock is the newest reading of the agent's clock.
+	clock time.Duration
+	// config is the version that the agent can pass on, as far as it is known.
+	config ident.ConfigVersion
 }
 
-type received struct {
-	role   string
-	from   ident.Incarnation
-	number uint64
-	msgs   []*wire.Msg
-}
-
-type members struct{ list vms.List }
-
-// Deps are what an entry needs of its surroundings.
-type Deps struct {
-	Bus    *bus.Bus
-	Dial   session.Dialer
-	Signer *ident.Signer
-	Placer job.Placer
-	Now    func() time.Time
-	// Ended is told of every job that the entry ends; it may be nil.
-	Ended func(burn.Job)
-	Log   *logrus.Entry
+// New returns a Node that has not started.
+func New(set *settings.Settings, d Decoder, observer dispatch.Observer, log *logrus.Entry) *Node {
+	n := &Node{
+		set: set, log: log, inc: ident.NewIncarnation(), loop: loop.New(), decode: d,
+		links:   make(map[ident.Incarnation]*link),
+		callers: make(map[dispatch.CallerID]chan dispatch.Answer),
+	}
+	options := dispatch.Options{
+		Timing: Timing(set), Zone: ident.Zone(set.Node.Zone), MaxQueue: set.Entry.QueueLimit, MaxTasks: set.Entry.MaxTasks,
+	}
+	n.table = dispatch.New(options, (*sender)(n), (*answerer)(n), observer, rand.Uint64())
+	return n
 }
 
-// New returns an entry that has not started.
-func New(set *settings.Settings, d Deps) *Node {
-	return &Node{
-		set: set, inc: ident.NewIncarnation(), log: d.Log, bus: d.Bus, dial: d.Dial, signer: d.Signer,
-		ended: d.Ended, placer: d.Placer, now: d.Now, loop: loop.New(), config: newConfigControl(),
-		agents:  make(map[ident.Incarnation]link),
-		peers:   make(map[ident.Incarnation]link),
-		dialled: make(map[ident.Address]context.CancelFunc),
-	}
+// Timing reads the times that entries and agents share.
+func Timing(set *settings.Settings) fleet.Timing {
+	l := set.Links
+	return fleet.Timing{Silence: l.Silence, Lease: l.Lease, StopBudget: l.StopBudget, KeepAlive: l.KeepAlive}
 }
 
-// Start listens for other entries and begins to follow the platform's list.
+// Start listens for links and starts the control goroutine.
 func (n *Node) Start(context.Context) error {
 	ln, err := net.Listen("tcp", string(n.set.Node.Link))
 	if err != nil {
-		return errors.Wrap(err, "entry: listen for entries")
+		return errors.Wrap(err, "listen for links")
 	}
 	n.ln = ln
-	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.table = job.New(job.Options{
-		Self: n.inc, Address: ident.Address(n.Address()),
-		Zone: ident.Zone(n.set.Node.Zone), Region: ident.Region(n.set.Node.Region), Signer: n.signer,
-		Retention: n.set.Jobs.Retention, AnswerWait: n.set.Jobs.AnswerWait,
-		SuspectAfter: n.set.Links.SuspectAfter, GoneAfter: n.set.Links.GoneAfter,
-		QueueLimit: n.set.Entry.QueueLimit, AnswerBytes: int(n.set.Entry.AnswerBytes),
-		Now: n.now, Log: n.log,
-		Order: order.New(order.Name(n.set.Policy.Order), n.set.Policy.Ageing), LongestFirst: n.set.Policy.LongestFirst,
-		Estimate: estimate.New(n.set.Policy.Learn), Prefetch: n.set.Policy.Prefetch, MaxWait: n.set.Policy.MaxWait, MaxRoster: n.set.Jobs.MaxRoster, Guard: n.set.Policy.Guard,
-		Ended: n.ended,
-	}, (*links)(n), n.placer)
-	go n.loop.Run(n.set.Links.Tick, n.handle, n.table.Tick)
-	if err := bus.Subscribe(n.ctx, n.bus, bus.Members, func(l vms.List) { n.loop.Post(members{l}) }); err != nil {
-		return err
-	}
-	if err := n.subscribeConfig(); err != nil {
-		return err
-	}
+	n.ticked = time.Now()
+	go n.loop.Run(n.set.Links.Tick, n.handle, n.tick)
 	go n.accept()
-	n.log.WithFields(logrus.Fields{"incarnation": n.inc, "link": ln.Addr()}).Info("entry_started")
 	return nil
 }
 
-// Address returns where the entry listens for other entries.
+// Address returns where the node listens for links.
 func (n *Node) Address() string { return n.ln.Addr().String() }
 
-// Incarnation returns this entry's incarnation.
+// Incarnation returns this life of the entry.
 func (n *Node) Incarnation() ident.Incarnation { return n.inc }
 
 // Stop ends at once.
 func (n *Node) Stop() {
-	n.ln.Close()
-	n.cancel()
+	if n.ln != nil {
+		n.ln.Close() //nolint:errcheck // it is closed only here
+	}
 	n.loop.Call(func() {
-		for _, l := range n.agents {
-			l.session.Close()
-		}
-		for _, l := range n.peers {
+		for _, l := range n.links {
 			l.session.Close()
 		}
 	})
 	n.loop.Stop()
 }
 
-// Drain hands the unused ids over, and returns when this entry's jobs have ended or ctx ends.
-func (n *Node) Drain(ctx context.Context) {
-	n.loop.Call(n.table.Drain)
-	n.log.Info("entry_leaving")
-	for ctx.Err() == nil {
-		open := 0
-		n.loop.Call(func() { open = n.table.Open() })
-		if open == 0 {
-			break
-		}
-		time.Sleep(n.set.Links.Tick)
+// The events that the control goroutine handles.
+type (
+	linkUp struct{ session *session.Session }
+	// linkDown carries the session, since a newer one may have taken its place.
+	linkDown struct {
+		session *session.Session
+		err     error
 	}
-	var sessions []*session.Session
-	n.loop.Call(func() {
-		n.table.Tick()
-		for _, l := range n.agents {
-			sessions = append(sessions, l.session)
-		}
-		for _, l := range n.peers {
-			sessions = append(sessions, l.session)
-		}
-	})
-	for _, s := range sessions {
-		s.Flush(time.Second)
+	received struct {
+		session *session.Session
+		msgs    []*wire.Msg
+	}
+	submitted struct {
+		request dispatch.Request
+		answer  chan dispatch.Answer
+	}
+	abandoned struct {
+		job    job.ID
+		caller dispatch.CallerID
+	}
+	cancelled struct {
+		job   job.ID
+		found chan bool
+	}
+	configured struct {
+		table *route.Table
+		from  ident.Incarnation
+	}
+	listed struct{ links []ident.Address }
+)
+
+func (n *Node) handle(e loop.Event) {
+	n.catchUp(time.Now())
+	now := time.Now()
+	switch e := e.(type) {
+	case linkUp:
+		n.handleLinkUp(now, e.session)
+	case linkDown:
+		n.handleLinkDown(now, e.session, e.err)
+	case received:
+		n.handleReceived(now, e.session, e.msgs)
+	case submitted:
+		n.callers[e.request.Caller] = e.answer
+		n.table.Submit(now, e.request)
+	case abandoned:
+		delete(n.callers, e.caller)
+		n.table.Abandon(now, e.job, e.caller)
+	case cancelled:
+		e.found <- n.table.Cancel(now, e.job)
+	case configured:
+		n.handleConfigured(e.table, e.from)
+	case listed:
+		n.handleListed(e.links)
 	}
 }
 
-// Mint returns n fresh ids.
-func (n *Node) Mint(service ident.Service, count int) (ids []ident.JobID, err error) {
-	n.loop.Call(func() { ids, err = n.table.Mint(service, count) })
-	return ids, err
+// catchUp lets time pass before anything else when the process has stood still: what has expired meanwhile must
+// not be acted on.
+func (n *Node) catchUp(now time.Time) {
+	if gap := now.Sub(n.ticked); gap > n.set.Links.Silence/2 {
+		n.log.WithField("gap_ms", gap.Milliseconds()).Warn("process_stood_still")
+		n.tick()
+	}
 }
 
-// Do serves one request; the answer comes on the channel, once.
-func (n *Node) Do(req job.Request) <-chan *wire.Answer {
-	answers := make(chan *wire.Answer, 1)
-	req.Answer = func(a *wire.Answer) { answers <- a }
-	n.loop.Post(func() { n.table.Do(req) })
-	return answers
+func (n *Node) tick() {
+	now := time.Now()
+	n.ticked = now
+	n.table.Tick(now)
+	for _, l := range n.links {
+		if now.Sub(l.heard) > n.set.Links.Silence {
+			n.log.WithFields(logrus.Fields{"agent": l.session.Remote.GetName(), "silent_ms": now.Sub(l.heard).Milliseconds()}).Warn("link_silent")
+			l.session.Close()
+			n.dropLink(now, l)
+			continue
+		}
+		if now.Sub(l.pinged) >= n.set.Links.KeepAlive {
+			n.ping(now, l)
+		}
+	}
 }
 
-// Signer returns what checks job ids.
-func (n *Node) Signer() *ident.Signer { return n.signer }
+// Submit hands a job in and waits for its answer, or until ctx ends: then the caller has gone.
+func (n *Node) Submit(ctx context.Context, r dispatch.Request) (dispatch.Answer, error) {
+	r.Caller = dispatch.CallerID(n.lastID.Add(1))
+	answer := make(chan dispatch.Answer, 1)
+	if !n.loop.Post(submitted{r, answer}) {
+		return dispatch.Answer{}, errors.New("entry: stopped")
+	}
+	select {
+	case a := <-answer:
+		return a, nil
+	case <-ctx.Done():
+		n.loop.Post(abandoned{r.Job, r.Caller})
+		return dispatch.Answer{}, ctx.Err()
+	}
+}
 
-// Status is what metrics and health show of an entry.
-type Status struct {
-	Incarnation string
-	Agents      int
-	Peers       int
-	Open        int
-	Waiting     int
-	Leaving     bool
-	Config      ident.ConfigVersion
-	Counts      job.Counts
+// Cancel ends a job, and tells whether it was held here.
+func (n *Node) Cancel(id job.ID) bool {
+	found := make(chan bool, 1)
+	if !n.loop.Post(cancelled{id, found}) {
+		return false
+	}
+	return <-found
 }
 
-// Status returns the present state.
-func (n *Node) Status() Status {
-	var s Status
-	n.loop.Call(func() {
-		s = Status{
-			n.inc.String(), len(n.agents), len(n.peers), n.table.Open(), n.table.Waiting(),
-			n.table.Leaving(), n.config.adopter.Current().Version(), n.table.Counts(),
-		}
-	})
-	return s
+// NotBegun counts a queue's jobs that have not begun.
+func (n *Node) NotBegun(r route.Name) (count int) {
+	n.loop.Call(func() { count = n.table.NotBegun(r) })
+	return count
 }
 
-// Ready tells whether callers' jobs can be taken, and why not.
+// Ready tells whether the entry wants new connections.
 func (n *Node) Ready() (bool, string) {
-	s := n.Status()
 	switch {
-	case s.Leaving:
+	case n.leaving.Load():
 		return false, "leaving"
-	case s.Agents == 0:
-		return false, "no link to any agent"
+	case n.routes.Load() == nil:
+		return false, "no configuration yet"
+	case n.linked.Load() == 0:
+		return false, "no agent is linked"
 	}
 	return true, "ready"
 }
 
-func (n *Node) handle(e loop.Event) {
-	switch e := e.(type) {
-	case linkUp:
-		n.handleLinkUp(e)
-	case linkDown:
-		n.handleLinkDown(e)
-	case received:
-		n.handleReceived(e)
-	case newState:
-		n.handleNewState(e.state)
-	case members:
-		n.handleMembers(e.list)
-	}
-}
-
-func (n *Node) handleReceived(e received) {
-	for _, m := range e.msgs {
-		if c := m.GetConfig(); c != nil {
-			n.handleConfig(e.from, c)
-			continue
-		}
-		if c := m.GetConfigRunning(); c != nil {
-			n.handleConfigRunning(e.from, c)
-			continue
-		}
-		if e.role == string(vms.Agent) {
-			n.table.FromAgent(e.from, e.number, m)
-			continue
-		}
-		n.table.FromPeer(e.from, m)
-	}
-}
+// Leave makes the entry unready; what it is sent meanwhile is still served.
+func (n *Node) Leave() { n.leaving.Store(true) }
 
-// links sends the table's messages.
-type links Node
+// Leaving tells whether the entry is about to end.
+func (n *Node) Leaving() bool { return n.leaving.Load() }
 
-// ToAgent drops the message when there is no link.
-func (l *links) ToAgent(to ident.Incarnation, m *wire.Msg) {
-	if x, ok := l.agents[to]; ok {
-		x.session.Send(m)
-	}
+// Unanswered returns how many jobs have callers that wait.
+func (n *Node) Unanswered() (count int) {
+	n.loop.Call(func() { count = n.table.Unanswered() })
+	return count
 }
 
-// ToPeer drops the message when there is no link.
-func (l *links) ToPeer(to ident.Incarnation, m *wire.Msg) {
-	if x, ok := l.peers[to]; ok {
-		x.session.Send(m)
+// answerer hands answers to the callers that wait.
+type answerer Node
+
+// Answer answers one caller; one that has gone is passed over.
+func (a *answerer) Answer(c dispatch.CallerID, answer dispatch.Answer) {
+	if waiting := a.callers[c]; waiting != nil {
+		waiting <- answer
+		delete(a.callers, c)
 	}
 }
--- /dev/null
+++ b/internal/entry/node/observe.go
@@ -0,0 +1,99 @@
+package node
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/metrics"
+	"hillreel/internal/core/route"
+	"hillreel/internal/core/verdict"
+	"hillreel/internal/entry/dispatch"
+)
+
+// maxTrace bounds the steps that are kept of one job's way; the end of a long way says the least.
+const maxTrace = 24
+
+// Observer logs and counts an entry's decisions. One line is written for each job, with the way it took if it
+// did not end well and in time; the ways of the others would say nothing and drown the rest.
+type Observer struct {
+	log      *logrus.Entry
+	counters *metrics.Counters
+	times    *metrics.Latencies
+	ended    func(r *route.Route, a dispatch.Answer, s dispatch.Summary)
+	traces   map[job.ID][]string
+}
+
+// NewObserver returns an Observer. ended is called for each answer; it may be nil.
+func NewObserver(log *logrus.Entry, ended func(*route.Route, dispatch.Answer, dispatch.Summary)) *Observer {
+	return &Observer{
+		log: log, counters: metrics.NewCounters("entry"), times: metrics.NewLatencies("job_ms"), ended: ended,
+		traces: make(map[job.ID][]string),
+	}
+}
+
+func (o *Observer) trace(id job.ID, parts ...string) {
+	if steps := o.traces[id]; len(steps) < maxTrace {
+		o.traces[id] = append(steps, strings.Join(parts, " "))
+	}
+}
+
+func ms(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
+
+// Placed notes an order.
+func (o *Observer) Placed(id job.ID, agent ident.Incarnation, order *fleet.Order, waited time.Duration) {
+	o.counters.Add("orders", 1)
+	o.counters.Add("tasks_ordered", int64(len(order.Tasks)))
+	o.trace(id, "+"+ms(waited)+"ms", "place", strconv.Itoa(len(order.Tasks)), "at", agent.String())
+}
+
+// Ended notes the end of a run, and logs it unless it went well.
+func (o *Observer) Ended(agent ident.Incarnation, e fleet.End, next string) {
+	o.counters.Add("runs_"+string(e.Outcome), 1)
+	if e.Outcome == job.Done {
+		return
+	}
+	o.trace(e.Task.Job, strconv.Itoa(int(e.Task.Step))+"."+strconv.Itoa(int(e.Task.Index)), "run", strconv.Itoa(int(e.Run)),
+		string(e.Outcome), string(e.Reason), "after", ms(e.Took)+"ms", "at", agent.String(), "then", next)
+	if next == "given_up" {
+		delete(o.traces, e.Task.Job)
+	}
+}
+
+// Answered logs a job's answer and counts it.
+func (o *Observer) Answered(id job.ID, r *route.Route, a dispatch.Answer, s dispatch.Summary) {
+	inTime := s.Took <= s.Objective
+	o.counters.Add("jobs_"+string(a.State), 1)
+	if a.Reason != "" {
+		o.counters.Add("jobs_"+string(a.State)+"_"+string(a.Reason), 1)
+	}
+	if a.State == verdict.Complete {
+		o.times.Record(string(r.Name), s.Took)
+	}
+	if o.ended != nil {
+		o.ended(r, a, s)
+	}
+	f := logrus.Fields{
+		"job": id, "request": s.Sender, "route": r.Name, "state": a.State, "took_ms": s.Took.Milliseconds(), "waited_ms": s.Waited.Milliseconds(),
+		"objective_ms": s.Objective.Milliseconds(), "tasks": s.Tasks, "runs": s.Runs, "failures": s.Failures, "queued": s.Queued,
+	}
+	if a.Reason != "" {
+		f["reason"], f["verdict"] = a.Reason, a.Verdict
+	}
+	if a.State != verdict.Complete || !inTime {
+		f["way"] = strings.Join(o.traces[id], "; ")
+	}
+	delete(o.traces, id)
+	o.log.WithFields(f).Info("job_answered")
+}
+
+// Lost logs that an agent is lost, or that its runs are settled.
+func (o *Observer) Lost(agent ident.Incarnation, runs int, event string) {
+	o.counters.Add(event, 1)
+	o.log.WithFields(logrus.Fields{"agent_incarnation": agent, "runs": runs}).Warn(event)
+}
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -3,128 +3,163 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"hillreel/internal/config/object"
 	"hillreel/internal/core/bus"
-	"hillreel/internal/core/clock"
+	"hillreel/internal/core/follow"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/kernel"
 	"hillreel/internal/core/ops"
+	"hillreel/internal/core/rows"
 	"hillreel/internal/core/settings"
-	"hillreel/internal/entry/burn"
-	"hillreel/internal/entry/caller"
-	"hillreel/internal/entry/job"
+	"hillreel/internal/core/web"
 	"hillreel/internal/entry/node"
-	"hillreel/internal/entry/operator"
-	"hillreel/internal/link/session"
-	"hillreel/internal/platform/config"
-	"hillreel/internal/platform/table"
-	"hillreel/internal/platform/vms"
-	"hillreel/internal/policy/placement"
+	"hillreel/internal/link/members"
 )
 
 // Names under which the services register.
 const (
-	nameNode    = "entry"
-	nameMembers = "members"
-	nameConfig  = "config"
-	nameCallers = "callers"
-	nameOps     = "operators"
+	nameNode      = "entry"
+	nameConfig    = "config"
+	nameEntries   = "entries"
+	nameRegister  = "register"
+	nameFront     = "front"
+	nameReadiness = "readiness"
+	nameMetrics   = "metrics"
 )
 
-// Deps are what an embedded entry can have replaced.
+// Store is what an entry needs of the platform's store.
+type Store interface {
+	follow.Store
+	members.Writer
+}
+
+// Deps are what an entry gets from outside.
 type Deps struct {
-	Dial session.Dialer
-	// Placer replaces the policy of the settings; nil does not.
-	Placer job.Placer
-	Log    *logrus.Entry
+	Store Store
+	// Config is where the operator's configuration lies, and Decode reads it.
+	Config rows.Key
+	Decode node.Decoder
+	// Front makes the handler of the platform's clients, Readiness that of its readiness checks.
+	Front     func(n *node.Node) http.Handler
+	Readiness func(ready func() (bool, string)) http.Handler
+	Log       *logrus.Entry
 }
 
 // Process is one entry.
 type Process struct {
-	set     *settings.Settings
-	log     *logrus.Entry
-	kernel  *kernel.Kernel
-	Node    *node.Node
-	Callers *caller.Server
-	Ops     *ops.Server
+	set    *settings.Settings
+	log    *logrus.Entry
+	kernel *kernel.Kernel
+	Node   *node.Node
+	Front  *web.Server
+	bus    *bus.Bus
 }
 
-// New checks the settings that an entry needs and builds its services.
+// New builds an entry's services.
 func New(set *settings.Settings, d Deps) (*Process, error) {
-	signer, err := ident.NewSigner(set.Jobs.Keys()...)
-	if err != nil {
-		return nil, errors.New("settings: [jobs] mac_keys: must be set, the same on all entries of all regions")
+	p := &Process{set: set, log: d.Log, kernel: kernel.New(d.Log), bus: bus.New()}
+	p.Node = node.New(set, d.Decode, node.NewObserver(d.Log, nil), d.Log)
+	dir := members.NewDirectory(func(links []ident.Address) { p.publish(bus.Entries, links) })
+	entry := members.Entry{Name: set.Node.Name, Incarnation: p.Node.Incarnation().String(), Zone: ident.Zone(set.Node.Zone)}
+	services := []named{
+		{nameNode, p.Node},
+		{nameConfig, follow.New(d.Store, d.Config.Table, set.Platform.ConfigWait, p.configReader(d), d.Log)},
+		{nameEntries, follow.New(d.Store, members.Table, set.Platform.ListWait, dir.Change, d.Log)},
+		{nameRegister, members.NewRegistrar(d.Store, dir, ident.Address(set.Node.Link), entry, d.Log)},
 	}
-	if d.Placer == nil {
-		d.Placer = placement.New(placement.Name(set.Policy.Placement), rand.Uint64())
+	p.Front = web.New("clients", set.Entry.Front, d.Front(p.Node), callers(set))
+	if set.Entry.Front != "" {
+		services = append(services, named{nameFront, p.Front})
 	}
-	b := bus.New()
-	p := &Process{set: set, log: d.Log, kernel: kernel.New(d.Log)}
-	recorder := burn.New(clock.New(), func() []object.Objective { return p.Node.Objectives() })
-	p.Node = node.New(set, node.Deps{
-		Ended: recorder.Ended, Bus: b, Dial: d.Dial, Signer: signer, Placer: d.Placer, Now: clock.New(), Log: d.Log,
-	})
-	p.Callers = caller.New(set, p.Node, d.Log)
-	store := config.New(table.New(ident.Address(set.Platform.Address), set.Platform.Timeout), time.Now)
-	configs := config.NewReader(store, set.Platform.HeadEvery, b, d.Log)
-	api := operator.New(store, p.Node, configs, recorder, d.Log)
-	p.Ops = ops.New(set.Node.Ops, ops.Tokens(set.Entry), p.Node.Ready, api.Routes)
-	reader := vms.New(ident.Address(set.Platform.Address), set.Platform.ListEvery, set.Platform.Timeout, b, d.Log)
-	for _, s := range []struct {
-		name    string
-		service kernel.Service
-	}{
-		{nameNode, p.Node}, {nameMembers, reader}, {nameConfig, configs}, {nameOps, p.Ops}, {nameCallers, p.Callers},
-	} {
+	if set.Entry.Readiness != "" {
+		services = append(services, named{nameReadiness, web.New("readiness checks", set.Entry.Readiness, d.Readiness(p.Node.Ready), web.Small)})
+	}
+	handler := ops.Handler(ops.Tokens(set.Entry), p.Node.Ready, nil)
+	services = append(services, named{nameMetrics, web.New("metrics", set.Node.Metrics, handler, web.Small)})
+	for _, s := range services {
 		if err := p.kernel.Register(s.name, s.service); err != nil {
 			return nil, err
 		}
 	}
-	ops.Publish(set.Node.Name+".burn", func() any { return recorder.Report() })
-	ops.Publish(set.Node.Name, func() any { return p.Node.Status() })
-	return p, nil
+	return p, p.subscribe()
 }
 
-// Start starts all services in order.
-func (p *Process) Start(ctx context.Context) error { return p.kernel.Start(ctx) }
+type named struct {
+	name    string
+	service kernel.Service
+}
 
-// Stop ends at once; requests in progress are cut.
-func (p *Process) Stop() { p.kernel.Stop() }
+// callers bounds what callers may do.
+func callers(set *settings.Settings) web.Options {
+	return web.Options{
+		HeaderTimeout: set.Entry.HeaderTimeout, ReadTimeout: set.Entry.ReadTimeout, IdleTimeout: set.Entry.IdleTimeout,
+		MaxHeader: maxHeader, MaxConnections: set.Entry.MaxConnections,
+	}
+}
 
-// Drain leaves: no new work, the jobs in progress end, their callers are answered, and then all stops.
-// limit bounds it.
-func (p *Process) Drain(limit time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	if err := p.drain(ctx); err != nil {
-		p.log.WithField("error", err.Error()).Warn("drain_cut_requests")
+// maxHeader bounds a request's headers, in bytes.
+const maxHeader = 16 << 10
+
+// configReader decodes the operator's configuration and announces it.
+func (p *Process) configReader(d Deps) follow.Change {
+	return func(changed []rows.Row, _ bool, _ time.Duration) {
+		for _, r := range changed {
+			if r.Key != d.Config || r.Removed {
+				continue
+			}
+			t, err := d.Decode(r.Value)
+			if err != nil {
+				p.log.WithFields(logrus.Fields{"row_version": r.Version, "error": err.Error()}).Error("config_unusable")
+				continue
+			}
+			p.Node.Configure(t)
+		}
 	}
-	p.Stop()
 }
 
-// drainer is a service that can leave before it stops.
-type drainer interface{ Drain(ctx context.Context) }
+// publish announces an event inside the process.
+func (p *Process) publish(t bus.Topic, event any) {
+	if err := p.bus.Publish(t, event); err != nil {
+		p.log.WithFields(logrus.Fields{"topic": t, "error": err.Error()}).Error("event_not_published")
+	}
+}
 
-// listener is a service that can stop listening and let what it serves end.
-type listener interface {
-	Shutdown(ctx context.Context) error
+func (p *Process) subscribe() error {
+	return bus.Subscribe(context.Background(), p.bus, bus.Entries, p.Node.SetEntries)
 }
 
-func (p *Process) drain(ctx context.Context) error {
-	jobs, err := kernel.Find[drainer](p.kernel, nameNode)
-	if err != nil {
-		return err
+// Start starts all services in order.
+func (p *Process) Start(ctx context.Context) error { return p.kernel.Start(ctx) }
+
+// Stop ends at once; requests in progress are cut.
+func (p *Process) Stop() {
+	p.kernel.Stop()
+	if err := p.bus.Close(); err != nil {
+		p.log.WithField("error", err.Error()).Warn("bus_not_closed")
 	}
-	jobs.Drain(ctx)
-	callers, err := kernel.Find[listener](p.kernel, nameCallers)
-	if err != nil {
-		return err
+}
+
+// leaveMargin is what of the grace is left for closing connections and for writing logs.
+const leaveMargin = 500 * time.Millisecond
+
+// Drain leaves: the entry is unready at once, but takes requests until the balancer has noticed; then it answers
+// those in progress, and all stops. The grace of the settings bounds it.
+func (p *Process) Drain() {
+	began := time.Now()
+	p.log.WithField("unanswered", p.Node.Unanswered()).Info("leaving")
+	p.Node.Leave()
+	time.Sleep(p.set.Entry.Unready)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(p.set.Entry.Grace-leaveMargin))
+	defer cancel()
+	if p.set.Entry.Front != "" {
+		if err := p.Front.Shutdown(ctx); err != nil {
+			p.log.WithFields(logrus.Fields{"error": err.Error(), "unanswered": p.Node.Unanswered()}).Warn("requests_cut")
+		}
 	}
-	return callers.Shutdown(ctx)
+	p.Stop()
+	p.log.WithField("took_ms", time.Since(began).Milliseconds()).Info("left")
 }
--- /dev/null
+++ b/internal/link/codec/codec.go
@@ -0,0 +1,136 @@
+// Package codec turns what entries and agents tell each other into messages and back.
+package codec
+
+import (
+	"time"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+	"hillreel/internal/link/wire"
+)
+
+func resources(r job.Resources) *wire.Resources {
+	return &wire.Resources{Cpu: r.CPU, Mem: r.Mem, Gpu: r.GPU}
+}
+
+func readResources(r *wire.Resources) job.Resources {
+	return job.Resources{CPU: r.GetCpu(), Mem: r.GetMem(), GPU: r.GetGpu()}
+}
+
+func microseconds(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+
+// Order encodes an order.
+func Order(o fleet.Order) *wire.Msg {
+	m := &wire.Start{
+		Seq: o.Seq, Job: uint64(o.Job), Step: o.Step, Spec: o.Spec, Each: resources(o.Each),
+		EstimateUs: o.Estimate.Microseconds(),
+	}
+	for _, t := range o.Tasks {
+		m.Tasks = append(m.Tasks, &wire.TaskRun{
+			Index: t.Index, Run: uint32(t.Run), Failures: t.Failures, Checkpoint: t.Checkpoint,
+		})
+	}
+	return &wire.Msg{Kind: &wire.Msg_Start{Start: m}}
+}
+
+// ReadOrder decodes an order.
+func ReadOrder(m *wire.Start) fleet.Order {
+	o := fleet.Order{
+		Seq: m.GetSeq(), Job: job.ID(m.GetJob()), Step: m.GetStep(), Spec: m.GetSpec(), Each: readResources(m.GetEach()),
+		Estimate: microseconds(m.GetEstimateUs()),
+	}
+	for _, t := range m.GetTasks() {
+		o.Tasks = append(o.Tasks, fleet.TaskRun{
+			Index: t.GetIndex(), Run: job.Run(t.GetRun()), Failures: t.GetFailures(), Checkpoint: t.GetCheckpoint(),
+		})
+	}
+	return o
+}
+
+// Stop encodes the wish to stop a run.
+func Stop(t job.TaskID, r job.Run) *wire.Msg {
+	return &wire.Msg{Kind: &wire.Msg_Stop{Stop: &wire.Stop{
+		Job: uint64(t.Job), Step: t.Step, Index: t.Index, Run: uint32(r),
+	}}}
+}
+
+// ReadStop decodes the wish to stop a run.
+func ReadStop(m *wire.Stop) (job.TaskID, job.Run) {
+	return job.TaskID{Job: job.ID(m.GetJob()), Step: m.GetStep(), Index: m.GetIndex()}, job.Run(m.GetRun())
+}
+
+// Ping encodes an entry's keep-alive.
+func Ping(echo time.Duration, v ident.ConfigVersion) *wire.Msg {
+	return &wire.Msg{Kind: &wire.Msg_Ping{Ping: &wire.Ping{EchoUs: echo.Microseconds(), ConfigVersion: uint64(v)}}}
+}
+
+// ReadPing decodes an entry's keep-alive.
+func ReadPing(m *wire.Ping) (time.Duration, ident.ConfigVersion) {
+	return microseconds(m.GetEchoUs()), ident.ConfigVersion(m.GetConfigVersion())
+}
+
+// Upstream encodes the description of an upstream.
+func Upstream(u fleet.Upstream) *wire.Msg {
+	m := &wire.Upstream{Id: string(u.ID), Service: string(u.Service), Total: resources(u.Total)}
+	for _, l := range u.Labels {
+		m.Labels = append(m.Labels, string(l))
+	}
+	return &wire.Msg{Kind: &wire.Msg_Upstream{Upstream: m}}
+}
+
+// ReadUpstream decodes the description of an upstream.
+func ReadUpstream(m *wire.Upstream) fleet.Upstream {
+	u := fleet.Upstream{
+		ID: ident.UpstreamID(m.GetId()), Service: ident.Service(m.GetService()), Total: readResources(m.GetTotal()),
+	}
+	for _, l := range m.GetLabels() {
+		u.Labels = append(u.Labels, job.Label(l))
+	}
+	return u
+}
+
+// Room encodes what an upstream can take.
+func Room(r fleet.Room) *wire.Msg {
+	return &wire.Msg{Kind: &wire.Msg_Room{Room: &wire.Room{
+		Free: resources(r.Free), Seq: r.Seq, ClockUs: r.Clock.Microseconds(), State: string(r.State), Pace: r.Pace,
+	}}}
+}
+
+// ReadRoom decodes what an upstream can take.
+func ReadRoom(m *wire.Room) fleet.Room {
+	return fleet.Room{
+		Free: readResources(m.GetFree()), Seq: m.GetSeq(), Clock: microseconds(m.GetClockUs()),
+		State: fleet.State(m.GetState()), Pace: m.GetPace(),
+	}
+}
+
+// End encodes the end of a run.
+func End(e fleet.End) *wire.Msg {
+	return &wire.Msg{Kind: &wire.Msg_Ended{Ended: &wire.Ended{
+		Job: uint64(e.Task.Job), Step: e.Task.Step, Index: e.Task.Index, Run: uint32(e.Run), Outcome: string(e.Outcome),
+		RunUs: e.Took.Microseconds(), Checkpoint: e.Checkpoint, Reason: string(e.Reason),
+	}}}
+}
+
+// ReadEnd decodes the end of a run.
+func ReadEnd(m *wire.Ended) fleet.End {
+	return fleet.End{
+		Task: job.TaskID{Job: job.ID(m.GetJob()), Step: m.GetStep(), Index: m.GetIndex()}, Run: job.Run(m.GetRun()),
+		Outcome: job.Outcome(m.GetOutcome()), Took: microseconds(m.GetRunUs()), Checkpoint: m.GetCheckpoint(),
+		Reason: fleet.Reason(m.GetReason()),
+	}
+}
+
+// Settled encodes that nothing remains of an entry's earlier sessions.
+func Settled() *wire.Msg { return &wire.Msg{Kind: &wire.Msg_Settled{Settled: &wire.Settled{}}} }
+
+// Config encodes a configuration that is passed on.
+func Config(v ident.ConfigVersion, raw []byte) *wire.Msg {
+	return &wire.Msg{Kind: &wire.Msg_Config{Config: &wire.Config{Version: uint64(v), Raw: raw}}}
+}
+
+// Peers encodes the entries that the sender knows.
+func Peers(links []string) *wire.Msg {
+	return &wire.Msg{Kind: &wire.Msg_Peers{Peers: &wire.Peers{Links: links}}}
+}
--- a/internal/link/session/session.go
+++ b/internal/link/session/session.go
@@ -1,6 +1,10 @@
-// Package session carries messages between two hillreel processes: one yamux session over TCP, one stream
-// in it, protobuf frames on the stream. Messages arrive in the order in which they were sent, or the
-// session ends; nothing is lost in the middle.
+// Package session carries messages between two hillreel processes: protobuf frames, each with its length, on one
+// TCP connection. Messages arrive in the order in which they were sent, or the session ends; nothing is lost in
+// the middle.
+//
+// It used to run on a yamux session with one stream. That library's stream busy-waits from when its session
+// begins to close until the connection is closed, and holds up every other goroutine of a process that has one
+// processor; and one stream needs no multiplexer.
 //
 // Messages of all kinds that wait while a write is under way go out together as one frame. The idea of
 // mixing kinds in a frame is that of the pfsync redesign; docs/MEASUREMENTS.md has the figures.
@@ -9,13 +13,11 @@
 import (
 	"bufio"
 	"expvar"
-	"io"
 	"net"
 	"runtime"
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
 
@@ -23,8 +25,6 @@
 )
 
 const (
-	// keepAlive is how often an idle session is probed.
-	keepAlive = 1 * time.Second
 	// writeTimeout ends a session whose other side does not read.
 	writeTimeout = 3 * time.Second
 	// helloTimeout bounds the first exchange.
@@ -34,8 +34,7 @@
 	// maxBatch bounds the messages that one frame takes.
 	maxBatch = 512
 	// maxQueue ends a session whose sender is that many messages ahead.
-	maxQueue   = 200_000
-	windowSize = 4 << 20
+	maxQueue = 200_000
 	// bufferSize is that of each direction's buffer; an entry holds two for each agent of its region.
 	bufferSize = 8 << 10
 )
@@ -58,8 +57,7 @@
 
 // Session is one link to another process.
 type Session struct {
-	mux    *yamux.Session
-	stream net.Conn
+	conn   net.Conn
 	reader *bufio.Reader
 	// Remote is the other side's first message.
 	Remote *wire.Hello
@@ -71,15 +69,6 @@
 	once   sync.Once
 }
 
-func config() *yamux.Config {
-	c := yamux.DefaultConfig()
-	c.KeepAliveInterval = keepAlive
-	c.ConnectionWriteTimeout = writeTimeout
-	c.MaxStreamWindowSize = windowSize
-	c.LogOutput = io.Discard
-	return c
-}
-
 // Dialer opens a connection to a process; tests and the embedded set put delays and cuts into it.
 type Dialer func(address string, timeout time.Duration) (net.Conn, error)
 
@@ -94,43 +83,19 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "link: dial")
 	}
-	mux, err := yamux.Client(conn, config())
-	if err != nil {
-		conn.Close()
-		return nil, errors.Wrap(err, "link: session")
-	}
-	stream, err := mux.Open()
-	if err != nil {
-		mux.Close()
-		return nil, errors.Wrap(err, "link: stream")
-	}
-	return greet(mux, stream, hello)
+	return greet(conn, hello)
 }
 
 // Accept takes a connection that another process dialled and exchanges hellos.
-func Accept(conn net.Conn, hello *wire.Hello) (*Session, error) {
-	mux, err := yamux.Server(conn, config())
-	if err != nil {
-		conn.Close()
-		return nil, errors.Wrap(err, "link: session")
-	}
-	timer := time.AfterFunc(helloTimeout, func() { conn.Close() })
-	stream, err := mux.Accept()
-	if err != nil {
-		mux.Close()
-		return nil, errors.Wrap(err, "link: stream")
-	}
-	timer.Stop()
-	return greet(mux, stream, hello)
-}
+func Accept(conn net.Conn, hello *wire.Hello) (*Session, error) { return greet(conn, hello) }
 
-func greet(mux *yamux.Session, stream net.Conn, hello *wire.Hello) (*Session, error) {
+func greet(conn net.Conn, hello *wire.Hello) (*Session, error) {
 	s := &Session{
-		mux: mux, stream: stream, reader: bufio.NewReaderSize(stream, bufferSize),
+		conn: conn, reader: bufio.NewReaderSize(conn, bufferSize),
 		wake: make(chan struct{}, 1), closed: make(chan struct{}),
 	}
 	if err := s.exchange(hello); err != nil {
-		mux.Close()
+		s.Close()
 		return nil, err
 	}
 	go s.write()
@@ -138,11 +103,11 @@
 }
 
 func (s *Session) exchange(hello *wire.Hello) error {
-	if err := s.stream.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
+	if err := s.conn.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return errors.Wrap(err, "link: deadline")
 	}
 	first := &wire.Frame{Msgs: []*wire.Msg{{Kind: &wire.Msg_Hello{Hello: hello}}}}
-	if _, err := protodelim.MarshalTo(s.stream, first); err != nil {
+	if _, err := protodelim.MarshalTo(s.conn, first); err != nil {
 		return errors.Wrap(err, "link: send hello")
 	}
 	f, err := s.read()
@@ -153,7 +118,7 @@
 		return errors.New("link: the first message is not a hello")
 	}
 	s.Remote = f.GetMsgs()[0].GetHello()
-	return errors.Wrap(s.stream.SetDeadline(time.Time{}), "link: deadline")
+	return errors.Wrap(s.conn.SetDeadline(time.Time{}), "link: deadline")
 }
 
 func (s *Session) read() (*wire.Frame, error) {
@@ -197,7 +162,7 @@
 func (s *Session) Close() {
 	s.once.Do(func() {
 		close(s.closed)
-		s.mux.Close()
+		s.conn.Close() //nolint:errcheck // the session is over either way
 	})
 }
 
@@ -218,7 +183,7 @@
 // write sends whatever has gathered while the last write was under way. No timer holds a message back.
 func (s *Session) write() {
 	defer s.Close()
-	w := bufio.NewWriterSize(s.stream, bufferSize)
+	w := bufio.NewWriterSize(s.conn, bufferSize)
 	for {
 		select {
 		case <-s.closed:
@@ -233,6 +198,9 @@
 			if len(batch) == 0 {
 				break
 			}
+			if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+				return
+			}
 			n, err := protodelim.MarshalTo(w, &wire.Frame{Msgs: batch})
 			if err != nil {
 				return
