--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -189,7 +189,7 @@
 		n.keeper.StopTask(now, l.entry, task, run)
 	case *wire.Msg_Ping:
 		echo, version := codec.ReadPing(m.Ping)
-		n.keeper.Ping(l.entry, echo)
+		n.keeper.Ping(now, l.entry, echo)
 		l.config = max(l.config, version)
 		n.passConfig(l)
 	case *wire.Msg_Config:
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -54,7 +54,7 @@
 	}
 	l := set.Links
 	timing := fleet.Timing{Silence: l.Silence, Lease: l.Lease, StopBudget: l.StopBudget, KeepAlive: l.KeepAlive}
-	n.keeper = upstream.New(timing, time.Now(), (*caller)(n), (*sender)(n), newObserver(log))
+	n.keeper = upstream.New(timing, nil, time.Now(), (*caller)(n), (*sender)(n), newObserver(log))
 	return n
 }
 
--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -1,10 +1,13 @@
 package upstream
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/job"
+	"hillreel/internal/core/rule"
 )
 
 // holdRetry is the pause after a hold that failed.
@@ -38,6 +41,9 @@
 
 // mustLapse tells whether a lost entry's run has resisted its stop for too long: then all leases lapse.
 func (k *Keeper) mustLapse(now time.Time) bool {
+	if k.without.Off(rule.LapseBudget) {
+		return false
+	}
 	for _, r := range k.runs {
 		if r.stop != nil && r.stop.orphan && now.Sub(r.stop.since) >= k.timing.StopBudget {
 			return true
@@ -172,11 +178,30 @@
 	k.touchAll()
 }
 
+// due tells whether a stop is to be sent again.
+func (s *stopping) due(now time.Time) bool {
+	pause := stopRetry
+	if s.acked {
+		pause = ackedRetry
+	}
+	return !s.calling && now.Sub(s.sent) >= pause
+}
+
+// strayKeys lists the strays in a fixed order.
+func (k *Keeper) strayKeys() []strayKey {
+	out := make([]strayKey, 0, len(k.strays))
+	for key := range k.strays {
+		out = append(out, key)
+	}
+	slices.SortFunc(out, func(a, b strayKey) int { return cmp.Or(compareTasks(a.task, b.task), cmp.Compare(a.run, b.run)) })
+	return out
+}
+
 // Tick does what time alone brings about.
 func (k *Keeper) Tick(now time.Time) {
-	for entry, s := range k.sessions {
+	for _, s := range k.order {
 		if s.linked && s.heard && !k.fresh(now, s) {
-			k.orphan(now, entry, "silent")
+			k.orphan(now, s.entry, "silent")
 		}
 	}
 	if k.known && !k.holding && !now.Before(k.holdAt) {
@@ -187,14 +212,15 @@
 		k.loseAll(now, fleet.LeaseLapsed)
 	}
 	for _, r := range k.sorted() {
-		if r.stop != nil && !r.stop.calling && now.Sub(r.stop.sent) >= stopRetry {
+		if r.stop != nil && r.stop.due(now) {
 			k.callStop(now, r)
 		}
 	}
-	for key, at := range k.strays {
-		if at.IsZero() && k.known {
+	for _, key := range k.strayKeys() {
+		if k.strays[key].IsZero() && k.known {
 			// The stop before it got no answer yet or none at all; a second one does no harm.
 			k.caller.Stop(StopCall{Call: k.call(now), Task: key.task, Run: key.run})
 		}
 	}
+	k.forgetSessions(now)
 }
--- a/internal/agent/upstream/life.go
+++ b/internal/agent/upstream/life.go
@@ -49,9 +49,9 @@
 	k.token, k.bumped = Token(time.Duration(b.Clock).Milliseconds())+1, now
 	k.looked, k.failures, k.leaving = false, 0, false
 	k.health = health{}
-	for to, s := range k.sessions {
+	for _, s := range k.order {
 		if s.linked {
-			k.entries.Upstream(to, k.up)
+			k.entries.Upstream(s.entry, k.up)
 		}
 	}
 	k.hold(now)
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -8,6 +8,7 @@
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
+	"hillreel/internal/core/rule"
 )
 
 // maxUnsent bounds the ends that are kept for an entry whose session broke.
@@ -20,13 +21,14 @@
 func (k *Keeper) Linked(now time.Time, entry ident.Incarnation) {
 	s := k.sessions[entry]
 	if s == nil {
-		s = &session{}
+		s = &session{entry: entry}
 		k.sessions[entry] = s
+		k.order = append(k.order, s)
 	}
 	if s.linked {
 		k.Unlinked(now, entry, "replaced")
 	}
-	*s = session{epoch: s.epoch + 1, linked: true, dirty: true, urgent: true, unsent: s.unsent}
+	*s = session{entry: entry, epoch: s.epoch + 1, linked: true, dirty: true, urgent: true, unsent: s.unsent}
 	if k.known {
 		k.entries.Upstream(entry, k.up)
 	}
@@ -45,12 +47,36 @@
 	if s == nil || !s.linked {
 		return
 	}
-	s.linked = false
+	s.linked, s.ended = false, now
 	k.orphan(now, entry, why)
 }
 
+// forgetSessions drops entries that have been gone for so long that they have settled their tasks by time.
+func (k *Keeper) forgetSessions(now time.Time) {
+	k.order = slices.DeleteFunc(k.order, func(s *session) bool {
+		gone := !s.linked && now.Sub(s.ended) > unsentFor && !k.owns(s.entry)
+		if gone {
+			delete(k.sessions, s.entry)
+		}
+		return gone
+	})
+}
+
+// owns tells whether a run of an entry is, or may be, at the upstream.
+func (k *Keeper) owns(entry ident.Incarnation) bool {
+	for _, r := range k.runs {
+		if r.owner == entry || r.next != nil && r.next.owner == entry {
+			return true
+		}
+	}
+	return false
+}
+
 // orphan stops all runs of an entry.
 func (k *Keeper) orphan(now time.Time, entry ident.Incarnation, why string) {
+	if k.without.Off(rule.StopSilent) {
+		return
+	}
 	n := 0
 	for _, r := range k.sorted() {
 		if r.next != nil && r.next.owner == entry {
@@ -81,7 +107,10 @@
 }
 
 // Ping handles a keep-alive of an entry.
-func (k *Keeper) Ping(entry ident.Incarnation, echoed time.Duration) {
+func (k *Keeper) Ping(now time.Time, entry ident.Incarnation, echoed time.Duration) {
+	if k.without.Off(rule.EchoedClock) {
+		echoed = k.uptime(now)
+	}
 	if s := k.sessions[entry]; s != nil && s.linked && echoed > s.echoed {
 		s.echoed, s.heard = echoed, true
 	}
@@ -109,20 +138,21 @@
 func (k *Keeper) orderTask(now time.Time, w waiting) {
 	task, number := w.order.Task(w.index), w.order.Tasks[w.index].Run
 	s := k.sessions[w.owner]
-	if !k.fresh(now, s) || s.epoch != w.epoch {
+	fresh := k.fresh(now, s) || k.without.Off(rule.FreshSession)
+	if !fresh || s.epoch != w.epoch {
 		k.refuse(now, w, fleet.StaleSession)
 		return
 	}
-	if r := k.runs[task]; r != nil {
+	if r := k.runs[task]; r != nil && !k.without.Off(rule.SameTaskWaits) {
 		if r.owner == w.owner && r.number == number && r.epoch == w.epoch {
 			return
 		}
 		// The caller has sent the job again after its entry was lost: the old run must be gone first.
 		if r.next != nil {
-			k.refuse(now, *r.next, fleet.StaleSession)
+			k.refuse(now, *r.next, fleet.Superseded)
 		}
 		r.next = &w
-		k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.OnRequest})
+		k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.Superseded})
 		return
 	}
 	if !k.stateFor(now, w.owner).Accepts() {
@@ -189,8 +219,13 @@
 	k.callStop(now, r)
 }
 
-// stopRetry is after how long an unanswered stop is sent again.
-const stopRetry = 100 * time.Millisecond
+const (
+	// stopRetry is after how long an unanswered stop is sent again.
+	stopRetry = 100 * time.Millisecond
+	// ackedRetry is after how long a stop that was answered is sent again: the upstream should have ended the run
+	// within 50 ms.
+	ackedRetry = 300 * time.Millisecond
+)
 
 func (k *Keeper) callStop(now time.Time, r *run) {
 	if !k.known {
@@ -222,6 +257,10 @@
 		r.phase, r.sure, r.advanced = running, now, now
 	case Unanswered:
 		k.observer.Unsure(r.task, r.number)
+		if k.without.Off(rule.FenceUnsure) {
+			k.finish(now, r, job.NotStarted, fleet.NeverArrived, "")
+			return
+		}
 		k.bump(now)
 		r.phase, r.sure = unsure, now
 		k.hold(now)
@@ -268,7 +307,10 @@
 	r.stop.calling = false
 	switch a {
 	case OK:
-		r.phase, r.sure = running, now
+		// Only the first answer counts: a hold is compared with it, and a later one would outdate every hold.
+		if !r.stop.acked {
+			r.stop.acked, r.phase, r.sure = true, running, now
+		}
 	case Fenced:
 		k.bump(now)
 		k.callStop(now, r)
--- a/internal/agent/upstream/room.go
+++ b/internal/agent/upstream/room.go
@@ -7,6 +7,7 @@
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
+	"hillreel/internal/core/rule"
 )
 
 // coalesce is how long news of room may wait for more. At 45 starts and as many ends a second an agent would
@@ -17,6 +18,9 @@
 func (k *Keeper) free() job.Resources {
 	free := k.up.Total
 	for _, r := range k.runs {
+		if k.without.Off(rule.CountStopping) && (r.stop != nil || r.phase == unsure) {
+			continue
+		}
 		free = free.Sub(r.each)
 	}
 	return free
@@ -29,11 +33,11 @@
 		return fleet.Leaving, "draining"
 	case !k.known:
 		return fleet.Clearing, "no_heartbeat"
-	case !k.looked:
+	case !k.looked && !k.without.Off(rule.LookFirst):
 		return fleet.Clearing, "not_listed_yet"
 	case k.failures > 0:
 		return fleet.Unreachable, "no_answer"
-	case len(k.strays) > 0:
+	case len(k.strays) > 0 && !k.without.Off(rule.LookFirst):
 		return fleet.Clearing, "unknown_runs"
 	case k.mustLapse(now):
 		return fleet.Clearing, "stop_unconfirmed"
@@ -58,9 +62,9 @@
 		return 0
 	}
 	var linked []ident.Incarnation
-	for entry, s := range k.sessions {
+	for _, s := range k.order {
 		if s.linked {
-			linked = append(linked, entry)
+			linked = append(linked, s.entry)
 		}
 	}
 	if len(linked) == 0 {
@@ -74,7 +78,7 @@
 
 // touchAll makes the next Flush tell all entries.
 func (k *Keeper) touchAll() {
-	for _, s := range k.sessions {
+	for _, s := range k.order {
 		s.dirty = true
 	}
 }
@@ -85,24 +89,24 @@
 	if state != k.told {
 		k.observer.State(k.told, state, why)
 		k.told = state
-		for _, s := range k.sessions {
+		for _, s := range k.order {
 			s.dirty, s.urgent = true, true
 		}
 	}
-	for entry, s := range k.sessions {
+	for _, s := range k.order {
 		if !s.linked {
 			continue
 		}
 		since := now.Sub(s.sent)
 		if since >= k.timing.KeepAlive || s.dirty && (s.urgent || since >= coalesce) {
-			k.sendRoom(now, entry, s)
+			k.sendRoom(now, s)
 		}
 	}
 }
 
-func (k *Keeper) sendRoom(now time.Time, entry ident.Incarnation, s *session) {
+func (k *Keeper) sendRoom(now time.Time, s *session) {
 	s.dirty, s.urgent, s.sent = false, false, now
-	k.entries.Room(entry, fleet.Room{
-		Free: k.free(), Seq: s.seq, Clock: k.uptime(now), State: k.stateFor(now, entry), Pace: k.health.pace,
+	k.entries.Room(s.entry, fleet.Room{
+		Free: k.free(), Seq: s.seq, Clock: k.uptime(now), State: k.stateFor(now, s.entry), Pace: k.health.pace,
 	})
 }
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
+	"hillreel/internal/core/rule"
 )
 
 // Clock is a reading of the upstream's steady clock, as a time since it started.
@@ -147,6 +148,7 @@
 // Keeper is the account of one upstream.
 type Keeper struct {
 	timing   fleet.Timing
+	without  rule.Set
 	caller   Caller
 	entries  Entries
 	observer Observer
@@ -178,8 +180,10 @@
 
 	runs     map[job.TaskID]*run
 	sessions map[ident.Incarnation]*session
-	health   health
-	told     fleet.State
+	// order lists the sessions from the oldest on, so that runs of the state machine repeat.
+	order  []*session
+	health health
+	told   fleet.State
 }
 
 type strayKey struct {
@@ -236,8 +240,8 @@
 	reason  fleet.Reason
 	since   time.Time
 	sent    time.Time
-	// calling is true while a stop call is under way.
-	calling bool
+	// calling is true while a stop call is under way, acked once one was answered.
+	calling, acked bool
 	// orphan is true when the owner is lost, so that the stop must succeed within the budget.
 	orphan bool
 }
@@ -252,6 +256,7 @@
 
 // session is what an agent knows of one entry.
 type session struct {
+	entry  ident.Incarnation
 	epoch  uint64
 	linked bool
 	// echoed is the newest reading of the agent's clock that the entry has returned.
@@ -264,6 +269,8 @@
 	sent    time.Time
 	settled bool
 	unsent  []late
+	// ended is when the link ended.
+	ended time.Time
 }
 
 // late is an end that could not be told yet.
@@ -272,10 +279,10 @@
 	at  time.Time
 }
 
-// New returns a Keeper that knows nothing yet.
-func New(t fleet.Timing, now time.Time, c Caller, e Entries, o Observer) *Keeper {
+// New returns a Keeper that knows nothing yet. without leaves out safety rules, for experiments only.
+func New(t fleet.Timing, without rule.Set, now time.Time, c Caller, e Entries, o Observer) *Keeper {
 	return &Keeper{
-		timing: t, caller: c, entries: e, observer: o, start: now,
+		timing: t, without: without, caller: c, entries: e, observer: o, start: now,
 		past:     make(map[ident.UpstreamID]bool),
 		strays:   make(map[strayKey]time.Time),
 		runs:     make(map[job.TaskID]*run),
--- /dev/null
+++ b/internal/agent/upstream/upstream_test.go
@@ -0,0 +1,258 @@
+package upstream_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/agent/upstream"
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/rule"
+)
+
+var timing = fleet.Timing{
+	Silence: 400 * time.Millisecond, Lease: 400 * time.Millisecond, StopBudget: 200 * time.Millisecond,
+	KeepAlive: 100 * time.Millisecond,
+}
+
+// bench drives a Keeper by hand.
+type bench struct {
+	t      *testing.T
+	now    time.Time
+	keeper *upstream.Keeper
+	starts []upstream.StartCall
+	stops  []upstream.StopCall
+	holds  []upstream.HoldCall
+	ends   map[ident.Incarnation][]fleet.End
+	rooms  map[ident.Incarnation]fleet.Room
+	seq    uint64
+}
+
+func (b *bench) Start(c upstream.StartCall)                 { b.starts = append(b.starts, c) }
+func (b *bench) Stop(c upstream.StopCall)                   { b.stops = append(b.stops, c) }
+func (b *bench) Hold(c upstream.HoldCall)                   { b.holds = append(b.holds, c) }
+func (b *bench) Upstream(ident.Incarnation, fleet.Upstream) {}
+func (b *bench) Room(to ident.Incarnation, r fleet.Room)    { b.rooms[to] = r }
+func (b *bench) End(to ident.Incarnation, e fleet.End)      { b.ends[to] = append(b.ends[to], e) }
+func (b *bench) Settled(ident.Incarnation)                  {}
+func (b *bench) Ended(ident.Incarnation, fleet.End)         {}
+func (b *bench) State(_, _ fleet.State, _ string)           {}
+func (b *bench) Orphaned(ident.Incarnation, int, string)    {}
+func (b *bench) Unsure(job.TaskID, job.Run)                 {}
+
+// The entries and the job that the tests use.
+const (
+	one, two = ident.Incarnation(1), ident.Incarnation(2)
+	jobID    = job.ID(7)
+)
+
+var task = job.TaskID{Job: jobID}
+
+// newBench returns a Keeper whose upstream has room for two tasks, with two entries linked and heard.
+func newBench(t *testing.T, without rule.Set) *bench {
+	b := &bench{
+		t: t, now: time.Unix(1000, 0), ends: make(map[ident.Incarnation][]fleet.End), rooms: make(map[ident.Incarnation]fleet.Room),
+	}
+	b.keeper = upstream.New(timing, without, b.now, b, b, b)
+	b.pass(10 * time.Millisecond)
+	b.keeper.Beat(b.now, upstream.Beat{
+		Upstream: fleet.Upstream{ID: "u-1", Service: "publish", Total: job.Resources{CPU: 2000}}, Sequence: 1, Clock: upstream.Clock(time.Minute),
+	})
+	b.look()
+	for _, e := range []ident.Incarnation{one, two} {
+		b.keeper.Linked(b.now, e)
+		b.keeper.Flush(b.now)
+		b.keeper.Ping(b.now, e, b.rooms[e].Clock)
+	}
+	return b
+}
+
+func (b *bench) pass(d time.Duration) { b.now = b.now.Add(d) }
+
+// look answers the newest hold.
+func (b *bench) look(running ...upstream.Listed) {
+	c := b.holds[len(b.holds)-1]
+	b.keeper.HoldDone(b.now, c, upstream.Held{Answer: upstream.OK, Clock: upstream.Clock(time.Minute) + upstream.Clock(b.now.Sub(time.Unix(1000, 0))), Running: running})
+}
+
+func (b *bench) order(e ident.Incarnation, run job.Run) {
+	b.seq++
+	b.keeper.Order(b.now, e, fleet.Order{
+		Seq: b.seq, Job: jobID, Each: job.Resources{CPU: 1000}, Estimate: time.Second, Tasks: []fleet.TaskRun{{Run: run}},
+	})
+	b.keeper.Flush(b.now)
+}
+
+// TestOrderForTaskThatRunsWaits: a caller has sent its job again to another entry, while a run of the first entry
+// is still there. The second run must not begin before the first has ended; and the first entry is told to give
+// the job up, or the two would stop each other's runs for ever.
+func TestOrderForTaskThatRunsWaits(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		without rule.Set
+		starts  int
+	}{
+		{"in force", nil, 1},
+		{"left out", rule.Without(rule.SameTaskWaits), 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, test.without)
+			b.order(one, 1)
+			b.keeper.StartDone(b.now, b.starts[0], upstream.OK, b.starts[0].Until)
+			b.order(two, 2)
+			qt.Assert(t, b.starts, qt.HasLen, test.starts)
+			if test.without != nil {
+				return
+			}
+			qt.Assert(t, b.stops, qt.HasLen, 1)
+			b.keeper.StopDone(b.now, b.stops[0], upstream.OK, b.starts[0].Until)
+			b.pass(time.Millisecond)
+			b.look() // was sent before the stop was answered: proves nothing
+			qt.Assert(t, b.starts, qt.HasLen, 1)
+			b.pass(time.Millisecond)
+			b.look()
+			qt.Assert(t, b.starts, qt.HasLen, 2)
+			qt.Assert(t, b.ends[one], qt.HasLen, 1)
+			qt.Assert(t, b.ends[one][0].Reason, qt.Equals, fleet.Superseded)
+		})
+	}
+}
+
+// TestStopsEndThoughAskedAgain: stops are sent again until the upstream lists the end. The answer to a later one
+// must not outdate the hold that proves the end: with one every 100 ms, a run that never arrived was waited for
+// for ever (schedule 293 of the randomised run).
+func TestStopsEndThoughAskedAgain(t *testing.T) {
+	b := newBench(t, nil)
+	b.order(one, 1)
+	b.keeper.StartDone(b.now, b.starts[0], upstream.Unanswered, 0)
+	b.keeper.StopTask(b.now, one, task, 1)
+	for range 20 {
+		for _, c := range b.stops {
+			b.keeper.StopDone(b.now, c, upstream.OK, 0)
+		}
+		b.stops = nil
+		b.pass(60 * time.Millisecond)
+		b.look()
+		b.pass(40 * time.Millisecond)
+		b.keeper.Ping(b.now, one, b.rooms[one].Clock)
+		b.keeper.Tick(b.now)
+		b.keeper.Flush(b.now)
+	}
+	qt.Assert(t, b.keeper.Runs(), qt.Equals, 0)
+}
+
+// TestRefusals: an order that can't be taken is refused at once, with a reason, and room is as before.
+func TestRefusals(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		setUp func(b *bench)
+		want  fleet.Reason
+	}{
+		{"not heard for too long", func(b *bench) { b.pass(timing.Silence) }, fleet.StaleSession},
+		{"heard only now, but of long ago", func(b *bench) { b.pass(timing.Silence); b.keeper.Ping(b.now, one, time.Millisecond) }, fleet.StaleSession},
+		{"leaving", func(b *bench) { b.keeper.Leave() }, fleet.NotAccepting},
+		{"upstream draining", func(b *bench) {
+			b.keeper.Beat(b.now, upstream.Beat{Upstream: fleet.Upstream{ID: "u-1"}, Sequence: 2, Draining: true})
+		}, fleet.NotAccepting},
+		{"upstream unreachable", func(b *bench) {
+			b.keeper.HoldDone(b.now, b.holds[len(b.holds)-1], upstream.Held{Answer: upstream.Unanswered})
+		}, fleet.NotAccepting},
+		{"something unknown runs there", func(b *bench) { b.look(upstream.Listed{Task: job.TaskID{Job: 99}, Run: 1}) }, fleet.NotAccepting},
+		{"full", func(b *bench) {
+			for i := range uint32(2) {
+				b.keeper.Order(b.now, two, fleet.Order{Job: 50, Each: job.Resources{CPU: 1000}, Tasks: []fleet.TaskRun{{Index: i, Run: 1}}})
+			}
+		}, fleet.NoRoom},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			test.setUp(b)
+			b.order(one, 1)
+			qt.Assert(t, b.ends[one], qt.DeepEquals, []fleet.End{{Task: task, Run: 1, Outcome: job.NotStarted, Reason: test.want}})
+		})
+	}
+}
+
+// TestFailingUpstreamIsLeftAlone: after three failures in a row the upstream gets one task at a time as a probe,
+// from one entry, and after good probes it takes all again. Failures of jobs that have failed elsewhere don't count.
+func TestFailingUpstreamIsLeftAlone(t *testing.T) {
+	b := newBench(t, nil)
+	n := uint64(0)
+	end := func(j job.ID, earlier uint32, how upstream.How) {
+		from := one
+		if b.rooms[two].State == fleet.Probing {
+			from = two
+		}
+		b.keeper.Order(b.now, from, fleet.Order{Job: j, Each: job.Resources{CPU: 1000}, Tasks: []fleet.TaskRun{{Run: 1, Failures: earlier}}})
+		b.keeper.StartDone(b.now, b.starts[len(b.starts)-1], upstream.OK, 0)
+		n++
+		b.pass(time.Millisecond)
+		b.keeper.HoldDone(b.now, b.holds[len(b.holds)-1], upstream.Held{
+			Answer: upstream.OK, Finished: []upstream.Finished{{N: n, Task: job.TaskID{Job: j}, Run: 1, How: how}},
+		})
+		b.pass(50 * time.Millisecond)
+		for _, e := range []ident.Incarnation{one, two} {
+			b.keeper.Ping(b.now, e, b.rooms[e].Clock)
+		}
+		b.keeper.Flush(b.now)
+	}
+	for i := range 5 {
+		end(job.ID(100+i), 1, upstream.HowFailed)
+	}
+	qt.Assert(t, b.rooms[one].State, qt.Equals, fleet.Ready)
+	for i := range 3 {
+		end(job.ID(200+i), 0, upstream.HowFailed)
+	}
+	qt.Assert(t, b.rooms[one].State, qt.Equals, fleet.Suspect)
+	qt.Assert(t, b.rooms[two].State, qt.Equals, fleet.Suspect)
+	probing := func() (count int) {
+		for range 4 {
+			b.pass(100 * time.Millisecond)
+			for _, e := range []ident.Incarnation{one, two} {
+				b.keeper.Ping(b.now, e, b.rooms[e].Clock)
+			}
+			b.keeper.Flush(b.now)
+		}
+		for _, e := range []ident.Incarnation{one, two} {
+			if b.rooms[e].State == fleet.Probing {
+				count++
+			}
+		}
+		return count
+	}
+	qt.Assert(t, probing(), qt.Equals, 1)
+	for i := range 4 {
+		end(job.ID(300+i), 0, upstream.HowDone)
+	}
+	qt.Assert(t, b.rooms[one].State, qt.Equals, fleet.Ready)
+	qt.Assert(t, b.rooms[two].State, qt.Equals, fleet.Ready)
+}
+
+// TestStalledRunIsStopped: a run without progress is stopped and reported as stalled; one that gets on is not.
+func TestStalledRunIsStopped(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		percent func(step int) int
+		stops   int
+	}{
+		{"stands still from the start", func(int) int { return 0 }, 1},
+		{"stands still half way", func(step int) int { return min(step*10, 50) }, 1},
+		{"gets on slowly", func(step int) int { return step }, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.order(one, 1)
+			b.keeper.StartDone(b.now, b.starts[0], upstream.OK, 0)
+			for step := range 20 {
+				b.pass(50 * time.Millisecond)
+				b.keeper.Ping(b.now, one, b.rooms[one].Clock)
+				b.look(upstream.Listed{Task: task, Run: 1, Percent: test.percent(step)})
+				b.keeper.Flush(b.now)
+			}
+			qt.Assert(t, b.stops, qt.HasLen, test.stops)
+		})
+	}
+}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -119,7 +119,8 @@
 	NotListed     Reason = "not_listed"
 	AgentSilent   Reason = "agent_silent"
 	AgentReplaced Reason = "agent_replaced"
-	Moved         Reason = "moved"
+	// Superseded: another entry has ordered the same task, so its caller has gone there.
+	Superseded Reason = "superseded"
 )
 
 // Timing holds the times on which the safety of placing a task again rests. Entries and agents share them.
--- /dev/null
+++ b/internal/core/rule/rule.go
@@ -0,0 +1,52 @@
+// Package rule names the safety rules by which no task runs twice at a time, so that an experiment can leave one
+// out and show that the randomised run notices. Production code never leaves one out: the zero Set has all in
+// force.
+package rule
+
+// Rule is one safety rule.
+type Rule string
+
+// The rules that an experiment can leave out.
+const (
+	// SettleWait: an entry places the tasks of a lost agent again only once nothing of theirs can run any more.
+	SettleWait Rule = "settle_wait"
+	// StopsFirst: a job that is sent again while its old runs are being stopped begins only when they have ended.
+	StopsFirst Rule = "stops_first"
+	// EchoedClock: an agent counts an entry's silence from when the agent sent what the entry has echoed.
+	EchoedClock Rule = "echoed_clock"
+	// FreshSession: an agent takes no order of an entry that it has not heard within the silence.
+	FreshSession Rule = "fresh_session"
+	// StopSilent: an agent stops the runs of an entry that is silent or whose session has ended.
+	StopSilent Rule = "stop_silent"
+	// FenceUnsure: a start without an answer is unknown until the upstream, under a higher token, has said.
+	FenceUnsure Rule = "fence_unsure"
+	// SameTaskWaits: an order for a task that still runs at the upstream waits for the end of that run.
+	SameTaskWaits Rule = "same_task_waits"
+	// LapseBudget: when a lost entry's run can't be stopped in time, the agent lets all leases lapse.
+	LapseBudget Rule = "lapse_budget"
+	// LookFirst: an agent takes no work before it knows what runs at its upstream.
+	LookFirst Rule = "look_first"
+	// CountStopping: a run that is being stopped, or may have started, takes room.
+	CountStopping Rule = "count_stopping"
+)
+
+// All lists the rules.
+var All = []Rule{
+	SettleWait, StopsFirst, EchoedClock, FreshSession, StopSilent, FenceUnsure, SameTaskWaits, LapseBudget, LookFirst,
+	CountStopping,
+}
+
+// Set is a set of rules that are left out.
+type Set map[Rule]bool
+
+// Without returns a Set that leaves out the rules named.
+func Without(rules ...Rule) Set {
+	s := make(Set, len(rules))
+	for _, r := range rules {
+		s[r] = true
+	}
+	return s
+}
+
+// Off tells whether a rule is left out.
+func (s Set) Off(r Rule) bool { return s[r] }
--- a/internal/core/verdict/verdict.go
+++ b/internal/core/verdict/verdict.go
@@ -66,6 +66,7 @@
 	OwnerUnclear     Reason = "owner_unclear"
 	QueueFull        Reason = "queue_full"
 	RosterUnknown    Reason = "roster_unknown"
+	Superseded       Reason = "superseded"
 	TaskFailed       Reason = "task_failed"
 	TooLarge         Reason = "too_large"
 	Unauthorized     Reason = "unauthorized"
--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -7,6 +7,7 @@
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
+	"hillreel/internal/core/rule"
 )
 
 // agent is what the entry knows of one agent.
@@ -60,11 +61,14 @@
 	}
 	a.linked, a.described = false, false
 	for _, k := range a.runs {
-		k.phase = lost
+		k.phase = lost // the order does not matter
 	}
 	if len(a.runs) > 0 {
 		t.observer.Lost(id, len(a.runs), "agent_lost")
 	}
+	if t.opts.Without.Off(rule.SettleWait) {
+		t.settle(now, a, fleet.AgentSilent)
+	}
 	t.expire(now, a)
 }
 
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/route"
+	"hillreel/internal/core/rule"
 	"hillreel/internal/core/verdict"
 )
 
@@ -88,6 +89,8 @@
 	MaxQueue int
 	// MaxTasks bounds one job.
 	MaxTasks int
+	// Without leaves out safety rules, for experiments only.
+	Without rule.Set
 }
 
 // Table holds the jobs of one entry.
@@ -100,9 +103,13 @@
 
 	jobs   map[job.ID]*jobState
 	queues map[ident.Service]*queue
+	// queued lists the queues in the order in which they were made, so that runs repeat.
+	queued []*queue
 	agents map[ident.Incarnation]*agent
 	// order lists the agents in the order in which they were linked, so that runs repeat.
 	order []*agent
+	// ticked is when Tick was last called. The process last stood still from stoodFrom until woke.
+	ticked, stoodFrom, woke time.Time
 	// pace is the median of the upstreams' paces.
 	pace float64
 	// allowed tells whether configuration lets an upstream serve a service.
@@ -214,16 +221,30 @@
 // Submit takes a job, or answers at once why not.
 func (t *Table) Submit(now time.Time, r Request) {
 	if j := t.jobs[r.Job]; j != nil {
-		t.submitAgain(j, r)
+		t.submitAgain(now, j, r)
 		return
 	}
 	if a, ok := t.refusal(r); ok {
 		t.callers.Answer(r.Caller, a)
-		t.observer.Answered(r.Job, &r.Route, a, Summary{Sender: r.Sender, Tasks: r.Spec.Tasks(), Queued: t.queued()})
+		t.observer.Answered(r.Job, &r.Route, a, Summary{Sender: r.Sender, Tasks: r.Spec.Tasks(), Queued: t.waitingJobs()})
 		return
 	}
-	t.begin(now, r)
-	t.Pump(now)
+	j := t.begin(now, r)
+	if !t.giveUp(now, j) {
+		t.Pump(now)
+	}
+}
+
+// wakeWindow is how long after a standstill a request may be one that came during it.
+const wakeWindow = 200 * time.Millisecond
+
+// deadline is when a request's caller surely waits no longer. A request that came while the process stood still
+// may have waited all that time; its caller may be about to send it elsewhere.
+func (t *Table) deadline(now time.Time, r Request) time.Time {
+	if r.Deadline.IsZero() || t.woke.IsZero() || now.Sub(t.woke) > wakeWindow {
+		return r.Deadline
+	}
+	return r.Deadline.Add(-now.Sub(t.stoodFrom))
 }
 
 // refusal says why a job can't be taken.
@@ -234,7 +255,7 @@
 		refused.Reason = verdict.Unsupported
 	case r.Spec.Tasks() > t.opts.MaxTasks:
 		refused.Reason = verdict.TooLarge
-	case t.queued() >= t.opts.MaxQueue:
+	case t.waitingJobs() >= t.opts.MaxQueue:
 		refused.Reason = verdict.Overloaded
 	default:
 		return Answer{}, false
@@ -247,27 +268,29 @@
 const refusedRetry = time.Second
 
 // submitAgain handles a job whose id is held already.
-func (t *Table) submitAgain(j *jobState, r Request) {
+func (t *Table) submitAgain(now time.Time, j *jobState, r Request) {
 	switch {
 	case j.spec.Text != r.Spec.Text || j.spec.Tasks() != r.Spec.Tasks():
 		t.callers.Answer(r.Caller, Answer{State: verdict.Refused, Verdict: verdict.MayHaveRun, Reason: verdict.DifferentBody})
 	case j.ending:
 		// Its old runs are being stopped; only then may it run anew.
 		j.again = append(j.again, r)
+		t.forget(now, j)
 	default:
 		j.callers = append(j.callers, r.Caller)
 		j.sender = r.Sender
-		if r.Deadline.After(j.deadline) {
-			j.deadline = r.Deadline
+		if deadline := t.deadline(now, r); deadline.After(j.deadline) {
+			j.deadline = deadline
 		}
 	}
 }
 
 // begin makes a job's state and queues its first steps.
-func (t *Table) begin(now time.Time, r Request) {
+func (t *Table) begin(now time.Time, r Request) *jobState {
 	chain := r.Spec.Chain()
+	deadline := t.deadline(now, r)
 	j := &jobState{
-		id: r.Job, spec: r.Spec, route: r.Route, callers: []CallerID{r.Caller}, sender: r.Sender, submitted: now, deadline: r.Deadline,
+		id: r.Job, spec: r.Spec, route: r.Route, callers: []CallerID{r.Caller}, sender: r.Sender, submitted: now, deadline: deadline,
 		objective: r.Route.Objective(chain), steps: make([][]*task, len(r.Spec.Steps)), left: make([]int, len(r.Spec.Steps)),
 	}
 	j.startBy = now.Add(j.objective - time.Duration(t.pace*float64(chain)) - answerTime)
@@ -281,6 +304,7 @@
 	}
 	t.jobs[j.id] = j
 	t.unblock(j)
+	return j
 }
 
 // answerTime is what of an objective goes to networks and to handling a job: 3 ms each way to callers, and as
@@ -374,7 +398,7 @@
 	j.ending = true
 	s := Summary{
 		Sender: j.sender, Took: now.Sub(j.submitted), Objective: j.objective, Tasks: j.spec.Tasks(), Runs: j.runs, Failures: j.failures,
-		Longest: j.longest, Queued: t.queued(),
+		Longest: j.longest, Queued: t.waitingJobs(),
 	}
 	if !j.firstAt.IsZero() {
 		s.Waited = j.firstAt.Sub(j.submitted)
@@ -416,7 +440,7 @@
 
 // forget removes a closed job of which nothing remains, and begins it anew if it was submitted again.
 func (t *Table) forget(now time.Time, j *jobState) {
-	if !j.ending || j.out > 0 {
+	if !j.ending || j.out > 0 && !(t.opts.Without.Off(rule.StopsFirst) && len(j.again) > 0) {
 		return
 	}
 	delete(t.jobs, j.id)
@@ -425,9 +449,9 @@
 	}
 }
 
-func (t *Table) queued() int {
+func (t *Table) waitingJobs() int {
 	n := 0
-	for _, q := range t.queues {
+	for _, q := range t.queued {
 		n += len(q.jobs)
 	}
 	return n
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -49,6 +49,13 @@
 		t.forget(now, j)
 		return
 	}
+	if e.Reason == fleet.Superseded {
+		// The caller has sent the job to another entry; two entries that kept at it would stop each other's runs.
+		t.observer.Ended(a.id, e, "job_superseded")
+		k.phase = over
+		t.close(now, j, Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Superseded})
+		return
+	}
 	switch e.Outcome {
 	case job.Done:
 		t.observer.Ended(a.id, e, "done")
@@ -97,22 +104,35 @@
 
 // Tick does what time alone brings about.
 func (t *Table) Tick(now time.Time) {
+	if !t.ticked.IsZero() && now.Sub(t.ticked) > t.opts.Timing.Silence {
+		t.stoodFrom, t.woke = t.ticked, now
+	}
+	t.ticked = now
 	t.settleSilent(now)
 	for _, j := range t.sortedJobs() {
-		switch {
-		case j.ending:
-		case !j.deadline.IsZero() && now.After(j.deadline):
-			t.expireJob(now, j)
-		case !j.begun && now.After(j.startBy):
-			// It can't be in time any more, and nothing of it was offered to an upstream.
-			t.close(now, j, Answer{
-				State: verdict.Refused, Verdict: verdict.NotRun, Reason: verdict.Overloaded, RetryAfter: refusedRetry,
-			})
-		}
+		t.giveUp(now, j)
 	}
 	t.Pump(now)
 }
 
+// giveUp answers a job that can't be served any more, and tells whether it was one.
+func (t *Table) giveUp(now time.Time, j *jobState) bool {
+	switch {
+	case j.ending:
+		return false
+	case !j.deadline.IsZero() && now.After(j.deadline):
+		t.expireJob(now, j)
+		return true
+	case !j.begun && now.After(j.startBy):
+		// It can't be in time any more, and nothing of it was offered to an upstream.
+		t.close(now, j, Answer{
+			State: verdict.Refused, Verdict: verdict.NotRun, Reason: verdict.Overloaded, RetryAfter: refusedRetry,
+		})
+		return true
+	}
+	return false
+}
+
 // expireJob gives up a job whose caller waits no longer.
 func (t *Table) expireJob(now time.Time, j *jobState) {
 	if j.begun {
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -18,6 +18,7 @@
 	if q == nil {
 		q = &queue{}
 		t.queues[s] = q
+		t.queued = append(t.queued, q)
 	}
 	return q
 }
@@ -56,7 +57,7 @@
 
 // Pump places what fits.
 func (t *Table) Pump(now time.Time) {
-	for _, q := range t.queues {
+	for _, q := range t.queued {
 		missed := 0
 		for i := 0; i < len(q.jobs) && missed < lookahead; {
 			j := q.jobs[i]
--- /dev/null
+++ b/internal/proof/schedule/callers_test.go
@@ -0,0 +1,191 @@
+package schedule
+
+import (
+	"time"
+
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/route"
+	"hillreel/internal/core/verdict"
+	"hillreel/internal/entry/dispatch"
+)
+
+// publish is the queue of all jobs.
+var publish = route.Route{
+	Name: "publish", Service: service, Target: 100 * time.Millisecond, Stretch: 3, Attempts: 2,
+}
+
+// simTask is a task as its upstream will run it.
+type simTask struct {
+	work time.Duration
+	done time.Time
+}
+
+// attempt is one request of a caller for a job.
+type attempt struct{ refused, answered bool }
+
+// submission is a job and its caller.
+type submission struct {
+	w        *world
+	id       job.ID
+	spec     *job.Spec
+	tasks    []simTask
+	poison   bool
+	first    time.Time
+	patience time.Duration
+	attempts []*attempt
+	answers  []dispatch.Answer
+	left     bool
+}
+
+// maxAttempts is how often a caller sends a job.
+const maxAttempts = 3
+
+func (s *submission) done(t job.TaskID) { s.tasks[t.Index].done = s.w.now }
+
+// onlyRefused tells whether every attempt so far was refused.
+func (s *submission) onlyRefused() bool {
+	for _, a := range s.attempts {
+		if !a.refused {
+			return false
+		}
+	}
+	return true
+}
+
+// submit makes a job and lets its caller send it.
+func (w *world) submit() {
+	s := &submission{
+		w: w, id: job.ID(len(w.order) + 1), first: w.now, patience: w.between(500*time.Millisecond, 3*time.Second),
+		poison: w.chance(0.03),
+	}
+	n := 1 + w.rng.IntN(4)
+	estimate := w.between(20*time.Millisecond, 400*time.Millisecond)
+	if w.chance(0.25) {
+		// Only a run that outlives its entry's detection and the caller's pause can meet its successor.
+		estimate = w.between(time.Second, 3*time.Second)
+	}
+	for range n {
+		work := time.Duration(float64(estimate) * (0.6 + 0.8*w.rng.Float64()))
+		s.tasks = append(s.tasks, simTask{work: work})
+	}
+	s.spec = &job.Spec{Text: s.id.String(), BestEffort: true, Steps: []job.Step{{Count: uint32(n), Each: need, Estimate: estimate}}}
+	w.jobs[s.id] = s
+	w.order = append(w.order, s)
+	s.send()
+}
+
+// send hands the job to some entry.
+func (s *submission) send() {
+	w := s.w
+	if len(s.attempts) >= maxAttempts || s.left {
+		return
+	}
+	a := &attempt{}
+	s.attempts = append(s.attempts, a)
+	e := w.entries[w.rng.IntN(len(w.entries))]
+	inc := e.inc
+	caller := dispatch.CallerID(uint64(s.id)<<8 | uint64(len(s.attempts)))
+	e.waitersOf(s, a, caller)
+	w.after(3*time.Millisecond, func() {
+		if !e.alive || e.inc != inc {
+			s.broken(a)
+			return
+		}
+		e.doIn(inc, func() { e.take(s, a, caller) })
+	})
+	leave := s.patience
+	if w.chance(0.05) {
+		leave = w.between(10*time.Millisecond, 300*time.Millisecond)
+		s.left = true
+	}
+	w.after(leave, func() {
+		if a.answered {
+			return
+		}
+		a.answered = true
+		if !e.clientCut {
+			w.after(3*time.Millisecond, func() {
+				e.doIn(inc, func() {
+					delete(e.waiting, caller)
+					e.table.Abandon(w.now, s.id, caller)
+				})
+			})
+		}
+		w.after(resend, s.send)
+	})
+}
+
+// broken handles a connection that broke before an answer came.
+func (s *submission) broken(a *attempt) {
+	if a.answered {
+		return
+	}
+	a.answered = true
+	s.w.after(resend, s.send)
+}
+
+// openRequest is a request that waits at an entry.
+type openRequest struct {
+	s *submission
+	a *attempt
+}
+
+func (e *entryProc) waitersOf(s *submission, a *attempt, c dispatch.CallerID) {
+	if e.open == nil {
+		e.open = make(map[dispatch.CallerID]openRequest)
+	}
+	e.open[c] = openRequest{s, a}
+}
+
+// take is the arrival of a request at its entry.
+func (e *entryProc) take(s *submission, a *attempt, c dispatch.CallerID) {
+	w := e.w
+	if a.answered && !e.clientCut {
+		// The entry sees that the connection is closed before it handles the request.
+		return
+	}
+	e.waiting[c] = func(answer dispatch.Answer) { s.answer(e, a, answer) }
+	e.table.Submit(w.now, dispatch.Request{
+		Job: s.id, Spec: s.spec, Route: publish, Caller: c, Deadline: w.now.Add(s.patience),
+	})
+}
+
+// answer takes an answer to the caller and checks it.
+func (s *submission) answer(e *entryProc, a *attempt, answer dispatch.Answer) {
+	w := s.w
+	w.note("job %v is answered %s %s %s by %s", s.id, answer.State, answer.Verdict, answer.Reason, e.name)
+	if answer.State == verdict.Complete {
+		for i, t := range s.tasks {
+			if t.done.IsZero() {
+				w.violate("job %v is called complete, and its task %d has not ended well", s.id, i)
+			}
+		}
+	}
+	if answer.State == verdict.Refused && answer.Verdict == verdict.NotRun && s.holdsRun(e) {
+		w.violate("job %v is called not run, and its entry has a run of it", s.id)
+	}
+	if e.clientCut || a.answered {
+		return
+	}
+	a.answered = true
+	a.refused = answer.State == verdict.Refused && answer.Verdict == verdict.NotRun
+	s.answers = append(s.answers, answer)
+	if answer.State == verdict.Unresolved {
+		w.after(resend, s.send)
+	}
+}
+
+// holdsRun tells whether a run of the job that this very entry ordered is at an upstream.
+func (s *submission) holdsRun(*entryProc) bool {
+	if len(s.attempts) > 1 {
+		return false // an earlier entry's
+	}
+	for _, a := range s.w.agents {
+		for t := range a.upstream.runs {
+			if t.Job == s.id {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/proof/schedule/faults_test.go
@@ -0,0 +1,134 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// endEntry kills an entry; with power lost, nobody is told.
+func (w *world) endEntry(e *entryProc, power bool, down time.Duration) {
+	if !e.alive {
+		return
+	}
+	w.note("%s is killed (power %v)", e.name, power)
+	e.alive = false
+	e.inc = 0
+	for _, p := range w.pairs {
+		if p.e == e {
+			w.snapSide(p, p.a.links[&e.proc], power)
+		}
+	}
+	var open []openRequest
+	for _, o := range e.open {
+		open = append(open, o)
+	}
+	slices.SortFunc(open, func(a, b openRequest) int {
+		return cmp.Or(cmp.Compare(a.s.id, b.s.id), cmp.Compare(len(a.s.attempts), len(b.s.attempts)))
+	})
+	e.open = nil
+	if !power {
+		for _, o := range open {
+			o.s.broken(o.a)
+		}
+	}
+	w.after(down, func() { w.startEntry(e); w.note("%s starts", e.name) })
+}
+
+// endAgent kills an agent; its upstream runs on until the lease lapses.
+func (w *world) endAgent(a *agentProc, power bool, down time.Duration) {
+	if !a.alive {
+		return
+	}
+	w.note("%s is killed (power %v)", a.name, power)
+	a.alive = false
+	a.inc = 0
+	for _, p := range w.pairs {
+		if p.a == a {
+			w.snapSide(p, p.e.links[&a.proc], power)
+		}
+	}
+	w.after(down, func() { w.startAgent(a); w.note("%s starts", a.name) })
+}
+
+// snapSide lets the survivor's side of a link notice its end, unless that is silent.
+func (w *world) snapSide(p *pair, s *linkSide, silent bool) {
+	if s != nil && !silent {
+		w.after(w.between(0, 5*time.Millisecond), func() { p.noticed(s) })
+	}
+}
+
+// cut holds up the messages of a pair, in one direction or both.
+func (w *world) cut(p *pair, d time.Duration) {
+	both := w.chance(0.6)
+	toAgent := both || w.chance(0.5)
+	p.toAgent, p.toEnt = toAgent || p.toAgent, both || !toAgent || p.toEnt
+	w.note("%s and %s are cut off for %v (to agent %v, to entry %v)", p.e.name, p.a.name, d, p.toAgent, p.toEnt)
+	w.after(d, func() {
+		p.toAgent, p.toEnt = false, false
+		open := p.open[:0]
+		for _, s := range p.open {
+			if s.open {
+				s.heal()
+				open = append(open, s)
+			}
+		}
+		p.open = open
+	})
+}
+
+// window sets something for a while.
+func (w *world) window(what string, d time.Duration, set, unset func()) {
+	w.note("%s for %v", what, d)
+	set()
+	w.after(d, unset)
+}
+
+// fault lets one thing go wrong.
+func (w *world) fault() {
+	w.faults++
+	e, a := w.entries[w.rng.IntN(len(w.entries))], w.agents[w.rng.IntN(len(w.agents))]
+	p := w.pairs[w.rng.IntN(len(w.pairs))]
+	u := a.upstream
+	short := w.between(200*time.Millisecond, 3*time.Second)
+	down := w.between(100*time.Millisecond, 2*time.Second)
+	switch w.rng.IntN(18) {
+	case 0, 1:
+		w.endEntry(e, w.chance(0.5), down)
+	case 2, 3:
+		w.endAgent(a, w.chance(0.5), down)
+	case 4:
+		e.freeze(short)
+	case 5:
+		a.freeze(short)
+	case 6, 7:
+		w.cut(p, short)
+	case 8:
+		w.snap(p, w.chance(0.3))
+	case 9:
+		w.note("%s crashes", u.id)
+		u.crash(down)
+	case 10:
+		w.window("upstream "+u.name+" is cut off", short, func() { u.cut = true }, func() { u.cut = false })
+	case 11, 12:
+		late, loses := w.rng.Float64(), 0.3+0.6*w.rng.Float64()
+		w.window("upstream "+u.name+" loses orders", short, func() { u.loses, u.late = loses, late }, func() { u.loses = 0 })
+	case 13:
+		w.window("upstream "+u.name+" fails", short, func() { u.fails = w.rng.Float64() }, func() { u.fails = 0 })
+	case 14:
+		w.window("upstream "+u.name+" hangs", short, func() { u.hangs = w.rng.Float64() }, func() { u.hangs = 0 })
+	case 15:
+		w.window("callers are cut off from "+e.name, short, func() { e.clientCut = true }, func() { e.clientCut = false })
+	case 16:
+		slow := w.between(50*time.Millisecond, 2*time.Second)
+		w.window("the link of "+p.e.name+" and "+p.a.name+" is slow", short, func() { p.slow = slow }, func() { p.slow = 0 })
+	case 17:
+		power := w.chance(0.5)
+		for _, x := range w.entries {
+			w.endEntry(x, power, down)
+		}
+		for _, x := range w.agents {
+			w.endAgent(x, power, down)
+		}
+	}
+}
--- /dev/null
+++ b/internal/proof/schedule/schedule_test.go
@@ -0,0 +1,177 @@
+package schedule
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/core/rule"
+	"hillreel/internal/core/verdict"
+)
+
+var (
+	schedules = flag.Int("schedules", 1500, "how many random schedules to run")
+	seed      = flag.Uint64("seed", 1, "the first schedule's seed")
+)
+
+const (
+	// busy is how long jobs come and things go wrong.
+	busy = 5 * time.Second
+	// quiet is by when everything must have come to rest: the longest patience, three attempts with their pauses,
+	// and 12 s for orders that are carried out late.
+	quiet = 20 * time.Second
+)
+
+// schedule runs one schedule and returns its world.
+func schedule(s uint64, without rule.Set, faults int) *world {
+	w := newWorld(s, without)
+	w.build(2, 2+w.rng.IntN(2))
+	jobs := 10 + w.rng.IntN(25)
+	w.after(time.Second, func() {
+		for range jobs {
+			w.after(w.between(0, busy), w.submit)
+		}
+		for range faults {
+			w.after(w.between(0, busy), w.fault)
+		}
+	})
+	w.run(quiet)
+	if w.broken == "" {
+		w.checkRest()
+	}
+	return w
+}
+
+func (w *world) build(entries, agents int) {
+	for i := range agents {
+		a := &agentProc{proc: proc{w: w, name: fmt.Sprintf("agent-%d", i)}}
+		a.upstream = &simUpstream{w: w, name: fmt.Sprintf("upstream-%d", i), agent: a}
+		w.agents = append(w.agents, a)
+		w.startAgent(a)
+		a.upstream.begin()
+	}
+	for i := range entries {
+		e := &entryProc{proc: proc{w: w, name: fmt.Sprintf("entry-%d", i)}}
+		w.entries = append(w.entries, e)
+		w.startEntry(e)
+		for _, a := range w.agents {
+			p := &pair{e: e, a: a}
+			w.pairs = append(w.pairs, p)
+			w.dial(p)
+		}
+	}
+}
+
+// checkRest checks that nothing is left once everything has come to rest.
+func (w *world) checkRest() {
+	for _, e := range w.entries {
+		if n := e.table.Jobs(); n > 0 {
+			w.violate("%s still holds %d jobs", e.name, n)
+		}
+	}
+	for _, a := range w.agents {
+		if n := a.keeper.Runs(); n > 0 {
+			w.violate("%s still counts %d runs", a.name, n)
+		}
+		if n := len(a.upstream.runs); n > 0 {
+			w.violate("%s still runs %d tasks", a.upstream.id, n)
+		}
+	}
+	for _, s := range w.order {
+		for _, a := range s.attempts {
+			if !a.answered {
+				w.violate("an attempt at job %v was never answered", s.id)
+			}
+		}
+	}
+}
+
+// report prints a schedule that failed.
+func (w *world) report(s uint64) string {
+	from := max(len(w.log)-200, 0)
+	return fmt.Sprintf("seed %d: %s\n%s", s, w.broken, strings.Join(w.log[from:], "\n"))
+}
+
+// search runs schedules on all processors and returns the first that fails, or nil.
+func search(first uint64, n int, without rule.Set, faults func(uint64) int) (failed *world, failedSeed uint64, ran int64) {
+	var next, count atomic.Uint64
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		group.Go(func() {
+			for {
+				i := next.Add(1) - 1
+				mu.Lock()
+				stop := failed != nil && failedSeed < first+i
+				mu.Unlock()
+				if i >= uint64(n) || stop {
+					return
+				}
+				w := schedule(first+i, without, faults(first+i))
+				count.Add(1)
+				if w.broken == "" {
+					continue
+				}
+				mu.Lock()
+				if failed == nil || first+i < failedSeed {
+					failed, failedSeed = w, first+i
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	return failed, failedSeed, int64(count.Load())
+}
+
+// someFaults is how many things go wrong in a schedule.
+func someFaults(s uint64) int { return int(s % 9) }
+
+// TestSchedules runs random schedules with up to eight faults that overlap.
+func TestSchedules(t *testing.T) {
+	w, s, ran := search(*seed, *schedules, nil, someFaults)
+	if w != nil {
+		t.Fatal(w.report(s))
+	}
+	t.Logf("%d schedules from seed %d, no violation", ran, *seed)
+}
+
+// TestQuietSchedules: when nothing goes wrong, every job that can be done and is not given up by its caller is
+// done, unless it was refused for want of room; and nothing is lost, stopped or started again.
+func TestQuietSchedules(t *testing.T) {
+	for s := range uint64(50) {
+		w := schedule(s+1, nil, 0)
+		qt.Assert(t, w.broken, qt.Equals, "", qt.Commentf("seed %d", s+1))
+		for _, job := range w.order {
+			if job.left || len(job.attempts) > 1 {
+				continue
+			}
+			qt.Assert(t, job.answers, qt.HasLen, 1)
+			got := job.answers[0]
+			switch {
+			case got.State == verdict.Refused:
+				qt.Assert(t, got.Reason == verdict.Overloaded || got.Reason == verdict.Deadline, qt.IsTrue)
+				qt.Assert(t, got.RetryAfter > 0, qt.IsTrue)
+			case job.poison:
+				qt.Assert(t, got.State, qt.Equals, verdict.Failed)
+			default:
+				qt.Assert(t, got.State, qt.Equals, verdict.Complete, qt.Commentf("seed %d job %v", s+1, job.id))
+			}
+		}
+	}
+}
+
+// TestSchedulesRepeat: the same seed gives the same schedule, or a failure could not be looked at again.
+func TestSchedulesRepeat(t *testing.T) {
+	for s := range uint64(20) {
+		a, b := schedule(s+1, nil, 6), schedule(s+1, nil, 6)
+		qt.Assert(t, strings.Join(a.log, "\n"), qt.Equals, strings.Join(b.log, "\n"))
+	}
+}
--- /dev/null
+++ b/internal/proof/schedule/upstream_test.go
@@ -0,0 +1,298 @@
+package schedule
+
+import (
+	"fmt"
+	"time"
+
+	"hillreel/internal/agent/upstream"
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+)
+
+// capacity is an upstream's room: three tasks of need.
+var (
+	need     = job.Resources{CPU: 1000, Mem: 10}
+	capacity = job.Resources{CPU: 3000, Mem: 100}
+)
+
+const service = ident.Service("publish")
+
+// simRun is a run at a simulated upstream.
+type simRun struct {
+	task job.TaskID
+	run  job.Run
+	from time.Time
+	work time.Duration
+	how  upstream.How
+	// hang: it never gets on.
+	hang     bool
+	stopping bool
+}
+
+// simUpstream behaves as the platform says an upstream does.
+type simUpstream struct {
+	w     *world
+	name  string
+	agent *agentProc
+
+	up   bool
+	id   ident.UpstreamID
+	life int
+	born time.Time
+	// rate is how fast its clock runs: up to 2% slow.
+	rate  float64
+	until upstream.Clock
+	token upstream.Token
+	runs  map[job.TaskID]*simRun
+	past  map[job.TaskID]job.Run
+	ends  []upstream.Finished
+	n     uint64
+	beats uint64
+	// waiters answer holds that wait for an end.
+	waiters []func()
+	// loses is how often an order gets no answer; late how many of those are carried out seconds later.
+	loses, late float64
+	// fails and hangs are how often runs do so.
+	fails, hangs float64
+	// cut: nothing gets through to it or from it, while it runs on.
+	cut bool
+}
+
+func (u *simUpstream) begin() {
+	u.life++
+	u.up, u.born, u.rate = true, u.w.now, 1/(1+0.02*u.w.rng.Float64())
+	u.id = ident.UpstreamID(fmt.Sprintf("%s-%d", u.name, u.life))
+	u.until, u.token, u.n, u.beats = 0, 0, 0, 0
+	u.runs, u.past, u.ends, u.waiters = make(map[job.TaskID]*simRun), make(map[job.TaskID]job.Run), nil, nil
+	u.beat(u.life)
+}
+
+func (u *simUpstream) clock() upstream.Clock {
+	return upstream.Clock(float64(u.w.now.Sub(u.born)) * u.rate)
+}
+
+// beat sends heartbeats for one life.
+func (u *simUpstream) beat(life int) {
+	if u.life != life || !u.up {
+		return
+	}
+	u.beats++
+	b := upstream.Beat{
+		Upstream: fleet.Upstream{ID: u.id, Service: service, Total: capacity}, Sequence: u.beats, Clock: u.clock(),
+	}
+	if !u.cut {
+		u.w.after(u.w.between(0, time.Millisecond), func() {
+			u.agent.do(func() { u.agent.keeper.Beat(u.w.now, b) })
+		})
+	}
+	u.w.after(500*time.Millisecond, func() { u.beat(life) })
+}
+
+// crash ends what runs; a new life begins later.
+func (u *simUpstream) crash(down time.Duration) {
+	u.up = false
+	u.runs = make(map[job.TaskID]*simRun)
+	u.w.after(down, u.begin)
+}
+
+// lapse kills everything once the lease has run out.
+func (u *simUpstream) lapse() {
+	if !u.up || len(u.runs) == 0 || u.clock() <= u.until {
+		return
+	}
+	for _, r := range u.list() {
+		u.finish(r, upstream.HowLapsed)
+	}
+}
+
+// lease extends the lease; it is never shortened and at most a second long.
+func (u *simUpstream) lease(until upstream.Clock) {
+	until = min(until, u.clock()+upstream.Clock(time.Second))
+	if until <= u.until {
+		return
+	}
+	u.until = until
+	wait := time.Duration(float64(until-u.clock())/u.rate) + time.Millisecond
+	life := u.life
+	u.w.after(wait, func() {
+		if u.life == life {
+			u.lapse()
+		}
+	})
+}
+
+// list returns the runs in a fixed order.
+func (u *simUpstream) list() []*simRun {
+	var out []*simRun
+	for _, s := range u.w.order {
+		for i := range s.tasks {
+			if r := u.runs[job.TaskID{Job: s.id, Index: uint32(i)}]; r != nil {
+				out = append(out, r)
+			}
+		}
+	}
+	return out
+}
+
+func (u *simUpstream) finish(r *simRun, how upstream.How) {
+	if u.runs[r.task] != r {
+		return
+	}
+	delete(u.runs, r.task)
+	u.past[r.task] = max(u.past[r.task], r.run)
+	u.n++
+	u.ends = append(u.ends, upstream.Finished{N: u.n, Task: r.task, Run: r.run, How: how})
+	u.w.note("%s run %d of %v ended %s", u.id, r.run, r.task, how)
+	if how == upstream.HowDone {
+		u.w.jobs[r.task.Job].done(r.task)
+	}
+	waiters := u.waiters
+	u.waiters = nil
+	for _, answer := range waiters {
+		answer()
+	}
+}
+
+// begins starts a run and checks what must hold at that moment.
+func (u *simUpstream) begins(task job.TaskID, run job.Run) {
+	s := u.w.jobs[task.Job]
+	used := need
+	for range u.runs {
+		used = used.Add(need)
+	}
+	if !used.Fits(capacity) {
+		u.w.violate("%s is over its capacity by run %d of %v", u.id, run, task)
+	}
+	for _, other := range u.w.agents {
+		o := other.upstream
+		if r := o.runs[task]; o.up && r != nil {
+			u.w.violate("%v runs twice: run %d at %s and run %d at %s", task, r.run, o.id, run, u.id)
+		}
+	}
+	if s.onlyRefused() {
+		u.w.violate("%v starts though its caller was told that it has not run and never will", task)
+	}
+	r := &simRun{task: task, run: run, from: u.w.now, work: s.tasks[task.Index].work, how: upstream.HowDone}
+	if u.w.chance(u.fails) || s.poison {
+		r.how, r.work = upstream.HowFailed, r.work/4
+	}
+	r.hang = u.w.chance(u.hangs)
+	u.runs[task] = r
+	u.w.note("%s starts run %d of %v", u.id, run, task)
+	if !r.hang {
+		u.w.after(r.work, func() { u.finish(r, r.how) })
+	}
+}
+
+// start handles a start that has arrived.
+func (u *simUpstream) start(c upstream.StartCall) upstream.Answer {
+	switch {
+	case c.Instance != u.id:
+		return upstream.WrongInstance
+	case c.Token < u.token:
+		return upstream.Fenced
+	}
+	u.token = c.Token
+	if c.Until <= u.clock() {
+		return upstream.Declined
+	}
+	u.lease(c.Until)
+	if r := u.runs[c.Task]; r != nil && r.run == c.Run {
+		return upstream.OK
+	}
+	if c.Run <= u.past[c.Task] {
+		return upstream.Used
+	}
+	u.begins(c.Task, c.Run)
+	return upstream.OK
+}
+
+func (u *simUpstream) stop(c upstream.StopCall) upstream.Answer {
+	switch {
+	case c.Instance != u.id:
+		return upstream.WrongInstance
+	case c.Token < u.token:
+		return upstream.Fenced
+	}
+	u.token = c.Token
+	u.past[c.Task] = max(u.past[c.Task], c.Run)
+	if r := u.runs[c.Task]; r != nil && r.run <= c.Run && !r.stopping {
+		r.stopping = true
+		u.w.after(u.w.between(0, 50*time.Millisecond), func() { u.finish(r, upstream.HowStopped) })
+	}
+	return upstream.OK
+}
+
+// held answers a hold.
+func (u *simUpstream) held() upstream.Held {
+	h := upstream.Held{Answer: upstream.OK, Clock: u.clock(), Finished: append([]upstream.Finished(nil), u.ends...)}
+	for _, r := range u.list() {
+		percent := 0
+		if !r.hang {
+			percent = min(int(100*u.w.now.Sub(r.from)/r.work), 99)
+		}
+		h.Running = append(h.Running, upstream.Listed{Task: r.task, Run: r.run, Percent: percent})
+	}
+	return h
+}
+
+func (u *simUpstream) hold(c upstream.HoldCall, answer func(upstream.Held)) {
+	switch {
+	case c.Instance != u.id:
+		answer(upstream.Held{Answer: upstream.WrongInstance})
+		return
+	case c.Token < u.token:
+		answer(upstream.Held{Answer: upstream.Fenced})
+		return
+	}
+	u.token = c.Token
+	u.lease(c.Until)
+	for len(u.ends) > 0 && u.ends[0].N <= c.Seen {
+		u.ends = u.ends[1:]
+	}
+	if len(u.ends) > 0 || c.Wait == 0 {
+		answer(u.held())
+		return
+	}
+	answered := false
+	reply := func() {
+		if !answered {
+			answered = true
+			answer(u.held())
+		}
+	}
+	u.waiters = append(u.waiters, reply)
+	life := u.life
+	u.w.after(c.Wait, func() {
+		if u.up && u.life == life {
+			reply()
+		}
+	})
+}
+
+// order carries an order to the upstream and its answer back; without an answer in time it is Unanswered.
+func (u *simUpstream) order(do func() upstream.Answer, answer func(upstream.Answer, upstream.Clock)) {
+	answered := false
+	reply := func(a upstream.Answer, c upstream.Clock) {
+		if !answered {
+			answered = true
+			answer(a, c)
+		}
+	}
+	u.w.after(callTimeout, func() { reply(upstream.Unanswered, 0) })
+	lost := u.w.chance(u.loses)
+	delay := u.w.between(100*time.Microsecond, 2*time.Millisecond)
+	if lost && u.w.chance(u.late) {
+		delay = u.w.between(2*time.Second, 12*time.Second)
+	}
+	u.w.after(delay, func() {
+		if !u.up || u.cut {
+			return
+		}
+		a, c := do(), u.clock()
+		if !lost {
+			u.w.after(u.w.between(100*time.Microsecond, 2*time.Millisecond), func() { reply(a, c) })
+		}
+	})
+}
