agent: look into unanswered starts at once, know the upstream before its heartbeat; dispatch: wait a quarter of the objective

Orders are now waited for twenty times their usual time (25 ms at least), and a look beside the waiting hold settles them. A restarted agent recalls its upstream from the store instead of waiting 1.5 s for a heartbeat.

--- a/commands/agent.go
+++ b/commands/agent.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	upstream := platform.NewUpstream(ident.Address(set.Agent.Upstream), set.Agent.Connections, set.Agent.CallTimeout, set.Agent.CallTimeout)
+	upstream := platform.NewUpstream(ident.Address(set.Agent.Upstream), set.Agent.Connections, set.Agent.CallTimeout)
 	p, err := agent.New(set, agent.Deps{
 		Store: platform.NewStore(ident.Address(set.Platform.Store), set.Platform.Timeout), Upstream: upstream,
 		Beats: func(n *node.Node) http.Handler { return platform.Beats(n, log) }, Dial: session.TCP, Log: log,
--- /dev/null
+++ b/internal/agent/node/calls.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"hillreel/internal/agent/upstream"
+	"hillreel/internal/core/fleet"
+)
+
+// Upstream makes calls to the upstream beside this agent. An error goes with an answer of Unanswered.
+type Upstream interface {
+	Start(ctx context.Context, c upstream.StartCall) (upstream.Answer, upstream.Clock, error)
+	Stop(ctx context.Context, c upstream.StopCall) (upstream.Answer, upstream.Clock, error)
+	Hold(ctx context.Context, c upstream.HoldCall) (upstream.Held, error)
+}
+
+// Memory keeps what this agent's next life should know.
+type Memory interface {
+	Recall(ctx context.Context) (fleet.Upstream, bool, error)
+	Remember(ctx context.Context, u fleet.Upstream) error
+}
+
+const (
+	// leastPatience bounds from below how long an order is waited for. A start usually takes a millisecond; to take
+	// a slow answer for a lost one costs two calls and does no harm.
+	leastPatience = 25 * time.Millisecond
+	// patienceFactor times the usual time of an order is how long one is waited for.
+	patienceFactor = 20
+	// usualWeight is the weight of the newest order's time in the usual time.
+	usualWeight = 0.1
+)
+
+// patience learns how long an order to the upstream is worth waiting for.
+type patience struct {
+	usual time.Duration
+	most  time.Duration
+}
+
+func (p *patience) learn(took time.Duration) {
+	p.usual += time.Duration(usualWeight * float64(took-p.usual))
+}
+
+// limit is how long an order is waited for.
+func (p *patience) limit() time.Duration {
+	return min(max(patienceFactor*p.usual, leastPatience), p.most)
+}
+
+// caller makes the keeper's calls, each on a goroutine of its own.
+type caller Node
+
+// order makes one order with the patience of the moment, and posts its end.
+func (c *caller) order(what string, fields logrus.Fields, call func(ctx context.Context) (upstream.Answer, upstream.Clock, error), done func(upstream.Answer, upstream.Clock) any) {
+	limit := c.patience.limit()
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, limit)
+		defer cancel()
+		began := time.Now()
+		a, clock, err := call(ctx)
+		took := time.Since(began)
+		if err != nil {
+			c.log.WithFields(fields).WithFields(logrus.Fields{"limit_ms": limit.Milliseconds(), "error": err.Error()}).Info(what)
+		}
+		c.loop.Post(orderDone{took, done(a, clock)})
+	}()
+}
+
+// Start starts a run.
+func (c *caller) Start(call upstream.StartCall) {
+	c.order("start_unanswered", logrus.Fields{"job": call.Task.Job, "task": call.Task, "run": call.Run},
+		func(ctx context.Context) (upstream.Answer, upstream.Clock, error) { return c.upstream.Start(ctx, call) },
+		func(a upstream.Answer, clock upstream.Clock) any { return startDone{call, a, clock} })
+}
+
+// Stop stops a run.
+func (c *caller) Stop(call upstream.StopCall) {
+	c.order("stop_unanswered", logrus.Fields{"job": call.Task.Job, "task": call.Task, "run": call.Run},
+		func(ctx context.Context) (upstream.Answer, upstream.Clock, error) { return c.upstream.Stop(ctx, call) },
+		func(a upstream.Answer, clock upstream.Clock) any { return stopDone{call, a, clock} })
+}
+
+// Hold extends the lease and asks what runs.
+func (c *caller) Hold(call upstream.HoldCall) {
+	limit := call.Wait + c.patience.most
+	if call.Look {
+		limit = c.patience.limit()
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, limit)
+		defer cancel()
+		h, err := c.upstream.Hold(ctx, call)
+		if err != nil {
+			c.log.WithField("error", err.Error()).Debug("hold_unanswered")
+		}
+		c.loop.Post(holdDone{call, h})
+	}()
+}
+
+// recallPause is the pause between two attempts to read or write the memory.
+const recallPause = 300 * time.Millisecond
+
+// recall reads what an earlier life has remembered, until a heartbeat makes that needless.
+func (n *Node) recall() {
+	for n.ctx.Err() == nil {
+		u, found, err := n.memory.Recall(n.ctx)
+		if err == nil {
+			if found {
+				n.loop.Post(recalled{u})
+			}
+			return
+		}
+		n.log.WithField("error", err.Error()).Info("memory_unreadable")
+		if ready, _ := n.Ready(); ready {
+			return
+		}
+		time.Sleep(recallPause)
+	}
+}
+
+// remember writes a new upstream, until it is written or another has come.
+func (n *Node) remember(u fleet.Upstream) {
+	n.remembered = u.ID
+	go func() {
+		for n.ctx.Err() == nil {
+			err := n.memory.Remember(n.ctx, u)
+			if err == nil {
+				return
+			}
+			n.log.WithField("error", err.Error()).Info("memory_unwritable")
+			time.Sleep(recallPause)
+			current := false
+			n.loop.Call(func() { current = n.remembered == u.ID })
+			if !current {
+				return
+			}
+		}
+	}()
+}
--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -90,8 +90,8 @@
 	}
 }
 
-// patience is how long a lost entry is dialled at the shorter pause; one that restarts is back within it.
-const patience = 5 * time.Second
+// quickDials is how long a lost entry is dialled at the shorter pause; one that restarts is back within it.
+const quickDials = 5 * time.Second
 
 // slowDown is by how much the pause is longer afterwards.
 const slowDown = 5
@@ -106,7 +106,7 @@
 			since = time.Now()
 		}
 		pause := n.set.Links.RedialEvery
-		if time.Since(since) > patience {
+		if time.Since(since) > quickDials {
 			pause *= slowDown
 		}
 		select {
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -17,40 +17,37 @@
 	"hillreel/internal/link/wire"
 )
 
-// Upstream makes calls to the upstream beside this agent. An error goes with an answer of Unanswered.
-type Upstream interface {
-	Start(ctx context.Context, c upstream.StartCall) (upstream.Answer, upstream.Clock, error)
-	Stop(ctx context.Context, c upstream.StopCall) (upstream.Answer, upstream.Clock, error)
-	Hold(ctx context.Context, c upstream.HoldCall) (upstream.Held, error)
-}
-
 // Node is the control part of one agent.
 type Node struct {
 	set      *settings.Settings
 	log      *logrus.Entry
 	dial     session.Dialer
 	upstream Upstream
+	memory   Memory
 	inc      ident.Incarnation
 	loop     *loop.Loop
 	ctx      context.Context
 	cancel   context.CancelFunc
 
 	// The control goroutine owns what follows.
-	keeper  *upstream.Keeper
-	links   map[ident.Incarnation]*link
-	dialled map[string]*dialled
-	listed  map[source][]string
-	config  *wire.Config
-	ticked  time.Time
+	keeper *upstream.Keeper
+	// remembered is the upstream that was last given to the memory.
+	remembered ident.UpstreamID
+	patience   patience
+	links      map[ident.Incarnation]*link
+	dialled    map[string]*dialled
+	listed     map[source][]string
+	config     *wire.Config
+	ticked     time.Time
 }
 
 // New returns a Node that has not started.
-func New(set *settings.Settings, u Upstream, dial session.Dialer, log *logrus.Entry) *Node {
+func New(set *settings.Settings, u Upstream, m Memory, dial session.Dialer, log *logrus.Entry) *Node {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
-		set: set, log: log, dial: dial, upstream: u, inc: ident.NewIncarnation(), loop: loop.New(), ctx: ctx, cancel: cancel,
+		set: set, log: log, dial: dial, upstream: u, memory: m, inc: ident.NewIncarnation(), loop: loop.New(), ctx: ctx, cancel: cancel,
 		links: make(map[ident.Incarnation]*link), dialled: make(map[string]*dialled), listed: make(map[source][]string),
-		config: &wire.Config{}, ticked: time.Now(),
+		config: &wire.Config{}, ticked: time.Now(), patience: patience{most: set.Agent.CallTimeout},
 	}
 	l := set.Links
 	timing := fleet.Timing{Silence: l.Silence, Lease: l.Lease, StopBudget: l.StopBudget, KeepAlive: l.KeepAlive}
@@ -62,6 +59,7 @@
 func (n *Node) Start(context.Context) error {
 	go n.loop.Run(n.set.Links.Tick, n.handle, n.tick)
 	n.loop.Post(entriesListed{seeds, n.seedLinks()})
+	go n.recall()
 	return nil
 }
 
@@ -109,7 +107,13 @@
 
 // The events that the control goroutine handles, beside upstream.Beat.
 type (
-	left   struct{ id ident.UpstreamID }
+	left     struct{ id ident.UpstreamID }
+	recalled struct{ upstream fleet.Upstream }
+	// orderDone carries the end of a start or a stop, and how long its answer took.
+	orderDone struct {
+		took time.Duration
+		end  any
+	}
 	linkUp struct {
 		session *session.Session
 		link    string
@@ -148,6 +152,12 @@
 	switch e := e.(type) {
 	case upstream.Beat:
 		n.keeper.Beat(now, e)
+		if u, known := n.keeper.Known(); known && u.ID != n.remembered {
+			n.remember(u)
+		}
+	case recalled:
+		n.log.WithField("upstream", e.upstream.ID).Info("upstream_recalled")
+		n.keeper.Recall(now, e.upstream)
 	case left:
 		n.log.WithField("upstream", e.id).Info("upstream_left")
 		n.keeper.Left(now, e.id)
@@ -157,10 +167,9 @@
 		n.handleLinkDown(now, e.session, e.err)
 	case received:
 		n.handleReceived(now, e.session, e.msgs)
-	case startDone:
-		n.keeper.StartDone(now, e.call, e.answer, e.clock)
-	case stopDone:
-		n.keeper.StopDone(now, e.call, e.answer, e.clock)
+	case orderDone:
+		n.patience.learn(e.took)
+		n.handleOrderDone(now, e.end)
 	case holdDone:
 		n.keeper.HoldDone(now, e.call, e.held)
 	case entriesListed:
@@ -169,6 +178,15 @@
 	n.keeper.Flush(now)
 }
 
+func (n *Node) handleOrderDone(now time.Time, end any) {
+	switch e := end.(type) {
+	case startDone:
+		n.keeper.StartDone(now, e.call, e.answer, e.clock)
+	case stopDone:
+		n.keeper.StopDone(now, e.call, e.answer, e.clock)
+	}
+}
+
 // catchUp lets time pass before anything else when the process has stood still: an entry's runs, and orders that
 // came meanwhile, may have expired.
 func (n *Node) catchUp(now time.Time) {
@@ -191,39 +209,3 @@
 	}
 	n.keeper.Flush(now)
 }
-
-// caller makes the keeper's calls, each on a goroutine of its own.
-type caller Node
-
-// Start starts a run.
-func (c *caller) Start(call upstream.StartCall) {
-	go func() {
-		a, clock, err := c.upstream.Start(c.ctx, call)
-		if err != nil {
-			c.log.WithFields(logrus.Fields{"task": call.Task, "run": call.Run, "error": err.Error()}).Info("start_unanswered")
-		}
-		c.loop.Post(startDone{call, a, clock})
-	}()
-}
-
-// Stop stops a run.
-func (c *caller) Stop(call upstream.StopCall) {
-	go func() {
-		a, clock, err := c.upstream.Stop(c.ctx, call)
-		if err != nil {
-			c.log.WithFields(logrus.Fields{"task": call.Task, "run": call.Run, "error": err.Error()}).Info("stop_unanswered")
-		}
-		c.loop.Post(stopDone{call, a, clock})
-	}()
-}
-
-// Hold extends the lease and asks what runs.
-func (c *caller) Hold(call upstream.HoldCall) {
-	go func() {
-		h, err := c.upstream.Hold(c.ctx, call)
-		if err != nil {
-			c.log.WithField("error", err.Error()).Debug("hold_unanswered")
-		}
-		c.loop.Post(holdDone{call, h})
-	}()
-}
--- a/internal/agent/process/process.go
+++ b/internal/agent/process/process.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"hillreel/internal/agent/memory"
 	"hillreel/internal/agent/node"
 	"hillreel/internal/core/bus"
 	"hillreel/internal/core/follow"
@@ -29,9 +30,15 @@
 	nameMetrics = "metrics"
 )
 
+// Store is what an agent needs of the platform's store.
+type Store interface {
+	follow.Store
+	memory.Rows
+}
+
 // Deps are what an agent gets from outside.
 type Deps struct {
-	Store    follow.Store
+	Store    Store
 	Upstream node.Upstream
 	// Beats makes the handler of the upstream's heartbeats.
 	Beats func(n *node.Node) http.Handler
@@ -54,7 +61,7 @@
 		return nil, errors.New("settings: [agent] upstream: must be set")
 	}
 	p := &Process{set: set, log: d.Log, kernel: kernel.New(d.Log), bus: bus.New()}
-	p.Node = node.New(set, d.Upstream, d.Dial, d.Log)
+	p.Node = node.New(set, d.Upstream, memory.New(d.Store, set.Node.Name), d.Dial, d.Log)
 	dir := members.NewDirectory(func(links []ident.Address) {
 		if err := p.bus.Publish(bus.Entries, links); err != nil {
 			p.log.WithField("error", err.Error()).Error("event_not_published")
--- a/internal/agent/upstream/health.go
+++ b/internal/agent/upstream/health.go
@@ -22,7 +22,7 @@
 	paceWeight = 0.1
 	// stallFloor and stallShare of the estimate are how long a run may show no progress. Estimates are off by
 	// 40% and upstreams by 25%, so a sound run advances at least once in a twentieth of this.
-	stallFloor = 80 * time.Millisecond
+	stallFloor = 50 * time.Millisecond
 	stallShare = 0.25
 	// samplePercent is from which progress on a run says how fast its upstream is.
 	samplePercent = 20
--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -19,26 +19,29 @@
 		return
 	}
 	k.holding = true
-	c := HoldCall{Call: k.call(now), Seen: k.seen, Wait: k.timing.KeepAlive}
+	c := HoldCall{Call: k.call(now), Seen: k.seen, Wait: k.timing.KeepAlive / holdShare}
 	// A hold without an answer may have been done: one that extended the lease would put off, each time it is
 	// repeated, the moment from which on everything has surely lapsed.
 	if len(k.runs) > 0 && k.failures == 0 && !k.mustLapse(now) {
 		c.Until = k.lease(now)
 	}
-	if !k.looked || k.undecided() {
+	if !k.looked {
 		c.Wait = 0
 	}
 	k.caller.Hold(c)
 }
 
-// undecided tells whether some run's fate depends on the next answer.
-func (k *Keeper) undecided() bool {
-	for _, r := range k.runs {
-		if r.phase == unsure {
-			return true
-		}
+// holdShare: a hold waits for half of the keep-alive interval, so that a run that stands still is seen soon on an
+// upstream where nothing ends.
+const holdShare = 2
+
+// look asks at once what runs, beside the hold that waits for an end.
+func (k *Keeper) look(now time.Time) {
+	if k.looking || !k.known || !k.looked {
+		return
 	}
-	return len(k.strays) > 0
+	k.looking = true
+	k.caller.Hold(HoldCall{Call: k.call(now), Seen: k.seen, Look: true})
 }
 
 // mustLapse tells whether a lost entry's run has resisted its stop for too long: then all leases lapse.
@@ -56,6 +59,10 @@
 
 // HoldDone handles the answer to a HoldCall.
 func (k *Keeper) HoldDone(now time.Time, c HoldCall, h Held) {
+	if c.Look {
+		k.lookDone(now, c, h)
+		return
+	}
 	k.holding = false
 	if c.Instance != k.up.ID || !k.known {
 		k.hold(now)
@@ -65,11 +72,16 @@
 	case OK:
 		k.read(now, h.Clock)
 		k.held(now, c, h)
+		if k.token == 0 {
+			// Recalled, and the upstream has seen no token yet.
+			k.bump(now)
+		}
 		k.hold(now)
 	case WrongInstance:
 		k.end(now)
 		k.touchAll()
 	case Fenced:
+		k.read(now, h.Clock)
 		k.bump(now)
 		k.hold(now)
 	default:
@@ -79,6 +91,31 @@
 	}
 }
 
+// lookDone handles the answer to a look. One without an answer is repeated while it is needed.
+func (k *Keeper) lookDone(now time.Time, c HoldCall, h Held) {
+	k.looking = false
+	if c.Instance != k.up.ID || !k.known {
+		return
+	}
+	if h.Answer == OK {
+		k.read(now, h.Clock)
+		k.held(now, c, h)
+	}
+	if k.undecided() {
+		k.look(now)
+	}
+}
+
+// undecided tells whether some run's fate depends on the next answer.
+func (k *Keeper) undecided() bool {
+	for _, r := range k.runs {
+		if r.phase == unsure {
+			return true
+		}
+	}
+	return false
+}
+
 // held takes in what the upstream lists.
 func (k *Keeper) held(now time.Time, c HoldCall, h Held) {
 	if k.failures > 0 || !k.looked {
@@ -88,6 +125,11 @@
 	for _, f := range h.Finished {
 		k.ended(now, f)
 	}
+	if h.Clock < k.listed {
+		// A newer answer has come before this one: what it lists as running may have ended.
+		return
+	}
+	k.listed = h.Clock
 	listed := make(map[job.TaskID]Listed, len(h.Running))
 	for _, l := range h.Running {
 		listed[l.Task] = l
--- a/internal/agent/upstream/life.go
+++ b/internal/agent/upstream/life.go
@@ -43,10 +43,16 @@
 		k.end(now)
 	}
 	k.known, k.up = true, b.Upstream
-	k.sequence, k.seen, k.until = 0, 0, 0
-	k.clock = reading{b.Clock, now}
+	k.sequence, k.seen, k.until, k.listed = 0, 0, 0, 0
+	k.clock = reading{}
+	if b.Clock > 0 {
+		k.clock = reading{b.Clock, now}
+	}
 	// Every token of an earlier agent was at most the upstream's clock at that time.
-	k.token, k.bumped = Token(time.Duration(b.Clock).Milliseconds())+1, now
+	k.token, k.bumped = Token(time.Duration(b.Clock).Milliseconds()), now
+	if b.Clock > 0 {
+		k.token++
+	}
 	k.looked, k.failures, k.leaving = false, 0, false
 	k.health = health{}
 	for _, s := range k.order {
@@ -57,6 +63,15 @@
 	k.hold(now)
 }
 
+// Recall takes up an upstream that an earlier agent has known, before its first heartbeat. If it lives no more, the
+// first call says so. Its clock and the tokens that it has seen are learned by that call.
+func (k *Keeper) Recall(now time.Time, u fleet.Upstream) {
+	if k.known || k.past[u.ID] {
+		return
+	}
+	k.begin(now, Beat{Upstream: u})
+}
+
 // end forgets the present life.
 func (k *Keeper) end(now time.Time) {
 	k.past[k.up.ID] = true
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -221,7 +221,7 @@
 
 const (
 	// stopRetry is after how long an unanswered stop is sent again.
-	stopRetry = 100 * time.Millisecond
+	stopRetry = 30 * time.Millisecond
 	// ackedRetry is after how long a stop that was answered is sent again: the upstream should have ended the run
 	// within 50 ms.
 	ackedRetry = 300 * time.Millisecond
@@ -263,7 +263,7 @@
 		}
 		k.bump(now)
 		r.phase, r.sure = unsure, now
-		k.hold(now)
+		k.look(now)
 	case Fenced:
 		k.fenced(now, r, c)
 	case Used:
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -57,6 +57,8 @@
 	Seen uint64
 	// Wait is how long the upstream may hold the answer back until a run ends.
 	Wait time.Duration
+	// Look: the call does not wait, and another that does may be under way.
+	Look bool
 }
 
 // Answer says what a call brought.
@@ -171,9 +173,12 @@
 	until Clock
 
 	// looked is false until a hold of this life was answered: before, it isn't known what runs.
-	looked   bool
-	holding  bool
-	holdAt   time.Time
+	looked  bool
+	holding bool
+	looking bool
+	holdAt  time.Time
+	// listed is the upstream's clock in the newest answer that was taken in: answers overtake each other.
+	listed   Clock
 	failures int
 	// strays are runs at the upstream that nobody here ordered.
 	strays map[strayKey]time.Time
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -305,8 +305,7 @@
 		id: r.Job, spec: r.Spec, route: r.Route, callers: []CallerID{r.Caller}, sender: r.Sender, submitted: now, deadline: deadline,
 		objective: r.Route.Objective(chain), steps: make([][]*task, len(r.Spec.Steps)), left: make([]int, len(r.Spec.Steps)),
 	}
-	spare := j.objective - time.Duration(t.pace*float64(chain)) - answerTime
-	j.startBy = now.Add(max(spare, j.objective/minWaitShare))
+	j.startBy = now.Add(j.objective / waitShare)
 	for i, step := range r.Spec.Steps {
 		for k := range step.Count {
 			id := job.TaskID{Job: r.Job, Step: uint32(i), Index: k}
@@ -319,13 +318,10 @@
 	t.unblock(j)
 }
 
-// answerTime is what of an objective goes to networks and to handling a job: 3 ms each way to callers, and as
-// much for two hops inside.
-const answerTime = 10 * time.Millisecond
-
-// minWaitShare: a job may wait for the fourth part of its objective at least, however little its estimate leaves.
-// Estimates are off by 40%, and a refusal within that time is as good to its caller as one at once.
-const minWaitShare = 4
+// waitShare: a job waits for room for the fourth part of its objective. Under overload all jobs wait as long as they
+// may, so that what is allowed decides how many of those that run are late; a queue of a few milliseconds is enough
+// to keep all upstreams busy.
+const waitShare = 4
 
 // unblock queues the tasks of steps whose earlier steps have all ended.
 func (t *Table) unblock(j *jobState) {
--- a/internal/standin/embedded/embedded.go
+++ b/internal/standin/embedded/embedded.go
@@ -197,7 +197,7 @@
 	if err := s.serve(web.New("the upstream", set.Agent.Upstream, u.Handler(), web.Small)); err != nil {
 		return err
 	}
-	calls := platform.NewUpstream(ident.Address(set.Agent.Upstream), set.Agent.Connections, set.Agent.CallTimeout, set.Agent.CallTimeout)
+	calls := platform.NewUpstream(ident.Address(set.Agent.Upstream), set.Agent.Connections, set.Agent.CallTimeout)
 	p, err := agent.New(set, agent.Deps{
 		Store: s.client(set), Upstream: calls, Dial: session.TCP, Log: log,
 		Beats: func(n *agentnode.Node) http.Handler { return platform.Beats(n, log) },
