agent: one lost answer makes no upstream unreachable; unwanted runs end also when stops are lost

Orders teach only when answered, holds have the patience of orders, and two holds in a row must fail. Jobs that find no upstream ready wait as long as they can be in time.

--- a/internal/agent/node/calls.go
+++ b/internal/agent/node/calls.go
@@ -63,7 +63,7 @@
 		if err != nil {
 			c.log.WithFields(fields).WithFields(logrus.Fields{"limit_ms": limit.Milliseconds(), "error": err.Error()}).Info(what)
 		}
-		c.loop.Post(orderDone{took, done(a, clock)})
+		c.loop.Post(orderDone{took, err == nil, done(a, clock)})
 	}()
 }
 
@@ -83,10 +83,7 @@
 
 // Hold extends the lease and asks what runs.
 func (c *caller) Hold(call upstream.HoldCall) {
-	limit := call.Wait + c.patience.most
-	if call.Look {
-		limit = c.patience.limit()
-	}
+	limit := call.Wait + c.patience.limit()
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, limit)
 		defer cancel()
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -109,10 +109,11 @@
 type (
 	left     struct{ id ident.UpstreamID }
 	recalled struct{ upstream fleet.Upstream }
-	// orderDone carries the end of a start or a stop, and how long its answer took.
+	// orderDone carries the end of a start or a stop, and how long its answer took if there was one.
 	orderDone struct {
-		took time.Duration
-		end  any
+		took     time.Duration
+		answered bool
+		end      any
 	}
 	linkUp struct {
 		session *session.Session
@@ -168,7 +169,9 @@
 	case received:
 		n.handleReceived(now, e.session, e.msgs)
 	case orderDone:
-		n.patience.learn(e.took)
+		if e.answered {
+			n.patience.learn(e.took)
+		}
 		n.handleOrderDone(now, e.end)
 	case holdDone:
 		n.keeper.HoldDone(now, e.call, e.held)
--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -22,7 +22,7 @@
 	c := HoldCall{Call: k.call(now), Seen: k.seen, Wait: k.timing.KeepAlive / holdShare}
 	// A hold without an answer may have been done: one that extended the lease would put off, each time it is
 	// repeated, the moment from which on everything has surely lapsed.
-	if len(k.runs) > 0 && k.failures == 0 && !k.mustLapse(now) {
+	if len(k.runs) > 0 && k.failures < unreachableAfter && !k.mustLapse(now) {
 		c.Until = k.lease(now)
 	}
 	if !k.looked {
@@ -44,13 +44,13 @@
 	k.caller.Hold(HoldCall{Call: k.call(now), Seen: k.seen, Look: true})
 }
 
-// mustLapse tells whether a lost entry's run has resisted its stop for too long: then all leases lapse.
+// mustLapse tells whether the stop of an unwanted run has gone unanswered for too long: then all leases lapse.
 func (k *Keeper) mustLapse(now time.Time) bool {
 	if k.without.Off(rule.LapseBudget) {
 		return false
 	}
 	for _, r := range k.runs {
-		if r.stop != nil && r.stop.orphan && now.Sub(r.stop.since) >= k.timing.StopBudget {
+		if r.stop != nil && r.stop.unwanted && !r.stop.acked && now.Sub(r.stop.since) >= k.timing.StopBudget {
 			return true
 		}
 	}
@@ -86,11 +86,19 @@
 		k.hold(now)
 	default:
 		k.failures++
+		if k.failures < unreachableAfter {
+			k.hold(now)
+			return
+		}
 		k.holdAt = now.Add(holdRetry)
 		k.touchAll()
 	}
 }
 
+// unreachableAfter is how many holds in a row must go unanswered for the upstream to count as unreachable. Single
+// answers get lost now and then; the first repeat still extends the lease.
+const unreachableAfter = 2
+
 // lookDone handles the answer to a look. One without an answer is repeated while it is needed.
 func (k *Keeper) lookDone(now time.Time, c HoldCall, h Held) {
 	k.looking = false
@@ -251,7 +259,7 @@
 	if k.known && !k.holding && !now.Before(k.holdAt) {
 		k.hold(now)
 	}
-	if k.failures > 0 && len(k.runs) > 0 && k.lapsed(now) {
+	if k.failures >= unreachableAfter && len(k.runs) > 0 && k.lapsed(now) {
 		k.bump(now)
 		k.loseAll(now, fleet.LeaseLapsed)
 	}
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -82,8 +82,8 @@
 		if r.next != nil && r.next.owner == entry {
 			r.next = nil
 		}
-		if r.owner == entry && (r.stop == nil || !r.stop.orphan) {
-			k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.OnRequest, orphan: true})
+		if r.owner == entry && (r.stop == nil || !r.stop.unwanted) {
+			k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.OnRequest, unwanted: true})
 			n++
 		}
 	}
@@ -203,14 +203,14 @@
 		k.tell(now, entry, fleet.End{Task: task, Run: number, Outcome: job.NotStarted, Reason: fleet.NotListed})
 		return
 	}
-	k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.OnRequest})
+	k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.OnRequest, unwanted: true})
 }
 
 // stopRun begins to stop a run, or makes a stop under way more urgent.
 func (k *Keeper) stopRun(now time.Time, r *run, why stopping) {
 	if r.stop != nil {
-		if why.orphan && !r.stop.orphan {
-			r.stop.orphan, r.stop.since = true, now
+		if why.unwanted && !r.stop.unwanted {
+			r.stop.unwanted, r.stop.since = true, now
 		}
 		return
 	}
--- a/internal/agent/upstream/room.go
+++ b/internal/agent/upstream/room.go
@@ -35,7 +35,7 @@
 		return fleet.Clearing, "no_heartbeat"
 	case !k.looked && !k.without.Off(rule.LookFirst):
 		return fleet.Clearing, "not_listed_yet"
-	case k.failures > 0:
+	case k.failures >= unreachableAfter:
 		return fleet.Unreachable, "no_answer"
 	case len(k.strays) > 0 && !k.without.Off(rule.LookFirst):
 		return fleet.Clearing, "unknown_runs"
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -247,8 +247,9 @@
 	sent    time.Time
 	// calling is true while a stop call is under way, acked once one was answered.
 	calling, acked bool
-	// orphan is true when the owner is lost, so that the stop must succeed within the budget.
-	orphan bool
+	// unwanted is true when the caller may send the job elsewhere, because it or its entry has gone: then the run
+	// must end soon, whatever it takes.
+	unwanted bool
 }
 
 // waiting is an order for a task that still runs here for somebody else.
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -306,6 +306,11 @@
 		objective: r.Route.Objective(chain), steps: make([][]*task, len(r.Spec.Steps)), left: make([]int, len(r.Spec.Steps)),
 	}
 	j.startBy = now.Add(j.objective / waitShare)
+	if !t.anyReady(r.Route.Service) {
+		// After an outage upstreams come back within moments: as long as the job can be in time, it waits for them.
+		spare := j.objective - time.Duration(t.pace*float64(chain)) - answerTime
+		j.startBy = now.Add(max(spare, j.objective/waitShare))
+	}
 	for i, step := range r.Spec.Steps {
 		for k := range step.Count {
 			id := job.TaskID{Job: r.Job, Step: uint32(i), Index: k}
@@ -323,6 +328,20 @@
 // to keep all upstreams busy.
 const waitShare = 4
 
+// answerTime is what of an objective goes to networks and to handling a job: 3 ms each way to callers, and as much
+// for two hops inside.
+const answerTime = 10 * time.Millisecond
+
+// anyReady tells whether any upstream of a service takes work now.
+func (t *Table) anyReady(s ident.Service) bool {
+	for _, a := range t.order {
+		if a.linked && a.described && a.up.Service == s && a.room.State == fleet.Ready {
+			return true
+		}
+	}
+	return false
+}
+
 // unblock queues the tasks of steps whose earlier steps have all ended.
 func (t *Table) unblock(j *jobState) {
 	for i, step := range j.spec.Steps {
