--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,17 @@
 # make check   build, vet, formatter, linter, tests with the race detector
 # make lint    formatter and linter only
 # make soak    a long randomised run (SCHEDULES=n SEED=n)
+# make soak-faults  the real programs under faults (SEED=n SEEDS=n LENGTH=time AGENTS=n PARALLEL=n)
 # make rules   leave out each safety rule and search for a schedule that fails (SCHEDULES=n SEED=n)
 GO ?= go
 SCHEDULES ?= 200000
 SEED ?= 1
+SEEDS ?= 5
+LENGTH ?= 10s
+AGENTS ?= 6
+PARALLEL ?= 1
 
-.PHONY: all build demo check lint test soak rules generate
+.PHONY: all build demo check lint test soak soak-faults rules generate
 
 all: build
 
@@ -31,6 +36,10 @@
 soak:
 	$(GO) test ./internal/proof/schedule -run TestSchedules$$ -count=1 -timeout 12h -v -schedules $(SCHEDULES) -seed $(SEED)
 
+soak-faults:
+	$(GO) test ./internal/proof/soak -run TestSoak -count=1 -timeout 12h -v -soak-seed $(SEED) -soak-seeds $(SEEDS) \
+		-soak-for $(LENGTH) -soak-agents $(AGENTS) -soak-parallel $(PARALLEL) -soak-keep out/soak
+
 generate:
 	mkdir -p bin
 	$(GO) build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
