--- a/internal/proof/soak/set_test.go
+++ b/internal/proof/soak/set_test.go
@@ -34,6 +34,8 @@
 	name, role string
 	args       []string
 	cmd        *exec.Cmd
+	// done is closed when cmd has ended.
+	done chan struct{}
 	// link, front and store are proxies; agents have only store.
 	link, front, store *proxy
 	upstream           *standin.Upstream
@@ -152,8 +154,11 @@
 		return
 	}
 	p.cmd = cmd
+	done := make(chan struct{})
+	p.done = done
 	go func() {
 		cmd.Wait() //nolint:errcheck // how it ended does not matter
+		close(done)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if p.cmd == cmd {
@@ -192,15 +197,17 @@
 func (s *set) stop() {
 	s.mu.Lock()
 	s.ended = true
-	var running []*exec.Cmd
+	var running []chan struct{}
 	for _, p := range append(append([]*process(nil), s.entries...), s.agents...) {
 		if p.cmd != nil {
-			running = append(running, p.cmd)
+			p.cmd.Process.Signal(syscall.SIGKILL) //nolint:errcheck // it may just have ended
+			running = append(running, p.done)
 		}
 	}
 	s.mu.Unlock()
-	for _, cmd := range running {
-		cmd.Process.Signal(syscall.SIGKILL) //nolint:errcheck // it may just have ended
+	// The next set uses the same addresses.
+	for _, done := range running {
+		<-done
 	}
 	for _, c := range s.closers {
 		c()
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -75,7 +75,8 @@
 	until := time.Now().Add(20 * time.Second)
 	for calm(s, 1) != "" {
 		if time.Now().After(until) {
-			t.Fatalf("the set does not come up: %s", calm(s, 1))
+			s.keep(seed)
+			t.Fatalf("seed %d: the set does not come up: %s", seed, calm(s, 1))
 		}
 	}
 	traffic, faults := rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 4))
