--- a/commands/agent.go
+++ b/commands/agent.go
@@ -37,5 +37,5 @@
 	if err != nil {
 		return cli.Exit(err.Error(), ExitUsage)
 	}
-	return serve(ctx, p, log)
+	return serve(ctx, p, newReloader(c.String("config"), set, p.Node.SetSeeds, log), log)
 }
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -76,8 +76,8 @@
 	return set, log, nil
 }
 
-// awaitSignal returns when the process is asked to end. SIGHUP, which would end it too, is only noted.
-func awaitSignal(ctx context.Context, log *logrus.Entry) {
+// awaitSignal returns when the process is asked to end. On SIGHUP it calls reload; a nil one does nothing.
+func awaitSignal(ctx context.Context, log *logrus.Entry, reload func()) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -90,6 +90,9 @@
 			if s != syscall.SIGHUP {
 				return
 			}
+			if reload != nil {
+				reload()
+			}
 		}
 	}
 }
@@ -100,13 +103,22 @@
 	Drain()
 }
 
-// serve runs a process until it is asked to end.
-func serve(ctx context.Context, p process, log *logrus.Entry) error {
+// serve runs a process until it is asked to end, and keeps its settings up to date.
+func serve(ctx context.Context, p process, r *reloader, log *logrus.Entry) error {
 	if err := p.Start(ctx); err != nil {
 		return cli.Exit(err.Error(), ExitFailed)
 	}
 	log.Info("started")
-	awaitSignal(ctx, log)
+	reload := make(chan struct{}, 1)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go r.run(ctx, reload)
+	awaitSignal(ctx, log, func() {
+		select {
+		case reload <- struct{}{}:
+		default: // one is waiting already
+		}
+	})
 	p.Drain()
 	return nil
 }
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -36,5 +36,5 @@
 	if err != nil {
 		return cli.Exit(err.Error(), ExitUsage)
 	}
-	return serve(ctx, p, log)
+	return serve(ctx, p, newReloader(c.String("config"), set, nil, log), log)
 }
--- a/commands/standin.go
+++ b/commands/standin.go
@@ -105,6 +105,6 @@
 	}
 	defer s.Stop()
 	log.WithField("address", s.Address()).Info("started")
-	awaitSignal(ctx, log)
+	awaitSignal(ctx, log, nil)
 	return nil
 }
--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -40,13 +40,13 @@
 type dialled struct{ cancel context.CancelFunc }
 
 // seedLinks are the seeds' addresses for links: all entries of a region use the same port.
-func (n *Node) seedLinks() []string {
+func (n *Node) seedLinks(from []string) []string {
 	_, port, err := net.SplitHostPort(string(n.set.Node.Link))
 	if err != nil {
 		return nil // the settings were checked
 	}
 	var out []string
-	for _, seed := range n.set.Node.Seeds {
+	for _, seed := range from {
 		if host, _, err := net.SplitHostPort(seed); err == nil {
 			out = append(out, net.JoinHostPort(host, port))
 		}
@@ -54,6 +54,9 @@
 	return out
 }
 
+// SetSeeds replaces the seeds.
+func (n *Node) SetSeeds(from []string) { n.loop.Post(entriesListed{seeds, n.seedLinks(from)}) }
+
 // SetEntries tells the node which entries the store lists.
 func (n *Node) SetEntries(links []ident.Address) {
 	out := make([]string, len(links))
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -58,7 +58,7 @@
 // Start starts the control goroutine and dials the seeds.
 func (n *Node) Start(context.Context) error {
 	go n.loop.Run(n.set.Links.Tick, n.handle, n.tick)
-	n.loop.Post(entriesListed{seeds, n.seedLinks()})
+	n.SetSeeds(n.set.Node.Seeds)
 	go n.recall()
 	return nil
 }
