--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 
 soak-faults:
 	$(GO) test ./internal/proof/soak -run TestSoak -count=1 -timeout 12h -v -soak-seed $(SEED) -soak-seeds $(SEEDS) \
-		-soak-for $(LENGTH) -soak-agents $(AGENTS) -soak-parallel $(PARALLEL) -soak-keep out/soak
+		-soak-for $(LENGTH) -soak-agents $(AGENTS) -soak-parallel $(PARALLEL) -soak-keep $(CURDIR)/out/soak
 
 generate:
 	mkdir -p bin
