--- /dev/null
+++ b/internal/link/codec/codec_test.go
@@ -0,0 +1,44 @@
+package codec_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/job"
+	"hillreel/internal/link/codec"
+)
+
+// TestRoundTrips: what one side says is what the other side hears.
+func TestRoundTrips(t *testing.T) {
+	task := job.TaskID{Job: 0x5c0e7a21d94b36f8, Step: 1, Index: 17}
+	for _, o := range []fleet.Order{
+		{},
+		{Seq: 7, Job: task.Job, Step: 1, Spec: "text", Each: job.Resources{CPU: 1600, Mem: 64, GPU: 1}, Estimate: 60 * time.Millisecond,
+			Tasks: []fleet.TaskRun{{Index: 3, Run: 2, Failures: 1, Checkpoint: "saved"}, {Index: 4, Run: 1}}},
+	} {
+		qt.Assert(t, codec.ReadOrder(codec.Order(o).GetStart()), qt.DeepEquals, o)
+	}
+	for _, e := range []fleet.End{
+		{},
+		{Task: task, Run: 3, Outcome: job.Stalled, Took: 250 * time.Millisecond, Checkpoint: "saved", Reason: fleet.NoProgress},
+	} {
+		qt.Assert(t, codec.ReadEnd(codec.End(e).GetEnded()), qt.DeepEquals, e)
+	}
+	for _, r := range []fleet.Room{
+		{},
+		{Free: job.Resources{CPU: -5, Mem: 7}, Seq: 9, Clock: 3 * time.Second, State: fleet.Probing, Pace: 1.25},
+	} {
+		qt.Assert(t, codec.ReadRoom(codec.Room(r).GetRoom()), qt.DeepEquals, r)
+	}
+	u := fleet.Upstream{ID: "i-1", Service: "publish", Labels: []job.Label{"a", "r1-3"}, Total: job.Resources{CPU: 16000, Mem: 65536}}
+	qt.Assert(t, codec.ReadUpstream(codec.Upstream(u).GetUpstream()), qt.DeepEquals, u)
+	gotTask, gotRun := codec.ReadStop(codec.Stop(task, 4).GetStop())
+	qt.Assert(t, gotTask, qt.Equals, task)
+	qt.Assert(t, gotRun, qt.Equals, job.Run(4))
+	echo, version := codec.ReadPing(codec.Ping(1500*time.Microsecond, 12).GetPing())
+	qt.Assert(t, echo, qt.Equals, 1500*time.Microsecond)
+	qt.Assert(t, uint64(version), qt.Equals, uint64(12))
+}
