--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -102,7 +102,7 @@
 	for ctx.Err() == nil {
 		s, err := session.Dial(n.dial, address, n.set.Links.DialTimeout, n.hello())
 		if err == nil {
-			n.serve(s, address)
+			n.serve(s)
 			since = time.Now()
 		}
 		pause := n.set.Links.RedialEvery
@@ -123,8 +123,8 @@
 }
 
 // serve runs one link until it ends.
-func (n *Node) serve(s *session.Session, address string) {
-	if !n.loop.Post(linkUp{s, address}) {
+func (n *Node) serve(s *session.Session) {
+	if !n.loop.Post(linkUp{s}) {
 		s.Close()
 		return
 	}
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -115,10 +115,7 @@
 		answered bool
 		end      any
 	}
-	linkUp struct {
-		session *session.Session
-		link    string
-	}
+	linkUp   struct{ session *session.Session }
 	linkDown struct {
 		session *session.Session
 		err     error
--- a/internal/agent/upstream/health.go
+++ b/internal/agent/upstream/health.go
@@ -39,7 +39,7 @@
 	pace float64
 }
 
-func (h *health) started(time.Time) {
+func (h *health) started() {
 	if h.suspect {
 		h.probes++
 	}
--- a/internal/agent/upstream/life.go
+++ b/internal/agent/upstream/life.go
@@ -49,7 +49,7 @@
 		k.clock = reading{b.Clock, now}
 	}
 	// Every token of an earlier agent was at most the upstream's clock at that time.
-	k.token, k.bumped = Token(time.Duration(b.Clock).Milliseconds()), now
+	k.token = Token(time.Duration(b.Clock).Milliseconds())
 	if b.Clock > 0 {
 		k.token++
 	}
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -140,7 +140,7 @@
 	s := k.sessions[w.owner]
 	fresh := k.fresh(now, s) || k.without.Off(rule.FreshSession)
 	if !fresh || s.epoch != w.epoch {
-		k.refuse(now, w, fleet.StaleSession)
+		k.refuse(w, fleet.StaleSession)
 		return
 	}
 	if r := k.runs[task]; r != nil && !k.without.Off(rule.SameTaskWaits) {
@@ -149,25 +149,25 @@
 		}
 		// The caller has sent the job again after its entry was lost: the old run must be gone first.
 		if r.next != nil {
-			k.refuse(now, *r.next, fleet.Superseded)
+			k.refuse(*r.next, fleet.Superseded)
 		}
 		r.next = &w
 		k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.Superseded})
 		return
 	}
 	if !k.stateFor(now, w.owner).Accepts() {
-		k.refuse(now, w, fleet.NotAccepting)
+		k.refuse(w, fleet.NotAccepting)
 		return
 	}
 	if !w.order.Each.Fits(k.free()) {
-		k.refuse(now, w, fleet.NoRoom)
+		k.refuse(w, fleet.NoRoom)
 		return
 	}
 	k.startRun(now, w)
 }
 
-func (k *Keeper) refuse(now time.Time, w waiting, why fleet.Reason) {
-	k.tell(now, w.owner, fleet.End{
+func (k *Keeper) refuse(w waiting, why fleet.Reason) {
+	k.tell(w.owner, fleet.End{
 		Task: w.order.Task(w.index), Run: w.order.Tasks[w.index].Run, Outcome: job.NotStarted, Reason: why,
 	})
 }
@@ -180,7 +180,7 @@
 		phase: starting, begun: now, advanced: now,
 	}
 	k.runs[r.task] = r
-	k.health.started(now)
+	k.health.started()
 	k.callStart(now, r)
 	k.touchAll()
 }
@@ -195,12 +195,12 @@
 func (k *Keeper) StopTask(now time.Time, entry ident.Incarnation, task job.TaskID, number job.Run) {
 	r := k.runs[task]
 	if r != nil && r.next != nil && r.next.owner == entry && r.next.order.Tasks[r.next.index].Run == number {
-		k.refuse(now, *r.next, fleet.OnRequest)
+		k.refuse(*r.next, fleet.OnRequest)
 		r.next = nil
 		return
 	}
 	if r == nil || r.owner != entry || r.number != number {
-		k.tell(now, entry, fleet.End{Task: task, Run: number, Outcome: job.NotStarted, Reason: fleet.NotListed})
+		k.tell(entry, fleet.End{Task: task, Run: number, Outcome: job.NotStarted, Reason: fleet.NotListed})
 		return
 	}
 	k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.OnRequest, unwanted: true})
@@ -347,10 +347,10 @@
 		}
 		return
 	}
-	k.tell(now, r.owner, e)
+	k.tell(r.owner, e)
 }
 
-func (k *Keeper) tell(_ time.Time, to ident.Incarnation, e fleet.End) {
+func (k *Keeper) tell(to ident.Incarnation, e fleet.End) {
 	s := k.sessions[to]
 	if s == nil || !s.linked {
 		return
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -165,10 +165,8 @@
 	leaving  bool
 
 	token Token
-	// bumped is when token was last raised.
-	bumped time.Time
-	seen   uint64
-	clock  reading
+	seen  uint64
+	clock reading
 	// until is the latest lease that any call carried.
 	until Clock
 
@@ -334,7 +332,6 @@
 // bump raises the token, so that calls made before can do nothing from the next answered call on.
 func (k *Keeper) bump(now time.Time) {
 	k.token = max(k.token+1, Token(time.Duration(k.upstreamClock(now)).Milliseconds()))
-	k.bumped = now
 }
 
 // Runs returns how many runs are, or may be, at the upstream.
--- a/internal/config/store/store.go
+++ b/internal/config/store/store.go
@@ -79,16 +79,12 @@
 // New returns a Store.
 func New(r Rows, now func() time.Time) *Store { return &Store{r, now} }
 
+// head is the value of the head row.
 type head struct {
 	Version ident.ConfigVersion `json:"version"`
 }
 
-// Head returns the version of the newest accepted change.
-func (s *Store) Head(ctx context.Context) (ident.ConfigVersion, error) {
-	h, _, err := s.head(ctx)
-	return h.Version, err
-}
-
+// head returns the head row's content and the row's own version; both are zero before the first change.
 func (s *Store) head(ctx context.Context) (head, rows.Version, error) {
 	row, err := s.rows.Read(ctx, rows.Key{Table: heads, Name: headName})
 	if err != nil || row.Version == 0 {
--- a/internal/core/ident/ident.go
+++ b/internal/core/ident/ident.go
@@ -14,12 +14,8 @@
 	UpstreamID string
 	// Zone is an availability zone.
 	Zone string
-	// Region is a group of availability zones that share entries and agents.
-	Region string
 	// Service is the kind of work that a pool of upstreams serves.
 	Service string
-	// Team is a group of callers with a quota.
-	Team string
 	// Address is an IP number and port, as in "127.0.0.1:7400".
 	Address string
 	// Incarnation is one life of one process, drawn at random when it starts. Zero is none.
--- a/internal/core/verdict/verdict.go
+++ b/internal/core/verdict/verdict.go
@@ -10,7 +10,7 @@
 const (
 	// Ran: the upstream received the task and answered it.
 	Ran Verdict = "ran"
-	// NotRun: no upstream received a byte of it and none ever will under this job id.
+	// NotRun: nothing of it has run or will run under this request.
 	NotRun Verdict = "not_run"
 	// MayHaveRun: nobody who is left can tell.
 	MayHaveRun Verdict = "may_have_run"
@@ -19,64 +19,42 @@
 // State is where a job stands, as callers read it.
 type State string
 
-// The states. Complete and Failed are final, the others are answers for now.
+// The states. Complete and Failed are a job's outcome, the others are answers for now.
 const (
 	// Complete: every task ran and succeeded.
 	Complete State = "complete"
-	// Failed: decided once, with a verdict for each task.
+	// Failed: a task has failed as often as its job allows.
 	Failed State = "failed"
 	// Running: work goes on.
 	Running State = "running"
-	// Unresolved: the owner and an agent of the roster can't be reached; hillreel keeps trying.
+	// Unresolved: the entry has given the job up without a result; sent again under the same id, it may still end.
 	Unresolved State = "unresolved"
 	// Refused: this request was not taken; the job, if there is one, is untouched by it.
 	Refused State = "refused"
-	// Unknown: hillreel knows of no job under this id.
+	// Unknown: the entry that was asked holds no job under this id.
 	Unknown State = "unknown"
 )
 
-// Final tells whether the state is the job's outcome.
-func (s State) Final() bool { return s == Complete || s == Failed }
-
 // Reason says why, in one word, beside a verdict or a state.
 type Reason string
 
 // The reasons, as they stand in answers, logs and metrics.
 const (
-	AgentGone        Reason = "agent_gone"
-	AgentLeaving     Reason = "agent_leaving"
-	AnswersPending   Reason = "answers_pending"
-	BadID            Reason = "bad_id"
-	BadRequest       Reason = "bad_request"
-	BodyNeeded       Reason = "body_needed"
-	CallerGone       Reason = "caller_gone"
-	Cancelled        Reason = "cancelled"
-	ConnectFailed    Reason = "connect_failed"
-	Conflict         Reason = "conflict"
-	Cordoned         Reason = "cordoned"
-	Deadline         Reason = "deadline"
-	DifferentBody    Reason = "different_body"
-	Expired          Reason = "expired"
-	Leaving          Reason = "leaving"
-	NeverArrived     Reason = "never_arrived"
-	NoAgents         Reason = "no_agents"
-	NotFound         Reason = "not_found"
-	OtherRegion      Reason = "other_region"
-	Overloaded       Reason = "overloaded"
-	OwnerUnclear     Reason = "owner_unclear"
-	QueueFull        Reason = "queue_full"
-	RosterUnknown    Reason = "roster_unknown"
-	Superseded       Reason = "superseded"
-	TaskFailed       Reason = "task_failed"
-	TooLarge         Reason = "too_large"
-	Unauthorized     Reason = "unauthorized"
-	UnknownService   Reason = "unknown_service"
-	Unreachable      Reason = "unreachable"
-	Unsupported      Reason = "unsupported"
-	UpstreamLost     Reason = "upstream_lost"
-	UpstreamRefused  Reason = "upstream_refused"
-	Withdrawn        Reason = "withdrawn"
-	WrongIncarnation Reason = "wrong_incarnation"
+	BadID         Reason = "bad_id"
+	BadRequest    Reason = "bad_request"
+	CallerGone    Reason = "caller_gone"
+	Cancelled     Reason = "cancelled"
+	Conflict      Reason = "conflict"
+	Deadline      Reason = "deadline"
+	DifferentBody Reason = "different_body"
+	NotFound      Reason = "not_found"
+	Overloaded    Reason = "overloaded"
+	Superseded    Reason = "superseded"
+	TaskFailed    Reason = "task_failed"
+	TooLarge      Reason = "too_large"
+	Unauthorized  Reason = "unauthorized"
+	Unreachable   Reason = "unreachable"
+	Unsupported   Reason = "unsupported"
 )
 
 // Error is an error with a verdict.
--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -71,7 +71,7 @@
 	if t.opts.Without.Off(rule.SettleWait) {
 		t.settle(now, a, fleet.AgentSilent)
 	}
-	t.expire(now, a)
+	t.expire(a)
 }
 
 // Upstream is an upstream as this entry knows it.
@@ -177,7 +177,7 @@
 	if n > 0 {
 		t.observer.Lost(a.name, n, "agent_settled")
 	}
-	t.expire(now, a)
+	t.expire(a)
 }
 
 func sortedTasks(m map[job.TaskID]*task) []*task {
@@ -201,7 +201,7 @@
 }
 
 // expire forgets an agent that is not linked and has nothing.
-func (t *Table) expire(_ time.Time, a *agent) {
+func (t *Table) expire(a *agent) {
 	if a.linked || len(a.runs) > 0 {
 		return
 	}
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -118,22 +118,19 @@
 	t.Pump(now)
 }
 
-// giveUp answers a job that can't be served any more, and tells whether it was one.
-func (t *Table) giveUp(now time.Time, j *jobState) bool {
+// giveUp answers a job that can't be served any more.
+func (t *Table) giveUp(now time.Time, j *jobState) {
 	switch {
 	case j.ending:
-		return false
+		return
 	case !j.deadline.IsZero() && now.After(j.deadline):
 		t.expireJob(now, j)
-		return true
 	case !j.begun && now.After(j.startBy):
 		// It can't be in time any more, and nothing of it was offered to an upstream.
 		t.close(now, j, Answer{
 			State: verdict.Refused, Verdict: verdict.NotRun, Reason: verdict.Overloaded, RetryAfter: refusedRetry,
 		})
-		return true
 	}
-	return false
 }
 
 // expireJob gives up a job whose caller waits no longer.
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -32,7 +32,6 @@
 	// run is the newest run's number.
 	run        job.Run
 	agent      *agent
-	placedAt   time.Time
 	failures   int
 	checkpoint string
 	// avoid lists upstreams that failed or stalled the task.
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -79,7 +79,7 @@
 			if k.phase != waiting {
 				continue
 			}
-			a := t.choose(now, k)
+			a := t.choose(k)
 			if a == nil {
 				break
 			}
@@ -107,7 +107,7 @@
 	t.unwait(k)
 	j := k.job
 	k.run++
-	k.phase, k.agent, k.placedAt = placed, a, now
+	k.phase, k.agent = placed, a
 	a.runs[k.id] = k
 	a.pending = a.pending.Add(o.Each)
 	a.probing = a.room.State == fleet.Probing
@@ -135,7 +135,7 @@
 }
 
 // choose returns the agent for a task, or nil while nothing fits.
-func (t *Table) choose(now time.Time, k *task) *agent {
+func (t *Table) choose(k *task) *agent {
 	step := &k.job.spec.Steps[k.id.Step]
 	var best *agent
 	var bestCost float64
@@ -143,7 +143,7 @@
 		if !t.eligible(a, k, step) {
 			continue
 		}
-		c := t.cost(a, k, step)
+		c := t.cost(a, step)
 		if best == nil || c < bestCost {
 			best, bestCost = a, c
 		}
@@ -204,7 +204,7 @@
 )
 
 // cost rates an agent for a task; the lowest is chosen.
-func (t *Table) cost(a *agent, k *task, step *job.Step) float64 {
+func (t *Table) cost(a *agent, step *job.Step) float64 {
 	used := 1.0
 	if a.up.Total.CPU > 0 {
 		used = 1 - float64(a.free().CPU)/float64(a.up.Total.CPU)
--- a/internal/link/session/session.go
+++ b/internal/link/session/session.go
@@ -39,6 +39,7 @@
 	bufferSize = 8 << 10
 )
 
+// The traffic of this process on all links since it started, as metrics show it.
 var (
 	framesOut   = expvar.NewInt("link_frames_out")
 	messagesOut = expvar.NewInt("link_messages_out")
@@ -47,14 +48,6 @@
 	messagesIn  = expvar.NewInt("link_messages_in")
 )
 
-// Traffic is what this process has sent and received on all links since it started.
-type Traffic struct{ FramesOut, MessagesOut, BytesOut, FramesIn, MessagesIn int64 }
-
-// Totals returns the traffic so far.
-func Totals() Traffic {
-	return Traffic{framesOut.Value(), messagesOut.Value(), bytesOut.Value(), framesIn.Value(), messagesIn.Value()}
-}
-
 // Session is one link to another process.
 type Session struct {
 	conn   net.Conn
@@ -166,20 +159,6 @@
 	})
 }
 
-// Flush waits until what was queued before has been written, or for the time given.
-func (s *Session) Flush(limit time.Duration) {
-	deadline := time.Now().Add(limit)
-	for time.Now().Before(deadline) {
-		s.mu.Lock()
-		n := len(s.queue)
-		s.mu.Unlock()
-		if n == 0 {
-			return
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
 // write sends whatever has gathered while the last write was under way. No timer holds a message back.
 func (s *Session) write() {
 	defer s.Close()
