--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -245,7 +245,7 @@
 	for key := range k.strays {
 		out = append(out, key)
 	}
-	slices.SortFunc(out, func(a, b strayKey) int { return cmp.Or(compareTasks(a.task, b.task), cmp.Compare(a.run, b.run)) })
+	slices.SortFunc(out, func(a, b strayKey) int { return cmp.Or(a.task.Compare(b.task), cmp.Compare(a.run, b.run)) })
 	return out
 }
 
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -98,14 +97,10 @@
 	for _, r := range k.runs {
 		out = append(out, r)
 	}
-	slices.SortFunc(out, func(a, b *run) int { return compareTasks(a.task, b.task) })
+	slices.SortFunc(out, func(a, b *run) int { return a.task.Compare(b.task) })
 	return out
 }
 
-func compareTasks(a, b job.TaskID) int {
-	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
-}
-
 // Ping handles a keep-alive of an entry.
 func (k *Keeper) Ping(now time.Time, entry ident.Incarnation, echoed time.Duration) {
 	if k.without.Off(rule.EchoedClock) {
--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -2,6 +2,7 @@
 package job
 
 import (
+	"cmp"
 	"strconv"
 	"strings"
 	"time"
@@ -45,6 +46,11 @@
 	return t.Job.String() + "." + strconv.Itoa(int(t.Step)) + "." + strconv.Itoa(int(t.Index))
 }
 
+// Compare orders tasks by job, step and index.
+func (t TaskID) Compare(o TaskID) int {
+	return cmp.Or(cmp.Compare(t.Job, o.Job), cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index))
+}
+
 // Run counts the starts of one task, from 1.
 type Run uint32
 
--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -185,18 +185,7 @@
 	for _, k := range m {
 		out = append(out, k)
 	}
-	slices.SortFunc(out, func(a, b *task) int {
-		if a.id.Job != b.id.Job {
-			if a.id.Job < b.id.Job {
-				return -1
-			}
-			return 1
-		}
-		if a.id.Step != b.id.Step {
-			return int(a.id.Step) - int(b.id.Step)
-		}
-		return int(a.id.Index) - int(b.id.Index)
-	})
+	slices.SortFunc(out, func(a, b *task) int { return a.id.Compare(b.id) })
 	return out
 }
 
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -41,39 +41,34 @@
 	if e.Checkpoint != "" {
 		k.checkpoint = e.Checkpoint
 	}
-	upstream := a.up.ID
 	k.agent = nil
-	if j.ending {
+	switch {
+	case j.ending:
 		k.phase = over
 		t.observer.Ended(a.name, e, "given_up")
 		t.forget(now, j)
-		return
-	}
-	if e.Reason == fleet.Superseded {
+	case e.Reason == fleet.Superseded:
 		// The caller has sent the job to another entry; two entries that kept at it would stop each other's runs.
 		t.observer.Ended(a.name, e, "job_superseded")
 		k.phase = over
 		t.close(now, j, Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Superseded})
-		return
+	default:
+		k.learn(a.up.ID, e.Outcome)
+		t.goOn(now, a, k, e)
 	}
-	if e.Outcome == job.Failed || e.Outcome == job.Stalled || e.Outcome == job.Lost {
+}
+
+// learn notes what a run's outcome says of its task, its job and the upstream.
+func (k *task) learn(upstream ident.UpstreamID, o job.Outcome) {
+	j := k.job
+	if o == job.Failed || o == job.Stalled || o == job.Lost {
 		j.blamed = append(j.blamed, upstream)
 	}
-	switch e.Outcome {
-	case job.Done:
-		t.observer.Ended(a.name, e, "done")
-		t.done(now, k)
-		return
+	switch o {
 	case job.Failed:
 		j.failures++
 		k.failures++
 		k.avoid = append(k.avoid, upstream)
-		if k.failures >= max(j.route.Attempts, minAttempts) {
-			t.observer.Ended(a.name, e, "job_fails")
-			k.phase = over
-			t.close(now, j, Answer{State: verdict.Failed, Verdict: verdict.Ran, Reason: verdict.TaskFailed})
-			return
-		}
 	case job.Stalled:
 		if !slices.Contains(k.avoid, upstream) {
 			k.avoid = append(k.avoid, upstream)
@@ -85,9 +80,24 @@
 		// Nothing was started: what this job has begun is unchanged.
 		j.runs--
 	}
-	t.observer.Ended(a.name, e, "again")
-	j.begun = j.begun && (j.runs > 0)
-	t.wait(k)
+}
+
+// goOn ends a task, or its job, or lets the task be placed again.
+func (t *Table) goOn(now time.Time, a *agent, k *task, e fleet.End) {
+	j := k.job
+	switch {
+	case e.Outcome == job.Done:
+		t.observer.Ended(a.name, e, "done")
+		t.done(now, k)
+	case e.Outcome == job.Failed && k.failures >= max(j.route.Attempts, minAttempts):
+		t.observer.Ended(a.name, e, "job_fails")
+		k.phase = over
+		t.close(now, j, Answer{State: verdict.Failed, Verdict: verdict.Ran, Reason: verdict.TaskFailed})
+	default:
+		t.observer.Ended(a.name, e, "again")
+		j.begun = j.begun && (j.runs > 0)
+		t.wait(k)
+	}
 }
 
 // done ends a task well, and its job with the last one.
