agent/upstream: calls and sessions in files of their own; fields say what they hold

upstream.go keeps the account and its clock, calls.go the calls and answers, sessions.go what is known of entries, order.go orders and stops. Moved only, but for comments on fields that had none.

--- /dev/null
+++ b/internal/agent/upstream/calls.go
@@ -0,0 +1,120 @@
+package upstream
+
+import (
+	"time"
+
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+)
+
+// Clock is a reading of the upstream's steady clock, as a time since it started.
+type Clock time.Duration
+
+// Token is a fencing token: the upstream does nothing for one lower than the highest that it has seen.
+type Token uint64
+
+// Call is what every call to an upstream carries.
+type Call struct {
+	// Instance is the life of the upstream that is meant.
+	Instance ident.UpstreamID
+	Token    Token
+	// Sent is when the call was made.
+	Sent time.Time
+}
+
+// StartCall starts one run.
+type StartCall struct {
+	Call
+	Task       job.TaskID
+	Run        job.Run
+	Spec       string
+	Checkpoint string
+	// Until is the lease that the start extends to.
+	Until Clock
+}
+
+// StopCall stops one run, or makes sure that it never starts.
+type StopCall struct {
+	Call
+	Task job.TaskID
+	Run  job.Run
+}
+
+// HoldCall extends the lease and asks what runs and what has ended.
+type HoldCall struct {
+	Call
+	// Until is the lease; zero leaves it as it is.
+	Until Clock
+	// Seen acknowledges ends up to this number.
+	Seen uint64
+	// Wait is how long the upstream may hold the answer back until a run ends.
+	Wait time.Duration
+	// Look: the call does not wait, and another that does may be under way.
+	Look bool
+}
+
+// Answer says what a call brought.
+type Answer string
+
+// The answers.
+const (
+	// OK: done.
+	OK Answer = "ok"
+	// Fenced: the token is too low.
+	Fenced Answer = "fenced"
+	// Used: the upstream knows this run, or a higher one, as ended.
+	Used Answer = "used"
+	// Full: the upstream guards its own room and has none.
+	Full Answer = "full"
+	// Declined: the upstream did nothing, for another reason.
+	Declined Answer = "declined"
+	// WrongInstance: another life of the upstream answered.
+	WrongInstance Answer = "wrong_instance"
+	// Unanswered: nothing is known.
+	Unanswered Answer = "unanswered"
+)
+
+// Listed is a run that the upstream lists as running.
+type Listed struct {
+	Task       job.TaskID
+	Run        job.Run
+	Checkpoint string
+	// Percent of its work that is done.
+	Percent int
+}
+
+// Finished is an end that the upstream lists.
+type Finished struct {
+	// N rises from 1 in each life of the upstream.
+	N          uint64
+	Task       job.TaskID
+	Run        job.Run
+	How        How
+	Checkpoint string
+}
+
+// How says how a run ended at the upstream.
+type How string
+
+// The ends that occur.
+const (
+	HowDone    How = "done"
+	HowFailed  How = "failed"
+	HowStopped How = "stopped"
+	HowLapsed  How = "lapsed"
+)
+
+// Held is the result of a HoldCall.
+type Held struct {
+	Answer   Answer
+	Clock    Clock
+	Running  []Listed
+	Finished []Finished
+}
+
+// Caller makes calls to the upstream. Each is answered later by StartDone, StopDone or HoldDone.
+type Caller interface {
+	Start(c StartCall)
+	Stop(c StopCall)
+	Hold(c HoldCall)
+}
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -10,87 +10,6 @@
 	"hillreel/internal/core/rule"
 )
 
-// maxUnsent bounds the ends that are kept for an entry whose session broke.
-const maxUnsent = 256
-
-// unsentFor is how long they are kept: an entry that is back later has settled its tasks by time.
-const unsentFor = 2 * time.Second
-
-// Linked handles a new session with an entry.
-func (k *Keeper) Linked(now time.Time, entry ident.Incarnation) {
-	s := k.sessions[entry]
-	if s == nil {
-		s = &session{entry: entry}
-		k.sessions[entry] = s
-		k.order = append(k.order, s)
-	}
-	if s.linked {
-		k.Unlinked(now, entry, "replaced")
-	}
-	*s = session{entry: entry, epoch: s.epoch + 1, linked: true, dirty: true, urgent: true, unsent: s.unsent}
-	if k.known {
-		k.entries.Upstream(entry, k.up)
-	}
-	for _, l := range s.unsent {
-		if now.Sub(l.at) < unsentFor {
-			k.entries.End(entry, l.end)
-		}
-	}
-	s.unsent = nil
-	k.settle(entry)
-}
-
-// Unlinked handles the end of an entry's session: its runs have nobody left who wants them.
-func (k *Keeper) Unlinked(now time.Time, entry ident.Incarnation, why string) {
-	s := k.sessions[entry]
-	if s == nil || !s.linked {
-		return
-	}
-	s.linked, s.ended = false, now
-	k.orphan(now, entry, why)
-}
-
-// forgetSessions drops entries that have been gone for so long that they have settled their tasks by time.
-func (k *Keeper) forgetSessions(now time.Time) {
-	k.order = slices.DeleteFunc(k.order, func(s *session) bool {
-		gone := !s.linked && now.Sub(s.ended) > unsentFor && !k.owns(s.entry)
-		if gone {
-			delete(k.sessions, s.entry)
-		}
-		return gone
-	})
-}
-
-// owns tells whether a run of an entry is, or may be, at the upstream.
-func (k *Keeper) owns(entry ident.Incarnation) bool {
-	for _, r := range k.runs {
-		if r.owner == entry || r.next != nil && r.next.owner == entry {
-			return true
-		}
-	}
-	return false
-}
-
-// orphan stops all runs of an entry.
-func (k *Keeper) orphan(now time.Time, entry ident.Incarnation, why string) {
-	if k.without.Off(rule.StopSilent) {
-		return
-	}
-	n := 0
-	for _, r := range k.sorted() {
-		if r.next != nil && r.next.owner == entry {
-			r.next = nil
-		}
-		if r.owner == entry && (r.stop == nil || !r.stop.unwanted) {
-			k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.OnRequest, unwanted: true})
-			n++
-		}
-	}
-	if n > 0 {
-		k.observer.Orphaned(entry, n, why)
-	}
-}
-
 // sorted returns all runs in the order of their ids, so that runs of the state machine repeat.
 func (k *Keeper) sorted() []*run {
 	out := make([]*run, 0, len(k.runs))
@@ -101,22 +20,6 @@
 	return out
 }
 
-// Ping handles a keep-alive of an entry.
-func (k *Keeper) Ping(now time.Time, entry ident.Incarnation, echoed time.Duration) {
-	if k.without.Off(rule.EchoedClock) {
-		echoed = k.uptime(now)
-	}
-	if s := k.sessions[entry]; s != nil && s.linked && echoed > s.echoed {
-		s.echoed, s.heard = echoed, true
-	}
-}
-
-// fresh tells whether an entry was heard recently enough to keep its runs. It counts from when the agent
-// sent the reading that came back, so that a message held up on the way keeps nothing alive.
-func (k *Keeper) fresh(now time.Time, s *session) bool {
-	return s != nil && s.linked && s.heard && k.uptime(now)-s.echoed < k.timing.Silence
-}
-
 // Order handles an entry's order.
 func (k *Keeper) Order(now time.Time, entry ident.Incarnation, o fleet.Order) {
 	s := k.sessions[entry]
@@ -328,43 +231,3 @@
 		k.orderTask(now, *r.next)
 	}
 }
-
-// tellRun tells the owner of a run how it ended, or keeps that until the owner is back.
-func (k *Keeper) tellRun(now time.Time, r *run, e fleet.End) {
-	s := k.sessions[r.owner]
-	if s == nil {
-		return
-	}
-	if !s.linked {
-		s.unsent = append(s.unsent, late{e, now})
-		if len(s.unsent) > maxUnsent {
-			s.unsent = s.unsent[1:]
-		}
-		return
-	}
-	k.tell(r.owner, e)
-}
-
-func (k *Keeper) tell(to ident.Incarnation, e fleet.End) {
-	s := k.sessions[to]
-	if s == nil || !s.linked {
-		return
-	}
-	s.urgent, s.dirty = true, true
-	k.entries.End(to, e)
-}
-
-// settle tells an entry once that no run of its earlier sessions remains.
-func (k *Keeper) settle(entry ident.Incarnation) {
-	s := k.sessions[entry]
-	if s == nil || !s.linked || s.settled {
-		return
-	}
-	for _, r := range k.runs {
-		if r.owner == entry && r.epoch != s.epoch {
-			return
-		}
-	}
-	s.settled = true
-	k.entries.Settled(entry)
-}
--- /dev/null
+++ b/internal/agent/upstream/sessions.go
@@ -0,0 +1,177 @@
+package upstream
+
+import (
+	"slices"
+	"time"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/rule"
+)
+
+// session is what an agent knows of one entry.
+type session struct {
+	entry ident.Incarnation
+	// epoch counts the entry's links: runs of an earlier one are settled before anything else.
+	epoch  uint64
+	linked bool
+	// echoed is the newest reading of the agent's clock that the entry has returned.
+	echoed time.Duration
+	// heard is false until the session has returned a reading.
+	heard bool
+	// seq is the newest order of the session that the account has taken in.
+	seq uint64
+	// dirty is true while there is news of room to tell, urgent when it can't wait for more; sent is when the last went.
+	dirty, urgent bool
+	sent          time.Time
+	// settled is true once the entry was told that nothing of its earlier sessions remains.
+	settled bool
+	// unsent are the ends that wait for the entry's return.
+	unsent []late
+	// ended is when the link ended.
+	ended time.Time
+}
+
+// late is an end that could not be told yet.
+type late struct {
+	end fleet.End
+	at  time.Time
+}
+
+// maxUnsent bounds the ends that are kept for an entry whose session broke.
+const maxUnsent = 256
+
+// unsentFor is how long they are kept: an entry that is back later has settled its tasks by time.
+const unsentFor = 2 * time.Second
+
+// Linked handles a new session with an entry.
+func (k *Keeper) Linked(now time.Time, entry ident.Incarnation) {
+	s := k.sessions[entry]
+	if s == nil {
+		s = &session{entry: entry}
+		k.sessions[entry] = s
+		k.order = append(k.order, s)
+	}
+	if s.linked {
+		k.Unlinked(now, entry, "replaced")
+	}
+	*s = session{entry: entry, epoch: s.epoch + 1, linked: true, dirty: true, urgent: true, unsent: s.unsent}
+	if k.known {
+		k.entries.Upstream(entry, k.up)
+	}
+	for _, l := range s.unsent {
+		if now.Sub(l.at) < unsentFor {
+			k.entries.End(entry, l.end)
+		}
+	}
+	s.unsent = nil
+	k.settle(entry)
+}
+
+// Unlinked handles the end of an entry's session: its runs have nobody left who wants them.
+func (k *Keeper) Unlinked(now time.Time, entry ident.Incarnation, why string) {
+	s := k.sessions[entry]
+	if s == nil || !s.linked {
+		return
+	}
+	s.linked, s.ended = false, now
+	k.orphan(now, entry, why)
+}
+
+// forgetSessions drops entries that have been gone for so long that they have settled their tasks by time.
+func (k *Keeper) forgetSessions(now time.Time) {
+	k.order = slices.DeleteFunc(k.order, func(s *session) bool {
+		gone := !s.linked && now.Sub(s.ended) > unsentFor && !k.owns(s.entry)
+		if gone {
+			delete(k.sessions, s.entry)
+		}
+		return gone
+	})
+}
+
+// owns tells whether a run of an entry is, or may be, at the upstream.
+func (k *Keeper) owns(entry ident.Incarnation) bool {
+	for _, r := range k.runs {
+		if r.owner == entry || r.next != nil && r.next.owner == entry {
+			return true
+		}
+	}
+	return false
+}
+
+// orphan stops all runs of an entry.
+func (k *Keeper) orphan(now time.Time, entry ident.Incarnation, why string) {
+	if k.without.Off(rule.StopSilent) {
+		return
+	}
+	n := 0
+	for _, r := range k.sorted() {
+		if r.next != nil && r.next.owner == entry {
+			r.next = nil
+		}
+		if r.owner == entry && (r.stop == nil || !r.stop.unwanted) {
+			k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.OnRequest, unwanted: true})
+			n++
+		}
+	}
+	if n > 0 {
+		k.observer.Orphaned(entry, n, why)
+	}
+}
+
+// Ping handles a keep-alive of an entry.
+func (k *Keeper) Ping(now time.Time, entry ident.Incarnation, echoed time.Duration) {
+	if k.without.Off(rule.EchoedClock) {
+		echoed = k.uptime(now)
+	}
+	if s := k.sessions[entry]; s != nil && s.linked && echoed > s.echoed {
+		s.echoed, s.heard = echoed, true
+	}
+}
+
+// fresh tells whether an entry was heard recently enough to keep its runs. It counts from when the agent
+// sent the reading that came back, so that a message held up on the way keeps nothing alive.
+func (k *Keeper) fresh(now time.Time, s *session) bool {
+	return s != nil && s.linked && s.heard && k.uptime(now)-s.echoed < k.timing.Silence
+}
+
+// tellRun tells the owner of a run how it ended, or keeps that until the owner is back.
+func (k *Keeper) tellRun(now time.Time, r *run, e fleet.End) {
+	s := k.sessions[r.owner]
+	if s == nil {
+		return
+	}
+	if !s.linked {
+		s.unsent = append(s.unsent, late{e, now})
+		if len(s.unsent) > maxUnsent {
+			s.unsent = s.unsent[1:]
+		}
+		return
+	}
+	k.tell(r.owner, e)
+}
+
+func (k *Keeper) tell(to ident.Incarnation, e fleet.End) {
+	s := k.sessions[to]
+	if s == nil || !s.linked {
+		return
+	}
+	s.urgent, s.dirty = true, true
+	k.entries.End(to, e)
+}
+
+// settle tells an entry once that no run of its earlier sessions remains.
+func (k *Keeper) settle(entry ident.Incarnation) {
+	s := k.sessions[entry]
+	if s == nil || !s.linked || s.settled {
+		return
+	}
+	for _, r := range k.runs {
+		if r.owner == entry && r.epoch != s.epoch {
+			return
+		}
+	}
+	s.settled = true
+	k.entries.Settled(entry)
+}
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -15,118 +15,6 @@
 	"hillreel/internal/core/rule"
 )
 
-// Clock is a reading of the upstream's steady clock, as a time since it started.
-type Clock time.Duration
-
-// Token is a fencing token: the upstream does nothing for one lower than the highest that it has seen.
-type Token uint64
-
-// Call is what every call to an upstream carries.
-type Call struct {
-	// Instance is the life of the upstream that is meant.
-	Instance ident.UpstreamID
-	Token    Token
-	// Sent is when the call was made.
-	Sent time.Time
-}
-
-// StartCall starts one run.
-type StartCall struct {
-	Call
-	Task       job.TaskID
-	Run        job.Run
-	Spec       string
-	Checkpoint string
-	// Until is the lease that the start extends to.
-	Until Clock
-}
-
-// StopCall stops one run, or makes sure that it never starts.
-type StopCall struct {
-	Call
-	Task job.TaskID
-	Run  job.Run
-}
-
-// HoldCall extends the lease and asks what runs and what has ended.
-type HoldCall struct {
-	Call
-	// Until is the lease; zero leaves it as it is.
-	Until Clock
-	// Seen acknowledges ends up to this number.
-	Seen uint64
-	// Wait is how long the upstream may hold the answer back until a run ends.
-	Wait time.Duration
-	// Look: the call does not wait, and another that does may be under way.
-	Look bool
-}
-
-// Answer says what a call brought.
-type Answer string
-
-// The answers.
-const (
-	// OK: done.
-	OK Answer = "ok"
-	// Fenced: the token is too low.
-	Fenced Answer = "fenced"
-	// Used: the upstream knows this run, or a higher one, as ended.
-	Used Answer = "used"
-	// Full: the upstream guards its own room and has none.
-	Full Answer = "full"
-	// Declined: the upstream did nothing, for another reason.
-	Declined Answer = "declined"
-	// WrongInstance: another life of the upstream answered.
-	WrongInstance Answer = "wrong_instance"
-	// Unanswered: nothing is known.
-	Unanswered Answer = "unanswered"
-)
-
-// Listed is a run that the upstream lists as running.
-type Listed struct {
-	Task       job.TaskID
-	Run        job.Run
-	Checkpoint string
-	// Percent of its work that is done.
-	Percent int
-}
-
-// Finished is an end that the upstream lists.
-type Finished struct {
-	// N rises from 1 in each life of the upstream.
-	N          uint64
-	Task       job.TaskID
-	Run        job.Run
-	How        How
-	Checkpoint string
-}
-
-// How says how a run ended at the upstream.
-type How string
-
-// The ends that occur.
-const (
-	HowDone    How = "done"
-	HowFailed  How = "failed"
-	HowStopped How = "stopped"
-	HowLapsed  How = "lapsed"
-)
-
-// Held is the result of a HoldCall.
-type Held struct {
-	Answer   Answer
-	Clock    Clock
-	Running  []Listed
-	Finished []Finished
-}
-
-// Caller makes calls to the upstream. Each is answered later by StartDone, StopDone or HoldDone.
-type Caller interface {
-	Start(c StartCall)
-	Stop(c StopCall)
-	Hold(c HoldCall)
-}
-
 // Entries sends to the entries that are linked.
 type Entries interface {
 	Upstream(to ident.Incarnation, u fleet.Upstream)
@@ -160,23 +48,26 @@
 	up    fleet.Upstream
 	known bool
 	// past holds earlier lives, whose late heartbeats are ignored.
-	past     map[ident.UpstreamID]bool
+	past map[ident.UpstreamID]bool
+	// sequence is the newest heartbeat's number.
 	sequence uint64
 	leaving  bool
 
 	token Token
+	// seen is the highest number of an end that was taken in.
 	seen  uint64
 	clock reading
 	// until is the latest lease that any call carried.
 	until Clock
 
 	// looked is false until a hold of this life was answered: before, it isn't known what runs.
-	looked  bool
-	holding bool
-	looking bool
-	holdAt  time.Time
+	looked bool
+	// holding is true while a hold is under way, looking while a look is; after a failure, no hold is made before holdAt.
+	holding, looking bool
+	holdAt           time.Time
 	// listed is the upstream's clock in the newest answer that was taken in: answers overtake each other.
-	listed   Clock
+	listed Clock
+	// failures counts the holds in a row that got no answer.
 	failures int
 	// strays are runs at the upstream that nobody here ordered.
 	strays map[strayKey]time.Time
@@ -186,9 +77,11 @@
 	// order lists the sessions from the oldest on, so that runs of the state machine repeat.
 	order  []*session
 	health health
-	told   fleet.State
+	// told is the state that entries were told last.
+	told fleet.State
 }
 
+// strayKey names a run at the upstream that nobody here ordered.
 type strayKey struct {
 	task job.TaskID
 	run  job.Run
@@ -204,9 +97,12 @@
 type phase string
 
 const (
+	// starting: the start has no answer yet.
 	starting phase = "starting"
-	unsure   phase = "unsure"
-	running  phase = "running"
+	// unsure: the start got no answer, so that the run may be there.
+	unsure phase = "unsure"
+	// running: the upstream has taken the start, or lists the run.
+	running phase = "running"
 )
 
 // run is one run at the upstream.
@@ -227,9 +123,11 @@
 	// sure is from when on a hold that does not list the run proves that it is not there.
 	sure time.Time
 
+	// percent is how much of its work is done, advanced when that last grew.
 	percent  int
 	advanced time.Time
-	sampled  bool
+	// sampled is true once the run has told of the upstream's pace.
+	sampled bool
 
 	// stop is nil until the run is to be stopped.
 	stop *stopping
@@ -258,31 +156,6 @@
 	index int
 }
 
-// session is what an agent knows of one entry.
-type session struct {
-	entry  ident.Incarnation
-	epoch  uint64
-	linked bool
-	// echoed is the newest reading of the agent's clock that the entry has returned.
-	echoed time.Duration
-	// heard is false until the session has returned a reading.
-	heard   bool
-	seq     uint64
-	dirty   bool
-	urgent  bool
-	sent    time.Time
-	settled bool
-	unsent  []late
-	// ended is when the link ended.
-	ended time.Time
-}
-
-// late is an end that could not be told yet.
-type late struct {
-	end fleet.End
-	at  time.Time
-}
-
 // New returns a Keeper that knows nothing yet. without leaves out safety rules, for experiments only.
 func New(t fleet.Timing, without rule.Set, now time.Time, c Caller, e Entries, o Observer) *Keeper {
 	return &Keeper{
