--- a/internal/agent/node/calls.go
+++ b/internal/agent/node/calls.go
@@ -7,7 +7,6 @@
 	"github.com/sirupsen/logrus"
 
 	"hillreel/internal/agent/upstream"
-	"hillreel/internal/core/fleet"
 )
 
 // Upstream makes calls to the upstream beside this agent. An error goes with an answer of Unanswered.
@@ -17,12 +16,6 @@
 	Hold(ctx context.Context, c upstream.HoldCall) (upstream.Held, error)
 }
 
-// Memory keeps what this agent's next life should know.
-type Memory interface {
-	Recall(ctx context.Context) (fleet.Upstream, bool, error)
-	Remember(ctx context.Context, u fleet.Upstream) error
-}
-
 const (
 	// leastPatience bounds from below how long an order is waited for. A start usually takes a millisecond; to take
 	// a slow answer for a lost one costs two calls and does no harm.
@@ -35,10 +28,11 @@
 
 // patience learns how long an order to the upstream is worth waiting for.
 type patience struct {
-	usual time.Duration
-	most  time.Duration
+	// usual is the usual time of an order, most the longest wait.
+	usual, most time.Duration
 }
 
+// learn takes in the time of an order that was answered.
 func (p *patience) learn(took time.Duration) {
 	p.usual += time.Duration(usualWeight * float64(took-p.usual))
 }
@@ -94,44 +88,3 @@
 		c.loop.Post(holdDone{call, h})
 	}()
 }
-
-// recallPause is the pause between two attempts to read or write the memory.
-const recallPause = 300 * time.Millisecond
-
-// recall reads what an earlier life has remembered, until a heartbeat makes that needless.
-func (n *Node) recall() {
-	for n.ctx.Err() == nil {
-		u, found, err := n.memory.Recall(n.ctx)
-		if err == nil {
-			if found {
-				n.loop.Post(recalled{u})
-			}
-			return
-		}
-		n.log.WithField("error", err.Error()).Info("memory_unreadable")
-		if ready, _ := n.Ready(); ready {
-			return
-		}
-		time.Sleep(recallPause)
-	}
-}
-
-// remember writes a new upstream, until it is written or another has come.
-func (n *Node) remember(u fleet.Upstream) {
-	n.remembered = u.ID
-	go func() {
-		for n.ctx.Err() == nil {
-			err := n.memory.Remember(n.ctx, u)
-			if err == nil {
-				return
-			}
-			n.log.WithField("error", err.Error()).Info("memory_unwritable")
-			time.Sleep(recallPause)
-			current := false
-			n.loop.Call(func() { current = n.remembered == u.ID })
-			if !current {
-				return
-			}
-		}
-	}()
-}
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -49,9 +49,7 @@
 		links: make(map[ident.Incarnation]*link), dialled: make(map[string]*dialled), listed: make(map[source][]string),
 		config: &wire.Config{}, ticked: time.Now(), patience: patience{most: set.Agent.CallTimeout},
 	}
-	l := set.Links
-	timing := fleet.Timing{Silence: l.Silence, Lease: l.Lease, StopBudget: l.StopBudget, KeepAlive: l.KeepAlive}
-	n.keeper = upstream.New(timing, nil, time.Now(), (*caller)(n), (*sender)(n), newObserver(log))
+	n.keeper = upstream.New(set.Links.Timing(), nil, time.Now(), (*caller)(n), (*sender)(n), newObserver(log))
 	return n
 }
 
--- a/internal/agent/upstream/sessions.go
+++ b/internal/agent/upstream/sessions.go
@@ -13,7 +13,7 @@
 // session is what an agent knows of one entry.
 type session struct {
 	entry ident.Incarnation
-	// epoch counts the entry's links: runs of an earlier one are settled before anything else.
+	// epoch counts the entry's sessions; a run has that of the session which ordered it.
 	epoch  uint64
 	linked bool
 	// echoed is the newest reading of the agent's clock that the entry has returned.
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -177,12 +177,9 @@
 		return 0
 	}
 	since := now.Sub(k.clock.at)
-	return k.clock.clock + Clock(float64(since)/slowest)
+	return k.clock.clock + Clock(float64(since)/fleet.SlowClock)
 }
 
-// slowest is how much slower than a true clock an upstream's may run; the platform allows 2%.
-const slowest = 1.02
-
 // read notes a reading that came with an answer.
 func (k *Keeper) read(now time.Time, c Clock) {
 	if c > k.upstreamClock(now) {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -135,8 +135,8 @@
 	KeepAlive time.Duration
 }
 
-// slowClock is how much longer a lease lasts on an upstream's clock that runs slow: the platform allows 2%.
-const slowClock = 1.02
+// SlowClock is how much longer a time lasts on an upstream's clock that runs slow: the platform allows 2%.
+const SlowClock = 1.02
 
 // settleMargin covers the upstream's own time to kill a lapsed run (stop_ms, 50 ms on all deployments seen)
 // and as much again for timers that fire late.
@@ -149,5 +149,5 @@
 
 // LeaseBound is how long a lease can last by a true clock.
 func LeaseBound(lease time.Duration) time.Duration {
-	return time.Duration(float64(lease) * slowClock)
+	return time.Duration(float64(lease) * SlowClock)
 }
--- a/internal/core/settings/options.go
+++ b/internal/core/settings/options.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"hillreel/internal/core/fleet"
+)
 
 // Settings are all options of all roles.
 type Settings struct {
@@ -70,6 +74,11 @@
 	Tick        time.Duration `ini:"tick" default:"20ms" min:"1ms" max:"1s" doc:"How often control state looks at the time."`
 }
 
+// Timing returns the times that entries and agents share.
+func (l Links) Timing() fleet.Timing {
+	return fleet.Timing{Silence: l.Silence, Lease: l.Lease, StopBudget: l.StopBudget, KeepAlive: l.KeepAlive}
+}
+
 // Platform says where the platform's services are.
 type Platform struct {
 	Store      Address       `ini:"store" default:"127.0.0.1:7300" doc:"Address of the platform's store."`
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -12,7 +12,6 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/loop"
@@ -65,18 +64,12 @@
 		callers: make(map[dispatch.CallerID]chan dispatch.Answer),
 	}
 	options := dispatch.Options{
-		Timing: Timing(set), Zone: ident.Zone(set.Node.Zone), MaxQueue: set.Entry.QueueLimit, MaxTasks: set.Entry.MaxTasks,
+		Timing: set.Links.Timing(), Zone: ident.Zone(set.Node.Zone), MaxQueue: set.Entry.QueueLimit, MaxTasks: set.Entry.MaxTasks,
 	}
 	n.table = dispatch.New(options, (*sender)(n), (*answerer)(n), observer, rand.Uint64())
 	return n
 }
 
-// Timing reads the times that entries and agents share.
-func Timing(set *settings.Settings) fleet.Timing {
-	l := set.Links
-	return fleet.Timing{Silence: l.Silence, Lease: l.Lease, StopBudget: l.StopBudget, KeepAlive: l.KeepAlive}
-}
-
 // Start listens for links and starts the control goroutine.
 func (n *Node) Start(context.Context) error {
 	ln, err := net.Listen("tcp", string(n.set.Node.Link))
