operator, caller: one way to refuse, one place for ids and for the change header

A change that a principal may not do had a refusal function of its own; refuseError does it with the same body. The command line used the change header's text, now operator.HeaderChange.

--- a/commands/config_objects.go
+++ b/commands/config_objects.go
@@ -52,7 +52,7 @@
 	}
 	call := operatorCall{method: http.MethodPut, path: pathOf(c.Args().Get(0), c.Args().Get(1)), header: ifMatch(c.Uint64("if"))}
 	call.body = []byte(c.Args().Get(2))
-	call.header["Hillreel-Change-Id"] = c.String("change-id")
+	call.header[operator.HeaderChange] = c.String("change-id")
 	if c.Bool("patch") {
 		call.method = http.MethodPatch
 	}
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -17,7 +17,6 @@
 	"hillreel/api"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
-	"hillreel/internal/core/route"
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/dispatch"
 )
@@ -40,14 +39,6 @@
 	Deadline(s ident.Service) time.Duration
 }
 
-// The objective of a job that names none, and the attempts.
-const (
-	defaultStretch  = 2
-	defaultTarget   = 100 * time.Millisecond
-	defaultAttempts = 3
-	maxAttempts     = 100
-)
-
 // Handler serves the API.
 type Handler struct {
 	jobs Jobs
@@ -79,31 +70,31 @@
 // putJob runs a job under the caller's id. Sent again after a lost answer, it runs anew or joins the run that is
 // under way, and no task of it ever runs twice at a time.
 func (h *Handler) putJob(w http.ResponseWriter, r *http.Request) {
+	id, ok := h.jobID(w, r)
+	if !ok {
+		return
+	}
+	h.run(w, r, id)
+}
+
+// jobID reads the id in a request's path; without a sound one the request is refused.
+func (h *Handler) jobID(w http.ResponseWriter, r *http.Request) (id job.ID, ok bool) {
 	id, err := job.ParseID(chi.URLParam(r, "id"))
 	if err != nil {
 		h.refuse(w, http.StatusBadRequest, verdict.BadID, "id", err.Error())
-		return
+		return 0, false
 	}
-	h.run(w, r, id)
+	return id, true
 }
 
+// run reads a job, submits it and answers with its end.
 func (h *Handler) run(w http.ResponseWriter, r *http.Request, id job.ID) {
 	if h.jobs.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
 	began := time.Now()
-	raw, err := io.ReadAll(io.LimitReader(r.Body, h.maxBody+1))
-	if err != nil {
-		h.refuse(w, http.StatusBadRequest, verdict.BadRequest, "body", err.Error())
-		return
-	}
-	if int64(len(raw)) > h.maxBody {
-		h.refuse(w, http.StatusRequestEntityTooLarge, verdict.TooLarge, "body", "the body is too large")
-		return
-	}
 	var body api.Job
-	if err := json.Unmarshal(raw, &body); err != nil {
-		h.refuse(w, http.StatusBadRequest, verdict.BadRequest, "body", err.Error())
+	if !h.readBody(w, r, &body) {
 		return
 	}
 	request, field, message := read(&body)
@@ -126,6 +117,24 @@
 	})
 }
 
+// readBody reads a request's body into a job; one that can't be read is refused.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, body *api.Job) (ok bool) {
+	raw, err := io.ReadAll(io.LimitReader(r.Body, h.maxBody+1))
+	if err != nil {
+		h.refuse(w, http.StatusBadRequest, verdict.BadRequest, "body", err.Error())
+		return false
+	}
+	if int64(len(raw)) > h.maxBody {
+		h.refuse(w, http.StatusRequestEntityTooLarge, verdict.TooLarge, "body", "the body is too large")
+		return false
+	}
+	if err := json.Unmarshal(raw, body); err != nil {
+		h.refuse(w, http.StatusBadRequest, verdict.BadRequest, "body", err.Error())
+		return false
+	}
+	return true
+}
+
 // apply puts in force what operators say of the job's service, and the deadline. A problem is told by its field and
 // a message.
 func (h *Handler) apply(r *dispatch.Request, body *api.Job, began time.Time) (field, message string) {
@@ -163,9 +172,8 @@
 
 // getJob tells whether a job is held here. Nothing is kept of a job that was answered.
 func (h *Handler) getJob(w http.ResponseWriter, r *http.Request) {
-	id, err := job.ParseID(chi.URLParam(r, "id"))
-	if err != nil {
-		h.refuse(w, http.StatusBadRequest, verdict.BadID, "id", err.Error())
+	id, ok := h.jobID(w, r)
+	if !ok {
 		return
 	}
 	if h.jobs.Held(id) {
@@ -180,9 +188,8 @@
 
 // deleteJob ends a job: nothing of it starts any more, and what runs is stopped.
 func (h *Handler) deleteJob(w http.ResponseWriter, r *http.Request) {
-	id, err := job.ParseID(chi.URLParam(r, "id"))
-	if err != nil {
-		h.refuse(w, http.StatusBadRequest, verdict.BadID, "id", err.Error())
+	id, ok := h.jobID(w, r)
+	if !ok {
 		return
 	}
 	if h.jobs.Cancel(id) {
@@ -218,38 +225,3 @@
 		h.log.WithField("error", err.Error()).Debug("answer_not_written")
 	}
 }
-
-// read checks a job. A problem is told by its field and a message.
-func read(b *api.Job) (r dispatch.Request, field, message string) {
-	switch {
-	case b.Service == "":
-		return r, "service", "must be set"
-	case len(b.Steps) == 0:
-		return r, "steps", "must not be empty"
-	case b.DeadlineMs < 0:
-		return r, "deadline_ms", "must not be negative"
-	case b.ObjectiveMs < 0:
-		return r, "objective_ms", "must not be negative"
-	case b.Attempts < 0 || b.Attempts > maxAttempts:
-		return r, "attempts", "must be 0 to 100"
-	}
-	spec := &job.Spec{Text: b.Spec, BestEffort: true}
-	for i := range b.Steps {
-		step, field, message := readStep(i, &b.Steps[i])
-		if field != "" {
-			return r, field, message
-		}
-		spec.Steps = append(spec.Steps, step)
-	}
-	queue := route.Route{
-		Name: route.Name(b.Service), Service: ident.Service(b.Service), Target: defaultTarget, Stretch: defaultStretch,
-		Priority: b.Priority, Attempts: defaultAttempts,
-	}
-	if b.Attempts > 0 {
-		queue.Attempts = b.Attempts
-	}
-	if b.ObjectiveMs > 0 {
-		queue.Target, queue.Stretch = time.Duration(b.ObjectiveMs)*time.Millisecond, 0
-	}
-	return dispatch.Request{Spec: spec, Route: queue}, "", ""
-}
--- a/internal/entry/operator/change.go
+++ b/internal/entry/operator/change.go
@@ -22,10 +22,11 @@
 const (
 	// maxSpec bounds an object's content, in bytes.
 	maxSpec = 64 << 10
-	// headerChange names a change, so that sending it again does not repeat it.
-	headerChange = "Hillreel-Change-Id"
+	// HeaderChange is the header that names a change, so that sending it again does not repeat it.
+	HeaderChange = "Hillreel-Change-Id"
 )
 
+// etag is an object's version as a header has it.
 func etag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
 
 // Changed is the answer to an accepted change.
@@ -50,9 +51,12 @@
 	s.change(w, r, func(json.RawMessage, object.Object) (json.RawMessage, error) { return nil, nil })
 }
 
-// change does one conditional change; content makes the new spec, or nil to delete.
-func (s *Server) change(w http.ResponseWriter, r *http.Request, content func(body json.RawMessage, present object.Object) (json.RawMessage, error)) {
-	c := store.Change{ID: r.Header.Get(headerChange), Who: ops.PrincipalOf(r.Context()).Name, Ref: refOf(r)}
+// content makes an object's new spec of a request's body and the present object; nil deletes.
+type content func(body json.RawMessage, present object.Object) (json.RawMessage, error)
+
+// change does one conditional change.
+func (s *Server) change(w http.ResponseWriter, r *http.Request, newSpec content) {
+	c := store.Change{ID: r.Header.Get(HeaderChange), Who: ops.PrincipalOf(r.Context()).Name, Ref: refOf(r)}
 	if c.ID == "" {
 		c.ID = uuid.NewString()
 	}
@@ -70,12 +74,12 @@
 		return
 	}
 	present, _ := s.objects.View().Get(c.Ref)
-	if c.Spec, err = content(body, present); err != nil {
+	if c.Spec, err = newSpec(body, present); err != nil {
 		s.refuseError(w, err, c.ID)
 		return
 	}
 	if err := s.check(r, c); err != nil {
-		s.refuseChange(w, err, c.ID)
+		s.refuseError(w, err, c.ID)
 		return
 	}
 	if r.URL.Query().Get("dry_run") != "" {
@@ -85,6 +89,7 @@
 	s.apply(w, r, c)
 }
 
+// apply puts a change that was checked into the store, and answers.
 func (s *Server) apply(w http.ResponseWriter, r *http.Request, c store.Change) {
 	audit, err := s.store.Apply(r.Context(), c)
 	fields := logrus.Fields{"object": c.Ref, "who": c.Who, "change": c.ID}
@@ -106,14 +111,6 @@
 // Error says why.
 func (f *forbidden) Error() string { return f.message }
 
-func (s *Server) refuseChange(w http.ResponseWriter, err error, id string) {
-	if f, ok := err.(*forbidden); ok {
-		refuse(w, http.StatusForbidden, Refusal{Verdict: verdict.NotRun, Reason: verdict.Unauthorized, Message: f.message, ChangeID: id})
-		return
-	}
-	s.refuseError(w, err, id)
-}
-
 // precondition reads the version that the operator saw: If-Match with an ETag, or If-None-Match: * to create.
 func precondition(r *http.Request) (uint64, error) {
 	if r.Header.Get("If-None-Match") == "*" {
@@ -128,11 +125,8 @@
 
 // check refuses what the principal may not do, and specs that can't be meant.
 func (s *Server) check(r *http.Request, c store.Change) error {
-	p := ops.PrincipalOf(r.Context())
-	switch p.Role {
-	case ops.RoleAll:
-	default:
-		return &forbidden{"the role " + string(p.Role) + " changes nothing"}
+	if role := ops.PrincipalOf(r.Context()).Role; role != ops.RoleAll {
+		return &forbidden{"the role " + string(role) + " changes nothing"}
 	}
 	if c.Spec == nil {
 		return nil
@@ -155,6 +149,7 @@
 	return json.Marshal(merge(base, change))
 }
 
+// merge applies a patch to one value; null removes a field.
 func merge(base, patch any) any {
 	changes, ok := patch.(map[string]any)
 	if !ok {
--- a/internal/entry/operator/dryrun.go
+++ b/internal/entry/operator/dryrun.go
@@ -26,6 +26,7 @@
 	DryRun  bool     `json:"dry_run"`
 }
 
+// dryRun compares the view in force with the one that a change would make.
 func (s *Server) dryRun(c store.Change) DryRun {
 	before := s.objects.View()
 	var next []object.Object
@@ -46,31 +47,21 @@
 	return out
 }
 
+// moves lists, for each service, the linked upstreams that one view lets serve it and the other does not.
 func (s *Server) moves(before, after *view.View) []Moves {
 	byService := make(map[ident.Service]*Moves)
-	var order []string
+	var services []string
 	for _, u := range s.upstreams.Upstreams() {
-		for _, service := range []ident.Service{u.Service} {
-			m := byService[service]
-			if m == nil {
-				m = &Moves{Service: service}
-				byService[service] = m
-				order = append(order, string(service))
-			}
-			was, will := before.Serves(u.Name, u.Zone, service), after.Serves(u.Name, u.Zone, service)
-			switch {
-			case will && !was:
-				m.Gained = append(m.Gained, string(u.Name))
-			case was && !will:
-				m.Lost = append(m.Lost, string(u.Name))
-			}
-			if will {
-				m.Left++
-			}
+		m := byService[u.Service]
+		if m == nil {
+			m = &Moves{Service: u.Service}
+			byService[u.Service] = m
+			services = append(services, string(u.Service))
 		}
+		m.count(string(u.Name), before.Serves(u.Name, u.Zone, u.Service), after.Serves(u.Name, u.Zone, u.Service))
 	}
 	var out []Moves
-	for _, service := range sorted(order) {
+	for _, service := range sorted(services) {
 		m := byService[ident.Service(service)]
 		m.Nowhere = m.Left == 0
 		sorted(m.Gained)
@@ -80,6 +71,20 @@
 	return out
 }
 
+// count takes in one upstream: whether it serves now, and whether it would.
+func (m *Moves) count(upstream string, serves, would bool) {
+	switch {
+	case would && !serves:
+		m.Gained = append(m.Gained, upstream)
+	case serves && !would:
+		m.Lost = append(m.Lost, upstream)
+	}
+	if would {
+		m.Left++
+	}
+}
+
+// matches names the linked upstreams that a pool would have.
 func (s *Server) matches(c store.Change, after *view.View) []string {
 	p, err := object.As[object.Pool](object.Object{Ref: c.Ref, Spec: c.Spec})
 	if err != nil {
--- a/internal/entry/operator/operator.go
+++ b/internal/entry/operator/operator.go
@@ -82,14 +82,15 @@
 
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
 	kind := object.Kind(chi.URLParam(r, "kind"))
-	st := s.objects.View()
-	out := List{Version: st.Version, Objects: st.List(kind)}
+	present := s.objects.View()
+	out := List{Version: present.Version, Objects: present.List(kind)}
 	if out.Objects == nil {
 		out.Objects = []object.Object{}
 	}
 	write(w, http.StatusOK, out)
 }
 
+// refOf names the object that a request's path is about.
 func refOf(r *http.Request) object.Ref {
 	return object.Ref{Kind: object.Kind(chi.URLParam(r, "kind")), Name: object.Name(chi.URLParam(r, "name"))}
 }
@@ -127,6 +128,7 @@
 // refuseError maps an error to a status and a body.
 func (s *Server) refuseError(w http.ResponseWriter, err error, changeID string) {
 	var field *object.FieldError
+	var denied *forbidden
 	var conflict *store.Conflict
 	out := Refusal{Verdict: verdict.Of(err), Message: err.Error(), ChangeID: changeID}
 	status := http.StatusServiceUnavailable
@@ -135,6 +137,9 @@
 	case errors.As(err, &field):
 		status = http.StatusBadRequest
 		out.Verdict, out.Reason, out.Field = verdict.NotRun, verdict.BadRequest, field.Field
+	case errors.As(err, &denied):
+		status = http.StatusForbidden
+		out.Verdict, out.Reason = verdict.NotRun, verdict.Unauthorized
 	case errors.As(err, &conflict):
 		status = http.StatusConflict
 		out.Verdict, out.Reason, out.Present = verdict.NotRun, verdict.Conflict, &conflict.Present
