session, follow, metrics, observe: comments that are true, one step a function

A histogram's lower bound is 0.1 ms, not 1 ms; Ended notes an end in its job's way and logs nothing; the session's header told the history of yamux, which docs/DESIGN.md has. The session's writer had two loops in one; the follower's state was passed by pointers and is its own fields now.

--- a/internal/core/follow/follow.go
+++ b/internal/core/follow/follow.go
@@ -38,6 +38,11 @@
 
 	cancel context.CancelFunc
 	done   chan struct{}
+
+	// The goroutine that run is on owns what follows. at is the version up to which the table is known.
+	at      rows.Version
+	known   bool
+	failing bool
 }
 
 // New returns a Follower that has not begun. wait bounds one call that waits for changes: a change is noticed
@@ -62,17 +67,16 @@
 	<-f.done
 }
 
+// run reads until ctx ends, with a growing pause between failures.
 func (f *Follower) run(ctx context.Context) {
 	defer close(f.done)
-	var at rows.Version
-	known, failing := false, false
 	pause := firstPause
 	for ctx.Err() == nil {
-		err := f.step(ctx, &at, &known)
+		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		f.note(err, &failing)
+		f.note(err)
 		if err == nil {
 			pause = firstPause
 			continue
@@ -86,26 +90,26 @@
 }
 
 // step reads the whole table, or waits for changes.
-func (f *Follower) step(ctx context.Context, at *rows.Version, known *bool) error {
-	if !*known {
+func (f *Follower) step(ctx context.Context) error {
+	if !f.known {
 		page, err := f.store.List(ctx, f.table, "")
 		if err != nil {
 			return err
 		}
 		f.change(page.Rows, true, page.Now)
-		*at, *known = page.Version, true
+		f.at, f.known = page.Version, true
 		return nil
 	}
-	page, err := f.store.Watch(ctx, f.table, *at, f.wait)
+	page, err := f.store.Watch(ctx, f.table, f.at, f.wait)
 	if errors.Is(err, rows.ErrHistoryGone) {
-		*known = false
-		f.log.WithField("version", uint64(*at)).Info("store_history_gone")
+		f.known = false
+		f.log.WithField("version", uint64(f.at)).Info("store_history_gone")
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	*at = max(*at, page.Version)
+	f.at = max(f.at, page.Version)
 	if len(page.Rows) > 0 {
 		f.change(page.Rows, false, page.Now)
 	}
@@ -113,11 +117,11 @@
 }
 
 // note logs when the table becomes unreadable, and when it is readable again.
-func (f *Follower) note(err error, failing *bool) {
-	if (err != nil) == *failing {
+func (f *Follower) note(err error) {
+	if (err != nil) == f.failing {
 		return
 	}
-	*failing = err != nil
+	f.failing = err != nil
 	if err != nil {
 		f.log.WithField("error", err.Error()).Warn("store_lost")
 		return
--- a/internal/core/metrics/metrics.go
+++ b/internal/core/metrics/metrics.go
@@ -9,7 +9,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// The bounds and precision of a histogram: 1 ms to 2 min, two digits.
+// The bounds of a histogram, in microseconds: 0.1 ms to 2 min; and its precision, in decimal digits.
 const (
 	lowestUs  = 100
 	highestUs = 120_000_000
@@ -19,7 +19,8 @@
 // Counters counts events by name.
 type Counters struct{ vars *expvar.Map }
 
-// NewCounters publishes an empty set of counters under a name, once a process.
+// NewCounters publishes an empty set of counters under a name. A process that asks again, as one with several nodes
+// does, gets the same set.
 func NewCounters(name string) *Counters {
 	if v, ok := expvar.Get(name).(*expvar.Map); ok {
 		return &Counters{v}
@@ -30,13 +31,13 @@
 // Add counts n events.
 func (c *Counters) Add(event string, n int64) { c.vars.Add(event, n) }
 
-// Latencies holds one histogram for each key.
+// Latencies holds one histogram for each key. It is safe for use by many goroutines.
 type Latencies struct {
 	mu   sync.Mutex
 	keys map[string]*hdrhistogram.Histogram
 }
 
-// NewLatencies publishes an empty set of histograms under a name.
+// NewLatencies returns an empty set of histograms, published under a name unless another set already is.
 func NewLatencies(name string) *Latencies {
 	l := &Latencies{keys: make(map[string]*hdrhistogram.Histogram)}
 	if expvar.Get(name) == nil {
@@ -69,15 +70,19 @@
 	Max   float64 `json:"max_ms"`
 }
 
+// report summarises all histograms, for expvar.
 func (l *Latencies) report() any {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := make(map[string]summary, len(l.keys))
 	for key, h := range l.keys {
-		ms := func(us int64) float64 { return float64(us) / 1000 }
 		out[key] = summary{
-			h.TotalCount(), ms(h.ValueAtQuantile(50)), ms(h.ValueAtQuantile(95)), ms(h.ValueAtQuantile(99)), ms(h.Max()),
+			Count: h.TotalCount(), P50: milliseconds(h.ValueAtQuantile(50)), P95: milliseconds(h.ValueAtQuantile(95)),
+			P99: milliseconds(h.ValueAtQuantile(99)), Max: milliseconds(h.Max()),
 		}
 	}
 	return out
 }
+
+// milliseconds converts a number of microseconds.
+func milliseconds(us int64) float64 { return float64(us) / 1000 }
--- a/internal/entry/node/observe.go
+++ b/internal/entry/node/observe.go
@@ -26,7 +26,8 @@
 	counters *metrics.Counters
 	times    *metrics.Latencies
 	ended    func(r *route.Route, a dispatch.Answer, s dispatch.Summary)
-	traces   map[job.ID][]string
+	// traces are the ways of the jobs that are not answered yet.
+	traces map[job.ID][]string
 }
 
 // NewObserver returns an Observer. ended is called for each answer; it may be nil.
@@ -37,12 +38,14 @@
 	}
 }
 
+// trace adds a step to a job's way.
 func (o *Observer) trace(id job.ID, parts ...string) {
 	if steps := o.traces[id]; len(steps) < maxTrace {
 		o.traces[id] = append(steps, strings.Join(parts, " "))
 	}
 }
 
+// ms writes a time in whole milliseconds.
 func ms(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
 
 // Taken logs a job, so that its request can be found also when this entry is lost before it answers.
@@ -58,7 +61,7 @@
 	o.trace(id, "+"+ms(waited)+"ms", "place", strconv.Itoa(len(order.Tasks)), "at", string(agent))
 }
 
-// Ended notes the end of a run, and logs it unless it went well.
+// Ended counts the end of a run, and notes it in its job's way unless it went well.
 func (o *Observer) Ended(agent ident.UpstreamName, e fleet.End, next string) {
 	o.counters.Add("runs_"+string(e.Outcome), 1)
 	if e.Outcome == job.Done {
--- a/internal/link/session/session.go
+++ b/internal/link/session/session.go
@@ -2,12 +2,9 @@
 // TCP connection. Messages arrive in the order in which they were sent, or the session ends; nothing is lost in
 // the middle.
 //
-// It used to run on a yamux session with one stream. That library's stream busy-waits from when its session
-// begins to close until the connection is closed, and holds up every other goroutine of a process that has one
-// processor; and one stream needs no multiplexer.
-//
 // Messages of all kinds that wait while a write is under way go out together as one frame. The idea of
-// mixing kinds in a frame is that of the pfsync redesign; docs/MEASUREMENTS.md has the figures.
+// mixing kinds in a frame is that of the pfsync redesign; docs/MEASUREMENTS.md has the figures, docs/DESIGN.md says
+// why no multiplexer is used.
 package session
 
 import (
@@ -55,8 +52,9 @@
 	// Remote is the other side's first message.
 	Remote *wire.Hello
 
-	mu     sync.Mutex
-	queue  []*wire.Msg
+	mu    sync.Mutex
+	queue []*wire.Msg
+	// wake holds a token while the queue may have something, closed is closed with the session.
 	wake   chan struct{}
 	closed chan struct{}
 	once   sync.Once
@@ -82,6 +80,7 @@
 // Accept takes a connection that another process dialled and exchanges hellos.
 func Accept(conn net.Conn, hello *wire.Hello) (*Session, error) { return greet(conn, hello) }
 
+// greet exchanges hellos on a new connection and starts to write.
 func greet(conn net.Conn, hello *wire.Hello) (*Session, error) {
 	s := &Session{
 		conn: conn, reader: bufio.NewReaderSize(conn, bufferSize),
@@ -95,6 +94,7 @@
 	return s, nil
 }
 
+// exchange sends one hello and reads the other side's, within helloTimeout.
 func (s *Session) exchange(hello *wire.Hello) error {
 	if err := s.conn.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return errors.Wrap(err, "link: deadline")
@@ -114,6 +114,7 @@
 	return errors.Wrap(s.conn.SetDeadline(time.Time{}), "link: deadline")
 }
 
+// read reads one frame.
 func (s *Session) read() (*wire.Frame, error) {
 	f := &wire.Frame{}
 	err := protodelim.UnmarshalOptions{MaxSize: maxFrame}.UnmarshalFrom(s.reader, f)
@@ -172,28 +173,33 @@
 		// Let those who are about to send do so first: it costs no timer, and under load a frame then
 		// carries several messages.
 		runtime.Gosched()
-		for {
-			batch := s.take()
-			if len(batch) == 0 {
-				break
-			}
-			if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-				return
-			}
-			n, err := protodelim.MarshalTo(w, &wire.Frame{Msgs: batch})
-			if err != nil {
-				return
-			}
-			if err := w.Flush(); err != nil {
+		for batch := s.take(); len(batch) > 0; batch = s.take() {
+			if err := s.writeFrame(w, batch); err != nil {
 				return
 			}
-			framesOut.Add(1)
-			messagesOut.Add(int64(len(batch)))
-			bytesOut.Add(int64(n))
 		}
 	}
 }
 
+// writeFrame writes a batch as one frame and counts it.
+func (s *Session) writeFrame(w *bufio.Writer, batch []*wire.Msg) error {
+	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	n, err := protodelim.MarshalTo(w, &wire.Frame{Msgs: batch})
+	if err != nil {
+		return err
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	framesOut.Add(1)
+	messagesOut.Add(int64(len(batch)))
+	bytesOut.Add(int64(n))
+	return nil
+}
+
+// take removes from the queue what goes into the next frame.
 func (s *Session) take() []*wire.Msg {
 	s.mu.Lock()
 	defer s.mu.Unlock()
