dispatch, nodes: fields and handlers say what they are for; a job's patience and summary in functions

begin worked out how long a job waits for room and close what its answer rests on, each among much else; patience and summary do that now, with the same sums. The rest is comments on fields and functions that had none.

--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -21,6 +21,7 @@
 // source is who told of an entry.
 type source string
 
+// The sources: the settings, the platform's store, and entries over their links.
 const (
 	seeds source = "seeds"
 	store source = "store"
@@ -116,6 +117,7 @@
 	}
 }
 
+// hello is this process's first message on each link.
 func (n *Node) hello() *wire.Hello {
 	return &wire.Hello{
 		Role: roleAgent, Name: n.set.Node.Name, Incarnation: uint64(n.inc), Zone: n.set.Node.Zone, Region: n.set.Node.Region,
@@ -132,6 +134,7 @@
 	n.loop.Post(linkDown{s, err})
 }
 
+// handleLinkUp takes up a new link.
 func (n *Node) handleLinkUp(now time.Time, s *session.Session) {
 	id := ident.Incarnation(s.Remote.GetIncarnation())
 	if old := n.links[id]; old != nil {
@@ -147,6 +150,7 @@
 	n.passConfig(l)
 }
 
+// handleLinkDown handles the end of a link's session.
 func (n *Node) handleLinkDown(now time.Time, s *session.Session, err error) {
 	l := n.linkOf(s)
 	if l == nil {
@@ -165,11 +169,13 @@
 	return l
 }
 
+// dropLink forgets a link: its entry is out of hearing.
 func (n *Node) dropLink(now time.Time, l *link, why string) {
 	delete(n.links, l.entry)
 	n.keeper.Unlinked(now, l.entry, why)
 }
 
+// handleReceived handles the messages of one frame.
 func (n *Node) handleReceived(now time.Time, s *session.Session, msgs []*wire.Msg) {
 	l := n.linkOf(s)
 	if l == nil {
@@ -181,6 +187,7 @@
 	}
 }
 
+// handleMessage handles one message of the entry.
 func (n *Node) handleMessage(now time.Time, l *link, m *wire.Msg) {
 	switch m := m.GetKind().(type) {
 	case *wire.Msg_Start:
@@ -226,6 +233,7 @@
 // sender sends the keeper's words to entries.
 type sender Node
 
+// send sends a message, if the entry is linked.
 func (s *sender) send(to ident.Incarnation, m *wire.Msg) {
 	if l := s.links[to]; l != nil {
 		l.session.Send(m)
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -35,10 +35,13 @@
 	remembered ident.UpstreamID
 	patience   patience
 	links      map[ident.Incarnation]*link
-	dialled    map[string]*dialled
-	listed     map[source][]string
-	config     *wire.Config
-	ticked     time.Time
+	// dialled are the entries that are dialled or linked, by address; listed are the addresses that each source told last.
+	dialled map[string]*dialled
+	listed  map[source][]string
+	// config is the newest configuration that an entry has sent, to be passed on.
+	config *wire.Config
+	// ticked is when tick was last called.
+	ticked time.Time
 }
 
 // New returns a Node that has not started.
@@ -118,6 +121,7 @@
 		session *session.Session
 		err     error
 	}
+	// received carries the messages of one frame.
 	received struct {
 		session *session.Session
 		msgs    []*wire.Msg
@@ -142,6 +146,7 @@
 	}
 )
 
+// handle handles one event on the control goroutine.
 func (n *Node) handle(e loop.Event) {
 	n.catchUp(time.Now())
 	now := time.Now()
@@ -176,6 +181,7 @@
 	n.keeper.Flush(now)
 }
 
+// handleOrderDone hands the end of a start or a stop to the keeper.
 func (n *Node) handleOrderDone(now time.Time, end any) {
 	switch e := end.(type) {
 	case startDone:
@@ -194,6 +200,7 @@
 	}
 }
 
+// tick does what time alone brings about.
 func (n *Node) tick() {
 	now := time.Now()
 	n.ticked = now
--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -33,6 +33,7 @@
 	runs map[job.TaskID]*task
 }
 
+// sent is an order that the agent's room may not reflect yet.
 type sent struct {
 	seq   uint64
 	total job.Resources
@@ -180,6 +181,7 @@
 	t.expire(a)
 }
 
+// sortedTasks lists tasks in the order of their ids, so that runs repeat.
 func sortedTasks(m map[job.TaskID]*task) []*task {
 	out := make([]*task, 0, len(m))
 	for _, k := range m {
--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -27,6 +27,7 @@
 	t.Pump(now)
 }
 
+// without takes a caller's requests out of a list.
 func without(rs []Request, c CallerID) []Request {
 	out := rs[:0]
 	for _, r := range rs {
@@ -48,6 +49,7 @@
 	return true
 }
 
+// runVerdict is the verdict on a job that is given up now.
 func runVerdict(j *jobState) verdict.Verdict {
 	if j.begun {
 		return verdict.MayHaveRun
@@ -58,13 +60,7 @@
 // close gives a job's final answer, stops what still runs of it and forgets it once nothing does.
 func (t *Table) close(now time.Time, j *jobState, a Answer) {
 	j.ending = true
-	s := Summary{
-		Sender: j.sender, Took: now.Sub(j.submitted), Objective: j.objective, Tasks: j.spec.Tasks(), Runs: j.runs, Failures: j.failures,
-		Longest: j.longest, Blamed: j.blamed, Queued: t.waitingJobs(),
-	}
-	if !j.firstAt.IsZero() {
-		s.Waited = j.firstAt.Sub(j.submitted)
-	}
+	s := t.summary(now, j)
 	for _, c := range j.callers {
 		t.callers.Answer(c, a)
 	}
@@ -78,6 +74,18 @@
 	t.forget(now, j)
 }
 
+// summary tells what a job's answer rests on.
+func (t *Table) summary(now time.Time, j *jobState) Summary {
+	s := Summary{
+		Sender: j.sender, Took: now.Sub(j.submitted), Objective: j.objective, Tasks: j.spec.Tasks(), Runs: j.runs, Failures: j.failures,
+		Longest: j.longest, Blamed: j.blamed, Queued: t.waitingJobs(),
+	}
+	if !j.firstAt.IsZero() {
+		s.Waited = j.firstAt.Sub(j.submitted)
+	}
+	return s
+}
+
 // drop ends a task of a job that is being closed.
 func (t *Table) drop(k *task) {
 	switch k.phase {
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -167,6 +167,7 @@
 	return n
 }
 
+// waitingJobs counts the jobs that have tasks to place.
 func (t *Table) waitingJobs() int {
 	n := 0
 	for _, q := range t.queued {
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -163,6 +163,7 @@
 	}
 }
 
+// sortedJobs lists all jobs, the most urgent first.
 func (t *Table) sortedJobs() []*jobState {
 	out := make([]*jobState, 0, len(t.jobs))
 	for _, j := range t.jobs {
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -30,9 +30,10 @@
 	job   *jobState
 	phase phase
 	// run is the newest run's number.
-	run        job.Run
-	agent      *agent
-	failures   int
+	run      job.Run
+	agent    *agent
+	failures int
+	// checkpoint is the newest one that a run has saved; empty is none.
 	checkpoint string
 	// avoid lists upstreams that failed or stalled the task.
 	avoid []ident.UpstreamID
@@ -54,16 +55,20 @@
 	// startBy is until when the job can be in time, were it placed at once.
 	startBy time.Time
 
-	steps     [][]*task
+	steps [][]*task
+	// left counts each step's tasks that have not ended well, remaining those of all steps.
 	left      []int
 	remaining int
-	waiting   int
-	out       int
-	failures  int
-	runs      int
-	longest   time.Duration
-	blamed    []ident.UpstreamID
-	firstAt   time.Time
+	// waiting counts the tasks that can be placed, out those that an agent has or may have.
+	waiting, out int
+	// runs counts the runs that were, or may have been, started; failures those that have failed.
+	runs, failures int
+	// longest is the run time of the longest run.
+	longest time.Duration
+	// blamed are the upstreams that failed, stalled or lost a run.
+	blamed []ident.UpstreamID
+	// firstAt is when the first task was placed.
+	firstAt time.Time
 	// begun is true once a run was, or may have been, started.
 	begun bool
 	// ending is true once the job was answered or given up, while runs of it may remain.
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -13,6 +13,7 @@
 // queue holds the jobs of one service that have tasks to place, the most urgent first.
 type queue struct{ jobs []*jobState }
 
+// queue returns the queue of a service, a new one if there is none.
 func (t *Table) queue(s ident.Service) *queue {
 	q := t.queues[s]
 	if q == nil {
@@ -29,6 +30,7 @@
 	return cmp.Or(cmpBool(b.begun, a.begun), a.startBy.Compare(b.startBy), cmp.Compare(a.route.Priority, b.route.Priority), cmp.Compare(a.id, b.id))
 }
 
+// cmpBool orders false before true.
 func cmpBool(a, b bool) int {
 	switch {
 	case a == b:
@@ -39,11 +41,13 @@
 	return -1
 }
 
+// add puts a job into its place.
 func (q *queue) add(j *jobState) {
 	i, _ := slices.BinarySearchFunc(q.jobs, j, before)
 	q.jobs = slices.Insert(q.jobs, i, j)
 }
 
+// remove takes a job out.
 func (q *queue) remove(j *jobState) {
 	// The order may have changed since the job was added, so it is sought one by one.
 	if i := slices.Index(q.jobs, j); i >= 0 {
@@ -97,6 +101,7 @@
 	}
 }
 
+// newOrder returns an order of one step without tasks.
 func (t *Table) newOrder(j *jobState, s int) *fleet.Order {
 	step := &j.spec.Steps[s]
 	return &fleet.Order{Job: j.id, Step: uint32(s), Spec: j.spec.Text, Each: step.Each, Estimate: step.Estimate}
@@ -122,6 +127,7 @@
 	})
 }
 
+// send sends an order, and counts what it takes until the agent's room reflects it.
 func (t *Table) send(now time.Time, a *agent, o *fleet.Order) {
 	a.seq++
 	o.Seq = a.seq
--- a/internal/entry/dispatch/submit.go
+++ b/internal/entry/dispatch/submit.go
@@ -85,12 +85,7 @@
 		id: r.Job, spec: r.Spec, route: r.Route, callers: []CallerID{r.Caller}, sender: r.Sender, submitted: now, deadline: deadline,
 		objective: r.Route.Objective(chain), steps: make([][]*task, len(r.Spec.Steps)), left: make([]int, len(r.Spec.Steps)),
 	}
-	j.startBy = now.Add(j.objective / waitShare)
-	if !t.anyReady(r.Route.Service) {
-		// After an outage upstreams come back within moments: as long as the job can be in time, it waits for them.
-		spare := j.objective - time.Duration(t.pace*float64(chain)) - answerTime
-		j.startBy = now.Add(max(spare, j.objective/waitShare))
-	}
+	j.startBy = now.Add(t.patience(j, chain))
 	for i, step := range r.Spec.Steps {
 		for k := range step.Count {
 			id := job.TaskID{Job: r.Job, Step: uint32(i), Index: k}
@@ -103,6 +98,17 @@
 	t.unblock(j)
 }
 
+// patience is how long a job waits for room; chain is the estimated time of its longest chain of steps.
+func (t *Table) patience(j *jobState, chain time.Duration) time.Duration {
+	share := j.objective / waitShare
+	if t.anyReady(j.route.Service) {
+		return share
+	}
+	// After an outage upstreams come back within moments: as long as the job can be in time, it waits for them.
+	spare := j.objective - time.Duration(t.pace*float64(chain)) - answerTime
+	return max(spare, share)
+}
+
 // waitShare: a job waits for room for the fourth part of its objective. Under overload all jobs wait as long as they
 // may, so that what is allowed decides how many of those that run are late; a queue of a few milliseconds is enough
 // to keep all upstreams busy.
--- a/internal/entry/node/config.go
+++ b/internal/entry/node/config.go
@@ -23,6 +23,7 @@
 // Routes returns the configuration in force, or nil before there is one.
 func (n *Node) Routes() *route.Table { return n.routes.Load() }
 
+// handleConfigured puts a configuration in force unless it is an older one; from is zero when the store had it.
 func (n *Node) handleConfigured(t *route.Table, from ident.Incarnation) {
 	have := n.routes.Load()
 	if have != nil && t.Version <= have.Version {
@@ -53,6 +54,7 @@
 	}
 }
 
+// handleRelayed takes in a configuration that an agent has passed on.
 func (n *Node) handleRelayed(l *link, m *wire.Config) {
 	l.config = max(l.config, ident.ConfigVersion(m.GetVersion()))
 	t, err := n.decode(m.GetRaw())
@@ -66,6 +68,7 @@
 // SetEntries tells the node which entries there are, for agents that can't read the store.
 func (n *Node) SetEntries(links []ident.Address) { n.loop.Post(listed{links}) }
 
+// handleListed passes the list of entries to all agents when it has changed.
 func (n *Node) handleListed(links []ident.Address) {
 	peers := make([]string, len(links))
 	for i, a := range links {
--- a/internal/entry/node/links.go
+++ b/internal/entry/node/links.go
@@ -18,6 +18,7 @@
 // roleEntry stands in an entry's hello.
 const roleEntry = "entry"
 
+// hello is this process's first message on each link.
 func (n *Node) hello() *wire.Hello {
 	h := &wire.Hello{
 		Role: roleEntry, Name: n.set.Node.Name, Incarnation: uint64(n.inc), Zone: n.set.Node.Zone,
@@ -60,6 +61,7 @@
 	n.loop.Post(linkDown{s, err})
 }
 
+// handleLinkUp takes up a new link, in place of an older one with the same agent.
 func (n *Node) handleLinkUp(now time.Time, s *session.Session) {
 	id := ident.Incarnation(s.Remote.GetIncarnation())
 	if old := n.links[id]; old != nil {
@@ -77,6 +79,7 @@
 	}
 }
 
+// handleLinkDown handles the end of a link's session.
 func (n *Node) handleLinkDown(now time.Time, s *session.Session, err error) {
 	l := n.linkOf(s)
 	if l == nil {
@@ -95,12 +98,14 @@
 	return l
 }
 
+// dropLink forgets a link: its agent is out of hearing.
 func (n *Node) dropLink(now time.Time, l *link) {
 	delete(n.links, l.agent)
 	n.linked.Store(int32(len(n.links)))
 	n.table.Unlinked(now, l.agent)
 }
 
+// handleReceived handles the messages of one frame.
 func (n *Node) handleReceived(now time.Time, s *session.Session, msgs []*wire.Msg) {
 	l := n.linkOf(s)
 	if l == nil {
@@ -112,6 +117,7 @@
 	}
 }
 
+// handleMessage handles one message of the agent.
 func (n *Node) handleMessage(now time.Time, l *link, m *wire.Msg) {
 	switch m := m.GetKind().(type) {
 	case *wire.Msg_Upstream:
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -35,8 +35,10 @@
 	table   *dispatch.Table
 	links   map[ident.Incarnation]*link
 	callers map[dispatch.CallerID]chan dispatch.Answer
-	peers   []string
-	ticked  time.Time
+	// peers are the link addresses of all entries, as agents were told last.
+	peers []string
+	// ticked is when tick was last called.
+	ticked time.Time
 
 	routes  atomic.Pointer[route.Table]
 	lastID  atomic.Uint64
@@ -110,6 +112,7 @@
 		session *session.Session
 		err     error
 	}
+	// received carries the messages of one frame.
 	received struct {
 		session *session.Session
 		msgs    []*wire.Msg
@@ -126,6 +129,7 @@
 		job   job.ID
 		found chan bool
 	}
+	// configured carries a configuration; from is the agent that passed it on, or zero.
 	configured struct {
 		table *route.Table
 		from  ident.Incarnation
@@ -133,6 +137,7 @@
 	listed struct{ links []ident.Address }
 )
 
+// handle handles one event on the control goroutine.
 func (n *Node) handle(e loop.Event) {
 	n.catchUp(time.Now())
 	now := time.Now()
@@ -167,6 +172,7 @@
 	}
 }
 
+// tick does what time alone brings about.
 func (n *Node) tick() {
 	now := time.Now()
 	n.ticked = now
