--- a/commands/demo.go
+++ b/commands/demo.go
@@ -29,7 +29,7 @@
 	demoCores   = 16
 	demoEvery   = 25 * time.Millisecond
 	demoService = "publish"
-	// The bounds and precision of the response times: 1 ms to a minute, two digits.
+	// The bounds of the response times, in milliseconds: 1 ms to a minute; and their precision, in decimal digits.
 	demoLowest, demoHighest, demoDigits = 1, 60_000, 2
 )
 
--- a/commands/operator.go
+++ b/commands/operator.go
@@ -67,6 +67,7 @@
 	return out.Encode(v)
 }
 
+// ifMatch makes a change conditional on an object's version; zero is an object that is not there yet.
 func ifMatch(version uint64) map[string]string {
 	if version == 0 {
 		return map[string]string{"If-None-Match": "*"}
--- a/commands/standin.go
+++ b/commands/standin.go
@@ -73,6 +73,7 @@
 	return nil
 }
 
+// followRoutes puts the file into the store whenever it changes, until ctx ends.
 func followRoutes(ctx context.Context, store *standin.Store, file string, log *logrus.Entry) {
 	last := ""
 	for ctx.Err() == nil {
@@ -99,6 +100,7 @@
 // standinMemory is the memory that a stand-in for an upstream claims to have, in MB.
 const standinMemory = 64 << 10
 
+// serveStandin runs a stand-in's server until the process is asked to end.
 func serveStandin(ctx context.Context, s *web.Server, log *logrus.Entry) error {
 	if err := s.Start(ctx); err != nil {
 		return cli.Exit(err.Error(), ExitFailed)
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -84,6 +84,10 @@
 	api := operator.New(changes, objects, p.Node, recorder, d.Log)
 	dir := members.NewDirectory(func(links []ident.Address) { p.publish(bus.Entries, links) })
 	entry := members.Entry{Name: set.Node.Name, Incarnation: p.Node.Incarnation().String(), Zone: ident.Zone(set.Node.Zone)}
+	p.Front = web.New("clients", set.Entry.Front, d.Front(p.Node), callers(set))
+	inForce := func() caller.Services { return objects.View() }
+	p.Callers = web.New("callers", set.Entry.Callers, caller.New(p.Node, inForce, int64(set.Entry.MaxBody), d.Log), callers(set))
+	p.Metrics = web.New("metrics", set.Node.Metrics, ops.Handler(ops.Tokens(set.Entry), p.Node.Ready, api.Routes), web.Small)
 	services := []named{
 		{nameNode, p.Node},
 		{nameConfig, follow.New(d.Store, d.Config.Table, set.Platform.ConfigWait, p.configReader(d), d.Log)},
@@ -91,19 +95,7 @@
 		{nameEntries, follow.New(d.Store, members.Table, set.Platform.ListWait, dir.Change, d.Log)},
 		{nameRegister, members.NewRegistrar(d.Store, advertised(set), entry, d.Log)},
 	}
-	p.Front = web.New("clients", set.Entry.Front, d.Front(p.Node), callers(set))
-	if set.Entry.Front != "" {
-		services = append(services, named{nameFront, p.Front})
-	}
-	p.Callers = web.New("callers", set.Entry.Callers, caller.New(p.Node, func() caller.Services { return objects.View() }, int64(set.Entry.MaxBody), d.Log), callers(set))
-	if set.Entry.Callers != "" {
-		services = append(services, named{nameCallers, p.Callers})
-	}
-	if set.Entry.Readiness != "" {
-		services = append(services, named{nameReadiness, web.New("readiness checks", set.Entry.Readiness, d.Readiness(p.Node.Ready), web.Small)})
-	}
-	p.Metrics = web.New("metrics", set.Node.Metrics, ops.Handler(ops.Tokens(set.Entry), p.Node.Ready, api.Routes), web.Small)
-	services = append(services, named{nameMetrics, p.Metrics})
+	services = append(services, p.servers(d)...)
 	for _, s := range services {
 		if err := p.kernel.Register(s.name, s.service); err != nil {
 			return nil, err
@@ -112,6 +104,22 @@
 	return p, p.subscribe()
 }
 
+// servers lists the servers that the settings give an address. They start last, when there is what they serve.
+func (p *Process) servers(d Deps) []named {
+	var out []named
+	if p.set.Entry.Front != "" {
+		out = append(out, named{nameFront, p.Front})
+	}
+	if p.set.Entry.Callers != "" {
+		out = append(out, named{nameCallers, p.Callers})
+	}
+	if p.set.Entry.Readiness != "" {
+		checks := web.New("readiness checks", p.set.Entry.Readiness, d.Readiness(p.Node.Ready), web.Small)
+		out = append(out, named{nameReadiness, checks})
+	}
+	return append(out, named{nameMetrics, p.Metrics})
+}
+
 // recordBurn counts answers in the burn report.
 func recordBurn(r *burn.Recorder) func(*route.Route, dispatch.Answer, dispatch.Summary) {
 	return func(queue *route.Route, a dispatch.Answer, s dispatch.Summary) {
@@ -121,6 +129,7 @@
 	}
 }
 
+// named is a service with the name under which it registers.
 type named struct {
 	name    string
 	service kernel.Service
@@ -169,6 +178,7 @@
 	}
 }
 
+// subscribe hands events inside the process to whom they concern.
 func (p *Process) subscribe() error {
 	return bus.Subscribe(context.Background(), p.bus, bus.Entries, p.Node.SetEntries)
 }
