--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -21,6 +21,7 @@
 // source is who told of an entry.
 type source string
 
+// The sources: the settings, the platform's store, and entries over their links.
 const (
 	seeds source = "seeds"
 	store source = "store"
@@ -105,7 +106,7 @@
 	for ctx.Err() == nil {
 		s, err := session.Dial(n.dial, address, n.set.Links.DialTimeout, n.hello())
 		if err == nil {
-			n.serve(s, address)
+			n.serve(s)
 			since = time.Now()
 		}
 		pause := n.set.Links.RedialEvery
@@ -119,6 +120,7 @@
 	}
 }
 
+// hello is this process's first message on each link.
 func (n *Node) hello() *wire.Hello {
 	return &wire.Hello{
 		Role: roleAgent, Name: n.set.Node.Name, Incarnation: uint64(n.inc), Zone: n.set.Node.Zone, Region: n.set.Node.Region,
@@ -126,8 +128,8 @@
 }
 
 // serve runs one link until it ends.
-func (n *Node) serve(s *session.Session, address string) {
-	if !n.loop.Post(linkUp{s, address}) {
+func (n *Node) serve(s *session.Session) {
+	if !n.loop.Post(linkUp{s}) {
 		s.Close()
 		return
 	}
@@ -135,6 +137,7 @@
 	n.loop.Post(linkDown{s, err})
 }
 
+// handleLinkUp takes up a new link.
 func (n *Node) handleLinkUp(now time.Time, s *session.Session) {
 	id := ident.Incarnation(s.Remote.GetIncarnation())
 	if old := n.links[id]; old != nil {
@@ -150,6 +153,7 @@
 	n.passConfig(l)
 }
 
+// handleLinkDown handles the end of a link's session.
 func (n *Node) handleLinkDown(now time.Time, s *session.Session, err error) {
 	l := n.linkOf(s)
 	if l == nil {
@@ -168,11 +172,13 @@
 	return l
 }
 
+// dropLink forgets a link: its entry is out of hearing.
 func (n *Node) dropLink(now time.Time, l *link, why string) {
 	delete(n.links, l.entry)
 	n.keeper.Unlinked(now, l.entry, why)
 }
 
+// handleReceived handles the messages of one frame.
 func (n *Node) handleReceived(now time.Time, s *session.Session, msgs []*wire.Msg) {
 	l := n.linkOf(s)
 	if l == nil {
@@ -184,6 +190,7 @@
 	}
 }
 
+// handleMessage handles one message of the entry.
 func (n *Node) handleMessage(now time.Time, l *link, m *wire.Msg) {
 	switch m := m.GetKind().(type) {
 	case *wire.Msg_Start:
@@ -229,6 +236,7 @@
 // sender sends the keeper's words to entries.
 type sender Node
 
+// send sends a message, if the entry is linked.
 func (s *sender) send(to ident.Incarnation, m *wire.Msg) {
 	if l := s.links[to]; l != nil {
 		l.session.Send(m)
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -35,10 +35,13 @@
 	remembered ident.UpstreamID
 	patience   patience
 	links      map[ident.Incarnation]*link
-	dialled    map[string]*dialled
-	listed     map[source][]string
-	config     *wire.Config
-	ticked     time.Time
+	// dialled are the entries that are dialled or linked, by address; listed are the addresses that each source told last.
+	dialled map[string]*dialled
+	listed  map[source][]string
+	// config is the newest configuration that an entry has sent, to be passed on.
+	config *wire.Config
+	// ticked is when tick was last called.
+	ticked time.Time
 }
 
 // New returns a Node that has not started.
@@ -49,9 +52,7 @@
 		links: make(map[ident.Incarnation]*link), dialled: make(map[string]*dialled), listed: make(map[source][]string),
 		config: &wire.Config{}, ticked: time.Now(), patience: patience{most: set.Agent.CallTimeout},
 	}
-	l := set.Links
-	timing := fleet.Timing{Silence: l.Silence, Lease: l.Lease, StopBudget: l.StopBudget, KeepAlive: l.KeepAlive}
-	n.keeper = upstream.New(timing, nil, time.Now(), (*caller)(n), (*sender)(n), newObserver(log))
+	n.keeper = upstream.New(set.Links.Timing(), nil, time.Now(), (*caller)(n), (*sender)(n), newObserver(log))
 	return n
 }
 
@@ -115,14 +116,12 @@
 		answered bool
 		end      any
 	}
-	linkUp struct {
-		session *session.Session
-		link    string
-	}
+	linkUp   struct{ session *session.Session }
 	linkDown struct {
 		session *session.Session
 		err     error
 	}
+	// received carries the messages of one frame.
 	received struct {
 		session *session.Session
 		msgs    []*wire.Msg
@@ -147,6 +146,7 @@
 	}
 )
 
+// handle handles one event on the control goroutine.
 func (n *Node) handle(e loop.Event) {
 	n.catchUp(time.Now())
 	now := time.Now()
@@ -181,6 +181,7 @@
 	n.keeper.Flush(now)
 }
 
+// handleOrderDone hands the end of a start or a stop to the keeper.
 func (n *Node) handleOrderDone(now time.Time, end any) {
 	switch e := end.(type) {
 	case startDone:
@@ -199,6 +200,7 @@
 	}
 }
 
+// tick does what time alone brings about.
 func (n *Node) tick() {
 	now := time.Now()
 	n.ticked = now
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -11,117 +10,16 @@
 	"hillreel/internal/core/rule"
 )
 
-// maxUnsent bounds the ends that are kept for an entry whose session broke.
-const maxUnsent = 256
-
-// unsentFor is how long they are kept: an entry that is back later has settled its tasks by time.
-const unsentFor = 2 * time.Second
-
-// Linked handles a new session with an entry.
-func (k *Keeper) Linked(now time.Time, entry ident.Incarnation) {
-	s := k.sessions[entry]
-	if s == nil {
-		s = &session{entry: entry}
-		k.sessions[entry] = s
-		k.order = append(k.order, s)
-	}
-	if s.linked {
-		k.Unlinked(now, entry, "replaced")
-	}
-	*s = session{entry: entry, epoch: s.epoch + 1, linked: true, dirty: true, urgent: true, unsent: s.unsent}
-	if k.known {
-		k.entries.Upstream(entry, k.up)
-	}
-	for _, l := range s.unsent {
-		if now.Sub(l.at) < unsentFor {
-			k.entries.End(entry, l.end)
-		}
-	}
-	s.unsent = nil
-	k.settle(entry)
-}
-
-// Unlinked handles the end of an entry's session: its runs have nobody left who wants them.
-func (k *Keeper) Unlinked(now time.Time, entry ident.Incarnation, why string) {
-	s := k.sessions[entry]
-	if s == nil || !s.linked {
-		return
-	}
-	s.linked, s.ended = false, now
-	k.orphan(now, entry, why)
-}
-
-// forgetSessions drops entries that have been gone for so long that they have settled their tasks by time.
-func (k *Keeper) forgetSessions(now time.Time) {
-	k.order = slices.DeleteFunc(k.order, func(s *session) bool {
-		gone := !s.linked && now.Sub(s.ended) > unsentFor && !k.owns(s.entry)
-		if gone {
-			delete(k.sessions, s.entry)
-		}
-		return gone
-	})
-}
-
-// owns tells whether a run of an entry is, or may be, at the upstream.
-func (k *Keeper) owns(entry ident.Incarnation) bool {
-	for _, r := range k.runs {
-		if r.owner == entry || r.next != nil && r.next.owner == entry {
-			return true
-		}
-	}
-	return false
-}
-
-// orphan stops all runs of an entry.
-func (k *Keeper) orphan(now time.Time, entry ident.Incarnation, why string) {
-	if k.without.Off(rule.StopSilent) {
-		return
-	}
-	n := 0
-	for _, r := range k.sorted() {
-		if r.next != nil && r.next.owner == entry {
-			r.next = nil
-		}
-		if r.owner == entry && (r.stop == nil || !r.stop.unwanted) {
-			k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.OnRequest, unwanted: true})
-			n++
-		}
-	}
-	if n > 0 {
-		k.observer.Orphaned(entry, n, why)
-	}
-}
-
 // sorted returns all runs in the order of their ids, so that runs of the state machine repeat.
 func (k *Keeper) sorted() []*run {
 	out := make([]*run, 0, len(k.runs))
 	for _, r := range k.runs {
 		out = append(out, r)
 	}
-	slices.SortFunc(out, func(a, b *run) int { return compareTasks(a.task, b.task) })
+	slices.SortFunc(out, func(a, b *run) int { return a.task.Compare(b.task) })
 	return out
 }
 
-func compareTasks(a, b job.TaskID) int {
-	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
-}
-
-// Ping handles a keep-alive of an entry.
-func (k *Keeper) Ping(now time.Time, entry ident.Incarnation, echoed time.Duration) {
-	if k.without.Off(rule.EchoedClock) {
-		echoed = k.uptime(now)
-	}
-	if s := k.sessions[entry]; s != nil && s.linked && echoed > s.echoed {
-		s.echoed, s.heard = echoed, true
-	}
-}
-
-// fresh tells whether an entry was heard recently enough to keep its runs. It counts from when the agent
-// sent the reading that came back, so that a message held up on the way keeps nothing alive.
-func (k *Keeper) fresh(now time.Time, s *session) bool {
-	return s != nil && s.linked && s.heard && k.uptime(now)-s.echoed < k.timing.Silence
-}
-
 // Order handles an entry's order.
 func (k *Keeper) Order(now time.Time, entry ident.Incarnation, o fleet.Order) {
 	s := k.sessions[entry]
@@ -140,7 +38,7 @@
 	s := k.sessions[w.owner]
 	fresh := k.fresh(now, s) || k.without.Off(rule.FreshSession)
 	if !fresh || s.epoch != w.epoch {
-		k.refuse(now, w, fleet.StaleSession)
+		k.refuse(w, fleet.StaleSession)
 		return
 	}
 	if r := k.runs[task]; r != nil && !k.without.Off(rule.SameTaskWaits) {
@@ -149,25 +47,25 @@
 		}
 		// The caller has sent the job again after its entry was lost: the old run must be gone first.
 		if r.next != nil {
-			k.refuse(now, *r.next, fleet.Superseded)
+			k.refuse(*r.next, fleet.Superseded)
 		}
 		r.next = &w
 		k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.Superseded})
 		return
 	}
 	if !k.stateFor(now, w.owner).Accepts() {
-		k.refuse(now, w, fleet.NotAccepting)
+		k.refuse(w, fleet.NotAccepting)
 		return
 	}
 	if !w.order.Each.Fits(k.free()) {
-		k.refuse(now, w, fleet.NoRoom)
+		k.refuse(w, fleet.NoRoom)
 		return
 	}
 	k.startRun(now, w)
 }
 
-func (k *Keeper) refuse(now time.Time, w waiting, why fleet.Reason) {
-	k.tell(now, w.owner, fleet.End{
+func (k *Keeper) refuse(w waiting, why fleet.Reason) {
+	k.tell(w.owner, fleet.End{
 		Task: w.order.Task(w.index), Run: w.order.Tasks[w.index].Run, Outcome: job.NotStarted, Reason: why,
 	})
 }
@@ -180,7 +78,7 @@
 		phase: starting, begun: now, advanced: now,
 	}
 	k.runs[r.task] = r
-	k.health.started(now)
+	k.health.started()
 	k.callStart(now, r)
 	k.touchAll()
 }
@@ -195,12 +93,12 @@
 func (k *Keeper) StopTask(now time.Time, entry ident.Incarnation, task job.TaskID, number job.Run) {
 	r := k.runs[task]
 	if r != nil && r.next != nil && r.next.owner == entry && r.next.order.Tasks[r.next.index].Run == number {
-		k.refuse(now, *r.next, fleet.OnRequest)
+		k.refuse(*r.next, fleet.OnRequest)
 		r.next = nil
 		return
 	}
 	if r == nil || r.owner != entry || r.number != number {
-		k.tell(now, entry, fleet.End{Task: task, Run: number, Outcome: job.NotStarted, Reason: fleet.NotListed})
+		k.tell(entry, fleet.End{Task: task, Run: number, Outcome: job.NotStarted, Reason: fleet.NotListed})
 		return
 	}
 	k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.OnRequest, unwanted: true})
@@ -333,43 +231,3 @@
 		k.orderTask(now, *r.next)
 	}
 }
-
-// tellRun tells the owner of a run how it ended, or keeps that until the owner is back.
-func (k *Keeper) tellRun(now time.Time, r *run, e fleet.End) {
-	s := k.sessions[r.owner]
-	if s == nil {
-		return
-	}
-	if !s.linked {
-		s.unsent = append(s.unsent, late{e, now})
-		if len(s.unsent) > maxUnsent {
-			s.unsent = s.unsent[1:]
-		}
-		return
-	}
-	k.tell(now, r.owner, e)
-}
-
-func (k *Keeper) tell(_ time.Time, to ident.Incarnation, e fleet.End) {
-	s := k.sessions[to]
-	if s == nil || !s.linked {
-		return
-	}
-	s.urgent, s.dirty = true, true
-	k.entries.End(to, e)
-}
-
-// settle tells an entry once that no run of its earlier sessions remains.
-func (k *Keeper) settle(entry ident.Incarnation) {
-	s := k.sessions[entry]
-	if s == nil || !s.linked || s.settled {
-		return
-	}
-	for _, r := range k.runs {
-		if r.owner == entry && r.epoch != s.epoch {
-			return
-		}
-	}
-	s.settled = true
-	k.entries.Settled(entry)
-}
--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -33,6 +33,7 @@
 	runs map[job.TaskID]*task
 }
 
+// sent is an order that the agent's room may not reflect yet.
 type sent struct {
 	seq   uint64
 	total job.Resources
@@ -71,7 +72,7 @@
 	if t.opts.Without.Off(rule.SettleWait) {
 		t.settle(now, a, fleet.AgentSilent)
 	}
-	t.expire(now, a)
+	t.expire(a)
 }
 
 // Upstream is an upstream as this entry knows it.
@@ -177,31 +178,21 @@
 	if n > 0 {
 		t.observer.Lost(a.name, n, "agent_settled")
 	}
-	t.expire(now, a)
+	t.expire(a)
 }
 
+// sortedTasks lists tasks in the order of their ids, so that runs repeat.
 func sortedTasks(m map[job.TaskID]*task) []*task {
 	out := make([]*task, 0, len(m))
 	for _, k := range m {
 		out = append(out, k)
 	}
-	slices.SortFunc(out, func(a, b *task) int {
-		if a.id.Job != b.id.Job {
-			if a.id.Job < b.id.Job {
-				return -1
-			}
-			return 1
-		}
-		if a.id.Step != b.id.Step {
-			return int(a.id.Step) - int(b.id.Step)
-		}
-		return int(a.id.Index) - int(b.id.Index)
-	})
+	slices.SortFunc(out, func(a, b *task) int { return a.id.Compare(b.id) })
 	return out
 }
 
 // expire forgets an agent that is not linked and has nothing.
-func (t *Table) expire(_ time.Time, a *agent) {
+func (t *Table) expire(a *agent) {
 	if a.linked || len(a.runs) > 0 {
 		return
 	}
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -13,6 +13,7 @@
 // queue holds the jobs of one service that have tasks to place, the most urgent first.
 type queue struct{ jobs []*jobState }
 
+// queue returns the queue of a service, a new one if there is none.
 func (t *Table) queue(s ident.Service) *queue {
 	q := t.queues[s]
 	if q == nil {
@@ -29,6 +30,7 @@
 	return cmp.Or(cmpBool(b.begun, a.begun), a.startBy.Compare(b.startBy), cmp.Compare(a.route.Priority, b.route.Priority), cmp.Compare(a.id, b.id))
 }
 
+// cmpBool orders false before true.
 func cmpBool(a, b bool) int {
 	switch {
 	case a == b:
@@ -39,11 +41,13 @@
 	return -1
 }
 
+// add puts a job into its place.
 func (q *queue) add(j *jobState) {
 	i, _ := slices.BinarySearchFunc(q.jobs, j, before)
 	q.jobs = slices.Insert(q.jobs, i, j)
 }
 
+// remove takes a job out.
 func (q *queue) remove(j *jobState) {
 	// The order may have changed since the job was added, so it is sought one by one.
 	if i := slices.Index(q.jobs, j); i >= 0 {
@@ -79,7 +83,7 @@
 			if k.phase != waiting {
 				continue
 			}
-			a := t.choose(now, k)
+			a := t.choose(k)
 			if a == nil {
 				break
 			}
@@ -97,6 +101,7 @@
 	}
 }
 
+// newOrder returns an order of one step without tasks.
 func (t *Table) newOrder(j *jobState, s int) *fleet.Order {
 	step := &j.spec.Steps[s]
 	return &fleet.Order{Job: j.id, Step: uint32(s), Spec: j.spec.Text, Each: step.Each, Estimate: step.Estimate}
@@ -107,7 +112,7 @@
 	t.unwait(k)
 	j := k.job
 	k.run++
-	k.phase, k.agent, k.placedAt = placed, a, now
+	k.phase, k.agent = placed, a
 	a.runs[k.id] = k
 	a.pending = a.pending.Add(o.Each)
 	a.probing = a.room.State == fleet.Probing
@@ -122,6 +127,7 @@
 	})
 }
 
+// send sends an order, and counts what it takes until the agent's room reflects it.
 func (t *Table) send(now time.Time, a *agent, o *fleet.Order) {
 	a.seq++
 	o.Seq = a.seq
@@ -135,7 +141,7 @@
 }
 
 // choose returns the agent for a task, or nil while nothing fits.
-func (t *Table) choose(now time.Time, k *task) *agent {
+func (t *Table) choose(k *task) *agent {
 	step := &k.job.spec.Steps[k.id.Step]
 	var best *agent
 	var bestCost float64
@@ -143,7 +149,7 @@
 		if !t.eligible(a, k, step) {
 			continue
 		}
-		c := t.cost(a, k, step)
+		c := t.cost(a, step)
 		if best == nil || c < bestCost {
 			best, bestCost = a, c
 		}
@@ -204,7 +210,7 @@
 )
 
 // cost rates an agent for a task; the lowest is chosen.
-func (t *Table) cost(a *agent, k *task, step *job.Step) float64 {
+func (t *Table) cost(a *agent, step *job.Step) float64 {
 	used := 1.0
 	if a.up.Total.CPU > 0 {
 		used = 1 - float64(a.free().CPU)/float64(a.up.Total.CPU)
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -12,7 +12,6 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
-	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/loop"
@@ -36,8 +35,10 @@
 	table   *dispatch.Table
 	links   map[ident.Incarnation]*link
 	callers map[dispatch.CallerID]chan dispatch.Answer
-	peers   []string
-	ticked  time.Time
+	// peers are the link addresses of all entries, as agents were told last.
+	peers []string
+	// ticked is when tick was last called.
+	ticked time.Time
 
 	routes  atomic.Pointer[route.Table]
 	lastID  atomic.Uint64
@@ -65,18 +66,12 @@
 		callers: make(map[dispatch.CallerID]chan dispatch.Answer),
 	}
 	options := dispatch.Options{
-		Timing: Timing(set), Zone: ident.Zone(set.Node.Zone), MaxQueue: set.Entry.QueueLimit, MaxTasks: set.Entry.MaxTasks,
+		Timing: set.Links.Timing(), Zone: ident.Zone(set.Node.Zone), MaxQueue: set.Entry.QueueLimit, MaxTasks: set.Entry.MaxTasks,
 	}
 	n.table = dispatch.New(options, (*sender)(n), (*answerer)(n), observer, rand.Uint64())
 	return n
 }
 
-// Timing reads the times that entries and agents share.
-func Timing(set *settings.Settings) fleet.Timing {
-	l := set.Links
-	return fleet.Timing{Silence: l.Silence, Lease: l.Lease, StopBudget: l.StopBudget, KeepAlive: l.KeepAlive}
-}
-
 // Start listens for links and starts the control goroutine.
 func (n *Node) Start(context.Context) error {
 	ln, err := net.Listen("tcp", string(n.set.Node.Link))
@@ -117,6 +112,7 @@
 		session *session.Session
 		err     error
 	}
+	// received carries the messages of one frame.
 	received struct {
 		session *session.Session
 		msgs    []*wire.Msg
@@ -133,6 +129,7 @@
 		job   job.ID
 		found chan bool
 	}
+	// configured carries a configuration; from is the agent that passed it on, or zero.
 	configured struct {
 		table *route.Table
 		from  ident.Incarnation
@@ -140,6 +137,7 @@
 	listed struct{ links []ident.Address }
 )
 
+// handle handles one event on the control goroutine.
 func (n *Node) handle(e loop.Event) {
 	n.catchUp(time.Now())
 	now := time.Now()
@@ -174,6 +172,7 @@
 	}
 }
 
+// tick does what time alone brings about.
 func (n *Node) tick() {
 	now := time.Now()
 	n.ticked = now
