--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 SEEDS ?= 5
 LENGTH ?= 10s
 AGENTS ?= 6
-PARALLEL ?= 1
+PARALLEL ?= 2
 
 .PHONY: all build demo check lint test soak soak-faults rules generate
 
--- a/commands/demo.go
+++ b/commands/demo.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
 	"hillreel/api"
@@ -63,7 +64,11 @@
 	if err != nil {
 		return cli.Exit(err.Error(), ExitFailed)
 	}
-	defer set.Stop()
+	defer func() {
+		// That links break when everything ends is no news.
+		log.Logger.SetLevel(logrus.ErrorLevel)
+		set.Stop()
+	}()
 	fmt.Fprintf(out, "set: a store, %d entries, %d agents with upstreams of %d cores\n", demoEntries, demoAgents, demoCores)
 	r, err := drive(ctx, set.Callers(), c.Duration("for"))
 	if err != nil {
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -23,7 +23,7 @@
 	soakSeeds  = flag.Int("soak-seeds", 1, "how many seeds to run")
 	soakFor    = flag.Duration("soak-for", 5*time.Second, "how long faults go on, for each seed")
 	soakSize   = flag.Int("soak-agents", 4, "how many agents a set has; there are half as many entries")
-	soakAside  = flag.Int("soak-parallel", 1, "how many seeds run side by side")
+	soakAside  = flag.Int("soak-parallel", 2, "how many seeds run side by side")
 	soakKeepIn = flag.String("soak-keep", "", "keep the logs of seeds that fail in this directory")
 )
 
@@ -31,7 +31,11 @@
 var regressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{106, "the set did not come up; not traced, its logs were not kept; as 201 by all signs"},
+	{201, "the set did not come up: processes of an earlier set still had its addresses; stop waits for them now"},
+	{202, "as 201"},
+}
 
 // TestSoak runs the regressions and then fresh seeds.
 func TestSoak(t *testing.T) {
