agent: patience grows when no order is answered in time; a leaving agent stays so

Found by reading. Patience for orders was learned from answered ones only: on a VM so slow that none is answered within 25 ms it never grew, and every start would have been unsure. Orders without an answer now weigh a hundredth (TestPatience; with one in eighteen lost the limit stays at its least). An agent that was asked to end took work again when its upstream began a new life, since one flag served both (TestAgentThatLeavesTakesNothing).

--- a/internal/agent/node/calls.go
+++ b/internal/agent/node/calls.go
@@ -24,6 +24,10 @@
 	patienceFactor = 20
 	// usualWeight is the weight of the newest order's time in the usual time.
 	usualWeight = 0.1
+	// missedWeight is the weight of the limit in the usual time when an order was not answered within it. With one
+	// order in twenty lost, the limit stays at its least; on a VM so slow that none is answered in time, it reaches its
+	// most within a dozen orders.
+	missedWeight = 0.01
 )
 
 // patience learns how long an order to the upstream is worth waiting for.
@@ -37,6 +41,11 @@
 	p.usual += time.Duration(usualWeight * float64(took-p.usual))
 }
 
+// missed takes in that an order was not answered within its limit.
+func (p *patience) missed(limit time.Duration) {
+	p.usual += time.Duration(missedWeight * float64(limit-p.usual))
+}
+
 // limit is how long an order is waited for.
 func (p *patience) limit() time.Duration {
 	return min(max(patienceFactor*p.usual, leastPatience), p.most)
@@ -57,7 +66,7 @@
 		if err != nil {
 			c.log.WithFields(fields).WithFields(logrus.Fields{"limit_ms": limit.Milliseconds(), "error": err.Error()}).Info(what)
 		}
-		c.loop.Post(orderDone{took, err == nil, done(a, clock)})
+		c.loop.Post(orderDone{took, limit, err == nil, done(a, clock)})
 	}()
 }
 
--- /dev/null
+++ b/internal/agent/node/calls_test.go
@@ -0,0 +1,39 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestPatience: orders are waited for a little longer than usual; lost ones do not draw that out, and a VM on which every
+// order takes longer does.
+func TestPatience(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// took is how long each order takes; every lost-th one gets no answer, zero is none.
+		took time.Duration
+		lost int
+		want time.Duration
+	}{
+		{"quick", time.Millisecond, 0, 25 * time.Millisecond},
+		{"quick, one in eighteen lost", time.Millisecond, 18, 25 * time.Millisecond},
+		{"five times slower", 5 * time.Millisecond, 0, 100 * time.Millisecond},
+		{"slower than the least limit", 40 * time.Millisecond, 0, 150 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := patience{most: 150 * time.Millisecond}
+			for i := range 200 {
+				limit := p.limit()
+				if test.took > limit || test.lost > 0 && i%test.lost == 0 {
+					p.missed(limit)
+					continue
+				}
+				p.learn(test.took)
+			}
+			got := p.limit()
+			qt.Assert(t, got > test.want*9/10 && got < test.want*12/10, qt.IsTrue, qt.Commentf("%v", got))
+		})
+	}
+}
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -112,9 +112,9 @@
 	recalled struct{ upstream fleet.Upstream }
 	// orderDone carries the end of a start or a stop, and how long its answer took if there was one.
 	orderDone struct {
-		took     time.Duration
-		answered bool
-		end      any
+		took, limit time.Duration
+		answered    bool
+		end         any
 	}
 	linkUp   struct{ session *session.Session }
 	linkDown struct {
@@ -171,6 +171,8 @@
 	case orderDone:
 		if e.answered {
 			n.patience.learn(e.took)
+		} else {
+			n.patience.missed(e.limit)
 		}
 		n.handleOrderDone(now, e.end)
 	case holdDone:
--- a/internal/agent/upstream/life.go
+++ b/internal/agent/upstream/life.go
@@ -31,7 +31,7 @@
 	}
 	k.sequence = b.Sequence
 	if b.Draining {
-		k.leaving = true
+		k.draining = true
 	}
 	k.up.Labels, k.up.Total = b.Labels, b.Total
 	k.touchAll()
@@ -53,7 +53,7 @@
 	if b.Clock > 0 {
 		k.token++
 	}
-	k.looked, k.failures, k.leaving = false, 0, false
+	k.looked, k.failures, k.draining = false, 0, false
 	k.health = health{}
 	for _, s := range k.order {
 		if s.linked {
--- a/internal/agent/upstream/room.go
+++ b/internal/agent/upstream/room.go
@@ -45,6 +45,8 @@
 func (k *Keeper) state(now time.Time) (fleet.State, string) {
 	switch {
 	case k.leaving:
+		return fleet.Leaving, "agent_leaving"
+	case k.draining:
 		return fleet.Leaving, "draining"
 	case !k.known:
 		return fleet.Clearing, "no_heartbeat"
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -51,7 +51,8 @@
 	past map[ident.UpstreamID]bool
 	// sequence is the newest heartbeat's number.
 	sequence uint64
-	leaving  bool
+	// draining: this life of the upstream ends soon; leaving: the agent does.
+	draining, leaving bool
 
 	token Token
 	// seen is the highest number of an end that was taken in.
--- a/internal/agent/upstream/upstream_test.go
+++ b/internal/agent/upstream/upstream_test.go
@@ -445,3 +445,33 @@
 		}
 	}
 }
+
+// TestAgentThatLeavesTakesNothing: not even when its upstream begins a new life meanwhile; an upstream that drained does.
+func TestAgentThatLeavesTakesNothing(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		leave func(b *bench)
+		want  fleet.State
+	}{
+		{"the agent leaves", func(b *bench) { b.keeper.Leave() }, fleet.Leaving},
+		{"the former life drained", func(b *bench) {
+			b.keeper.Beat(b.now, upstream.Beat{Upstream: fleet.Upstream{ID: "u-1"}, Sequence: 2, Draining: true})
+		}, fleet.Ready},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			test.leave(b)
+			b.keeper.Beat(b.now, upstream.Beat{
+				Upstream: fleet.Upstream{ID: "u-2", Service: "publish", Total: job.Resources{CPU: 2000}}, Sequence: 1, Clock: upstream.Clock(time.Second),
+			})
+			old := b.holds[b.answered:]
+			b.answered = len(b.holds)
+			for _, c := range old {
+				b.keeper.HoldDone(b.now, c, upstream.Held{Answer: upstream.WrongInstance})
+			}
+			b.look()
+			b.keeper.Flush(b.now)
+			qt.Assert(t, b.rooms[one].State, qt.Equals, test.want)
+		})
+	}
+}
