--- a/internal/link/members/members.go
+++ b/internal/link/members/members.go
@@ -2,7 +2,7 @@
 // everybody follows that table. Links tell who is alive, the table only where to look.
 //
 // Each entry also renews a row of a second table, which nobody follows: a renewal would otherwise wake every
-// process of the region (122 calls a second with 10 entries and 62 agents). It tells which rows were left behind.
+// process of the region (90 calls a second with 10 entries and 62 agents). It tells which rows were left behind.
 package members
 
 import (
