--- a/internal/agent/upstream/calls.go
+++ b/internal/agent/call/call.go
@@ -1,4 +1,6 @@
-package upstream
+// Package call has the calls that an agent makes to the upstream beside it, and their answers, in hillreel's own words;
+// package platform speaks them over the wire.
+package call
 
 import (
 	"time"
@@ -13,8 +15,8 @@
 // Token is a fencing token: the upstream does nothing for one lower than the highest that it has seen.
 type Token uint64
 
-// Call is what every call to an upstream carries.
-type Call struct {
+// Header is what every call to an upstream carries.
+type Header struct {
 	// Instance is the life of the upstream that is meant.
 	Instance ident.UpstreamID
 	Token    Token
@@ -22,9 +24,9 @@
 	Sent time.Time
 }
 
-// StartCall starts one run.
-type StartCall struct {
-	Call
+// Start starts one run.
+type Start struct {
+	Header
 	Task       job.TaskID
 	Run        job.Run
 	Spec       string
@@ -33,16 +35,16 @@
 	Until Clock
 }
 
-// StopCall stops one run, or makes sure that it never starts.
-type StopCall struct {
-	Call
+// Stop stops one run, or makes sure that it never starts.
+type Stop struct {
+	Header
 	Task job.TaskID
 	Run  job.Run
 }
 
-// HoldCall extends the lease and asks what runs and what has ended.
-type HoldCall struct {
-	Call
+// Hold extends the lease and asks what runs and what has ended.
+type Hold struct {
+	Header
 	// Until is the lease; zero leaves it as it is.
 	Until Clock
 	// Seen acknowledges ends up to this number.
@@ -104,17 +106,10 @@
 	HowLapsed  How = "lapsed"
 )
 
-// Held is the result of a HoldCall.
+// Held is the result of a Hold.
 type Held struct {
 	Answer   Answer
 	Clock    Clock
 	Running  []Listed
 	Finished []Finished
 }
-
-// Caller makes calls to the upstream. Each is answered later by StartDone, StopDone or HoldDone.
-type Caller interface {
-	Start(c StartCall)
-	Stop(c StopCall)
-	Hold(c HoldCall)
-}
--- /dev/null
+++ b/internal/agent/health/health.go
@@ -0,0 +1,102 @@
+// Package health judges an upstream by how its runs end and get on: whether it can be trusted with work, and how fast
+// it is.
+package health
+
+import (
+	"time"
+
+	"hillreel/internal/core/ident"
+)
+
+// How failing and stalling upstreams are told from sound ones.
+const (
+	// badWeight is the weight of the newest end: three bad ends in a row pass suspectAbove.
+	badWeight    = 0.2
+	suspectAbove = 0.45
+	// soundBelow ends the suspicion, after three or four good probes in a row.
+	soundBelow = 0.25
+	// probePause follows a probe that went wrong.
+	probePause = 400 * time.Millisecond
+	// probeTurn is how long an entry has to send a probe before it is another entry's turn.
+	probeTurn = 100 * time.Millisecond
+	// paceWeight is the weight of the newest sample of the pace; estimates are off by 40%, so single ones tell little.
+	paceWeight = 0.1
+	// stallFloor and stallShare of the estimate are how long a run may show no progress. Estimates are off by
+	// 40% and upstreams by 25%, so a sound run advances at least once in a twentieth of this.
+	stallFloor = 50 * time.Millisecond
+	stallShare = 0.25
+	// SamplePercent is from which progress on a run says how fast its upstream is.
+	SamplePercent = 20
+)
+
+// Health is what an agent believes of its upstream's soundness. The zero Health is that of a sound upstream.
+type Health struct {
+	badness float64
+	suspect bool
+	// probeAt is when the next probe may begin; probes counts them, to give all entries a turn.
+	probeAt time.Time
+	probes  int
+	// pace is the recent ratio of run time to estimate.
+	pace float64
+}
+
+// Started notes the start of a run.
+func (h *Health) Started() {
+	if h.suspect {
+		h.probes++
+	}
+}
+
+// Bad notes that a run went wrong, through the upstream's fault as far as is known.
+func (h *Health) Bad(now time.Time) {
+	h.badness += badWeight * (1 - h.badness)
+	h.probeAt = now.Add(probePause)
+	if h.badness > suspectAbove {
+		h.suspect = true
+	}
+}
+
+// Good notes that a run ended well.
+func (h *Health) Good(now time.Time) {
+	h.badness -= badWeight * h.badness
+	if h.suspect {
+		h.probeAt = now
+	}
+	if h.badness < soundBelow {
+		h.suspect = false
+	}
+}
+
+// Suspect tells whether the upstream gets nothing but probes.
+func (h *Health) Suspect() bool { return h.suspect }
+
+// ProbeDue tells whether the next probe may begin.
+func (h *Health) ProbeDue(now time.Time) bool { return !now.Before(h.probeAt) }
+
+// Prober returns which of the entries may send the next probe; entries must not be empty. One that has nothing to send
+// loses its turn after a while.
+func (h *Health) Prober(now time.Time, entries []ident.Incarnation) ident.Incarnation {
+	turn := int(now.Sub(h.probeAt) / probeTurn)
+	return entries[(h.probes+turn)%len(entries)]
+}
+
+// Took learns the pace from a run: how long it took, or will take at its present speed, against its estimate.
+func (h *Health) Took(took, estimate time.Duration) {
+	if estimate <= 0 {
+		return
+	}
+	ratio := float64(took) / float64(estimate)
+	if h.pace == 0 {
+		h.pace = ratio
+		return
+	}
+	h.pace += paceWeight * (ratio - h.pace)
+}
+
+// Pace is the recent ratio of run times to estimates; zero is unknown.
+func (h *Health) Pace() float64 { return h.pace }
+
+// Stalled tells whether a run that has shown no progress for idle stands still.
+func Stalled(idle, estimate time.Duration) bool {
+	return idle > stallFloor+time.Duration(stallShare*float64(estimate))
+}
--- a/internal/agent/node/calls.go
+++ b/internal/agent/node/calls.go
@@ -6,14 +6,14 @@
 
 	"github.com/sirupsen/logrus"
 
-	"hillreel/internal/agent/upstream"
+	"hillreel/internal/agent/call"
 )
 
 // Upstream makes calls to the upstream beside this agent. An error goes with an answer of Unanswered.
 type Upstream interface {
-	Start(ctx context.Context, c upstream.StartCall) (upstream.Answer, upstream.Clock, error)
-	Stop(ctx context.Context, c upstream.StopCall) (upstream.Answer, upstream.Clock, error)
-	Hold(ctx context.Context, c upstream.HoldCall) (upstream.Held, error)
+	Start(ctx context.Context, c call.Start) (call.Answer, call.Clock, error)
+	Stop(ctx context.Context, c call.Stop) (call.Answer, call.Clock, error)
+	Hold(ctx context.Context, c call.Hold) (call.Held, error)
 }
 
 const (
@@ -55,13 +55,13 @@
 type caller Node
 
 // order makes one order with the patience of the moment, and posts its end.
-func (c *caller) order(what string, fields logrus.Fields, call func(ctx context.Context) (upstream.Answer, upstream.Clock, error), done func(upstream.Answer, upstream.Clock) any) {
+func (c *caller) order(what string, fields logrus.Fields, do func(ctx context.Context) (call.Answer, call.Clock, error), done func(call.Answer, call.Clock) any) {
 	limit := c.patience.limit()
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, limit)
 		defer cancel()
 		began := time.Now()
-		a, clock, err := call(ctx)
+		a, clock, err := do(ctx)
 		took := time.Since(began)
 		if err != nil {
 			c.log.WithFields(fields).WithFields(logrus.Fields{"limit_ms": limit.Milliseconds(), "error": err.Error()}).Info(what)
@@ -71,29 +71,29 @@
 }
 
 // Start starts a run.
-func (c *caller) Start(call upstream.StartCall) {
-	c.order("start_unanswered", logrus.Fields{"job": call.Task.Job, "task": call.Task, "run": call.Run},
-		func(ctx context.Context) (upstream.Answer, upstream.Clock, error) { return c.upstream.Start(ctx, call) },
-		func(a upstream.Answer, clock upstream.Clock) any { return startDone{call, a, clock} })
+func (c *caller) Start(o call.Start) {
+	c.order("start_unanswered", logrus.Fields{"job": o.Task.Job, "task": o.Task, "run": o.Run},
+		func(ctx context.Context) (call.Answer, call.Clock, error) { return c.upstream.Start(ctx, o) },
+		func(a call.Answer, clock call.Clock) any { return startDone{o, a, clock} })
 }
 
 // Stop stops a run.
-func (c *caller) Stop(call upstream.StopCall) {
-	c.order("stop_unanswered", logrus.Fields{"job": call.Task.Job, "task": call.Task, "run": call.Run},
-		func(ctx context.Context) (upstream.Answer, upstream.Clock, error) { return c.upstream.Stop(ctx, call) },
-		func(a upstream.Answer, clock upstream.Clock) any { return stopDone{call, a, clock} })
+func (c *caller) Stop(o call.Stop) {
+	c.order("stop_unanswered", logrus.Fields{"job": o.Task.Job, "task": o.Task, "run": o.Run},
+		func(ctx context.Context) (call.Answer, call.Clock, error) { return c.upstream.Stop(ctx, o) },
+		func(a call.Answer, clock call.Clock) any { return stopDone{o, a, clock} })
 }
 
 // Hold extends the lease and asks what runs.
-func (c *caller) Hold(call upstream.HoldCall) {
-	limit := call.Wait + c.patience.limit()
+func (c *caller) Hold(o call.Hold) {
+	limit := o.Wait + c.patience.limit()
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, limit)
 		defer cancel()
-		h, err := c.upstream.Hold(ctx, call)
+		h, err := c.upstream.Hold(ctx, o)
 		if err != nil {
 			c.log.WithField("error", err.Error()).Debug("hold_unanswered")
 		}
-		c.loop.Post(holdDone{call, h})
+		c.loop.Post(holdDone{o, h})
 	}()
 }
--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -6,11 +6,10 @@
 	"slices"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/link/codec"
+	"hillreel/internal/link/links"
 	"hillreel/internal/link/session"
 	"hillreel/internal/link/wire"
 )
@@ -28,14 +27,11 @@
 	peers source = "peers"
 )
 
-// link is the session with one entry.
-type link struct {
-	entry   ident.Incarnation
-	session *session.Session
-	heard   time.Time
-	// config is the version that the entry has, as far as it is known.
-	config ident.ConfigVersion
-}
+// link is the session with one entry; nothing is kept beside it.
+type (
+	link = links.Link[none]
+	none struct{}
+)
 
 // dialled is an entry's address that is being dialled or linked.
 type dialled struct{ cancel context.CancelFunc }
@@ -139,54 +135,21 @@
 
 // handleLinkUp takes up a new link.
 func (n *Node) handleLinkUp(now time.Time, s *session.Session) {
-	id := ident.Incarnation(s.Remote.GetIncarnation())
-	if old := n.links[id]; old != nil {
+	if old := n.links.Get(ident.Incarnation(s.Remote.GetIncarnation())); old != nil {
 		// The entry goes by two addresses. The older link is kept: with the newer one, the two would go on replacing
 		// each other.
 		s.Close()
 		return
 	}
-	l := &link{entry: id, session: s, heard: now, config: ident.ConfigVersion(s.Remote.GetConfigVersion())}
-	n.links[id] = l
-	n.log.WithFields(logrus.Fields{"entry": s.Remote.GetName(), "incarnation": id}).Info("link_up")
-	n.keeper.Linked(now, id)
+	l := n.links.Add(now, s)
+	n.keeper.Linked(now, l.Peer)
 	n.passConfig(l)
 }
 
-// handleLinkDown handles the end of a link's session.
+// handleLinkDown handles the end of a link's session: its entry is out of hearing.
 func (n *Node) handleLinkDown(now time.Time, s *session.Session, err error) {
-	l := n.linkOf(s)
-	if l == nil {
-		return
-	}
-	n.log.WithFields(logrus.Fields{"entry": s.Remote.GetName(), "incarnation": l.entry, "error": err}).Warn("link_down")
-	n.dropLink(now, l, "link_down")
-}
-
-// linkOf returns the present link of a session, or nil when another has taken its place.
-func (n *Node) linkOf(s *session.Session) *link {
-	l := n.links[ident.Incarnation(s.Remote.GetIncarnation())]
-	if l == nil || l.session != s {
-		return nil
-	}
-	return l
-}
-
-// dropLink forgets a link: its entry is out of hearing.
-func (n *Node) dropLink(now time.Time, l *link, why string) {
-	delete(n.links, l.entry)
-	n.keeper.Unlinked(now, l.entry, why)
-}
-
-// handleReceived handles the messages of one frame.
-func (n *Node) handleReceived(now time.Time, s *session.Session, msgs []*wire.Msg) {
-	l := n.linkOf(s)
-	if l == nil {
-		return
-	}
-	l.heard = now
-	for _, m := range msgs {
-		n.handleMessage(now, l, m)
+	if l := n.links.Ended(s, err); l != nil {
+		n.keeper.Unlinked(now, l.Peer, "link_down")
 	}
 }
 
@@ -194,63 +157,58 @@
 func (n *Node) handleMessage(now time.Time, l *link, m *wire.Msg) {
 	switch m := m.GetKind().(type) {
 	case *wire.Msg_Start:
-		n.keeper.Order(now, l.entry, codec.ReadOrder(m.Start))
+		n.keeper.Order(now, l.Peer, codec.ReadOrder(m.Start))
 	case *wire.Msg_Stop:
 		task, run := codec.ReadStop(m.Stop)
-		n.keeper.StopTask(now, l.entry, task, run)
+		n.keeper.StopTask(now, l.Peer, task, run)
 	case *wire.Msg_Ping:
 		echo, version := codec.ReadPing(m.Ping)
-		n.keeper.Ping(now, l.entry, echo)
-		l.config = max(l.config, version)
+		n.keeper.Ping(now, l.Peer, echo)
+		l.Config = max(l.Config, version)
 		n.passConfig(l)
 	case *wire.Msg_Config:
 		n.handleConfig(l, m.Config)
 	case *wire.Msg_Peers:
 		n.handleListed(peers, m.Peers.GetLinks())
 	default:
-		n.log.WithField("entry", l.session.Remote.GetName()).Warn("message_unknown")
+		n.log.WithField("entry", l.Name()).Warn("message_unknown")
 	}
 }
 
 // handleConfig keeps a configuration and passes it to entries that have an older one.
 func (n *Node) handleConfig(from *link, c *wire.Config) {
-	from.config = max(from.config, ident.ConfigVersion(c.GetVersion()))
+	from.Config = max(from.Config, ident.ConfigVersion(c.GetVersion()))
 	if c.GetVersion() <= n.config.GetVersion() {
 		return
 	}
 	n.config = c
-	for _, l := range n.links {
+	for l := range n.links.All() {
 		n.passConfig(l)
 	}
 }
 
 // passConfig sends an entry the configuration if it has an older one.
 func (n *Node) passConfig(l *link) {
-	if l.config >= ident.ConfigVersion(n.config.GetVersion()) {
+	if l.Config >= ident.ConfigVersion(n.config.GetVersion()) {
 		return
 	}
-	l.config = ident.ConfigVersion(n.config.GetVersion())
-	l.session.Send(codec.Config(l.config, n.config.GetRaw()))
+	l.Config = ident.ConfigVersion(n.config.GetVersion())
+	l.Session.Send(codec.Config(l.Config, n.config.GetRaw()))
 }
 
 // sender sends the keeper's words to entries.
 type sender Node
 
-// send sends a message, if the entry is linked.
-func (s *sender) send(to ident.Incarnation, m *wire.Msg) {
-	if l := s.links[to]; l != nil {
-		l.session.Send(m)
-	}
-}
-
 // Upstream describes the upstream.
-func (s *sender) Upstream(to ident.Incarnation, u fleet.Upstream) { s.send(to, codec.Upstream(u)) }
+func (s *sender) Upstream(to ident.Incarnation, u fleet.Upstream) {
+	s.links.Send(to, codec.Upstream(u))
+}
 
 // Room tells what room there is.
-func (s *sender) Room(to ident.Incarnation, r fleet.Room) { s.send(to, codec.Room(r)) }
+func (s *sender) Room(to ident.Incarnation, r fleet.Room) { s.links.Send(to, codec.Room(r)) }
 
 // End tells how a run ended.
-func (s *sender) End(to ident.Incarnation, e fleet.End) { s.send(to, codec.End(e)) }
+func (s *sender) End(to ident.Incarnation, e fleet.End) { s.links.Send(to, codec.End(e)) }
 
 // Settled tells that nothing of earlier sessions remains.
-func (s *sender) Settled(to ident.Incarnation) { s.send(to, codec.Settled()) }
+func (s *sender) Settled(to ident.Incarnation) { s.links.Send(to, codec.Settled()) }
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -8,11 +8,13 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hillreel/internal/agent/call"
 	"hillreel/internal/agent/upstream"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/loop"
 	"hillreel/internal/core/settings"
+	"hillreel/internal/link/links"
 	"hillreel/internal/link/session"
 	"hillreel/internal/link/wire"
 )
@@ -34,14 +36,13 @@
 	// remembered is the upstream that was last given to the memory.
 	remembered ident.UpstreamID
 	patience   patience
-	links      map[ident.Incarnation]*link
+	links      *links.Set[none]
 	// dialled are the entries that are dialled or linked, by address; listed are the addresses that each source told last.
 	dialled map[string]*dialled
 	listed  map[source][]string
 	// config is the newest configuration that an entry has sent, to be passed on.
 	config *wire.Config
-	// ticked is when tick was last called.
-	ticked time.Time
+	pulse  links.Pulse
 }
 
 // New returns a Node that has not started.
@@ -49,9 +50,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		set: set, log: log, dial: dial, upstream: u, memory: m, inc: ident.NewIncarnation(), loop: loop.New(), ctx: ctx, cancel: cancel,
-		links: make(map[ident.Incarnation]*link), dialled: make(map[string]*dialled), listed: make(map[source][]string),
-		config: &wire.Config{}, ticked: time.Now(), patience: patience{most: set.Agent.CallTimeout},
+		links: links.New[none]("entry", log), pulse: links.Pulse{Limit: set.Links.Silence / 2, Log: log}, dialled: make(map[string]*dialled), listed: make(map[source][]string),
+		config: &wire.Config{}, patience: patience{most: set.Agent.CallTimeout},
 	}
+	n.pulse.Tick(time.Now())
 	n.keeper = upstream.New(set.Links.Timing(), nil, time.Now(), (*caller)(n), (*sender)(n), newObserver(log))
 	return n
 }
@@ -67,11 +69,7 @@
 // Stop ends at once.
 func (n *Node) Stop() {
 	n.cancel()
-	n.loop.Call(func() {
-		for _, l := range n.links {
-			l.session.Close()
-		}
-	})
+	n.loop.Call(n.links.Close)
 	n.loop.Stop()
 }
 
@@ -97,7 +95,7 @@
 		switch _, known := n.keeper.Known(); {
 		case !known:
 			why = "no heartbeat of the upstream yet"
-		case len(n.links) == 0:
+		case n.links.Len() == 0:
 			why = "no entry is linked"
 		default:
 			ok, why = true, "ready"
@@ -127,18 +125,18 @@
 		msgs    []*wire.Msg
 	}
 	startDone struct {
-		call   upstream.StartCall
-		answer upstream.Answer
-		clock  upstream.Clock
+		call   call.Start
+		answer call.Answer
+		clock  call.Clock
 	}
 	stopDone struct {
-		call   upstream.StopCall
-		answer upstream.Answer
-		clock  upstream.Clock
+		call   call.Stop
+		answer call.Answer
+		clock  call.Clock
 	}
 	holdDone struct {
-		call upstream.HoldCall
-		held upstream.Held
+		call call.Hold
+		held call.Held
 	}
 	entriesListed struct {
 		by    source
@@ -167,7 +165,7 @@
 	case linkDown:
 		n.handleLinkDown(now, e.session, e.err)
 	case received:
-		n.handleReceived(now, e.session, e.msgs)
+		n.links.Receive(now, e.session, e.msgs, func(l *link, m *wire.Msg) { n.handleMessage(now, l, m) })
 	case orderDone:
 		if e.answered {
 			n.patience.learn(e.took)
@@ -196,8 +194,7 @@
 // catchUp lets time pass before anything else when the process has stood still: an entry's runs, and orders that
 // came meanwhile, may have expired.
 func (n *Node) catchUp(now time.Time) {
-	if gap := now.Sub(n.ticked); gap > n.set.Links.Silence/2 {
-		n.log.WithField("gap_ms", gap.Milliseconds()).Warn("process_stood_still")
+	if n.pulse.Missed(now) {
 		n.tick()
 	}
 }
@@ -205,14 +202,10 @@
 // tick does what time alone brings about.
 func (n *Node) tick() {
 	now := time.Now()
-	n.ticked = now
+	n.pulse.Tick(now)
 	n.keeper.Tick(now)
-	for _, l := range n.links {
-		if now.Sub(l.heard) > n.set.Links.Silence {
-			n.log.WithFields(logrus.Fields{"entry": l.session.Remote.GetName(), "silent_ms": now.Sub(l.heard).Milliseconds()}).Warn("link_silent")
-			l.session.Close()
-			n.dropLink(now, l, "silent")
-		}
+	for _, l := range n.links.DropSilent(now, n.set.Links.Silence) {
+		n.keeper.Unlinked(now, l.Peer, "silent")
 	}
 	n.keeper.Flush(now)
 }
--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"hillreel/internal/agent/call"
+	"hillreel/internal/agent/health"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/rule"
@@ -19,11 +21,11 @@
 		return
 	}
 	k.holding = true
-	c := HoldCall{Call: k.call(now), Seen: k.seen, Wait: k.timing.KeepAlive / holdShare}
+	c := call.Hold{Header: k.header(now), Seen: k.seen, Wait: k.timing.KeepAlive / holdShare}
 	// A hold without an answer may have been done: one that extended the lease would put off, each time it is
 	// repeated, the moment from which on everything has surely lapsed.
 	if len(k.runs) > 0 && k.failures < unreachableAfter && !k.mustLapse(now) {
-		c.Until = k.lease(now)
+		c.Until = k.lease.Extend(now)
 	}
 	if !k.looked {
 		c.Wait = 0
@@ -41,7 +43,7 @@
 		return
 	}
 	k.looking = true
-	k.caller.Hold(HoldCall{Call: k.call(now), Seen: k.seen, Look: true})
+	k.caller.Hold(call.Hold{Header: k.header(now), Seen: k.seen, Look: true})
 }
 
 // mustLapse tells whether the stop of an unwanted run has gone unanswered for too long: then all leases lapse.
@@ -57,8 +59,8 @@
 	return false
 }
 
-// HoldDone handles the answer to a HoldCall.
-func (k *Keeper) HoldDone(now time.Time, c HoldCall, h Held) {
+// HoldDone handles the answer to a Hold.
+func (k *Keeper) HoldDone(now time.Time, c call.Hold, h call.Held) {
 	if c.Look {
 		k.lookDone(now, c, h)
 		return
@@ -69,20 +71,20 @@
 		return
 	}
 	switch h.Answer {
-	case OK:
-		k.read(now, h.Clock)
+	case call.OK:
+		k.lease.Read(now, h.Clock)
 		k.held(now, c, h)
-		if k.token == 0 {
+		if k.lease.Token() == 0 {
 			// Recalled, and the upstream has seen no token yet.
-			k.bump(now)
+			k.lease.Raise(now)
 		}
 		k.hold(now)
-	case WrongInstance:
+	case call.WrongInstance:
 		k.end(now)
 		k.touchAll()
-	case Fenced:
-		k.read(now, h.Clock)
-		k.bump(now)
+	case call.Fenced:
+		k.lease.Read(now, h.Clock)
+		k.lease.Raise(now)
 		k.hold(now)
 	default:
 		k.failures++
@@ -100,13 +102,13 @@
 const unreachableAfter = 2
 
 // lookDone handles the answer to a look. One without an answer is repeated while it is needed.
-func (k *Keeper) lookDone(now time.Time, c HoldCall, h Held) {
+func (k *Keeper) lookDone(now time.Time, c call.Hold, h call.Held) {
 	k.looking = false
 	if c.Instance != k.up.ID || !k.known {
 		return
 	}
-	if h.Answer == OK {
-		k.read(now, h.Clock)
+	if h.Answer == call.OK {
+		k.lease.Read(now, h.Clock)
 		k.held(now, c, h)
 	}
 	if k.undecided() {
@@ -125,7 +127,7 @@
 }
 
 // held takes in what the upstream lists.
-func (k *Keeper) held(now time.Time, c HoldCall, h Held) {
+func (k *Keeper) held(now time.Time, c call.Hold, h call.Held) {
 	if k.failures > 0 || !k.looked {
 		k.touchAll()
 	}
@@ -138,7 +140,7 @@
 		return
 	}
 	k.listed = h.Clock
-	listed := make(map[job.TaskID]Listed, len(h.Running))
+	listed := make(map[job.TaskID]call.Listed, len(h.Running))
 	for _, l := range h.Running {
 		listed[l.Task] = l
 		k.progress(now, c, l)
@@ -162,7 +164,7 @@
 }
 
 // ended handles one listed end.
-func (k *Keeper) ended(now time.Time, f Finished) {
+func (k *Keeper) ended(now time.Time, f call.Finished) {
 	if f.N <= k.seen {
 		return
 	}
@@ -173,11 +175,11 @@
 		return
 	}
 	switch f.How {
-	case HowDone:
+	case call.HowDone:
 		k.finish(now, r, job.Done, "", f.Checkpoint)
-	case HowFailed:
+	case call.HowFailed:
 		k.finish(now, r, job.Failed, "", f.Checkpoint)
-	case HowStopped:
+	case call.HowStopped:
 		if r.stop != nil {
 			k.finish(now, r, r.stop.outcome, r.stop.reason, f.Checkpoint)
 			return
@@ -201,7 +203,7 @@
 }
 
 // progress handles one run that the upstream lists as running.
-func (k *Keeper) progress(now time.Time, c HoldCall, l Listed) {
+func (k *Keeper) progress(now time.Time, c call.Hold, l call.Listed) {
 	r := k.runs[l.Task]
 	if r == nil || r.number != l.Run {
 		k.stray(now, l)
@@ -214,19 +216,33 @@
 		r.percent, r.advanced = l.Percent, now
 		k.sample(now, r)
 	}
-	if r.stop == nil && k.stalled(now, r) {
+	if r.stop == nil && stalled(now, r) {
 		k.stopRun(now, r, stopping{outcome: job.Stalled, reason: fleet.NoProgress})
 	}
 }
 
+// stalled tells whether a run has made no progress for too long.
+func stalled(now time.Time, r *run) bool {
+	return r.phase == running && r.percent < 100 && health.Stalled(now.Sub(r.advanced), r.estimate)
+}
+
+// sample learns the pace from a run that is well under way.
+func (k *Keeper) sample(now time.Time, r *run) {
+	if r.sampled || r.percent < health.SamplePercent {
+		return
+	}
+	r.sampled = true
+	k.health.Took(now.Sub(r.begun)*100/time.Duration(r.percent), r.estimate)
+}
+
 // stray stops a run that nobody here has ordered: one of an earlier agent, or a start that came late.
-func (k *Keeper) stray(now time.Time, l Listed) {
+func (k *Keeper) stray(now time.Time, l call.Listed) {
 	key := strayKey{l.Task, l.Run}
 	if at, ok := k.strays[key]; ok && (at.IsZero() || now.Sub(at) < stopRetry) {
 		return
 	}
 	k.strays[key] = time.Time{}
-	k.caller.Stop(StopCall{Call: k.call(now), Task: l.Task, Run: l.Run})
+	k.caller.Stop(call.Stop{Header: k.header(now), Task: l.Task, Run: l.Run})
 	k.touchAll()
 }
 
@@ -259,8 +275,8 @@
 	if k.known && !k.holding && !now.Before(k.holdAt) {
 		k.hold(now)
 	}
-	if k.failures >= unreachableAfter && len(k.runs) > 0 && k.lapsed(now) {
-		k.bump(now)
+	if k.failures >= unreachableAfter && len(k.runs) > 0 && k.lease.Lapsed(now) {
+		k.lease.Raise(now)
 		k.loseAll(now, fleet.LeaseLapsed)
 	}
 	for _, r := range k.sorted() {
@@ -271,7 +287,7 @@
 	for _, key := range k.strayKeys() {
 		if k.strays[key].IsZero() && k.known {
 			// The stop before it got no answer yet or none at all; a second one does no harm.
-			k.caller.Stop(StopCall{Call: k.call(now), Task: key.task, Run: key.run})
+			k.caller.Stop(call.Stop{Header: k.header(now), Task: key.task, Run: key.run})
 		}
 	}
 	k.forgetSessions(now)
--- a/internal/agent/upstream/life.go
+++ b/internal/agent/upstream/life.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"hillreel/internal/agent/call"
+	"hillreel/internal/agent/health"
+	"hillreel/internal/agent/lease"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -13,7 +16,8 @@
 	fleet.Upstream
 	// Sequence rises with each heartbeat of one life.
 	Sequence uint64
-	Clock    Clock
+	// Clock is a reading of the upstream's clock; zero is none.
+	Clock call.Clock
 	// Draining: it takes no more work and ends soon.
 	Draining bool
 }
@@ -43,18 +47,10 @@
 		k.end(now)
 	}
 	k.known, k.up = true, b.Upstream
-	k.sequence, k.seen, k.until, k.listed = 0, 0, 0, 0
-	k.clock = reading{}
-	if b.Clock > 0 {
-		k.clock = reading{b.Clock, now}
-	}
-	// Every token of an earlier agent was at most the upstream's clock at that time.
-	k.token = Token(time.Duration(b.Clock).Milliseconds())
-	if b.Clock > 0 {
-		k.token++
-	}
+	k.sequence, k.seen, k.listed = 0, 0, 0
+	k.lease = lease.New(k.timing.Lease, now, b.Clock)
 	k.looked, k.failures, k.draining = false, 0, false
-	k.health = health{}
+	k.health = health.Health{}
 	for _, s := range k.order {
 		if s.linked {
 			k.entries.Upstream(s.entry, k.up)
@@ -95,11 +91,3 @@
 	k.past[id] = true
 	k.touchAll()
 }
-
-// lapsed tells whether the newest lease has surely run out, so that nothing runs any more.
-func (k *Keeper) lapsed(now time.Time) bool {
-	return k.upstreamClock(now) > k.until+Clock(lapseMargin)
-}
-
-// lapseMargin is the upstream's own time to kill what has lapsed: stop_ms on all deployments seen.
-const lapseMargin = 50 * time.Millisecond
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hillreel/internal/agent/call"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/invariant"
@@ -84,14 +85,14 @@
 	invariant.Check(job.Resources{}.Fits(k.free()), invariant.RoomKept, func() logrus.Fields {
 		return logrus.Fields{"upstream": k.up.ID, "task": r.task, "free": k.free()}
 	})
-	k.health.started()
+	k.health.Started()
 	k.callStart(now, r)
 	k.touchAll()
 }
 
 func (k *Keeper) callStart(now time.Time, r *run) {
-	k.caller.Start(StartCall{
-		Call: k.call(now), Task: r.task, Run: r.number, Spec: r.spec, Checkpoint: r.checkpoint, Until: k.lease(now),
+	k.caller.Start(call.Start{
+		Header: k.header(now), Task: r.task, Run: r.number, Spec: r.spec, Checkpoint: r.checkpoint, Until: k.lease.Extend(now),
 	})
 }
 
@@ -136,19 +137,19 @@
 		return
 	}
 	r.stop.sent, r.stop.calling = now, true
-	k.caller.Stop(StopCall{Call: k.call(now), Task: r.task, Run: r.number})
+	k.caller.Stop(call.Stop{Header: k.header(now), Task: r.task, Run: r.number})
 }
 
-// StartDone handles the answer to a StartCall.
-func (k *Keeper) StartDone(now time.Time, c StartCall, a Answer, clock Clock) {
+// StartDone handles the answer to a Start.
+func (k *Keeper) StartDone(now time.Time, c call.Start, a call.Answer, clock call.Clock) {
 	if c.Instance != k.up.ID || !k.known {
 		return
 	}
-	if a == OK {
-		k.read(now, clock)
+	if a == call.OK {
+		k.lease.Read(now, clock)
 	}
 	r := k.runs[c.Task]
-	if a == WrongInstance {
+	if a == call.WrongInstance {
 		k.end(now)
 		k.touchAll()
 		return
@@ -157,51 +158,51 @@
 		return
 	}
 	switch a {
-	case OK:
+	case call.OK:
 		r.phase, r.sure, r.advanced = running, now, now
-	case Unanswered:
+	case call.Unanswered:
 		k.observer.Unsure(r.task, r.number)
 		if k.without.Off(rule.FenceUnsure) {
 			k.finish(now, r, job.NotStarted, fleet.NeverArrived, "")
 			return
 		}
-		k.bump(now)
+		k.lease.Raise(now)
 		r.phase, r.sure = unsure, now
 		k.look(now)
-	case Fenced:
+	case call.Fenced:
 		k.fenced(now, r, c)
-	case Used:
+	case call.Used:
 		k.finish(now, r, job.Used, fleet.Refused, "")
-	case Full:
+	case call.Full:
 		k.finish(now, r, job.NotStarted, fleet.NoRoom, "")
 	default:
-		k.health.bad(now)
+		k.health.Bad(now)
 		k.finish(now, r, job.NotStarted, fleet.Refused, "")
 	}
 }
 
 // fenced sends a start again that a newer token of this agent has overtaken.
-func (k *Keeper) fenced(now time.Time, r *run, c StartCall) {
+func (k *Keeper) fenced(now time.Time, r *run, c call.Start) {
 	if r.stop != nil {
 		k.finish(now, r, r.stop.outcome, r.stop.reason, "")
 		return
 	}
-	if c.Token >= k.token {
+	if c.Token >= k.lease.Token() {
 		// Somebody else has called the upstream: its earlier agent is not quite gone.
-		k.bump(now)
+		k.lease.Raise(now)
 	}
 	k.callStart(now, r)
 }
 
-// StopDone handles the answer to a StopCall.
-func (k *Keeper) StopDone(now time.Time, c StopCall, a Answer, clock Clock) {
+// StopDone handles the answer to a Stop.
+func (k *Keeper) StopDone(now time.Time, c call.Stop, a call.Answer, clock call.Clock) {
 	if c.Instance != k.up.ID || !k.known {
 		return
 	}
-	if a == OK {
-		k.read(now, clock)
+	if a == call.OK {
+		k.lease.Read(now, clock)
 	}
-	if at, ok := k.strays[strayKey{c.Task, c.Run}]; ok && a == OK && at.IsZero() {
+	if at, ok := k.strays[strayKey{c.Task, c.Run}]; ok && a == call.OK && at.IsZero() {
 		k.strays[strayKey{c.Task, c.Run}] = now
 	}
 	r := k.runs[c.Task]
@@ -210,13 +211,13 @@
 	}
 	r.stop.calling = false
 	switch a {
-	case OK:
+	case call.OK:
 		// Only the first answer counts: a hold is compared with it, and a later one would outdate every hold.
 		if !r.stop.acked {
 			r.stop.acked, r.phase, r.sure = true, running, now
 		}
-	case Fenced:
-		k.bump(now)
+	case call.Fenced:
+		k.lease.Raise(now)
 		k.callStop(now, r)
 	}
 }
@@ -237,3 +238,21 @@
 		k.orderTask(now, *r.next)
 	}
 }
+
+// judge learns from the end of a run.
+func (k *Keeper) judge(now time.Time, r *run, e fleet.End) {
+	switch e.Outcome {
+	case job.Done:
+		k.health.Good(now)
+		if !r.sampled {
+			k.health.Took(now.Sub(r.begun), r.estimate)
+		}
+	case job.Failed:
+		// A job that has failed elsewhere says nothing of this upstream.
+		if r.earlier == 0 {
+			k.health.Bad(now)
+		}
+	case job.Stalled:
+		k.health.Bad(now)
+	}
+}
--- a/internal/agent/upstream/room.go
+++ b/internal/agent/upstream/room.go
@@ -20,13 +20,19 @@
 
 // coalesce is how long news of room wait before an entry is told.
 func (k *Keeper) coalesce() time.Duration {
-	linked := 0
+	linked := len(k.linkedEntries())
+	return min(max(coalesceLeast, time.Duration(linked)*coalesceEach), k.timing.KeepAlive)
+}
+
+// linkedEntries lists the entries that are linked, from the oldest link on.
+func (k *Keeper) linkedEntries() []ident.Incarnation {
+	var out []ident.Incarnation
 	for _, s := range k.order {
 		if s.linked {
-			linked++
+			out = append(out, s.entry)
 		}
 	}
-	return min(max(coalesceLeast, time.Duration(linked)*coalesceEach), k.timing.KeepAlive)
+	return out
 }
 
 // free returns the room that nothing has, or may have, taken.
@@ -58,7 +64,7 @@
 		return fleet.Clearing, "unknown_runs"
 	case k.mustLapse(now):
 		return fleet.Clearing, "stop_unconfirmed"
-	case k.health.suspect:
+	case k.health.Suspect():
 		return fleet.Suspect, "failing"
 	}
 	return fleet.Ready, "sound"
@@ -75,22 +81,12 @@
 
 // prober returns the entry that may send the next task to a suspect upstream, or zero.
 func (k *Keeper) prober(now time.Time) ident.Incarnation {
-	if len(k.runs) > 0 || now.Before(k.health.probeAt) {
-		return 0
-	}
-	var linked []ident.Incarnation
-	for _, s := range k.order {
-		if s.linked {
-			linked = append(linked, s.entry)
-		}
-	}
-	if len(linked) == 0 {
+	linked := k.linkedEntries()
+	if len(k.runs) > 0 || len(linked) == 0 || !k.health.ProbeDue(now) {
 		return 0
 	}
 	slices.Sort(linked)
-	// An entry that has nothing to send loses its turn after a while.
-	turn := int(now.Sub(k.health.probeAt) / probeTurn)
-	return linked[(k.health.probes+turn)%len(linked)]
+	return k.health.Prober(now, linked)
 }
 
 // touchAll makes the next Flush tell all entries.
@@ -125,6 +121,6 @@
 func (k *Keeper) sendRoom(now time.Time, s *session) {
 	s.dirty, s.urgent, s.sent = false, false, now
 	k.entries.Room(s.entry, fleet.Room{
-		Free: k.free(), Seq: s.seq, Clock: k.uptime(now), State: k.stateFor(now, s.entry), Pace: k.health.pace,
+		Free: k.free(), Seq: s.seq, Clock: k.uptime(now), State: k.stateFor(now, s.entry), Pace: k.health.Pace(),
 	})
 }
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -9,6 +9,9 @@
 import (
 	"time"
 
+	"hillreel/internal/agent/call"
+	"hillreel/internal/agent/health"
+	"hillreel/internal/agent/lease"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -54,12 +57,9 @@
 	// draining: this life of the upstream ends soon; leaving: the agent does.
 	draining, leaving bool
 
-	token Token
+	lease lease.Lease
 	// seen is the highest number of an end that was taken in.
-	seen  uint64
-	clock reading
-	// until is the latest lease that any call carried.
-	until Clock
+	seen uint64
 
 	// looked is false until a hold of this life was answered: before, it isn't known what runs.
 	looked bool
@@ -67,7 +67,7 @@
 	holding, looking bool
 	holdAt           time.Time
 	// listed is the upstream's clock in the newest answer that was taken in: answers overtake each other.
-	listed Clock
+	listed call.Clock
 	// failures counts the holds in a row that got no answer.
 	failures int
 	// strays are runs at the upstream that nobody here ordered.
@@ -77,7 +77,7 @@
 	sessions map[ident.Incarnation]*session
 	// order lists the sessions from the oldest on, so that runs of the state machine repeat.
 	order  []*session
-	health health
+	health health.Health
 	// told is the state that entries were told last.
 	told fleet.State
 }
@@ -88,12 +88,6 @@
 	run  job.Run
 }
 
-// reading is the newest known reading of the upstream's clock.
-type reading struct {
-	clock Clock
-	at    time.Time
-}
-
 // phase is where a run stands.
 type phase string
 
@@ -157,6 +151,13 @@
 	index int
 }
 
+// Caller makes calls to the upstream. Each is answered later by StartDone, StopDone or HoldDone.
+type Caller interface {
+	Start(c call.Start)
+	Stop(c call.Stop)
+	Hold(c call.Hold)
+}
+
 // New returns a Keeper that knows nothing yet. without leaves out safety rules, for experiments only.
 func New(t fleet.Timing, without rule.Set, now time.Time, c Caller, e Entries, o Observer) *Keeper {
 	return &Keeper{
@@ -172,37 +173,9 @@
 // uptime is the agent's steady clock.
 func (k *Keeper) uptime(now time.Time) time.Duration { return now.Sub(k.start) }
 
-// upstreamClock is a reading that the upstream's clock has surely passed.
-func (k *Keeper) upstreamClock(now time.Time) Clock {
-	if k.clock.at.IsZero() {
-		return 0
-	}
-	since := now.Sub(k.clock.at)
-	return k.clock.clock + Clock(float64(since)/fleet.SlowClock)
-}
-
-// read notes a reading that came with an answer.
-func (k *Keeper) read(now time.Time, c Clock) {
-	if c > k.upstreamClock(now) {
-		k.clock = reading{c, now}
-	}
-}
-
-// lease returns the lease that a call made now carries.
-func (k *Keeper) lease(now time.Time) Clock {
-	until := k.upstreamClock(now) + Clock(k.timing.Lease)
-	k.until = max(k.until, until)
-	return until
-}
-
-// call returns what every call made now carries.
-func (k *Keeper) call(now time.Time) Call {
-	return Call{Instance: k.up.ID, Token: k.token, Sent: now}
-}
-
-// bump raises the token, so that calls made before can do nothing from the next answered call on.
-func (k *Keeper) bump(now time.Time) {
-	k.token = max(k.token+1, Token(time.Duration(k.upstreamClock(now)).Milliseconds()))
+// header returns what every call made now carries.
+func (k *Keeper) header(now time.Time) call.Header {
+	return call.Header{Instance: k.up.ID, Token: k.lease.Token(), Sent: now}
 }
 
 // Runs returns how many runs are, or may be, at the upstream.
--- a/internal/agent/upstream/upstream_test.go
+++ b/internal/agent/upstream/upstream_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"hillreel/internal/agent/call"
 	"hillreel/internal/agent/upstream"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
@@ -23,9 +24,9 @@
 	t      *testing.T
 	now    time.Time
 	keeper *upstream.Keeper
-	starts []upstream.StartCall
-	stops  []upstream.StopCall
-	holds  []upstream.HoldCall
+	starts []call.Start
+	stops  []call.Stop
+	holds  []call.Hold
 	// answered counts the holds that were answered.
 	answered int
 	ends     map[ident.Incarnation][]fleet.End
@@ -35,9 +36,9 @@
 	seq  uint64
 }
 
-func (b *bench) Start(c upstream.StartCall)                 { b.starts = append(b.starts, c) }
-func (b *bench) Stop(c upstream.StopCall)                   { b.stops = append(b.stops, c) }
-func (b *bench) Hold(c upstream.HoldCall)                   { b.holds = append(b.holds, c) }
+func (b *bench) Start(c call.Start)                         { b.starts = append(b.starts, c) }
+func (b *bench) Stop(c call.Stop)                           { b.stops = append(b.stops, c) }
+func (b *bench) Hold(c call.Hold)                           { b.holds = append(b.holds, c) }
 func (b *bench) Upstream(ident.Incarnation, fleet.Upstream) {}
 func (b *bench) Room(to ident.Incarnation, r fleet.Room)    { b.rooms[to] = r; b.told++ }
 func (b *bench) End(to ident.Incarnation, e fleet.End)      { b.ends[to] = append(b.ends[to], e) }
@@ -63,7 +64,7 @@
 	b.keeper = upstream.New(timing, without, b.now, b, b, b)
 	b.pass(10 * time.Millisecond)
 	b.keeper.Beat(b.now, upstream.Beat{
-		Upstream: fleet.Upstream{ID: "u-1", Service: "publish", Total: job.Resources{CPU: 2000}}, Sequence: 1, Clock: upstream.Clock(time.Minute),
+		Upstream: fleet.Upstream{ID: "u-1", Service: "publish", Total: job.Resources{CPU: 2000}}, Sequence: 1, Clock: call.Clock(time.Minute),
 	})
 	b.look()
 	for _, e := range []ident.Incarnation{one, two} {
@@ -77,17 +78,17 @@
 func (b *bench) pass(d time.Duration) { b.now = b.now.Add(d) }
 
 // look answers all holds that wait.
-func (b *bench) look(running ...upstream.Listed) {
+func (b *bench) look(running ...call.Listed) {
 	waiting := b.holds[b.answered:]
 	b.answered = len(b.holds)
 	for _, c := range waiting {
-		b.keeper.HoldDone(b.now, c, upstream.Held{Answer: upstream.OK, Clock: b.clock(), Running: running})
+		b.keeper.HoldDone(b.now, c, call.Held{Answer: call.OK, Clock: b.clock(), Running: running})
 	}
 }
 
 // clock is the upstream's.
-func (b *bench) clock() upstream.Clock {
-	return upstream.Clock(time.Minute) + upstream.Clock(b.now.Sub(time.Unix(1000, 0)))
+func (b *bench) clock() call.Clock {
+	return call.Clock(time.Minute) + call.Clock(b.now.Sub(time.Unix(1000, 0)))
 }
 
 func (b *bench) order(e ident.Incarnation, run job.Run) {
@@ -113,14 +114,14 @@
 		t.Run(test.name, func(t *testing.T) {
 			b := newBench(t, test.without)
 			b.order(one, 1)
-			b.keeper.StartDone(b.now, b.starts[0], upstream.OK, b.starts[0].Until)
+			b.keeper.StartDone(b.now, b.starts[0], call.OK, b.starts[0].Until)
 			b.order(two, 2)
 			qt.Assert(t, b.starts, qt.HasLen, test.starts)
 			if test.without != nil {
 				return
 			}
 			qt.Assert(t, b.stops, qt.HasLen, 1)
-			b.keeper.StopDone(b.now, b.stops[0], upstream.OK, b.starts[0].Until)
+			b.keeper.StopDone(b.now, b.stops[0], call.OK, b.starts[0].Until)
 			b.pass(time.Millisecond)
 			b.look() // was sent before the stop was answered: proves nothing
 			qt.Assert(t, b.starts, qt.HasLen, 1)
@@ -139,11 +140,11 @@
 func TestStopsEndThoughAskedAgain(t *testing.T) {
 	b := newBench(t, nil)
 	b.order(one, 1)
-	b.keeper.StartDone(b.now, b.starts[0], upstream.Unanswered, 0)
+	b.keeper.StartDone(b.now, b.starts[0], call.Unanswered, 0)
 	b.keeper.StopTask(b.now, one, task, 1)
 	for range 20 {
 		for _, c := range b.stops {
-			b.keeper.StopDone(b.now, c, upstream.OK, 0)
+			b.keeper.StopDone(b.now, c, call.OK, 0)
 		}
 		b.stops = nil
 		b.pass(60 * time.Millisecond)
@@ -171,10 +172,10 @@
 		}, fleet.NotAccepting},
 		{"upstream unreachable", func(b *bench) {
 			for range 2 {
-				b.keeper.HoldDone(b.now, b.holds[len(b.holds)-1], upstream.Held{Answer: upstream.Unanswered})
+				b.keeper.HoldDone(b.now, b.holds[len(b.holds)-1], call.Held{Answer: call.Unanswered})
 			}
 		}, fleet.NotAccepting},
-		{"something unknown runs there", func(b *bench) { b.look(upstream.Listed{Task: job.TaskID{Job: 99}, Run: 1}) }, fleet.NotAccepting},
+		{"something unknown runs there", func(b *bench) { b.look(call.Listed{Task: job.TaskID{Job: 99}, Run: 1}) }, fleet.NotAccepting},
 		{"full", func(b *bench) {
 			for i := range uint32(2) {
 				b.keeper.Order(b.now, two, fleet.Order{Job: 50, Each: job.Resources{CPU: 1000}, Tasks: []fleet.TaskRun{{Index: i, Run: 1}}})
@@ -195,17 +196,17 @@
 func TestFailingUpstreamIsLeftAlone(t *testing.T) {
 	b := newBench(t, nil)
 	n := uint64(0)
-	end := func(j job.ID, earlier uint32, how upstream.How) {
+	end := func(j job.ID, earlier uint32, how call.How) {
 		from := one
 		if b.rooms[two].State == fleet.Probing {
 			from = two
 		}
 		b.keeper.Order(b.now, from, fleet.Order{Job: j, Each: job.Resources{CPU: 1000}, Tasks: []fleet.TaskRun{{Run: 1, Failures: earlier}}})
-		b.keeper.StartDone(b.now, b.starts[len(b.starts)-1], upstream.OK, 0)
+		b.keeper.StartDone(b.now, b.starts[len(b.starts)-1], call.OK, 0)
 		n++
 		b.pass(time.Millisecond)
-		b.keeper.HoldDone(b.now, b.holds[len(b.holds)-1], upstream.Held{
-			Answer: upstream.OK, Clock: b.clock(), Finished: []upstream.Finished{{N: n, Task: job.TaskID{Job: j}, Run: 1, How: how}},
+		b.keeper.HoldDone(b.now, b.holds[len(b.holds)-1], call.Held{
+			Answer: call.OK, Clock: b.clock(), Finished: []call.Finished{{N: n, Task: job.TaskID{Job: j}, Run: 1, How: how}},
 		})
 		b.pass(50 * time.Millisecond)
 		for _, e := range []ident.Incarnation{one, two} {
@@ -214,11 +215,11 @@
 		b.keeper.Flush(b.now)
 	}
 	for i := range 5 {
-		end(job.ID(100+i), 1, upstream.HowFailed)
+		end(job.ID(100+i), 1, call.HowFailed)
 	}
 	qt.Assert(t, b.rooms[one].State, qt.Equals, fleet.Ready)
 	for i := range 3 {
-		end(job.ID(200+i), 0, upstream.HowFailed)
+		end(job.ID(200+i), 0, call.HowFailed)
 	}
 	qt.Assert(t, b.rooms[one].State, qt.Equals, fleet.Suspect)
 	qt.Assert(t, b.rooms[two].State, qt.Equals, fleet.Suspect)
@@ -239,7 +240,7 @@
 	}
 	qt.Assert(t, probing(), qt.Equals, 1)
 	for i := range 4 {
-		end(job.ID(300+i), 0, upstream.HowDone)
+		end(job.ID(300+i), 0, call.HowDone)
 	}
 	qt.Assert(t, b.rooms[one].State, qt.Equals, fleet.Ready)
 	qt.Assert(t, b.rooms[two].State, qt.Equals, fleet.Ready)
@@ -259,11 +260,11 @@
 		t.Run(test.name, func(t *testing.T) {
 			b := newBench(t, nil)
 			b.order(one, 1)
-			b.keeper.StartDone(b.now, b.starts[0], upstream.OK, 0)
+			b.keeper.StartDone(b.now, b.starts[0], call.OK, 0)
 			for step := range 20 {
 				b.pass(50 * time.Millisecond)
 				b.keeper.Ping(b.now, one, b.rooms[one].Clock)
-				b.look(upstream.Listed{Task: task, Run: 1, Percent: test.percent(step)})
+				b.look(call.Listed{Task: task, Run: 1, Percent: test.percent(step)})
 				b.keeper.Flush(b.now)
 			}
 			qt.Assert(t, b.stops, qt.HasLen, test.stops)
@@ -277,13 +278,13 @@
 func TestUnansweredHoldsLetTheLeaseLapse(t *testing.T) {
 	b := newBench(t, nil)
 	b.order(one, 1)
-	b.keeper.StartDone(b.now, b.starts[0], upstream.OK, 0)
+	b.keeper.StartDone(b.now, b.starts[0], call.OK, 0)
 	var took time.Duration
 	for took = 0; b.keeper.Runs() > 0 && took < 3*time.Second; took += 10 * time.Millisecond {
 		b.pass(10 * time.Millisecond)
 		b.keeper.Ping(b.now, one, b.rooms[one].Clock)
 		if c := b.holds[len(b.holds)-1]; b.now.Sub(c.Sent) >= 250*time.Millisecond {
-			b.keeper.HoldDone(b.now, c, upstream.Held{Answer: upstream.Unanswered})
+			b.keeper.HoldDone(b.now, c, call.Held{Answer: call.Unanswered})
 		}
 		b.keeper.Tick(b.now)
 		b.keeper.Flush(b.now)
@@ -338,14 +339,14 @@
 		t.Run(test.name, func(t *testing.T) {
 			b := newBench(t, test.without)
 			b.order(one, 1)
-			b.keeper.StartDone(b.now, b.starts[0], upstream.OK, 0)
+			b.keeper.StartDone(b.now, b.starts[0], call.OK, 0)
 			test.stop(b)
 			if test.answer {
-				b.keeper.StopDone(b.now, b.stops[0], upstream.OK, 0)
+				b.keeper.StopDone(b.now, b.stops[0], call.OK, 0)
 			}
 			b.pass(timing.StopBudget)
 			b.keeper.Tick(b.now)
-			b.look(upstream.Listed{Task: task, Run: 1, Percent: 50})
+			b.look(call.Listed{Task: task, Run: 1, Percent: 50})
 			qt.Assert(t, b.holds[len(b.holds)-1].Until > 0, qt.Equals, test.extends)
 		})
 	}
@@ -366,17 +367,17 @@
 			b := newBench(t, nil)
 			b.order(one, 1)
 			before := b.starts[0].Token
-			b.keeper.StartDone(b.now, b.starts[0], upstream.Unanswered, 0)
+			b.keeper.StartDone(b.now, b.starts[0], call.Unanswered, 0)
 			look := b.holds[len(b.holds)-1]
 			qt.Assert(t, look.Look, qt.IsTrue)
 			qt.Assert(t, look.Token > before, qt.IsTrue)
 			b.pass(time.Millisecond)
 			if test.running {
-				b.look(upstream.Listed{Task: task, Run: 1, Percent: 1})
+				b.look(call.Listed{Task: task, Run: 1, Percent: 1})
 			} else {
 				look.Sent = b.now
 				b.answered = len(b.holds)
-				b.keeper.HoldDone(b.now, look, upstream.Held{Answer: upstream.OK, Clock: b.clock()})
+				b.keeper.HoldDone(b.now, look, call.Held{Answer: call.OK, Clock: b.clock()})
 			}
 			qt.Assert(t, b.ends[one], qt.HasLen, test.ends)
 		})
@@ -389,19 +390,19 @@
 	up := fleet.Upstream{ID: "u-1", Service: "publish", Total: job.Resources{CPU: 2000}}
 	for _, test := range []struct {
 		name   string
-		answer upstream.Held
+		answer call.Held
 		known  bool
 		ready  bool
 	}{
-		{"it lives and has seen no token", upstream.Held{Answer: upstream.OK, Clock: upstream.Clock(time.Minute)}, true, true},
-		{"it lives and has seen tokens", upstream.Held{Answer: upstream.Fenced, Clock: upstream.Clock(time.Minute)}, true, true},
-		{"another life answers", upstream.Held{Answer: upstream.WrongInstance}, false, false},
+		{"it lives and has seen no token", call.Held{Answer: call.OK, Clock: call.Clock(time.Minute)}, true, true},
+		{"it lives and has seen tokens", call.Held{Answer: call.Fenced, Clock: call.Clock(time.Minute)}, true, true},
+		{"another life answers", call.Held{Answer: call.WrongInstance}, false, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			b := &bench{t: t, now: time.Unix(1000, 0), ends: make(map[ident.Incarnation][]fleet.End), rooms: make(map[ident.Incarnation]fleet.Room)}
 			b.keeper = upstream.New(timing, nil, b.now, b, b, b)
 			b.keeper.Recall(b.now, up)
-			qt.Assert(t, b.holds[0].Token, qt.Equals, upstream.Token(0))
+			qt.Assert(t, b.holds[0].Token, qt.Equals, call.Token(0))
 			b.pass(time.Millisecond)
 			b.keeper.HoldDone(b.now, b.holds[0], test.answer)
 			b.answered = 1
@@ -410,7 +411,7 @@
 			if !test.ready {
 				return
 			}
-			qt.Assert(t, b.holds[len(b.holds)-1].Token >= upstream.Token(time.Minute.Milliseconds()), qt.IsTrue)
+			qt.Assert(t, b.holds[len(b.holds)-1].Token >= call.Token(time.Minute.Milliseconds()), qt.IsTrue)
 			b.pass(time.Millisecond)
 			b.look()
 			b.keeper.Linked(b.now, one)
@@ -462,12 +463,12 @@
 			b := newBench(t, nil)
 			test.leave(b)
 			b.keeper.Beat(b.now, upstream.Beat{
-				Upstream: fleet.Upstream{ID: "u-2", Service: "publish", Total: job.Resources{CPU: 2000}}, Sequence: 1, Clock: upstream.Clock(time.Second),
+				Upstream: fleet.Upstream{ID: "u-2", Service: "publish", Total: job.Resources{CPU: 2000}}, Sequence: 1, Clock: call.Clock(time.Second),
 			})
 			old := b.holds[b.answered:]
 			b.answered = len(b.holds)
 			for _, c := range old {
-				b.keeper.HoldDone(b.now, c, upstream.Held{Answer: upstream.WrongInstance})
+				b.keeper.HoldDone(b.now, c, call.Held{Answer: call.WrongInstance})
 			}
 			b.look()
 			b.keeper.Flush(b.now)
--- a/internal/entry/node/config.go
+++ b/internal/entry/node/config.go
@@ -45,28 +45,28 @@
 // relay passes a configuration to a few agents; they pass it to entries that the store turns away.
 func (n *Node) relay(t *route.Table, from ident.Incarnation) {
 	left := relays
-	for id, l := range n.links {
+	for l := range n.links.All() {
 		if left == 0 {
 			return
 		}
-		if id == from || l.config >= t.Version {
+		if l.Peer == from || l.Config >= t.Version {
 			continue
 		}
-		l.config = t.Version
-		l.session.Send(codec.Config(t.Version, t.Raw))
+		l.Config = t.Version
+		l.Session.Send(codec.Config(t.Version, t.Raw))
 		left--
 	}
 }
 
 // handleRelayed takes in a configuration that an agent has passed on.
 func (n *Node) handleRelayed(l *link, m *wire.Config) {
-	l.config = max(l.config, ident.ConfigVersion(m.GetVersion()))
+	l.Config = max(l.Config, ident.ConfigVersion(m.GetVersion()))
 	t, err := n.decode(m.GetRaw())
 	if err != nil {
-		n.log.WithFields(logrus.Fields{"agent": l.session.Remote.GetName(), "error": err.Error()}).Warn("config_unusable")
+		n.log.WithFields(logrus.Fields{"agent": l.Name(), "error": err.Error()}).Warn("config_unusable")
 		return
 	}
-	n.handleConfigured(t, l.agent)
+	n.handleConfigured(t, l.Peer)
 }
 
 // SetEntries tells the node which entries there are, for agents that can't read the store.
@@ -83,7 +83,7 @@
 	}
 	n.peers = peers
 	n.log.WithField("entries", len(peers)).Info("entries_listed")
-	for _, l := range n.links {
-		l.session.Send(codec.Peers(peers))
+	for l := range n.links.All() {
+		l.Session.Send(codec.Peers(peers))
 	}
 }
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -18,6 +18,7 @@
 	"hillreel/internal/core/route"
 	"hillreel/internal/core/settings"
 	"hillreel/internal/entry/dispatch"
+	"hillreel/internal/link/links"
 	"hillreel/internal/link/session"
 	"hillreel/internal/link/wire"
 )
@@ -33,12 +34,11 @@
 
 	// The control goroutine owns what follows.
 	table   *dispatch.Table
-	links   map[ident.Incarnation]*link
+	links   *links.Set[keepAlive]
 	callers map[dispatch.CallerID]chan dispatch.Answer
 	// peers are the link addresses of all entries, as agents were told last.
 	peers []string
-	// ticked is when tick was last called.
-	ticked time.Time
+	pulse links.Pulse
 
 	routes  atomic.Pointer[route.Table]
 	lastID  atomic.Uint64
@@ -47,22 +47,22 @@
 }
 
 // link is the session with one agent.
-type link struct {
-	agent   ident.Incarnation
-	session *session.Session
-	// heard is when the last frame came, pinged when the last keep-alive went out.
-	heard, pinged time.Time
+type link = links.Link[keepAlive]
+
+// keepAlive is what lets an agent keep this entry's runs.
+type keepAlive struct {
+	// pinged is when the last keep-alive went out.
+	pinged time.Time
 	// clock is the newest reading of the agent's clock.
 	clock time.Duration
-	// config is the version that the agent can pass on, as far as it is known.
-	config ident.ConfigVersion
 }
 
 // New returns a Node that has not started.
 func New(set *settings.Settings, d Decoder, observer dispatch.Observer, log *logrus.Entry) *Node {
 	n := &Node{
 		set: set, log: log, inc: ident.NewIncarnation(), loop: loop.New(), decode: d,
-		links:   make(map[ident.Incarnation]*link),
+		links:   links.New[keepAlive]("agent", log),
+		pulse:   links.Pulse{Limit: set.Links.Silence / 2, Log: log},
 		callers: make(map[dispatch.CallerID]chan dispatch.Answer),
 	}
 	options := dispatch.Options{
@@ -79,7 +79,7 @@
 		return errors.Wrap(err, "listen for links")
 	}
 	n.ln = ln
-	n.ticked = time.Now()
+	n.pulse.Tick(time.Now())
 	go n.loop.Run(n.set.Links.Tick, n.handle, n.tick)
 	go n.accept()
 	return nil
@@ -96,11 +96,7 @@
 	if n.ln != nil {
 		n.ln.Close() //nolint:errcheck // it is closed only here
 	}
-	n.loop.Call(func() {
-		for _, l := range n.links {
-			l.session.Close()
-		}
-	})
+	n.loop.Call(n.links.Close)
 	n.loop.Stop()
 }
 
@@ -143,7 +139,7 @@
 	case linkDown:
 		n.handleLinkDown(now, e.session, e.err)
 	case received:
-		n.handleReceived(now, e.session, e.msgs)
+		n.links.Receive(now, e.session, e.msgs, func(l *link, m *wire.Msg) { n.handleMessage(now, l, m) })
 	case submitted:
 		n.callers[e.request.Caller] = e.answer
 		n.table.Submit(now, e.request)
@@ -157,11 +153,9 @@
 	}
 }
 
-// catchUp lets time pass before anything else when the process has stood still: what has expired meanwhile must
-// not be acted on.
+// catchUp lets time pass before anything else when the process has stood still.
 func (n *Node) catchUp(now time.Time) {
-	if gap := now.Sub(n.ticked); gap > n.set.Links.Silence/2 {
-		n.log.WithField("gap_ms", gap.Milliseconds()).Warn("process_stood_still")
+	if n.pulse.Missed(now) {
 		n.tick()
 	}
 }
@@ -169,16 +163,13 @@
 // tick does what time alone brings about.
 func (n *Node) tick() {
 	now := time.Now()
-	n.ticked = now
+	n.pulse.Tick(now)
 	n.table.Tick(now)
-	for _, l := range n.links {
-		if now.Sub(l.heard) > n.set.Links.Silence {
-			n.log.WithFields(logrus.Fields{"agent": l.session.Remote.GetName(), "silent_ms": now.Sub(l.heard).Milliseconds()}).Warn("link_silent")
-			l.session.Close()
-			n.dropLink(now, l)
-			continue
-		}
-		if now.Sub(l.pinged) >= n.set.Links.KeepAlive {
+	for _, l := range n.links.DropSilent(now, n.set.Links.Silence) {
+		n.unlinked(now, l)
+	}
+	for l := range n.links.All() {
+		if now.Sub(l.Own.pinged) >= n.set.Links.KeepAlive {
 			n.ping(now, l)
 		}
 	}
@@ -201,15 +192,17 @@
 }
 
 // Cancel ends a job, and tells whether it was held here.
-func (n *Node) Cancel(id job.ID) bool {
-	found := make(chan bool, 1)
-	n.loop.Call(func() { found <- n.table.Cancel(time.Now(), id) })
-	select {
-	case was := <-found:
-		return was
-	default:
-		return false // the loop has ended
-	}
+func (n *Node) Cancel(id job.ID) (found bool) {
+	n.call(func(now time.Time) { found = n.table.Cancel(now, id) })
+	return found
+}
+
+// call runs f on the control goroutine and waits for it; once the node has stopped it does nothing.
+func (n *Node) call(f func(now time.Time)) {
+	n.loop.Call(func() {
+		n.catchUp(time.Now())
+		f(time.Now())
+	})
 }
 
 // Held tells whether a job waits for its answer here.
--- /dev/null
+++ b/internal/link/links/links.go
@@ -0,0 +1,152 @@
+// Package links keeps the links of one process, by the incarnation of the process at the other end, and notices which
+// have fallen silent. One goroutine uses it.
+package links
+
+import (
+	"iter"
+	"maps"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"hillreel/internal/core/ident"
+	"hillreel/internal/link/session"
+	"hillreel/internal/link/wire"
+)
+
+// Link is the session with one process; T is what its user keeps beside it.
+type Link[T any] struct {
+	Peer    ident.Incarnation
+	Session *session.Session
+	// Heard is when the last frame came.
+	Heard time.Time
+	// Config is the configuration that the other side has, or can pass on, as far as it is known.
+	Config ident.ConfigVersion
+	Own    T
+}
+
+// Name is that of the VM at the other end.
+func (l *Link[T]) Name() string { return l.Session.Remote.GetName() }
+
+// Set holds a process's links.
+type Set[T any] struct {
+	// role is what the other ends are, for the log.
+	role string
+	log  *logrus.Entry
+	by   map[ident.Incarnation]*Link[T]
+}
+
+// New returns an empty Set; role says what the other ends are.
+func New[T any](role string, log *logrus.Entry) *Set[T] {
+	return &Set[T]{role, log, make(map[ident.Incarnation]*Link[T])}
+}
+
+// Len returns how many links there are.
+func (s *Set[T]) Len() int { return len(s.by) }
+
+// All ranges over the links, in no order.
+func (s *Set[T]) All() iter.Seq[*Link[T]] { return maps.Values(s.by) }
+
+// Get returns the link with a process, or nil.
+func (s *Set[T]) Get(peer ident.Incarnation) *Link[T] { return s.by[peer] }
+
+// Of returns the present link of a session, or nil when another has taken its place.
+func (s *Set[T]) Of(session *session.Session) *Link[T] {
+	l := s.by[ident.Incarnation(session.Remote.GetIncarnation())]
+	if l == nil || l.Session != session {
+		return nil
+	}
+	return l
+}
+
+// Add takes up a session with a process that has no link.
+func (s *Set[T]) Add(now time.Time, session *session.Session) *Link[T] {
+	l := &Link[T]{
+		Peer: ident.Incarnation(session.Remote.GetIncarnation()), Session: session, Heard: now,
+		Config: ident.ConfigVersion(session.Remote.GetConfigVersion()),
+	}
+	s.by[l.Peer] = l
+	s.log.WithFields(logrus.Fields{s.role: l.Name(), "incarnation": l.Peer, "zone": session.Remote.GetZone()}).Info("link_up")
+	return l
+}
+
+// Drop closes a link and forgets it.
+func (s *Set[T]) Drop(l *Link[T]) {
+	l.Session.Close()
+	delete(s.by, l.Peer)
+}
+
+// Ended forgets the link of a session that has ended, and returns it; it returns nil when another link has taken its
+// place.
+func (s *Set[T]) Ended(session *session.Session, err error) *Link[T] {
+	l := s.Of(session)
+	if l == nil {
+		return nil
+	}
+	s.log.WithFields(logrus.Fields{s.role: l.Name(), "incarnation": l.Peer, "error": err}).Warn("link_down")
+	s.Drop(l)
+	return l
+}
+
+// DropSilent forgets the links over which nothing came for longer than limit, and returns them.
+func (s *Set[T]) DropSilent(now time.Time, limit time.Duration) []*Link[T] {
+	var out []*Link[T]
+	for _, l := range s.by {
+		silent := now.Sub(l.Heard)
+		if silent <= limit {
+			continue
+		}
+		s.log.WithFields(logrus.Fields{s.role: l.Name(), "silent_ms": silent.Milliseconds()}).Warn("link_silent")
+		s.Drop(l)
+		out = append(out, l)
+	}
+	return out
+}
+
+// Receive hands the messages of one frame to handle, unless the session's link has ended.
+func (s *Set[T]) Receive(now time.Time, session *session.Session, msgs []*wire.Msg, handle func(*Link[T], *wire.Msg)) {
+	l := s.Of(session)
+	if l == nil {
+		return
+	}
+	l.Heard = now
+	for _, m := range msgs {
+		handle(l, m)
+	}
+}
+
+// Send sends a message to a process, if it is linked.
+func (s *Set[T]) Send(to ident.Incarnation, m *wire.Msg) {
+	if l := s.by[to]; l != nil {
+		l.Session.Send(m)
+	}
+}
+
+// Close closes all links.
+func (s *Set[T]) Close() {
+	for _, l := range s.by {
+		l.Session.Close()
+	}
+}
+
+// Pulse notices that the process has stood still: a control goroutine ticks regularly while it runs.
+type Pulse struct {
+	// Limit is the longest pause between two ticks that is no standstill.
+	Limit time.Duration
+	Log   *logrus.Entry
+	last  time.Time
+}
+
+// Tick notes a tick.
+func (p *Pulse) Tick(now time.Time) { p.last = now }
+
+// Missed tells whether the process has stood still since the last tick. What has expired meanwhile must not be acted
+// on, so time must pass for its user before anything else.
+func (p *Pulse) Missed(now time.Time) bool {
+	gap := now.Sub(p.last)
+	if gap <= p.Limit {
+		return false
+	}
+	p.Log.WithField("gap_ms", gap.Milliseconds()).Warn("process_stood_still")
+	return true
+}
--- a/internal/proof/schedule/process_test.go
+++ b/internal/proof/schedule/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hillreel/internal/agent/call"
 	"hillreel/internal/agent/upstream"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
@@ -337,36 +338,36 @@
 	x.a.doIn(x.inc, func() { f(); x.a.flush() })
 }
 
-func (x agentIO) Start(c upstream.StartCall) {
+func (x agentIO) Start(c call.Start) {
 	u := x.a.upstream
-	u.order(func() upstream.Answer { return u.start(c) }, func(a upstream.Answer, clock upstream.Clock) {
+	u.order(func() call.Answer { return u.start(c) }, func(a call.Answer, clock call.Clock) {
 		x.back(func() { x.a.keeper.StartDone(x.a.w.now, c, a, clock) })
 	})
 }
 
-func (x agentIO) Stop(c upstream.StopCall) {
+func (x agentIO) Stop(c call.Stop) {
 	u := x.a.upstream
-	u.order(func() upstream.Answer { return u.stop(c) }, func(a upstream.Answer, clock upstream.Clock) {
+	u.order(func() call.Answer { return u.stop(c) }, func(a call.Answer, clock call.Clock) {
 		x.back(func() { x.a.keeper.StopDone(x.a.w.now, c, a, clock) })
 	})
 }
 
-func (x agentIO) Hold(c upstream.HoldCall) {
+func (x agentIO) Hold(c call.Hold) {
 	u, w := x.a.upstream, x.a.w
 	answered := false
-	reply := func(h upstream.Held) {
+	reply := func(h call.Held) {
 		if !answered {
 			answered = true
 			x.back(func() { x.a.keeper.HoldDone(w.now, c, h) })
 		}
 	}
-	w.after(c.Wait+callTimeout, func() { reply(upstream.Held{Answer: upstream.Unanswered}) })
+	w.after(c.Wait+callTimeout, func() { reply(call.Held{Answer: call.Unanswered}) })
 	lost := w.chance(u.loses / 4)
 	w.after(w.between(100*time.Microsecond, 2*time.Millisecond), func() {
 		if !u.up || u.cut {
 			return
 		}
-		u.hold(c, func(h upstream.Held) {
+		u.hold(c, func(h call.Held) {
 			if !lost && !u.cut {
 				w.after(w.between(100*time.Microsecond, 2*time.Millisecond), func() { reply(h) })
 			}
--- a/internal/proof/schedule/upstream_test.go
+++ b/internal/proof/schedule/upstream_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"hillreel/internal/agent/call"
 	"hillreel/internal/agent/upstream"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
@@ -24,7 +25,7 @@
 	run  job.Run
 	from time.Time
 	work time.Duration
-	how  upstream.How
+	how  call.How
 	// hang: it never gets on.
 	hang     bool
 	stopping bool
@@ -42,11 +43,11 @@
 	born time.Time
 	// rate is how fast its clock runs: up to 2% slow.
 	rate  float64
-	until upstream.Clock
-	token upstream.Token
+	until call.Clock
+	token call.Token
 	runs  map[job.TaskID]*simRun
 	past  map[job.TaskID]job.Run
-	ends  []upstream.Finished
+	ends  []call.Finished
 	n     uint64
 	beats uint64
 	// waiters answer holds that wait for an end.
@@ -70,8 +71,8 @@
 	u.beat(u.life)
 }
 
-func (u *simUpstream) clock() upstream.Clock {
-	return upstream.Clock(float64(u.w.now.Sub(u.born)) * u.rate)
+func (u *simUpstream) clock() call.Clock {
+	return call.Clock(float64(u.w.now.Sub(u.born)) * u.rate)
 }
 
 // beat sends heartbeats for one life.
@@ -104,13 +105,13 @@
 		return
 	}
 	for _, r := range u.list() {
-		u.finish(r, upstream.HowLapsed)
+		u.finish(r, call.HowLapsed)
 	}
 }
 
 // lease extends the lease; it is never shortened and at most a second long.
-func (u *simUpstream) lease(until upstream.Clock) {
-	until = min(until, u.clock()+upstream.Clock(time.Second))
+func (u *simUpstream) lease(until call.Clock) {
+	until = min(until, u.clock()+call.Clock(time.Second))
 	if until <= u.until {
 		return
 	}
@@ -137,16 +138,16 @@
 	return out
 }
 
-func (u *simUpstream) finish(r *simRun, how upstream.How) {
+func (u *simUpstream) finish(r *simRun, how call.How) {
 	if u.runs[r.task] != r {
 		return
 	}
 	delete(u.runs, r.task)
 	u.past[r.task] = max(u.past[r.task], r.run)
 	u.n++
-	u.ends = append(u.ends, upstream.Finished{N: u.n, Task: r.task, Run: r.run, How: how})
+	u.ends = append(u.ends, call.Finished{N: u.n, Task: r.task, Run: r.run, How: how})
 	u.w.note("%s run %d of %v ended %s", u.id, r.run, r.task, how)
-	if how == upstream.HowDone {
+	if how == call.HowDone {
 		u.w.jobs[r.task.Job].done(r.task)
 	}
 	waiters := u.waiters
@@ -175,9 +176,9 @@
 	if s.onlyRefused() {
 		u.w.violate("%v starts though its caller was told that it has not run and never will", task)
 	}
-	r := &simRun{task: task, run: run, from: u.w.now, work: s.tasks[task.Index].work, how: upstream.HowDone}
+	r := &simRun{task: task, run: run, from: u.w.now, work: s.tasks[task.Index].work, how: call.HowDone}
 	if u.w.chance(u.fails) || s.poison {
-		r.how, r.work = upstream.HowFailed, r.work/4
+		r.how, r.work = call.HowFailed, r.work/4
 	}
 	r.hang = u.w.chance(u.hangs)
 	u.runs[task] = r
@@ -188,64 +189,64 @@
 }
 
 // start handles a start that has arrived.
-func (u *simUpstream) start(c upstream.StartCall) upstream.Answer {
+func (u *simUpstream) start(c call.Start) call.Answer {
 	switch {
 	case c.Instance != u.id:
-		return upstream.WrongInstance
+		return call.WrongInstance
 	case c.Token < u.token:
-		return upstream.Fenced
+		return call.Fenced
 	}
 	u.token = c.Token
 	if c.Until <= u.clock() {
-		return upstream.Declined
+		return call.Declined
 	}
 	u.lease(c.Until)
 	if r := u.runs[c.Task]; r != nil && r.run == c.Run {
-		return upstream.OK
+		return call.OK
 	}
 	if c.Run <= u.past[c.Task] {
-		return upstream.Used
+		return call.Used
 	}
 	u.begins(c.Task, c.Run)
-	return upstream.OK
+	return call.OK
 }
 
-func (u *simUpstream) stop(c upstream.StopCall) upstream.Answer {
+func (u *simUpstream) stop(c call.Stop) call.Answer {
 	switch {
 	case c.Instance != u.id:
-		return upstream.WrongInstance
+		return call.WrongInstance
 	case c.Token < u.token:
-		return upstream.Fenced
+		return call.Fenced
 	}
 	u.token = c.Token
 	u.past[c.Task] = max(u.past[c.Task], c.Run)
 	if r := u.runs[c.Task]; r != nil && r.run <= c.Run && !r.stopping {
 		r.stopping = true
-		u.w.after(u.w.between(0, 50*time.Millisecond), func() { u.finish(r, upstream.HowStopped) })
+		u.w.after(u.w.between(0, 50*time.Millisecond), func() { u.finish(r, call.HowStopped) })
 	}
-	return upstream.OK
+	return call.OK
 }
 
 // held answers a hold.
-func (u *simUpstream) held() upstream.Held {
-	h := upstream.Held{Answer: upstream.OK, Clock: u.clock(), Finished: append([]upstream.Finished(nil), u.ends...)}
+func (u *simUpstream) held() call.Held {
+	h := call.Held{Answer: call.OK, Clock: u.clock(), Finished: append([]call.Finished(nil), u.ends...)}
 	for _, r := range u.list() {
 		percent := 0
 		if !r.hang {
 			percent = min(int(100*u.w.now.Sub(r.from)/r.work), 99)
 		}
-		h.Running = append(h.Running, upstream.Listed{Task: r.task, Run: r.run, Percent: percent})
+		h.Running = append(h.Running, call.Listed{Task: r.task, Run: r.run, Percent: percent})
 	}
 	return h
 }
 
-func (u *simUpstream) hold(c upstream.HoldCall, answer func(upstream.Held)) {
+func (u *simUpstream) hold(c call.Hold, answer func(call.Held)) {
 	switch {
 	case c.Instance != u.id:
-		answer(upstream.Held{Answer: upstream.WrongInstance})
+		answer(call.Held{Answer: call.WrongInstance})
 		return
 	case c.Token < u.token:
-		answer(upstream.Held{Answer: upstream.Fenced})
+		answer(call.Held{Answer: call.Fenced})
 		return
 	}
 	u.token = c.Token
@@ -274,15 +275,15 @@
 }
 
 // order carries an order to the upstream and its answer back; without an answer in time it is Unanswered.
-func (u *simUpstream) order(do func() upstream.Answer, answer func(upstream.Answer, upstream.Clock)) {
+func (u *simUpstream) order(do func() call.Answer, answer func(call.Answer, call.Clock)) {
 	answered := false
-	reply := func(a upstream.Answer, c upstream.Clock) {
+	reply := func(a call.Answer, c call.Clock) {
 		if !answered {
 			answered = true
 			answer(a, c)
 		}
 	}
-	u.w.after(callTimeout, func() { reply(upstream.Unanswered, 0) })
+	u.w.after(callTimeout, func() { reply(call.Unanswered, 0) })
 	lost := u.w.chance(u.loses)
 	vanish := lost && u.vanish
 	delay := u.w.between(100*time.Microsecond, 2*time.Millisecond)
