dispatch: what is known of an agent's room in a package of its own; waiting tasks listed by step

Change: internal/entry/agent has room, reservations and cost; steps list their waiting tasks. Behaviour as before. Measured: tests of dispatch, schedule and the embedded set pass.

--- /dev/null
+++ b/internal/entry/agent/agent.go
@@ -0,0 +1,154 @@
+// Package agent keeps what an entry knows of one agent: the upstream beside it, the room that is left there once this
+// entry's orders are counted, and how dear a task is there.
+package agent
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+)
+
+// Account is what is known of one agent.
+type Account struct {
+	ID ident.Incarnation
+	// Name is that of the agent's VM, by which operators know the upstream.
+	Name ident.UpstreamName
+	Zone ident.Zone
+	// Linked is true while there is a session.
+	Linked bool
+	// Up is the upstream beside the agent, as it was described last.
+	Up fleet.Upstream
+	// Heard is when the newest reading of the agent's clock came; the entry echoes none that came later.
+	Heard time.Time
+
+	// described is true once the session has told of an upstream and its room.
+	described bool
+	room      fleet.Room
+	// seq numbers the session's orders; sent lists those that room does not reflect yet, pending sums them.
+	seq     uint64
+	sent    []sent
+	pending job.Resources
+	// probing is true while a probe of this entry is on its way.
+	probing bool
+}
+
+// sent is an order that the agent's room may not reflect yet.
+type sent struct {
+	seq   uint64
+	total job.Resources
+}
+
+// Link begins a new session.
+func (a *Account) Link(name ident.UpstreamName, zone ident.Zone) {
+	a.Name, a.Zone, a.Linked, a.described = name, zone, true, false
+	a.seq, a.sent, a.pending = 0, nil, job.Resources{}
+}
+
+// Unlink ends the session.
+func (a *Account) Unlink() { a.Linked, a.described = false, false }
+
+// Told takes in the agent's news of its room.
+func (a *Account) Told(now time.Time, r fleet.Room) {
+	a.Heard, a.room, a.described, a.probing = now, r, a.Up.ID != "", false
+	a.pending = job.Resources{}
+	rest := a.sent[:0]
+	for _, s := range a.sent {
+		if s.seq > r.Seq {
+			rest = append(rest, s)
+			a.pending = a.pending.Add(s.total)
+			a.probing = true
+		}
+	}
+	a.sent = rest
+}
+
+// Reserve counts a task that the next order will carry.
+func (a *Account) Reserve(each job.Resources) {
+	a.pending = a.pending.Add(each)
+	a.probing = a.room.State == fleet.Probing
+}
+
+// Number numbers an order of tasks that were reserved; it takes room until the agent's news reflect it.
+func (a *Account) Number(o *fleet.Order) {
+	a.seq++
+	o.Seq = a.seq
+	total := job.Resources{}
+	for range o.Tasks {
+		total = total.Add(o.Each)
+	}
+	a.sent = append(a.sent, sent{o.Seq, total})
+}
+
+// Room is the agent's newest word on its room.
+func (a *Account) Room() fleet.Room { return a.room }
+
+// Free is the room that this entry has not given away yet.
+func (a *Account) Free() job.Resources { return a.room.Free.Sub(a.pending) }
+
+// Known tells whether the agent is linked and has told of its upstream.
+func (a *Account) Known() bool { return a.Linked && a.described }
+
+// Serves tells whether the upstream is known, serves a service, and is in one of the states.
+func (a *Account) Serves(s ident.Service, states ...fleet.State) bool {
+	if !a.Known() || a.Up.Service != s {
+		return false
+	}
+	for _, state := range states {
+		if a.room.State == state {
+			return true
+		}
+	}
+	return false
+}
+
+// Probing tells whether the upstream takes nothing but single probes.
+func (a *Account) Probing() bool { return a.room.State == fleet.Probing }
+
+// Takes tells whether a task of a step can be offered now.
+func (a *Account) Takes(s ident.Service, step *job.Step) bool {
+	if !a.Serves(s, fleet.Ready, fleet.Probing) || !a.Up.Has(step.Requires) || !step.Each.Fits(a.Free()) {
+		return false
+	}
+	return !a.Probing() || !a.probing
+}
+
+// How upstreams are compared: in multiples of the median run time.
+const (
+	// loadCost is what a full upstream costs more than an empty one. It spreads tasks, so that the loss of one
+	// upstream costs few, and leaves fast ones ahead of slow ones.
+	loadCost = 0.5
+	// zoneCost is what another availability zone costs: 1 ms of a task of 50 ms.
+	zoneCost = 0.02
+	// rackCost is what a task pays away from its data: the platform's remote_factor of 1.5.
+	rackCost = 0.5
+	// spread keeps entries that see the same room from choosing the same upstream.
+	spread = 0.2
+)
+
+// Cost rates the agent for a task of a step, from an entry in a zone; the lowest is chosen. median is the median pace
+// of all upstreams.
+func (a *Account) Cost(step *job.Step, from ident.Zone, median float64, rng *rand.Rand) float64 {
+	used := 1.0
+	if a.Up.Total.CPU > 0 {
+		used = 1 - float64(a.Free().CPU)/float64(a.Up.Total.CPU)
+	}
+	c := a.relativePace(median) * (1 + loadCost*used + spread*rng.Float64())
+	if a.Zone != from {
+		c += zoneCost
+	}
+	if step.Prefers != "" && !a.Up.Has(step.Prefers) {
+		c += rackCost
+	}
+	return c
+}
+
+// relativePace is the upstream's pace over the median.
+func (a *Account) relativePace(median float64) float64 {
+	if a.room.Pace == 0 || median == 0 {
+		return 1
+	}
+	return a.room.Pace / median
+}
--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -8,66 +8,41 @@
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/rule"
+	"hillreel/internal/entry/agent"
 )
 
-// agent is what the entry knows of one agent.
-type agent struct {
-	id ident.Incarnation
-	// name is that of the agent's VM, by which operators know the upstream.
-	name ident.UpstreamName
-	zone ident.Zone
-	// linked is true while there is a session.
-	linked bool
-	// described is true once the session has told of an upstream and its room.
-	described bool
-	up        fleet.Upstream
-	room      fleet.Room
-	// heard is when the newest reading of the agent's clock came; the entry echoes none that came later.
-	heard time.Time
-	// seq numbers the session's orders; sent lists those that room does not reflect yet, pending sums them.
-	seq     uint64
-	sent    []sent
-	pending job.Resources
-	probing bool
-	// runs holds the tasks that are, or may be, there.
+// upstreamOf is an agent with the tasks that are, or may be, at its upstream.
+type upstreamOf struct {
+	agent.Account
 	runs map[job.TaskID]*task
 }
 
-// sent is an order that the agent's room may not reflect yet.
-type sent struct {
-	seq   uint64
-	total job.Resources
-}
-
-// free is the room that this entry has not given away yet.
-func (a *agent) free() job.Resources { return a.room.Free.Sub(a.pending) }
-
 // Linked handles a new session with an agent.
 func (t *Table) Linked(now time.Time, id ident.Incarnation, name ident.UpstreamName, zone ident.Zone) {
 	a := t.agents[id]
 	if a == nil {
-		a = &agent{id: id, runs: make(map[job.TaskID]*task), heard: now}
+		a = &upstreamOf{Account: agent.Account{ID: id, Heard: now}, runs: make(map[job.TaskID]*task)}
 		t.agents[id] = a
 		t.order = append(t.order, a)
 	}
-	if a.linked {
+	if a.Linked {
 		t.Unlinked(now, id)
 	}
-	a.name, a.zone, a.linked, a.described, a.seq, a.sent, a.pending = name, zone, true, false, 0, nil, job.Resources{}
+	a.Link(name, zone)
 }
 
 // Unlinked handles the end of a session: what was placed there may still run for a while.
 func (t *Table) Unlinked(now time.Time, id ident.Incarnation) {
 	a := t.agents[id]
-	if a == nil || !a.linked {
+	if a == nil || !a.Linked {
 		return
 	}
-	a.linked, a.described = false, false
+	a.Unlink()
 	for _, k := range a.runs {
 		k.phase = lost // the order does not matter
 	}
 	if len(a.runs) > 0 {
-		t.observer.Lost(a.name, len(a.runs), "agent_lost")
+		t.observer.Lost(a.Name, len(a.runs), "agent_lost")
 	}
 	if t.opts.Without.Off(rule.SettleWait) {
 		t.settle(now, a, fleet.AgentSilent)
@@ -95,9 +70,9 @@
 func (t *Table) Upstreams() []Upstream {
 	out := []Upstream{}
 	for _, a := range t.order {
-		if a.linked && a.described {
+		if a.Known() {
 			out = append(out, Upstream{
-				a.name, a.up.ID, a.zone, a.up.Service, a.room.State, a.room.Free.CPU, a.up.Total.CPU, a.room.Pace, len(a.runs),
+				a.Name, a.Up.ID, a.Zone, a.Up.Service, a.Room().State, a.Room().Free.CPU, a.Up.Total.CPU, a.Room().Pace, len(a.runs),
 			})
 		}
 	}
@@ -108,7 +83,7 @@
 func (t *Table) Ready() int {
 	n := 0
 	for _, a := range t.order {
-		if a.linked && a.described && a.room.State.Accepts() {
+		if a.Known() && a.Room().State.Accepts() {
 			n++
 		}
 	}
@@ -118,27 +93,17 @@
 // Upstream handles an agent's description of its upstream.
 func (t *Table) Upstream(id ident.Incarnation, u fleet.Upstream) {
 	if a := t.agents[id]; a != nil {
-		a.up = u
+		a.Up = u
 	}
 }
 
 // Room handles an agent's news of its room.
 func (t *Table) Room(now time.Time, id ident.Incarnation, r fleet.Room) {
 	a := t.agents[id]
-	if a == nil || !a.linked {
+	if a == nil || !a.Linked {
 		return
 	}
-	a.heard, a.room, a.described, a.probing = now, r, a.up.ID != "", false
-	a.pending = job.Resources{}
-	rest := a.sent[:0]
-	for _, s := range a.sent {
-		if s.seq > r.Seq {
-			rest = append(rest, s)
-			a.pending = a.pending.Add(s.total)
-			a.probing = true
-		}
-	}
-	a.sent = rest
+	a.Told(now, r)
 	t.learnPace()
 	t.replaced(now, a)
 	t.Pump(now)
@@ -146,12 +111,12 @@
 
 // replaced settles the runs of earlier agents of an upstream: its new agent takes work only once it knows that
 // nothing of theirs remains.
-func (t *Table) replaced(now time.Time, by *agent) {
-	if by.up.ID == "" || !by.room.State.Accepts() {
+func (t *Table) replaced(now time.Time, by *upstreamOf) {
+	if by.Up.ID == "" || !by.Room().State.Accepts() {
 		return
 	}
 	for _, a := range slices.Clone(t.order) {
-		if a != by && !a.linked && a.up.ID == by.up.ID {
+		if a != by && !a.Linked && a.Up.ID == by.Up.ID {
 			t.settle(now, a, fleet.AgentReplaced)
 		}
 	}
@@ -166,7 +131,7 @@
 }
 
 // settle lets the tasks that were lost with an agent be placed again.
-func (t *Table) settle(now time.Time, a *agent, why fleet.Reason) {
+func (t *Table) settle(now time.Time, a *upstreamOf, why fleet.Reason) {
 	n := 0
 	for _, k := range sortedTasks(a.runs) {
 		if k.phase != lost {
@@ -176,7 +141,7 @@
 		t.ended(now, a, k, fleet.End{Task: k.id, Run: k.run, Outcome: job.Lost, Reason: why})
 	}
 	if n > 0 {
-		t.observer.Lost(a.name, n, "agent_settled")
+		t.observer.Lost(a.Name, n, "agent_settled")
 	}
 	t.expire(a)
 }
@@ -192,20 +157,20 @@
 }
 
 // expire forgets an agent that is not linked and has nothing.
-func (t *Table) expire(a *agent) {
-	if a.linked || len(a.runs) > 0 {
+func (t *Table) expire(a *upstreamOf) {
+	if a.Linked || len(a.runs) > 0 {
 		return
 	}
-	delete(t.agents, a.id)
-	t.order = slices.DeleteFunc(t.order, func(o *agent) bool { return o == a })
+	delete(t.agents, a.ID)
+	t.order = slices.DeleteFunc(t.order, func(o *upstreamOf) bool { return o == a })
 }
 
 // learnPace takes the median of all paces, by which objectives and upstreams are judged.
 func (t *Table) learnPace() {
 	var paces []float64
 	for _, a := range t.order {
-		if a.linked && a.room.Pace > 0 {
-			paces = append(paces, a.room.Pace)
+		if a.Linked && a.Room().Pace > 0 {
+			paces = append(paces, a.Room().Pace)
 		}
 	}
 	if len(paces) == 0 {
--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -74,7 +74,7 @@
 	j.callers = nil
 	t.observer.Answered(j.id, &j.route, a, s)
 	for _, step := range j.steps {
-		for _, k := range step {
+		for _, k := range step.tasks {
 			t.drop(k)
 		}
 	}
@@ -112,7 +112,7 @@
 		return
 	}
 	k.stopping = true
-	t.agentsIO.Stop(k.agent.id, k.id, k.run)
+	t.agentsIO.Stop(k.agent.ID, k.id, k.run)
 }
 
 // forget removes a closed job of which nothing remains, and begins it anew if it was submitted again.
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -112,9 +112,9 @@
 	queues map[ident.Service]*queue
 	// queued lists the queues in the order in which they were made, so that runs repeat.
 	queued []*queue
-	agents map[ident.Incarnation]*agent
+	agents map[ident.Incarnation]*upstreamOf
 	// order lists the agents in the order in which they were linked, so that runs repeat.
-	order []*agent
+	order []*upstreamOf
 	// ticked is when Tick was last called. The process last stood still from stoodFrom until woke.
 	ticked, stoodFrom, woke time.Time
 	// pace is the median of the upstreams' paces.
@@ -128,7 +128,7 @@
 	return &Table{
 		opts: o, agentsIO: a, callers: c, observer: ob, rng: rand.New(rand.NewPCG(seed, 0)),
 		jobs: make(map[job.ID]*jobState), queues: make(map[ident.Service]*queue),
-		agents: make(map[ident.Incarnation]*agent), pace: 1,
+		agents: make(map[ident.Incarnation]*upstreamOf), pace: 1,
 		allowed: func(ident.UpstreamName, ident.Zone, ident.Service) bool { return true },
 	}
 }
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -33,7 +33,7 @@
 }
 
 // ended takes a run off its agent and decides what becomes of the task.
-func (t *Table) ended(now time.Time, a *agent, k *task, e fleet.End) {
+func (t *Table) ended(now time.Time, a *upstreamOf, k *task, e fleet.End) {
 	delete(a.runs, k.id)
 	j := k.job
 	j.out--
@@ -45,15 +45,15 @@
 	switch {
 	case j.ending:
 		k.phase = over
-		t.observer.Ended(a.name, e, "given_up")
+		t.observer.Ended(a.Name, e, "given_up")
 		t.forget(now, j)
 	case e.Reason == fleet.Superseded:
 		// The caller has sent the job to another entry; two entries that kept at it would stop each other's runs.
-		t.observer.Ended(a.name, e, "job_superseded")
+		t.observer.Ended(a.Name, e, "job_superseded")
 		k.phase = over
 		t.close(now, j, Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Superseded})
 	default:
-		k.learn(a.up.ID, e.Outcome)
+		k.learn(a.Up.ID, e.Outcome)
 		t.goOn(now, a, k, e)
 	}
 }
@@ -83,18 +83,18 @@
 }
 
 // goOn ends a task, or its job, or lets the task be placed again.
-func (t *Table) goOn(now time.Time, a *agent, k *task, e fleet.End) {
+func (t *Table) goOn(now time.Time, a *upstreamOf, k *task, e fleet.End) {
 	j := k.job
 	switch {
 	case e.Outcome == job.Done:
-		t.observer.Ended(a.name, e, "done")
+		t.observer.Ended(a.Name, e, "done")
 		t.done(now, k)
 	case e.Outcome == job.Failed && k.failures >= max(j.route.Attempts, minAttempts):
-		t.observer.Ended(a.name, e, "job_fails")
+		t.observer.Ended(a.Name, e, "job_fails")
 		k.phase = over
 		t.close(now, j, Answer{State: verdict.Failed, Verdict: verdict.Ran, Reason: verdict.TaskFailed})
 	default:
-		t.observer.Ended(a.name, e, "again")
+		t.observer.Ended(a.Name, e, "again")
 		j.begun = j.begun && (j.runs > 0)
 		t.wait(k)
 	}
@@ -105,12 +105,13 @@
 	j := k.job
 	k.phase = over
 	j.remaining--
-	j.left[k.id.Step]--
+	step := &j.steps[k.id.Step]
+	step.left--
 	if j.remaining == 0 {
 		t.close(now, j, Answer{State: verdict.Complete, Verdict: verdict.Ran})
 		return
 	}
-	if j.left[k.id.Step] == 0 {
+	if step.left == 0 {
 		t.unblock(j)
 	}
 }
@@ -157,7 +158,7 @@
 // settleSilent settles agents that have been lost for so long that nothing runs there any more.
 func (t *Table) settleSilent(now time.Time) {
 	for _, a := range slices.Clone(t.order) {
-		if !a.linked && now.Sub(a.heard) >= t.opts.Timing.SettleAfter() {
+		if !a.Linked && now.Sub(a.Heard) >= t.opts.Timing.SettleAfter() {
 			t.settle(now, a, fleet.AgentSilent)
 		}
 	}
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"hillreel/internal/core/ident"
@@ -31,7 +32,7 @@
 	phase phase
 	// run is the newest run's number.
 	run      job.Run
-	agent    *agent
+	agent    *upstreamOf
 	failures int
 	// checkpoint is the newest one that a run has saved; empty is none.
 	checkpoint string
@@ -55,12 +56,10 @@
 	// startBy is until when the job can be in time, were it placed at once.
 	startBy time.Time
 
-	steps [][]*task
-	// left counts each step's tasks that have not ended well, remaining those of all steps.
-	left      []int
-	remaining int
-	// waiting counts the tasks that can be placed, out those that an agent has or may have.
-	waiting, out int
+	steps []stepState
+	// remaining counts the tasks that have not ended well, waiting those that can be placed, out those that an agent
+	// has or may have.
+	remaining, waiting, out int
 	// runs counts the runs that were, or may have been, started; failures those that have failed.
 	runs, failures int
 	// longest is the run time of the longest run.
@@ -77,17 +76,25 @@
 	again []Request
 }
 
+// stepState is one step of a job.
+type stepState struct {
+	tasks []*task
+	// waiting are the tasks that can be placed, left counts those that have not ended well.
+	waiting []*task
+	left    int
+}
+
 // unblock queues the tasks of steps whose earlier steps have all ended.
 func (t *Table) unblock(j *jobState) {
 	for i, step := range j.spec.Steps {
 		ready := true
 		for _, before := range step.After {
-			ready = ready && j.left[before] == 0
+			ready = ready && j.steps[before].left == 0
 		}
 		if !ready {
 			continue
 		}
-		for _, k := range j.steps[i] {
+		for _, k := range j.steps[i].tasks {
 			if k.phase == blocked {
 				t.wait(k)
 			}
@@ -98,16 +105,24 @@
 // wait queues a task.
 func (t *Table) wait(k *task) {
 	k.phase, k.agent, k.stopping = waiting, nil, false
-	k.job.waiting++
-	if k.job.waiting == 1 {
-		t.queue(k.job.route.Service).add(k.job)
+	j := k.job
+	step := &j.steps[k.id.Step]
+	step.waiting = append(step.waiting, k)
+	j.waiting++
+	if j.waiting == 1 {
+		t.queue(j.route.Service).add(j)
 	}
 }
 
 // unwait takes a task out of its queue.
 func (t *Table) unwait(k *task) {
-	k.job.waiting--
-	if k.job.waiting == 0 {
-		t.queue(k.job.route.Service).remove(k.job)
+	j := k.job
+	step := &j.steps[k.id.Step]
+	if i := slices.Index(step.waiting, k); i >= 0 {
+		step.waiting = slices.Delete(step.waiting, i, i+1)
+	}
+	j.waiting--
+	if j.waiting == 0 {
+		t.queue(j.route.Service).remove(j)
 	}
 }
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -74,30 +74,34 @@
 	}
 }
 
-// placeJob places as many tasks of a job as fit, in one order for each agent and step.
+// placeJob places as many tasks of a job as fit.
 func (t *Table) placeJob(now time.Time, j *jobState) {
 	for s := range j.steps {
-		orders := make(map[*agent]*fleet.Order)
-		var agents []*agent
-		for _, k := range j.steps[s] {
-			if k.phase != waiting {
-				continue
-			}
-			a := t.choose(k)
-			if a == nil {
-				break
-			}
-			o := orders[a]
-			if o == nil {
-				o = t.newOrder(j, s)
-				orders[a] = o
-				agents = append(agents, a)
-			}
-			t.place(now, k, a, o)
+		if len(j.steps[s].waiting) > 0 {
+			t.placeStep(now, j, s)
+		}
+	}
+}
+
+// placeStep places as many tasks of a step as fit, in one order for each agent.
+func (t *Table) placeStep(now time.Time, j *jobState, s int) {
+	orders := make(map[*upstreamOf]*fleet.Order)
+	var agents []*upstreamOf
+	for _, k := range slices.Clone(j.steps[s].waiting) {
+		a := t.choose(k)
+		if a == nil {
+			break
 		}
-		for _, a := range agents {
-			t.send(now, a, orders[a])
+		o := orders[a]
+		if o == nil {
+			o = t.newOrder(j, s)
+			orders[a] = o
+			agents = append(agents, a)
 		}
+		t.place(now, k, a, o)
+	}
+	for _, a := range agents {
+		t.send(now, a, orders[a])
 	}
 }
 
@@ -108,14 +112,13 @@
 }
 
 // place notes that a task goes to an agent.
-func (t *Table) place(now time.Time, k *task, a *agent, o *fleet.Order) {
+func (t *Table) place(now time.Time, k *task, a *upstreamOf, o *fleet.Order) {
 	t.unwait(k)
 	j := k.job
 	k.run++
 	k.phase, k.agent = placed, a
 	a.runs[k.id] = k
-	a.pending = a.pending.Add(o.Each)
-	a.probing = a.room.State == fleet.Probing
+	a.Reserve(o.Each)
 	j.out++
 	j.runs++
 	j.begun = true
@@ -127,29 +130,23 @@
 	})
 }
 
-// send sends an order, and counts what it takes until the agent's room reflects it.
-func (t *Table) send(now time.Time, a *agent, o *fleet.Order) {
-	a.seq++
-	o.Seq = a.seq
-	total := job.Resources{}
-	for range o.Tasks {
-		total = total.Add(o.Each)
-	}
-	a.sent = append(a.sent, sent{o.Seq, total})
-	t.observer.Placed(o.Job, a.name, o, now.Sub(t.jobs[o.Job].submitted))
-	t.agentsIO.Order(a.id, *o)
+// send sends an order.
+func (t *Table) send(now time.Time, a *upstreamOf, o *fleet.Order) {
+	a.Number(o)
+	t.observer.Placed(o.Job, a.Name, o, now.Sub(t.jobs[o.Job].submitted))
+	t.agentsIO.Order(a.ID, *o)
 }
 
 // choose returns the agent for a task, or nil while nothing fits.
-func (t *Table) choose(k *task) *agent {
+func (t *Table) choose(k *task) *upstreamOf {
 	step := &k.job.spec.Steps[k.id.Step]
-	var best *agent
+	var best *upstreamOf
 	var bestCost float64
 	for _, a := range t.order {
 		if !t.eligible(a, k, step) {
 			continue
 		}
-		c := t.cost(a, step)
+		c := a.Cost(step, t.opts.Zone, t.pace, t.rng)
 		if best == nil || c < bestCost {
 			best, bestCost = a, c
 		}
@@ -158,77 +155,35 @@
 }
 
 // eligible tells whether a task may go to an agent now.
-func (t *Table) eligible(a *agent, k *task, step *job.Step) bool {
-	switch {
-	case !a.linked || !a.described || a.up.Service != k.job.route.Service || !a.up.Has(step.Requires):
-		return false
-	case !a.room.State.Accepts() || !step.Each.Fits(a.free()):
+func (t *Table) eligible(a *upstreamOf, k *task, step *job.Step) bool {
+	service := k.job.route.Service
+	if !a.Takes(service, step) || !t.allowed(a.Name, a.Zone, service) {
 		return false
-	case a.room.State == fleet.Probing && (a.probing || k.run > 0 && t.alternatives(k) > 0):
-		return false
-	case !t.allowed(a.name, a.zone, k.job.route.Service):
-		return false
-	case slices.Contains(k.avoid, a.up.ID) && t.alternatives(k) > 0:
+	}
+	unwanted := a.Probing() && k.run > 0 || slices.Contains(k.avoid, a.Up.ID)
+	if unwanted && t.alternatives(k) {
 		return false
 	}
 	return step.MaxPerUpstream == 0 || t.onUpstream(a, k) < int(step.MaxPerUpstream)
 }
 
-// alternatives counts the upstreams of the task's service that it does not avoid.
-func (t *Table) alternatives(k *task) int {
-	n := 0
+// alternatives tells whether a sound upstream of the task's service is there that it does not avoid.
+func (t *Table) alternatives(k *task) bool {
 	for _, a := range t.order {
-		if a.linked && a.described && a.up.Service == k.job.route.Service && a.room.State == fleet.Ready && !slices.Contains(k.avoid, a.up.ID) {
-			n++
+		if a.Serves(k.job.route.Service, fleet.Ready) && !slices.Contains(k.avoid, a.Up.ID) {
+			return true
 		}
 	}
-	return n
+	return false
 }
 
 // onUpstream counts the tasks of the same step that an agent has.
-func (t *Table) onUpstream(a *agent, k *task) int {
+func (t *Table) onUpstream(a *upstreamOf, k *task) int {
 	n := 0
-	for _, other := range k.job.steps[k.id.Step] {
+	for _, other := range k.job.steps[k.id.Step].tasks {
 		if other.agent == a && (other.phase == placed || other.phase == lost) {
 			n++
 		}
 	}
 	return n
 }
-
-// How upstreams are compared: in multiples of the median run time.
-const (
-	// loadCost is what a full upstream costs more than an empty one. It spreads tasks, so that the loss of one
-	// upstream costs few, and leaves fast ones ahead of slow ones.
-	loadCost = 0.5
-	// zoneCost is what another availability zone costs: 1 ms of a task of 50 ms.
-	zoneCost = 0.02
-	// rackCost is what a task pays away from its data: the platform's remote_factor of 1.5.
-	rackCost = 0.5
-	// spread keeps entries that see the same room from choosing the same upstream.
-	spread = 0.2
-)
-
-// cost rates an agent for a task; the lowest is chosen.
-func (t *Table) cost(a *agent, step *job.Step) float64 {
-	used := 1.0
-	if a.up.Total.CPU > 0 {
-		used = 1 - float64(a.free().CPU)/float64(a.up.Total.CPU)
-	}
-	c := t.relativePace(a) * (1 + loadCost*used + spread*t.rng.Float64())
-	if a.zone != t.opts.Zone {
-		c += zoneCost
-	}
-	if step.Prefers != "" && !a.up.Has(step.Prefers) {
-		c += rackCost
-	}
-	return c
-}
-
-// relativePace is an upstream's pace over the median.
-func (t *Table) relativePace(a *agent) float64 {
-	if a.room.Pace == 0 || t.pace == 0 {
-		return 1
-	}
-	return a.room.Pace / t.pace
-}
--- a/internal/entry/dispatch/submit.go
+++ b/internal/entry/dispatch/submit.go
@@ -83,15 +83,15 @@
 	deadline := t.deadline(now, r)
 	j := &jobState{
 		id: r.Job, spec: r.Spec, route: r.Route, callers: []CallerID{r.Caller}, sender: r.Sender, submitted: now, deadline: deadline,
-		objective: r.Route.Objective(chain), steps: make([][]*task, len(r.Spec.Steps)), left: make([]int, len(r.Spec.Steps)),
+		objective: r.Route.Objective(chain), steps: make([]stepState, len(r.Spec.Steps)),
 	}
 	j.startBy = now.Add(t.patience(j, chain))
 	for i, step := range r.Spec.Steps {
 		for k := range step.Count {
 			id := job.TaskID{Job: r.Job, Step: uint32(i), Index: k}
-			j.steps[i] = append(j.steps[i], &task{id: id, job: j, phase: blocked})
+			j.steps[i].tasks = append(j.steps[i].tasks, &task{id: id, job: j, phase: blocked})
 		}
-		j.left[i] = int(step.Count)
+		j.steps[i].left = int(step.Count)
 		j.remaining += int(step.Count)
 	}
 	t.jobs[j.id] = j
@@ -121,7 +121,7 @@
 // anyReady tells whether any upstream of a service takes work now.
 func (t *Table) anyReady(s ident.Service) bool {
 	for _, a := range t.order {
-		if a.linked && a.described && a.up.Service == s && a.room.State == fleet.Ready {
+		if a.Serves(s, fleet.Ready) {
 			return true
 		}
 	}
