agent, dispatch: runs go on over a link that is reset

Ruled out: that runs then outlive their entry. An agent keeps them no longer than before without hearing the entry (400 ms by the echoed clock), and gives them up at once when nobody listens at the entry's address any more, or when another life of it answers there. Change: after a new link the agent lists the runs that go on (message Resumed); the entry stops what it has given up meanwhile, and places again what is not listed once all else is settled. Messages of kept jobs are in the protocol file already and unused.

--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -4,8 +4,11 @@
 	"context"
 	"net"
 	"slices"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/link/codec"
@@ -34,7 +37,11 @@
 )
 
 // dialled is an entry's address that is being dialled or linked.
-type dialled struct{ cancel context.CancelFunc }
+type dialled struct {
+	cancel context.CancelFunc
+	// last is the entry that was linked last by this address; zero is none.
+	last ident.Incarnation
+}
 
 // seedLinks are the seeds' addresses for links: all entries of a region use the same port.
 func (n *Node) seedLinks(from []string) []string {
@@ -78,7 +85,7 @@
 	for l := range wanted {
 		if n.dialled[l] == nil {
 			ctx, cancel := context.WithCancel(n.ctx)
-			n.dialled[l] = &dialled{cancel}
+			n.dialled[l] = &dialled{cancel: cancel}
 			go n.keepLink(ctx, l)
 		}
 	}
@@ -100,12 +107,19 @@
 func (n *Node) keepLink(ctx context.Context, address string) {
 	since := time.Now()
 	for ctx.Err() == nil {
+		began := time.Now()
 		s, err := session.Dial(n.dial, address, n.set.Links.DialTimeout, n.hello())
 		if err == nil {
-			n.serve(s)
+			n.serve(s, address)
 			since = time.Now()
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			n.loop.Post(dialRefused{address})
+		}
 		pause := n.set.Links.RedialEvery
+		if err == nil && time.Since(began) > pause {
+			continue // a link that was reset is back sooner than its runs are given up
+		}
 		if time.Since(since) > quickDials {
 			pause *= slowDown
 		}
@@ -124,8 +138,8 @@
 }
 
 // serve runs one link until it ends.
-func (n *Node) serve(s *session.Session) {
-	if !n.loop.Post(linkUp{s}) {
+func (n *Node) serve(s *session.Session, address string) {
+	if !n.loop.Post(linkUp{s, address}) {
 		s.Close()
 		return
 	}
@@ -133,8 +147,8 @@
 	n.loop.Post(linkDown{s, err})
 }
 
-// handleLinkUp takes up a new link.
-func (n *Node) handleLinkUp(now time.Time, s *session.Session) {
+// handleLinkUp takes up a new link with the entry at an address.
+func (n *Node) handleLinkUp(now time.Time, s *session.Session, address string) {
 	if old := n.links.Get(ident.Incarnation(s.Remote.GetIncarnation())); old != nil {
 		// The entry goes by two addresses. The older link is kept: with the newer one, the two would go on replacing
 		// each other.
@@ -142,10 +156,24 @@
 		return
 	}
 	l := n.links.Add(now, s)
+	if d := n.dialled[address]; d != nil {
+		if d.last != l.Peer {
+			n.keeper.Gone(now, d.last, "restarted")
+		}
+		d.last = l.Peer
+	}
 	n.keeper.Linked(now, l.Peer)
 	n.passConfig(l)
 }
 
+// handleRefused handles an address at which nobody listens any more: the entry that was there has ended.
+func (n *Node) handleRefused(now time.Time, address string) {
+	if d := n.dialled[address]; d != nil && d.last != 0 {
+		n.keeper.Gone(now, d.last, "refused")
+		d.last = 0
+	}
+}
+
 // handleLinkDown handles the end of a link's session: its entry is out of hearing.
 func (n *Node) handleLinkDown(now time.Time, s *session.Session, err error) {
 	if l := n.links.Ended(s, err); l != nil {
@@ -210,5 +238,10 @@
 // End tells how a run ended.
 func (s *sender) End(to ident.Incarnation, e fleet.End) { s.links.Send(to, codec.End(e)) }
 
+// Resumed tells which runs of an earlier session go on.
+func (s *sender) Resumed(to ident.Incarnation, runs []fleet.RunRef) {
+	s.links.Send(to, codec.Resumed(runs))
+}
+
 // Settled tells that nothing of earlier sessions remains.
 func (s *sender) Settled(to ident.Incarnation) { s.links.Send(to, codec.Settled()) }
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -114,8 +114,13 @@
 		answered    bool
 		end         any
 	}
-	linkUp   struct{ session *session.Session }
-	linkDown struct {
+	linkUp struct {
+		session *session.Session
+		address string
+	}
+	// dialRefused says that nobody listens at an entry's address.
+	dialRefused struct{ address string }
+	linkDown    struct {
 		session *session.Session
 		err     error
 	}
@@ -161,7 +166,9 @@
 		n.log.WithField("upstream", e.id).Info("upstream_left")
 		n.keeper.Left(now, e.id)
 	case linkUp:
-		n.handleLinkUp(now, e.session)
+		n.handleLinkUp(now, e.session, e.address)
+	case dialRefused:
+		n.handleRefused(now, e.address)
 	case linkDown:
 		n.handleLinkDown(now, e.session, e.err)
 	case received:
--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -268,7 +268,7 @@
 // Tick does what time alone brings about.
 func (k *Keeper) Tick(now time.Time) {
 	for _, s := range k.order {
-		if s.linked && s.heard && !k.fresh(now, s) {
+		if (s.heard || !s.linked) && !k.heardLately(now, s) {
 			k.orphan(now, s.entry, "silent")
 		}
 	}
--- a/internal/agent/upstream/sessions.go
+++ b/internal/agent/upstream/sessions.go
@@ -56,10 +56,17 @@
 	if s.linked {
 		k.Unlinked(now, entry, "replaced")
 	}
-	*s = session{entry: entry, epoch: s.epoch + 1, linked: true, dirty: true, urgent: true, unsent: s.unsent}
+	*s = session{
+		entry: entry, epoch: s.epoch + 1, linked: true, dirty: true, urgent: true, unsent: s.unsent, echoed: s.echoed, heard: s.heard,
+	}
 	if k.known {
 		k.entries.Upstream(entry, k.up)
 	}
+	if k.heardLately(now, s) {
+		k.resume(s)
+	} else {
+		k.orphan(now, entry, "silent")
+	}
 	for _, l := range s.unsent {
 		if now.Sub(l.at) < unsentFor {
 			k.entries.End(entry, l.end)
@@ -69,14 +76,39 @@
 	k.settle(entry)
 }
 
-// Unlinked handles the end of an entry's session: its runs have nobody left who wants them.
+// resume lets the runs of an entry's earlier session go on under its new one, unless they are being stopped because
+// nobody wants them.
+func (k *Keeper) resume(s *session) {
+	var runs []fleet.RunRef
+	for _, r := range k.sorted() {
+		if r.owner == s.entry && (r.stop == nil || !r.stop.unwanted) {
+			r.epoch = s.epoch
+			runs = append(runs, fleet.RunRef{Task: r.task, Run: r.number})
+		}
+	}
+	if len(runs) > 0 {
+		k.entries.Resumed(s.entry, runs)
+	}
+}
+
+// Unlinked handles the end of an entry's session. A link that was reset is back in a moment, so its runs go on until
+// the entry has not been heard for the silence.
 func (k *Keeper) Unlinked(now time.Time, entry ident.Incarnation, why string) {
 	s := k.sessions[entry]
 	if s == nil || !s.linked {
 		return
 	}
 	s.linked, s.ended = false, now
-	k.orphan(now, entry, why)
+	if !k.heardLately(now, s) {
+		k.orphan(now, entry, why)
+	}
+}
+
+// Gone handles that an entry has surely ended: its runs have nobody left who wants them.
+func (k *Keeper) Gone(now time.Time, entry ident.Incarnation, why string) {
+	if s := k.sessions[entry]; s != nil && !s.linked {
+		k.orphan(now, entry, why)
+	}
 }
 
 // forgetSessions drops entries that have been gone for so long that they have settled their tasks by time.
@@ -130,10 +162,15 @@
 	}
 }
 
-// fresh tells whether an entry was heard recently enough to keep its runs. It counts from when the agent
+// heardLately tells whether an entry was heard recently enough to keep its runs. It counts from when the agent
 // sent the reading that came back, so that a message held up on the way keeps nothing alive.
+func (k *Keeper) heardLately(now time.Time, s *session) bool {
+	return s.heard && k.uptime(now)-s.echoed < k.timing.Silence
+}
+
+// fresh tells whether orders of an entry are taken.
 func (k *Keeper) fresh(now time.Time, s *session) bool {
-	return s != nil && s.linked && s.heard && k.uptime(now)-s.echoed < k.timing.Silence
+	return s != nil && s.linked && k.heardLately(now, s)
 }
 
 // tellRun tells the owner of a run how it ended, or keeps that until the owner is back.
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -23,6 +23,8 @@
 	Upstream(to ident.Incarnation, u fleet.Upstream)
 	Room(to ident.Incarnation, r fleet.Room)
 	End(to ident.Incarnation, e fleet.End)
+	// Resumed tells which runs of the entry's earlier session go on.
+	Resumed(to ident.Incarnation, runs []fleet.RunRef)
 	Settled(to ident.Incarnation)
 }
 
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -90,6 +90,12 @@
 	return job.TaskID{Job: o.Job, Step: o.Step, Index: o.Tasks[i].Index}
 }
 
+// RunRef names one run.
+type RunRef struct {
+	Task job.TaskID
+	Run  job.Run
+}
+
 // End reports how a run ended.
 type End struct {
 	Task    job.TaskID
--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -122,6 +122,28 @@
 	}
 }
 
+// Resumed handles an agent's word on the runs of this entry's earlier session that go on under the new one.
+func (t *Table) Resumed(id ident.Incarnation, runs []fleet.RunRef) {
+	a := t.agents[id]
+	if a == nil {
+		return
+	}
+	for _, r := range runs {
+		k := a.runs[r.Task]
+		if k == nil || k.run != r.Run {
+			t.agentsIO.Stop(id, r.Task, r.Run) // it was given up meanwhile
+			continue
+		}
+		k.phase = placed
+		if k.job.ending || k.stopping {
+			// The wish to stop it may have been lost with the former session.
+			k.stopping = false
+			t.stop(k)
+		}
+	}
+	t.observer.Lost(a.Name, len(runs), "agent_resumed")
+}
+
 // Settled handles an agent's word that nothing of this entry's earlier sessions remains there.
 func (t *Table) Settled(now time.Time, id ident.Incarnation) {
 	if a := t.agents[id]; a != nil {
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -298,3 +298,29 @@
 	b.end(b.orders[2], 0, job.Done, "")
 	qt.Assert(t, b.answers[1].State, qt.Equals, verdict.Complete)
 }
+
+// TestLinkThatIsResetCostsNoRun: runs that the agent still has go on; what it does not list is placed again once the
+// agent says that nothing else is left, and what was given up meanwhile is stopped.
+func TestLinkThatIsResetCostsNoRun(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit(7, 1, 2, time.Second, time.Minute)
+	b.room(1, fleet.Ready, 2000, 1)
+	o := b.orders[0]
+	qt.Assert(t, o.Tasks, qt.HasLen, 2)
+	b.table.Unlinked(b.now, 1)
+	b.link(1)
+	b.table.Resumed(1, []fleet.RunRef{{Task: o.Task(0), Run: 1}})
+	b.room(1, fleet.Ready, 1000, 0)
+	b.table.Settled(b.now, 1)
+	qt.Assert(t, b.orders, qt.HasLen, 2)
+	qt.Assert(t, b.orders[1].Task(0), qt.Equals, o.Task(1))
+	b.end(o, 0, job.Done, "")
+	b.table.Unlinked(b.now, 1)
+	b.table.Abandon(b.now, 7, 1)
+	qt.Assert(t, b.stops, qt.HasLen, 0) // nobody hears it
+	b.link(1)
+	b.table.Resumed(1, []fleet.RunRef{{Task: o.Task(1), Run: 2}, {Task: job.TaskID{Job: 9}, Run: 4}})
+	qt.Assert(t, b.stops, qt.HasLen, 2)
+	qt.Assert(t, b.stops[0], qt.Equals, stop{1, o.Task(1), 2})
+	qt.Assert(t, b.stops[1], qt.Equals, stop{1, job.TaskID{Job: 9}, 4})
+}
--- a/internal/entry/node/links.go
+++ b/internal/entry/node/links.go
@@ -103,6 +103,8 @@
 		n.table.Room(now, l.Peer, r)
 	case *wire.Msg_Ended:
 		n.table.Ended(now, l.Peer, codec.ReadEnd(m.Ended))
+	case *wire.Msg_Resumed:
+		n.table.Resumed(l.Peer, codec.ReadResumed(m.Resumed))
 	case *wire.Msg_Settled:
 		n.table.Settled(now, l.Peer)
 	case *wire.Msg_Config:
--- a/internal/link/codec/codec.go
+++ b/internal/link/codec/codec.go
@@ -122,6 +122,32 @@
 	}
 }
 
+// runRef encodes the name of a run.
+func runRef(r fleet.RunRef) *wire.RunRef {
+	return &wire.RunRef{Job: uint64(r.Task.Job), Step: r.Task.Step, Index: r.Task.Index, Run: uint32(r.Run)}
+}
+
+// readRunRefs decodes names of runs.
+func readRunRefs(in []*wire.RunRef) []fleet.RunRef {
+	out := make([]fleet.RunRef, len(in))
+	for i, r := range in {
+		out[i] = fleet.RunRef{Task: job.TaskID{Job: job.ID(r.GetJob()), Step: r.GetStep(), Index: r.GetIndex()}, Run: job.Run(r.GetRun())}
+	}
+	return out
+}
+
+// Resumed encodes which runs of an earlier session go on.
+func Resumed(runs []fleet.RunRef) *wire.Msg {
+	m := &wire.Resumed{}
+	for _, r := range runs {
+		m.Runs = append(m.Runs, runRef(r))
+	}
+	return &wire.Msg{Kind: &wire.Msg_Resumed{Resumed: m}}
+}
+
+// ReadResumed decodes which runs of an earlier session go on.
+func ReadResumed(m *wire.Resumed) []fleet.RunRef { return readRunRefs(m.GetRuns()) }
+
 // Settled encodes that nothing remains of an entry's earlier sessions.
 func Settled() *wire.Msg { return &wire.Msg{Kind: &wire.Msg_Settled{Settled: &wire.Settled{}}} }
 
--- a/internal/proof/schedule/process_test.go
+++ b/internal/proof/schedule/process_test.go
@@ -157,6 +157,8 @@
 	waiting map[dispatch.CallerID]func(dispatch.Answer)
 	// open holds the requests whose connections end with the process.
 	open map[dispatch.CallerID]openRequest
+	// power: the process ended with its VM's power, so that nothing says that it has ended.
+	power bool
 	// clientCut: nothing gets through to callers or from them, unnoticed by the entry.
 	clientCut bool
 }
@@ -175,6 +177,8 @@
 	toAgent, toEnt bool
 	slow           time.Duration
 	open           []*linkSide
+	// last is the entry's life that was linked last.
+	last ident.Incarnation
 }
 
 func (w *world) startEntry(e *entryProc) {
@@ -241,6 +245,11 @@
 	if ready && p.a.links[&p.e.proc] == nil {
 		w.link(p)
 	}
+	if !p.e.alive && !p.e.power && p.a.alive && !p.a.frozen && !p.toAgent && !p.toEnt {
+		// The VM answers that nobody listens.
+		p.a.keeper.Gone(w.now, p.last, "refused")
+		p.a.flush()
+	}
 	w.after(redial, func() { w.dial(p) })
 }
 
@@ -254,6 +263,10 @@
 		p.e.table.Unlinked(w.now, old.other.inc)
 	}
 	p.e.links[&p.a.proc], p.a.links[&p.e.proc] = toAgent, toEntry
+	if p.last != p.e.inc {
+		p.a.keeper.Gone(w.now, p.last, "restarted")
+		p.last = p.e.inc
+	}
 	p.e.table.Linked(w.now, p.a.inc, "vm", "z")
 	p.a.keeper.Linked(w.now, p.e.inc)
 	p.a.flush()
@@ -409,6 +422,10 @@
 	x.tell(to, func(p *entryProc, _ *linkSide) { p.table.Ended(p.w.now, x.inc, e) })
 }
 
+func (x agentIO) Resumed(to ident.Incarnation, runs []fleet.RunRef) {
+	x.tell(to, func(e *entryProc, _ *linkSide) { e.table.Resumed(x.inc, runs) })
+}
+
 func (x agentIO) Settled(to ident.Incarnation) {
 	x.tell(to, func(e *entryProc, _ *linkSide) { e.table.Settled(e.w.now, x.inc) })
 }
