agent, dispatch: tasks move off upstreams that become slow, and wait for others rather than be late there

The rule stops_first no longer failed in 4,000 schedules, since a crash of the experiment that hid it was mended (forget deleted a job's successor): the schedules have impatient callers now, who send a job again at once, and slow upstreams; it fails at schedule 14 without the rule.

--- a/internal/agent/health/health.go
+++ b/internal/agent/health/health.go
@@ -3,6 +3,7 @@
 package health
 
 import (
+	"math"
 	"time"
 
 	"hillreel/internal/core/ident"
@@ -19,14 +20,15 @@
 	probePause = 400 * time.Millisecond
 	// probeTurn is how long an entry has to send a probe before it is another entry's turn.
 	probeTurn = 100 * time.Millisecond
-	// paceWeight is the weight of the newest sample of the pace; estimates are off by 40%, so single ones tell little.
-	paceWeight = 0.1
+	// paceMemory is how much time of runs the pace rests on. Estimates are off by 40%, so that a few runs tell little;
+	// an upstream with ten runs under way shows that it has become slow within 0.2 s.
+	paceMemory = 3 * time.Second
 	// stallFloor and stallShare of the estimate are how long a run may show no progress. Estimates are off by
 	// 40% and upstreams by 25%, so a sound run advances at least once in a twentieth of this.
 	stallFloor = 50 * time.Millisecond
 	stallShare = 0.25
-	// SamplePercent is from which progress on a run says how fast its upstream is.
-	SamplePercent = 20
+	// slowFactor times the median of all paces is what makes an upstream slow. Sound ones differ by half.
+	slowFactor = 1.7
 )
 
 // Health is what an agent believes of its upstream's soundness. The zero Health is that of a sound upstream.
@@ -36,8 +38,8 @@
 	// probeAt is when the next probe may begin; probes counts them, to give all entries a turn.
 	probeAt time.Time
 	probes  int
-	// pace is the recent ratio of run time to estimate.
-	pace float64
+	// spent is the time of runs that the pace rests on, work what their estimates say that it should have taken.
+	spent, work float64
 }
 
 // Started notes the start of a run.
@@ -80,21 +82,23 @@
 	return entries[(h.probes+turn)%len(entries)]
 }
 
-// Took learns the pace from a run: how long it took, or will take at its present speed, against its estimate.
-func (h *Health) Took(took, estimate time.Duration) {
-	if estimate <= 0 {
-		return
-	}
-	ratio := float64(took) / float64(estimate)
-	if h.pace == 0 {
-		h.pace = ratio
-		return
-	}
-	h.pace += paceWeight * (ratio - h.pace)
+// Progress learns the pace: a run has got on, within spent, by as much as its estimate says should take work.
+func (h *Health) Progress(spent, work time.Duration) {
+	keep := math.Exp(-float64(spent) / float64(paceMemory))
+	h.spent = h.spent*keep + float64(spent)
+	h.work = h.work*keep + float64(work)
 }
 
 // Pace is the recent ratio of run times to estimates; zero is unknown.
-func (h *Health) Pace() float64 { return h.pace }
+func (h *Health) Pace() float64 {
+	if h.work == 0 {
+		return 0
+	}
+	return h.spent / h.work
+}
+
+// Slow tells whether the upstream is slow beside others; median is the median of all paces, zero when it is unknown.
+func (h *Health) Slow(median float64) bool { return median > 0 && h.Pace() > slowFactor*median }
 
 // Stalled tells whether a run that has shown no progress for idle stands still.
 func Stalled(idle, estimate time.Duration) bool {
--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -187,11 +187,11 @@
 	case *wire.Msg_Start:
 		n.keeper.Order(now, l.Peer, codec.ReadOrder(m.Start))
 	case *wire.Msg_Stop:
-		task, run := codec.ReadStop(m.Stop)
-		n.keeper.StopTask(now, l.Peer, task, run)
+		r, why := codec.ReadStop(m.Stop)
+		n.keeper.StopTask(now, l.Peer, r.Task, r.Run, why)
 	case *wire.Msg_Ping:
-		echo, version := codec.ReadPing(m.Ping)
-		n.keeper.Ping(now, l.Peer, echo)
+		echo, version, pace := codec.ReadPing(m.Ping)
+		n.keeper.Ping(now, l.Peer, echo, pace)
 		l.Config = max(l.Config, version)
 		n.passConfig(l)
 	case *wire.Msg_Config:
@@ -243,5 +243,10 @@
 	s.links.Send(to, codec.Resumed(runs))
 }
 
+// Progress tells how runs get on while the upstream is slow.
+func (s *sender) Progress(to ident.Incarnation, runs []fleet.Progress) {
+	s.links.Send(to, codec.Progress(runs))
+}
+
 // Settled tells that nothing of earlier sessions remains.
 func (s *sender) Settled(to ident.Incarnation) { s.links.Send(to, codec.Settled()) }
--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -8,6 +8,7 @@
 	"hillreel/internal/agent/call"
 	"hillreel/internal/agent/health"
 	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/rule"
 )
@@ -161,6 +162,7 @@
 		}
 	}
 	k.looked = true
+	k.tellSlow(now)
 }
 
 // ended handles one listed end.
@@ -213,8 +215,7 @@
 		r.phase, r.sure = running, now
 	}
 	if l.Percent > r.percent {
-		r.percent, r.advanced = l.Percent, now
-		k.sample(now, r)
+		k.advance(now, r, l.Percent)
 	}
 	if r.stop == nil && stalled(now, r) {
 		k.stopRun(now, r, stopping{outcome: job.Stalled, reason: fleet.NoProgress})
@@ -226,13 +227,34 @@
 	return r.phase == running && r.percent < 100 && health.Stalled(now.Sub(r.advanced), r.estimate)
 }
 
-// sample learns the pace from a run that is well under way.
-func (k *Keeper) sample(now time.Time, r *run) {
-	if r.sampled || r.percent < health.SamplePercent {
+// advance notes that a run has got on.
+func (k *Keeper) advance(now time.Time, r *run, percent int) {
+	k.health.Progress(now.Sub(r.advanced), r.estimate*time.Duration(percent-r.percent)/100)
+	r.percent, r.advanced = percent, now
+}
+
+// slowEvery is the pause between two tellings of how runs on a slow upstream get on.
+const slowEvery = 50 * time.Millisecond
+
+// tellSlow tells entries how long their runs will still take, while the upstream is slow beside others.
+func (k *Keeper) tellSlow(now time.Time) {
+	if !k.health.Slow(k.median) || now.Sub(k.slowTold) < slowEvery {
 		return
 	}
-	r.sampled = true
-	k.health.Took(now.Sub(r.begun)*100/time.Duration(r.percent), r.estimate)
+	k.slowTold = now
+	byOwner := make(map[ident.Incarnation][]fleet.Progress)
+	for _, r := range k.sorted() {
+		if r.phase != running || r.stop != nil {
+			continue
+		}
+		left := time.Duration(float64(r.estimate) * float64(100-r.percent) / 100 * k.health.Pace())
+		byOwner[r.owner] = append(byOwner[r.owner], fleet.Progress{RunRef: fleet.RunRef{Task: r.task, Run: r.number}, Left: left})
+	}
+	for _, s := range k.order {
+		if runs := byOwner[s.entry]; s.linked && len(runs) > 0 {
+			k.entries.Progress(s.entry, runs)
+		}
+	}
 }
 
 // stray stops a run that nobody here has ordered: one of an earlier agent, or a start that came late.
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -96,8 +96,9 @@
 	})
 }
 
-// StopTask handles an entry's wish to stop a run. Its end is told when it is certain.
-func (k *Keeper) StopTask(now time.Time, entry ident.Incarnation, task job.TaskID, number job.Run) {
+// StopTask handles an entry's wish to stop a run, because nobody wants it any more or, with Moved, to place its task
+// elsewhere. Its end is told when it is certain.
+func (k *Keeper) StopTask(now time.Time, entry ident.Incarnation, task job.TaskID, number job.Run, why fleet.Reason) {
 	r := k.runs[task]
 	if r != nil && r.next != nil && r.next.owner == entry && r.next.order.Tasks[r.next.index].Run == number {
 		k.refuse(*r.next, fleet.OnRequest)
@@ -108,7 +109,7 @@
 		k.tell(entry, fleet.End{Task: task, Run: number, Outcome: job.NotStarted, Reason: fleet.NotListed})
 		return
 	}
-	k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.OnRequest, unwanted: true})
+	k.stopRun(now, r, stopping{outcome: job.Stopped, reason: why, unwanted: why != fleet.Moved})
 }
 
 // stopRun begins to stop a run, or makes a stop under way more urgent.
@@ -244,9 +245,7 @@
 	switch e.Outcome {
 	case job.Done:
 		k.health.Good(now)
-		if !r.sampled {
-			k.health.Took(now.Sub(r.begun), r.estimate)
-		}
+		k.advance(now, r, 100)
 	case job.Failed:
 		// A job that has failed elsewhere says nothing of this upstream.
 		if r.earlier == 0 {
--- a/internal/agent/upstream/sessions.go
+++ b/internal/agent/upstream/sessions.go
@@ -152,8 +152,11 @@
 	}
 }
 
-// Ping handles a keep-alive of an entry.
-func (k *Keeper) Ping(now time.Time, entry ident.Incarnation, echoed time.Duration) {
+// Ping handles a keep-alive of an entry; pace is the median of all upstreams' paces as it knows them, or zero.
+func (k *Keeper) Ping(now time.Time, entry ident.Incarnation, echoed time.Duration, pace float64) {
+	if pace > 0 {
+		k.median = pace
+	}
 	if k.without.Off(rule.EchoedClock) {
 		echoed = k.uptime(now)
 	}
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -25,6 +25,8 @@
 	End(to ident.Incarnation, e fleet.End)
 	// Resumed tells which runs of the entry's earlier session go on.
 	Resumed(to ident.Incarnation, runs []fleet.RunRef)
+	// Progress tells how the entry's runs get on while the upstream is slow.
+	Progress(to ident.Incarnation, runs []fleet.Progress)
 	Settled(to ident.Incarnation)
 }
 
@@ -80,6 +82,10 @@
 	// order lists the sessions from the oldest on, so that runs of the state machine repeat.
 	order  []*session
 	health health.Health
+	// median is the median of all upstreams' paces, as an entry told it last; slowTold is when entries were told last
+	// how runs get on while this one is slow.
+	median   float64
+	slowTold time.Time
 	// told is the state that entries were told last.
 	told fleet.State
 }
@@ -123,8 +129,6 @@
 	// percent is how much of its work is done, advanced when that last grew.
 	percent  int
 	advanced time.Time
-	// sampled is true once the run has told of the upstream's pace.
-	sampled bool
 
 	// stop is nil until the run is to be stopped.
 	stop *stopping
--- a/internal/agent/upstream/upstream_test.go
+++ b/internal/agent/upstream/upstream_test.go
@@ -32,6 +32,7 @@
 	ends     map[ident.Incarnation][]fleet.End
 	rooms    map[ident.Incarnation]fleet.Room
 	resumed  []fleet.RunRef
+	progress []fleet.Progress
 	// told counts messages about room.
 	told int
 	seq  uint64
@@ -44,6 +45,9 @@
 func (b *bench) Room(to ident.Incarnation, r fleet.Room)    { b.rooms[to] = r; b.told++ }
 func (b *bench) End(to ident.Incarnation, e fleet.End)      { b.ends[to] = append(b.ends[to], e) }
 func (b *bench) Settled(ident.Incarnation)                  {}
+func (b *bench) Progress(_ ident.Incarnation, runs []fleet.Progress) {
+	b.progress = append(b.progress, runs...)
+}
 func (b *bench) Resumed(_ ident.Incarnation, runs []fleet.RunRef) {
 	b.resumed = append(b.resumed, runs...)
 }
@@ -74,7 +78,7 @@
 	for _, e := range []ident.Incarnation{one, two} {
 		b.keeper.Linked(b.now, e)
 		b.keeper.Flush(b.now)
-		b.keeper.Ping(b.now, e, b.rooms[e].Clock)
+		b.keeper.Ping(b.now, e, b.rooms[e].Clock, 0)
 	}
 	return b
 }
@@ -145,7 +149,7 @@
 	b := newBench(t, nil)
 	b.order(one, 1)
 	b.keeper.StartDone(b.now, b.starts[0], call.Unanswered, 0)
-	b.keeper.StopTask(b.now, one, task, 1)
+	b.keeper.StopTask(b.now, one, task, 1, fleet.OnRequest)
 	for range 20 {
 		for _, c := range b.stops {
 			b.keeper.StopDone(b.now, c, call.OK, 0)
@@ -154,7 +158,7 @@
 		b.pass(60 * time.Millisecond)
 		b.look()
 		b.pass(40 * time.Millisecond)
-		b.keeper.Ping(b.now, one, b.rooms[one].Clock)
+		b.keeper.Ping(b.now, one, b.rooms[one].Clock, 0)
 		b.keeper.Tick(b.now)
 		b.keeper.Flush(b.now)
 	}
@@ -169,7 +173,7 @@
 		want  fleet.Reason
 	}{
 		{"not heard for too long", func(b *bench) { b.pass(timing.Silence) }, fleet.StaleSession},
-		{"heard only now, but of long ago", func(b *bench) { b.pass(timing.Silence); b.keeper.Ping(b.now, one, time.Millisecond) }, fleet.StaleSession},
+		{"heard only now, but of long ago", func(b *bench) { b.pass(timing.Silence); b.keeper.Ping(b.now, one, time.Millisecond, 0) }, fleet.StaleSession},
 		{"leaving", func(b *bench) { b.keeper.Leave() }, fleet.NotAccepting},
 		{"upstream draining", func(b *bench) {
 			b.keeper.Beat(b.now, upstream.Beat{Upstream: fleet.Upstream{ID: "u-1"}, Sequence: 2, Draining: true})
@@ -214,7 +218,7 @@
 		})
 		b.pass(50 * time.Millisecond)
 		for _, e := range []ident.Incarnation{one, two} {
-			b.keeper.Ping(b.now, e, b.rooms[e].Clock)
+			b.keeper.Ping(b.now, e, b.rooms[e].Clock, 0)
 		}
 		b.keeper.Flush(b.now)
 	}
@@ -231,7 +235,7 @@
 		for range 4 {
 			b.pass(100 * time.Millisecond)
 			for _, e := range []ident.Incarnation{one, two} {
-				b.keeper.Ping(b.now, e, b.rooms[e].Clock)
+				b.keeper.Ping(b.now, e, b.rooms[e].Clock, 0)
 			}
 			b.keeper.Flush(b.now)
 		}
@@ -267,7 +271,7 @@
 			b.keeper.StartDone(b.now, b.starts[0], call.OK, 0)
 			for step := range 20 {
 				b.pass(50 * time.Millisecond)
-				b.keeper.Ping(b.now, one, b.rooms[one].Clock)
+				b.keeper.Ping(b.now, one, b.rooms[one].Clock, 0)
 				b.look(call.Listed{Task: task, Run: 1, Percent: test.percent(step)})
 				b.keeper.Flush(b.now)
 			}
@@ -286,7 +290,7 @@
 	var took time.Duration
 	for took = 0; b.keeper.Runs() > 0 && took < 3*time.Second; took += 10 * time.Millisecond {
 		b.pass(10 * time.Millisecond)
-		b.keeper.Ping(b.now, one, b.rooms[one].Clock)
+		b.keeper.Ping(b.now, one, b.rooms[one].Clock, 0)
 		if c := b.holds[len(b.holds)-1]; b.now.Sub(c.Sent) >= 250*time.Millisecond {
 			b.keeper.HoldDone(b.now, c, call.Held{Answer: call.Unanswered})
 		}
@@ -315,7 +319,7 @@
 			old := b.rooms[one].Clock
 			b.pass(timing.Silence + timing.KeepAlive)
 			b.keeper.Flush(b.now)
-			b.keeper.Ping(b.now, one, old+time.Microsecond)
+			b.keeper.Ping(b.now, one, old+time.Microsecond, 0)
 			b.order(one, 1)
 			qt.Assert(t, b.starts, qt.HasLen, test.starts)
 		})
@@ -327,7 +331,7 @@
 // lost does; the run of such a job went on for as long as stops were lost (schedule 1077).
 func TestLeasesLapseWhenAStopFails(t *testing.T) {
 	lost := func(b *bench) { b.keeper.Unlinked(b.now, one, "broken"); b.keeper.Gone(b.now, one, "refused") }
-	asked := func(b *bench) { b.keeper.StopTask(b.now, one, task, 1) }
+	asked := func(b *bench) { b.keeper.StopTask(b.now, one, task, 1, fleet.OnRequest) }
 	for _, test := range []struct {
 		name    string
 		without rule.Set
@@ -509,3 +513,38 @@
 		})
 	}
 }
+
+// TestSlowUpstreamTellsItsEntries: once the upstream is slow beside others, entries hear how long their runs will still
+// take. Before, a run that had begun there ended late, whatever room there was elsewhere.
+func TestSlowUpstreamTellsItsEntries(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		median float64
+		// percent is the progress in each 50 ms of a run estimated at 1 s.
+		percent int
+		told    bool
+	}{
+		{"as fast as others", 1, 5, false},
+		{"slow", 1, 1, true},
+		{"slow as all others are", 5, 1, false},
+		{"others unknown", 0, 1, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.order(one, 1)
+			b.keeper.StartDone(b.now, b.starts[0], call.OK, 0)
+			for i := range 10 {
+				b.pass(50 * time.Millisecond)
+				b.keeper.Ping(b.now, one, b.rooms[one].Clock, test.median)
+				b.look(call.Listed{Task: task, Run: 1, Percent: (i + 1) * test.percent})
+				b.keeper.Flush(b.now)
+			}
+			qt.Assert(t, len(b.progress) > 0, qt.Equals, test.told)
+			if test.told {
+				last := b.progress[len(b.progress)-1]
+				qt.Assert(t, last.RunRef, qt.Equals, fleet.RunRef{Task: task, Run: 1})
+				qt.Assert(t, last.Left > 3*time.Second && last.Left < 6*time.Second, qt.IsTrue, qt.Commentf("%v", last.Left))
+			}
+		})
+	}
+}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -96,6 +96,13 @@
 	Run  job.Run
 }
 
+// Progress tells how a run on a slow upstream gets on.
+type Progress struct {
+	RunRef
+	// Left is how long it will still take at the upstream's present pace.
+	Left time.Duration
+}
+
 // End reports how a run ended.
 type End struct {
 	Task    job.TaskID
@@ -113,15 +120,17 @@
 
 // The reasons.
 const (
-	NoRoom        Reason = "no_room"
-	NotAccepting  Reason = "not_accepting"
-	StaleSession  Reason = "stale_session"
-	Refused       Reason = "upstream_refused"
-	NeverArrived  Reason = "never_arrived"
-	LeaseLapsed   Reason = "lease_lapsed"
-	UpstreamGone  Reason = "upstream_gone"
-	NoProgress    Reason = "no_progress"
-	OnRequest     Reason = "on_request"
+	NoRoom       Reason = "no_room"
+	NotAccepting Reason = "not_accepting"
+	StaleSession Reason = "stale_session"
+	Refused      Reason = "upstream_refused"
+	NeverArrived Reason = "never_arrived"
+	LeaseLapsed  Reason = "lease_lapsed"
+	UpstreamGone Reason = "upstream_gone"
+	NoProgress   Reason = "no_progress"
+	OnRequest    Reason = "on_request"
+	// Moved: the upstream has become slow, and the task will sooner be done elsewhere.
+	Moved         Reason = "moved"
 	NotListed     Reason = "not_listed"
 	AgentSilent   Reason = "agent_silent"
 	AgentReplaced Reason = "agent_replaced"
--- a/internal/entry/agent/agent.go
+++ b/internal/entry/agent/agent.go
@@ -145,6 +145,12 @@
 	return c
 }
 
+// slowFactor times the median pace is what makes an upstream slow, as agents judge it themselves.
+const slowFactor = 1.7
+
+// Slow tells whether the upstream is slow beside others; median is the median of all paces.
+func (a *Account) Slow(median float64) bool { return a.relativePace(median) > slowFactor }
+
 // relativePace is the upstream's pace over the median.
 func (a *Account) relativePace(median float64) float64 {
 	if a.room.Pace == 0 || median == 0 {
--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -131,10 +131,10 @@
 	for _, r := range runs {
 		k := a.runs[r.Task]
 		if k == nil || k.run != r.Run {
-			t.agentsIO.Stop(id, r.Task, r.Run) // it was given up meanwhile
+			t.agentsIO.Stop(id, r, fleet.OnRequest) // it was given up meanwhile
 			continue
 		}
-		k.phase = placed
+		k.phase, k.moving = placed, false
 		if k.job.ending || k.stopping {
 			// The wish to stop it may have been lost with the former session.
 			k.stopping = false
--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/invariant"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/rule"
@@ -112,7 +113,7 @@
 		return
 	}
 	k.stopping = true
-	t.agentsIO.Stop(k.agent.ID, k.id, k.run)
+	t.agentsIO.Stop(k.agent.ID, k.ref(), fleet.OnRequest)
 }
 
 // forget removes a closed job of which nothing remains, and begins it anew if it was submitted again.
@@ -120,8 +121,12 @@
 	if !j.ending || j.out > 0 && !(t.opts.Without.Off(rule.StopsFirst) && len(j.again) > 0) {
 		return
 	}
-	delete(t.jobs, j.id)
-	for _, r := range j.again {
+	if t.jobs[j.id] == j {
+		delete(t.jobs, j.id)
+	}
+	again := j.again
+	j.again = nil
+	for _, r := range again {
 		t.Submit(now, r)
 	}
 }
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -45,7 +45,8 @@
 // Agents sends to agents.
 type Agents interface {
 	Order(agent ident.Incarnation, o fleet.Order)
-	Stop(agent ident.Incarnation, task job.TaskID, run job.Run)
+	// Stop asks for the end of a run: nobody wants it any more, or, with fleet.Moved, its task is to go elsewhere.
+	Stop(agent ident.Incarnation, r fleet.RunRef, why fleet.Reason)
 }
 
 // Callers answers callers.
@@ -136,6 +137,9 @@
 // SetAllowed replaces what configuration lets upstreams serve.
 func (t *Table) SetAllowed(f Allowed) { t.allowed = f }
 
+// Pace is the median of the upstreams' paces; zero is unknown.
+func (t *Table) Pace() float64 { return t.pace }
+
 // Jobs returns how many jobs are held, those that are only being stopped included.
 func (t *Table) Jobs() int { return len(t.jobs) }
 
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -29,8 +29,8 @@
 
 type stop struct {
 	agent ident.Incarnation
-	task  job.TaskID
-	run   job.Run
+	run   fleet.RunRef
+	why   fleet.Reason
 }
 
 // bench drives a Table by hand.
@@ -44,8 +44,8 @@
 }
 
 func (b *bench) Order(a ident.Incarnation, o fleet.Order) { b.orders = append(b.orders, order{a, o}) }
-func (b *bench) Stop(a ident.Incarnation, t job.TaskID, r job.Run) {
-	b.stops = append(b.stops, stop{a, t, r})
+func (b *bench) Stop(a ident.Incarnation, r fleet.RunRef, why fleet.Reason) {
+	b.stops = append(b.stops, stop{a, r, why})
 }
 func (b *bench) Answer(c dispatch.CallerID, a dispatch.Answer)                    { b.answers[c] = a }
 func (b *bench) Placed(job.ID, ident.UpstreamName, *fleet.Order, time.Duration)   {}
@@ -321,6 +321,77 @@
 	b.link(1)
 	b.table.Resumed(1, []fleet.RunRef{{Task: o.Task(1), Run: 2}, {Task: job.TaskID{Job: 9}, Run: 4}})
 	qt.Assert(t, b.stops, qt.HasLen, 2)
-	qt.Assert(t, b.stops[0], qt.Equals, stop{1, o.Task(1), 2})
-	qt.Assert(t, b.stops[1], qt.Equals, stop{1, job.TaskID{Job: 9}, 4})
+	qt.Assert(t, b.stops[0], qt.Equals, stop{1, fleet.RunRef{Task: o.Task(1), Run: 2}, fleet.OnRequest})
+	qt.Assert(t, b.stops[1], qt.Equals, stop{1, fleet.RunRef{Task: job.TaskID{Job: 9}, Run: 4}, fleet.OnRequest})
+}
+
+// TestSlowUpstream: a task on an upstream that has become slow goes elsewhere when that lets its job be in time, or at
+// least not too late; it is placed anew only once its run has ended.
+func TestSlowUpstream(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// passed is how long the run has been there, left how long it will still take.
+		passed, left time.Duration
+		room         int64
+		moves        bool
+	}{
+		{"in time where it is", 200 * time.Millisecond, time.Second, 2000, false},
+		{"late where it is, in time elsewhere", 200 * time.Millisecond, 5 * time.Second, 2000, true},
+		{"late both ways", 1500 * time.Millisecond, 2 * time.Second, 2000, false},
+		{"of no use where it is, late elsewhere", 1500 * time.Millisecond, 5 * time.Second, 2000, true},
+		{"no room elsewhere", 200 * time.Millisecond, 5 * time.Second, 0, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, 2)
+			b.submit(7, 1, 1, time.Second, time.Minute)
+			o := b.orders[0]
+			other := 3 - o.agent
+			b.pass(test.passed)
+			b.room(other, fleet.Ready, test.room, 0)
+			progress := []fleet.Progress{{RunRef: fleet.RunRef{Task: o.Task(0), Run: 1}, Left: test.left}}
+			b.table.Progress(b.now, o.agent, progress)
+			b.table.Progress(b.now, o.agent, progress)
+			if !test.moves {
+				qt.Assert(t, b.stops, qt.HasLen, 0)
+				return
+			}
+			qt.Assert(t, b.stops, qt.HasLen, 1)
+			qt.Assert(t, b.stops[0], qt.Equals, stop{o.agent, progress[0].RunRef, fleet.Moved})
+			qt.Assert(t, b.orders, qt.HasLen, 1)
+			b.end(o, 0, job.Stopped, fleet.Moved)
+			qt.Assert(t, b.orders, qt.HasLen, 2)
+			qt.Assert(t, b.orders[1].agent, qt.Equals, other)
+		})
+	}
+}
+
+// TestSlowUpstreamIsTheLastResort: a task that would make its job late on a slow upstream waits for another while its
+// job may wait; one that is in time there all the same does not.
+func TestSlowUpstreamIsTheLastResort(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		pace     float64
+		estimate time.Duration
+		waits    time.Duration
+	}{
+		{"as fast as others", 1, time.Second, 0},
+		{"slow, and late there", 4, time.Second, 405 * time.Millisecond},
+		{"slow, and in time there", 2, 20 * time.Millisecond, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, 3)
+			for i := ident.Incarnation(1); i <= 2; i++ {
+				b.table.Room(b.now, i, fleet.Room{State: fleet.Ready, Pace: 1})
+			}
+			b.table.Room(b.now, 3, fleet.Room{Free: job.Resources{CPU: 2000}, State: fleet.Ready, Pace: test.pace})
+			b.submit(7, 1, 1, test.estimate, time.Minute)
+			if test.waits > 0 {
+				b.pass(test.waits - 25*time.Millisecond)
+				qt.Assert(t, b.orders, qt.HasLen, 0)
+				b.pass(60 * time.Millisecond)
+			}
+			qt.Assert(t, b.orders, qt.HasLen, 1)
+			qt.Assert(t, b.orders[0].agent, qt.Equals, ident.Incarnation(3))
+		})
+	}
 }
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/route"
@@ -38,10 +39,13 @@
 	checkpoint string
 	// avoid lists upstreams that failed or stalled the task.
 	avoid []ident.UpstreamID
-	// stopping is true once a stop was sent for the newest run.
-	stopping bool
+	// stopping is true once a stop was sent for the newest run, moving once that run was asked to make way for another.
+	stopping, moving bool
 }
 
+// ref names the newest run.
+func (k *task) ref() fleet.RunRef { return fleet.RunRef{Task: k.id, Run: k.run} }
+
 // jobState is one job.
 type jobState struct {
 	id    job.ID
@@ -104,7 +108,7 @@
 
 // wait queues a task.
 func (t *Table) wait(k *task) {
-	k.phase, k.agent, k.stopping = waiting, nil, false
+	k.phase, k.agent, k.stopping, k.moving = waiting, nil, false, false
 	j := k.job
 	step := &j.steps[k.id.Step]
 	step.waiting = append(step.waiting, k)
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -88,7 +88,7 @@
 	orders := make(map[*upstreamOf]*fleet.Order)
 	var agents []*upstreamOf
 	for _, k := range slices.Clone(j.steps[s].waiting) {
-		a := t.choose(k)
+		a := t.choose(now, k)
 		if a == nil {
 			break
 		}
@@ -138,12 +138,12 @@
 }
 
 // choose returns the agent for a task, or nil while nothing fits.
-func (t *Table) choose(k *task) *upstreamOf {
+func (t *Table) choose(now time.Time, k *task) *upstreamOf {
 	step := &k.job.spec.Steps[k.id.Step]
 	var best *upstreamOf
 	var bestCost float64
 	for _, a := range t.order {
-		if !t.eligible(a, k, step) {
+		if !t.eligible(a, k, step) || t.tooSlow(now, a, k) {
 			continue
 		}
 		c := a.Cost(step, t.opts.Zone, t.pace, t.rng)
@@ -154,6 +154,20 @@
 	return best
 }
 
+// lastResort is how long before a job gives up waiting an upstream is good enough on which it will be late: the time
+// of one tick.
+const lastResort = 20 * time.Millisecond
+
+// tooSlow tells whether a task would make its job late on a slow upstream, while the job can still wait for another.
+func (t *Table) tooSlow(now time.Time, a *upstreamOf, k *task) bool {
+	if !a.Slow(t.pace) || !now.Before(k.job.startBy.Add(-lastResort)) {
+		return false
+	}
+	estimate := k.job.spec.Steps[k.id.Step].Estimate
+	end := now.Add(time.Duration(a.Room().Pace * float64(estimate)))
+	return k.job.worthAt(end) < inTime
+}
+
 // eligible tells whether a task may go to an agent now.
 func (t *Table) eligible(a *upstreamOf, k *task, step *job.Step) bool {
 	service := k.job.route.Service
--- a/internal/entry/node/links.go
+++ b/internal/entry/node/links.go
@@ -8,7 +8,6 @@
 
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
-	"hillreel/internal/core/job"
 	"hillreel/internal/link/codec"
 	"hillreel/internal/link/session"
 	"hillreel/internal/link/wire"
@@ -103,6 +102,8 @@
 		n.table.Room(now, l.Peer, r)
 	case *wire.Msg_Ended:
 		n.table.Ended(now, l.Peer, codec.ReadEnd(m.Ended))
+	case *wire.Msg_Progress:
+		n.table.Progress(now, l.Peer, codec.ReadProgress(m.Progress))
 	case *wire.Msg_Resumed:
 		n.table.Resumed(l.Peer, codec.ReadResumed(m.Resumed))
 	case *wire.Msg_Settled:
@@ -121,7 +122,7 @@
 	if t := n.routes.Load(); t != nil {
 		v = t.Version
 	}
-	l.Session.Send(codec.Ping(l.Own.clock, v))
+	l.Session.Send(codec.Ping(l.Own.clock, v, n.table.Pace()))
 }
 
 // sender sends the table's orders to agents.
@@ -133,6 +134,6 @@
 }
 
 // Stop sends the wish to stop a run.
-func (s *sender) Stop(agent ident.Incarnation, t job.TaskID, r job.Run) {
-	s.links.Send(agent, codec.Stop(t, r))
+func (s *sender) Stop(agent ident.Incarnation, r fleet.RunRef, why fleet.Reason) {
+	s.links.Send(agent, codec.Stop(r, why))
 }
--- a/internal/link/codec/codec.go
+++ b/internal/link/codec/codec.go
@@ -48,26 +48,30 @@
 	return o
 }
 
-// Stop encodes the wish to stop a run.
-func Stop(t job.TaskID, r job.Run) *wire.Msg {
+// Stop encodes the wish to stop a run; why is fleet.OnRequest or fleet.Moved.
+func Stop(r fleet.RunRef, why fleet.Reason) *wire.Msg {
 	return &wire.Msg{Kind: &wire.Msg_Stop{Stop: &wire.Stop{
-		Job: uint64(t.Job), Step: t.Step, Index: t.Index, Run: uint32(r),
+		Job: uint64(r.Task.Job), Step: r.Task.Step, Index: r.Task.Index, Run: uint32(r.Run), Moved: why == fleet.Moved,
 	}}}
 }
 
-// ReadStop decodes the wish to stop a run.
-func ReadStop(m *wire.Stop) (job.TaskID, job.Run) {
-	return job.TaskID{Job: job.ID(m.GetJob()), Step: m.GetStep(), Index: m.GetIndex()}, job.Run(m.GetRun())
+// ReadStop decodes the wish to stop a run, and why.
+func ReadStop(m *wire.Stop) (fleet.RunRef, fleet.Reason) {
+	r := fleet.RunRef{Task: job.TaskID{Job: job.ID(m.GetJob()), Step: m.GetStep(), Index: m.GetIndex()}, Run: job.Run(m.GetRun())}
+	if m.GetMoved() {
+		return r, fleet.Moved
+	}
+	return r, fleet.OnRequest
 }
 
 // Ping encodes an entry's keep-alive.
-func Ping(echo time.Duration, v ident.ConfigVersion) *wire.Msg {
-	return &wire.Msg{Kind: &wire.Msg_Ping{Ping: &wire.Ping{EchoUs: echo.Microseconds(), ConfigVersion: uint64(v)}}}
+func Ping(echo time.Duration, v ident.ConfigVersion, pace float64) *wire.Msg {
+	return &wire.Msg{Kind: &wire.Msg_Ping{Ping: &wire.Ping{EchoUs: echo.Microseconds(), ConfigVersion: uint64(v), Pace: pace}}}
 }
 
 // ReadPing decodes an entry's keep-alive.
-func ReadPing(m *wire.Ping) (time.Duration, ident.ConfigVersion) {
-	return microseconds(m.GetEchoUs()), ident.ConfigVersion(m.GetConfigVersion())
+func ReadPing(m *wire.Ping) (echo time.Duration, v ident.ConfigVersion, pace float64) {
+	return microseconds(m.GetEchoUs()), ident.ConfigVersion(m.GetConfigVersion()), m.GetPace()
 }
 
 // Upstream encodes the description of an upstream.
@@ -127,11 +131,34 @@
 	return &wire.RunRef{Job: uint64(r.Task.Job), Step: r.Task.Step, Index: r.Task.Index, Run: uint32(r.Run)}
 }
 
+// readRunRef decodes the name of a run.
+func readRunRef(r *wire.RunRef) fleet.RunRef {
+	return fleet.RunRef{Task: job.TaskID{Job: job.ID(r.GetJob()), Step: r.GetStep(), Index: r.GetIndex()}, Run: job.Run(r.GetRun())}
+}
+
 // readRunRefs decodes names of runs.
 func readRunRefs(in []*wire.RunRef) []fleet.RunRef {
 	out := make([]fleet.RunRef, len(in))
 	for i, r := range in {
-		out[i] = fleet.RunRef{Task: job.TaskID{Job: job.ID(r.GetJob()), Step: r.GetStep(), Index: r.GetIndex()}, Run: job.Run(r.GetRun())}
+		out[i] = readRunRef(r)
+	}
+	return out
+}
+
+// Progress encodes how runs on a slow upstream get on.
+func Progress(runs []fleet.Progress) *wire.Msg {
+	m := &wire.Progress{}
+	for _, r := range runs {
+		m.Runs = append(m.Runs, &wire.RunProgress{Run: runRef(r.RunRef), LeftUs: r.Left.Microseconds()})
+	}
+	return &wire.Msg{Kind: &wire.Msg_Progress{Progress: m}}
+}
+
+// ReadProgress decodes how runs on a slow upstream get on.
+func ReadProgress(m *wire.Progress) []fleet.Progress {
+	out := make([]fleet.Progress, len(m.GetRuns()))
+	for i, r := range m.GetRuns() {
+		out[i] = fleet.Progress{RunRef: readRunRef(r.GetRun()), Left: microseconds(r.GetLeftUs())}
 	}
 	return out
 }
--- a/internal/link/codec/codec_test.go
+++ b/internal/link/codec/codec_test.go
@@ -35,10 +35,18 @@
 	}
 	u := fleet.Upstream{ID: "i-1", Service: "publish", Labels: []job.Label{"a", "r1-3"}, Total: job.Resources{CPU: 16000, Mem: 65536}}
 	qt.Assert(t, codec.ReadUpstream(codec.Upstream(u).GetUpstream()), qt.DeepEquals, u)
-	gotTask, gotRun := codec.ReadStop(codec.Stop(task, 4).GetStop())
-	qt.Assert(t, gotTask, qt.Equals, task)
-	qt.Assert(t, gotRun, qt.Equals, job.Run(4))
-	echo, version := codec.ReadPing(codec.Ping(1500*time.Microsecond, 12).GetPing())
+	ref := fleet.RunRef{Task: task, Run: 4}
+	for _, why := range []fleet.Reason{fleet.OnRequest, fleet.Moved} {
+		gotRef, gotWhy := codec.ReadStop(codec.Stop(ref, why).GetStop())
+		qt.Assert(t, gotRef, qt.Equals, ref)
+		qt.Assert(t, gotWhy, qt.Equals, why)
+	}
+	refs := []fleet.RunRef{ref, {Task: job.TaskID{Job: 1}, Run: 1}}
+	qt.Assert(t, codec.ReadResumed(codec.Resumed(refs).GetResumed()), qt.DeepEquals, refs)
+	progress := []fleet.Progress{{RunRef: ref, Left: 70 * time.Millisecond}}
+	qt.Assert(t, codec.ReadProgress(codec.Progress(progress).GetProgress()), qt.DeepEquals, progress)
+	echo, version, pace := codec.ReadPing(codec.Ping(1500*time.Microsecond, 12, 1.5).GetPing())
+	qt.Assert(t, pace, qt.Equals, 1.5)
 	qt.Assert(t, echo, qt.Equals, 1500*time.Microsecond)
 	qt.Assert(t, uint64(version), qt.Equals, uint64(12))
 }
--- a/internal/proof/schedule/callers_test.go
+++ b/internal/proof/schedule/callers_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/route"
 	"hillreel/internal/core/verdict"
@@ -75,14 +76,16 @@
 }
 
 // send hands the job to some entry.
-func (s *submission) send() {
+func (s *submission) send() { s.sendTo(s.w.entries[s.w.rng.IntN(len(s.w.entries))]) }
+
+// sendTo hands the job to an entry.
+func (s *submission) sendTo(e *entryProc) {
 	w := s.w
 	if len(s.attempts) >= maxAttempts || s.left {
 		return
 	}
 	a := &attempt{}
 	s.attempts = append(s.attempts, a)
-	e := w.entries[w.rng.IntN(len(w.entries))]
 	inc := e.inc
 	caller := dispatch.CallerID(uint64(s.id)<<8 | uint64(len(s.attempts)))
 	e.waitersOf(s, a, caller)
@@ -111,10 +114,24 @@
 				})
 			})
 		}
+		if !e.clientCut && e.alive && e.inc == inc && w.chance(0.2) {
+			// An impatient caller sends it again at once, to the same entry: only there may it do so.
+			w.after(w.between(4*time.Millisecond, 100*time.Millisecond), func() { s.sendAgain(e, inc) })
+			return
+		}
 		w.after(resend, s.send)
 	})
 }
 
+// sendAgain hands the job to the entry that had it, if that still lives, or else to another after the usual pause.
+func (s *submission) sendAgain(e *entryProc, inc ident.Incarnation) {
+	if !e.alive || e.inc != inc || e.clientCut {
+		s.w.after(resend, s.send)
+		return
+	}
+	s.sendTo(e)
+}
+
 // broken handles a connection that broke before an answer came.
 func (s *submission) broken(a *attempt) {
 	if a.answered {
--- a/internal/proof/schedule/faults_test.go
+++ b/internal/proof/schedule/faults_test.go
@@ -92,7 +92,7 @@
 	u := a.upstream
 	short := w.between(200*time.Millisecond, 3*time.Second)
 	down := w.between(100*time.Millisecond, 2*time.Second)
-	switch w.rng.IntN(18) {
+	switch w.rng.IntN(19) {
 	case 0, 1:
 		w.endEntry(e, w.chance(0.5), down)
 	case 2, 3:
@@ -122,6 +122,8 @@
 	case 16:
 		slow := w.between(50*time.Millisecond, 2*time.Second)
 		w.window("the link of "+p.e.name+" and "+p.a.name+" is slow", short, func() { p.slow = slow }, func() { p.slow = 0 })
+	case 18:
+		w.window("upstream "+u.name+" is slow", short, func() { u.slow = 2 + 4*w.rng.Float64() }, func() { u.slow = 0 })
 	case 17:
 		power := w.chance(0.5)
 		for _, x := range w.entries {
--- a/internal/proof/schedule/process_test.go
+++ b/internal/proof/schedule/process_test.go
@@ -212,8 +212,8 @@
 
 func (e *entryProc) sendPing(s *linkSide, a *agentProc) {
 	s.ping = e.w.now
-	echo, inc := s.clock, e.inc
-	s.send(func() { a.keeper.Ping(e.w.now, inc, echo); a.flush() })
+	echo, pace, inc := s.clock, e.table.Pace(), e.inc
+	s.send(func() { a.keeper.Ping(e.w.now, inc, echo, pace); a.flush() })
 }
 
 func (w *world) startAgent(a *agentProc) {
@@ -324,10 +324,10 @@
 	}
 }
 
-func (x entryIO) Stop(agent ident.Incarnation, t job.TaskID, r job.Run) {
+func (x entryIO) Stop(agent ident.Incarnation, r fleet.RunRef, why fleet.Reason) {
 	if s, a := x.linkTo(agent); s != nil {
 		inc := x.e.inc
-		s.send(func() { a.keeper.StopTask(a.w.now, inc, t, r); a.flush() })
+		s.send(func() { a.keeper.StopTask(a.w.now, inc, r.Task, r.Run, why); a.flush() })
 	}
 }
 
@@ -422,6 +422,10 @@
 	x.tell(to, func(p *entryProc, _ *linkSide) { p.table.Ended(p.w.now, x.inc, e) })
 }
 
+func (x agentIO) Progress(to ident.Incarnation, runs []fleet.Progress) {
+	x.tell(to, func(e *entryProc, _ *linkSide) { e.table.Progress(e.w.now, x.inc, runs) })
+}
+
 func (x agentIO) Resumed(to ident.Incarnation, runs []fleet.RunRef) {
 	x.tell(to, func(e *entryProc, _ *linkSide) { e.table.Resumed(x.inc, runs) })
 }
--- a/internal/proof/schedule/upstream_test.go
+++ b/internal/proof/schedule/upstream_test.go
@@ -56,6 +56,8 @@
 	loses, late float64
 	// vanish: the others of those are not carried out at all.
 	vanish bool
+	// slow stretches the work of what starts; zero does not.
+	slow float64
 	// fails and hangs are how often runs do so.
 	fails, hangs float64
 	// cut: nothing gets through to it or from it, while it runs on.
@@ -180,6 +182,9 @@
 	if u.w.chance(u.fails) || s.poison {
 		r.how, r.work = call.HowFailed, r.work/4
 	}
+	if u.slow > 0 {
+		r.work = time.Duration(float64(r.work) * u.slow)
+	}
 	r.hang = u.w.chance(u.hangs)
 	u.runs[task] = r
 	u.w.note("%s starts run %d of %v", u.id, run, task)
