--- a/internal/core/settings/options.go
+++ b/internal/core/settings/options.go
@@ -65,8 +65,8 @@
 // Links holds the options of the links between entries and agents. All processes of a region must share silence,
 // lease and stop_budget: entries work out from them when a lost agent's runs have surely ended.
 type Links struct {
-	DialTimeout time.Duration `ini:"dial_timeout" default:"150ms" min:"10ms" max:"1m" doc:"Longest wait for a connection to another process: a VM without power says nothing, and is tried again."`
-	RedialEvery time.Duration `ini:"redial_every" default:"100ms" min:"1ms" max:"1m" doc:"Pause between attempts to connect."`
+	DialTimeout time.Duration `ini:"dial_timeout" default:"100ms" min:"10ms" max:"1m" doc:"Longest wait for a connection to another process: a VM without power says nothing, and is tried again."`
+	RedialEvery time.Duration `ini:"redial_every" default:"40ms" min:"1ms" max:"1m" doc:"Pause between attempts to connect."`
 	Silence     time.Duration `ini:"silence" default:"400ms" min:"10ms" max:"1m" doc:"How long an agent keeps the runs of an entry that it does not hear; how long a silent link is kept."`
 	Lease       time.Duration `ini:"lease" default:"400ms" min:"10ms" max:"1m" doc:"How long an upstream keeps its runs without hearing from its agent. At most the platform's hold_max_ms."`
 	StopBudget  time.Duration `ini:"stop_budget" default:"200ms" min:"10ms" max:"1m" doc:"How long an agent tries to stop a lost entry's run before it lets all leases lapse: two tries."`
