kept jobs: shorter lease, late jobs last, a store that is away; an upstream's list of ends has an end

Change: with 500 ends listed, what is not listed proves nothing; no start while ends might not be listed; from 400 on old ends are made void. Lease 4 s, renewed each 0.5 s. Writes behind one in doubt are not begun, and while the store has answered nothing for a second jobs are refused at once. Kept jobs that can't be in time go behind those that can.

--- a/internal/agent/ends/ends.go
+++ b/internal/agent/ends/ends.go
@@ -15,9 +15,16 @@
 	"hillreel/internal/core/job"
 )
 
-// MaxWithheld is how many ends are withheld at most: the platform's upstreams list 500 at once, and what is not listed
-// at all would count as lost.
-const MaxWithheld = 400
+// ListLimit is how many ends an upstream lists at once. Those beyond are listed only once earlier ones are forgotten.
+const ListLimit = 500
+
+const (
+	// crowded is from how many remembered ends on the oldest withheld ones are made void: four fifths of the limit, which
+	// leaves two seconds of a busy upstream's ends for the lease to lapse.
+	crowded = 400
+	// crowdedAge is how old an end must be for that: while the store answers, ends are stored sooner.
+	crowdedAge = 3 * time.Second
+)
 
 // tellEvery is the pause after which an end that nobody has noted is told again: ends are stored within 0.5 s unless the
 // store is away.
@@ -29,6 +36,7 @@
 	Owner ident.Incarnation
 
 	number uint64
+	since  time.Time
 	// toldAt is when the end was told last, tellings how often it was told again.
 	toldAt   time.Time
 	tellings int
@@ -56,7 +64,7 @@
 
 // Withhold keeps the end that was taken last from being forgotten.
 func (a *Account) Withhold(now time.Time, owner ident.Incarnation, e fleet.End) {
-	a.withheld = append(a.withheld, &Withheld{End: e, Owner: owner, number: a.taken, toldAt: now})
+	a.withheld = append(a.withheld, &Withheld{End: e, Owner: owner, number: a.taken, since: now, toldAt: now})
 }
 
 // Seen is the number up to which the upstream may forget ends.
@@ -70,8 +78,23 @@
 // Len returns how many ends are withheld.
 func (a *Account) Len() int { return len(a.withheld) }
 
-// Full tells whether no more ends can be withheld beside those that runs still under way will bring.
-func (a *Account) Full(runs int) bool { return len(a.withheld)+runs >= MaxWithheld }
+// remembered is how many ends the upstream remembers, or will once it has listed them.
+func (a *Account) remembered() int { return int(a.taken - a.Seen()) }
+
+// Full tells whether the ends of runs that are under way might not be listed any more.
+func (a *Account) Full(runs int) bool { return a.remembered()+runs >= ListLimit }
+
+// Relieve makes old withheld ends void when the upstream remembers too many.
+func (a *Account) Relieve(now time.Time) {
+	if a.remembered() < crowded {
+		return
+	}
+	for _, w := range a.withheld {
+		if now.Sub(w.since) > crowdedAge {
+			w.void = true
+		}
+	}
+}
 
 // Note lets ends be forgotten that are stored, or marks them void.
 func (a *Account) Note(runs []fleet.RunRef, void bool) {
--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hillreel/internal/agent/call"
+	"hillreel/internal/agent/ends"
 	"hillreel/internal/agent/health"
 	"hillreel/internal/agent/lease"
 	"hillreel/internal/core/fleet"
@@ -155,8 +156,8 @@
 			k.ended(now, f)
 		}
 	}
-	if h.Clock < k.listed {
-		// A newer answer has come before this one: what it lists as running may have ended.
+	if h.Clock < k.listed || len(h.Finished) >= ends.ListLimit {
+		// A newer answer has come before this one, and what it lists as running may have ended; or ends may be missing.
 		return news
 	}
 	k.listed = h.Clock
@@ -353,6 +354,7 @@
 			k.caller.Stop(call.Stop{Header: k.header(now), Task: key.task, Run: key.run})
 		}
 	}
+	k.ends.Relieve(now)
 	again, to := k.ends.Again(now, k.linkedEntries())
 	for i, w := range again {
 		k.entries.End(to[i], w.End)
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -64,10 +64,6 @@
 		k.refuse(w, fleet.NotAccepting)
 		return
 	}
-	if w.order.Kept && k.ends.Full(len(k.runs)) {
-		k.refuse(w, fleet.NoRoom)
-		return
-	}
 	if !w.order.Each.Fits(k.free()) {
 		k.refuse(w, fleet.NoRoom)
 		return
--- a/internal/agent/upstream/room.go
+++ b/internal/agent/upstream/room.go
@@ -66,6 +66,8 @@
 		return fleet.Clearing, "unknown_runs"
 	case k.mustLapse(now):
 		return fleet.Clearing, "stop_unconfirmed"
+	case k.ends.Full(len(k.runs)):
+		return fleet.Clearing, "ends_not_stored"
 	case k.health.Suspect():
 		return fleet.Suspect, "failing"
 	}
--- a/internal/core/settings/options.go
+++ b/internal/core/settings/options.go
@@ -82,8 +82,8 @@
 
 // Kept holds the options of jobs that outlive all processes.
 type Kept struct {
-	Lease      time.Duration `ini:"lease" default:"7s" min:"500ms" max:"10m" doc:"How long an entry's lease on its kept jobs lasts. It outlives an outage of the store of 4.5 s and two renewals; a lost entry that does not return is waited for as long."`
-	Renew      time.Duration `ini:"renew" default:"1s" min:"50ms" max:"1m" doc:"Pause between two renewals of the lease: two calls of the store each."`
+	Lease      time.Duration `ini:"lease" default:"4s" min:"500ms" max:"10m" doc:"How long an entry's lease on its kept jobs lasts. A lost entry that does not return is waited for as long, and meanwhile upstreams remember the ends of its runs, 500 at the most: ten seconds of a busy one's."`
+	Renew      time.Duration `ini:"renew" default:"500ms" min:"50ms" max:"1m" doc:"Pause between two renewals of the lease: two calls of the store each."`
 	Keep       time.Duration `ini:"keep" default:"120s" min:"1s" max:"24h" doc:"How long the state of a job that has ended can be asked for."`
 	Writes     float64       `ini:"writes" default:"800" doc:"Transactions a second that the store takes of all entries together."`
 	PartWrites float64       `ini:"part_writes" default:"200" doc:"Transactions a second that one part of the store takes. With writes, it decides over how many parts jobs are spread: neither may change while jobs are kept."`
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -43,6 +43,8 @@
 	Failures map[job.TaskID]int
 	// Checkpoints are what runs have saved.
 	Checkpoints map[job.TaskID]string
+	// Late: the job was taken over from another entry, and can't be in time any more.
+	Late bool
 	// Runs is the highest number of a run that an earlier entry may have used.
 	Runs job.Run
 }
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -164,8 +164,10 @@
 // giveUp answers a job that can't be served any more.
 func (t *Table) giveUp(now time.Time, j *jobState) {
 	switch {
-	case j.ending || j.kept:
+	case j.ending:
 		return
+	case j.kept:
+		t.fallBehind(now, j)
 	case !j.deadline.IsZero() && now.After(j.deadline):
 		t.expireJob(now, j)
 	case !j.begun && now.After(j.startBy):
@@ -176,6 +178,21 @@
 	}
 }
 
+// fallBehind lets a kept job that has not begun, and can't be in time any more, wait behind those that can.
+func (t *Table) fallBehind(now time.Time, j *jobState) {
+	if j.late || j.begun || !now.After(j.startBy) {
+		return
+	}
+	q := t.queue(j.route.Service)
+	if j.waiting > 0 {
+		q.remove(j)
+	}
+	j.late = true
+	if j.waiting > 0 {
+		q.add(j)
+	}
+}
+
 // expireJob gives up a job whose caller waits no longer.
 func (t *Table) expireJob(now time.Time, j *jobState) {
 	if j.begun {
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -24,10 +24,10 @@
 	return q
 }
 
-// before orders jobs: those already begun first, since giving them up would waste their work; then by the
-// time at which they must start to be in time.
+// before orders jobs: those already begun first, since giving them up would waste their work; those that can't be in time
+// last; then by the time at which they must start to be in time.
 func before(a, b *jobState) int {
-	return cmp.Or(cmpBool(b.begun, a.begun), a.startBy.Compare(b.startBy), cmp.Compare(a.route.Priority, b.route.Priority), cmp.Compare(a.id, b.id))
+	return cmp.Or(cmpBool(b.begun, a.begun), cmpBool(a.late, b.late), a.startBy.Compare(b.startBy), cmp.Compare(a.route.Priority, b.route.Priority), cmp.Compare(a.id, b.id))
 }
 
 // cmpBool orders false before true.
--- a/internal/entry/dispatch/submit.go
+++ b/internal/entry/dispatch/submit.go
@@ -108,6 +108,7 @@
 
 // resume takes over what is known of a job's tasks.
 func (j *jobState) resume(known *Kept) {
+	j.late = known.Late
 	for i := range j.steps {
 		step := &j.steps[i]
 		for _, k := range step.tasks {
--- a/internal/entry/node/kept.go
+++ b/internal/entry/node/kept.go
@@ -107,6 +107,9 @@
 // keptStore reads and writes kept jobs' rows for the book.
 type keptStore Node
 
+// Away tells whether the store has not answered for a while.
+func (s *keptStore) Away() bool { return s.ledger.Away() }
+
 // Write begins a write.
 func (s *keptStore) Write(op ledger.Op) { s.ledger.Write(op) }
 
--- a/internal/kept/book/book.go
+++ b/internal/kept/book/book.go
@@ -28,6 +28,8 @@
 
 // Store carries out writes and readings; each is answered later by Written, LeasesRead, Scanned, Fetched or Looked.
 type Store interface {
+	// Away tells whether the store has not answered for a while; what is written then is in doubt for long.
+	Away() bool
 	Write(op ledger.Op)
 	ReadLeases()
 	Scan()
--- a/internal/kept/book/ends.go
+++ b/internal/kept/book/ends.go
@@ -17,8 +17,8 @@
 )
 
 // progressAfter is how long an end waits for its job's end to be stored with it. Most jobs end sooner; upstreams list
-// ends again until they are stored, and no more than 500.
-const progressAfter = 300 * time.Millisecond
+// ends again until they are stored, and no more than 500, which are ten seconds of a busy one's.
+const progressAfter = time.Second
 
 // RunEnded handles the end of a run that the table waited for.
 func (b *Book) RunEnded(now time.Time, agent ident.Incarnation, e fleet.End) {
--- a/internal/kept/book/submit.go
+++ b/internal/kept/book/submit.go
@@ -45,6 +45,10 @@
 		b.callers.Answer(r.Caller, dispatch.Answer{State: verdict.Refused, Verdict: verdict.NotRun, Reason: verdict.TooLarge})
 		return
 	}
+	if b.store.Away() {
+		b.callers.Answer(r.Caller, b.refused(k, "store_away"))
+		return
+	}
 	b.jobs[k.id] = k
 	if !b.leased(now) {
 		b.wantLease(now)
@@ -116,7 +120,7 @@
 	k.phase = running
 	known := &dispatch.Kept{
 		Done: make(map[job.TaskID]bool), Failures: make(map[job.TaskID]int), Checkpoints: make(map[job.TaskID]string),
-		Runs: runsBefore(k.open.Generation),
+		Runs: runsBefore(k.open.Generation), Late: k.open.Generation > 1,
 	}
 	for _, e := range k.open.Ends {
 		task := job.TaskID{Job: k.id, Step: e.Step, Index: e.Index}
--- a/internal/kept/ledger/ledger.go
+++ b/internal/kept/ledger/ledger.go
@@ -81,6 +81,30 @@
 
 	mu    sync.Mutex
 	lanes map[string]*lane
+	// silentSince is from when on no write was answered, though some were tried; zero is not.
+	silentSince time.Time
+}
+
+// awayAfter is how long the store may be silent before new writes are not even begun: a call's own limit is a second.
+const awayAfter = time.Second
+
+// Away tells whether the store has answered no write for a while.
+func (l *Ledger) Away() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.silentSince.IsZero() && time.Since(l.silentSince) > awayAfter
+}
+
+// answered notes whether a write that was begun at some moment was answered.
+func (l *Ledger) answered(began time.Time, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case ok:
+		l.silentSince = time.Time{}
+	case l.silentSince.IsZero():
+		l.silentSince = began
+	}
 }
 
 // New returns a Ledger; done is called for each write, on another goroutine.
@@ -143,12 +167,16 @@
 	}
 }
 
-// take returns the writes that go into the next transaction.
+// take returns the writes that go into the next transaction. While some are in doubt, no others go with them: of those it
+// stays certain that nothing was done.
 func (n *lane) take() []*attempt {
 	n.ledger.mu.Lock()
 	defer n.ledger.mu.Unlock()
 	entries, bytes, count := 0, 0, 0
 	for _, a := range n.queue {
+		if count > 0 && n.queue[0].doubt && !a.doubt {
+			break
+		}
 		entries += len(a.Txn.If) + len(a.Txn.Put) + len(a.Txn.Remove)
 		for _, p := range a.Txn.Put {
 			bytes += len(p.Value)
@@ -172,7 +200,9 @@
 	for _, a := range group {
 		t.If, t.Put, t.Remove = append(t.If, a.Txn.If...), append(t.Put, a.Txn.Put...), append(t.Remove, a.Txn.Remove...)
 	}
+	began := time.Now()
 	version, err := n.ledger.store.Commit(n.ledger.ctx, t)
+	n.ledger.answered(began, err == nil || errors.Is(err, rows.ErrConflict))
 	switch {
 	case n.ledger.ctx.Err() != nil:
 	case err == nil:
@@ -206,6 +236,7 @@
 			again = append(again, a)
 		}
 	}
+	n.expire()
 	n.pause()
 	n.ledger.mu.Lock()
 	n.queue = append(again, n.queue...)
@@ -213,6 +244,24 @@
 	n.nudge()
 }
 
+// expire gives up the writes that wait and need not be begun any more.
+func (n *lane) expire() {
+	n.ledger.mu.Lock()
+	var rest, over []*attempt
+	for _, a := range n.queue {
+		if !a.doubt && !a.Until.IsZero() && time.Now().After(a.Until) {
+			over = append(over, a)
+		} else {
+			rest = append(rest, a)
+		}
+	}
+	n.queue = rest
+	n.ledger.mu.Unlock()
+	for _, a := range over {
+		n.ledger.done(Result{ID: a.ID, Outcome: Refused})
+	}
+}
+
 // conflict reads what is there instead, until the store says.
 func (n *lane) conflict(a *attempt) {
 	r := Result{ID: a.ID, Outcome: Conflict}
--- /dev/null
+++ b/internal/kept/ledger/ledger_test.go
@@ -0,0 +1,190 @@
+package ledger_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"hillreel/internal/core/logs"
+	"hillreel/internal/core/rows"
+	"hillreel/internal/kept/ledger"
+)
+
+// fake is a store that does as the test says.
+type fake struct {
+	mu sync.Mutex
+	// answer says what becomes of a transaction; version is the next one's.
+	answer  func(t rows.Txn) error
+	version rows.Version
+	txns    []rows.Txn
+	// gate holds transactions back while it is locked.
+	gate sync.Mutex
+}
+
+func (f *fake) Commit(_ context.Context, t rows.Txn) (rows.Version, error) {
+	f.gate.Lock()
+	defer f.gate.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.txns = append(f.txns, t)
+	f.version++
+	return f.version, f.answer(t)
+}
+
+func (f *fake) Read(_ context.Context, k rows.Key) (rows.Row, error) {
+	return rows.Row{Key: k, Version: 77}, nil
+}
+
+func (f *fake) Range(context.Context, rows.Range) (rows.Page, error) { return rows.Page{}, nil }
+
+func (f *fake) sizes() (out []int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range f.txns {
+		out = append(out, len(t.Put))
+	}
+	return out
+}
+
+func op(id int) ledger.Op {
+	return ledger.Op{
+		ID: ledger.OpID(id), Part: "p", Look: []rows.Key{{Table: "t", Name: "n"}},
+		Txn: rows.Txn{Put: []rows.Row{{Key: rows.Key{Table: "t", Part: "p", Name: fmt.Sprint(id)}}}},
+	}
+}
+
+func start(t *testing.T, answer func(rows.Txn) error) (*fake, *ledger.Ledger, chan ledger.Result) {
+	f := &fake{answer: answer}
+	results := make(chan ledger.Result, 100)
+	l := ledger.New(f, func(r ledger.Result) { results <- r }, logs.Discard())
+	t.Cleanup(l.Stop)
+	return f, l, results
+}
+
+func wait(t *testing.T, results chan ledger.Result) ledger.Result {
+	select {
+	case r := <-results:
+		return r
+	case <-time.After(5 * time.Second):
+		t.Fatal("no result")
+		return ledger.Result{}
+	}
+}
+
+// TestGrouping: writes that gather while one is under way go out together.
+func TestGrouping(t *testing.T) {
+	f, l, results := start(t, func(rows.Txn) error { return nil })
+	f.gate.Lock()
+	l.Write(op(1))
+	time.Sleep(50 * time.Millisecond)
+	for i := 2; i <= 6; i++ {
+		l.Write(op(i))
+	}
+	f.gate.Unlock()
+	for range 6 {
+		qt.Assert(t, wait(t, results).Outcome, qt.Equals, ledger.Done)
+	}
+	qt.Assert(t, f.sizes(), qt.DeepEquals, []int{1, 5})
+}
+
+// TestGroupsAreBounded: the platform takes no more than 100 entries in a transaction.
+func TestGroupsAreBounded(t *testing.T) {
+	f, l, results := start(t, func(rows.Txn) error { return nil })
+	f.gate.Lock()
+	for i := range 300 {
+		l.Write(op(i))
+	}
+	f.gate.Unlock()
+	for range 300 {
+		wait(t, results)
+	}
+	for _, n := range f.sizes() {
+		qt.Assert(t, n <= 100, qt.IsTrue)
+	}
+}
+
+// TestConflictOfOne: a write whose condition does not hold leaves those of its group alone, and brings what is there.
+func TestConflictOfOne(t *testing.T) {
+	f, l, results := start(t, func(t rows.Txn) error {
+		for _, p := range t.Put {
+			if p.Key.Name == "3" {
+				return rows.ErrConflict
+			}
+		}
+		return nil
+	})
+	f.gate.Lock()
+	for i := 1; i <= 4; i++ {
+		l.Write(op(i))
+	}
+	f.gate.Unlock()
+	for range 4 {
+		r := wait(t, results)
+		want := ledger.Done
+		if r.ID == 3 {
+			want = ledger.Conflict
+			qt.Assert(t, r.Found[0].Version, qt.Equals, rows.Version(77))
+		}
+		qt.Assert(t, r.Outcome, qt.Equals, want)
+	}
+}
+
+// TestDoubt: what becomes of a write that got no answer, was refused, or was never tried.
+func TestDoubt(t *testing.T) {
+	silent := errors.New("no answer")
+	soon := func(o ledger.Op) ledger.Op { o.Until = time.Now().Add(150 * time.Millisecond); return o }
+	once := func(o ledger.Op) ledger.Op { o.Once = true; return o }
+	for _, test := range []struct {
+		name string
+		op   ledger.Op
+		// answers are those to the first tries; later ones succeed.
+		answers []error
+		want    ledger.Outcome
+	}{
+		{"refused for a while", op(1), []error{rows.ErrRefused, rows.ErrRefused}, ledger.Done},
+		{"refused until it is given up", soon(op(1)), []error{rows.ErrRefused, rows.ErrRefused, rows.ErrRefused, rows.ErrRefused}, ledger.Refused},
+		{"in doubt, and then refused until it would be given up", soon(op(1)), []error{silent, rows.ErrRefused, rows.ErrRefused, rows.ErrRefused}, ledger.Done},
+		{"in doubt, and it was done", op(1), []error{silent, rows.ErrConflict}, ledger.Conflict},
+		{"tried once, refused", once(op(1)), []error{rows.ErrRefused}, ledger.Refused},
+		{"tried once, in doubt", once(op(1)), []error{silent}, ledger.Doubtful},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			left := test.answers
+			_, l, results := start(t, func(rows.Txn) error {
+				if len(left) == 0 {
+					return nil
+				}
+				err := left[0]
+				left = left[1:]
+				return err
+			})
+			l.Write(test.op)
+			qt.Assert(t, wait(t, results).Outcome, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestNoDoubtBehindDoubt: while a write is in doubt, those behind it are not begun, so that they can still be refused; and
+// the store counts as away after a while.
+func TestNoDoubtBehindDoubt(t *testing.T) {
+	f, l, results := start(t, func(rows.Txn) error { return errors.New("no answer") })
+	l.Write(op(1))
+	time.Sleep(50 * time.Millisecond)
+	o := op(2)
+	o.Until = time.Now().Add(200 * time.Millisecond)
+	l.Write(o)
+	r := wait(t, results)
+	qt.Assert(t, r.ID, qt.Equals, ledger.OpID(2))
+	qt.Assert(t, r.Outcome, qt.Equals, ledger.Refused)
+	for _, n := range f.sizes() {
+		qt.Assert(t, n, qt.Equals, 1)
+	}
+	qt.Assert(t, l.Away(), qt.IsFalse)
+	time.Sleep(time.Second)
+	qt.Assert(t, l.Away(), qt.IsTrue)
+}
--- /dev/null
+++ b/internal/kept/record/record_test.go
@@ -0,0 +1,93 @@
+package record_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/rows"
+	"hillreel/internal/core/verdict"
+	"hillreel/internal/kept/record"
+)
+
+// TestRoundTrips: what is written is what is read.
+func TestRoundTrips(t *testing.T) {
+	open := record.Open{
+		Owner: "a-0", Generation: 2, Sequence: 9, Void: []record.TaskRun{{Step: 1, Index: 2, Run: 3}},
+		Ends:        record.Ends{{Step: 0, Index: 7, Run: 1}, {Step: 1, Index: 0, Run: 1025, Failed: true}},
+		Checkpoints: []record.Checkpoint{{Index: 4, Text: "saved"}},
+	}
+	raw, err := record.Value(open)
+	qt.Assert(t, err, qt.IsNil)
+	got, err := record.Read[record.Open](rows.Row{Value: raw})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got, qt.DeepEquals, open)
+	kept := record.Job{Spec: job.Spec{Text: "x", Steps: []job.Step{{
+		Count: 3, Each: job.Resources{CPU: 1, Mem: 2, GPU: 3}, Estimate: time.Second, Requires: "a", Prefers: "b", MaxPerUpstream: 1,
+	}, {Count: 1, After: []uint32{0}}}}}
+	raw, err = record.Value(kept)
+	qt.Assert(t, err, qt.IsNil)
+	gotJob, err := record.Read[record.Job](rows.Row{Value: raw})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, gotJob, qt.DeepEquals, kept)
+}
+
+// TestLargestJobFitsIntoARow: the progress of a job of as many tasks as one may have is smaller than a row.
+func TestLargestJobFitsIntoARow(t *testing.T) {
+	var open record.Open
+	for i := range uint32(1500) {
+		open.Ends = append(open.Ends, record.End{Step: i % 30, Index: i, Run: 1025})
+	}
+	raw, err := record.Value(open)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(raw) < 48<<10, qt.IsTrue, qt.Commentf("%d bytes", len(raw)))
+}
+
+// TestUnreadableRows: a row that can't be read says which and why.
+func TestUnreadableRows(t *testing.T) {
+	for _, test := range []struct{ text, want string }{
+		{`{`, "record: row t/n: .*"},
+		{`{"ends":"0.1"}`, `.*end "0.1": want step.index.run`},
+		{`{"ends":"0.x.1"}`, `.*end "0.x.1": .*`},
+		{`{"ends":[1]}`, `.*ends.*`},
+	} {
+		_, err := record.Read[record.Open](rows.Row{Key: rows.Key{Table: "t", Name: "n"}, Value: []byte(test.text)})
+		qt.Assert(t, err, qt.ErrorMatches, test.want)
+	}
+	_, err := record.JobOf(rows.Key{Table: "t", Name: "zz"})
+	qt.Assert(t, err, qt.ErrorMatches, "record: row t/zz: id.*")
+}
+
+// TestLayout: a job's rows have one part, jobs are spread over all, and an expiry names the rows that go with it.
+func TestLayout(t *testing.T) {
+	l := record.Layout{Parts: 3}
+	seen := make(map[string]int)
+	for id := range job.ID(3000) {
+		seen[l.Part(id)]++
+	}
+	for _, p := range l.All() {
+		qt.Assert(t, seen[p] > 800, qt.IsTrue, qt.Commentf("%v", seen))
+	}
+	key := l.ExpiryKey(7, 90*time.Second)
+	qt.Assert(t, l.Forget(key), qt.DeepEquals, []rows.Key{key, l.JobKey(7), l.EndedKey(7), l.CancelKey(7)})
+	qt.Assert(t, l.Forget(rows.Key{Name: "what"}), qt.HasLen, 0)
+	due := record.ExpiredRows(key.Part, 91*time.Second)
+	qt.Assert(t, key.Name < due.To, qt.IsTrue)
+	qt.Assert(t, l.ExpiryKey(7, 92*time.Second).Name < due.To, qt.IsFalse)
+}
+
+// TestCounted: whether an ended job's row says that a run was counted.
+func TestCounted(t *testing.T) {
+	complete := record.Ended{State: verdict.Complete, Runs: record.Ends{{Index: 1, Run: 5}}}
+	failed := record.Ended{State: verdict.Failed}
+	for _, test := range []struct {
+		row   record.Ended
+		index uint32
+		run   job.Run
+		want  bool
+	}{{complete, 0, 1, true}, {complete, 0, 2, false}, {complete, 1, 5, true}, {complete, 1, 1, false}, {failed, 0, 1, false}} {
+		qt.Assert(t, test.row.Counted(0, test.index, test.run), qt.Equals, test.want)
+	}
+}
--- a/internal/proof/schedule/faults_test.go
+++ b/internal/proof/schedule/faults_test.go
@@ -132,7 +132,7 @@
 		loses, late := 0.2+0.6*w.rng.Float64(), w.rng.Float64()
 		w.window("the store loses answers", short, func() { w.store.loses, w.store.late = loses, late }, func() { w.store.loses = 0 })
 	case 23:
-		w.window("the store is out of reach of "+e.name, short, func() { e.storeCut = true }, func() { e.storeCut = false })
+		w.window("the store is out of reach of "+e.name, w.between(time.Second, 6*time.Second), func() { e.storeCut = true }, func() { e.storeCut = false })
 	case 17:
 		power := w.chance(0.5)
 		for _, x := range w.entries {
--- a/internal/proof/schedule/process_test.go
+++ b/internal/proof/schedule/process_test.go
@@ -158,7 +158,9 @@
 	book  *book.Book
 	// storeCut: the store is out of its reach.
 	storeCut bool
-	waiting  map[dispatch.CallerID]func(dispatch.Answer)
+	// storeSilent is from when on the store has not answered; zero is not.
+	storeSilent time.Time
+	waiting     map[dispatch.CallerID]func(dispatch.Answer)
 	// open holds the requests whose connections end with the process.
 	open map[dispatch.CallerID]openRequest
 	// power: the process ended with its VM's power, so that nothing says that it has ended.
@@ -194,7 +196,7 @@
 func (w *world) startEntry(e *entryProc) {
 	e.inc, e.alive, e.frozen, e.held = ident.Incarnation(w.rng.Uint64()), true, false, nil
 	e.links = make(map[*proc]*linkSide)
-	e.waiting = make(map[dispatch.CallerID]func(dispatch.Answer))
+	e.waiting, e.storeSilent = make(map[dispatch.CallerID]func(dispatch.Answer)), time.Time{}
 	o := dispatch.Options{Timing: timing, Zone: "z", MaxQueue: 100, MaxTasks: 100, Without: w.without}
 	e.table = dispatch.New(o, entryIO{e}, entryIO{e}, nobody{}, w.rng.Uint64())
 	e.book = book.New(book.Options{
--- a/internal/proof/schedule/store_test.go
+++ b/internal/proof/schedule/store_test.go
@@ -87,7 +87,15 @@
 	reply := func(ok, refused bool) {
 		if !answered {
 			answered = true
-			x.e.doIn(x.inc, func() { then(ok, refused) })
+			x.e.doIn(x.inc, func() {
+				switch {
+				case ok && !refused:
+					x.e.storeSilent = time.Time{}
+				case x.e.storeSilent.IsZero():
+					x.e.storeSilent = w.now
+				}
+				then(ok, refused)
+			})
 		}
 	}
 	w.after(storeTimeout, func() { reply(false, false) })
@@ -110,6 +118,11 @@
 	})
 }
 
+// Away tells whether the store has not answered for a while.
+func (x storeIO) Away() bool {
+	return !x.e.storeSilent.IsZero() && x.e.w.now.Sub(x.e.storeSilent) > time.Second
+}
+
 // Write carries out a write, again and again until it is certain what came of it.
 func (x storeIO) Write(op ledger.Op) { x.try(op, false) }
 
