--- a/internal/proof/soak/callers_test.go
+++ b/internal/proof/soak/callers_test.go
@@ -25,6 +25,8 @@
 	answers []int
 	state   string
 	left    bool
+	// kept: the job is answered once it is stored, and must complete whatever happens then.
+	kept bool
 }
 
 // callers sends jobs and keeps what came of them. Connections stay open until their entry is gone.
@@ -48,6 +50,7 @@
 	if rng.IntN(5) == 0 {
 		j.runMs = 1000 + rng.IntN(1500)
 	}
+	j.kept = rng.IntN(4) == 0
 	first := rng.IntN(len(c.s.entries))
 	c.mu.Lock()
 	c.jobs = append(c.jobs, j)
@@ -75,8 +78,13 @@
 func (c *callers) send(j *job, e *process, limit, patience time.Duration) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	body := fmt.Sprintf(`{"spec":"{\"run_ms\":%d,\"cpu\":1000}","best_effort":true,"phases":[{"count":%d,"cpu":1000,"mem_mb":1,"estimate_ms":%d}]}`, j.runMs, j.tasks, j.runMs)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.front.address()+"/jobs/"+j.id, bytes.NewReader([]byte(body)))
+	body := fmt.Sprintf(`{"spec":"{\"run_ms\":%d,\"cpu\":1000}","best_effort":%v,"phases":[{"count":%d,"cpu":1000,"mem_mb":1,"estimate_ms":%d}]}`, j.runMs, !j.kept, j.tasks, j.runMs)
+	return c.call(ctx, http.MethodPost, e, j, body, patience)
+}
+
+// call makes one call about a job and returns its status, or 0 without an answer.
+func (c *callers) call(ctx context.Context, method string, e *process, j *job, body string, patience time.Duration) (int, string) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.front.address()+"/jobs/"+j.id, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return 0, ""
 	}
@@ -118,6 +126,30 @@
 	return out
 }
 
+// checkKept asks for the states of the jobs that were accepted, until they have completed or the time is up.
+func (c *callers) checkKept(until time.Time) []string {
+	var out []string
+	for _, j := range c.jobs {
+		if !j.kept || len(j.answers) == 0 || j.answers[len(j.answers)-1] != http.StatusOK {
+			continue
+		}
+		state := ""
+		for i := 0; !strings.Contains(state, "completed") && !strings.Contains(state, "failed"); i++ {
+			if time.Now().After(until) {
+				out = append(out, fmt.Sprintf("job %s was accepted, and its state is %q", j.id, state))
+				break
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			_, state = c.call(ctx, http.MethodGet, c.s.entries[i%len(c.s.entries)], j, "", 2*time.Second)
+			cancel()
+		}
+		if _, done := c.s.ledger.Job(j.id); strings.Contains(state, "completed") && done < j.tasks {
+			out = append(out, fmt.Sprintf("job %s is shown as complete with %d of %d tasks done", j.id, done, j.tasks))
+		}
+	}
+	return out
+}
+
 // counts says how the jobs ended.
 func (c *callers) counts() map[string]int {
 	c.mu.Lock()
@@ -129,6 +161,8 @@
 			out["left"]++
 		case len(j.answers) == 0 || j.answers[len(j.answers)-1] == 0:
 			out["no answer"]++
+		case j.kept && strings.Contains(j.state, "pending"):
+			out["accepted"]++
 		case strings.Contains(j.state, "completed"):
 			out["completed"]++
 		default:
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -102,6 +102,7 @@
 	c.wait.Wait()
 	problems := append(s.ledger.Broken(), c.check()...)
 	rest := time.Now().Add(settle)
+	problems = append(problems, c.checkKept(rest)...)
 	for why := "?"; why != ""; {
 		if why = calm(s, 10); why != "" && time.Now().After(rest) {
 			problems = append(problems, "does not come to rest: "+why)
