--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 # make lint    formatter and linter only
 # make soak    a long randomised run (SCHEDULES=n SEED=n)
 # make soak-faults  the real programs under faults (SEED=n SEEDS=n LENGTH=time AGENTS=n PARALLEL=n)
+# make days    write our days for the users' bench (DIR=directory)
 # make rules   leave out each safety rule and search for a schedule that fails (SCHEDULES=n SEED=n)
 GO ?= go
 SCHEDULES ?= 200000
@@ -11,8 +12,9 @@
 LENGTH ?= 10s
 AGENTS ?= 6
 PARALLEL ?= 2
+DIR ?= out/days
 
-.PHONY: all build demo check lint test soak soak-faults rules generate
+.PHONY: all build demo check lint test soak soak-faults days rules generate
 
 all: build
 
@@ -40,6 +42,9 @@
 	$(GO) test ./internal/proof/soak -run TestSoak -count=1 -timeout 12h -v -soak-seed $(SEED) -soak-seeds $(SEEDS) \
 		-soak-for $(LENGTH) -soak-agents $(AGENTS) -soak-parallel $(PARALLEL) -soak-keep $(CURDIR)/out/soak
 
+days:
+	$(GO) test ./platform/days -run TestDays -count=1 -days-into $(abspath $(DIR))
+
 generate:
 	mkdir -p bin
 	$(GO) build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -76,11 +76,14 @@
 	return set, log, nil
 }
 
-// awaitSignal returns when the process is asked to end. On SIGHUP it calls reload; a nil one does nothing.
+// waitingSignals is how many signals may wait to be handled; more are as good as one of them.
+const waitingSignals = 8
+
+// awaitSignal returns when the process is asked to end. On SIGHUP it calls reload; a nil one does nothing. Signals that
+// come while the process leaves change nothing: they come in series, and would end it at once if nobody took them.
 func awaitSignal(ctx context.Context, log *logrus.Entry, reload func()) {
-	signals := make(chan os.Signal, 1)
+	signals := make(chan os.Signal, waitingSignals)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	for {
 		select {
 		case <-ctx.Done():
--- a/commands/process_test.go
+++ b/commands/process_test.go
@@ -184,14 +184,32 @@
 // TestDrainCutsNothing: an entry that is asked to end answers every request that it has read, with one attempt
 // each, and its process ends with code 0.
 func TestDrainCutsNothing(t *testing.T) {
-	s := newSet(t)
-	s.entry("entry-1")
-	s.agent("agent-1")
-	s.await("entry-1")
-	states := s.drive(t, func() { s.signal("entry-1", syscall.SIGTERM) }, 1)
-	qt.Assert(t, states, qt.DeepEquals, map[api.State]int{verdict.Complete: 30})
-	qt.Assert(t, s.processes["entry-1"].Wait(), qt.IsNil)
-	delete(s.processes, "entry-1")
+	for _, test := range []struct {
+		name  string
+		after []syscall.Signal
+	}{
+		{"asked once", nil},
+		// Signals come in series: a process that had begun to leave was killed by the next one, and cut its requests.
+		{"told to reload meanwhile", []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP}},
+		{"asked again", []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSet(t)
+			s.entry("entry-1")
+			s.agent("agent-1")
+			s.await("entry-1")
+			states := s.drive(t, func() {
+				s.signal("entry-1", syscall.SIGTERM)
+				for _, next := range test.after {
+					time.Sleep(50 * time.Millisecond)
+					s.signal("entry-1", next)
+				}
+			}, 1)
+			qt.Assert(t, states, qt.DeepEquals, map[api.State]int{verdict.Complete: 30})
+			qt.Assert(t, s.processes["entry-1"].Wait(), qt.IsNil)
+			delete(s.processes, "entry-1")
+		})
+	}
 }
 
 // drive sends 30 jobs within 300 ms and lets something go wrong meanwhile.
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -162,7 +162,8 @@
 		return "kill " + any.name
 	case 2:
 		s.restart(any, syscall.SIGTERM, span)
-		return "term " + any.name
+		time.AfterFunc(span/2, func() { s.signal(any, syscall.SIGHUP) })
+		return "term " + any.name + ", then tell it to reload"
 	case 3, 4:
 		s.signal(any, syscall.SIGSTOP)
 		later(func() { s.signal(any, syscall.SIGCONT) })
