ledger: writes wait a few times the usual answer, and doubtful ones are looked into all at once

Change: the patience of orders to upstreams is a package and serves both; slow readings raise it; on a conflict the whole group is looked into at once, and what was not done is tried again together.

--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -13,6 +13,7 @@
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/loop"
+	"hillreel/internal/core/patience"
 	"hillreel/internal/core/settings"
 	"hillreel/internal/link/links"
 	"hillreel/internal/link/session"
@@ -35,7 +36,7 @@
 	keeper *upstream.Keeper
 	// remembered is the upstream that was last given to the memory.
 	remembered ident.UpstreamID
-	patience   patience
+	patience   patience.Patience
 	links      *links.Set[none]
 	// dialled are the entries that are dialled or linked, by address; listed are the addresses that each source told last.
 	dialled map[string]*dialled
@@ -51,7 +52,7 @@
 	n := &Node{
 		set: set, log: log, dial: dial, upstream: u, memory: m, inc: ident.NewIncarnation(), loop: loop.New(), ctx: ctx, cancel: cancel,
 		links: links.New[none]("entry", log), pulse: links.Pulse{Limit: set.Links.Silence / 2, Log: log}, dialled: make(map[string]*dialled), listed: make(map[source][]string),
-		config: &wire.Config{}, patience: patience{most: set.Agent.CallTimeout},
+		config: &wire.Config{}, patience: patience.New(patienceFactor, leastPatience, set.Agent.CallTimeout),
 	}
 	n.pulse.Tick(time.Now())
 	n.keeper = upstream.New(set.Links.Timing(), nil, time.Now(), (*caller)(n), (*sender)(n), newObserver(log))
@@ -175,9 +176,9 @@
 		n.links.Receive(now, e.session, e.msgs, func(l *link, m *wire.Msg) { n.handleMessage(now, l, m) })
 	case orderDone:
 		if e.answered {
-			n.patience.learn(e.took)
+			n.patience.Learn(e.took)
 		} else {
-			n.patience.missed(e.limit)
+			n.patience.Missed(e.limit)
 		}
 		n.handleOrderDone(now, e.end)
 	case holdDone:
--- a/internal/agent/node/calls_test.go
+++ b/internal/core/patience/patience_test.go
@@ -1,12 +1,29 @@
-package node
+package patience_test
 
 import (
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/core/patience"
 )
 
+// TestRaise: what is known of the peer from elsewhere counts at once, and is unlearned with quick answers.
+func TestRaise(t *testing.T) {
+	p := patience.New(5, 50*time.Millisecond, time.Second)
+	p.Learn(10 * time.Millisecond)
+	qt.Assert(t, p.Limit(), qt.Equals, 50*time.Millisecond)
+	p.Raise(150 * time.Millisecond)
+	qt.Assert(t, p.Limit(), qt.Equals, 750*time.Millisecond)
+	p.Raise(time.Millisecond)
+	qt.Assert(t, p.Limit(), qt.Equals, 750*time.Millisecond)
+	for range 100 {
+		p.Learn(5 * time.Millisecond)
+	}
+	qt.Assert(t, p.Limit(), qt.Equals, 50*time.Millisecond)
+}
+
 // TestPatience: orders are waited for a little longer than usual; lost ones do not draw that out, and a VM on which every
 // order takes longer does.
 func TestPatience(t *testing.T) {
@@ -23,16 +40,16 @@
 		{"slower than the least limit", 40 * time.Millisecond, 0, 150 * time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			p := patience{most: 150 * time.Millisecond}
+			p := patience.New(20, 25*time.Millisecond, 150*time.Millisecond)
 			for i := range 200 {
-				limit := p.limit()
+				limit := p.Limit()
 				if test.took > limit || test.lost > 0 && i%test.lost == 0 {
-					p.missed(limit)
+					p.Missed(limit)
 					continue
 				}
-				p.learn(test.took)
+				p.Learn(test.took)
 			}
-			got := p.limit()
+			got := p.Limit()
 			qt.Assert(t, got > test.want*9/10 && got < test.want*12/10, qt.IsTrue, qt.Commentf("%v", got))
 		})
 	}
--- a/internal/entry/node/kept.go
+++ b/internal/entry/node/kept.go
@@ -129,6 +129,9 @@
 	sent := time.Now()
 	s.read("leases", func(ctx context.Context) (any, error) {
 		page, err := s.reader.Leases(ctx)
+		if err == nil {
+			s.ledger.ReadTook(time.Since(sent))
+		}
 		return leasesRead{sent, page, err}, err
 	})
 }
--- a/internal/kept/ledger/ledger.go
+++ b/internal/kept/ledger/ledger.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"hillreel/internal/core/patience"
 	"hillreel/internal/core/rows"
 )
 
@@ -66,9 +67,20 @@
 	maxBytes   = 700_000
 )
 
-// retryPause is the pause after a write that was refused or got no answer: a twentieth of the time in which entries must
-// be back after an outage.
-const retryPause = 100 * time.Millisecond
+// retryPause is the pause after a call that was refused or could not be made: a twentieth of the time in which entries must
+// be back after an outage. One that got no answer was waited for already.
+const (
+	retryPause    = 100 * time.Millisecond
+	unansweredPause = 10 * time.Millisecond
+)
+
+// How long an answer is waited for: a write usually takes 10 ms. A lost answer holds up all writes of its part, and to
+// take a slow one for a lost one only repeats a write that has its conditions.
+const (
+	leastPatience  = 50 * time.Millisecond
+	mostPatience   = time.Second
+	patienceFactor = 5
+)
 
 // Ledger carries out writes.
 type Ledger struct {
@@ -81,6 +93,8 @@
 
 	mu    sync.Mutex
 	lanes map[string]*lane
+	// patience is how long an answer to a write is waited for.
+	patience patience.Patience
 	// silentSince is from when on no write was answered, though some were tried; zero is not.
 	silentSince time.Time
 }
@@ -95,14 +109,33 @@
 	return !l.silentSince.IsZero() && time.Since(l.silentSince) > awayAfter
 }
 
-// answered notes whether a write that was begun at some moment was answered.
-func (l *Ledger) answered(began time.Time, ok bool) {
+// limit is how long the next answer is waited for.
+func (l *Ledger) limit() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	switch {
-	case ok:
+	return l.patience.Limit()
+}
+
+// ReadTook takes in how long the store has taken to answer a reading: when it is slow, it is so for writes as well.
+func (l *Ledger) ReadTook(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.patience.Raise(d)
+}
+
+// answered notes whether a write that was begun at some moment was answered within a limit.
+func (l *Ledger) answered(began time.Time, limit time.Duration, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if ok {
+		l.patience.Learn(time.Since(began))
 		l.silentSince = time.Time{}
-	case l.silentSince.IsZero():
+		return
+	}
+	if time.Since(began) >= limit {
+		l.patience.Missed(limit)
+	}
+	if l.silentSince.IsZero() {
 		l.silentSince = began
 	}
 }
@@ -110,7 +143,7 @@
 // New returns a Ledger; done is called for each write, on another goroutine.
 func New(s Store, done func(Result), log *logrus.Entry) *Ledger {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Ledger{store: s, done: done, log: log, ctx: ctx, cancel: cancel, lanes: make(map[string]*lane)}
+	return &Ledger{store: s, done: done, log: log, ctx: ctx, cancel: cancel, lanes: make(map[string]*lane), patience: patience.New(patienceFactor, leastPatience, mostPatience)}
 }
 
 // Stop gives up what is under way; nobody hears of it any more.
@@ -200,21 +233,19 @@
 	for _, a := range group {
 		t.If, t.Put, t.Remove = append(t.If, a.Txn.If...), append(t.Put, a.Txn.Put...), append(t.Remove, a.Txn.Remove...)
 	}
-	began := time.Now()
-	version, err := n.ledger.store.Commit(n.ledger.ctx, t)
-	n.ledger.answered(began, err == nil || errors.Is(err, rows.ErrConflict))
+	began, limit := time.Now(), n.ledger.limit()
+	ctx, cancel := context.WithTimeout(n.ledger.ctx, limit)
+	defer cancel()
+	version, err := n.ledger.store.Commit(ctx, t)
+	n.ledger.answered(began, limit, err == nil || errors.Is(err, rows.ErrConflict))
 	switch {
 	case n.ledger.ctx.Err() != nil:
 	case err == nil:
 		for _, a := range group {
 			n.ledger.done(Result{ID: a.ID, Outcome: Done, Version: version})
 		}
-	case errors.Is(err, rows.ErrConflict) && len(group) > 1:
-		for i := range group {
-			n.commit(group[i : i+1])
-		}
 	case errors.Is(err, rows.ErrConflict):
-		n.conflict(group[0])
+		n.conflict(group)
 	default:
 		n.failed(group, err)
 	}
@@ -237,7 +268,16 @@
 		}
 	}
 	n.expire()
-	n.pause()
+	if refused {
+		n.pause(retryPause)
+	} else {
+		n.pause(unansweredPause)
+	}
+	n.requeue(again)
+}
+
+// requeue lets writes be tried again, before all others.
+func (n *lane) requeue(again []*attempt) {
 	n.ledger.mu.Lock()
 	n.queue = append(again, n.queue...)
 	n.ledger.mu.Unlock()
@@ -262,27 +302,70 @@
 	}
 }
 
-// conflict reads what is there instead, until the store says.
-func (n *lane) conflict(a *attempt) {
+// conflict handles a group of writes the condition of one of which does not hold. Each is looked into by itself, all at
+// once: those whose condition holds are tried again.
+func (n *lane) conflict(group []*attempt) {
+	holds := make([]bool, len(group))
+	var all sync.WaitGroup
+	for i, a := range group {
+		all.Go(func() { holds[i] = len(group) > 1 && n.holds(a) })
+	}
+	all.Wait()
+	var again []*attempt
+	for i, a := range group {
+		if holds[i] {
+			again = append(again, a)
+			continue
+		}
+		all.Go(func() { n.tellConflict(a) })
+	}
+	all.Wait()
+	if len(again) == len(group) {
+		// What was in the way has gone; but the next try could go as this one did.
+		for i := range group {
+			n.commit(group[i : i+1])
+		}
+		return
+	}
+	n.requeue(again)
+}
+
+// holds tells whether a write's conditions hold.
+func (n *lane) holds(a *attempt) bool {
+	for _, c := range a.Txn.If {
+		if n.read(c.Key).Version != c.Version {
+			return false
+		}
+	}
+	return true
+}
+
+// tellConflict reads what is there instead of what a write expected.
+func (n *lane) tellConflict(a *attempt) {
 	r := Result{ID: a.ID, Outcome: Conflict}
 	for _, k := range a.Look {
-		row, err := n.ledger.store.Read(n.ledger.ctx, k)
-		for err != nil && n.ledger.ctx.Err() == nil {
-			n.ledger.log.WithField("error", err.Error()).Info("job_rows_unreadable")
-			n.pause()
-			row, err = n.ledger.store.Read(n.ledger.ctx, k)
-		}
-		r.Found = append(r.Found, row)
+		r.Found = append(r.Found, n.read(k))
 	}
 	if n.ledger.ctx.Err() == nil {
 		n.ledger.done(r)
 	}
 }
 
+// read reads a row, until the store answers or the ledger stops.
+func (n *lane) read(k rows.Key) rows.Row {
+	row, err := n.ledger.store.Read(n.ledger.ctx, k)
+	for err != nil && n.ledger.ctx.Err() == nil {
+		n.ledger.log.WithField("error", err.Error()).Info("job_rows_unreadable")
+		n.pause(retryPause)
+		row, err = n.ledger.store.Read(n.ledger.ctx, k)
+	}
+	return row
+}
+
 // pause waits between two attempts.
-func (n *lane) pause() {
+func (n *lane) pause(d time.Duration) {
 	select {
 	case <-n.ledger.ctx.Done():
-	case <-time.After(retryPause):
+	case <-time.After(d):
 	}
 }
--- a/internal/kept/ledger/ledger_test.go
+++ b/internal/kept/ledger/ledger_test.go
@@ -37,6 +37,9 @@
 }
 
 func (f *fake) Read(_ context.Context, k rows.Key) (rows.Row, error) {
+	if k.Table == "conditions" && k.Name != "3" {
+		return rows.Row{Key: k}, nil
+	}
 	return rows.Row{Key: k, Version: 77}, nil
 }
 
@@ -54,7 +57,10 @@
 func op(id int) ledger.Op {
 	return ledger.Op{
 		ID: ledger.OpID(id), Part: "p", Look: []rows.Key{{Table: "t", Name: "n"}},
-		Txn: rows.Txn{Put: []rows.Row{{Key: rows.Key{Table: "t", Part: "p", Name: fmt.Sprint(id)}}}},
+		Txn: rows.Txn{
+			If:  []rows.Condition{{Key: rows.Key{Table: "conditions", Part: "p", Name: fmt.Sprint(id)}}},
+			Put: []rows.Row{{Key: rows.Key{Table: "t", Part: "p", Name: fmt.Sprint(id)}}},
+		},
 	}
 }
 
