book: a job waits for the store for as long as its objective

Cause: with a store 60 times slower a write takes 0.54 s, and jobs with an objective of 1.5 s were refused after 0.5 s.

--- a/internal/kept/book/submit.go
+++ b/internal/kept/book/submit.go
@@ -21,7 +21,8 @@
 var noSuchJob = dispatch.Answer{State: verdict.Unknown, Verdict: verdict.NotRun, Reason: verdict.NotFound}
 
 const (
-	// acceptFor is how long a job waits for the store: two of its answers at sixty times their usual 4 ms.
+	// acceptFor is how long a job waits for the store at least: two of its answers at sixty times their usual 4 ms. A job
+	// with a longer objective waits for as long as that.
 	acceptFor = 500 * time.Millisecond
 	// refusedRetry is when a caller may come back whose job could not be stored: outages of the store last seconds.
 	refusedRetry = time.Second
@@ -39,7 +40,8 @@
 		return
 	}
 	k := &keptJob{
-		id: r.Job, record: record.Job{Spec: *r.Spec, Route: r.Route}, phase: asked, callers: []waiter{w}, giveUp: now.Add(acceptFor),
+		id: r.Job, record: record.Job{Spec: *r.Spec, Route: r.Route}, phase: asked, callers: []waiter{w},
+		giveUp: now.Add(max(acceptFor, r.Route.Objective(r.Spec.Chain()))),
 	}
 	if len(b.value(k.record)) > b.opts.MaxRow {
 		b.callers.Answer(r.Caller, dispatch.Answer{State: verdict.Refused, Verdict: verdict.NotRun, Reason: verdict.TooLarge})
--- a/internal/kept/ledger/ledger.go
+++ b/internal/kept/ledger/ledger.go
@@ -70,7 +70,7 @@
 // retryPause is the pause after a call that was refused or could not be made: a twentieth of the time in which entries must
 // be back after an outage. One that got no answer was waited for already.
 const (
-	retryPause    = 100 * time.Millisecond
+	retryPause      = 100 * time.Millisecond
 	unansweredPause = 10 * time.Millisecond
 )
 
