--- a/client/client.go
+++ b/client/client.go
@@ -77,10 +77,25 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "client: encode")
 	}
+	return c.try(ctx, http.MethodPut, id, body)
+}
+
+// State asks for the state of a job that was sent with Keep.
+func (c *Client) State(ctx context.Context, id string) (*api.Answer, error) {
+	return c.try(ctx, http.MethodGet, id, nil)
+}
+
+// Cancel ends a job.
+func (c *Client) Cancel(ctx context.Context, id string) (*api.Answer, error) {
+	return c.try(ctx, http.MethodDelete, id, nil)
+}
+
+// try calls one entry after the other until one answers.
+func (c *Client) try(ctx context.Context, method, id string, body []byte) (*api.Answer, error) {
 	var last error
 	for range c.o.Attempts {
 		entry := c.o.Entries[c.next.Add(1)%uint64(len(c.o.Entries))]
-		a, err := c.send(ctx, entry, id, body)
+		a, err := c.send(ctx, method, entry, id, body)
 		if err == nil && a.State != verdict.Unresolved {
 			return a, nil
 		}
@@ -96,8 +111,8 @@
 	return nil, errors.Wrap(ErrLost, last.Error())
 }
 
-func (c *Client) send(ctx context.Context, entry, id string, body []byte) (*api.Answer, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+entry+"/v1/jobs/"+id, bytes.NewReader(body))
+func (c *Client) send(ctx context.Context, method, entry, id string, body []byte) (*api.Answer, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+entry+"/v1/jobs/"+id, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "client")
 	}
--- a/commands/job.go
+++ b/commands/job.go
@@ -20,34 +20,38 @@
 func (j jobCommand) define() *cli.Command {
 	return &cli.Command{
 		Name: "job", Usage: "send a job from standard input to an entry and print its answer",
-		Description: "The job is JSON as docs/API.md describes it. Exit code 0: the job is complete.",
+		Description: "The job is JSON as docs/API.md describes it. Exit code 0: the job is complete, or accepted if it is to be kept.",
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "entry", Value: []string{"127.0.0.1:7600"}, Usage: "callers' API of an entry, `ADDRESS`; several may be given"},
 			&cli.StringFlag{Name: "id", Usage: "send the job under `ID`, 16 hexadecimal digits; without it, one is drawn"},
+			&cli.BoolFlag{Name: "state", Usage: "ask for the state of the kept job with --id instead"},
+			&cli.BoolFlag{Name: "cancel", Usage: "cancel the job with --id instead"},
 		},
 		Action: j.run,
 	}
 }
 
 func (jobCommand) run(ctx context.Context, c *cli.Command) error {
-	raw, err := io.ReadAll(os.Stdin)
-	if err != nil {
-		return cli.Exit("standard input: "+err.Error(), ExitUsage)
-	}
-	var job api.Job
-	if err := json.Unmarshal(raw, &job); err != nil {
-		return cli.Exit("standard input: "+err.Error(), ExitUsage)
-	}
 	cl, err := client.New(client.Options{Entries: c.StringSlice("entry")})
 	if err != nil {
 		return cli.Exit(err.Error(), ExitUsage)
 	}
 	id := c.String("id")
-	if id == "" {
-		id = client.NewID()
+	var a *api.Answer
+	switch {
+	case (c.Bool("state") || c.Bool("cancel")) && id == "":
+		return cli.Exit("--id must be set", ExitUsage)
+	case c.Bool("state"):
+		a, err = cl.State(ctx, id)
+	case c.Bool("cancel"):
+		a, err = cl.Cancel(ctx, id)
+	default:
+		a, err = submit(ctx, cl, id)
 	}
-	a, err := cl.Submit(ctx, id, job)
 	if err != nil {
+		if exit, ok := err.(cli.ExitCoder); ok {
+			return exit
+		}
 		return cli.Exit(err.Error(), ExitFailed)
 	}
 	out, err := json.MarshalIndent(a, "", "  ")
@@ -57,8 +61,25 @@
 	if _, err := c.Root().Writer.Write(append(out, '\n')); err != nil {
 		return cli.Exit(err.Error(), ExitFailed)
 	}
-	if a.State != verdict.Complete {
-		return cli.Exit("", ExitFailed)
+	switch a.State {
+	case verdict.Complete, verdict.Accepted, verdict.Cancelled:
+		return nil
+	}
+	return cli.Exit("", ExitFailed)
+}
+
+// submit sends the job on standard input; without an id, one is drawn.
+func submit(ctx context.Context, cl *client.Client, id string) (*api.Answer, error) {
+	raw, err := io.ReadAll(os.Stdin)
+	if err != nil {
+		return nil, cli.Exit("standard input: "+err.Error(), ExitUsage)
+	}
+	var job api.Job
+	if err := json.Unmarshal(raw, &job); err != nil {
+		return nil, cli.Exit("standard input: "+err.Error(), ExitUsage)
+	}
+	if id == "" {
+		id = client.NewID()
 	}
-	return nil
+	return cl.Submit(ctx, id, job)
 }
--- a/internal/standin/embedded/embedded_test.go
+++ b/internal/standin/embedded/embedded_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -27,6 +28,7 @@
 		Adjust: func(_ string, s *settings.Settings) {
 			s.Links.KeepAlive, s.Links.Silence = 200*time.Millisecond, 800*time.Millisecond
 			s.Links.Lease, s.Agent.CallTimeout = 800*time.Millisecond, 300*time.Millisecond
+			s.Kept.Lease, s.Kept.Renew = 1500*time.Millisecond, 200*time.Millisecond
 		},
 	})
 	qt.Assert(t, err, qt.IsNil)
@@ -243,3 +245,61 @@
 		})
 	}
 }
+
+// TestKeptJobs: a job that is to be kept completes though the entry that took it has gone for good, and though the store
+// is away for a while; any entry tells its state, and any entry cancels it.
+func TestKeptJobs(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		runMs int64
+		fault func(set *embedded.Set)
+		end   func(c *client.Client, id string) (*api.Answer, error)
+		want  api.State
+	}{
+		{"nothing goes wrong", 100, func(*embedded.Set) {}, nil, verdict.Complete},
+		{"its entry ends", 1500, func(set *embedded.Set) { set.Entries[0].Stop() }, nil, verdict.Complete},
+		{"the store is away", 1500, func(set *embedded.Set) {
+			set.Store.Break(standin.Fault{Silent: true})
+			time.Sleep(2500 * time.Millisecond)
+			set.Store.Break(standin.Fault{})
+		}, nil, verdict.Complete},
+		{"an upstream crashes", 1000, func(set *embedded.Set) {
+			time.Sleep(300 * time.Millisecond)
+			set.Upstreams[0].Crash()
+		}, nil, verdict.Complete},
+		{"another entry cancels it", 60_000, func(*embedded.Set) {}, func(c *client.Client, id string) (*api.Answer, error) {
+			return c.Cancel(context.Background(), id)
+		}, verdict.Cancelled},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			set := start(t, 2, 3)
+			clients := make([]*client.Client, 2)
+			for i := range clients {
+				c, err := client.New(client.Options{Entries: set.Callers()[i : i+1], Attempts: 8})
+				qt.Assert(t, err, qt.IsNil)
+				clients[i] = c
+			}
+			id, j := client.NewID(), job(test.runMs, `{"run_ms":`+strconv.FormatInt(test.runMs, 10)+`}`)
+			j.Keep = true
+			a, err := clients[0].Submit(context.Background(), id, j)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, a.State, qt.Equals, verdict.Accepted)
+			test.fault(set)
+			if test.end != nil {
+				_, err := test.end(clients[1], id)
+				qt.Assert(t, err, qt.IsNil)
+			}
+			until := time.Now().Add(20 * time.Second)
+			for a.State != test.want && time.Now().Before(until) {
+				time.Sleep(50 * time.Millisecond)
+				a, err = clients[1].State(context.Background(), id)
+				qt.Assert(t, err, qt.IsNil)
+			}
+			qt.Assert(t, a.State, qt.Equals, test.want)
+			for set.Ledger.Running() > 0 && time.Now().Before(until) {
+				time.Sleep(20 * time.Millisecond)
+			}
+			qt.Assert(t, set.Ledger.Running(), qt.Equals, 0)
+		})
+	}
+}
