--- a/internal/kept/book/book.go
+++ b/internal/kept/book/book.go
@@ -133,6 +133,8 @@
 type keptJob struct {
 	id     job.ID
 	record record.Job
+	// sender is its caller's own id of the request, for the log; it is not stored.
+	sender string
 	phase  phase
 	// callers wait for its acceptance until giveUp, cancels for its end; watchers want to know its state, at the latest at
 	// their deadlines.
--- a/internal/kept/book/submit.go
+++ b/internal/kept/book/submit.go
@@ -40,7 +40,7 @@
 		return
 	}
 	k := &keptJob{
-		id: r.Job, record: record.Job{Spec: *r.Spec, Route: r.Route}, phase: asked, callers: []waiter{w},
+		id: r.Job, record: record.Job{Spec: *r.Spec, Route: r.Route}, sender: r.Sender, phase: asked, callers: []waiter{w},
 		giveUp: now.Add(max(acceptFor, r.Route.Objective(r.Spec.Chain()))),
 	}
 	if len(b.value(k.record)) > b.opts.MaxRow {
@@ -106,7 +106,7 @@
 
 // begin lets a job that is stored run.
 func (b *Book) begin(now time.Time, k *keptJob, v rows.Version) {
-	b.event(logrus.InfoLevel, "job_accepted", logrus.Fields{"job": k.id, "route": k.record.Route.Name, "tasks": k.record.Spec.Tasks()})
+	b.event(logrus.InfoLevel, "job_accepted", logrus.Fields{"job": k.id, "request": k.sender, "route": k.record.Route.Name, "tasks": k.record.Spec.Tasks()})
 	k.version = v
 	b.answer(&k.callers, accepted)
 	if len(k.cancels) > 0 {
@@ -136,7 +136,7 @@
 	for _, c := range k.open.Checkpoints {
 		known.Checkpoints[job.TaskID{Job: k.id, Step: c.Step, Index: c.Index}] = c.Text
 	}
-	b.table.Submit(now, dispatch.Request{Job: k.id, Spec: &k.record.Spec, Route: k.record.Route, Kept: known})
+	b.table.Submit(now, dispatch.Request{Job: k.id, Spec: &k.record.Spec, Route: k.record.Route, Sender: k.sender, Kept: known})
 }
 
 // runsEach is how many numbers of runs each generation of a job has: far more than one entry starts a task.
@@ -171,7 +171,7 @@
 
 // refused is the answer to a job that was not stored and never will be.
 func (b *Book) refused(k *keptJob, why string) dispatch.Answer {
-	b.event(logrus.InfoLevel, "job_not_accepted", logrus.Fields{"job": k.id, "why": why})
+	b.event(logrus.InfoLevel, "job_not_accepted", logrus.Fields{"job": k.id, "request": k.sender, "why": why})
 	return dispatch.Answer{State: verdict.Refused, Verdict: verdict.NotRun, Reason: verdict.Overloaded, RetryAfter: refusedRetry}
 }
 
