agent: links to twelve entries, and to those that have few upstreams of its service

Cause: every agent was linked to every entry. Change: agents choose entries by rendezvous hashing of both names; one that can't be reached is replaced by the next; an entry with fewer than 24 upstreams of a service asks, in its row, for the agents of that service. Up to twelve entries everything is as before. Tests: peers, TestFewUpstreamsAreKnownEverywhere. Not measured yet at 300 VMs.

--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"syscall"
@@ -9,10 +10,12 @@
 
 	"github.com/pkg/errors"
 
+	"hillreel/internal/agent/peers"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/link/codec"
 	"hillreel/internal/link/links"
+	"hillreel/internal/link/members"
 	"hillreel/internal/link/session"
 	"hillreel/internal/link/wire"
 )
@@ -25,9 +28,9 @@
 
 // The sources: the settings, the platform's store, and entries over their links.
 const (
-	seeds source = "seeds"
-	store source = "store"
-	peers source = "peers"
+	seeds  source = "seeds"
+	store  source = "store"
+	others source = "peers"
 )
 
 // link is the session with one entry; nothing is kept beside it.
@@ -41,6 +44,8 @@
 	cancel context.CancelFunc
 	// last is the entry that was linked last by this address; zero is none.
 	last ident.Incarnation
+	// failing is true while the entry can't be reached.
+	failing bool
 }
 
 // seedLinks are the seeds' addresses for links: all entries of a region use the same port.
@@ -62,27 +67,37 @@
 func (n *Node) SetSeeds(from []string) { n.loop.Post(entriesListed{seeds, n.seedLinks(from)}) }
 
 // SetEntries tells the node which entries the store lists.
-func (n *Node) SetEntries(links []ident.Address) {
-	out := make([]string, len(links))
-	for i, l := range links {
-		out[i] = string(l)
+func (n *Node) SetEntries(all []members.Listed) {
+	out, wants := make([]string, len(all)), make(map[string][]ident.Service)
+	for i, l := range all {
+		out[i] = string(l.Address)
+		wants[out[i]] = l.Wants
 	}
+	n.loop.Post(func() { n.wants = wants })
 	n.loop.Post(entriesListed{store, out})
 }
 
-// handleListed dials entries that are new, and gives up those that nobody lists any more.
+// handleListed takes in which entries somebody lists.
 func (n *Node) handleListed(by source, links []string) {
-	if slices.Equal(n.listed[by], links) {
-		return
-	}
 	n.listed[by] = links
-	wanted := make(map[string]bool)
+	n.chooseEntries()
+}
+
+// chooseEntries dials entries that are newly chosen, and gives up those that are not listed any more, or that others have
+// taken the place of.
+func (n *Node) chooseEntries() {
+	candidates := make(map[string]peers.Candidate)
+	up, _ := n.keeper.Known()
 	for _, list := range n.listed {
 		for _, l := range list {
-			wanted[l] = true
+			d := n.dialled[l]
+			candidates[l] = peers.Candidate{
+				Address: l, Wanted: slices.Contains(n.wants[l], up.Service), Failing: d != nil && d.failing,
+			}
 		}
 	}
-	for l := range wanted {
+	chosen := peers.Choose(n.set.Node.Name, n.set.Links.Entries, slices.Collect(maps.Values(candidates)))
+	for l := range chosen {
 		if n.dialled[l] == nil {
 			ctx, cancel := context.WithCancel(n.ctx)
 			n.dialled[l] = &dialled{cancel: cancel}
@@ -90,9 +105,15 @@
 		}
 	}
 	for l, d := range n.dialled {
-		if !wanted[l] {
-			d.cancel()
-			delete(n.dialled, l)
+		_, listed := candidates[l]
+		if listed && (chosen[l] || n.keeper.Owns(d.last)) {
+			continue
+		}
+		d.cancel()
+		delete(n.dialled, l)
+		if link := n.links.Get(d.last); listed && link != nil {
+			// It is linked and has nothing here. One that nobody lists any more may still have, and keeps its link.
+			link.Session.Close()
 		}
 	}
 }
@@ -113,8 +134,8 @@
 			n.serve(s, address)
 			since = time.Now()
 		}
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			n.loop.Post(dialRefused{address})
+		if err != nil {
+			n.loop.Post(dialFailed{address, errors.Is(err, syscall.ECONNREFUSED)})
 		}
 		pause := n.set.Links.RedialEvery
 		if err == nil && time.Since(began) > pause {
@@ -160,18 +181,27 @@
 		if d.last != l.Peer {
 			n.keeper.Gone(now, d.last, "restarted")
 		}
-		d.last = l.Peer
+		d.last, d.failing = l.Peer, false
 	}
 	n.keeper.Linked(now, l.Peer)
 	n.passConfig(l)
 }
 
-// handleRefused handles an address at which nobody listens any more: the entry that was there has ended.
-func (n *Node) handleRefused(now time.Time, address string) {
-	if d := n.dialled[address]; d != nil && d.last != 0 {
+// handleDialFailed handles an address that can't be reached. When it refuses, nobody listens there any more: the entry
+// that was there has ended.
+func (n *Node) handleDialFailed(now time.Time, address string, refused bool) {
+	d := n.dialled[address]
+	if d == nil {
+		return
+	}
+	if refused && d.last != 0 {
 		n.keeper.Gone(now, d.last, "refused")
 		d.last = 0
 	}
+	if !d.failing {
+		d.failing = true
+		n.chooseEntries()
+	}
 }
 
 // handleLinkDown handles the end of a link's session: its entry is out of hearing.
@@ -202,7 +232,7 @@
 	case *wire.Msg_Config:
 		n.handleConfig(l, m.Config)
 	case *wire.Msg_Peers:
-		n.handleListed(peers, m.Peers.GetLinks())
+		n.handleListed(others, m.Peers.GetLinks())
 	default:
 		n.log.WithField("entry", l.Name()).Warn("message_unknown")
 	}
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -41,6 +41,8 @@
 	// dialled are the entries that are dialled or linked, by address; listed are the addresses that each source told last.
 	dialled map[string]*dialled
 	listed  map[source][]string
+	// wants are the services of whose agents entries have asked for more, by the entry's address.
+	wants map[string][]ident.Service
 	// config is the newest configuration that an entry has sent, to be passed on.
 	config *wire.Config
 	pulse  links.Pulse
@@ -119,9 +121,12 @@
 		session *session.Session
 		address string
 	}
-	// dialRefused says that nobody listens at an entry's address.
-	dialRefused struct{ address string }
-	linkDown    struct {
+	// dialFailed says that an entry's address can't be reached; refused is true when nobody listens there.
+	dialFailed struct {
+		address string
+		refused bool
+	}
+	linkDown struct {
 		session *session.Session
 		err     error
 	}
@@ -159,6 +164,7 @@
 		n.keeper.Beat(now, e)
 		if u, known := n.keeper.Known(); known && u.ID != n.remembered {
 			n.remember(u)
+			n.chooseEntries()
 		}
 	case recalled:
 		n.log.WithField("upstream", e.upstream.ID).Info("upstream_recalled")
@@ -168,8 +174,8 @@
 		n.keeper.Left(now, e.id)
 	case linkUp:
 		n.handleLinkUp(now, e.session, e.address)
-	case dialRefused:
-		n.handleRefused(now, e.address)
+	case dialFailed:
+		n.handleDialFailed(now, e.address, e.refused)
 	case linkDown:
 		n.handleLinkDown(now, e.session, e.err)
 	case received:
--- a/internal/agent/process/process.go
+++ b/internal/agent/process/process.go
@@ -13,7 +13,6 @@
 	"hillreel/internal/agent/node"
 	"hillreel/internal/core/bus"
 	"hillreel/internal/core/follow"
-	"hillreel/internal/core/ident"
 	"hillreel/internal/core/kernel"
 	"hillreel/internal/core/ops"
 	"hillreel/internal/core/settings"
@@ -62,11 +61,11 @@
 	}
 	p := &Process{set: set, log: d.Log, kernel: kernel.New(d.Log), bus: bus.New()}
 	p.Node = node.New(set, d.Upstream, memory.New(d.Store, set.Node.Name), d.Dial, d.Log)
-	dir := members.NewDirectory(func(links []ident.Address) {
-		if err := p.bus.Publish(bus.Entries, links); err != nil {
+	dir := members.NewDirectory(func(entries []members.Listed) {
+		if err := p.bus.Publish(bus.Entries, entries); err != nil {
 			p.log.WithField("error", err.Error()).Error("event_not_published")
 		}
-	})
+	}, d.Log)
 	for _, s := range []struct {
 		name    string
 		service kernel.Service
--- a/internal/agent/upstream/sessions.go
+++ b/internal/agent/upstream/sessions.go
@@ -117,7 +117,7 @@
 // forgetSessions drops entries that have been gone for so long that they have settled their tasks by time.
 func (k *Keeper) forgetSessions(now time.Time) {
 	k.order = slices.DeleteFunc(k.order, func(s *session) bool {
-		gone := !s.linked && now.Sub(s.ended) > unsentFor && !k.owns(s.entry)
+		gone := !s.linked && now.Sub(s.ended) > unsentFor && !k.Owns(s.entry)
 		if gone {
 			delete(k.sessions, s.entry)
 		}
@@ -125,8 +125,8 @@
 	})
 }
 
-// owns tells whether a run of an entry is, or may be, at the upstream.
-func (k *Keeper) owns(entry ident.Incarnation) bool {
+// Owns tells whether a run of an entry is, or may be, at the upstream.
+func (k *Keeper) Owns(entry ident.Incarnation) bool {
 	for _, r := range k.runs {
 		if r.owner == entry || r.next != nil && r.next.owner == entry {
 			return true
--- a/internal/core/bus/bus.go
+++ b/internal/core/bus/bus.go
@@ -18,7 +18,7 @@
 
 // The topics and what their events hold.
 const (
-	// Entries carries the link addresses of all entries, each time the store's list of them was read.
+	// Entries carries all entries, each time the store's list of them has changed.
 	Entries Topic = "entries"
 )
 
--- a/internal/core/settings/options.go
+++ b/internal/core/settings/options.go
@@ -66,6 +66,7 @@
 // Links holds the options of the links between entries and agents. All processes of a region must share silence,
 // lease and stop_budget: entries work out from them when a lost agent's runs have surely ended.
 type Links struct {
+	Entries     int           `ini:"entries" default:"12" min:"1" max:"10000" doc:"To how many entries an agent links when there are more: room is told to each, and each agent is heard by each. With 12, an entry of a region with 30 entries and 270 agents knows 108 agents."`
 	DialTimeout time.Duration `ini:"dial_timeout" default:"100ms" min:"10ms" max:"1m" doc:"Longest wait for a connection to another process: a VM without power says nothing, and is tried again."`
 	RedialEvery time.Duration `ini:"redial_every" default:"40ms" min:"1ms" max:"1m" doc:"Pause between attempts to connect."`
 	Silence     time.Duration `ini:"silence" default:"400ms" min:"10ms" max:"1m" doc:"How long an agent keeps the runs of an entry that it does not hear; how long a silent link is kept."`
--- a/internal/entry/node/config.go
+++ b/internal/entry/node/config.go
@@ -9,6 +9,7 @@
 	"hillreel/internal/core/invariant"
 	"hillreel/internal/core/route"
 	"hillreel/internal/link/codec"
+	"hillreel/internal/link/members"
 	"hillreel/internal/link/wire"
 )
 
@@ -70,13 +71,13 @@
 }
 
 // SetEntries tells the node which entries there are, for agents that can't read the store.
-func (n *Node) SetEntries(links []ident.Address) { n.loop.Post(listed{links}) }
+func (n *Node) SetEntries(entries []members.Listed) { n.loop.Post(listed{entries}) }
 
 // handleListed passes the list of entries to all agents when it has changed.
-func (n *Node) handleListed(links []ident.Address) {
-	peers := make([]string, len(links))
-	for i, a := range links {
-		peers[i] = string(a)
+func (n *Node) handleListed(entries []members.Listed) {
+	peers := make([]string, len(entries))
+	for i, l := range entries {
+		peers[i] = string(l.Address)
 	}
 	if slices.Equal(peers, n.peers) {
 		return
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -21,6 +21,7 @@
 	"hillreel/internal/kept/book"
 	"hillreel/internal/kept/ledger"
 	"hillreel/internal/link/links"
+	"hillreel/internal/link/members"
 	"hillreel/internal/link/session"
 	"hillreel/internal/link/wire"
 )
@@ -139,7 +140,7 @@
 		table *route.Table
 		from  ident.Incarnation
 	}
-	listed struct{ links []ident.Address }
+	listed struct{ entries []members.Listed }
 )
 
 // handle handles one event on the control goroutine.
@@ -167,7 +168,7 @@
 	case configured:
 		n.handleConfigured(e.table, e.from)
 	case listed:
-		n.handleListed(e.links)
+		n.handleListed(e.entries)
 	default:
 		n.handleKept(now, e)
 	}
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -37,6 +37,7 @@
 	nameConfig    = "config"
 	nameObjects   = "objects"
 	nameCancels   = "cancellations"
+	nameCoverage  = "coverage"
 	nameEntries   = "entries"
 	nameRegister  = "register"
 	nameCallers   = "callers"
@@ -86,8 +87,9 @@
 	p.Node = node.New(set, d.Store, d.Decode, node.NewObserver(d.Log, recordBurn(recorder)), d.Log)
 	changes := store.New(d.Store, time.Now)
 	api := operator.New(changes, objects, p.Node, recorder, d.Log)
-	dir := members.NewDirectory(func(links []ident.Address) { p.publish(bus.Entries, links) })
+	dir := members.NewDirectory(func(entries []members.Listed) { p.publish(bus.Entries, entries) }, d.Log)
 	entry := members.Entry{Name: set.Node.Name, Incarnation: p.Node.Incarnation().String(), Zone: ident.Zone(set.Node.Zone)}
+	register := members.NewRegistrar(d.Store, advertised(set), entry, d.Log)
 	p.Front = web.New("clients", set.Entry.Front, d.Front(p.Node), callers(set))
 	inForce := func() caller.Services { return objects.View() }
 	p.Callers = web.New("callers", set.Entry.Callers, caller.New(p.Node, inForce, int64(set.Entry.MaxBody), d.Log), callers(set))
@@ -98,7 +100,8 @@
 		{nameCancels, follow.New(d.Store, record.Cancels, p.Node.CancelRows(), set.Platform.ListWait, p.Node.Cancelled, d.Log)},
 		{nameObjects, follow.New(d.Store, store.Objects, follow.Whole, set.Platform.ListWait, objects.Change, d.Log)},
 		{nameEntries, follow.New(d.Store, members.Table, follow.Whole, set.Platform.ListWait, dir.Change, d.Log)},
-		{nameRegister, members.NewRegistrar(d.Store, advertised(set), entry, d.Log)},
+		{nameRegister, register},
+		{nameCoverage, newCoverage(p.Node, dir, register, set.Links.Entries)},
 	}
 	services = append(services, p.servers(d)...)
 	for _, s := range services {
--- a/internal/link/members/members.go
+++ b/internal/link/members/members.go
@@ -6,6 +6,7 @@
 package members
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -42,6 +43,14 @@
 	Name        string     `json:"name"`
 	Incarnation string     `json:"incarnation"`
 	Zone        ident.Zone `json:"zone"`
+	// Wants are services of whose upstreams the entry is linked to few, while agents link to a part of the entries only.
+	Wants []ident.Service `json:"wants,omitempty"`
+}
+
+// Listed is an entry as the table has it.
+type Listed struct {
+	Address ident.Address   `json:"address"`
+	Wants   []ident.Service `json:"wants,omitempty"`
 }
 
 // renewal is the value of a renewal's row.
@@ -52,16 +61,23 @@
 
 // Directory is the list of entries as the store has it.
 type Directory struct {
-	changed func([]ident.Address)
+	changed func([]Listed)
+	log     *logrus.Entry
 
 	mu  sync.Mutex
-	all map[ident.Address]bool
+	all map[ident.Address]Listed
+}
+
+// NewDirectory returns an empty Directory; changed is called with all entries each time one comes, goes or changes.
+func NewDirectory(changed func([]Listed), log *logrus.Entry) *Directory {
+	return &Directory{changed: changed, log: log, all: make(map[ident.Address]Listed)}
 }
 
-// NewDirectory returns an empty Directory; changed is called with the link addresses of all entries, each time one
-// comes or goes.
-func NewDirectory(changed func([]ident.Address)) *Directory {
-	return &Directory{changed: changed, all: make(map[ident.Address]bool)}
+// Len returns how many entries are listed.
+func (d *Directory) Len() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.all)
 }
 
 // Change takes in rows of the table; it is a follow.Change.
@@ -71,18 +87,24 @@
 		clear(d.all)
 	}
 	for _, r := range changed {
+		address := ident.Address(r.Key.Name)
 		if r.Removed {
-			delete(d.all, ident.Address(r.Key.Name))
+			delete(d.all, address)
 			continue
 		}
-		d.all[ident.Address(r.Key.Name)] = true
+		var e Entry
+		if err := json.Unmarshal(r.Value, &e); err != nil {
+			// The address is in the name, so that agents find the entry all the same.
+			d.log.WithFields(logrus.Fields{"link": address, "error": err.Error()}).Warn("member_unreadable")
+		}
+		d.all[address] = Listed{address, e.Wants}
 	}
-	live := make([]ident.Address, 0, len(d.all))
-	for a := range d.all {
-		live = append(live, a)
+	live := make([]Listed, 0, len(d.all))
+	for _, l := range d.all {
+		live = append(live, l)
 	}
 	d.mu.Unlock()
-	slices.Sort(live)
+	slices.SortFunc(live, func(a, b Listed) int { return cmp.Compare(a.Address, b.Address) })
 	d.changed(live)
 }
 
@@ -96,15 +118,45 @@
 type Registrar struct {
 	store   Writer
 	address ident.Address
-	entry   Entry
 	log     *logrus.Entry
 	cancel  context.CancelFunc
 	done    chan struct{}
+	// wake lets the row be written before its next renewal.
+	wake chan struct{}
+
+	mu    sync.Mutex
+	entry Entry
 }
 
 // NewRegistrar returns a Registrar that has not begun.
 func NewRegistrar(s Writer, address ident.Address, e Entry, log *logrus.Entry) *Registrar {
-	return &Registrar{store: s, address: address, entry: e, log: log, done: make(chan struct{})}
+	return &Registrar{store: s, address: address, entry: e, log: log, done: make(chan struct{}), wake: make(chan struct{}, 1)}
+}
+
+// Want lets agents of some services link to the entry, beside those that do anyway. They do so for the entry's life, and
+// that of its successor at the same address.
+func (r *Registrar) Want(services []ident.Service) {
+	if !r.addWants(services) {
+		return
+	}
+	r.log.WithField("services", services).Info("agents_wanted")
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// addWants adds services, and tells whether one was new.
+func (r *Registrar) addWants(services []ident.Service) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := len(r.entry.Wants)
+	for _, s := range services {
+		if !slices.Contains(r.entry.Wants, s) {
+			r.entry.Wants = append(r.entry.Wants, s)
+		}
+	}
+	return len(r.entry.Wants) > before
 }
 
 // Start begins to renew the row.
@@ -145,6 +197,7 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-r.wake:
 		case <-time.After(pause):
 		}
 	}
@@ -182,7 +235,15 @@
 	if err != nil {
 		return rows.Txn{}, errors.Wrap(err, "members: encode")
 	}
+	for _, row := range entries.Rows {
+		var former Entry
+		if row.Key.Name == string(r.address) && json.Unmarshal(row.Value, &former) == nil {
+			r.addWants(former.Wants)
+		}
+	}
+	r.mu.Lock()
 	value, err := json.Marshal(r.entry)
+	r.mu.Unlock()
 	if err != nil {
 		return rows.Txn{}, errors.Wrap(err, "members: encode")
 	}
--- a/internal/standin/embedded/embedded.go
+++ b/internal/standin/embedded/embedded.go
@@ -19,6 +19,7 @@
 	"hillreel/internal/core/web"
 	"hillreel/internal/entry/node"
 	entry "hillreel/internal/entry/process"
+	"hillreel/internal/link/members"
 	"hillreel/internal/link/session"
 	"hillreel/platform"
 	"hillreel/platform/standin"
@@ -165,7 +166,9 @@
 	s.Entries = append(s.Entries, p)
 	if string(store) != s.store.Address() {
 		for _, g := range s.Agents {
-			g.Node.SetEntries([]ident.Address{ident.Address(s.Entries[0].Node.Address()), ident.Address(p.Node.Address())})
+			g.Node.SetEntries([]members.Listed{
+				{Address: ident.Address(s.Entries[0].Node.Address())}, {Address: ident.Address(p.Node.Address())},
+			})
 		}
 	}
 	return p, nil
--- a/internal/standin/embedded/embedded_test.go
+++ b/internal/standin/embedded/embedded_test.go
@@ -303,3 +303,17 @@
 		})
 	}
 }
+
+// TestFewUpstreamsAreKnownEverywhere: agents link to two entries of four here, but a service with few upstreams is asked for
+// by all entries, so that each knows all of them. A set has not come up before that.
+func TestFewUpstreamsAreKnownEverywhere(t *testing.T) {
+	set, err := embedded.Start(embedded.Options{
+		Entries: 4, Agents: 3, Cores: 4, Service: "publish", Log: logs.Discard(),
+		Adjust: func(_ string, s *settings.Settings) { s.Links.Entries = 2 },
+	})
+	qt.Assert(t, err, qt.IsNil)
+	defer set.Stop()
+	for _, e := range set.Entries {
+		qt.Assert(t, e.Node.Upstreams(), qt.HasLen, 3)
+	}
+}
