kept: the entry's own lease is a package

Change: tenure acquires, renews, loses and leaves the lease; book is told by an interface. Behaviour as before. Measured: tests of book, 5,500 schedules and the embedded set pass.

--- a/internal/entry/node/kept.go
+++ b/internal/entry/node/kept.go
@@ -283,7 +283,7 @@
 		case <-time.After(sweepEvery):
 		}
 		active := false
-		n.loop.Call(func() { active = n.book.Active() })
+		n.loop.Call(func() { active = n.book.Active(time.Now()) })
 		if !active {
 			continue // nobody has kept jobs, and each look is a call that has a price
 		}
--- a/internal/kept/book/adopt.go
+++ b/internal/kept/book/adopt.go
@@ -14,6 +14,15 @@
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/kept/ledger"
 	"hillreel/internal/kept/record"
+	"hillreel/internal/kept/tenure"
+)
+
+const (
+	// scanEvery is the pause between two looks for jobs whose lease is gone: a write that arrived after its entry's
+	// lease had been taken over leaves one.
+	scanEvery = 10 * time.Second
+	// retryScan is the pause after one that failed.
+	retryScan = 200 * time.Millisecond
 )
 
 // adoption is the taking over of the jobs of a lease that has ended.
@@ -36,21 +45,21 @@
 // adoptExpired claims a lease that has ended, if nothing can run for it any more.
 func (b *Book) adoptExpired(now time.Time, clock time.Duration, row rows.Row, l record.Lease) {
 	id := record.LeaseID(row.Key.Name)
-	expired := clock > l.Until()+b.opts.Settle+clockMargin
-	if l.Node == b.opts.Node && now.Sub(b.lease.quietSince) > b.opts.Settle {
+	expired := clock > l.Until()+b.opts.Settle+tenure.ClockMargin
+	if l.Node == b.opts.Node && now.Sub(b.lease.QuietSince()) > b.opts.Settle {
 		// An earlier life of this very entry, or an earlier lease of this one.
 		expired = true
 	}
 	if !expired || b.adoptions[id] != nil {
 		return
 	}
-	if !b.leased(now) {
-		b.lease.wanted = true
+	if !b.lease.Held(now) {
+		b.lease.Want(now)
 		return
 	}
 	a := &adoption{left: make(map[job.ID]bool)}
 	b.adoptions[id] = a
-	claim := record.Lease{Node: l.Node, UntilMs: (clock + b.opts.Lease).Milliseconds(), Adopter: b.lease.id}
+	claim := record.Lease{Node: l.Node, UntilMs: (clock + b.opts.Lease).Milliseconds(), Adopter: b.lease.ID()}
 	b.event(logrus.InfoLevel, "lease_claimed", logrus.Fields{"lease": id, "node": l.Node, "ended_ms_ago": (clock - l.Until()).Milliseconds()})
 	b.write(ledger.Op{Once: true, Txn: rows.Txn{
 		If:  []rows.Condition{{Key: row.Key, Version: row.Version}},
@@ -70,7 +79,7 @@
 
 // rescan looks for jobs whose lease is gone, if it is time.
 func (b *Book) rescan(now time.Time) {
-	if b.leased(now) && now.After(b.scanAt) {
+	if b.lease.Held(now) && now.After(b.scanAt) {
 		b.scan(now)
 	}
 }
@@ -87,8 +96,8 @@
 // Scanned handles the open jobs, and the leases as they were read after them.
 func (b *Book) Scanned(now time.Time, open []rows.Row, leases rows.Page, err error) {
 	b.scanning = false
-	if err != nil || !b.leased(now) {
-		b.scanAt = now.Add(retryPoll)
+	if err != nil || !b.lease.Held(now) {
+		b.scanAt = now.Add(retryScan)
 		return
 	}
 	present := make(map[record.LeaseID]bool)
@@ -116,7 +125,7 @@
 	b.unreadable(err)
 	o, err2 := record.Read[record.Open](row)
 	b.unreadable(err2)
-	if err != nil || err2 != nil || o.Owner == b.lease.id || b.jobs[id] != nil {
+	if err != nil || err2 != nil || o.Owner == b.lease.ID() || b.jobs[id] != nil {
 		return 0, false
 	}
 	a := b.adoptions[o.Owner]
@@ -134,7 +143,7 @@
 // Fetched handles what jobs that are being taken over were submitted with.
 func (b *Book) Fetched(now time.Time, ids []job.ID, found []rows.Row, err error) {
 	if err != nil {
-		if b.leased(now) {
+		if b.lease.Held(now) {
 			b.store.Fetch(ids)
 		}
 		return
@@ -163,7 +172,7 @@
 	l := b.opts.Layout
 	for _, k := range batch {
 		next := k.open
-		next.Owner, next.Generation, next.Sequence = b.lease.id, k.open.Generation+1, k.open.Sequence+1
+		next.Owner, next.Generation, next.Sequence = b.lease.ID(), k.open.Generation+1, k.open.Sequence+1
 		b.write(ledger.Op{
 			Part: l.Part(k.id), Look: []rows.Key{l.OpenKey(k.id), l.EndedKey(k.id)},
 			Txn: rows.Txn{
--- a/internal/kept/book/book.go
+++ b/internal/kept/book/book.go
@@ -8,7 +8,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
@@ -24,6 +23,7 @@
 	"hillreel/internal/entry/dispatch"
 	"hillreel/internal/kept/ledger"
 	"hillreel/internal/kept/record"
+	"hillreel/internal/kept/tenure"
 )
 
 // Store carries out writes and readings; each is answered later by Written, LeasesRead, Scanned, Fetched or Looked.
@@ -91,7 +91,7 @@
 	ops    map[ledger.OpID]func(now time.Time, r ledger.Result)
 	lastOp ledger.OpID
 
-	lease tenure
+	lease *tenure.Tenure
 	// others are the leases of other entries, as they were read last.
 	others map[record.LeaseID]record.Lease
 	// adoptions are the leases whose jobs this entry takes over; scanning is true while open jobs are being read.
@@ -163,12 +163,15 @@
 
 // New returns an empty Book.
 func New(o Options, s Store, t Table, a Agents, c dispatch.Callers, now time.Time) *Book {
-	return &Book{
+	b := &Book{
 		opts: o, store: s, table: t, agents: a, callers: c,
 		jobs: make(map[job.ID]*keptJob), ended: newRecent(), unknown: make(map[job.ID][]ref), ops: make(map[ledger.OpID]func(time.Time, ledger.Result)),
-		lease:  tenure{quietSince: now, readAt: now},
 		others: make(map[record.LeaseID]record.Lease), adoptions: make(map[record.LeaseID]*adoption),
 	}
+	b.lease = tenure.New(tenure.Options{
+		Node: o.Node, Incarnation: o.Incarnation, Length: o.Lease, Renew: o.Renew, Without: o.Without, Log: o.Log,
+	}, (*leaseOwner)(b), now)
+	return b
 }
 
 // Jobs returns how many jobs are held.
@@ -218,7 +221,7 @@
 
 // Tick does what time alone brings about.
 func (b *Book) Tick(now time.Time) {
-	b.tickLease(now)
+	b.lease.Tick(now, len(b.jobs) > 0 || len(b.adoptions) > 0)
 	for _, k := range b.sorted() {
 		switch k.phase {
 		case asked, accepting:
@@ -240,8 +243,3 @@
 	}
 	return n
 }
-
-// leaseName names a lease of this entry.
-func (b *Book) leaseName(number int) record.LeaseID {
-	return record.LeaseID(fmt.Sprintf("%s-%d", b.opts.Incarnation, number))
-}
--- a/internal/kept/book/ends.go
+++ b/internal/kept/book/ends.go
@@ -267,7 +267,7 @@
 // writeEnd writes how a job has ended.
 func (b *Book) writeEnd(now time.Time, k *keptJob) {
 	l := b.opts.Layout
-	t, err := ledger.EndTxn(l, k.id, k.version, k.how(), b.lease.clock(now)+b.opts.Keep)
+	t, err := ledger.EndTxn(l, k.id, k.version, k.how(), b.lease.Clock(now)+b.opts.Keep)
 	b.unreadable(err)
 	k.writing = true
 	k.storing, k.unstored = append(k.storing, k.unstored...), nil
--- a/internal/kept/book/submit.go
+++ b/internal/kept/book/submit.go
@@ -52,8 +52,8 @@
 		return
 	}
 	b.jobs[k.id] = k
-	if !b.leased(now) {
-		b.wantLease(now)
+	if !b.lease.Held(now) {
+		b.lease.Want(now)
 		return
 	}
 	b.accept(now, k)
@@ -62,7 +62,7 @@
 // accept writes a job's rows.
 func (b *Book) accept(now time.Time, k *keptJob) {
 	k.phase = accepting
-	k.open = record.Open{Owner: b.lease.id, Generation: 1, Sequence: 1}
+	k.open = record.Open{Owner: b.lease.ID(), Generation: 1, Sequence: 1}
 	l := b.opts.Layout
 	b.write(ledger.Op{
 		Part: l.Part(k.id), Until: k.giveUp, Look: []rows.Key{l.OpenKey(k.id), l.EndedKey(k.id)},
