entry: more agents are asked for only after several looks

Ruled out: the choice itself, which gives each entry 108 of 270 agents (TestManyEntriesAreSpread). Change: four looks in a row, two seconds apart, must find fewer than 24 upstreams of a service. Test: TestCoverage.

--- a/internal/entry/process/coverage.go
+++ b/internal/entry/process/coverage.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"hillreel/internal/core/ident"
+	"hillreel/internal/core/route"
+	"hillreel/internal/entry/dispatch"
 	"hillreel/internal/entry/node"
 	"hillreel/internal/link/members"
 )
@@ -15,6 +19,8 @@
 	// fewUpstreams is below how many linked upstreams of a service more are asked for: with fewer, the chance that none of
 	// them has room grows; and a service with so few may have none here at all.
 	fewUpstreams = 24
+	// lookedBefore is how many looks in a row must find too few: while a region starts, every entry is linked to few agents.
+	lookedBefore = 4
 )
 
 // coverage asks for more agents of services with few upstreams. While agents link to a part of the entries only, an entry
@@ -26,10 +32,12 @@
 	// most is to how many entries agents link; with no more entries there is nothing to ask for.
 	most   int
 	cancel context.CancelFunc
+	// short counts the looks in a row that have found too few upstreams of a service.
+	short map[ident.Service]int
 }
 
 func newCoverage(n *node.Node, d *members.Directory, r *members.Registrar, most int) *coverage {
-	return &coverage{node: n, dir: d, register: r, most: most}
+	return &coverage{node: n, dir: d, register: r, most: most, short: make(map[ident.Service]int)}
 }
 
 // Start begins to look.
@@ -50,25 +58,31 @@
 			return
 		case <-time.After(coverageEvery):
 		}
-		if c.dir.Len() > c.most {
-			c.register.Want(c.short())
+		if t := c.node.Routes(); t != nil && c.dir.Len() > c.most {
+			c.register.Want(c.look(t.Routes, c.node.Upstreams()))
 		}
 	}
 }
 
-// short lists the services of the routes that have few upstreams here.
-func (c *coverage) short() []ident.Service {
+// look takes in the routes and the upstreams that are linked now, and lists the services of which more are wanted.
+func (c *coverage) look(routes []route.Route, upstreams []dispatch.Upstream) []ident.Service {
 	count := make(map[ident.Service]int)
-	for _, u := range c.node.Upstreams() {
+	for _, u := range upstreams {
 		count[u.Service]++
 	}
+	services := make(map[ident.Service]bool)
+	for _, r := range routes {
+		services[r.Service] = true
+	}
 	var out []ident.Service
-	if t := c.node.Routes(); t != nil {
-		for _, r := range t.Routes {
-			if count[r.Service] < fewUpstreams {
-				out = append(out, r.Service)
-				count[r.Service] = fewUpstreams // once is enough
-			}
+	for _, s := range slices.Sorted(maps.Keys(services)) {
+		if count[s] >= fewUpstreams {
+			delete(c.short, s)
+			continue
+		}
+		c.short[s]++
+		if c.short[s] >= lookedBefore {
+			out = append(out, s)
 		}
 	}
 	return out
