--- /dev/null
+++ b/internal/agent/upstream/bench_test.go
@@ -0,0 +1,108 @@
+package upstream_test
+
+import (
+	"testing"
+	"time"
+
+	"hillreel/internal/agent/call"
+	"hillreel/internal/agent/upstream"
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/rule"
+)
+
+var timing = fleet.Timing{
+	Silence: 400 * time.Millisecond, Lease: 400 * time.Millisecond, StopBudget: 200 * time.Millisecond,
+	KeepAlive: 100 * time.Millisecond,
+}
+
+// bench drives a Keeper by hand.
+type bench struct {
+	t      *testing.T
+	now    time.Time
+	keeper *upstream.Keeper
+	starts []call.Start
+	stops  []call.Stop
+	holds  []call.Hold
+	// answered counts the holds that were answered.
+	answered int
+	ends     map[ident.Incarnation][]fleet.End
+	rooms    map[ident.Incarnation]fleet.Room
+	resumed  []fleet.RunRef
+	progress []fleet.Progress
+	asked    []uint64
+	// told counts messages about room.
+	told int
+	seq  uint64
+}
+
+func (b *bench) Start(c call.Start)                         { b.starts = append(b.starts, c) }
+func (b *bench) Stop(c call.Stop)                           { b.stops = append(b.stops, c) }
+func (b *bench) Hold(c call.Hold)                           { b.holds = append(b.holds, c) }
+func (b *bench) Upstream(ident.Incarnation, fleet.Upstream) {}
+func (b *bench) Room(to ident.Incarnation, r fleet.Room)    { b.rooms[to] = r; b.told++ }
+func (b *bench) End(to ident.Incarnation, e fleet.End)      { b.ends[to] = append(b.ends[to], e) }
+func (b *bench) Settled(ident.Incarnation)                  {}
+func (b *bench) Asked(_ ident.Incarnation, number uint64)   { b.asked = append(b.asked, number) }
+func (b *bench) Progress(_ ident.Incarnation, runs []fleet.Progress) {
+	b.progress = append(b.progress, runs...)
+}
+func (b *bench) Resumed(_ ident.Incarnation, runs []fleet.RunRef) {
+	b.resumed = append(b.resumed, runs...)
+}
+func (b *bench) Ended(ident.Incarnation, fleet.End)      {}
+func (b *bench) State(_, _ fleet.State, _ string)        {}
+func (b *bench) Orphaned(ident.Incarnation, int, string) {}
+func (b *bench) Unsure(job.TaskID, job.Run)              {}
+
+// The entries and the job that the tests use.
+const (
+	one, two = ident.Incarnation(1), ident.Incarnation(2)
+	jobID    = job.ID(7)
+)
+
+var task = job.TaskID{Job: jobID}
+
+// newBench returns a Keeper whose upstream has room for two tasks, with two entries linked and heard.
+func newBench(t *testing.T, without rule.Set) *bench {
+	b := &bench{
+		t: t, now: time.Unix(1000, 0), ends: make(map[ident.Incarnation][]fleet.End), rooms: make(map[ident.Incarnation]fleet.Room),
+	}
+	b.keeper = upstream.New(timing, without, b.now, b, b, b)
+	b.pass(10 * time.Millisecond)
+	b.keeper.Beat(b.now, upstream.Beat{
+		Upstream: fleet.Upstream{ID: "u-1", Service: "publish", Total: job.Resources{CPU: 2000}}, Sequence: 1, Clock: call.Clock(time.Minute),
+	})
+	b.look()
+	for _, e := range []ident.Incarnation{one, two} {
+		b.keeper.Linked(b.now, e)
+		b.keeper.Flush(b.now)
+		b.keeper.Ping(b.now, e, b.rooms[e].Clock, 0)
+	}
+	return b
+}
+
+func (b *bench) pass(d time.Duration) { b.now = b.now.Add(d) }
+
+// look answers all holds that wait.
+func (b *bench) look(running ...call.Listed) {
+	waiting := b.holds[b.answered:]
+	b.answered = len(b.holds)
+	for _, c := range waiting {
+		b.keeper.HoldDone(b.now, c, call.Held{Answer: call.OK, Clock: b.clock(), Running: running})
+	}
+}
+
+// clock is the upstream's.
+func (b *bench) clock() call.Clock {
+	return call.Clock(time.Minute) + call.Clock(b.now.Sub(time.Unix(1000, 0)))
+}
+
+func (b *bench) order(e ident.Incarnation, run job.Run) {
+	b.seq++
+	b.keeper.Order(b.now, e, fleet.Order{
+		Seq: b.seq, Job: jobID, Each: job.Resources{CPU: 1000}, Estimate: time.Second, Tasks: []fleet.TaskRun{{Run: run}},
+	})
+	b.keeper.Flush(b.now)
+}
--- /dev/null
+++ b/internal/agent/upstream/health_test.go
@@ -0,0 +1,129 @@
+package upstream_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/agent/call"
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+)
+
+// TestFailingUpstreamIsLeftAlone: after three failures in a row the upstream gets one task at a time as a probe,
+// from one entry, and after good probes it takes all again. Failures of jobs that have failed elsewhere don't count.
+func TestFailingUpstreamIsLeftAlone(t *testing.T) {
+	b := newBench(t, nil)
+	n := uint64(0)
+	end := func(j job.ID, earlier uint32, how call.How) {
+		from := one
+		if b.rooms[two].State == fleet.Probing {
+			from = two
+		}
+		b.keeper.Order(b.now, from, fleet.Order{Job: j, Each: job.Resources{CPU: 1000}, Tasks: []fleet.TaskRun{{Run: 1, Failures: earlier}}})
+		b.keeper.StartDone(b.now, b.starts[len(b.starts)-1], call.OK, 0)
+		n++
+		b.pass(time.Millisecond)
+		b.keeper.HoldDone(b.now, b.holds[len(b.holds)-1], call.Held{
+			Answer: call.OK, Clock: b.clock(), Finished: []call.Finished{{N: n, Task: job.TaskID{Job: j}, Run: 1, How: how}},
+		})
+		b.pass(50 * time.Millisecond)
+		for _, e := range []ident.Incarnation{one, two} {
+			b.keeper.Ping(b.now, e, b.rooms[e].Clock, 0)
+		}
+		b.keeper.Flush(b.now)
+	}
+	for i := range 5 {
+		end(job.ID(100+i), 1, call.HowFailed)
+	}
+	qt.Assert(t, b.rooms[one].State, qt.Equals, fleet.Ready)
+	for i := range 3 {
+		end(job.ID(200+i), 0, call.HowFailed)
+	}
+	qt.Assert(t, b.rooms[one].State, qt.Equals, fleet.Suspect)
+	qt.Assert(t, b.rooms[two].State, qt.Equals, fleet.Suspect)
+	probing := func() (count int) {
+		for range 4 {
+			b.pass(100 * time.Millisecond)
+			for _, e := range []ident.Incarnation{one, two} {
+				b.keeper.Ping(b.now, e, b.rooms[e].Clock, 0)
+			}
+			b.keeper.Flush(b.now)
+		}
+		for _, e := range []ident.Incarnation{one, two} {
+			if b.rooms[e].State == fleet.Probing {
+				count++
+			}
+		}
+		return count
+	}
+	qt.Assert(t, probing(), qt.Equals, 1)
+	for i := range 4 {
+		end(job.ID(300+i), 0, call.HowDone)
+	}
+	qt.Assert(t, b.rooms[one].State, qt.Equals, fleet.Ready)
+	qt.Assert(t, b.rooms[two].State, qt.Equals, fleet.Ready)
+}
+
+// TestStalledRunIsStopped: a run without progress is stopped and reported as stalled; one that gets on is not.
+func TestStalledRunIsStopped(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		percent func(step int) int
+		stops   int
+	}{
+		{"stands still from the start", func(int) int { return 0 }, 1},
+		{"stands still half way", func(step int) int { return min(step*10, 50) }, 1},
+		{"gets on slowly", func(step int) int { return step }, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.order(one, 1)
+			b.keeper.StartDone(b.now, b.starts[0], call.OK, 0)
+			for step := range 20 {
+				b.pass(50 * time.Millisecond)
+				b.keeper.Ping(b.now, one, b.rooms[one].Clock, 0)
+				b.look(call.Listed{Task: task, Run: 1, Percent: test.percent(step)})
+				b.keeper.Flush(b.now)
+			}
+			qt.Assert(t, b.stops, qt.HasLen, test.stops)
+		})
+	}
+}
+
+// TestSlowUpstreamTellsItsEntries: once the upstream is slow beside others, entries hear how long their runs will still
+// take. Before, a run that had begun there ended late, whatever room there was elsewhere.
+func TestSlowUpstreamTellsItsEntries(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		median float64
+		// percent is the progress in each 50 ms of a run estimated at 1 s.
+		percent int
+		told    bool
+	}{
+		{"as fast as others", 1, 5, false},
+		{"slow", 1, 1, true},
+		{"slow as all others are", 5, 1, false},
+		{"others unknown", 0, 1, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.order(one, 1)
+			b.keeper.StartDone(b.now, b.starts[0], call.OK, 0)
+			for i := range 10 {
+				b.pass(50 * time.Millisecond)
+				b.keeper.Ping(b.now, one, b.rooms[one].Clock, test.median)
+				b.look(call.Listed{Task: task, Run: 1, Percent: (i + 1) * test.percent})
+				b.keeper.Flush(b.now)
+			}
+			qt.Assert(t, len(b.progress) > 0, qt.Equals, test.told)
+			if test.told {
+				last := b.progress[len(b.progress)-1]
+				qt.Assert(t, last.RunRef, qt.Equals, fleet.RunRef{Task: task, Run: 1})
+				qt.Assert(t, last.Left > 3*time.Second && last.Left < 6*time.Second, qt.IsTrue, qt.Commentf("%v", last.Left))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/agent/upstream/lease_test.go
@@ -0,0 +1,122 @@
+package upstream_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/agent/call"
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/rule"
+)
+
+// TestUnansweredHoldsLetTheLeaseLapse: while the upstream does not answer, holds leave the lease as it is; once it
+// has surely lapsed, the runs are given up, so that they can run elsewhere. Holds that went on extending it put
+// that off for as long as the upstream was mute.
+func TestUnansweredHoldsLetTheLeaseLapse(t *testing.T) {
+	b := newBench(t, nil)
+	b.order(one, 1)
+	b.keeper.StartDone(b.now, b.starts[0], call.OK, 0)
+	var took time.Duration
+	for took = 0; b.keeper.Runs() > 0 && took < 3*time.Second; took += 10 * time.Millisecond {
+		b.pass(10 * time.Millisecond)
+		b.keeper.Ping(b.now, one, b.rooms[one].Clock, 0)
+		if c := b.holds[len(b.holds)-1]; b.now.Sub(c.Sent) >= 250*time.Millisecond {
+			b.keeper.HoldDone(b.now, c, call.Held{Answer: call.Unanswered})
+		}
+		b.keeper.Tick(b.now)
+		b.keeper.Flush(b.now)
+	}
+	qt.Assert(t, took < time.Second, qt.IsTrue, qt.Commentf("took %v", took))
+	qt.Assert(t, b.ends[one][0].Outcome, qt.Equals, job.Lost)
+	qt.Assert(t, b.ends[one][0].Reason, qt.Equals, fleet.LeaseLapsed)
+}
+
+// TestOldReadingsKeepNothing: what an entry echoes counts from when the agent sent it, and an order of an entry that
+// was not heard lately starts nothing. The random schedules reach this only with slow links, so it stands here.
+func TestOldReadingsKeepNothing(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		without rule.Set
+		starts  int
+	}{
+		{"in force", nil, 0},
+		{"echo counted from its arrival", rule.Without(rule.EchoedClock), 1},
+		{"orders of silent entries taken", rule.Without(rule.FreshSession), 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, test.without)
+			old := b.rooms[one].Clock
+			b.pass(timing.Silence + timing.KeepAlive)
+			b.keeper.Flush(b.now)
+			b.keeper.Ping(b.now, one, old+time.Microsecond, 0)
+			b.order(one, 1)
+			qt.Assert(t, b.starts, qt.HasLen, test.starts)
+		})
+	}
+}
+
+// TestLeasesLapseWhenAStopFails: an unwanted run whose stop gets no answer is there no longer than the lease after
+// the budget: holds stop extending it. A caller that has gone sends its job to another entry, as one whose entry is
+// lost does; the run of such a job went on for as long as stops were lost (schedule 1077).
+func TestLeasesLapseWhenAStopFails(t *testing.T) {
+	lost := func(b *bench) { b.keeper.Unlinked(b.now, one, "broken"); b.keeper.Gone(b.now, one, "refused") }
+	asked := func(b *bench) { b.keeper.StopTask(b.now, one, task, 1, fleet.OnRequest) }
+	for _, test := range []struct {
+		name    string
+		without rule.Set
+		stop    func(b *bench)
+		answer  bool
+		extends bool
+	}{
+		{"entry lost", nil, lost, false, false},
+		{"caller gone", nil, asked, false, false},
+		{"the stop was answered", nil, asked, true, true},
+		{"left out", rule.Without(rule.LapseBudget), lost, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, test.without)
+			b.order(one, 1)
+			b.keeper.StartDone(b.now, b.starts[0], call.OK, 0)
+			test.stop(b)
+			if test.answer {
+				b.keeper.StopDone(b.now, b.stops[0], call.OK, 0)
+			}
+			b.pass(timing.StopBudget)
+			b.keeper.Tick(b.now)
+			b.look(call.Listed{Task: task, Run: 1, Percent: 50})
+			qt.Assert(t, b.holds[len(b.holds)-1].Until > 0, qt.Equals, test.extends)
+		})
+	}
+}
+
+// TestLinkThatIsResetCostsNoRun: an entry that is back within the silence goes on with its runs; one that is not, or
+// that has surely ended, has them stopped. Incident inc-941c: links that were reset cost all runs on them.
+func TestLinkThatIsResetCostsNoRun(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		then    func(b *bench)
+		stops   int
+		resumes int
+	}{
+		{"back soon", func(b *bench) { b.pass(100 * time.Millisecond) }, 0, 1},
+		{"back late", func(b *bench) { b.pass(timing.Silence); b.keeper.Tick(b.now) }, 1, 0},
+		{"back late, and no tick since", func(b *bench) { b.pass(timing.Silence) }, 1, 0},
+		{"ended", func(b *bench) { b.keeper.Gone(b.now, one, "refused") }, 1, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.order(one, 1)
+			b.keeper.StartDone(b.now, b.starts[0], call.OK, 0)
+			b.keeper.Unlinked(b.now, one, "link_down")
+			qt.Assert(t, b.stops, qt.HasLen, 0)
+			test.then(b)
+			b.keeper.Linked(b.now, one)
+			qt.Assert(t, b.resumed, qt.HasLen, test.resumes)
+			b.keeper.Tick(b.now)
+			qt.Assert(t, b.stops, qt.HasLen, test.stops)
+		})
+	}
+}
--- /dev/null
+++ b/internal/kept/book/adopt_test.go
@@ -0,0 +1,104 @@
+package book_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/route"
+	"hillreel/internal/core/rows"
+	"hillreel/internal/core/rule"
+	"hillreel/internal/entry/dispatch"
+	"hillreel/internal/kept/record"
+)
+
+// TestAdoption: when a lease has ended for long enough, its jobs are taken over, all agents are asked, and only then the
+// job runs, with what they have told.
+func TestAdoption(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		without rule.Set
+		node    string
+		wait    time.Duration
+		asks    int
+	}{
+		{"another VM's", nil, "vm-2", settle + 200*time.Millisecond, 2},
+		{"an earlier life of the same VM's", nil, "vm-1", settle, 2},
+		{"nobody is asked", rule.Without(rule.AskFirst), "vm-2", settle + 200*time.Millisecond, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, test.without)
+			until := b.clock()
+			if test.node == "vm-1" {
+				until += time.Hour // the former life had just renewed it
+			}
+			b.put(record.LeaseKey("old-0"), record.Lease{Node: test.node, UntilMs: until.Milliseconds()})
+			b.put(layout.JobKey(jobID), record.Job{
+				Spec: job.Spec{Text: "x", Steps: []job.Step{{Count: 2}}}, Route: route.Route{Name: "r", Service: "publish"},
+			})
+			b.put(layout.OpenKey(jobID), record.Open{Owner: "old-0", Generation: 1, Sequence: 4, Ends: record.Ends{{Index: 1, Run: 3}}})
+			b.pass(test.wait-300*time.Millisecond, true)
+			qt.Assert(t, b.scans, qt.Equals, 0)
+			b.pass(2*time.Second, true)
+			qt.Assert(t, b.scans, qt.Equals, 1)
+			b.book.Scanned(b.now, b.page(record.OpenRows("").Table).Rows, b.page(record.Leases), nil)
+			qt.Assert(t, b.fetches, qt.DeepEquals, [][]job.ID{{jobID}})
+			b.book.Fetched(b.now, b.fetches[0], []rows.Row{b.rows[layout.JobKey(jobID)]}, nil)
+			b.writeAll()
+			qt.Assert(t, b.asked, qt.HasLen, test.asks)
+			if test.asks > 0 {
+				qt.Assert(t, b.begun, qt.HasLen, 0)
+				b.book.StrayEnd(b.now, agentA, end(0, 2, job.Done))
+				b.book.Asked(b.now, agentA, b.asked[agentA])
+				qt.Assert(t, b.begun, qt.HasLen, 0)
+				b.book.AgentLost(b.now, agentB)
+			}
+			qt.Assert(t, b.begun, qt.HasLen, 1)
+			known := b.begun[0].Kept
+			qt.Assert(t, known.Done[job.TaskID{Job: jobID, Index: 1}], qt.IsTrue)
+			qt.Assert(t, known.Done[job.TaskID{Job: jobID}], qt.Equals, test.asks > 0)
+			qt.Assert(t, known.Runs, qt.Equals, job.Run(1024))
+			qt.Assert(t, known.Late, qt.IsTrue)
+			_, there := b.rows[record.LeaseKey("old-0")]
+			qt.Assert(t, there, qt.IsFalse)
+		})
+	}
+}
+
+// TestEndsThatDoNotCount: what a new owner makes of ends that nobody has stored.
+func TestEndsThatDoNotCount(t *testing.T) {
+	open := record.Open{
+		Owner: "gone-0", Generation: 3, Sequence: 1, Ends: record.Ends{{Index: 1, Run: 2050}},
+		Void: []record.TaskRun{{Index: 0, Run: 2051}},
+	}
+	for _, test := range []struct {
+		name  string
+		index uint32
+		run   job.Run
+		void  bool
+	}{
+		{"of the last generation", 0, 2052, false},
+		{"given up before", 0, 2051, true},
+		{"of an earlier generation", 0, 2000, true},
+		{"of a task that has ended well", 1, 2051, true},
+		{"counted already", 1, 2050, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.put(layout.JobKey(jobID), record.Job{Spec: job.Spec{Steps: []job.Step{{Count: 2}}}})
+			b.put(layout.OpenKey(jobID), open)
+			b.book.Submit(b.now, dispatch.Request{Job: 99, Caller: 98, Spec: &job.Spec{}}) // takes the lease
+			b.hold()
+			b.writeAll()
+			b.pass(11*time.Second, true) // its owner's lease is gone, which a scan finds
+			qt.Assert(t, b.scans > 0, qt.IsTrue)
+			b.book.Scanned(b.now, []rows.Row{b.rows[layout.OpenKey(jobID)]}, b.page(record.Leases), nil)
+			b.book.Fetched(b.now, []job.ID{jobID}, []rows.Row{b.rows[layout.JobKey(jobID)]}, nil)
+			b.writeAll()
+			b.book.StrayEnd(b.now, agentA, end(test.index, test.run, job.Done))
+			qt.Assert(t, len(b.noted) == 1 && b.noted[0].void, qt.Equals, test.void)
+		})
+	}
+}
--- /dev/null
+++ b/internal/proof/schedule/words_test.go
@@ -0,0 +1,202 @@
+package schedule
+
+import (
+	"time"
+
+	"hillreel/internal/agent/call"
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/route"
+	"hillreel/internal/entry/dispatch"
+)
+
+// entryIO carries an entry's words.
+type entryIO struct{ e *entryProc }
+
+func (x entryIO) linkTo(agent ident.Incarnation) (*linkSide, *agentProc) {
+	for _, a := range x.e.w.agents {
+		if s := x.e.links[&a.proc]; s != nil && s.other.inc == agent {
+			return s, a
+		}
+	}
+	return nil, nil
+}
+
+func (x entryIO) Order(agent ident.Incarnation, o fleet.Order) {
+	if s, a := x.linkTo(agent); s != nil {
+		inc := x.e.inc
+		s.send(func() { a.keeper.Order(a.w.now, inc, o); a.flush() })
+	}
+}
+
+func (x entryIO) Stop(agent ident.Incarnation, r fleet.RunRef, why fleet.Reason) {
+	if s, a := x.linkTo(agent); s != nil {
+		inc := x.e.inc
+		s.send(func() { a.keeper.StopTask(a.w.now, inc, r.Task, r.Run, why); a.flush() })
+	}
+}
+
+func (x entryIO) Linked() []ident.Incarnation {
+	var out []ident.Incarnation
+	for _, a := range x.e.w.agents {
+		if s := x.e.links[&a.proc]; s != nil {
+			out = append(out, s.other.inc)
+		}
+	}
+	return out
+}
+
+func (x entryIO) Noted(agent ident.Incarnation, runs []fleet.RunRef, void bool) {
+	if s, a := x.linkTo(agent); s != nil {
+		s.send(func() { a.keeper.Noted(runs, void); a.flush() })
+	}
+}
+
+func (x entryIO) Ask(agent ident.Incarnation, number uint64, jobs []job.ID) {
+	if s, a := x.linkTo(agent); s != nil {
+		inc := x.e.inc
+		s.send(func() { a.keeper.Ask(a.w.now, inc, number, jobs); a.flush() })
+	}
+}
+
+func (x entryIO) Answer(c dispatch.CallerID, a dispatch.Answer) {
+	answer := x.e.waiting[c]
+	if answer == nil {
+		x.e.w.violate("caller %d is answered twice, or was never there", c)
+		return
+	}
+	delete(x.e.waiting, c)
+	answer(a)
+}
+
+// agentIO carries an agent's words and calls.
+type agentIO struct {
+	a   *agentProc
+	inc ident.Incarnation
+}
+
+func (x agentIO) back(f func()) {
+	x.a.doIn(x.inc, func() { f(); x.a.flush() })
+}
+
+func (x agentIO) Start(c call.Start) {
+	u := x.a.upstream
+	u.order(func() call.Answer { return u.start(c) }, func(a call.Answer, clock call.Clock) {
+		x.back(func() { x.a.keeper.StartDone(x.a.w.now, c, a, clock) })
+	})
+}
+
+func (x agentIO) Stop(c call.Stop) {
+	u := x.a.upstream
+	u.order(func() call.Answer { return u.stop(c) }, func(a call.Answer, clock call.Clock) {
+		x.back(func() { x.a.keeper.StopDone(x.a.w.now, c, a, clock) })
+	})
+}
+
+func (x agentIO) Hold(c call.Hold) {
+	u, w := x.a.upstream, x.a.w
+	answered := false
+	reply := func(h call.Held) {
+		if !answered {
+			answered = true
+			x.back(func() { x.a.keeper.HoldDone(w.now, c, h) })
+		}
+	}
+	w.after(c.Wait+callTimeout, func() { reply(call.Held{Answer: call.Unanswered}) })
+	lost := w.chance(u.loses / 4)
+	w.after(w.between(100*time.Microsecond, 2*time.Millisecond), func() {
+		if !u.up || u.cut {
+			return
+		}
+		u.hold(c, func(h call.Held) {
+			if !lost && !u.cut {
+				w.after(w.between(100*time.Microsecond, 2*time.Millisecond), func() { reply(h) })
+			}
+		})
+	})
+}
+
+func (x agentIO) to(entry ident.Incarnation) (*linkSide, *entryProc) {
+	for _, e := range x.a.w.entries {
+		if s := x.a.links[&e.proc]; s != nil && s.other.inc == entry {
+			return s, e
+		}
+	}
+	return nil, nil
+}
+
+func (x agentIO) tell(entry ident.Incarnation, f func(e *entryProc, s *linkSide)) {
+	if s, e := x.to(entry); s != nil {
+		s.send(func() { f(e, s.other) })
+	}
+}
+
+func (x agentIO) Upstream(to ident.Incarnation, u fleet.Upstream) {
+	x.tell(to, func(e *entryProc, _ *linkSide) { e.table.Upstream(x.inc, u) })
+}
+
+func (x agentIO) Room(to ident.Incarnation, r fleet.Room) {
+	x.tell(to, func(e *entryProc, s *linkSide) {
+		first := s.clock == 0
+		s.clock = r.Clock
+		if first {
+			e.sendPing(s, x.a)
+		}
+		e.table.Room(e.w.now, x.inc, r)
+	})
+}
+
+func (x agentIO) End(to ident.Incarnation, e fleet.End) {
+	x.tell(to, func(p *entryProc, _ *linkSide) {
+		if !p.table.Ended(p.w.now, x.inc, e) && e.Kept {
+			p.book.StrayEnd(p.w.now, x.inc, e)
+		}
+	})
+}
+
+func (x agentIO) Progress(to ident.Incarnation, runs []fleet.Progress) {
+	x.tell(to, func(e *entryProc, _ *linkSide) { e.table.Progress(e.w.now, x.inc, runs) })
+}
+
+func (x agentIO) Resumed(to ident.Incarnation, runs []fleet.RunRef) {
+	x.tell(to, func(e *entryProc, _ *linkSide) { e.table.Resumed(x.inc, runs) })
+}
+
+func (x agentIO) Asked(to ident.Incarnation, number uint64) {
+	x.tell(to, func(p *entryProc, _ *linkSide) { p.book.Asked(p.w.now, x.inc, number) })
+}
+
+func (x agentIO) Settled(to ident.Incarnation) {
+	x.tell(to, func(e *entryProc, _ *linkSide) { e.table.Settled(e.w.now, x.inc) })
+}
+
+// nobody observes nothing.
+type nobody struct{}
+
+func (nobody) Placed(job.ID, ident.UpstreamName, *fleet.Order, time.Duration)   {}
+func (nobody) Ended(ident.UpstreamName, fleet.End, string)                      {}
+func (nobody) Answered(job.ID, *route.Route, dispatch.Answer, dispatch.Summary) {}
+func (nobody) Lost(ident.UpstreamName, int, string)                             {}
+func (nobody) Taken(*dispatch.Request)                                          {}
+
+// agentNotes notes what an agent decides.
+type agentNotes struct{ a *agentProc }
+
+func (n agentNotes) Ended(_ ident.Incarnation, e fleet.End) {
+	if e.Outcome != job.Done {
+		n.a.w.note("%s: run %d of %v is %s %s", n.a.name, e.Run, e.Task, e.Outcome, e.Reason)
+	}
+}
+
+func (n agentNotes) State(from, to fleet.State, why string) {
+	n.a.w.note("%s: %s after %s, %s", n.a.name, to, from, why)
+}
+
+func (n agentNotes) Orphaned(_ ident.Incarnation, runs int, why string) {
+	n.a.w.note("%s: %d runs of an entry that is %s", n.a.name, runs, why)
+}
+
+func (n agentNotes) Unsure(task job.TaskID, run job.Run) {
+	n.a.w.note("%s: run %d of %v may have started", n.a.name, run, task)
+}
