dispatch, book: events of agents have a type; the lease's owner embeds the book

Cause: Observer.Lost was also called for runs that resume or are settled, with the event as a plain string; book's lease.go converted its receiver to another type to reach the book's methods. Change: Observer.AgentChanged takes an AgentEvent, whose values are the event names as before; leaseOwner embeds *Book. Run: gofmt, vet, staticcheck clean; go test ./internal/entry/... ./internal/kept/... ./internal/proof/schedule passes.

--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -42,7 +42,7 @@
 		k.phase = lost // the order does not matter
 	}
 	if len(a.runs) > 0 {
-		t.observer.Lost(a.Name, len(a.runs), "agent_lost")
+		t.observer.AgentChanged(a.Name, len(a.runs), AgentLost)
 	}
 	if t.opts.Without.Off(rule.SettleWait) {
 		t.settle(now, a, fleet.AgentSilent)
@@ -141,7 +141,7 @@
 			t.stop(k)
 		}
 	}
-	t.observer.Lost(a.Name, len(runs), "agent_resumed")
+	t.observer.AgentChanged(a.Name, len(runs), AgentResumed)
 }
 
 // Settled handles an agent's word that nothing of this entry's earlier sessions remains there.
@@ -163,7 +163,7 @@
 		t.ended(now, a, k, fleet.End{Task: k.id, Run: k.run, Outcome: job.Lost, Reason: why})
 	}
 	if n > 0 {
-		t.observer.Lost(a.Name, n, "agent_settled")
+		t.observer.AgentChanged(a.Name, n, AgentSettled)
 	}
 	t.expire(a)
 }
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -93,9 +93,23 @@
 	Ended(agent ident.UpstreamName, e fleet.End, next string)
 	// Answered is called once for each job.
 	Answered(j job.ID, r *route.Route, a Answer, s Summary)
-	// Lost is called when an agent is lost, and again when its runs are settled.
-	Lost(agent ident.UpstreamName, runs int, event string)
-}
+	// AgentChanged is called when the session with an agent ends or goes on while runs of this entry are there, and when
+	// those runs are settled; runs is how many the event is about.
+	AgentChanged(agent ident.UpstreamName, runs int, event AgentEvent)
+}
+
+// AgentEvent is what becomes of the runs at an agent whose session has ended.
+type AgentEvent string
+
+// The events of agents.
+const (
+	// AgentLost: the session has ended; the runs may go on.
+	AgentLost AgentEvent = "agent_lost"
+	// AgentResumed: the agent is linked again, and the runs go on.
+	AgentResumed AgentEvent = "agent_resumed"
+	// AgentSettled: nothing of the runs remains, and their tasks may be placed again.
+	AgentSettled AgentEvent = "agent_settled"
+)
 
 // Allowed tells whether configuration lets an upstream serve a service.
 type Allowed func(ident.UpstreamName, ident.Zone, ident.Service) bool
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -51,7 +51,7 @@
 func (b *bench) Placed(job.ID, ident.UpstreamName, *fleet.Order, time.Duration)   {}
 func (b *bench) Ended(ident.UpstreamName, fleet.End, string)                      {}
 func (b *bench) Answered(job.ID, *route.Route, dispatch.Answer, dispatch.Summary) {}
-func (b *bench) Lost(ident.UpstreamName, int, string)                             {}
+func (b *bench) AgentChanged(ident.UpstreamName, int, dispatch.AgentEvent)        {}
 func (b *bench) Taken(*dispatch.Request)                                          {}
 
 // newBench returns a Table with agents 1 to n linked, each with an upstream of the same number and two cores.
--- a/internal/entry/node/observe.go
+++ b/internal/entry/node/observe.go
@@ -101,8 +101,8 @@
 	o.log.WithFields(f).Info("job_answered")
 }
 
-// Lost logs that an agent is lost, or that its runs are settled.
-func (o *Observer) Lost(agent ident.UpstreamName, runs int, event string) {
-	o.counters.Add(event, 1)
-	o.log.WithFields(logrus.Fields{"agent": agent, "runs": runs}).Warn(event)
+// AgentChanged logs and counts what becomes of an agent's runs.
+func (o *Observer) AgentChanged(agent ident.UpstreamName, runs int, event dispatch.AgentEvent) {
+	o.counters.Add(string(event), 1)
+	o.log.WithFields(logrus.Fields{"agent": agent, "runs": runs}).Warn(string(event))
 }
--- a/internal/kept/book/book.go
+++ b/internal/kept/book/book.go
@@ -170,7 +170,7 @@
 	}
 	b.lease = tenure.New(tenure.Options{
 		Node: o.Node, Incarnation: o.Incarnation, Length: o.Lease, Renew: o.Renew, Without: o.Without, Log: o.Log,
-	}, (*leaseOwner)(b), now)
+	}, leaseOwner{b}, now)
 	return b
 }
 
--- a/internal/kept/book/lease.go
+++ b/internal/kept/book/lease.go
@@ -11,41 +11,39 @@
 	"hillreel/internal/kept/record"
 )
 
-// leaseOwner is what the book's lease asks of it.
-type leaseOwner Book
+// leaseOwner is a book as its lease sees it.
+type leaseOwner struct{ *Book }
 
 // Write begins a write.
-func (b *leaseOwner) Write(op ledger.Op, then func(now time.Time, r ledger.Result)) {
-	(*Book)(b).write(op, then)
+func (b leaseOwner) Write(op ledger.Op, then func(now time.Time, r ledger.Result)) {
+	b.write(op, then)
 }
 
 // ReadLeases reads all leases.
-func (b *leaseOwner) ReadLeases() { b.store.ReadLeases() }
+func (b leaseOwner) ReadLeases() { b.store.ReadLeases() }
 
 // Waiting counts the jobs that have not begun, by queue.
-func (b *leaseOwner) Waiting() map[route.Name]int { return b.table.Waiting() }
+func (b leaseOwner) Waiting() map[route.Name]int { return b.table.Waiting() }
 
 // Held lets jobs be accepted that have waited for the lease.
-func (b *leaseOwner) Held(now time.Time, first bool) {
-	k := (*Book)(b)
+func (b leaseOwner) Held(now time.Time, first bool) {
 	if first {
-		k.event(logrus.InfoLevel, "lease_held", logrus.Fields{"lease": b.lease.ID()})
+		b.event(logrus.InfoLevel, "lease_held", logrus.Fields{"lease": b.lease.ID()})
 		b.scanAt = now.Add(scanEvery)
 	}
-	for _, j := range k.sorted() {
-		if j.phase == asked {
-			k.accept(now, j)
+	for _, k := range b.sorted() {
+		if k.phase == asked {
+			b.accept(now, k)
 		}
 	}
 }
 
 // Lost stops acting for all jobs but those that wait for a lease.
-func (b *leaseOwner) Lost(now time.Time, id record.LeaseID, why string) (wanted bool) {
-	k := (*Book)(b)
-	k.event(logrus.WarnLevel, "lease_lost", logrus.Fields{"lease": id, "jobs": len(b.jobs), "why": why})
-	for _, j := range k.sorted() {
-		if j.phase != asked {
-			k.drop(now, j, why)
+func (b leaseOwner) Lost(now time.Time, id record.LeaseID, why string) (wanted bool) {
+	b.event(logrus.WarnLevel, "lease_lost", logrus.Fields{"lease": id, "jobs": len(b.jobs), "why": why})
+	for _, k := range b.sorted() {
+		if k.phase != asked {
+			b.drop(now, k, why)
 		}
 	}
 	clear(b.adoptions)
--- a/internal/proof/schedule/words_test.go
+++ b/internal/proof/schedule/words_test.go
@@ -177,7 +177,7 @@
 func (nobody) Placed(job.ID, ident.UpstreamName, *fleet.Order, time.Duration)   {}
 func (nobody) Ended(ident.UpstreamName, fleet.End, string)                      {}
 func (nobody) Answered(job.ID, *route.Route, dispatch.Answer, dispatch.Summary) {}
-func (nobody) Lost(ident.UpstreamName, int, string)                             {}
+func (nobody) AgentChanged(ident.UpstreamName, int, dispatch.AgentEvent)        {}
 func (nobody) Taken(*dispatch.Request)                                          {}
 
 // agentNotes notes what an agent decides.
