--- a/commands/agent.go
+++ b/commands/agent.go
@@ -6,6 +6,8 @@
 
 	"github.com/urfave/cli/v3"
 
+	"hillreel/commands/exit"
+	"hillreel/commands/flag"
 	"hillreel/internal/agent/node"
 	agent "hillreel/internal/agent/process"
 	"hillreel/internal/core/ident"
@@ -20,7 +22,7 @@
 func (a agentCommand) define() *cli.Command {
 	return &cli.Command{
 		Name: "agent", Usage: "run an agent: start, watch and stop tasks on the upstream beside it",
-		Flags: []cli.Flag{configFlag()}, Action: a.run,
+		Flags: []cli.Flag{flag.Config()}, Action: a.run,
 	}
 }
 
@@ -35,7 +37,7 @@
 		Beats: func(n *node.Node) http.Handler { return platform.Beats(n, log) }, Dial: session.TCP, Log: log,
 	})
 	if err != nil {
-		return cli.Exit(err.Error(), ExitUsage)
+		return cli.Exit(err.Error(), exit.Usage)
 	}
 	return serve(ctx, p, newReloader(c.String("config"), set, p.Node.SetSeeds, log), log)
 }
--- a/commands/burn.go
+++ b/commands/burn.go
@@ -11,6 +11,8 @@
 
 	"github.com/urfave/cli/v3"
 
+	"hillreel/commands/exit"
+	"hillreel/commands/port"
 	"hillreel/internal/entry/burn"
 )
 
@@ -24,7 +26,7 @@
 func (b burnCommand) define() *cli.Command {
 	return &cli.Command{
 		Name: "burn", Usage: "print how fast services burn their error budgets, as one entry sees it",
-		Flags: operatorFlags(
+		Flags: port.Flags(
 			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
 			&cli.StringFlag{Name: "html", Usage: "write a page to `FILE`"},
 		),
@@ -34,16 +36,16 @@
 
 func (b burnCommand) run(ctx context.Context, c *cli.Command) error {
 	var services []burn.Service
-	if _, err := callOperator(ctx, c, operatorCall{method: http.MethodGet, path: "/v1/burn"}, &services); err != nil {
-		return cli.Exit(err.Error(), ExitFailed)
+	if _, err := port.Do(ctx, c, port.Call{Method: http.MethodGet, Path: "/v1/burn"}, &services); err != nil {
+		return cli.Exit(err.Error(), exit.Failed)
 	}
 	if file := c.String("html"); file != "" {
 		if err := b.page(file, services); err != nil {
-			return cli.Exit(err.Error(), ExitFailed)
+			return cli.Exit(err.Error(), exit.Failed)
 		}
 	}
 	if c.Bool("json") {
-		return printJSON(c, services)
+		return port.PrintJSON(c, services)
 	}
 	return b.text(c, services)
 }
--- a/commands/commands.go
+++ b/commands/commands.go
@@ -10,25 +10,11 @@
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
+	"hillreel/commands/exit"
 	"hillreel/internal/core/logs"
 	"hillreel/internal/core/settings"
 )
 
-// Exit codes of every subcommand.
-const (
-	// ExitOK: done.
-	ExitOK = 0
-	// ExitFailed: what was asked for did not succeed.
-	ExitFailed = 1
-	// ExitUsage: the command line or the settings are wrong.
-	ExitUsage = 2
-	// ExitViolation: an invariant was violated.
-	ExitViolation = 3
-)
-
-// settingsVariable names the settings file where --config does not.
-const settingsVariable = "HILLREEL_CONFIG"
-
 // command is one subcommand.
 type command interface {
 	// define returns the subcommand for the command line.
@@ -56,22 +42,15 @@
 	return root
 }
 
-// configFlag is the --config flag that every subcommand has.
-func configFlag() cli.Flag {
-	return &cli.StringFlag{
-		Name: "config", Usage: "read settings from `FILE` (hillreel.ini documents them all)", Sources: cli.EnvVars(settingsVariable),
-	}
-}
-
 // load reads the settings that --config names and sets up the log.
 func load(c *cli.Command, role string) (*settings.Settings, *logrus.Entry, error) {
 	set, err := settings.Load(c.String("config"))
 	if err != nil {
-		return nil, nil, cli.Exit(err.Error(), ExitUsage)
+		return nil, nil, cli.Exit(err.Error(), exit.Usage)
 	}
 	log, err := logs.New(logs.NewWriter(os.Stdout, set.Log.Rate), set.Log.Level, role, set.Node.Name)
 	if err != nil {
-		return nil, nil, cli.Exit(err.Error(), ExitUsage)
+		return nil, nil, cli.Exit(err.Error(), exit.Usage)
 	}
 	return set, log, nil
 }
@@ -109,7 +88,7 @@
 // serve runs a process until it is asked to end, and keeps its settings up to date.
 func serve(ctx context.Context, p process, r *reloader, log *logrus.Entry) error {
 	if err := p.Start(ctx); err != nil {
-		return cli.Exit(err.Error(), ExitFailed)
+		return cli.Exit(err.Error(), exit.Failed)
 	}
 	log.Info("started")
 	reload := make(chan struct{}, 1)
--- a/commands/config_files.go
+++ b/commands/config/files.go
@@ -1,14 +1,18 @@
-package commands
+package config
 
 import (
 	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"os"
 
 	"github.com/urfave/cli/v3"
 
+	"hillreel/commands/exit"
+	"hillreel/commands/port"
 	"hillreel/internal/config/object"
 	"hillreel/internal/entry/operator"
 )
@@ -18,32 +22,32 @@
 	return &cli.StringFlag{Name: "file", Aliases: []string{"f"}, Required: true, Usage: "read a JSON list of objects from `FILE` (- is standard input)"}
 }
 
-func (f configCommand) applyCommand() *cli.Command {
+func (f command) applyCommand() *cli.Command {
 	return &cli.Command{
 		Name: "apply", Usage: "create or replace the objects of a file, each only if nobody changed it meanwhile",
-		Flags: operatorFlags(fileFlag()), Action: f.apply,
+		Flags: port.Flags(fileFlag()), Action: f.apply,
 	}
 }
 
-func (f configCommand) diffCommand() *cli.Command {
+func (f command) diffCommand() *cli.Command {
 	return &cli.Command{
-		Name: "diff", Usage: "print what apply would change", Flags: operatorFlags(fileFlag()), Action: f.diff,
+		Name: "diff", Usage: "print what apply would change", Flags: port.Flags(fileFlag()), Action: f.diff,
 	}
 }
 
-func (configCommand) apply(ctx context.Context, c *cli.Command) error {
+func (command) apply(ctx context.Context, c *cli.Command) error {
 	return eachDifference(ctx, c, func(present, wanted object.Object) error {
-		call := operatorCall{method: http.MethodPut, path: pathOf(string(wanted.Kind), string(wanted.Name)), header: ifMatch(present.Version), body: wanted.Spec}
+		call := port.Call{Method: http.MethodPut, Path: pathOf(string(wanted.Kind), string(wanted.Name)), Header: ifMatch(present.Version), Body: wanted.Spec}
 		var done operator.Changed
-		if _, err := callOperator(ctx, c, call, &done); err != nil {
-			return cli.Exit(wanted.Ref.String()+": "+err.Error(), ExitFailed)
+		if _, err := port.Do(ctx, c, call, &done); err != nil {
+			return cli.Exit(wanted.Ref.String()+": "+err.Error(), exit.Failed)
 		}
 		_, err := fmt.Fprintf(c.Root().Writer, "%s changed, configuration version %d\n", wanted.Ref, done.Version)
 		return err
 	})
 }
 
-func (configCommand) diff(ctx context.Context, c *cli.Command) error {
+func (command) diff(ctx context.Context, c *cli.Command) error {
 	return eachDifference(ctx, c, func(present, wanted object.Object) error {
 		before := string(present.Spec)
 		if present.Version == 0 {
@@ -58,23 +62,23 @@
 func eachDifference(ctx context.Context, c *cli.Command, f func(present, wanted object.Object) error) error {
 	raw, err := readInput(c.String("file"))
 	if err != nil {
-		return cli.Exit(err.Error(), ExitUsage)
+		return cli.Exit(err.Error(), exit.Usage)
 	}
 	var wanted []object.Object
 	if err := json.Unmarshal(raw, &wanted); err != nil {
-		return cli.Exit(c.String("file")+": "+err.Error(), ExitUsage)
+		return cli.Exit(c.String("file")+": "+err.Error(), exit.Usage)
 	}
 	for _, o := range wanted {
 		if err := object.Check(o.Ref, o.Spec); err != nil {
-			return cli.Exit(fmt.Sprintf("%s: %s: %s", c.String("file"), o.Ref, err), ExitUsage)
+			return cli.Exit(fmt.Sprintf("%s: %s: %s", c.String("file"), o.Ref, err), exit.Usage)
 		}
 	}
 	for _, o := range wanted {
 		var present object.Object
-		call := operatorCall{method: http.MethodGet, path: pathOf(string(o.Kind), string(o.Name))}
-		status, err := callOperator(ctx, c, call, &present)
+		call := port.Call{Method: http.MethodGet, Path: pathOf(string(o.Kind), string(o.Name))}
+		status, err := port.Do(ctx, c, call, &present)
 		if err != nil && status != http.StatusNotFound {
-			return cli.Exit(err.Error(), ExitFailed)
+			return cli.Exit(err.Error(), exit.Failed)
 		}
 		if present.Version > 0 && sameJSON(present.Spec, o.Spec) {
 			continue
@@ -91,3 +95,11 @@
 	var x, y bytes.Buffer
 	return json.Compact(&x, a) == nil && json.Compact(&y, b) == nil && bytes.Equal(x.Bytes(), y.Bytes())
 }
+
+// readInput reads a file, or standard input for "-".
+func readInput(name string) ([]byte, error) {
+	if name == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	return os.ReadFile(name)
+}
--- a/commands/demo.go
+++ b/commands/demo.go
@@ -14,6 +14,7 @@
 
 	"hillreel/api"
 	"hillreel/client"
+	"hillreel/commands/exit"
 	"hillreel/internal/core/logs"
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/standin/embedded"
@@ -62,7 +63,7 @@
 		Entries: demoEntries, Agents: demoAgents, Cores: demoCores, Service: demoService, Log: log, FixedPorts: c.Bool("keep"),
 	})
 	if err != nil {
-		return cli.Exit(err.Error(), ExitFailed)
+		return cli.Exit(err.Error(), exit.Failed)
 	}
 	defer func() {
 		// That links break when everything ends is no news.
@@ -72,7 +73,7 @@
 	fmt.Fprintf(out, "set: a store, %d entries, %d agents with upstreams of %d cores\n", demoEntries, demoAgents, demoCores)
 	r, err := drive(ctx, set.Callers(), c.Duration("for"))
 	if err != nil {
-		return cli.Exit(err.Error(), ExitFailed)
+		return cli.Exit(err.Error(), exit.Failed)
 	}
 	ok := r.print(out, set)
 	if c.Bool("keep") {
@@ -82,9 +83,9 @@
 	}
 	switch {
 	case len(set.Ledger.Broken()) > 0:
-		return cli.Exit("a task ran twice at a time, or an upstream was over its room", ExitViolation)
+		return cli.Exit("a task ran twice at a time, or an upstream was over its room", exit.Violation)
 	case !ok:
-		return cli.Exit("a job did not complete", ExitFailed)
+		return cli.Exit("a job did not complete", exit.Failed)
 	}
 	return nil
 }
--- a/commands/entry.go
+++ b/commands/entry.go
@@ -6,6 +6,8 @@
 
 	"github.com/urfave/cli/v3"
 
+	"hillreel/commands/exit"
+	"hillreel/commands/flag"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/entry/node"
 	entry "hillreel/internal/entry/process"
@@ -19,7 +21,7 @@
 func (e entryCommand) define() *cli.Command {
 	return &cli.Command{
 		Name: "entry", Usage: "run an entry: callers' and operators' API, placement, job state",
-		Flags: []cli.Flag{configFlag()}, Action: e.run,
+		Flags: []cli.Flag{flag.Config()}, Action: e.run,
 	}
 }
 
@@ -34,7 +36,7 @@
 		Front: func(n *node.Node) http.Handler { return platform.NewFront(n, int64(set.Entry.MaxBody), log) },
 	})
 	if err != nil {
-		return cli.Exit(err.Error(), ExitUsage)
+		return cli.Exit(err.Error(), exit.Usage)
 	}
 	return serve(ctx, p, newReloader(c.String("config"), set, nil, log), log)
 }
--- a/commands/job.go
+++ b/commands/job.go
@@ -10,6 +10,7 @@
 
 	"hillreel/api"
 	"hillreel/client"
+	"hillreel/commands/exit"
 	"hillreel/internal/core/verdict"
 )
 
@@ -34,13 +35,13 @@
 func (jobCommand) run(ctx context.Context, c *cli.Command) error {
 	cl, err := client.New(client.Options{Entries: c.StringSlice("entry")})
 	if err != nil {
-		return cli.Exit(err.Error(), ExitUsage)
+		return cli.Exit(err.Error(), exit.Usage)
 	}
 	id := c.String("id")
 	var a *api.Answer
 	switch {
 	case (c.Bool("state") || c.Bool("cancel")) && id == "":
-		return cli.Exit("--id must be set", ExitUsage)
+		return cli.Exit("--id must be set", exit.Usage)
 	case c.Bool("state"):
 		a, err = cl.State(ctx, id)
 	case c.Bool("cancel"):
@@ -49,34 +50,34 @@
 		a, err = submit(ctx, cl, id)
 	}
 	if err != nil {
-		if exit, ok := err.(cli.ExitCoder); ok {
-			return exit
+		if coded, ok := err.(cli.ExitCoder); ok {
+			return coded
 		}
-		return cli.Exit(err.Error(), ExitFailed)
+		return cli.Exit(err.Error(), exit.Failed)
 	}
 	out, err := json.MarshalIndent(a, "", "  ")
 	if err != nil {
-		return cli.Exit(err.Error(), ExitFailed)
+		return cli.Exit(err.Error(), exit.Failed)
 	}
 	if _, err := c.Root().Writer.Write(append(out, '\n')); err != nil {
-		return cli.Exit(err.Error(), ExitFailed)
+		return cli.Exit(err.Error(), exit.Failed)
 	}
 	switch a.State {
 	case verdict.Complete, verdict.Accepted, verdict.Cancelled:
 		return nil
 	}
-	return cli.Exit("", ExitFailed)
+	return cli.Exit("", exit.Failed)
 }
 
 // submit sends the job on standard input; without an id, one is drawn.
 func submit(ctx context.Context, cl *client.Client, id string) (*api.Answer, error) {
 	raw, err := io.ReadAll(os.Stdin)
 	if err != nil {
-		return nil, cli.Exit("standard input: "+err.Error(), ExitUsage)
+		return nil, cli.Exit("standard input: "+err.Error(), exit.Usage)
 	}
 	var job api.Job
 	if err := json.Unmarshal(raw, &job); err != nil {
-		return nil, cli.Exit("standard input: "+err.Error(), ExitUsage)
+		return nil, cli.Exit("standard input: "+err.Error(), exit.Usage)
 	}
 	if id == "" {
 		id = client.NewID()
--- a/commands/operator.go
+++ b/commands/port/port.go
@@ -1,4 +1,5 @@
-package commands
+// Package port calls an entry's operators' port for subcommands.
+package port
 
 import (
 	"bytes"
@@ -6,43 +7,43 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"os"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
+
+	"hillreel/commands/flag"
 )
 
 // callLimit bounds one call to an entry's operators' port.
 const callLimit = 10 * time.Second
 
-// operatorFlags say which entry to ask, and as whom.
-func operatorFlags(more ...cli.Flag) []cli.Flag {
+// Flags say which entry to ask, and as whom.
+func Flags(more ...cli.Flag) []cli.Flag {
 	return append([]cli.Flag{
-		configFlag(),
+		flag.Config(),
 		&cli.StringFlag{Name: "operators", Value: "127.0.0.1:7500", Usage: "ask the operators' port at `ADDRESS`"},
 		&cli.StringFlag{Name: "token", Sources: cli.EnvVars("HILLREEL_TOKEN"), Usage: "bear `TOKEN`; better given as HILLREEL_TOKEN"},
 	}, more...)
 }
 
-// operatorCall is one call to the operators' port.
-type operatorCall struct {
-	method, path string
-	header       map[string]string
-	body         []byte
+// Call is one call to the operators' port.
+type Call struct {
+	Method, Path string
+	Header       map[string]string
+	Body         []byte
 }
 
-// callOperator does the call and decodes a success into out. An error is the server's own words.
-func callOperator(ctx context.Context, c *cli.Command, call operatorCall, out any) (int, error) {
+// Do does the call and decodes a success into out. An error is the server's own words.
+func Do(ctx context.Context, c *cli.Command, call Call, out any) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, call.method, "http://"+c.String("operators")+call.path, bytes.NewReader(call.body))
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+c.String("operators")+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		return 0, errors.Wrap(err, "operators' port")
 	}
 	req.Header.Set("Authorization", "Bearer "+c.String("token"))
-	for k, v := range call.header {
+	for k, v := range call.Header {
 		req.Header.Set(k, v)
 	}
 	resp, err := http.DefaultClient.Do(req)
@@ -60,25 +61,9 @@
 	return resp.StatusCode, errors.Wrap(json.Unmarshal(raw, out), "operators' port")
 }
 
-// printJSON writes v, indented.
-func printJSON(c *cli.Command, v any) error {
+// PrintJSON writes v, indented.
+func PrintJSON(c *cli.Command, v any) error {
 	out := json.NewEncoder(c.Root().Writer)
 	out.SetIndent("", "  ")
 	return out.Encode(v)
 }
-
-// ifMatch makes a change conditional on an object's version; zero is an object that is not there yet.
-func ifMatch(version uint64) map[string]string {
-	if version == 0 {
-		return map[string]string{"If-None-Match": "*"}
-	}
-	return map[string]string{"If-Match": `"` + strconv.FormatUint(version, 10) + `"`}
-}
-
-// readInput reads a file, or standard input for "-".
-func readInput(name string) ([]byte, error) {
-	if name == "-" {
-		return io.ReadAll(os.Stdin)
-	}
-	return os.ReadFile(name)
-}
--- a/commands/settings.go
+++ b/commands/settings.go
@@ -6,6 +6,8 @@
 
 	"github.com/urfave/cli/v3"
 
+	"hillreel/commands/exit"
+	"hillreel/commands/flag"
 	"hillreel/internal/core/settings"
 )
 
@@ -17,7 +19,7 @@
 	return &cli.Command{
 		Name: "settings", Usage: "check a settings file, or print all options with their defaults",
 		Commands: []*cli.Command{
-			{Name: "check", Usage: "say what is wrong with a settings file", Flags: []cli.Flag{configFlag()}, Action: s.check},
+			{Name: "check", Usage: "say what is wrong with a settings file", Flags: []cli.Flag{flag.Config()}, Action: s.check},
 			{Name: "document", Usage: "print every option beside its default; hillreel.ini is this output", Action: s.document},
 		},
 	}
@@ -25,7 +27,7 @@
 
 func (settingsCommand) check(_ context.Context, c *cli.Command) error {
 	if _, err := settings.Load(c.String("config")); err != nil {
-		return cli.Exit(err.Error(), ExitUsage)
+		return cli.Exit(err.Error(), exit.Usage)
 	}
 	fmt.Fprintln(c.Root().Writer, "the settings are sound")
 	return nil
--- a/commands/standin.go
+++ b/commands/standin.go
@@ -10,6 +10,8 @@
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
+	"hillreel/commands/exit"
+	"hillreel/commands/flag"
 	"hillreel/internal/core/web"
 	"hillreel/platform"
 	"hillreel/platform/standin"
@@ -26,12 +28,12 @@
 			{
 				Name: "store", Usage: "the platform's store, in memory",
 				Flags: []cli.Flag{
-					configFlag(),
+					flag.Config(),
 					&cli.StringFlag{Name: "routes", Usage: "put the operator's configuration from `FILE` (JSON) into the store, again whenever it changes"},
 				},
 				Action: s.store,
 			},
-			{Name: "upstream", Usage: "an upstream that runs tasks by sleeping", Flags: []cli.Flag{configFlag()}, Action: s.upstream},
+			{Name: "upstream", Usage: "an upstream that runs tasks by sleeping", Flags: []cli.Flag{flag.Config()}, Action: s.upstream},
 		},
 	}
 }
@@ -47,7 +49,7 @@
 	store := standin.NewStore()
 	if file := c.String("routes"); file != "" {
 		if err := putRoutes(store, file, nil); err != nil {
-			return cli.Exit(err.Error(), ExitUsage)
+			return cli.Exit(err.Error(), exit.Usage)
 		}
 		go followRoutes(ctx, store, file, log)
 	}
@@ -103,7 +105,7 @@
 // serveStandin runs a stand-in's server until the process is asked to end.
 func serveStandin(ctx context.Context, s *web.Server, log *logrus.Entry) error {
 	if err := s.Start(ctx); err != nil {
-		return cli.Exit(err.Error(), ExitFailed)
+		return cli.Exit(err.Error(), exit.Failed)
 	}
 	defer s.Stop()
 	log.WithField("address", s.Address()).Info("started")
--- a/commands/version.go
+++ b/commands/version.go
@@ -6,6 +6,8 @@
 	"runtime"
 
 	"github.com/urfave/cli/v3"
+
+	"hillreel/commands/flag"
 )
 
 // Version is hillreel's version; CHANGELOG.md tells what it has.
@@ -16,7 +18,7 @@
 type versionCommand struct{}
 
 func (v versionCommand) define() *cli.Command {
-	return &cli.Command{Name: "version", Usage: "print the version", Flags: []cli.Flag{configFlag()}, Action: v.run}
+	return &cli.Command{Name: "version", Usage: "print the version", Flags: []cli.Flag{flag.Config()}, Action: v.run}
 }
 
 func (versionCommand) run(_ context.Context, c *cli.Command) error {
--- a/main.go
+++ b/main.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"hillreel/commands"
+	"hillreel/commands/exit"
 )
 
 func main() {
@@ -18,9 +19,9 @@
 		return
 	}
 	fmt.Fprintln(os.Stderr, "hillreel:", err)
-	var exit cli.ExitCoder
-	if errors.As(err, &exit) {
-		os.Exit(exit.ExitCode())
+	var coded cli.ExitCoder
+	if errors.As(err, &coded) {
+		os.Exit(coded.ExitCode())
 	}
-	os.Exit(commands.ExitUsage)
+	os.Exit(exit.Usage)
 }
