kept: jobs that have ended are remembered by a package of its own

Change: recent.Jobs keeps id, state and counted ends; whether a run is among ends is a method of record.Ends, which book uses as well.

--- a/internal/kept/book/book.go
+++ b/internal/kept/book/book.go
@@ -22,6 +22,7 @@
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/dispatch"
 	"hillreel/internal/kept/ledger"
+	"hillreel/internal/kept/recent"
 	"hillreel/internal/kept/record"
 	"hillreel/internal/kept/tenure"
 )
@@ -84,7 +85,7 @@
 	callers dispatch.Callers
 
 	jobs  map[job.ID]*keptJob
-	ended recent
+	ended *recent.Jobs
 	// unknown are ends of jobs that the store is being asked about.
 	unknown map[job.ID][]ref
 	// ops are the writes under way, by id.
@@ -165,7 +166,7 @@
 func New(o Options, s Store, t Table, a Agents, c dispatch.Callers, now time.Time) *Book {
 	b := &Book{
 		opts: o, store: s, table: t, agents: a, callers: c,
-		jobs: make(map[job.ID]*keptJob), ended: newRecent(), unknown: make(map[job.ID][]ref), ops: make(map[ledger.OpID]func(time.Time, ledger.Result)),
+		jobs: make(map[job.ID]*keptJob), ended: recent.New(), unknown: make(map[job.ID][]ref), ops: make(map[ledger.OpID]func(time.Time, ledger.Result)),
 		others: make(map[record.LeaseID]record.Lease), adoptions: make(map[record.LeaseID]*adoption),
 	}
 	b.lease = tenure.New(tenure.Options{
--- a/internal/kept/book/ends.go
+++ b/internal/kept/book/ends.go
@@ -27,7 +27,7 @@
 	switch {
 	case k != nil && k.phase == running:
 		b.count(now, k, r, e)
-	case b.ended.has(e.Task.Job):
+	case b.ended.Has(e.Task.Job):
 		// The job has ended, and nothing of it begins any more.
 		b.note([]ref{r}, false)
 	}
@@ -57,9 +57,7 @@
 
 // counted tells whether the end of a run is in a job's progress.
 func (k *keptJob) counted(r fleet.RunRef) bool {
-	return slices.ContainsFunc(k.open.Ends, func(e record.End) bool {
-		return e.Step == r.Task.Step && e.Index == r.Task.Index && e.Run == r.Run
-	})
+	return k.open.Ends.Counted(r.Task.Step, r.Task.Index, r.Run)
 }
 
 // mayCount tells whether an end that nobody has stored still counts while a job is being taken over: it is one of the
@@ -100,8 +98,8 @@
 	r := ref{agent, fleet.RunRef{Task: e.Task, Run: e.Run}}
 	k := b.jobs[e.Task.Job]
 	switch {
-	case k == nil && b.ended.has(e.Task.Job):
-		b.note([]ref{r}, !b.ended.counted(r.run))
+	case k == nil && b.ended.Has(e.Task.Job):
+		b.note([]ref{r}, !b.ended.Counted(r.run))
 	case k == nil || k.phase == asked || k.phase == accepting:
 		b.lookUp(r)
 	case k.counted(r.run):
@@ -308,7 +306,7 @@
 // finish handles that a job's end is stored.
 func (b *Book) finish(now time.Time, k *keptJob, s verdict.State) {
 	delete(b.jobs, k.id)
-	b.ended.add(now, k, s)
+	b.ended.Add(now, k.id, s, k.open.Ends)
 	b.event(logrus.InfoLevel, "job_end_stored", logrus.Fields{"job": k.id, "state": s, "generation": k.open.Generation})
 	b.note(append(k.storing, k.unstored...), false)
 	b.answer(&k.callers, accepted)
--- a/internal/kept/book/submit.go
+++ b/internal/kept/book/submit.go
@@ -35,7 +35,7 @@
 		k.callers = append(k.callers, w)
 		return
 	}
-	if b.jobs[r.Job] != nil || b.ended.has(r.Job) {
+	if b.jobs[r.Job] != nil || b.ended.Has(r.Job) {
 		b.callers.Answer(r.Caller, accepted)
 		return
 	}
@@ -221,7 +221,7 @@
 
 // State returns the state of a job that this entry knows, and whether it does.
 func (b *Book) State(id job.ID) (verdict.State, bool) {
-	if s, ok := b.ended.state(id); ok {
+	if s, ok := b.ended.State(id); ok {
 		return s, true
 	}
 	k := b.jobs[id]
@@ -260,7 +260,7 @@
 
 // Cancel ends a job that this entry owns, and tells whether it does: then the caller is answered once it is stored.
 func (b *Book) Cancel(now time.Time, id job.ID, c dispatch.CallerID) bool {
-	if s, ok := b.ended.state(id); ok {
+	if s, ok := b.ended.State(id); ok {
 		b.callers.Answer(c, dispatch.Answer{State: s, Verdict: verdict.Ran})
 		return true
 	}
--- a/internal/kept/record/ends.go
+++ b/internal/kept/record/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -14,6 +15,13 @@
 // 1,500 tasks fits into a row.
 type Ends []End
 
+// Counted tells whether the end of a run is in the list.
+func (e Ends) Counted(step, index uint32, run job.Run) bool {
+	return slices.ContainsFunc(e, func(end End) bool {
+		return end.Step == step && end.Index == index && end.Run == run
+	})
+}
+
 // failedMark follows a run that has failed.
 const failedMark = "f"
 
