book: one place for writes of a job's rows, for finding one's own write, and for callers whose time is up

Cause: four writes named the rows that found decodes, two were the same, three places compared owner and sequence, and two loops answered callers at their deadlines. Change: op, progressOp, isWrite and answerDue. A waiter's zero deadline means none for watchers too, who always have one.

--- a/internal/kept/book/adopt.go
+++ b/internal/kept/book/adopt.go
@@ -169,17 +169,10 @@
 func (b *Book) takeOver(now time.Time, batch []*keptJob) {
 	left := len(batch)
 	var got []*keptJob
-	l := b.opts.Layout
 	for _, k := range batch {
 		next := k.open
 		next.Owner, next.Generation, next.Sequence = b.lease.ID(), k.open.Generation+1, k.open.Sequence+1
-		b.write(ledger.Op{
-			Part: l.Part(k.id), Look: []rows.Key{l.OpenKey(k.id), l.EndedKey(k.id)},
-			Txn: rows.Txn{
-				If:  []rows.Condition{{Key: l.OpenKey(k.id), Version: k.version}},
-				Put: []rows.Row{{Key: l.OpenKey(k.id), Value: b.value(next)}},
-			},
-		}, func(now time.Time, r ledger.Result) {
+		b.write(b.progressOp(k, next), func(now time.Time, r ledger.Result) {
 			left--
 			if b.handleTaken(k, next, r) {
 				got = append(got, k)
@@ -200,7 +193,7 @@
 	version := r.Version
 	if r.Outcome != ledger.Done {
 		open, _ := b.found(r)
-		if open == nil || open.Owner != next.Owner || open.Sequence != next.Sequence {
+		if !isWrite(open, next) {
 			b.unadopt(k)
 			return false
 		}
--- a/internal/kept/book/book.go
+++ b/internal/kept/book/book.go
@@ -118,9 +118,10 @@
 	running phase = "running"
 )
 
-// waiter is a caller that waits for its job to be accepted or cancelled.
+// waiter is a caller that waits for its job to be accepted or cancelled, or to end.
 type waiter struct {
-	caller   dispatch.CallerID
+	caller dispatch.CallerID
+	// deadline is until when it waits; zero is for as long as it takes.
 	deadline time.Time
 }
 
--- a/internal/kept/book/ends.go
+++ b/internal/kept/book/ends.go
@@ -194,21 +194,29 @@
 	k.writing = true
 	k.storing, k.unstored = append(k.storing, k.unstored...), nil
 	k.losing, k.lost = append(k.losing, k.lost...), nil
-	l := b.opts.Layout
 	written := k.open
-	b.write(ledger.Op{
-		Part: l.Part(k.id), Look: []rows.Key{l.OpenKey(k.id), l.EndedKey(k.id)},
-		Txn: rows.Txn{
-			If:  []rows.Condition{{Key: l.OpenKey(k.id), Version: k.version}},
-			Put: []rows.Row{{Key: l.OpenKey(k.id), Value: b.value(written)}},
-		},
-	}, func(now time.Time, r ledger.Result) {
-		if b.handleWritten(now, k, written.Sequence, r) {
+	b.write(b.progressOp(k, written), func(now time.Time, r ledger.Result) {
+		if b.handleWritten(now, k, written, r) {
 			b.goOn(now, k, renewing)
 		}
 	})
 }
 
+// progressOp is the write that replaces the row of an open job.
+func (b *Book) progressOp(k *keptJob, next record.Open) ledger.Op {
+	key := b.opts.Layout.OpenKey(k.id)
+	return b.op(k.id, rows.Txn{
+		If:  []rows.Condition{{Key: key, Version: k.version}},
+		Put: []rows.Row{{Key: key, Value: b.value(next)}},
+	})
+}
+
+// op is a write of a job's rows, after whose conflict found tells what is there.
+func (b *Book) op(id job.ID, t rows.Txn) ledger.Op {
+	l := b.opts.Layout
+	return ledger.Op{Part: l.Part(id), Look: []rows.Key{l.OpenKey(id), l.EndedKey(id)}, Txn: t}
+}
+
 // goOn goes on with a job that is still this entry's after a write.
 func (b *Book) goOn(now time.Time, k *keptJob, renewed bool) {
 	placing := k.losing
@@ -229,7 +237,7 @@
 }
 
 // handleWritten handles the end of a write of a job's open row, and tells whether the job is still this entry's.
-func (b *Book) handleWritten(now time.Time, k *keptJob, sequence uint64, r ledger.Result) bool {
+func (b *Book) handleWritten(now time.Time, k *keptJob, written record.Open, r ledger.Result) bool {
 	if b.jobs[k.id] != k {
 		return false
 	}
@@ -241,7 +249,7 @@
 		case ended != nil:
 			b.finish(now, k, ended.State)
 			return false
-		case open == nil || open.Owner != k.open.Owner || open.Sequence != sequence:
+		case !isWrite(open, written):
 			b.drop(now, k, "owned_by_another_entry")
 			return false
 		}
@@ -264,12 +272,11 @@
 
 // writeEnd writes how a job has ended.
 func (b *Book) writeEnd(now time.Time, k *keptJob) {
-	l := b.opts.Layout
-	t, err := ledger.EndTxn(l, k.id, k.version, k.how(), b.lease.Clock(now)+b.opts.Keep)
+	t, err := ledger.EndTxn(b.opts.Layout, k.id, k.version, k.how(), b.lease.Clock(now)+b.opts.Keep)
 	b.unreadable(err)
 	k.writing = true
 	k.storing, k.unstored = append(k.storing, k.unstored...), nil
-	b.write(ledger.Op{Part: l.Part(k.id), Look: []rows.Key{l.OpenKey(k.id), l.EndedKey(k.id)}, Txn: t}, func(now time.Time, r ledger.Result) {
+	b.write(b.op(k.id, t), func(now time.Time, r ledger.Result) {
 		b.handleEnded(now, k, r)
 	})
 }
--- a/internal/kept/book/submit.go
+++ b/internal/kept/book/submit.go
@@ -64,15 +64,14 @@
 	k.phase = accepting
 	k.open = record.Open{Owner: b.lease.ID(), Generation: 1, Sequence: 1}
 	l := b.opts.Layout
-	b.write(ledger.Op{
-		Part: l.Part(k.id), Until: k.giveUp, Look: []rows.Key{l.OpenKey(k.id), l.EndedKey(k.id)},
-		Txn: rows.Txn{
-			If: []rows.Condition{{Key: l.JobKey(k.id)}},
-			Put: []rows.Row{
-				{Key: l.JobKey(k.id), Value: b.value(k.record)}, {Key: l.OpenKey(k.id), Value: b.value(k.open)},
-			},
+	op := b.op(k.id, rows.Txn{
+		If: []rows.Condition{{Key: l.JobKey(k.id)}},
+		Put: []rows.Row{
+			{Key: l.JobKey(k.id), Value: b.value(k.record)}, {Key: l.OpenKey(k.id), Value: b.value(k.open)},
 		},
-	}, func(now time.Time, r ledger.Result) { b.handleAccepted(now, k, r) })
+	})
+	op.Until = k.giveUp
+	b.write(op, func(now time.Time, r ledger.Result) { b.handleAccepted(now, k, r) })
 	if b.opts.Without.Off(rule.StoreFirst) {
 		b.answer(&k.callers, accepted)
 	}
@@ -92,7 +91,7 @@
 		b.answer(&k.cancels, noSuchJob)
 	default:
 		open, _ := b.found(r)
-		if open != nil && open.Owner == k.open.Owner && open.Sequence == k.open.Sequence {
+		if isWrite(open, k.open) {
 			// An attempt without an answer was done.
 			b.begin(now, k, r.Found[0].Version)
 			return
@@ -162,6 +161,11 @@
 	return open, ended
 }
 
+// isWrite tells whether the row that is there, if any, is the one that a write has put there.
+func isWrite(open *record.Open, written record.Open) bool {
+	return open != nil && open.Owner == written.Owner && open.Sequence == written.Sequence
+}
+
 // unreadable logs a row that can't be decoded.
 func (b *Book) unreadable(err error) {
 	if err != nil {
@@ -191,15 +195,20 @@
 		b.answer(&k.cancels, noSuchJob)
 		return
 	}
+	b.answerDue(now, &k.callers, dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Deadline})
+}
+
+// answerDue answers the callers of a list whose deadline has come.
+func (b *Book) answerDue(now time.Time, list *[]waiter, a dispatch.Answer) {
 	var rest []waiter
-	for _, w := range k.callers {
+	for _, w := range *list {
 		if w.deadline.IsZero() || now.Before(w.deadline) {
 			rest = append(rest, w)
 			continue
 		}
-		b.callers.Answer(w.caller, dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Deadline})
+		b.callers.Answer(w.caller, a)
 	}
-	k.callers = rest
+	*list = rest
 }
 
 // Abandon handles a caller that has gone; its job, if it was stored, runs all the same.
@@ -247,15 +256,7 @@
 
 // tellWatchers answers those whose deadline has come.
 func (b *Book) tellWatchers(now time.Time, k *keptJob) {
-	var rest []waiter
-	for _, w := range k.watchers {
-		if now.Before(w.deadline) {
-			rest = append(rest, w)
-			continue
-		}
-		b.callers.Answer(w.caller, dispatch.Answer{State: verdict.Running, Verdict: verdict.MayHaveRun})
-	}
-	k.watchers = rest
+	b.answerDue(now, &k.watchers, dispatch.Answer{State: verdict.Running, Verdict: verdict.MayHaveRun})
 }
 
 // Cancel ends a job that this entry owns, and tells whether it does: then the caller is answered once it is stored.
