standin: rows in memory and loopback addresses in packages that all tests share

Cause: book's bench and the schedules' store had the same transactions; two kinds of sets drew addresses alike. Change: memory.Store has the rows for both, loopback.Draw the addresses, from the same two ranges as before. What the tests check is unchanged.

--- a/commands/process_test.go
+++ b/commands/process_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,6 +17,7 @@
 	"hillreel/api"
 	"hillreel/client"
 	"hillreel/internal/core/verdict"
+	"hillreel/internal/standin/loopback"
 )
 
 // patience bounds every wait of these tests; nothing is expected to take nearly as long.
@@ -35,12 +35,11 @@
 	ready     map[string]string
 }
 
-// freeAddress draws a loopback address of its own for each server. A port of 127.0.0.1 that was free a moment ago may be
-// taken by then for somebody's outgoing connection.
-func freeAddress() string {
-	n := rand.Uint32()
-	return fmt.Sprintf("127.%d.%d.%d:7400", 128+n>>16&63, n>>8&255, 1+n&127)
-}
+// port is that of all servers of a set.
+const port = 7400
+
+// freeAddress draws an address for a server.
+func freeAddress() string { return loopback.Draw(loopback.Processes, port) }
 
 // newSet starts the stand-in for the store and builds the program once.
 func newSet(t *testing.T) *set {
--- a/internal/kept/book/adopt_test.go
+++ b/internal/kept/book/adopt_test.go
@@ -45,7 +45,7 @@
 			qt.Assert(t, b.scans, qt.Equals, 1)
 			b.book.Scanned(b.now, b.page(record.OpenRows("").Table).Rows, b.page(record.Leases), nil)
 			qt.Assert(t, b.fetches, qt.DeepEquals, [][]job.ID{{jobID}})
-			b.book.Fetched(b.now, b.fetches[0], []rows.Row{b.rows[layout.JobKey(jobID)]}, nil)
+			b.book.Fetched(b.now, b.fetches[0], []rows.Row{b.Rows[layout.JobKey(jobID)]}, nil)
 			b.writeAll()
 			qt.Assert(t, b.asked, qt.HasLen, test.asks)
 			if test.asks > 0 {
@@ -61,7 +61,7 @@
 			qt.Assert(t, known.Done[job.TaskID{Job: jobID}], qt.Equals, test.asks > 0)
 			qt.Assert(t, known.Runs, qt.Equals, job.Run(1024))
 			qt.Assert(t, known.Late, qt.IsTrue)
-			_, there := b.rows[record.LeaseKey("old-0")]
+			_, there := b.Rows[record.LeaseKey("old-0")]
 			qt.Assert(t, there, qt.IsFalse)
 		})
 	}
@@ -94,8 +94,8 @@
 			b.writeAll()
 			b.pass(11*time.Second, true) // its owner's lease is gone, which a scan finds
 			qt.Assert(t, b.scans > 0, qt.IsTrue)
-			b.book.Scanned(b.now, []rows.Row{b.rows[layout.OpenKey(jobID)]}, b.page(record.Leases), nil)
-			b.book.Fetched(b.now, []job.ID{jobID}, []rows.Row{b.rows[layout.JobKey(jobID)]}, nil)
+			b.book.Scanned(b.now, []rows.Row{b.Rows[layout.OpenKey(jobID)]}, b.page(record.Leases), nil)
+			b.book.Fetched(b.now, []job.ID{jobID}, []rows.Row{b.Rows[layout.JobKey(jobID)]}, nil)
 			b.writeAll()
 			b.book.StrayEnd(b.now, agentA, end(test.index, test.run, job.Done))
 			qt.Assert(t, len(b.noted) == 1 && b.noted[0].void, qt.Equals, test.void)
--- a/internal/kept/book/bench_test.go
+++ b/internal/kept/book/bench_test.go
@@ -18,6 +18,7 @@
 	"hillreel/internal/kept/book"
 	"hillreel/internal/kept/ledger"
 	"hillreel/internal/kept/record"
+	"hillreel/internal/standin/memory"
 )
 
 var layout = record.Layout{Parts: 2}
@@ -38,11 +39,10 @@
 
 // bench drives a Book by hand, with a store that does what it is told when the test says so.
 type bench struct {
+	memory.Store
 	t       *testing.T
 	now     time.Time
 	book    *book.Book
-	rows    map[rows.Key]rows.Row
-	version rows.Version
 	writes  []ledger.Op
 	reads   int
 	scans   int
@@ -78,7 +78,7 @@
 
 func newBench(t *testing.T, without rule.Set) *bench {
 	b := &bench{
-		t: t, now: time.Unix(1000, 0), rows: make(map[rows.Key]rows.Row), asked: make(map[ident.Incarnation]uint64),
+		Store: memory.New(), t: t, now: time.Unix(1000, 0), asked: make(map[ident.Incarnation]uint64),
 		answers: make(map[dispatch.CallerID]dispatch.Answer),
 	}
 	b.book = book.New(book.Options{
@@ -95,26 +95,7 @@
 func (b *bench) put(k rows.Key, v any) {
 	raw, err := record.Value(v)
 	qt.Assert(b.t, err, qt.IsNil)
-	b.version++
-	b.rows[k] = rows.Row{Key: k, Value: raw, Version: b.version}
-}
-
-// commit does a transaction if its conditions hold.
-func (b *bench) commit(t rows.Txn) bool {
-	for _, c := range t.If {
-		if b.rows[c.Key].Version != c.Version {
-			return false
-		}
-	}
-	b.version++
-	for _, r := range t.Put {
-		r.Version = b.version
-		b.rows[r.Key] = r
-	}
-	for _, k := range t.Remove {
-		delete(b.rows, k)
-	}
-	return true
+	b.Put(k, raw)
 }
 
 // write carries out the oldest write; lost ones are done, and done again by their repetition.
@@ -122,15 +103,15 @@
 	op := b.writes[0]
 	b.writes = b.writes[1:]
 	if lost {
-		b.commit(op.Txn)
+		b.Commit(op.Txn)
 	}
-	if b.commit(op.Txn) {
-		b.book.Written(b.now, ledger.Result{ID: op.ID, Outcome: ledger.Done, Version: b.version})
+	if b.Commit(op.Txn) {
+		b.book.Written(b.now, ledger.Result{ID: op.ID, Outcome: ledger.Done, Version: b.Version})
 		return
 	}
 	r := ledger.Result{ID: op.ID, Outcome: ledger.Conflict}
 	for _, k := range op.Look {
-		r.Found = append(r.Found, b.rows[k])
+		r.Found = append(r.Found, b.Rows[k])
 	}
 	b.book.Written(b.now, r)
 }
@@ -149,7 +130,7 @@
 
 func (b *bench) page(t rows.Table) rows.Page {
 	p := rows.Page{Now: b.clock()}
-	for k, r := range b.rows {
+	for k, r := range b.Rows {
 		if k.Table == t {
 			p.Rows = append(p.Rows, r)
 		}
--- a/internal/kept/book/book_test.go
+++ b/internal/kept/book/book_test.go
@@ -100,10 +100,10 @@
 	qt.Assert(t, state, qt.Equals, verdict.Complete)
 	qt.Assert(t, b.answers[5].State, qt.Equals, verdict.Complete)
 	qt.Assert(t, b.noted, qt.HasLen, 2)
-	ended, err := record.Read[record.Ended](b.rows[layout.EndedKey(jobID)])
+	ended, err := record.Read[record.Ended](b.Rows[layout.EndedKey(jobID)])
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, ended.State, qt.Equals, verdict.Complete)
-	_, open := b.rows[layout.OpenKey(jobID)]
+	_, open := b.Rows[layout.OpenKey(jobID)]
 	qt.Assert(t, open, qt.IsFalse)
 }
 
@@ -171,7 +171,7 @@
 			test.setUp(b)
 			b.book.StrayEnd(b.now, agentA, end(0, 1, job.Done))
 			qt.Assert(t, b.looks, qt.DeepEquals, []job.ID{jobID})
-			b.book.Looked(jobID, b.rows[layout.OpenKey(jobID)], b.rows[layout.EndedKey(jobID)], nil)
+			b.book.Looked(jobID, b.Rows[layout.OpenKey(jobID)], b.Rows[layout.EndedKey(jobID)], nil)
 			qt.Assert(t, b.noted, qt.HasLen, test.noted)
 			if test.noted > 0 {
 				qt.Assert(t, b.noted[0].void, qt.Equals, test.void)
--- a/internal/proof/schedule/kept_test.go
+++ b/internal/proof/schedule/kept_test.go
@@ -21,7 +21,7 @@
 
 // accepted checks that a job whose caller hears that it is kept is stored, and lets some callers cancel it.
 func (w *world) accepted(s *submission) {
-	if w.store.rows[layout.JobKey(s.id)].Version == 0 {
+	if w.store.Rows[layout.JobKey(s.id)].Version == 0 {
 		w.violate("job %v is called accepted, and is not stored", s.id)
 	}
 	if !s.accepted && w.chance(0.15) {
@@ -47,7 +47,7 @@
 // shown checks a state in which a kept job is shown as ended.
 func (s *submission) shown(state verdict.State) {
 	w := s.w
-	if w.store.rows[layout.EndedKey(s.id)].Version == 0 {
+	if w.store.Rows[layout.EndedKey(s.id)].Version == 0 {
 		w.violate("job %v is shown as %s, and that is not stored", s.id, state)
 	}
 	switch state {
@@ -111,10 +111,10 @@
 	if !a.s.commit(t) {
 		return 0, rows.ErrConflict
 	}
-	return a.s.version, nil
+	return a.s.Version, nil
 }
 
-func (a atOnce) Read(_ context.Context, k rows.Key) (rows.Row, error) { return a.s.rows[k], nil }
+func (a atOnce) Read(_ context.Context, k rows.Key) (rows.Row, error) { return a.s.Rows[k], nil }
 
 func (a atOnce) Range(_ context.Context, r rows.Range) (rows.Page, error) {
 	return a.s.list(r.Table), nil
@@ -177,10 +177,10 @@
 		if !s.kept {
 			continue
 		}
-		if w.store.rows[layout.OpenKey(s.id)].Version != 0 {
+		if w.store.Rows[layout.OpenKey(s.id)].Version != 0 {
 			w.violate("job %v is still open", s.id)
 		}
-		row := w.store.rows[layout.EndedKey(s.id)]
+		row := w.store.Rows[layout.EndedKey(s.id)]
 		if row.Version == 0 {
 			if s.accepted {
 				w.violate("job %v was accepted, and is lost", s.id)
--- a/internal/proof/schedule/store_test.go
+++ b/internal/proof/schedule/store_test.go
@@ -12,6 +12,7 @@
 	"hillreel/internal/core/rows"
 	"hillreel/internal/kept/ledger"
 	"hillreel/internal/kept/record"
+	"hillreel/internal/standin/memory"
 )
 
 // layout spreads kept jobs over two parts.
@@ -19,34 +20,23 @@
 
 // simStore behaves as the platform says its store does.
 type simStore struct {
-	w       *world
-	rows    map[rows.Key]rows.Row
-	version rows.Version
+	memory.Store
+	w *world
 	// silent: no call is answered or done. busy: all calls are refused.
 	silent, busy bool
 	// loses is how often an answer is lost; late how many of those writes are done seconds later.
 	loses, late float64
 }
 
-func newSimStore(w *world) *simStore { return &simStore{w: w, rows: make(map[rows.Key]rows.Row)} }
+func newSimStore(w *world) *simStore { return &simStore{Store: memory.New(), w: w} }
 
 // clock is the store's steady clock.
 func (s *simStore) clock() time.Duration { return s.w.now.Sub(s.w.start) + time.Minute }
 
 // commit does a transaction if its conditions hold.
 func (s *simStore) commit(t rows.Txn) bool {
-	for _, c := range t.If {
-		if s.rows[c.Key].Version != c.Version {
-			return false
-		}
-	}
-	s.version++
-	for _, r := range t.Put {
-		r.Version = s.version
-		s.rows[r.Key] = r
-	}
-	for _, k := range t.Remove {
-		delete(s.rows, k)
+	if !s.Commit(t) {
+		return false
 	}
 	for _, r := range t.Put {
 		if r.Key.Table == record.Cancels {
@@ -58,8 +48,8 @@
 
 // list returns the rows of a table, by name.
 func (s *simStore) list(table rows.Table) rows.Page {
-	p := rows.Page{Version: s.version, Now: s.clock()}
-	for k, r := range s.rows {
+	p := rows.Page{Version: s.Version, Now: s.clock()}
+	for k, r := range s.Rows {
 		if k.Table == table {
 			p.Rows = append(p.Rows, r)
 		}
@@ -135,7 +125,7 @@
 	var version rows.Version
 	x.call(func() {
 		done = s.commit(op.Txn)
-		version = s.version
+		version = s.Version
 	}, func(answered, refused bool) {
 		doubt = doubt || !answered
 		switch {
@@ -160,7 +150,7 @@
 	x.call(func() {
 		found = nil
 		for _, k := range op.Look {
-			found = append(found, s.rows[k])
+			found = append(found, s.Rows[k])
 		}
 	}, func(answered, refused bool) {
 		if !answered || refused {
@@ -212,7 +202,7 @@
 	x.call(func() {
 		found = nil
 		for _, id := range ids {
-			found = append(found, w.store.rows[layout.JobKey(id)])
+			found = append(found, w.store.Rows[layout.JobKey(id)])
 		}
 	}, func(answered, refused bool) { x.e.book.Fetched(w.now, ids, found, unless(answered && !refused)) })
 }
@@ -220,7 +210,7 @@
 // Look reads the rows of an open and of an ended job.
 func (x storeIO) Look(id job.ID) {
 	var open, ended rows.Row
-	x.call(func() { open, ended = x.e.w.store.rows[layout.OpenKey(id)], x.e.w.store.rows[layout.EndedKey(id)] }, func(answered, refused bool) {
+	x.call(func() { open, ended = x.e.w.store.Rows[layout.OpenKey(id)], x.e.w.store.Rows[layout.EndedKey(id)] }, func(answered, refused bool) {
 		x.e.book.Looked(id, open, ended, unless(answered && !refused))
 	})
 }
--- a/internal/standin/embedded/embedded.go
+++ b/internal/standin/embedded/embedded.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -21,6 +20,7 @@
 	entry "hillreel/internal/entry/process"
 	"hillreel/internal/link/members"
 	"hillreel/internal/link/session"
+	"hillreel/internal/standin/loopback"
 	"hillreel/platform"
 	"hillreel/platform/standin"
 )
@@ -107,11 +107,9 @@
 	s.Store.Put(string(platform.ConfigKey.Table), platform.ConfigKey.Name, raw)
 }
 
-// freeAddress draws a loopback address of its own for each server. A port of 127.0.0.1 that was free a moment ago may be
-// taken by then for somebody's outgoing connection.
+// freeAddress draws an address for a server.
 func freeAddress() settings.Address {
-	n := rand.Uint32()
-	return settings.Address(fmt.Sprintf("127.%d.%d.%d:%d", 64+n>>16&63, n>>8&255, 1+n&127, embeddedPort))
+	return settings.Address(loopback.Draw(loopback.Embedded, embeddedPort))
 }
 
 // embeddedPort is the port of all servers of a set.
