upstream, dispatch, config, ledger: names nobody else needs, one type for runs, comments that are true

Change: fleet.RunRef in place of strayKey; pump, readObject; the comments; the entry's layout has a method of its own.

--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -175,8 +175,8 @@
 		}
 	}
 	for key, at := range k.strays {
-		l, ok := listed[key.task]
-		if (!ok || l.Run != key.run) && !at.IsZero() && c.Sent.After(at) {
+		l, ok := listed[key.Task]
+		if (!ok || l.Run != key.Run) && !at.IsZero() && c.Sent.After(at) {
 			delete(k.strays, key)
 			k.touchAll()
 		}
@@ -206,7 +206,7 @@
 
 // ended handles one listed end.
 func (k *Keeper) ended(now time.Time, f call.Finished) {
-	key := strayKey{f.Task, f.Run}
+	key := fleet.RunRef{Task: f.Task, Run: f.Run}
 	delete(k.strays, key)
 	if k.given[key] {
 		delete(k.given, key)
@@ -301,7 +301,7 @@
 
 // stray stops a run that nobody here has ordered: one of an earlier agent, or a start that came late.
 func (k *Keeper) stray(now time.Time, l call.Listed) {
-	key := strayKey{l.Task, l.Run}
+	key := fleet.RunRef{Task: l.Task, Run: l.Run}
 	if at, ok := k.strays[key]; ok && (at.IsZero() || now.Sub(at) < stopRetry) {
 		return
 	}
@@ -320,12 +320,12 @@
 }
 
 // strayKeys lists the strays in a fixed order.
-func (k *Keeper) strayKeys() []strayKey {
-	out := make([]strayKey, 0, len(k.strays))
+func (k *Keeper) strayKeys() []fleet.RunRef {
+	out := make([]fleet.RunRef, 0, len(k.strays))
 	for key := range k.strays {
 		out = append(out, key)
 	}
-	slices.SortFunc(out, func(a, b strayKey) int { return cmp.Or(a.task.Compare(b.task), cmp.Compare(a.run, b.run)) })
+	slices.SortFunc(out, func(a, b fleet.RunRef) int { return cmp.Or(a.Task.Compare(b.Task), cmp.Compare(a.Run, b.Run)) })
 	return out
 }
 
@@ -351,7 +351,7 @@
 	for _, key := range k.strayKeys() {
 		if k.strays[key].IsZero() && k.known {
 			// The stop before it got no answer yet or none at all; a second one does no harm.
-			k.caller.Stop(call.Stop{Header: k.header(now), Task: key.task, Run: key.run})
+			k.caller.Stop(call.Stop{Header: k.header(now), Task: key.Task, Run: key.Run})
 		}
 	}
 	k.ends.Relieve(now)
--- a/internal/agent/upstream/kept.go
+++ b/internal/agent/upstream/kept.go
@@ -74,7 +74,7 @@
 		}
 	}
 	for key := range k.strays {
-		if q.jobs[key.task.Job] {
+		if q.jobs[key.Task.Job] {
 			return true
 		}
 	}
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -206,8 +206,8 @@
 	if a == call.OK {
 		k.lease.Read(now, clock)
 	}
-	if at, ok := k.strays[strayKey{c.Task, c.Run}]; ok && a == call.OK && at.IsZero() {
-		k.strays[strayKey{c.Task, c.Run}] = now
+	if at, ok := k.strays[fleet.RunRef{Task: c.Task, Run: c.Run}]; ok && a == call.OK && at.IsZero() {
+		k.strays[fleet.RunRef{Task: c.Task, Run: c.Run}] = now
 	}
 	r := k.runs[c.Task]
 	if r == nil || r.number != c.Run || r.stop == nil {
@@ -234,7 +234,7 @@
 		e.Took = 0
 	}
 	if r.kept {
-		k.given[strayKey{r.task, r.number}] = true
+		k.given[fleet.RunRef{Task: r.task, Run: r.number}] = true
 	}
 	if r.kept && (o == job.Done || o == job.Failed) && !k.without.Off(rule.WithholdEnds) {
 		e.Kept = true
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -67,7 +67,7 @@
 	lease lease.Lease
 	ends  ends.Account
 	// given are runs of kept jobs that were given up before their ends were listed.
-	given map[strayKey]bool
+	given map[fleet.RunRef]bool
 	// quietUntil is until when an earlier agent's lease may live: before, ends that it has left are not acknowledged.
 	quietUntil time.Time
 
@@ -82,8 +82,8 @@
 	failures int
 	// questions are those of entries that wait until nothing of the jobs in question runs here.
 	questions []question
-	// strays are runs at the upstream that nobody here ordered.
-	strays map[strayKey]time.Time
+	// strays are runs at the upstream that nobody here ordered, with when a stop of each was answered; zero is not yet.
+	strays map[fleet.RunRef]time.Time
 
 	runs     map[job.TaskID]*run
 	sessions map[ident.Incarnation]*session
@@ -98,12 +98,6 @@
 	told fleet.State
 }
 
-// strayKey names a run at the upstream that nobody here ordered.
-type strayKey struct {
-	task job.TaskID
-	run  job.Run
-}
-
 // phase is where a run stands.
 type phase string
 
@@ -178,8 +172,8 @@
 	return &Keeper{
 		timing: t, without: without, caller: c, entries: e, observer: o, start: now,
 		past:     make(map[ident.UpstreamID]bool),
-		strays:   make(map[strayKey]time.Time),
-		given:    make(map[strayKey]bool),
+		strays:   make(map[fleet.RunRef]time.Time),
+		given:    make(map[fleet.RunRef]bool),
 		runs:     make(map[job.TaskID]*run),
 		sessions: make(map[ident.Incarnation]*session),
 		told:     fleet.Clearing,
--- a/internal/config/store/copy.go
+++ b/internal/config/store/copy.go
@@ -47,7 +47,7 @@
 			delete(c.objects, row.Key.Name)
 			continue
 		}
-		o, err := ReadObject(row)
+		o, err := readObject(row)
 		if err != nil {
 			c.log.WithFields(logrus.Fields{"row": row.Key.Name, "error": err.Error()}).Error("object_unreadable")
 			continue
--- a/internal/config/store/store.go
+++ b/internal/config/store/store.go
@@ -194,12 +194,12 @@
 	if err != nil || row.Version == 0 {
 		return object.Object{Ref: r}, 0, err
 	}
-	o, err := ReadObject(row)
+	o, err := readObject(row)
 	return o, row.Version, err
 }
 
-// ReadObject decodes a row of Objects.
-func ReadObject(row rows.Row) (object.Object, error) {
+// readObject decodes a row of Objects.
+func readObject(row rows.Row) (object.Object, error) {
 	var o object.Object
 	err := json.Unmarshal(row.Value, &o)
 	return o, errors.Wrapf(err, "config: row %s", row.Key.Name)
--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -106,7 +106,7 @@
 	a.Told(now, r)
 	t.learnPace()
 	t.replaced(now, a)
-	t.Pump(now)
+	t.pump(now)
 }
 
 // replaced settles the runs of earlier agents of an upstream: its new agent takes work only once it knows that
@@ -148,7 +148,7 @@
 func (t *Table) Settled(now time.Time, id ident.Incarnation) {
 	if a := t.agents[id]; a != nil {
 		t.settle(now, a, fleet.NotListed)
-		t.Pump(now)
+		t.pump(now)
 	}
 }
 
--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -28,7 +28,7 @@
 	if len(j.callers) == 0 && !j.ending {
 		t.close(now, j, Answer{State: verdict.Unresolved, Verdict: runVerdict(j), Reason: verdict.CallerGone})
 	}
-	t.Pump(now)
+	t.pump(now)
 }
 
 // without takes a caller's requests out of a list.
@@ -53,7 +53,7 @@
 		return
 	}
 	t.end(now, j, Answer{State: verdict.Unresolved, Verdict: runVerdict(j), Reason: why})
-	t.Pump(now)
+	t.pump(now)
 }
 
 // Cancel ends a job at its caller's wish, and tells whether there was one that is not kept.
@@ -63,7 +63,7 @@
 		return false
 	}
 	t.close(now, j, Answer{State: verdict.Unresolved, Verdict: runVerdict(j), Reason: verdict.ByCaller})
-	t.Pump(now)
+	t.pump(now)
 	return true
 }
 
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -37,7 +37,7 @@
 		return false
 	}
 	t.ended(now, a, k, e)
-	t.Pump(now)
+	t.pump(now)
 	return true
 }
 
@@ -128,7 +128,7 @@
 	}
 	if k := j.steps[id.Step].tasks[id.Index]; k.phase == doubtful {
 		t.wait(k)
-		t.Pump(now)
+		t.pump(now)
 	}
 }
 
@@ -158,7 +158,7 @@
 	for _, j := range t.sortedJobs() {
 		t.giveUp(now, j)
 	}
-	t.Pump(now)
+	t.pump(now)
 }
 
 // giveUp answers a job that can't be served any more.
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -59,8 +59,8 @@
 // would let small tasks hold up large ones.
 const lookahead = 4
 
-// Pump places what fits.
-func (t *Table) Pump(now time.Time) {
+// pump places what fits.
+func (t *Table) pump(now time.Time) {
 	for _, q := range t.queued {
 		missed := 0
 		for i := 0; i < len(q.jobs) && missed < lookahead; {
--- a/internal/entry/dispatch/submit.go
+++ b/internal/entry/dispatch/submit.go
@@ -22,7 +22,7 @@
 	}
 	t.observer.Taken(&r)
 	t.begin(now, r)
-	t.Pump(now)
+	t.pump(now)
 }
 
 // wakeWindow is how long after a standstill a request may be one that came during it.
--- a/internal/entry/node/kept.go
+++ b/internal/entry/node/kept.go
@@ -49,7 +49,7 @@
 // newBook returns the entry's book of kept jobs, and makes its ledger.
 func (n *Node) newBook(store ledger.Store) *book.Book {
 	k := n.set.Kept
-	layout := record.Layout{Parts: k.Parts()}
+	layout := n.layout()
 	counters := metrics.NewCounters("kept")
 	n.reader = ledger.NewReader(store, layout, k.Keep)
 	n.ledger = ledger.New(store, func(r ledger.Result) { n.loop.Post(r) }, n.log)
@@ -61,7 +61,10 @@
 }
 
 // CancelRows are the parts of the table of cancellations, which Cancelled takes changes of.
-func (n *Node) CancelRows() []string { return record.Layout{Parts: n.set.Kept.Parts()}.All() }
+func (n *Node) CancelRows() []string { return n.layout().All() }
+
+// layout is how kept jobs are spread over the parts of the store.
+func (n *Node) layout() record.Layout { return record.Layout{Parts: n.set.Kept.Parts()} }
 
 // Cancelled takes in rows of the table of cancellations; it is a follow.Change.
 func (n *Node) Cancelled(changed []rows.Row, _ bool, _ time.Duration) {
@@ -275,7 +278,7 @@
 
 // sweep forgets ended jobs in time, until the node stops.
 func (n *Node) sweep() {
-	parts := n.CancelRows()
+	parts := n.layout().All()
 	for turn := 0; ; turn++ {
 		select {
 		case <-n.ctx.Done():
--- a/internal/kept/ledger/ledger.go
+++ b/internal/kept/ledger/ledger.go
@@ -95,14 +95,14 @@
 	lanes map[string]*lane
 	// patience is how long an answer to a write is waited for.
 	patience patience.Patience
-	// silentSince is from when on no write was answered, though some were tried; zero is not.
+	// silentSince is from when on no write was answered but by refusals, though some were tried; zero is not.
 	silentSince time.Time
 }
 
 // awayAfter is how long the store may be silent before new writes are not even begun: a call's own limit is a second.
 const awayAfter = time.Second
 
-// Away tells whether the store has answered no write for a while.
+// Away tells whether the store has answered no write for a while, or refused all.
 func (l *Ledger) Away() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -123,7 +123,7 @@
 	l.patience.Raise(d)
 }
 
-// answered notes whether a write that was begun at some moment was answered within a limit.
+// answered notes whether a write that was begun at some moment was answered within a limit, and not refused.
 func (l *Ledger) answered(began time.Time, limit time.Duration, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
