upstream, book: shorter functions

Cause: held, HoldDone and adoptExpired did several things each, in 30 to 43 lines. Change: takeEnds, takeRunning, holdAnswered, holdFailed, expired and claim; a run names itself by ref. The order of what is done is as before.

--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -79,18 +79,7 @@
 	}
 	switch h.Answer {
 	case call.OK:
-		k.lease.Read(now, h.Clock)
-		news := k.held(now, c, h)
-		if k.lease.Token() == 0 {
-			// Recalled, and the upstream has seen no token yet.
-			k.lease.Raise(now)
-		}
-		if !news && (k.ends.Len() > 0 || now.Before(k.quietUntil)) && now.Sub(c.Sent) < c.Wait/2 {
-			// The upstream answers at once while it remembers ends.
-			k.holdAt = now.Add(withheldPause)
-			return
-		}
-		k.hold(now)
+		k.holdAnswered(now, c, h)
 	case call.WrongInstance:
 		k.end(now)
 		k.touchAll()
@@ -99,14 +88,35 @@
 		k.lease.Raise(now)
 		k.hold(now)
 	default:
-		k.failures++
-		if k.failures < unreachableAfter {
-			k.hold(now)
-			return
-		}
-		k.holdAt = now.Add(holdRetry)
-		k.touchAll()
+		k.holdFailed(now)
+	}
+}
+
+// holdAnswered takes in the answer to a hold that was done, and makes the next one.
+func (k *Keeper) holdAnswered(now time.Time, c call.Hold, h call.Held) {
+	k.lease.Read(now, h.Clock)
+	news := k.held(now, c, h)
+	if k.lease.Token() == 0 {
+		// Recalled, and the upstream has seen no token yet.
+		k.lease.Raise(now)
+	}
+	if !news && (k.ends.Len() > 0 || now.Before(k.quietUntil)) && now.Sub(c.Sent) < c.Wait/2 {
+		// The upstream answers at once while it remembers ends.
+		k.holdAt = now.Add(withheldPause)
+		return
 	}
+	k.hold(now)
+}
+
+// holdFailed handles a hold without a usable answer.
+func (k *Keeper) holdFailed(now time.Time) {
+	k.failures++
+	if k.failures < unreachableAfter {
+		k.hold(now)
+		return
+	}
+	k.holdAt = now.Add(holdRetry)
+	k.touchAll()
 }
 
 // withheldPause is the pause between holds that are answered at once: as long as a tick at the most, which ends it.
@@ -150,40 +160,51 @@
 	if !k.looked {
 		k.first(h)
 	}
-	for _, f := range h.Finished {
-		if k.ends.Take(f) {
-			news = true
-			k.ended(now, f)
-		}
-	}
+	news = k.takeEnds(now, h.Finished)
 	if h.Clock < k.listed || len(h.Finished) >= ends.ListLimit {
 		// A newer answer has come before this one, and what it lists as running may have ended; or ends may be missing.
 		return news
 	}
 	k.listed = h.Clock
-	listed := make(map[job.TaskID]call.Listed, len(h.Running))
-	for _, l := range h.Running {
+	k.takeRunning(now, c, h.Running)
+	k.looked = true
+	k.tellSlow(now)
+	return news
+}
+
+// takeEnds takes in the listed ends, and tells whether one is new.
+func (k *Keeper) takeEnds(now time.Time, finished []call.Finished) (news bool) {
+	for _, f := range finished {
+		if k.ends.Take(f) {
+			news = true
+			k.ended(now, f)
+		}
+	}
+	return news
+}
+
+// takeRunning takes in what the upstream lists as running, and what it does not.
+func (k *Keeper) takeRunning(now time.Time, c call.Hold, running []call.Listed) {
+	listed := make(map[job.TaskID]call.Listed, len(running))
+	for _, l := range running {
 		listed[l.Task] = l
 		k.progress(now, c, l)
 	}
+	isListed := func(r fleet.RunRef) bool {
+		l, ok := listed[r.Task]
+		return ok && l.Run == r.Run
+	}
 	for _, r := range k.sorted() {
-		if l, ok := listed[r.task]; ok && l.Run == r.number {
-			continue
-		}
-		if r.phase != starting && c.Sent.After(r.sure) {
+		if !isListed(r.ref()) && r.phase != starting && c.Sent.After(r.sure) {
 			k.absent(now, r)
 		}
 	}
 	for key, at := range k.strays {
-		l, ok := listed[key.Task]
-		if (!ok || l.Run != key.Run) && !at.IsZero() && c.Sent.After(at) {
+		if !isListed(key) && !at.IsZero() && c.Sent.After(at) {
 			delete(k.strays, key)
 			k.touchAll()
 		}
 	}
-	k.looked = true
-	k.tellSlow(now)
-	return news
 }
 
 // first takes in what an earlier agent has left at the upstream. Ends of kept jobs may be among it, which their entries
@@ -290,7 +311,7 @@
 			continue
 		}
 		left := time.Duration(float64(r.estimate) * float64(100-r.percent) / 100 * k.health.Pace())
-		byOwner[r.owner] = append(byOwner[r.owner], fleet.Progress{RunRef: fleet.RunRef{Task: r.task, Run: r.number}, Left: left})
+		byOwner[r.owner] = append(byOwner[r.owner], fleet.Progress{RunRef: r.ref(), Left: left})
 	}
 	for _, s := range k.order {
 		if runs := byOwner[s.entry]; s.linked && len(runs) > 0 {
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -234,7 +234,7 @@
 		e.Took = 0
 	}
 	if r.kept {
-		k.given[fleet.RunRef{Task: r.task, Run: r.number}] = true
+		k.given[r.ref()] = true
 	}
 	if r.kept && (o == job.Done || o == job.Failed) && !k.without.Off(rule.WithholdEnds) {
 		e.Kept = true
--- a/internal/agent/upstream/sessions.go
+++ b/internal/agent/upstream/sessions.go
@@ -86,7 +86,7 @@
 	for _, r := range k.sorted() {
 		if r.owner == s.entry && (r.stop == nil || !r.stop.unwanted) {
 			r.epoch = s.epoch
-			runs = append(runs, fleet.RunRef{Task: r.task, Run: r.number})
+			runs = append(runs, r.ref())
 		}
 	}
 	if len(runs) > 0 {
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -139,6 +139,9 @@
 	next *waiting
 }
 
+// ref names the run.
+func (r *run) ref() fleet.RunRef { return fleet.RunRef{Task: r.task, Run: r.number} }
+
 // stopping says why and since when a run is being stopped.
 type stopping struct {
 	outcome job.Outcome
--- a/internal/kept/book/adopt.go
+++ b/internal/kept/book/adopt.go
@@ -44,19 +44,28 @@
 
 // adoptExpired claims a lease that has ended, if nothing can run for it any more.
 func (b *Book) adoptExpired(now time.Time, clock time.Duration, row rows.Row, l record.Lease) {
-	id := record.LeaseID(row.Key.Name)
-	expired := clock > l.Until()+b.opts.Settle+tenure.ClockMargin
-	if l.Node == b.opts.Node && now.Sub(b.lease.QuietSince()) > b.opts.Settle {
-		// An earlier life of this very entry, or an earlier lease of this one.
-		expired = true
-	}
-	if !expired || b.adoptions[id] != nil {
+	if !b.expired(now, clock, l) || b.adoptions[record.LeaseID(row.Key.Name)] != nil {
 		return
 	}
 	if !b.lease.Held(now) {
 		b.lease.Want(now)
 		return
 	}
+	b.claim(clock, row, l)
+}
+
+// expired tells whether a lease has ended for so long that nothing can run for it any more.
+func (b *Book) expired(now time.Time, clock time.Duration, l record.Lease) bool {
+	if l.Node == b.opts.Node && now.Sub(b.lease.QuietSince()) > b.opts.Settle {
+		// An earlier life of this very entry, or an earlier lease of this one.
+		return true
+	}
+	return clock > l.Until()+b.opts.Settle+tenure.ClockMargin
+}
+
+// claim writes that this entry takes over the jobs of a lease, and then looks for them.
+func (b *Book) claim(clock time.Duration, row rows.Row, l record.Lease) {
+	id := record.LeaseID(row.Key.Name)
 	a := &adoption{left: make(map[job.ID]bool)}
 	b.adoptions[id] = a
 	claim := record.Lease{Node: l.Node, UntilMs: (clock + b.opts.Lease).Milliseconds(), Adopter: b.lease.ID()}
