entry, agent, platform, ledger: comments that are true again, long lines broken

Cause: comments said that an agent links to each entry, and that answers always come at a job's end; some lines had over 150 columns. Change: these comments and lines. Run: gofmt, vet, staticcheck clean; go test ./platform/... ./internal/agent/... ./internal/entry/... ./internal/kept/... ./internal/proof/schedule passes.

--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -1,5 +1,5 @@
 // Package node is an agent's control part: it keeps the account of the upstream on one control goroutine, makes
-// the calls to the upstream, and holds a link to each entry.
+// the calls to the upstream, and holds links to all entries or, where there are many, to some of them.
 package node
 
 import (
@@ -53,8 +53,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		set: set, log: log, dial: dial, upstream: u, memory: m, inc: ident.NewIncarnation(), loop: loop.New(), ctx: ctx, cancel: cancel,
-		links: links.New[none]("entry", log), pulse: links.Pulse{Limit: set.Links.Silence / 2, Log: log}, dialled: make(map[string]*dialled), listed: make(map[source][]string),
-		config: &wire.Config{}, patience: patience.New(patienceFactor, leastPatience, set.Agent.CallTimeout),
+		links:    links.New[none]("entry", log),
+		pulse:    links.Pulse{Limit: set.Links.Silence / 2, Log: log},
+		dialled:  make(map[string]*dialled),
+		listed:   make(map[source][]string),
+		config:   &wire.Config{},
+		patience: patience.New(patienceFactor, leastPatience, set.Agent.CallTimeout),
 	}
 	n.pulse.Tick(time.Now())
 	n.keeper = upstream.New(set.Links.Timing(), nil, time.Now(), (*caller)(n), (*sender)(n), newObserver(log))
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -89,7 +89,7 @@
 	return id, true
 }
 
-// run reads a job, submits it and answers with its end.
+// run reads a job, submits it and answers with its end or, if it is to be kept, with its acceptance.
 func (h *Handler) run(w http.ResponseWriter, r *http.Request, id job.ID) {
 	if h.jobs.Leaving() {
 		w.Header().Set("Connection", "close")
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -1,5 +1,5 @@
-// Package node is an entry's control part: it keeps the table of jobs on one control goroutine, and holds the
-// links that agents open to it.
+// Package node is an entry's control part: it keeps the table of jobs and the book of kept ones on one control goroutine,
+// and holds the links that agents open to it.
 package node
 
 import (
@@ -197,7 +197,8 @@
 	}
 }
 
-// Submit hands a job in and waits for its answer, or until ctx ends: then the caller has gone.
+// Submit hands a job in, to the book if it is to be kept, and waits for its answer, or until ctx ends: then the caller has
+// gone.
 func (n *Node) Submit(ctx context.Context, r dispatch.Request) (dispatch.Answer, error) {
 	answer, caller := n.newCaller()
 	r.Caller = caller
--- a/internal/kept/book/submit.go
+++ b/internal/kept/book/submit.go
@@ -144,7 +144,7 @@
 // runsBefore is the highest number of a run before a generation.
 func runsBefore(generation uint32) job.Run { return job.Run(generation-1) * runsEach }
 
-// found decodes the rows that were there when a condition did not hold; nil is no row.
+// found decodes the rows that were there when a condition of an op did not hold; nil is no row.
 func (b *Book) found(r ledger.Result) (*record.Open, *record.Ended) {
 	var open *record.Open
 	var ended *record.Ended
--- a/internal/kept/ledger/ledger.go
+++ b/internal/kept/ledger/ledger.go
@@ -129,7 +129,10 @@
 // New returns a Ledger; done is called for each write, on another goroutine.
 func New(s Store, done func(Result), log *logrus.Entry) *Ledger {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Ledger{store: s, done: done, log: log, ctx: ctx, cancel: cancel, lanes: make(map[string]*lane), patience: patience.New(patienceFactor, leastPatience, mostPatience)}
+	return &Ledger{
+		store: s, done: done, log: log, ctx: ctx, cancel: cancel, lanes: make(map[string]*lane),
+		patience: patience.New(patienceFactor, leastPatience, mostPatience),
+	}
 }
 
 // Stop gives up what is under way; nobody hears of it any more.
