links: a connection that was held up does not take the place of a newer one

A one-way cut held back what an agent sent; it closed and dialled anew each 0.4 s. When the cut ended, hellos of three connections arrived at the entry in no order, and one that the agent had long closed replaced its present one: its old word that nothing of earlier sessions was left let a task be placed again that had just been started. Change: agents number their links; an entry closes one that is older than what it has seen of that agent's life.

--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -154,7 +154,7 @@
 // hello is this process's first message on each link.
 func (n *Node) hello() *wire.Hello {
 	return &wire.Hello{
-		Role: roleAgent, Name: n.set.Node.Name, Incarnation: uint64(n.inc), Zone: n.set.Node.Zone, Region: n.set.Node.Region,
+		Role: roleAgent, Session: n.dials.Add(1), Name: n.set.Node.Name, Incarnation: uint64(n.inc), Zone: n.set.Node.Zone, Region: n.set.Node.Region,
 	}
 }
 
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -29,8 +30,10 @@
 	memory   Memory
 	inc      ident.Incarnation
 	loop     *loop.Loop
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// dials counts the links that were dialled, so that entries can tell newer ones from older ones.
+	dials  atomic.Uint64
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	// The control goroutine owns what follows.
 	keeper *upstream.Keeper
--- a/internal/entry/node/links.go
+++ b/internal/entry/node/links.go
@@ -61,6 +61,10 @@
 
 // handleLinkUp takes up a new link, in place of an older one with the same agent.
 func (n *Node) handleLinkUp(now time.Time, s *session.Session) {
+	if n.links.Outdated(s) {
+		s.Close()
+		return
+	}
 	if old := n.links.Get(ident.Incarnation(s.Remote.GetIncarnation())); old != nil {
 		n.links.Drop(old)
 		n.unlinked(now, old)
--- /dev/null
+++ b/internal/entry/node/links_test.go
@@ -0,0 +1,71 @@
+package node_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/logs"
+	"hillreel/internal/core/rows"
+	"hillreel/internal/core/settings"
+	"hillreel/internal/entry/node"
+	"hillreel/internal/link/codec"
+	"hillreel/internal/link/session"
+	"hillreel/internal/link/wire"
+)
+
+// away is a store that answers nothing.
+type away struct{}
+
+var errAway = errors.New("away")
+
+func (away) Commit(context.Context, rows.Txn) (rows.Version, error) { return 0, errAway }
+func (away) Read(context.Context, rows.Key) (rows.Row, error)       { return rows.Row{}, errAway }
+func (away) Range(context.Context, rows.Range) (rows.Page, error)   { return rows.Page{}, errAway }
+
+// TestOldSessionReplacesNothing: connections that were held up on the way arrive together, in any order. One that an agent
+// has long closed must not take the place of its present one: what it says of earlier runs is old, and their tasks were
+// placed again while they ran (soak seed 623).
+func TestOldSessionReplacesNothing(t *testing.T) {
+	set, err := settings.Load("")
+	qt.Assert(t, err, qt.IsNil)
+	set.Node.Link, set.Links.Silence = "127.0.0.1:0", time.Minute
+	n := node.New(set, away{}, nil, node.NewObserver(logs.Discard(), nil), logs.Discard())
+	qt.Assert(t, n.Start(context.Background()), qt.IsNil)
+	defer n.Stop()
+	link := func(number uint64, upstream string) *session.Session {
+		s, err := session.Dial(session.TCP, n.Address(), time.Second, &wire.Hello{Role: "agent", Name: "vm", Incarnation: 7, Session: number})
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(s.Close)
+		s.Send(codec.Upstream(fleet.Upstream{ID: ident.UpstreamID(upstream), Service: "publish", Total: job.Resources{CPU: 1000}}))
+		s.Send(codec.Room(fleet.Room{Free: job.Resources{CPU: 1000}, State: fleet.Ready, Clock: time.Second}))
+		return s
+	}
+	known := func(want string) {
+		for until := time.Now().Add(5 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+			if up := n.Upstreams(); len(up) == 1 && string(up[0].ID) == want {
+				return
+			}
+			qt.Assert(t, time.Now().Before(until), qt.IsTrue, qt.Commentf("%v, want %s", n.Upstreams(), want))
+		}
+	}
+	link(2, "second")
+	known("second")
+	old := link(1, "first")
+	closed := make(chan error, 1)
+	go func() { closed <- old.Receive(func([]*wire.Msg) {}) }()
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the old session is kept")
+	}
+	known("second")
+	link(3, "third")
+	known("third")
+}
--- a/internal/link/links/links.go
+++ b/internal/link/links/links.go
@@ -34,11 +34,25 @@
 	role string
 	log  *logrus.Entry
 	by   map[ident.Incarnation]*Link[T]
+	// newest is the highest session that each process has begun: 16 bytes for each life of a process that was ever linked.
+	newest map[ident.Incarnation]uint64
 }
 
 // New returns an empty Set; role says what the other ends are.
 func New[T any](role string, log *logrus.Entry) *Set[T] {
-	return &Set[T]{role, log, make(map[ident.Incarnation]*Link[T])}
+	return &Set[T]{role, log, make(map[ident.Incarnation]*Link[T]), make(map[ident.Incarnation]uint64)}
+}
+
+// Outdated tells whether a session is an earlier one of its process than one that was seen already: a connection that was held
+// up on the way, whose other end is closed. What comes over it is old, and must not replace what a newer one has said.
+func (s *Set[T]) Outdated(session *session.Session) bool {
+	peer, number := ident.Incarnation(session.Remote.GetIncarnation()), session.Remote.GetSession()
+	if number < s.newest[peer] {
+		s.log.WithFields(logrus.Fields{s.role: session.Remote.GetName(), "session": number, "newest": s.newest[peer]}).Info("link_outdated")
+		return true
+	}
+	s.newest[peer] = number
+	return false
 }
 
 // Len returns how many links there are.
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -35,6 +35,7 @@
 	{106, "the set did not come up; not traced, its logs were not kept; as 201 by all signs"},
 	{201, "the set did not come up: processes of an earlier set still had its addresses; stop waits for them now"},
 	{202, "as 201"},
+	{623, "a connection that the agent had long closed, held up by a cut, took the place of its present one at the entry"},
 }
 
 // TestSoak runs the regressions and then fresh seeds.
