soak: a set takes a net that no other run has

Cause: the sets' IP numbers were fixed, so two runs of the soak on one machine failed with 'address already in use' (seen at 17:05, all four regressions, beside a large soak). Now a set takes the first net whose store address it can bind and holds it to its end.

--- a/internal/proof/soak/set_test.go
+++ b/internal/proof/soak/set_test.go
@@ -47,7 +47,7 @@
 	t      *testing.T
 	dir    string
 	binary string
-	// net is the second part of the set's IP numbers, so that sets can run side by side.
+	// net is the second part of the set's IP numbers, so that sets can run side by side, of other runs too.
 	net    int
 	rng    *rand.Rand
 	store  *standin.Store
@@ -65,10 +65,31 @@
 
 func at(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 
-// serve runs an HTTP server of the test's own.
-func (s *set) serve(address string, h http.Handler) {
+// firstNet and lastNet bound the second part of a set's IP numbers.
+const firstNet, lastNet = 10, 250
+
+// claim takes the first net that no set has, of this run or another: a set holds its store's address to its end.
+func (s *set) claim() net.Listener {
+	for s.net = firstNet; s.net <= lastNet; s.net++ {
+		ln, err := net.Listen("tcp", at(s.ip(0, 0), portStore))
+		if err == nil {
+			return ln
+		}
+		s.t.Logf("net %d is taken: %v", s.net, err)
+	}
+	s.t.Fatal("no net is free")
+	return nil
+}
+
+// listen opens an address of the set's net.
+func (s *set) listen(address string) net.Listener {
 	ln, err := net.Listen("tcp", address)
 	qt.Assert(s.t, err, qt.IsNil)
+	return ln
+}
+
+// serve runs an HTTP server of the test's own.
+func (s *set) serve(ln net.Listener, h http.Handler) {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
 	go server.Serve(ln)
 	s.closers = append(s.closers, func() { server.Close() })
@@ -81,13 +102,13 @@
 	return p
 }
 
-func newSet(t *testing.T, binary string, number int, seed uint64, entries, agents int) *set {
+func newSet(t *testing.T, binary string, seed uint64, entries, agents int) *set {
 	s := &set{
-		t: t, dir: t.TempDir(), binary: binary, net: 10 + number, rng: rand.New(rand.NewPCG(seed, 2)),
+		t: t, dir: t.TempDir(), binary: binary, rng: rand.New(rand.NewPCG(seed, 2)),
 		store: standin.NewStore(), ledger: standin.NewLedger(),
 	}
+	s.serve(s.claim(), s.store.Handler())
 	s.configure()
-	s.serve(at(s.ip(0, 0), portStore), s.store.Handler())
 	for i := range entries {
 		s.addEntry(i)
 	}
@@ -125,7 +146,7 @@
 		Name: fmt.Sprintf("u%d", i), Service: "publish", Agent: at(ip, portControl), CPU: 4000, MemMB: 1000, Beat: 300 * time.Millisecond, Ledger: s.ledger,
 	})
 	s.closers = append(s.closers, p.upstream.Close)
-	s.serve(at(ip, portUpstream), p.upstream.Handler())
+	s.serve(s.listen(at(ip, portUpstream)), p.upstream.Handler())
 	s.write(p, fmt.Sprintf("[node]\nname = %s\nlink = %s\nmetrics = %s\n[agent]\nupstream = %s\ncontrol = %s\n[platform]\nstore = %s\n",
 		p.name, at(ip, portLinkProxy), at(ip, portMetrics), at(ip, portUpstream), at(ip, portControl), p.store.address()))
 	s.agents = append(s.agents, p)
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -50,16 +50,13 @@
 	for i := range *soakSeeds {
 		seeds = append(seeds, *soakSeed+uint64(i))
 	}
-	numbers := make(chan int, *soakAside)
-	for i := range *soakAside {
-		numbers <- i
-	}
+	room := make(chan struct{}, *soakAside)
 	var group sync.WaitGroup
 	for _, seed := range seeds {
-		number := <-numbers
+		room <- struct{}{}
 		group.Go(func() {
-			defer func() { numbers <- number }()
-			t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) { soak(t, binary, number, seed) })
+			defer func() { <-room }()
+			t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) { soak(t, binary, seed) })
 		})
 	}
 	group.Wait()
@@ -73,8 +70,8 @@
 )
 
 // soak runs one seed.
-func soak(t *testing.T, binary string, number int, seed uint64) {
-	s := newSet(t, binary, number, seed, max(*soakSize/2, 2), *soakSize)
+func soak(t *testing.T, binary string, seed uint64) {
+	s := newSet(t, binary, seed, max(*soakSize/2, 2), *soakSize)
 	defer s.stop()
 	c := newCallers(s)
 	until := time.Now().Add(20 * time.Second)
