--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -130,15 +130,16 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		s, err := session.Dial(n.dial, address, n.set.Links.DialTimeout, n.hello())
-		if err == nil {
-			n.serve(s, address)
-			since = time.Now()
-		}
 		if err != nil {
 			n.loop.Post(dialFailed{address, errors.Is(err, syscall.ECONNREFUSED)})
+		} else if ctx.Err() != nil {
+			s.Close() // the entry was given up meanwhile
+		} else {
+			n.serve(s, address)
 		}
 		pause := n.set.Links.RedialEvery
 		if err == nil && time.Since(began) > pause {
+			since = time.Now()
 			continue // a link that was reset is back sooner than its runs are given up
 		}
 		if time.Since(since) > quickDials {
@@ -173,6 +174,9 @@
 	if old := n.links.Get(ident.Incarnation(s.Remote.GetIncarnation())); old != nil {
 		// The entry goes by two addresses. The older link is kept: with the newer one, the two would go on replacing
 		// each other.
+		if d := n.dialled[address]; d != nil {
+			d.last, d.failing = old.Peer, false
+		}
 		s.Close()
 		return
 	}
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -233,7 +233,7 @@
 	if o == job.NotStarted || o == job.Used {
 		e.Took = 0
 	}
-	if r.kept {
+	if r.kept && o != job.NotStarted && o != job.Used {
 		k.given[r.ref()] = true
 	}
 	if r.kept && (o == job.Done || o == job.Failed) && !k.without.Off(rule.WithholdEnds) {
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -395,3 +395,19 @@
 		})
 	}
 }
+
+// TestKeptJobWaitsForItsId: an id that runs as a job that is not kept, and is sent again as one to be kept, begins as that
+// once the first has ended; before, it never began, and was called running for ever.
+func TestKeptJobWaitsForItsId(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit(7, 1, 1, time.Second, time.Minute)
+	b.table.Submit(b.now, dispatch.Request{Job: 7, Route: queue, Kept: &dispatch.Kept{}, Spec: &job.Spec{
+		Text: "another", Steps: []job.Step{{Count: 2, Each: job.Resources{CPU: 500}, Estimate: time.Second}},
+	}})
+	qt.Assert(t, b.orders, qt.HasLen, 1)
+	b.end(b.orders[0], 0, job.Done, "")
+	qt.Assert(t, b.answers[1].State, qt.Equals, verdict.Complete)
+	b.room(1, fleet.Ready, 2000, 1)
+	qt.Assert(t, b.orders, qt.HasLen, 2)
+	qt.Assert(t, b.orders[1].Kept, qt.IsTrue)
+}
--- a/internal/entry/dispatch/submit.go
+++ b/internal/entry/dispatch/submit.go
@@ -62,6 +62,10 @@
 // submitAgain handles a job whose id is held already.
 func (t *Table) submitAgain(now time.Time, j *jobState, r Request) {
 	switch {
+	case r.Kept != nil && !j.kept:
+		// The caller has sent the id first as a job that need not be kept. The kept one begins once that has ended.
+		j.again = append(j.again, r)
+		t.forget(now, j)
 	case j.spec.Text != r.Spec.Text || j.spec.Tasks() != r.Spec.Tasks():
 		t.callers.Answer(r.Caller, Answer{State: verdict.Refused, Verdict: verdict.MayHaveRun, Reason: verdict.DifferentBody})
 	case j.ending:
--- a/internal/entry/node/observe.go
+++ b/internal/entry/node/observe.go
@@ -104,5 +104,9 @@
 // AgentChanged logs and counts what becomes of an agent's runs.
 func (o *Observer) AgentChanged(agent ident.UpstreamName, runs int, event dispatch.AgentEvent) {
 	o.counters.Add(string(event), 1)
-	o.log.WithFields(logrus.Fields{"agent": agent, "runs": runs}).Warn(string(event))
+	level := logrus.WarnLevel
+	if event == dispatch.AgentResumed {
+		level = logrus.InfoLevel
+	}
+	o.log.WithFields(logrus.Fields{"agent": agent, "runs": runs}).Log(level, string(event))
 }
--- a/internal/kept/book/adopt.go
+++ b/internal/kept/book/adopt.go
@@ -166,7 +166,7 @@
 		k.record, err = record.Read[record.Job](found[i])
 		if err != nil {
 			b.unreadable(err)
-			b.unadopt(k)
+			b.forget(k)
 			continue
 		}
 		batch = append(batch, k)
@@ -203,27 +203,30 @@
 	if r.Outcome != ledger.Done {
 		open, _ := b.found(r)
 		if !isWrite(open, next) {
-			b.unadopt(k)
+			b.forget(k)
 			return false
 		}
 		version = r.Found[0].Version
 	}
 	k.open, k.version = next, version
-	for _, a := range b.adoptions {
-		delete(a.left, k.id)
-	}
+	b.taken(k.id)
 	b.event(logrus.InfoLevel, "job_taken_over", logrus.Fields{"job": k.id, "generation": next.Generation, "ends": len(next.Ends)})
 	return true
 }
 
-// unadopt gives up taking a job over: another entry was faster, or it has ended.
-func (b *Book) unadopt(k *keptJob) {
-	delete(b.jobs, k.id)
+// taken notes that a job is not to be taken over any more.
+func (b *Book) taken(id job.ID) {
 	for _, a := range b.adoptions {
-		delete(a.left, k.id)
+		delete(a.left, id)
 	}
 }
 
+// forget forgets a job: it has ended, or it is another entry's.
+func (b *Book) forget(k *keptJob) {
+	delete(b.jobs, k.id)
+	b.taken(k.id)
+}
+
 // endAdoptions removes the rows of leases all of whose jobs are taken over.
 func (b *Book) endAdoptions() {
 	for _, id := range slices.Sorted(maps.Keys(b.adoptions)) {
--- a/internal/kept/book/adopt_test.go
+++ b/internal/kept/book/adopt_test.go
@@ -102,3 +102,22 @@
 		})
 	}
 }
+
+// TestAdoptionEnds: a job that is cancelled elsewhere while it is being taken over does not keep the lease that it came
+// from; and a lease whose row can't be read is nobody's to claim.
+func TestAdoptionEnds(t *testing.T) {
+	b := newBench(t, nil)
+	b.put(record.LeaseKey("old-0"), record.Lease{Node: "vm-2"})
+	b.put(layout.JobKey(jobID), record.Job{Spec: job.Spec{Steps: []job.Step{{Count: 1}}}})
+	b.put(layout.OpenKey(jobID), record.Open{Owner: "old-0", Generation: 1, Sequence: 1})
+	b.pass(3*time.Second, true)
+	b.book.Scanned(b.now, b.page(record.OpenRows("").Table).Rows, b.page(record.Leases), nil)
+	b.book.CancelledElsewhere(b.now, []job.ID{jobID})
+	b.pass(time.Second, true)
+	b.writeAll()
+	qt.Assert(t, b.page(record.Leases).Rows, qt.HasLen, 1) // its own
+	b.put(record.LeaseKey("strange"), "no lease")
+	b.pass(5*time.Second, true)
+	row := b.Rows[record.LeaseKey("strange")]
+	qt.Assert(t, string(row.Value), qt.Equals, `"no lease"`)
+}
--- a/internal/kept/book/book.go
+++ b/internal/kept/book/book.go
@@ -234,6 +234,7 @@
 		b.tellWatchers(now, k)
 	}
 	b.tickRounds(now)
+	b.endAdoptions()
 }
 
 // NotBegun counts a queue's jobs that have not begun at other entries, as they said last. This entry's own are counted
--- a/internal/kept/book/ends.go
+++ b/internal/kept/book/ends.go
@@ -131,8 +131,10 @@
 	}
 	var e record.Ended
 	if ended.Version != 0 {
-		e, err = record.Read[record.Ended](ended)
-		b.unreadable(err)
+		if e, err = record.Read[record.Ended](ended); err != nil {
+			b.unreadable(err)
+			return
+		}
 	}
 	for _, r := range refs {
 		counted := e.Counted(r.run.Task.Step, r.run.Task.Index, r.run.Run)
@@ -312,7 +314,7 @@
 
 // finish handles that a job's end is stored.
 func (b *Book) finish(now time.Time, k *keptJob, s verdict.State) {
-	delete(b.jobs, k.id)
+	b.forget(k)
 	b.ended.Add(now, k.id, s, k.open.Ends)
 	b.event(logrus.InfoLevel, "job_end_stored", logrus.Fields{"job": k.id, "state": s, "generation": k.open.Generation})
 	b.note(append(k.storing, k.unstored...), false)
@@ -324,7 +326,7 @@
 
 // drop lets a job go that is another entry's.
 func (b *Book) drop(now time.Time, k *keptJob, why string) {
-	delete(b.jobs, k.id)
+	b.forget(k)
 	b.event(logrus.WarnLevel, "job_let_go", logrus.Fields{"job": k.id, "why": why})
 	a := dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.LeaseLost}
 	b.answer(&k.callers, a)
--- a/internal/kept/book/lease.go
+++ b/internal/kept/book/lease.go
@@ -71,7 +71,10 @@
 			continue
 		}
 		l, err := record.Read[record.Lease](row)
-		b.unreadable(err)
+		if err != nil {
+			b.unreadable(err)
+			continue // whose it is, and until when, can't be told
+		}
 		b.others[record.LeaseID(row.Key.Name)] = l
 		b.adoptExpired(now, page.Now, row, l)
 	}
--- a/internal/kept/book/submit.go
+++ b/internal/kept/book/submit.go
@@ -144,19 +144,23 @@
 // runsBefore is the highest number of a run before a generation.
 func runsBefore(generation uint32) job.Run { return job.Run(generation-1) * runsEach }
 
-// found decodes the rows that were there when a condition of an op did not hold; nil is no row.
+// found decodes the rows that were there when a condition of an op did not hold; nil is no row, or an unreadable one.
 func (b *Book) found(r ledger.Result) (*record.Open, *record.Ended) {
 	var open *record.Open
 	var ended *record.Ended
 	if r.Found[0].Version != 0 {
 		o, err := record.Read[record.Open](r.Found[0])
 		b.unreadable(err)
-		open = &o
+		if err == nil {
+			open = &o
+		}
 	}
 	if r.Found[1].Version != 0 {
 		e, err := record.Read[record.Ended](r.Found[1])
 		b.unreadable(err)
-		ended = &e
+		if err == nil {
+			ended = &e
+		}
 	}
 	return open, ended
 }
--- a/internal/kept/ledger/read.go
+++ b/internal/kept/ledger/read.go
@@ -150,22 +150,30 @@
 // sweepAtOnce is how many jobs are forgotten in one transaction: four rows each, of the 100 entries it may have.
 const sweepAtOnce = 25
 
-// Sweep removes the rows of some jobs of a part that may be forgotten, and returns how many.
-func (r *Reader) Sweep(ctx context.Context, part string) (int, error) {
+// sweepMost bounds the transactions of one sweep: half of a part's share of two seconds.
+const sweepMost = 200
+
+// Sweep removes the rows of the jobs of a part that may be forgotten, and returns how many.
+func (r *Reader) Sweep(ctx context.Context, part string) (count int, err error) {
 	page, err := r.Leases(ctx) // for the store's clock
 	if err != nil {
 		return 0, err
 	}
 	due := record.ExpiredRows(part, page.Now)
 	due.Limit = sweepAtOnce
-	expired, err := r.store.Range(ctx, due)
-	if err != nil || len(expired.Rows) == 0 {
-		return 0, err
-	}
-	var t rows.Txn
-	for _, row := range expired.Rows {
-		t.Remove = append(t.Remove, r.layout.Forget(row.Key)...)
+	for range sweepMost {
+		expired, err := r.store.Range(ctx, due)
+		if err != nil || len(expired.Rows) == 0 {
+			return count, err
+		}
+		var t rows.Txn
+		for _, row := range expired.Rows {
+			t.Remove = append(t.Remove, r.layout.Forget(row.Key)...)
+		}
+		if _, err := r.store.Commit(ctx, t); err != nil {
+			return count, err
+		}
+		count += len(expired.Rows)
 	}
-	_, err = r.store.Commit(ctx, t)
-	return len(expired.Rows), err
+	return count, nil
 }
--- a/internal/kept/record/record.go
+++ b/internal/kept/record/record.go
@@ -98,12 +98,12 @@
 	return rows.Range{Table: expiry, Part: part, To: fmt.Sprintf("%0*d", expiryDigits, now.Milliseconds())}
 }
 
-// Forget lists what goes with an expiry's row; nothing when its name can't be read.
+// Forget lists what goes with an expiry's row; that alone when its name can't be read.
 func (l Layout) Forget(k rows.Key) []rows.Key {
 	_, text, _ := strings.Cut(k.Name, "-")
 	id, err := job.ParseID(text)
 	if err != nil {
-		return nil
+		return []rows.Key{k}
 	}
 	return []rows.Key{k, l.JobKey(id), l.EndedKey(id), l.CancelKey(id)}
 }
--- a/internal/kept/record/record_test.go
+++ b/internal/kept/record/record_test.go
@@ -72,7 +72,7 @@
 	}
 	key := l.ExpiryKey(7, 90*time.Second)
 	qt.Assert(t, l.Forget(key), qt.DeepEquals, []rows.Key{key, l.JobKey(7), l.EndedKey(7), l.CancelKey(7)})
-	qt.Assert(t, l.Forget(rows.Key{Name: "what"}), qt.HasLen, 0)
+	qt.Assert(t, l.Forget(rows.Key{Name: "what"}), qt.DeepEquals, []rows.Key{{Name: "what"}})
 	due := record.ExpiredRows(key.Part, 91*time.Second)
 	qt.Assert(t, key.Name < due.To, qt.IsTrue)
 	qt.Assert(t, l.ExpiryKey(7, 92*time.Second).Name < due.To, qt.IsFalse)
