web: one handler for readiness, one writer of JSON answers

Cause: reading of the whole change. The readiness check stood in ops, the callers' API and the platform's adapter, line for line; so did the three lines that write a JSON answer, in ops, the callers' and the operators' API. Change: web.Readiness and web.WriteJSON serve them; the entry is no longer handed a readiness handler from outside. Answers are byte for byte as before. The adapter's own writer stays: it encodes before it writes, and ends no line.

--- a/commands/entry.go
+++ b/commands/entry.go
@@ -32,7 +32,7 @@
 	}
 	p, err := entry.New(set, entry.Deps{
 		Store: platform.NewStore(ident.Address(set.Platform.Store), set.Platform.Timeout), Config: platform.ConfigKey,
-		Decode: platform.ReadConfig, Readiness: platform.Readiness, Log: log,
+		Decode: platform.ReadConfig, Log: log,
 		Front: func(n *node.Node) http.Handler { return platform.NewFront(n, int64(set.Entry.MaxBody), log) },
 	})
 	if err != nil {
--- a/internal/core/ops/ops.go
+++ b/internal/core/ops/ops.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
-	"encoding/json"
 	"expvar"
 	"net/http"
 	"strings"
@@ -15,6 +14,7 @@
 
 	"hillreel/api"
 	"hillreel/internal/core/verdict"
+	"hillreel/internal/core/web"
 )
 
 // Handler serves health and metrics to everybody, and routes to bearers of a token; routes may be nil.
@@ -24,13 +24,7 @@
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) {
 		w.Write([]byte("alive\n")) //nolint:errcheck // the caller has gone
 	})
-	r.Get("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		ok, why := ready()
-		if !ok {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-		w.Write([]byte(why + "\n")) //nolint:errcheck // the caller has gone
-	})
+	r.Get("/readyz", web.Readiness(ready))
 	r.Handle("/metrics", expvar.Handler())
 	if routes != nil {
 		r.Group(func(r chi.Router) {
@@ -54,9 +48,7 @@
 				return
 			}
 		}
-		w.Header().Set("Content-Type", "application/json")
-		w.WriteHeader(http.StatusUnauthorized)
-		json.NewEncoder(w).Encode(&api.Answer{ //nolint:errcheck // the caller has gone
+		web.WriteJSON(w, http.StatusUnauthorized, &api.Answer{ //nolint:errcheck // the caller has gone
 			State: verdict.Refused, Verdict: verdict.NotRun, Reason: verdict.Unauthorized,
 			Message: "a valid bearer token is needed",
 		})
--- a/internal/core/web/web.go
+++ b/internal/core/web/web.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -73,3 +75,21 @@
 func (s *Server) Stop() {
 	s.once.Do(func() { s.server.Close() }) //nolint:errcheck // nothing is left to do about it
 }
+
+// Readiness serves checks of whether a process wants connections.
+func Readiness(ready func() (bool, string)) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		ok, why := ready()
+		if !ok {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		io.WriteString(w, why+"\n") //nolint:errcheck // the caller has gone
+	}
+}
+
+// WriteJSON answers with a status and a body; an error says that the caller has gone.
+func WriteJSON(w http.ResponseWriter, status int, body any) error {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	return errors.Wrap(json.NewEncoder(w).Encode(body), "web: write")
+}
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -18,6 +18,7 @@
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/verdict"
+	"hillreel/internal/core/web"
 	"hillreel/internal/entry/dispatch"
 )
 
@@ -58,7 +59,7 @@
 	r.Put("/v1/jobs/{id}", h.putJob)
 	r.Get("/v1/jobs/{id}", h.getJob)
 	r.Delete("/v1/jobs/{id}", h.deleteJob)
-	r.Get("/readyz", h.getReady)
+	r.Get("/readyz", web.Readiness(jobs.Ready)) // the balancer's check: an entry that leaves is not ready
 	r.NotFound(h.notFound)
 	r.MethodNotAllowed(h.notFound)
 	return r
@@ -206,15 +207,6 @@
 	}
 }
 
-// getReady is the balancer's check: an entry that leaves is not ready.
-func (h *Handler) getReady(w http.ResponseWriter, _ *http.Request) {
-	ok, why := h.jobs.Ready()
-	if !ok {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-	io.WriteString(w, why+"\n") //nolint:errcheck // the caller has gone
-}
-
 func (h *Handler) notFound(w http.ResponseWriter, _ *http.Request) {
 	h.refuse(w, http.StatusNotFound, verdict.NotFound, "path", "there is no such call")
 }
@@ -226,9 +218,7 @@
 }
 
 func (h *Handler) write(w http.ResponseWriter, code int, a *api.Answer) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(code)
-	if err := json.NewEncoder(w).Encode(a); err != nil {
+	if err := web.WriteJSON(w, code, a); err != nil {
 		h.log.WithField("error", err.Error()).Debug("answer_not_written")
 	}
 }
--- a/internal/entry/operator/operator.go
+++ b/internal/entry/operator/operator.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 
 	"github.com/go-chi/chi/v5"
@@ -16,6 +15,7 @@
 	"hillreel/internal/config/view"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/verdict"
+	"hillreel/internal/core/web"
 	"hillreel/internal/entry/burn"
 	"hillreel/internal/entry/dispatch"
 )
@@ -155,7 +155,5 @@
 func refuse(w http.ResponseWriter, status int, r Refusal) { write(w, status, r) }
 
 func write(w http.ResponseWriter, status int, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	json.NewEncoder(w).Encode(v) //nolint:errcheck // the operator has gone
+	web.WriteJSON(w, status, v) //nolint:errcheck // the operator has gone
 }
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -59,10 +59,9 @@
 	// Config is where the operator's configuration lies, and Decode reads it.
 	Config rows.Key
 	Decode node.Decoder
-	// Front makes the handler of the platform's clients, Readiness that of its readiness checks.
-	Front     func(n *node.Node) http.Handler
-	Readiness func(ready func() (bool, string)) http.Handler
-	Log       *logrus.Entry
+	// Front makes the handler of the platform's clients.
+	Front func(n *node.Node) http.Handler
+	Log   *logrus.Entry
 }
 
 // Process is one entry.
@@ -103,7 +102,7 @@
 		{nameRegister, register},
 		{nameCoverage, newCoverage(p.Node, dir, register, set.Links.Entries)},
 	}
-	services = append(services, p.servers(d)...)
+	services = append(services, p.servers()...)
 	for _, s := range services {
 		if err := p.kernel.Register(s.name, s.service); err != nil {
 			return nil, err
@@ -113,7 +112,7 @@
 }
 
 // servers lists the servers that the settings give an address. They start last, when there is what they serve.
-func (p *Process) servers(d Deps) []named {
+func (p *Process) servers() []named {
 	var out []named
 	if p.set.Entry.Front != "" {
 		out = append(out, named{nameFront, p.Front})
@@ -122,7 +121,7 @@
 		out = append(out, named{nameCallers, p.Callers})
 	}
 	if p.set.Entry.Readiness != "" {
-		checks := web.New("readiness checks", p.set.Entry.Readiness, d.Readiness(p.Node.Ready), web.Small)
+		checks := web.New("readiness checks", p.set.Entry.Readiness, web.Readiness(p.Node.Ready), web.Small)
 		out = append(out, named{nameReadiness, checks})
 	}
 	return append(out, named{nameMetrics, p.Metrics})
--- a/internal/standin/embedded/embedded.go
+++ b/internal/standin/embedded/embedded.go
@@ -152,7 +152,7 @@
 	set.Platform.Store = store
 	log := s.o.Log.WithFields(logrus.Fields{"role": "entry", "node": set.Node.Name})
 	p, err := entry.New(set, entry.Deps{
-		Store: s.client(set), Config: platform.ConfigKey, Decode: platform.ReadConfig, Readiness: platform.Readiness, Log: log,
+		Store: s.client(set), Config: platform.ConfigKey, Decode: platform.ReadConfig, Log: log,
 		Front: func(n *node.Node) http.Handler { return platform.NewFront(n, int64(set.Entry.MaxBody), log) },
 	})
 	if err != nil {
