schedule: one check of a call's instance and token

Start, stop and hold of the experiment's upstream each had it. Change: admits; what is checked is unchanged. Run: go test ./internal/proof/schedule passes.

--- a/internal/proof/schedule/upstream_test.go
+++ b/internal/proof/schedule/upstream_test.go
@@ -206,15 +206,23 @@
 	}
 }
 
-// start handles a start that has arrived.
-func (u *simUpstream) start(c call.Start) call.Answer {
+// admits checks a call's instance and token, and takes in the token.
+func (u *simUpstream) admits(h call.Header) call.Answer {
 	switch {
-	case c.Instance != u.id:
+	case h.Instance != u.id:
 		return call.WrongInstance
-	case c.Token < u.token:
+	case h.Token < u.token:
 		return call.Fenced
 	}
-	u.token = c.Token
+	u.token = h.Token
+	return call.OK
+}
+
+// start handles a start that has arrived.
+func (u *simUpstream) start(c call.Start) call.Answer {
+	if a := u.admits(c.Header); a != call.OK {
+		return a
+	}
 	if c.Until <= u.clock() {
 		return call.Declined
 	}
@@ -230,13 +238,9 @@
 }
 
 func (u *simUpstream) stop(c call.Stop) call.Answer {
-	switch {
-	case c.Instance != u.id:
-		return call.WrongInstance
-	case c.Token < u.token:
-		return call.Fenced
+	if a := u.admits(c.Header); a != call.OK {
+		return a
 	}
-	u.token = c.Token
 	u.past[c.Task] = max(u.past[c.Task], c.Run)
 	if r := u.runs[c.Task]; r != nil && r.run <= c.Run && !r.stopping {
 		r.stopping = true
@@ -262,15 +266,10 @@
 }
 
 func (u *simUpstream) hold(c call.Hold, answer func(call.Held)) {
-	switch {
-	case c.Instance != u.id:
-		answer(call.Held{Answer: call.WrongInstance})
-		return
-	case c.Token < u.token:
-		answer(call.Held{Answer: call.Fenced})
+	if a := u.admits(c.Header); a != call.OK {
+		answer(call.Held{Answer: a})
 		return
 	}
-	u.token = c.Token
 	for len(u.ends) > 0 && u.ends[0].N <= c.Seen {
 		u.forgets(u.ends[0])
 		u.ends = u.ends[1:]
