entry, agent, book: one rule for slow upstreams, no row encoded twice, fewer loops

Cause: reading of the whole change. - What makes an upstream slow stood in the agent and in the entry, with the same figure: fleet.Slow. - A void end was sought again by its name where it was in hand: Withheld.Void. - A kept job's row was encoded to be measured, and again to be written: it is kept until written. - The upstream's state was worked out again for each entry that is told its room: once a Flush. - An entry's own row was sought twice in the list of entries. - Refusals, 'is still awaited', counts of jobs not begun, and encoding of runs' names stood in two or three places each; maps were sorted by hand in six. Behaviour is unchanged, and no test.

--- a/internal/agent/ends/ends.go
+++ b/internal/agent/ends/ends.go
@@ -62,9 +62,14 @@
 	return true
 }
 
+// Void makes the end count for nothing.
+func (w *Withheld) Void() { w.void = true }
+
 // Withhold keeps the end that was taken last from being forgotten.
-func (a *Account) Withhold(now time.Time, owner ident.Incarnation, e fleet.End) {
-	a.withheld = append(a.withheld, &Withheld{End: e, Owner: owner, number: a.taken, since: now, toldAt: now})
+func (a *Account) Withhold(now time.Time, owner ident.Incarnation, e fleet.End) *Withheld {
+	w := &Withheld{End: e, Owner: owner, number: a.taken, since: now, toldAt: now}
+	a.withheld = append(a.withheld, w)
+	return w
 }
 
 // Seen is the number up to which the upstream may forget ends.
@@ -91,7 +96,7 @@
 	}
 	for _, w := range a.withheld {
 		if now.Sub(w.since) > crowdedAge {
-			w.void = true
+			w.Void()
 		}
 	}
 }
@@ -103,7 +108,7 @@
 		switch {
 		case i < 0:
 		case void:
-			a.withheld[i].void = true
+			a.withheld[i].Void()
 		default:
 			a.withheld = slices.Delete(a.withheld, i, i+1)
 		}
--- a/internal/agent/health/health.go
+++ b/internal/agent/health/health.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 )
 
@@ -27,8 +28,6 @@
 	// 40% and upstreams by 25%, so a sound run advances at least once in a twentieth of this.
 	stallFloor = 50 * time.Millisecond
 	stallShare = 0.25
-	// slowFactor times the median of all paces is what makes an upstream slow. Sound ones differ by half.
-	slowFactor = 1.7
 )
 
 // Health is what an agent believes of its upstream's soundness. The zero Health is that of a sound upstream.
@@ -98,7 +97,7 @@
 }
 
 // Slow tells whether the upstream is slow beside others; median is the median of all paces, zero when it is unknown.
-func (h *Health) Slow(median float64) bool { return median > 0 && h.Pace() > slowFactor*median }
+func (h *Health) Slow(median float64) bool { return fleet.Slow(h.Pace(), median) }
 
 // Stalled tells whether a run that has shown no progress for idle stands still.
 func Stalled(idle, estimate time.Duration) bool {
--- a/internal/agent/upstream/kept.go
+++ b/internal/agent/upstream/kept.go
@@ -87,8 +87,7 @@
 	if f.How != call.HowDone && f.How != call.HowFailed || k.without.Off(rule.WithholdEnds) {
 		return
 	}
-	k.ends.Withhold(now, 0, fleet.End{Task: f.Task, Run: f.Run, Outcome: job.Lost, Kept: true})
-	k.ends.Note([]fleet.RunRef{{Task: f.Task, Run: f.Run}}, true)
+	k.ends.Withhold(now, 0, fleet.End{Task: f.Task, Run: f.Run, Outcome: job.Lost, Kept: true}).Void()
 }
 
 // hasEnded tells whether an ordered task of a kept job has ended well here already, for an entry that has gone; then the
@@ -100,7 +99,7 @@
 	}
 	run := w.order.Tasks[w.index].Run
 	if !run.Follows(ended.End.Run) {
-		k.ends.Note([]fleet.RunRef{{Task: ended.End.Task, Run: ended.End.Run}}, true)
+		ended.Void()
 		return false
 	}
 	ended.Owner, ended.End.Run = w.owner, run
--- a/internal/agent/upstream/listed.go
+++ b/internal/agent/upstream/listed.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -189,10 +190,7 @@
 
 // strayKeys lists the strays in a fixed order.
 func (k *Keeper) strayKeys() []fleet.RunRef {
-	out := make([]fleet.RunRef, 0, len(k.strays))
-	for key := range k.strays {
-		out = append(out, key)
-	}
-	slices.SortFunc(out, func(a, b fleet.RunRef) int { return cmp.Or(a.Task.Compare(b.Task), cmp.Compare(a.Run, b.Run)) })
-	return out
+	return slices.SortedFunc(maps.Keys(k.strays), func(a, b fleet.RunRef) int {
+		return cmp.Or(a.Task.Compare(b.Task), cmp.Compare(a.Run, b.Run))
+	})
 }
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -16,12 +17,7 @@
 
 // sorted returns all runs in the order of their ids, so that runs of the state machine repeat.
 func (k *Keeper) sorted() []*run {
-	out := make([]*run, 0, len(k.runs))
-	for _, r := range k.runs {
-		out = append(out, r)
-	}
-	slices.SortFunc(out, func(a, b *run) int { return a.task.Compare(b.task) })
-	return out
+	return slices.SortedFunc(maps.Values(k.runs), func(a, b *run) int { return a.task.Compare(b.task) })
 }
 
 // Order handles an entry's order.
--- a/internal/agent/upstream/room.go
+++ b/internal/agent/upstream/room.go
@@ -77,6 +77,11 @@
 // stateFor returns the state that one entry is told.
 func (k *Keeper) stateFor(now time.Time, entry ident.Incarnation) fleet.State {
 	state, _ := k.state(now)
+	return k.shown(now, state, entry)
+}
+
+// shown is the state that one entry is told while the upstream is in a state.
+func (k *Keeper) shown(now time.Time, state fleet.State, entry ident.Incarnation) fleet.State {
 	if state == fleet.Suspect && k.prober(now) == entry {
 		return fleet.Probing
 	}
@@ -118,14 +123,15 @@
 		}
 		since := now.Sub(s.sent)
 		if since >= k.timing.KeepAlive || s.dirty && (s.urgent || since >= coalesce) {
-			k.sendRoom(now, s)
+			k.sendRoom(now, s, state)
 		}
 	}
 }
 
-func (k *Keeper) sendRoom(now time.Time, s *session) {
+// sendRoom tells an entry what room there is, while the upstream is in a state.
+func (k *Keeper) sendRoom(now time.Time, s *session, state fleet.State) {
 	s.dirty, s.urgent, s.sent = false, false, now
 	k.entries.Room(s.entry, fleet.Room{
-		Free: k.free(), Seq: s.seq, Clock: k.uptime(now), State: k.stateFor(now, s.entry), Pace: k.health.Pace(),
+		Free: k.free(), Seq: s.seq, Clock: k.uptime(now), State: k.shown(now, state, s.entry), Pace: k.health.Pace(),
 	})
 }
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -2,6 +2,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"hillreel/internal/core/ident"
@@ -40,15 +41,7 @@
 
 // Has tells whether the upstream carries a label; every upstream carries the empty one.
 func (u *Upstream) Has(l job.Label) bool {
-	if l == "" {
-		return true
-	}
-	for _, have := range u.Labels {
-		if have == l {
-			return true
-		}
-	}
-	return false
+	return l == "" || slices.Contains(u.Labels, l)
 }
 
 // Room is what an upstream can take now.
@@ -63,6 +56,12 @@
 	Pace float64
 }
 
+// slowFactor times the median of all paces is what makes an upstream slow. Sound ones differ by half.
+const slowFactor = 1.7
+
+// Slow tells whether an upstream of a pace is slow beside others; a pace or a median of zero is unknown.
+func Slow(pace, median float64) bool { return median > 0 && pace > slowFactor*median }
+
 // Order asks an agent to start tasks of one step.
 type Order struct {
 	// Seq counts the orders of one session from 1.
--- a/internal/entry/agent/agent.go
+++ b/internal/entry/agent/agent.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"hillreel/internal/core/fleet"
@@ -93,15 +94,7 @@
 
 // Serves tells whether the upstream is known, serves a service, and is in one of the states.
 func (a *Account) Serves(s ident.Service, states ...fleet.State) bool {
-	if !a.Known() || a.Up.Service != s {
-		return false
-	}
-	for _, state := range states {
-		if a.room.State == state {
-			return true
-		}
-	}
-	return false
+	return a.Known() && a.Up.Service == s && slices.Contains(states, a.room.State)
 }
 
 // Probing tells whether the upstream takes nothing but single probes.
@@ -145,11 +138,8 @@
 	return c
 }
 
-// slowFactor times the median pace is what makes an upstream slow, as agents judge it themselves.
-const slowFactor = 1.7
-
 // Slow tells whether the upstream is slow beside others; median is the median of all paces.
-func (a *Account) Slow(median float64) bool { return a.relativePace(median) > slowFactor }
+func (a *Account) Slow(median float64) bool { return fleet.Slow(a.room.Pace, median) }
 
 // relativePace is the upstream's pace over the median.
 func (a *Account) relativePace(median float64) float64 {
--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -170,12 +171,7 @@
 
 // sortedTasks lists tasks in the order of their ids, so that runs repeat.
 func sortedTasks(m map[job.TaskID]*task) []*task {
-	out := make([]*task, 0, len(m))
-	for _, k := range m {
-		out = append(out, k)
-	}
-	slices.SortFunc(out, func(a, b *task) int { return a.id.Compare(b.id) })
-	return out
+	return slices.SortedFunc(maps.Values(m), func(a, b *task) int { return a.id.Compare(b.id) })
 }
 
 // expire forgets an agent that is not linked and has nothing.
--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,30 +19,14 @@
 	if j == nil || j.kept {
 		return
 	}
-	j.again = without(j.again, c)
-	for i, have := range j.callers {
-		if have == c {
-			j.callers = append(j.callers[:i], j.callers[i+1:]...)
-			break
-		}
-	}
+	j.again = slices.DeleteFunc(j.again, func(r Request) bool { return r.Caller == c })
+	j.callers = slices.DeleteFunc(j.callers, func(have CallerID) bool { return have == c })
 	if len(j.callers) == 0 && !j.ending {
 		t.close(now, j, Answer{State: verdict.Unresolved, Verdict: runVerdict(j), Reason: verdict.CallerGone})
 	}
 	t.pump(now)
 }
 
-// without takes a caller's requests out of a list.
-func without(rs []Request, c CallerID) []Request {
-	out := rs[:0]
-	for _, r := range rs {
-		if r.Caller != c {
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
 // Release lets a kept job go, which another entry will act for, or which was cancelled: its runs are stopped.
 func (t *Table) Release(now time.Time, id job.ID, why verdict.Reason) {
 	j := t.jobs[id]
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -193,14 +193,17 @@
 // Held tells whether a job waits for its answer.
 func (t *Table) Held(id job.ID) bool {
 	j := t.jobs[id]
-	return j != nil && (!j.ending || len(j.again) > 0)
+	return j != nil && j.awaited()
 }
 
+// awaited tells whether callers wait for the job's answer, or for that of its successor.
+func (j *jobState) awaited() bool { return !j.ending || len(j.again) > 0 }
+
 // Unanswered returns how many jobs have callers that wait.
 func (t *Table) Unanswered() int {
 	n := 0
 	for _, j := range t.jobs {
-		if !j.ending || len(j.again) > 0 {
+		if j.awaited() {
 			n++
 		}
 	}
@@ -208,15 +211,7 @@
 }
 
 // NotBegun counts a queue's jobs none of whose tasks has begun.
-func (t *Table) NotBegun(r route.Name) int {
-	n := 0
-	for _, j := range t.jobs {
-		if !j.begun && !j.ending && j.route.Name == r {
-			n++
-		}
-	}
-	return n
-}
+func (t *Table) NotBegun(r route.Name) int { return t.Waiting()[r] }
 
 // Waiting counts the jobs that have not begun, by queue.
 func (t *Table) Waiting() map[route.Name]int {
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -172,9 +173,7 @@
 		t.expireJob(now, j)
 	case !j.begun && now.After(j.startBy):
 		// It can't be in time any more, and nothing of it was offered to an upstream.
-		t.close(now, j, Answer{
-			State: verdict.Refused, Verdict: verdict.NotRun, Reason: verdict.Overloaded, RetryAfter: refusedRetry,
-		})
+		t.close(now, j, refused(verdict.Overloaded))
 	}
 }
 
@@ -199,9 +198,7 @@
 		t.close(now, j, Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Deadline})
 		return
 	}
-	t.close(now, j, Answer{
-		State: verdict.Refused, Verdict: verdict.NotRun, Reason: verdict.Deadline, RetryAfter: refusedRetry,
-	})
+	t.close(now, j, refused(verdict.Deadline))
 }
 
 // settleSilent settles agents that have been lost for so long that nothing runs there any more.
@@ -215,10 +212,5 @@
 
 // sortedJobs lists all jobs, the most urgent first.
 func (t *Table) sortedJobs() []*jobState {
-	out := make([]*jobState, 0, len(t.jobs))
-	for _, j := range t.jobs {
-		out = append(out, j)
-	}
-	slices.SortFunc(out, before)
-	return out
+	return slices.SortedFunc(maps.Values(t.jobs), before)
 }
--- a/internal/entry/dispatch/submit.go
+++ b/internal/entry/dispatch/submit.go
@@ -39,20 +39,22 @@
 
 // refusal says why a job can't be taken.
 func (t *Table) refusal(now time.Time, r Request) (Answer, bool) {
-	refused := Answer{State: verdict.Refused, Verdict: verdict.NotRun, RetryAfter: refusedRetry}
 	switch {
 	case r.Spec.Unsupported != "" || !r.Spec.BestEffort && r.Kept == nil:
-		refused.Reason = verdict.Unsupported
+		return refused(verdict.Unsupported), true
 	case r.Spec.Tasks() > t.opts.MaxTasks:
-		refused.Reason = verdict.TooLarge
+		return refused(verdict.TooLarge), true
 	case r.Kept == nil && t.waitingJobs() >= t.opts.MaxQueue:
-		refused.Reason = verdict.Overloaded
+		return refused(verdict.Overloaded), true
 	case !r.Deadline.IsZero() && !now.Before(t.deadline(now, r)):
-		refused.Reason = verdict.Deadline
-	default:
-		return Answer{}, false
+		return refused(verdict.Deadline), true
 	}
-	return refused, true
+	return Answer{}, false
+}
+
+// refused is the answer to a job of which nothing has run, and nothing will.
+func refused(why verdict.Reason) Answer {
+	return Answer{State: verdict.Refused, Verdict: verdict.NotRun, Reason: why, RetryAfter: refusedRetry}
 }
 
 // refusedRetry is when a refused caller may come back: as long as a burst's queue takes to drain, about the
--- a/internal/kept/book/book.go
+++ b/internal/kept/book/book.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -135,6 +136,8 @@
 type keptJob struct {
 	id     job.ID
 	record record.Job
+	// row is record as it is written, until that has begun.
+	row []byte
 	// sender is its caller's own id of the request, for the log; it is not stored.
 	sender string
 	phase  phase
@@ -213,12 +216,7 @@
 
 // sorted lists the jobs in the order of their ids, so that runs repeat.
 func (b *Book) sorted() []*keptJob {
-	out := make([]*keptJob, 0, len(b.jobs))
-	for _, k := range b.jobs {
-		out = append(out, k)
-	}
-	slices.SortFunc(out, func(x, y *keptJob) int { return cmp.Compare(x.id, y.id) })
-	return out
+	return slices.SortedFunc(maps.Values(b.jobs), func(x, y *keptJob) int { return cmp.Compare(x.id, y.id) })
 }
 
 // Tick does what time alone brings about.
--- a/internal/kept/book/submit.go
+++ b/internal/kept/book/submit.go
@@ -1,6 +1,7 @@
 package book
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -43,7 +44,8 @@
 		id: r.Job, record: record.Job{Spec: *r.Spec, Route: r.Route}, sender: r.Sender, phase: asked, callers: []waiter{w},
 		giveUp: now.Add(max(acceptFor, r.Route.Objective(r.Spec.Chain()))),
 	}
-	if len(b.value(k.record)) > b.opts.MaxRow {
+	k.row = b.value(k.record)
+	if len(k.row) > b.opts.MaxRow {
 		b.callers.Answer(r.Caller, dispatch.Answer{State: verdict.Refused, Verdict: verdict.NotRun, Reason: verdict.TooLarge})
 		return
 	}
@@ -67,10 +69,10 @@
 	op := b.op(k.id, rows.Txn{
 		If: []rows.Condition{{Key: l.JobKey(k.id)}},
 		Put: []rows.Row{
-			{Key: l.JobKey(k.id), Value: b.value(k.record)}, {Key: l.OpenKey(k.id), Value: b.value(k.open)},
+			{Key: l.JobKey(k.id), Value: k.row}, {Key: l.OpenKey(k.id), Value: b.value(k.open)},
 		},
 	})
-	op.Until = k.giveUp
+	op.Until, k.row = k.giveUp, nil
 	b.write(op, func(now time.Time, r ledger.Result) { b.handleAccepted(now, k, r) })
 	if b.opts.Without.Off(rule.StoreFirst) {
 		b.answer(&k.callers, accepted)
@@ -215,18 +217,10 @@
 // Abandon handles a caller that has gone; its job, if it was stored, runs all the same.
 func (b *Book) Abandon(id job.ID, c dispatch.CallerID) {
 	if k := b.jobs[id]; k != nil {
-		k.callers, k.cancels, k.watchers = withoutCaller(k.callers, c), withoutCaller(k.cancels, c), withoutCaller(k.watchers, c)
-	}
-}
-
-func withoutCaller(list []waiter, c dispatch.CallerID) []waiter {
-	var out []waiter
-	for _, w := range list {
-		if w.caller != c {
-			out = append(out, w)
+		for _, list := range []*[]waiter{&k.callers, &k.cancels, &k.watchers} {
+			*list = slices.DeleteFunc(*list, func(w waiter) bool { return w.caller == c })
 		}
 	}
-	return out
 }
 
 // State returns the state of a job that this entry knows, and whether it does.
--- a/internal/link/codec/codec.go
+++ b/internal/link/codec/codec.go
@@ -57,7 +57,7 @@
 
 // ReadStop decodes the wish to stop a run, and why.
 func ReadStop(m *wire.Stop) (fleet.RunRef, fleet.Reason) {
-	r := fleet.RunRef{Task: job.TaskID{Job: job.ID(m.GetJob()), Step: m.GetStep(), Index: m.GetIndex()}, Run: job.Run(m.GetRun())}
+	r := readRunRef(m)
 	if m.GetMoved() {
 		return r, fleet.Moved
 	}
@@ -119,8 +119,9 @@
 
 // ReadEnd decodes the end of a run.
 func ReadEnd(m *wire.Ended) fleet.End {
+	r := readRunRef(m)
 	return fleet.End{
-		Task: job.TaskID{Job: job.ID(m.GetJob()), Step: m.GetStep(), Index: m.GetIndex()}, Run: job.Run(m.GetRun()),
+		Task: r.Task, Run: r.Run,
 		Outcome: job.Outcome(m.GetOutcome()), Took: microseconds(m.GetRunUs()), Checkpoint: m.GetCheckpoint(),
 		Reason: fleet.Reason(m.GetReason()), Kept: m.GetKept(),
 	}
@@ -131,8 +132,25 @@
 	return &wire.RunRef{Job: uint64(r.Task.Job), Step: r.Task.Step, Index: r.Task.Index, Run: uint32(r.Run)}
 }
 
+// runRefs encodes names of runs.
+func runRefs(in []fleet.RunRef) []*wire.RunRef {
+	var out []*wire.RunRef
+	for _, r := range in {
+		out = append(out, runRef(r))
+	}
+	return out
+}
+
+// named is a message with the name of a run.
+type named interface {
+	GetJob() uint64
+	GetStep() uint32
+	GetIndex() uint32
+	GetRun() uint32
+}
+
 // readRunRef decodes the name of a run.
-func readRunRef(r *wire.RunRef) fleet.RunRef {
+func readRunRef(r named) fleet.RunRef {
 	return fleet.RunRef{Task: job.TaskID{Job: job.ID(r.GetJob()), Step: r.GetStep(), Index: r.GetIndex()}, Run: job.Run(r.GetRun())}
 }
 
@@ -165,11 +183,7 @@
 
 // Resumed encodes which runs of an earlier session go on.
 func Resumed(runs []fleet.RunRef) *wire.Msg {
-	m := &wire.Resumed{}
-	for _, r := range runs {
-		m.Runs = append(m.Runs, runRef(r))
-	}
-	return &wire.Msg{Kind: &wire.Msg_Resumed{Resumed: m}}
+	return &wire.Msg{Kind: &wire.Msg_Resumed{Resumed: &wire.Resumed{Runs: runRefs(runs)}}}
 }
 
 // ReadResumed decodes which runs of an earlier session go on.
@@ -177,11 +191,7 @@
 
 // Noted encodes that ends are stored or, with void, that they count for nothing.
 func Noted(runs []fleet.RunRef, void bool) *wire.Msg {
-	m := &wire.Noted{Void: void}
-	for _, r := range runs {
-		m.Runs = append(m.Runs, runRef(r))
-	}
-	return &wire.Msg{Kind: &wire.Msg_Noted{Noted: m}}
+	return &wire.Msg{Kind: &wire.Msg_Noted{Noted: &wire.Noted{Void: void, Runs: runRefs(runs)}}}
 }
 
 // ReadNoted decodes which ends are stored, or count for nothing.
--- a/internal/link/members/members.go
+++ b/internal/link/members/members.go
@@ -6,9 +6,11 @@
 package members
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -99,12 +101,8 @@
 		}
 		d.all[address] = Listed{address, e.Wants}
 	}
-	live := make([]Listed, 0, len(d.all))
-	for _, l := range d.all {
-		live = append(live, l)
-	}
+	live := slices.SortedFunc(maps.Values(d.all), func(a, b Listed) int { return cmp.Compare(a.Address, b.Address) })
 	d.mu.Unlock()
-	slices.SortFunc(live, func(a, b Listed) int { return cmp.Compare(a.Address, b.Address) })
 	d.changed(live)
 }
 
@@ -235,9 +233,11 @@
 	if err != nil {
 		return rows.Txn{}, errors.Wrap(err, "members: encode")
 	}
-	for _, row := range entries.Rows {
+	var present []byte
+	if i := slices.IndexFunc(entries.Rows, func(row rows.Row) bool { return row.Key.Name == string(r.address) }); i >= 0 {
+		present = entries.Rows[i].Value
 		var former Entry
-		if row.Key.Name == string(r.address) && json.Unmarshal(row.Value, &former) == nil {
+		if json.Unmarshal(present, &former) == nil {
 			r.addWants(former.Wants)
 		}
 	}
@@ -248,12 +248,9 @@
 		return rows.Txn{}, errors.Wrap(err, "members: encode")
 	}
 	txn := rows.Txn{Put: []rows.Row{{Key: rows.Key{Table: renewals, Name: string(r.address)}, Value: mark}}}
-	for _, row := range entries.Rows {
-		if row.Key.Name == string(r.address) && string(row.Value) == string(value) {
-			return txn, nil
-		}
+	if !bytes.Equal(present, value) {
+		txn.Put = append(txn.Put, rows.Row{Key: rows.Key{Table: Table, Name: string(r.address)}, Value: value})
 	}
-	txn.Put = append(txn.Put, rows.Row{Key: rows.Key{Table: Table, Name: string(r.address)}, Value: value})
 	return txn, nil
 }
 
