commands, logs: a process's last lines are written, and signals that come while it leaves are told

Cause: in the collected logs no process ever said left, since it ended before its last lines were written. Ruled out: a rate or backlog that dropped the lines: 600 lines in 20 s, with 1,000 a second allowed. Test: TestFlush; TestDrainCutsNothing asks for left, and for a line for each signal. Result: no change of what signals do.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
@@ -58,11 +59,16 @@
 // waitingSignals is how many signals may wait to be handled; more are as good as one of them.
 const waitingSignals = 8
 
-// awaitSignal returns when the process is asked to end. On SIGHUP it calls reload; a nil one does nothing. Signals that
-// come while the process leaves change nothing: they come in series, and would end it at once if nobody took them.
-func awaitSignal(ctx context.Context, log *logrus.Entry, reload func()) {
+// takeSignals lets the process take the signals that it is told to end or to reload with. They end a process that does not
+// take them at once, and cut every request that it has read.
+func takeSignals() <-chan os.Signal {
 	signals := make(chan os.Signal, waitingSignals)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return signals
+}
+
+// awaitEnd returns when the process is asked to end. On SIGHUP it calls reload; a nil one does nothing.
+func awaitEnd(ctx context.Context, signals <-chan os.Signal, log *logrus.Entry, reload func()) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -79,14 +85,25 @@
 	}
 }
 
+// noteSignals logs the signals that come while the process leaves: they come in series, and change nothing any more.
+func noteSignals(signals <-chan os.Signal, log *logrus.Entry) {
+	for s := range signals {
+		log.WithFields(logrus.Fields{"signal": s.String(), "leaving": true}).Info("signal")
+	}
+}
+
 // process is an entry or an agent.
 type process interface {
 	Start(ctx context.Context) error
 	Drain()
 }
 
+// flushLimit bounds the writing of a process's last lines; both roles keep more than that of their grace for closing.
+const flushLimit = 100 * time.Millisecond
+
 // serve runs a process until it is asked to end, and keeps its settings up to date.
 func serve(ctx context.Context, p process, r *reloader, log *logrus.Entry) error {
+	defer logs.Flush(log, flushLimit)
 	if err := p.Start(ctx); err != nil {
 		return cli.Exit(err.Error(), exit.Failed)
 	}
@@ -95,12 +112,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go r.run(ctx, reload)
-	awaitSignal(ctx, log, func() {
+	signals := takeSignals()
+	awaitEnd(ctx, signals, log, func() {
 		select {
 		case reload <- struct{}{}:
 		default: // one is waiting already
 		}
 	})
+	go noteSignals(signals, log)
 	p.Drain()
 	return nil
 }
--- a/commands/demo.go
+++ b/commands/demo.go
@@ -79,7 +79,7 @@
 	if c.Bool("keep") {
 		fmt.Fprintf(out, "\nthe set keeps running\ncallers: http://%s\nmetrics: http://127.0.0.1:7500/metrics\noperators' token: %s\n",
 			set.Callers()[0], embedded.Token)
-		awaitSignal(ctx, log, nil)
+		awaitEnd(ctx, takeSignals(), log, nil)
 	}
 	switch {
 	case len(set.Ledger.Broken()) > 0:
--- a/commands/process_test.go
+++ b/commands/process_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -105,6 +106,13 @@
 		name, freeAddress(), up, control, s.store, slack))
 }
 
+// log returns what a process has logged.
+func (s *set) log(name string) string {
+	raw, err := os.ReadFile(filepath.Join(s.dir, name+".log"))
+	qt.Assert(s.t, err, qt.IsNil)
+	return string(raw)
+}
+
 func (s *set) signal(name string, sig syscall.Signal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -134,8 +142,7 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	log, _ := os.ReadFile(filepath.Join(s.dir, name+".log"))
-	s.t.Fatalf("%s does not become ready:\n%s", name, log)
+	s.t.Fatalf("%s does not become ready:\n%s", name, s.log(name))
 }
 
 func (s *set) entries() []string {
@@ -207,6 +214,9 @@
 			qt.Assert(t, states, qt.DeepEquals, map[api.State]int{verdict.Complete: 30})
 			qt.Assert(t, s.processes["entry-1"].Wait(), qt.IsNil)
 			delete(s.processes, "entry-1")
+			log := s.log("entry-1")
+			qt.Assert(t, strings.Count(log, "msg=signal"), qt.Equals, 1+len(test.after))
+			qt.Assert(t, log, qt.Contains, "msg=left")
 		})
 	}
 }
--- a/commands/standin.go
+++ b/commands/standin.go
@@ -109,6 +109,6 @@
 	}
 	defer s.Stop()
 	log.WithField("address", s.Address()).Info("started")
-	awaitSignal(ctx, log, nil)
+	awaitEnd(ctx, takeSignals(), log, nil)
 	return nil
 }
--- a/internal/core/logs/logs.go
+++ b/internal/core/logs/logs.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,8 @@
 	out   io.Writer
 	lines chan []byte
 	rate  float64
+	// pending counts the lines that wait to be written, or are being written.
+	pending atomic.Int64
 
 	mu     sync.Mutex
 	tokens float64
@@ -47,14 +50,26 @@
 		dropped.Add(1)
 		return len(line), nil
 	}
+	w.pending.Add(1)
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
+		w.pending.Add(-1)
 		dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// flushPoll is how often Flush looks whether all is written.
+const flushPoll = time.Millisecond
+
+// Flush returns when the lines that wait are written, or after limit: whoever reads them may have stopped.
+func (w *Writer) Flush(limit time.Duration) {
+	for until := time.Now().Add(limit); w.pending.Load() > 0 && time.Now().Before(until); {
+		time.Sleep(flushPoll)
+	}
+}
+
 func (w *Writer) take(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -70,17 +85,20 @@
 // run writes what has gathered, as much at once as there is.
 func (w *Writer) run() {
 	for line := range w.lines {
+		count := int64(1)
 		for more := true; more; {
 			select {
 			case next := <-w.lines:
 				line = append(line, next...)
+				count++
 			default:
 				more = false
 			}
 		}
 		if _, err := w.out.Write(line); err != nil {
-			dropped.Add(1)
+			dropped.Add(count)
 		}
+		w.pending.Add(-count)
 	}
 }
 
@@ -97,6 +115,14 @@
 	return l.WithFields(logrus.Fields{"role": role, "node": node}), nil
 }
 
+// Flush writes what a logger's Writer has not written yet, within limit. A process that ends without it loses its last
+// lines, so that an orderly end can't be told from one that was cut short.
+func Flush(log *logrus.Entry, limit time.Duration) {
+	if w, ok := log.Logger.Out.(*Writer); ok {
+		w.Flush(limit)
+	}
+}
+
 // Discard returns a logger that writes nothing, for tests.
 func Discard() *logrus.Entry {
 	l := logrus.New()
--- a/internal/core/logs/logs_test.go
+++ b/internal/core/logs/logs_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"expvar"
+	"io"
 	"strconv"
 	"sync"
 	"testing"
@@ -75,3 +76,48 @@
 	qt.Assert(t, out.lines >= 100 && out.lines < 200, qt.IsTrue, qt.Commentf("%d lines", out.lines))
 	qt.Assert(t, dropped()-before, qt.Equals, int64(1000-out.lines))
 }
+
+// TestFlush: what a process logs last is written before it ends, and a reader that has stopped does not hold up its end.
+func TestFlush(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		out   io.Writer
+		limit time.Duration
+	}{
+		{"read", &slow{pause: 30 * time.Millisecond}, 10 * time.Second},
+		{"not read any more", &stuck{make(chan struct{})}, 50 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			log, err := logs.New(logs.NewWriter(test.out, 1000), "info", "entry", "e")
+			qt.Assert(t, err, qt.IsNil)
+			log.Info("leaving")
+			log.Info("left")
+			began := time.Now()
+			logs.Flush(log, test.limit)
+			qt.Assert(t, time.Since(began) < 5*time.Second, qt.IsTrue)
+			if s, ok := test.out.(*slow); ok {
+				qt.Assert(t, s.text(), qt.Contains, "msg=left")
+			}
+		})
+	}
+}
+
+// slow is an output that takes its time.
+type slow struct {
+	pause time.Duration
+	mu    sync.Mutex
+	got   bytes.Buffer
+}
+
+func (s *slow) Write(p []byte) (int, error) {
+	time.Sleep(s.pause)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.Write(p)
+}
+
+func (s *slow) text() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.String()
+}
