commands: signals are taken before a process listens, and logs that nobody reads do not end it

Cause: a signal that nobody takes ends the process with all the requests that it has read. Signals were taken only once all services had started; and a pipe that nobody reads any more sends one for each write of the log. Ruled out: taking them at the first instruction as well: before serve, nothing is listened on, so nothing is cut.

--- a/commands/commands.go
+++ b/commands/commands.go
@@ -59,9 +59,11 @@
 // waitingSignals is how many signals may wait to be handled; more are as good as one of them.
 const waitingSignals = 8
 
-// takeSignals lets the process take the signals that it is told to end or to reload with. They end a process that does not
-// take them at once, and cut every request that it has read.
+// takeSignals lets the process take the signals that it is told to end or to reload with. A signal that nobody takes ends the
+// process at once, with all the requests that it has read: so they are taken before it listens, and until it has ended.
+// Logging to a pipe that nobody reads any more sends one as well, which is of no use: the lines are counted as dropped.
 func takeSignals() <-chan os.Signal {
+	signal.Ignore(syscall.SIGPIPE)
 	signals := make(chan os.Signal, waitingSignals)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	return signals
@@ -104,6 +106,7 @@
 // serve runs a process until it is asked to end, and keeps its settings up to date.
 func serve(ctx context.Context, p process, r *reloader, log *logrus.Entry) error {
 	defer logs.Flush(log, flushLimit)
+	signals := takeSignals()
 	if err := p.Start(ctx); err != nil {
 		return cli.Exit(err.Error(), exit.Failed)
 	}
@@ -112,7 +115,6 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go r.run(ctx, reload)
-	signals := takeSignals()
 	awaitEnd(ctx, signals, log, func() {
 		select {
 		case reload <- struct{}{}:
--- a/commands/standin.go
+++ b/commands/standin.go
@@ -104,11 +104,12 @@
 
 // serveStandin runs a stand-in's server until the process is asked to end.
 func serveStandin(ctx context.Context, s *web.Server, log *logrus.Entry) error {
+	signals := takeSignals()
 	if err := s.Start(ctx); err != nil {
 		return cli.Exit(err.Error(), exit.Failed)
 	}
 	defer s.Stop()
 	log.WithField("address", s.Address()).Info("started")
-	awaitEnd(ctx, takeSignals(), log, nil)
+	awaitEnd(ctx, signals, log, nil)
 	return nil
 }
