standin, embedded: heartbeats of an earlier life, held up on the way

Cause: the fault stood only in tests of the state machine; this one goes through the real servers of agents and upstreams.

--- a/internal/standin/embedded/embedded_test.go
+++ b/internal/standin/embedded/embedded_test.go
@@ -88,6 +88,11 @@
 		{"upstream hangs", func(s *embedded.Set) { s.Upstreams[0].Break(standin.UpstreamFault{Hang: true}) }},
 		{"upstream mute", func(s *embedded.Set) { s.Upstreams[0].Break(standin.UpstreamFault{Mute: true}) }},
 		{"upstream drains", func(s *embedded.Set) { s.Upstreams[0].Drain() }},
+		{"late heartbeats of an earlier life", func(s *embedded.Set) {
+			for _, u := range s.Upstreams {
+				u.BeatOf(0)
+			}
+		}},
 		{"agent leaves", func(s *embedded.Set) { s.Agents[0].Node.Leave() }},
 		{"agent dies", func(s *embedded.Set) { s.Agents[0].Stop() }},
 		{"entry dies", func(s *embedded.Set) { s.Entries[0].Stop() }},
