dispatch: a lost agent's successor is believed once it has answered

Cause: an entry lets the tasks of a lost agent start again as soon as another life of the agent, at the same upstream, says that it takes work. A connection that an agent's earlier life has opened can be held up on the way and bring just that, late: the runs of the present life, if its link is down at that moment, start elsewhere while they go on (a task runs twice). Ruled out: ordering the lives: incarnations are random. A challenge in the greeting: the news are sent after it, by the same dead life. Change: an order without tasks, which the next news of room take into account, unless the session has carried another one. Test changed: 'replaced at the same upstream' of TestLostAgentIsWaitedFor believed the first news; it answers the question now, and asserts, as before, that the tasks run elsewhere at once. 'a connection of an earlier agent arrives late' fails before.

--- a/internal/entry/agent/agent.go
+++ b/internal/entry/agent/agent.go
@@ -83,6 +83,12 @@
 	a.sent = append(a.sent, sent{o.Seq, total})
 }
 
+// Asked tells whether the session has carried an order.
+func (a *Account) Asked() bool { return a.seq > 0 }
+
+// Answers tells whether the agent has taken in an order of this session: then it has lived since the session began.
+func (a *Account) Answers() bool { return a.room.Seq > 0 }
+
 // Room is the agent's newest word on its room.
 func (a *Account) Room() fleet.Room { return a.room }
 
--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -117,10 +117,27 @@
 		return
 	}
 	for _, a := range slices.Clone(t.order) {
-		if a != by && !a.Linked && a.Up.ID == by.Up.ID {
-			t.settle(now, a, fleet.AgentReplaced)
+		if a == by || a.Linked || a.Up.ID != by.Up.ID || len(a.runs) == 0 {
+			continue
+		}
+		if !by.Answers() {
+			t.question(by)
+			return
 		}
+		t.settle(now, a, fleet.AgentReplaced)
+	}
+}
+
+// question sends an order without tasks, which the agent's next news of its room take into account. A connection that an
+// agent's earlier life has opened may be held up on the way, and bring its news when the present life has runs but no
+// link: taken for its successor's, they would let those runs start elsewhere while they go on.
+func (t *Table) question(a *upstreamOf) {
+	if a.Asked() {
+		return
 	}
+	o := &fleet.Order{}
+	a.Number(o)
+	t.agentsIO.Order(a.ID, *o)
 }
 
 // Resumed handles an agent's word on the runs of this entry's earlier session that go on under the new one.
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -35,15 +35,23 @@
 
 // bench drives a Table by hand.
 type bench struct {
-	t       *testing.T
-	now     time.Time
-	table   *dispatch.Table
-	orders  []order
-	stops   []stop
-	answers map[dispatch.CallerID]dispatch.Answer
+	t      *testing.T
+	now    time.Time
+	table  *dispatch.Table
+	orders []order
+	// questions are the orders without tasks.
+	questions []order
+	stops     []stop
+	answers   map[dispatch.CallerID]dispatch.Answer
 }
 
-func (b *bench) Order(a ident.Incarnation, o fleet.Order) { b.orders = append(b.orders, order{a, o}) }
+func (b *bench) Order(a ident.Incarnation, o fleet.Order) {
+	if len(o.Tasks) == 0 {
+		b.questions = append(b.questions, order{a, o})
+		return
+	}
+	b.orders = append(b.orders, order{a, o})
+}
 func (b *bench) Stop(a ident.Incarnation, r fleet.RunRef, why fleet.Reason) {
 	b.stops = append(b.stops, stop{a, r, why})
 }
@@ -109,9 +117,20 @@
 			b.table.Linked(b.now, 9, "vm", "z")
 			b.table.Upstream(9, fleet.Upstream{ID: ident.UpstreamID(lost.String()), Service: "publish", Total: job.Resources{CPU: 2000}})
 			b.room(9, fleet.Clearing, 2000, 0)
-			qt.Assert(b.t, b.orders, qt.HasLen, 1)
+			qt.Assert(b.t, b.questions, qt.HasLen, 0)
 			b.room(9, fleet.Ready, 2000, 0)
+			qt.Assert(b.t, b.orders, qt.HasLen, 1)
+			qt.Assert(b.t, b.questions, qt.HasLen, 1)
+			b.room(9, fleet.Ready, 2000, b.questions[0].Seq)
 		}, 0},
+		{"a connection of an earlier agent arrives late", func(b *bench, lost ident.Incarnation) {
+			b.table.Linked(b.now, 9, "vm", "z")
+			b.table.Upstream(9, fleet.Upstream{ID: ident.UpstreamID(lost.String()), Service: "publish", Total: job.Resources{CPU: 2000}})
+			b.room(9, fleet.Ready, 2000, 0)
+			b.room(9, fleet.Ready, 1000, 0)
+			b.table.Unlinked(b.now, 9)
+			qt.Assert(b.t, b.questions, qt.HasLen, 1)
+		}, timing.SettleAfter()},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			b := newBench(t, 2)
