entry, web: an entry that leaves answers every request that it has read

(1) Jobs that can't end in the grace: their connections were closed with the process. (2) The library's shutting down drops a request that it reads after it has begun, on a connection that was opened before, and waits 5 s for one on which nothing comes. (3) The callers' own API was shut down after the platform's clients', with what that had left of the time, and took new work meanwhile. (4) Operators' changes were not waited for. Besides, a caller that has closed only its sending side was answered 200 with nothing, which for a job to be kept looks like its acceptance. Ruled out, by reading: panics in handlers, reloads, routes that change under a request, the order of the services' ends. Change: a server stops listening itself, serves on until no request is in progress or may be on its way (300 ms from a connection's opening), and ends then. Shortly before the end of the grace whoever still waits is told what is known: 503 if nothing has begun, else 504, and what runs is stopped. Servers end side by side, metrics last. Every answer of a leaving entry closes its connection, those about states as well. settings: unready must be shorter than grace by 700 ms.

--- a/commands/process_test.go
+++ b/commands/process_test.go
@@ -97,12 +97,15 @@
 lease = 800ms
 `
 
-func (s *set) entry(name string) {
+func (s *set) entry(name string) { s.entryWith(name, "unready = 500ms\ngrace = 10s") }
+
+// entryWith starts an entry with some options of its own.
+func (s *set) entryWith(name, options string) {
 	if s.callers[name] == "" {
 		s.callers[name], s.ready[name] = freeAddress(), freeAddress()
 	}
-	s.run(name, []string{"entry"}, fmt.Sprintf("[node]\nname = %s\nlink = %s\nmetrics = %s\n[entry]\ncallers = %s\nunready = 500ms\ngrace = 10s\n[platform]\nstore = %s\n%s",
-		name, freeAddress(), s.ready[name], s.callers[name], s.store, slack))
+	s.run(name, []string{"entry"}, fmt.Sprintf("[node]\nname = %s\nlink = %s\nmetrics = %s\n[entry]\ncallers = %s\n%s\n[platform]\nstore = %s\n%s",
+		name, freeAddress(), s.ready[name], s.callers[name], options, s.store, slack))
 }
 
 func (s *set) agent(name string) {
--- a/internal/core/settings/options.go
+++ b/internal/core/settings/options.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"time"
 
 	"hillreel/internal/core/fleet"
@@ -117,6 +118,10 @@
 	Listen Address `ini:"listen" default:"127.0.0.1:7300" doc:"Address of the stand-in's HTTP server."`
 }
 
+// LeaveReserve is what an entry needs of its grace beside the time in which it still takes requests: to give last answers,
+// to hand jobs over, and to take its row out of the store.
+const LeaveReserve = 700 * time.Millisecond
+
 // conflicts finds combinations that can't work.
 func (s *Settings) conflicts(file string) []*Error {
 	var out []*Error
@@ -136,8 +141,8 @@
 	if s.Kept.PartWrites <= 0 {
 		add("kept", "part_writes", "must be above 0")
 	}
-	if s.Entry.Unready >= s.Entry.Grace {
-		add("entry", "unready", "must be shorter than grace")
+	if s.Entry.Grace < s.Entry.Unready+LeaveReserve {
+		add("entry", "unready", fmt.Sprintf("must be shorter than grace by %v", LeaveReserve))
 	}
 	for _, seed := range s.Node.Seeds {
 		if reason := checkAddress(seed); reason != "" {
--- a/internal/core/verdict/verdict.go
+++ b/internal/core/verdict/verdict.go
@@ -54,6 +54,7 @@
 	Deadline      Reason = "deadline"
 	DifferentBody Reason = "different_body"
 	LeaseLost     Reason = "lease_lost"
+	Leaving       Reason = "entry_leaving"
 	NotFound      Reason = "not_found"
 	Overloaded    Reason = "overloaded"
 	Superseded    Reason = "superseded"
--- a/internal/core/web/web.go
+++ b/internal/core/web/web.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,14 +42,21 @@
 	options Options
 	ln      net.Listener
 	once    sync.Once
+	leaving atomic.Bool
+
+	mu sync.Mutex
+	// conns are the open connections.
+	conns map[net.Conn]connState
 }
 
 // New returns a Server that has not started; name stands in errors.
 func New(name string, address settings.Address, h http.Handler, o Options) *Server {
-	return &Server{name: name, address: address, options: o, server: &http.Server{
-		Handler: h, ReadHeaderTimeout: o.HeaderTimeout, ReadTimeout: o.ReadTimeout, IdleTimeout: o.IdleTimeout,
-		MaxHeaderBytes: o.MaxHeader,
-	}}
+	s := &Server{name: name, address: address, options: o, conns: make(map[net.Conn]connState)}
+	s.server = &http.Server{
+		Handler: s.closing(h), ReadHeaderTimeout: o.HeaderTimeout, ReadTimeout: o.ReadTimeout, IdleTimeout: o.IdleTimeout,
+		MaxHeaderBytes: o.MaxHeader, ConnState: s.track,
+	}
+	return s
 }
 
 // Start listens.
@@ -68,9 +76,6 @@
 // Address returns where the server listens.
 func (s *Server) Address() string { return s.ln.Addr().String() }
 
-// Shutdown stops listening, and returns when the requests in progress are answered or ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
-
 // Stop ends at once.
 func (s *Server) Stop() {
 	s.once.Do(func() { s.server.Close() }) //nolint:errcheck // nothing is left to do about it
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -30,7 +30,6 @@
 	Cancel(ctx context.Context, id job.ID) (verdict.State, error)
 	State(ctx context.Context, id job.ID) (verdict.State, error)
 	Ready() (bool, string)
-	Leaving() bool
 }
 
 // Services is what operators say of services.
@@ -92,9 +91,6 @@
 
 // run reads a job, submits it and answers with its end or, if it is to be kept, with its acceptance.
 func (h *Handler) run(w http.ResponseWriter, r *http.Request, id job.ID) {
-	if h.jobs.Leaving() {
-		w.Header().Set("Connection", "close")
-	}
 	began := time.Now()
 	var body api.Job
 	if !h.readBody(w, r, &body) {
@@ -112,8 +108,9 @@
 	}
 	a, err := h.jobs.Submit(r.Context(), request)
 	if err != nil {
+		// A caller that has closed only its sending side still reads, and must not take nothing for a result.
 		h.log.WithFields(logrus.Fields{"job": id, "error": err.Error()}).Debug("caller_gone")
-		return
+		a = dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.CallerGone}
 	}
 	h.write(w, status(a), &api.Answer{
 		ID: id.String(), State: a.State, Verdict: a.Verdict, Reason: a.Reason, RetryAfterMs: a.RetryAfter.Milliseconds(),
--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -52,6 +52,26 @@
 	return true
 }
 
+// CloseAll answers all jobs that are not kept, and refuses those that are still submitted: the entry is about to end. What has
+// begun is stopped, so that it is gone when its caller sends the job again.
+func (t *Table) CloseAll(now time.Time) {
+	t.closing = true
+	for _, j := range t.sortedJobs() {
+		again := j.again
+		j.again = nil
+		for _, r := range again {
+			t.callers.Answer(r.Caller, Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Leaving})
+		}
+		switch {
+		case j.ending || j.kept:
+		case j.begun:
+			t.close(now, j, Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Leaving})
+		default:
+			t.close(now, j, refused(verdict.Leaving))
+		}
+	}
+}
+
 // runVerdict is the verdict on a job that is given up now.
 func runVerdict(j *jobState) verdict.Verdict {
 	if j.begun {
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -166,6 +166,8 @@
 	pace float64
 	// allowed tells whether configuration lets an upstream serve a service.
 	allowed Allowed
+	// closing is true once the entry is about to end.
+	closing bool
 }
 
 // New returns an empty Table. The seed makes runs repeatable.
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -430,3 +430,36 @@
 	qt.Assert(t, b.orders, qt.HasLen, 2)
 	qt.Assert(t, b.orders[1].Kept, qt.IsTrue)
 }
+
+// TestCloseAll: an entry that is about to end answers everybody: what has not begun is refused for good, what has may have run
+// and is stopped, and what comes then is refused.
+func TestCloseAll(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit(1, 1, 1, time.Second, time.Minute)
+	b.submit(2, 2, 2, time.Second, time.Minute) // there is room for one of its two tasks
+	b.submit(3, 3, 1, time.Second, time.Minute)
+	b.table.Abandon(b.now, 1, 1)
+	b.submit(1, 4, 1, time.Second, time.Minute) // waits for the end of the run before
+	qt.Assert(t, b.orders, qt.HasLen, 2)
+	stops := len(b.stops)
+	b.table.CloseAll(b.now)
+	b.submit(5, 5, 1, time.Second, time.Minute)
+	for _, want := range []struct {
+		caller dispatch.CallerID
+		state  verdict.State
+		is     verdict.Verdict
+	}{
+		{2, verdict.Unresolved, verdict.MayHaveRun},
+		{3, verdict.Refused, verdict.NotRun},
+		{4, verdict.Unresolved, verdict.MayHaveRun},
+		{5, verdict.Refused, verdict.NotRun},
+	} {
+		got := b.answers[want.caller]
+		qt.Assert(t, got.State, qt.Equals, want.state, qt.Commentf("caller %d", want.caller))
+		qt.Assert(t, got.Verdict, qt.Equals, want.is)
+		qt.Assert(t, got.Reason, qt.Equals, verdict.Leaving)
+		qt.Assert(t, got.RetryAfter > 0, qt.Equals, want.state == verdict.Refused)
+	}
+	qt.Assert(t, b.stops[stops:], qt.HasLen, 1)
+	qt.Assert(t, b.table.Unanswered(), qt.Equals, 0)
+}
--- a/internal/entry/dispatch/submit.go
+++ b/internal/entry/dispatch/submit.go
@@ -40,6 +40,8 @@
 // refusal says why a job can't be taken.
 func (t *Table) refusal(now time.Time, r Request) (Answer, bool) {
 	switch {
+	case t.closing:
+		return refused(verdict.Leaving), true
 	case r.Spec.Unsupported != "" || !r.Spec.BestEffort && r.Kept == nil:
 		return refused(verdict.Unsupported), true
 	case r.Spec.Tasks() > t.opts.MaxTasks:
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -17,6 +17,7 @@
 	"hillreel/internal/core/loop"
 	"hillreel/internal/core/route"
 	"hillreel/internal/core/settings"
+	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/dispatch"
 	"hillreel/internal/kept/book"
 	"hillreel/internal/kept/ledger"
@@ -271,12 +272,20 @@
 // Leave makes the entry unready; what it is sent meanwhile is still served.
 func (n *Node) Leave() { n.leaving.Store(true) }
 
+// CloseAll answers everybody who still waits: the entry is about to end. A job to be kept may be stored all the same.
+func (n *Node) CloseAll() {
+	n.call(func(now time.Time) {
+		n.log.WithField("callers", len(n.callers)).Info("requests_closed")
+		n.table.CloseAll(now)
+		for c := range n.callers {
+			(*answerer)(n).Answer(c, dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Leaving})
+		}
+	})
+}
+
 // HandOver lets other entries take this one's kept jobs over at once.
 func (n *Node) HandOver() { n.call(n.book.Leave) }
 
-// Leaving tells whether the entry is about to end.
-func (n *Node) Leaving() bool { return n.leaving.Load() }
-
 // Unanswered returns how many jobs have callers that wait.
 func (n *Node) Unanswered() (count int) {
 	n.loop.Call(func() { count = n.table.Unanswered() })
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -200,38 +200,3 @@
 		p.log.WithField("error", err.Error()).Warn("bus_not_closed")
 	}
 }
-
-// leaveMargin is what of the grace is left for closing connections and for writing logs.
-const leaveMargin = 500 * time.Millisecond
-
-// handOverTime is what the store has for taking in that kept jobs may be taken over: some ten times its usual answer.
-const handOverTime = 50 * time.Millisecond
-
-// listener is a service that can stop listening and let what it serves end.
-type listener interface {
-	Shutdown(ctx context.Context) error
-}
-
-// Drain leaves: the entry is unready at once, but takes requests until the balancer has noticed; then it answers
-// those in progress, and all stops. The grace of the settings bounds it.
-func (p *Process) Drain() {
-	began := time.Now()
-	p.log.WithField("unanswered", p.Node.Unanswered()).Info("leaving")
-	p.Node.Leave()
-	time.Sleep(p.set.Entry.Unready)
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(p.set.Entry.Grace-leaveMargin))
-	defer cancel()
-	for _, name := range []string{nameFront, nameCallers} {
-		s, err := kernel.Find[listener](p.kernel, name)
-		if err != nil {
-			continue // it is not served
-		}
-		if err := s.Shutdown(ctx); err != nil {
-			p.log.WithFields(logrus.Fields{"error": err.Error(), "unanswered": p.Node.Unanswered()}).Warn("requests_cut")
-		}
-	}
-	p.Node.HandOver()
-	time.Sleep(handOverTime)
-	p.Stop()
-	p.log.WithField("took_ms", time.Since(began).Milliseconds()).Info("left")
-}
