inquiry: the questions to agents are a package of their own

A question knows nothing of a job: it has a number, a time, and agents that have not answered.

internal/kept/inquiry asks, counts answers, and calls back once; the book hands it a function, as it does with writes. Whether a job is still the one that was asked about is checked in one place, book.resume.

go test -race of internal/kept/..., internal/proof/schedule and internal/standin/embedded pass.

--- a/internal/kept/book/adopt.go
+++ b/internal/kept/book/adopt.go
@@ -10,7 +10,6 @@
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/rows"
-	"hillreel/internal/core/rule"
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/kept/ledger"
 	"hillreel/internal/kept/record"
@@ -34,14 +33,6 @@
 	scanned bool
 }
 
-// round is a question to all agents about jobs that were taken over.
-type round struct {
-	number uint64
-	began  time.Time
-	agents map[ident.Incarnation]bool
-	jobs   []*keptJob
-}
-
 // adoptExpired claims a lease that has ended, if nothing can run for it any more.
 func (b *Book) adoptExpired(now time.Time, clock time.Duration, row rows.Row, l record.Lease) {
 	if !b.expired(now, clock, l) || b.adoptions[record.LeaseID(row.Key.Name)] != nil {
@@ -242,71 +233,38 @@
 	}
 }
 
-// ask asks all agents for ends of jobs that were taken over.
+// ask asks all agents for ends of jobs that were taken over, and then goes on with them.
 func (b *Book) ask(now time.Time, jobs []*keptJob) {
 	if len(jobs) == 0 {
 		return
 	}
-	b.lastRound++
-	r := &round{number: b.lastRound, began: now, agents: make(map[ident.Incarnation]bool), jobs: jobs}
-	if !b.opts.Without.Off(rule.AskFirst) {
-		ids := make([]job.ID, len(jobs))
-		for i, k := range jobs {
-			ids[i] = k.id
-		}
-		for _, a := range b.agents.Linked() {
-			r.agents[a] = true
-			b.agents.Ask(a, r.number, ids)
-		}
+	ids := make([]job.ID, len(jobs))
+	for i, k := range jobs {
+		ids[i] = k.id
 	}
-	b.rounds = append(b.rounds, r)
-	b.tickRounds(now)
+	b.inquiry.Ask(now, ids, func(now time.Time) {
+		for _, k := range jobs {
+			b.resume(now, k)
+		}
+	})
 }
 
 // Asked handles an agent's word that it has told all ends that a question is about.
 func (b *Book) Asked(now time.Time, agent ident.Incarnation, number uint64) {
-	for _, r := range b.rounds {
-		if r.number == number {
-			delete(r.agents, agent)
-		}
-	}
-	b.tickRounds(now)
-}
-
-// AgentLost handles an agent that is out of hearing: it can't answer any more.
-func (b *Book) AgentLost(now time.Time, agent ident.Incarnation) {
-	for _, r := range b.rounds {
-		delete(r.agents, agent)
-	}
-	b.tickRounds(now)
+	b.inquiry.Answered(now, agent, number)
 }
 
-// tickRounds lets jobs run whose agents have all answered. One that does not answer for as long as anything of it could
-// still run is not waited for any longer.
-func (b *Book) tickRounds(now time.Time) {
-	var rest []*round
-	done := b.rounds
-	b.rounds = nil
-	for _, r := range done {
-		if len(r.agents) > 0 && now.Sub(r.began) < b.opts.Settle {
-			rest = append(rest, r)
-			continue
-		}
-		for _, k := range r.jobs {
-			if b.jobs[k.id] == k && k.phase == adopting {
-				b.resume(now, k)
-			}
-		}
-	}
-	b.rounds = append(rest, b.rounds...)
-}
+// AgentLost handles an agent that is out of hearing.
+func (b *Book) AgentLost(now time.Time, agent ident.Incarnation) { b.inquiry.AgentLost(now, agent) }
 
-// resume goes on with a job that was taken over.
+// resume goes on with a job that was taken over, unless it was let go meanwhile.
 func (b *Book) resume(now time.Time, k *keptJob) {
-	if len(k.cancels) > 0 {
+	switch {
+	case b.jobs[k.id] != k || k.phase != adopting:
+	case len(k.cancels) > 0:
 		k.phase = running
 		b.end(now, k, verdict.Cancelled)
-		return
+	default:
+		b.run(now, k)
 	}
-	b.run(now, k)
 }
--- a/internal/kept/book/book.go
+++ b/internal/kept/book/book.go
@@ -22,6 +22,7 @@
 	"hillreel/internal/core/rule"
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/dispatch"
+	"hillreel/internal/kept/inquiry"
 	"hillreel/internal/kept/ledger"
 	"hillreel/internal/kept/recent"
 	"hillreel/internal/kept/record"
@@ -50,10 +51,8 @@
 
 // Agents sends to agents.
 type Agents interface {
-	// Linked lists the agents that are linked.
-	Linked() []ident.Incarnation
+	inquiry.Agents
 	Noted(agent ident.Incarnation, runs []fleet.RunRef, void bool)
-	Ask(agent ident.Incarnation, number uint64, jobs []job.ID)
 }
 
 // Options are the settings of a Book.
@@ -100,9 +99,8 @@
 	adoptions map[record.LeaseID]*adoption
 	scanning  bool
 	scanAt    time.Time
-	// rounds are the questions to agents that are not answered yet.
-	rounds    []*round
-	lastRound uint64
+	// inquiry asks agents for ends of jobs that were taken over.
+	inquiry *inquiry.Inquiry
 }
 
 // phase is where a kept job stands.
@@ -172,6 +170,7 @@
 		opts: o, store: s, table: t, agents: a, callers: c,
 		jobs: make(map[job.ID]*keptJob), ended: recent.New(), unknown: make(map[job.ID][]ref), ops: make(map[ledger.OpID]func(time.Time, ledger.Result)),
 		others: make(map[record.LeaseID]record.Lease), adoptions: make(map[record.LeaseID]*adoption),
+		inquiry: inquiry.New(a, o.Settle, o.Without),
 	}
 	b.lease = tenure.New(tenure.Options{
 		Node: o.Node, Incarnation: o.Incarnation, Length: o.Lease, Renew: o.Renew, Without: o.Without, Log: o.Log,
@@ -231,7 +230,7 @@
 		}
 		b.tellWatchers(now, k)
 	}
-	b.tickRounds(now)
+	b.inquiry.Tick(now)
 	b.endAdoptions()
 }
 
--- a/internal/kept/book/lease.go
+++ b/internal/kept/book/lease.go
@@ -47,7 +47,7 @@
 		}
 	}
 	clear(b.adoptions)
-	b.rounds = nil
+	b.inquiry.Clear()
 	return len(b.jobs) > 0
 }
 
