claims: the leases of other entries are a package of their own

The book held three things: jobs, the leases of other entries, and the claims on those that have ended. A reader of adopt.go had to tell which of its fields belong to which, and lease.go wrote to all of them.

internal/kept/claims watches the leases of others, claims those that have ended, says which open jobs go with them, and removes a lease's row once they are taken over. It knows of a job only its id and its owner. The book keeps the jobs: it reads their rows, takes them over and runs them. Beside internal/kept/tenure, which keeps the entry's own lease, the two halves of what was lease.go now have a package each. How a row that can't be encoded or decoded is logged stood in the book and in tenure, and is in internal/kept/record now.

--- a/internal/kept/book/book.go
+++ b/internal/kept/book/book.go
@@ -22,6 +22,7 @@
 	"hillreel/internal/core/rule"
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/dispatch"
+	"hillreel/internal/kept/claims"
 	"hillreel/internal/kept/inquiry"
 	"hillreel/internal/kept/ledger"
 	"hillreel/internal/kept/recent"
@@ -93,12 +94,8 @@
 	lastOp ledger.OpID
 
 	lease *tenure.Tenure
-	// others are the leases of other entries, as they were read last.
-	others map[record.LeaseID]record.Lease
-	// adoptions are the leases whose jobs this entry takes over; scanning is true while open jobs are being read.
-	adoptions map[record.LeaseID]*adoption
-	scanning  bool
-	scanAt    time.Time
+	// claims are of other entries' leases that have ended.
+	claims *claims.Claims
 	// inquiry asks agents for ends of jobs that were taken over.
 	inquiry *inquiry.Inquiry
 }
@@ -169,12 +166,14 @@
 	b := &Book{
 		opts: o, store: s, table: t, agents: a, callers: c,
 		jobs: make(map[job.ID]*keptJob), ended: recent.New(), unknown: make(map[job.ID][]ref), ops: make(map[ledger.OpID]func(time.Time, ledger.Result)),
-		others: make(map[record.LeaseID]record.Lease), adoptions: make(map[record.LeaseID]*adoption),
 		inquiry: inquiry.New(a, o.Settle, o.Without),
 	}
 	b.lease = tenure.New(tenure.Options{
 		Node: o.Node, Incarnation: o.Incarnation, Length: o.Lease, Renew: o.Renew, Without: o.Without, Log: o.Log,
 	}, leaseOwner{b}, now)
+	b.claims = claims.New(claims.Options{
+		Node: o.Node, Length: o.Lease, Settle: o.Settle, Event: b.event, Log: o.Log,
+	}, b.lease, leaseOwner{b})
 	return b
 }
 
@@ -198,14 +197,8 @@
 	}
 }
 
-// value encodes a row's value; all types of record can be encoded.
-func (b *Book) value(v any) []byte {
-	raw, err := record.Value(v)
-	if err != nil {
-		b.opts.Log.WithField("error", err.Error()).Error("job_row_not_encoded")
-	}
-	return raw
-}
+// value encodes a row's value.
+func (b *Book) value(v any) []byte { return record.LoggedValue(b.opts.Log, v) }
 
 // event logs and counts an event.
 func (b *Book) event(level logrus.Level, name string, f logrus.Fields) {
@@ -220,7 +213,7 @@
 
 // Tick does what time alone brings about.
 func (b *Book) Tick(now time.Time) {
-	b.lease.Tick(now, len(b.jobs) > 0 || len(b.adoptions) > 0)
+	b.lease.Tick(now, len(b.jobs) > 0 || b.claims.Any())
 	for _, k := range b.sorted() {
 		switch k.phase {
 		case asked, accepting:
@@ -231,15 +224,9 @@
 		b.tellWatchers(now, k)
 	}
 	b.inquiry.Tick(now)
-	b.endAdoptions()
+	b.claims.End()
 }
 
 // NotBegun counts a queue's jobs that have not begun at other entries, as they said last. This entry's own are counted
 // by its table.
-func (b *Book) NotBegun(r route.Name) int {
-	n := 0
-	for _, l := range b.others {
-		n += l.Waiting[r]
-	}
-	return n
-}
+func (b *Book) NotBegun(r route.Name) int { return b.claims.NotBegun(r) }
--- a/internal/kept/book/lease.go
+++ b/internal/kept/book/lease.go
@@ -1,6 +1,7 @@
 package book
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -11,7 +12,7 @@
 	"hillreel/internal/kept/record"
 )
 
-// leaseOwner is a book as its lease sees it.
+// leaseOwner is a book as its lease, and the claims of others, see it.
 type leaseOwner struct{ *Book }
 
 // Write begins a write.
@@ -19,6 +20,9 @@
 	b.write(op, then)
 }
 
+// Scan reads all open jobs.
+func (b leaseOwner) Scan() { b.store.Scan() }
+
 // ReadLeases reads all leases.
 func (b leaseOwner) ReadLeases() { b.store.ReadLeases() }
 
@@ -29,7 +33,7 @@
 func (b leaseOwner) Held(now time.Time, first bool) {
 	if first {
 		b.event(logrus.InfoLevel, "lease_held", logrus.Fields{"lease": b.lease.ID()})
-		b.scanAt = now.Add(scanEvery)
+		b.claims.Held(now)
 	}
 	for _, k := range b.sorted() {
 		if k.phase == asked {
@@ -46,13 +50,13 @@
 			b.drop(now, k, why)
 		}
 	}
-	clear(b.adoptions)
+	b.claims.Lost()
 	b.inquiry.Clear()
 	return len(b.jobs) > 0
 }
 
 // Active tells whether this entry has a lease, or another entry is known to have one.
-func (b *Book) Active(now time.Time) bool { return b.lease.Held(now) || len(b.others) > 0 }
+func (b *Book) Active(now time.Time) bool { return b.lease.Held(now) || b.claims.Others() }
 
 // Leave ends the lease, so that other entries take its jobs over at once.
 func (b *Book) Leave(now time.Time) { b.lease.Leave(now, len(b.jobs) > 0) }
@@ -63,21 +67,16 @@
 		b.lease.ReadFailed(now) // the reader has logged it
 		return
 	}
-	clear(b.others)
+	others := slices.Clone(page.Rows)
 	var own *rows.Row
-	for _, row := range page.Rows {
-		if row.Key.Name == string(b.lease.ID()) {
-			own = &row
-			continue
-		}
-		l, err := record.Read[record.Lease](row)
-		if err != nil {
-			b.unreadable(err)
-			continue // whose it is, and until when, can't be told
-		}
-		b.others[record.LeaseID(row.Key.Name)] = l
-		b.adoptExpired(now, page.Now, row, l)
+	if i := slices.IndexFunc(others, b.isOwn); i >= 0 {
+		own = &page.Rows[i]
+		others = slices.Delete(others, i, i+1)
 	}
-	b.lease.Read(now, sent, page.Now, own, len(b.others) > 0)
-	b.rescan(now)
+	b.claims.Read(now, page.Now, others)
+	b.lease.Read(now, sent, page.Now, own, b.claims.Others())
+	b.claims.Rescan(now)
 }
+
+// isOwn tells whether a row is that of this entry's lease.
+func (b *Book) isOwn(lease rows.Row) bool { return lease.Key.Name == string(b.lease.ID()) }
--- a/internal/kept/book/submit.go
+++ b/internal/kept/book/submit.go
@@ -170,11 +170,7 @@
 }
 
 // unreadable logs a row that can't be decoded.
-func (b *Book) unreadable(err error) {
-	if err != nil {
-		b.opts.Log.WithField("error", err.Error()).Error("job_row_unreadable")
-	}
-}
+func (b *Book) unreadable(err error) { record.LogUnreadable(b.opts.Log, err) }
 
 // refused is the answer to a job that was not stored and never will be.
 func (b *Book) refused(k *keptJob, why string) dispatch.Answer {
--- /dev/null
+++ b/internal/kept/claims/claims_test.go
@@ -0,0 +1,136 @@
+package claims_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/logs"
+	"hillreel/internal/core/rows"
+	"hillreel/internal/kept/claims"
+	"hillreel/internal/kept/ledger"
+	"hillreel/internal/kept/record"
+	"hillreel/internal/kept/tenure"
+)
+
+const (
+	settle = time.Second
+	ended  = 10 * time.Second // by the store's clock
+	old    = record.LeaseID("old-0")
+)
+
+var start = time.Unix(1000, 0)
+
+// entry is an entry whose lease and store do what the test says.
+type entry struct {
+	held   bool
+	wanted bool
+	quiet  time.Time
+	scans  int
+	writes []ledger.Op
+	then   []func(time.Time, ledger.Result)
+}
+
+func (e *entry) ID() record.LeaseID    { return "own-0" }
+func (e *entry) Held(time.Time) bool   { return e.held }
+func (e *entry) Want(time.Time)        { e.wanted = true }
+func (e *entry) QuietSince() time.Time { return e.quiet }
+func (e *entry) Scan()                 { e.scans++ }
+func (e *entry) Write(op ledger.Op, then func(time.Time, ledger.Result)) {
+	e.writes, e.then = append(e.writes, op), append(e.then, then)
+}
+
+func newClaims(e *entry) *claims.Claims {
+	return claims.New(claims.Options{
+		Node: "vm-1", Length: 4 * time.Second, Settle: settle,
+		Event: func(logrus.Level, string, logrus.Fields) {}, Log: logs.Discard(),
+	}, e, e)
+}
+
+// leaseRow is a lease that has ended.
+func leaseRow(node string) rows.Row {
+	return rows.Row{
+		Key: record.LeaseKey(old), Version: 3,
+		Value: record.LoggedValue(logs.Discard(), record.Lease{Node: node, UntilMs: ended.Milliseconds()}),
+	}
+}
+
+// TestClaim: a lease is claimed once nothing can run for it any more, and only with a lease of one's own.
+func TestClaim(t *testing.T) {
+	const late = settle + tenure.ClockMargin
+	for _, test := range []struct {
+		name           string
+		node           string
+		held           bool
+		quietFor       time.Duration
+		clock          time.Duration
+		writes, wanted bool
+	}{
+		{"it lives", "vm-2", true, time.Hour, ended, false, false},
+		{"something may still run", "vm-2", true, time.Hour, ended + late, false, false},
+		{"nothing runs", "vm-2", true, time.Hour, ended + late + 1, true, false},
+		{"nothing runs, without a lease", "vm-2", false, time.Hour, ended + late + 1, false, true},
+		{"an earlier life", "vm-1", true, settle + 1, 0, true, false},
+		{"an earlier life that may still act", "vm-1", true, settle, 0, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e := &entry{held: test.held, quiet: start.Add(-test.quietFor)}
+			c := newClaims(e)
+			c.Read(start, test.clock, []rows.Row{leaseRow(test.node)})
+			c.Read(start, test.clock, []rows.Row{leaseRow(test.node)}) // it is not claimed twice
+			qt.Assert(t, c.Any(), qt.Equals, test.writes)
+			qt.Assert(t, len(e.writes), qt.Equals, map[bool]int{true: 1}[test.writes])
+			qt.Assert(t, e.wanted, qt.Equals, test.wanted)
+			qt.Assert(t, c.Others(), qt.IsTrue)
+		})
+	}
+}
+
+// TestScan: once a lease is claimed its jobs are sought, and its row goes when all of them are taken over.
+func TestScan(t *testing.T) {
+	e := &entry{held: true}
+	c := newClaims(e)
+	c.Read(start, time.Minute, []rows.Row{leaseRow("vm-2")})
+	e.then[0](start, ledger.Result{Outcome: ledger.Done, Version: 4})
+	qt.Assert(t, e.scans, qt.Equals, 1)
+	present := []rows.Row{leaseRow("vm-2"), {Key: record.LeaseKey("alive-0")}}
+	ids := c.Scanned([]claims.Job{{1, old}, {2, "alive-0"}, {3, "gone-0"}, {4, old}}, present)
+	qt.Assert(t, ids, qt.DeepEquals, []job.ID{1, 3, 4})
+	c.Taken(1)
+	c.End()
+	qt.Assert(t, e.writes, qt.HasLen, 1)
+	c.Taken(4)
+	c.End()
+	qt.Assert(t, e.writes, qt.HasLen, 2)
+	qt.Assert(t, e.writes[1].Txn, qt.DeepEquals, rows.Txn{
+		If:     []rows.Condition{{Key: record.LeaseKey(old), Version: 4}},
+		Remove: []rows.Key{record.LeaseKey(old)},
+	})
+	qt.Assert(t, c.Any(), qt.IsFalse)
+}
+
+// TestLostClaim: a claim that another entry was faster with, or that goes with the entry's own lease, is given up.
+func TestLostClaim(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		do   func(c *claims.Claims, e *entry)
+	}{
+		{"conflict", func(_ *claims.Claims, e *entry) { e.then[0](start, ledger.Result{Outcome: ledger.Conflict}) }},
+		{"own lease lost", func(c *claims.Claims, e *entry) {
+			c.Lost()
+			e.then[0](start, ledger.Result{Outcome: ledger.Done, Version: 4})
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			e := &entry{held: true}
+			c := newClaims(e)
+			c.Read(start, time.Minute, []rows.Row{leaseRow("vm-2")})
+			test.do(c, e)
+			qt.Assert(t, c.Any(), qt.IsFalse)
+			qt.Assert(t, e.scans, qt.Equals, 0)
+		})
+	}
+}
--- a/internal/kept/tenure/tenure.go
+++ b/internal/kept/tenure/tenure.go
@@ -159,9 +159,7 @@
 	taken := row == nil
 	if row != nil {
 		l, err := record.Read[record.Lease](*row)
-		if err != nil {
-			t.opts.Log.WithField("error", err.Error()).Error("job_row_unreadable")
-		}
+		record.LogUnreadable(t.opts.Log, err)
 		taken = l.Adopter != ""
 	}
 	if taken && t.held {
@@ -195,11 +193,10 @@
 // txn writes the row if it has a version.
 func (t *Tenure) txn(id record.LeaseID, v rows.Version, l record.Lease) rows.Txn {
 	key := record.LeaseKey(id)
-	value, err := record.Value(l)
-	if err != nil {
-		t.opts.Log.WithField("error", err.Error()).Error("job_row_not_encoded")
+	return rows.Txn{
+		If:  []rows.Condition{{Key: key, Version: v}},
+		Put: []rows.Row{{Key: key, Value: record.LoggedValue(t.opts.Log, l)}},
 	}
-	return rows.Txn{If: []rows.Condition{{Key: key, Version: v}}, Put: []rows.Row{{Key: key, Value: value}}}
 }
 
 // hold notes that the lease is there until a moment.
