book: callers that wait are a type of their own

Four kinds of answer were given by functions of the book that took a pointer to a list, among the functions that accept and run jobs. The lists are a type now, in waiters.go: it takes callers in, lets them go, and answers all or those that are due.

--- a/internal/kept/book/book.go
+++ b/internal/kept/book/book.go
@@ -114,13 +114,6 @@
 	running phase = "running"
 )
 
-// waiter is a caller that waits for its job to be accepted or cancelled, or to end.
-type waiter struct {
-	caller dispatch.CallerID
-	// deadline is until when it waits; zero is for as long as it takes.
-	deadline time.Time
-}
-
 // ref is the end of a run at an agent.
 type ref struct {
 	agent ident.Incarnation
@@ -138,10 +131,10 @@
 	phase  phase
 	// callers wait for its acceptance until giveUp, cancels for its end; watchers want to know its state, at the latest at
 	// their deadlines.
-	callers  []waiter
+	callers  waiters
 	giveUp   time.Time
-	cancels  []waiter
-	watchers []waiter
+	cancels  waiters
+	watchers waiters
 
 	// open is the row as it is to be written next, version that of the row in the store.
 	open    record.Open
--- a/internal/kept/book/ends.go
+++ b/internal/kept/book/ends.go
@@ -318,9 +318,9 @@
 	b.ended.Add(now, k.id, s, k.open.Ends)
 	b.event(logrus.InfoLevel, "job_end_stored", logrus.Fields{"job": k.id, "state": s, "generation": k.open.Generation})
 	b.note(append(k.storing, k.unstored...), false)
-	b.answer(&k.callers, accepted)
-	b.answer(&k.cancels, dispatch.Answer{State: s, Verdict: verdict.Ran})
-	b.answer(&k.watchers, dispatch.Answer{State: s, Verdict: verdict.Ran})
+	k.callers.answer(b.callers, accepted)
+	k.cancels.answer(b.callers, dispatch.Answer{State: s, Verdict: verdict.Ran})
+	k.watchers.answer(b.callers, dispatch.Answer{State: s, Verdict: verdict.Ran})
 	b.table.Release(now, k.id, verdict.ByCaller)
 }
 
@@ -329,8 +329,8 @@
 	b.forget(k)
 	b.event(logrus.WarnLevel, "job_let_go", logrus.Fields{"job": k.id, "why": why})
 	a := dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.LeaseLost}
-	b.answer(&k.callers, a)
-	b.answer(&k.cancels, a)
-	b.answer(&k.watchers, a)
+	k.callers.answer(b.callers, a)
+	k.cancels.answer(b.callers, a)
+	k.watchers.answer(b.callers, a)
 	b.table.Release(now, k.id, verdict.LeaseLost)
 }
--- a/internal/kept/book/submit.go
+++ b/internal/kept/book/submit.go
@@ -1,7 +1,6 @@
 package book
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -31,9 +30,8 @@
 
 // Submit takes a job that is to be kept. It is answered once it is stored.
 func (b *Book) Submit(now time.Time, r dispatch.Request) {
-	w := waiter{r.Caller, r.Deadline}
 	if k := b.jobs[r.Job]; k != nil && (k.phase == asked || k.phase == accepting) {
-		k.callers = append(k.callers, w)
+		k.callers.add(r.Caller, r.Deadline)
 		return
 	}
 	if b.jobs[r.Job] != nil || b.ended.Has(r.Job) {
@@ -41,7 +39,7 @@
 		return
 	}
 	k := &keptJob{
-		id: r.Job, record: record.Job{Spec: *r.Spec, Route: r.Route}, sender: r.Sender, phase: asked, callers: []waiter{w},
+		id: r.Job, record: record.Job{Spec: *r.Spec, Route: r.Route}, sender: r.Sender, phase: asked, callers: waiters{{r.Caller, r.Deadline}},
 		giveUp: now.Add(max(acceptFor, r.Route.Objective(r.Spec.Chain()))),
 	}
 	k.row = b.value(k.record)
@@ -75,7 +73,7 @@
 	op.Until, k.row = k.giveUp, nil
 	b.write(op, func(now time.Time, r ledger.Result) { b.handleAccepted(now, k, r) })
 	if b.opts.Without.Off(rule.StoreFirst) {
-		b.answer(&k.callers, accepted)
+		k.callers.answer(b.callers, accepted)
 	}
 }
 
@@ -89,8 +87,8 @@
 		b.begin(now, k, r.Version)
 	case r.Outcome == ledger.Refused:
 		delete(b.jobs, k.id)
-		b.answer(&k.callers, b.refused(k, "store_unavailable"))
-		b.answer(&k.cancels, noSuchJob)
+		k.callers.answer(b.callers, b.refused(k, "store_unavailable"))
+		k.cancels.answer(b.callers, noSuchJob)
 	default:
 		open, _ := b.found(r)
 		if isWrite(open, k.open) {
@@ -100,8 +98,8 @@
 		}
 		// Another entry has the job, or it has ended.
 		delete(b.jobs, k.id)
-		b.answer(&k.callers, accepted)
-		b.answer(&k.cancels, dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Conflict})
+		k.callers.answer(b.callers, accepted)
+		k.cancels.answer(b.callers, dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Conflict})
 	}
 }
 
@@ -109,7 +107,7 @@
 func (b *Book) begin(now time.Time, k *keptJob, v rows.Version) {
 	b.event(logrus.InfoLevel, "job_accepted", logrus.Fields{"job": k.id, "request": k.sender, "route": k.record.Route.Name, "tasks": k.record.Spec.Tasks()})
 	k.version = v
-	b.answer(&k.callers, accepted)
+	k.callers.answer(b.callers, accepted)
 	if len(k.cancels) > 0 {
 		k.phase = running
 		b.end(now, k, verdict.Cancelled)
@@ -178,43 +176,22 @@
 	return dispatch.Answer{State: verdict.Refused, Verdict: verdict.NotRun, Reason: verdict.Overloaded, RetryAfter: refusedRetry}
 }
 
-// answer answers all callers of a list.
-func (b *Book) answer(list *[]waiter, a dispatch.Answer) {
-	for _, w := range *list {
-		b.callers.Answer(w.caller, a)
-	}
-	*list = nil
-}
-
 // giveUp answers callers of a job that is not stored in time. Once a write is under way, nothing is promised.
 func (b *Book) giveUp(now time.Time, k *keptJob) {
 	if k.phase == asked && now.After(k.giveUp) {
 		delete(b.jobs, k.id)
-		b.answer(&k.callers, b.refused(k, "no_lease"))
-		b.answer(&k.cancels, noSuchJob)
+		k.callers.answer(b.callers, b.refused(k, "no_lease"))
+		k.cancels.answer(b.callers, noSuchJob)
 		return
 	}
-	b.answerDue(now, &k.callers, dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Deadline})
-}
-
-// answerDue answers the callers of a list whose deadline has come.
-func (b *Book) answerDue(now time.Time, list *[]waiter, a dispatch.Answer) {
-	var rest []waiter
-	for _, w := range *list {
-		if w.deadline.IsZero() || now.Before(w.deadline) {
-			rest = append(rest, w)
-			continue
-		}
-		b.callers.Answer(w.caller, a)
-	}
-	*list = rest
+	k.callers.answerDue(now, b.callers, dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Deadline})
 }
 
 // Abandon handles a caller that has gone; its job, if it was stored, runs all the same.
 func (b *Book) Abandon(id job.ID, c dispatch.CallerID) {
 	if k := b.jobs[id]; k != nil {
-		for _, list := range []*[]waiter{&k.callers, &k.cancels, &k.watchers} {
-			*list = slices.DeleteFunc(*list, func(w waiter) bool { return w.caller == c })
+		for _, list := range []*waiters{&k.callers, &k.cancels, &k.watchers} {
+			list.leave(c)
 		}
 	}
 }
@@ -241,13 +218,13 @@
 	if k == nil || k.phase != running {
 		return false
 	}
-	k.watchers = append(k.watchers, waiter{c, deadline})
+	k.watchers.add(c, deadline)
 	return true
 }
 
 // tellWatchers answers those whose deadline has come.
 func (b *Book) tellWatchers(now time.Time, k *keptJob) {
-	b.answerDue(now, &k.watchers, dispatch.Answer{State: verdict.Running, Verdict: verdict.MayHaveRun})
+	k.watchers.answerDue(now, b.callers, dispatch.Answer{State: verdict.Running, Verdict: verdict.MayHaveRun})
 }
 
 // Cancel ends a job that this entry owns, and tells whether it does: then the caller is answered once it is stored.
@@ -260,7 +237,7 @@
 	if k == nil || k.phase == adopting {
 		return false
 	}
-	k.cancels = append(k.cancels, waiter{caller: c})
+	k.cancels.add(c, time.Time{})
 	if k.phase == running && k.final == "" {
 		b.end(now, k, verdict.Cancelled)
 	}
