notes, record: what is told of ends, and which ends count

internal/kept/notes tells agents which ends are stored or void, and asks the store about jobs that the entry does not know; it knows runs and agents, no job of the book. Which ends count in an open job's row is internal/kept/record's now (Open.Count, GiveUp, MayCount), beside Ended.Counted, which says the same of an ended job's row.

--- a/internal/kept/book/book.go
+++ b/internal/kept/book/book.go
@@ -14,7 +14,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/route"
@@ -25,6 +24,7 @@
 	"hillreel/internal/kept/claims"
 	"hillreel/internal/kept/inquiry"
 	"hillreel/internal/kept/ledger"
+	"hillreel/internal/kept/notes"
 	"hillreel/internal/kept/recent"
 	"hillreel/internal/kept/record"
 	"hillreel/internal/kept/tenure"
@@ -53,7 +53,7 @@
 // Agents sends to agents.
 type Agents interface {
 	inquiry.Agents
-	Noted(agent ident.Incarnation, runs []fleet.RunRef, void bool)
+	notes.Agents
 }
 
 // Options are the settings of a Book.
@@ -82,13 +82,12 @@
 	opts    Options
 	store   Store
 	table   Table
-	agents  Agents
 	callers dispatch.Callers
 
 	jobs  map[job.ID]*keptJob
 	ended *recent.Jobs
-	// unknown are ends of jobs that the store is being asked about.
-	unknown map[job.ID][]ref
+	// notes tells agents which ends are stored.
+	notes *notes.Notes
 	// ops are the writes under way, by id.
 	ops    map[ledger.OpID]func(now time.Time, r ledger.Result)
 	lastOp ledger.OpID
@@ -114,12 +113,6 @@
 	running phase = "running"
 )
 
-// ref is the end of a run at an agent.
-type ref struct {
-	agent ident.Incarnation
-	run   fleet.RunRef
-}
-
 // keptJob is one job that this entry owns, or is about to.
 type keptJob struct {
 	id     job.ID
@@ -143,7 +136,7 @@
 	writing bool
 	// unstored are ends that the next write stores, storing those of the write under way. dirtySince is when the oldest
 	// of unstored came.
-	unstored, storing []ref
+	unstored, storing []notes.End
 	dirtySince        time.Time
 	// lost are tasks whose last run was given up, and which are placed again once the next write has said so; losing are
 	// those of the write under way.
@@ -157,9 +150,9 @@
 // New returns an empty Book.
 func New(o Options, s Store, t Table, a Agents, c dispatch.Callers, now time.Time) *Book {
 	b := &Book{
-		opts: o, store: s, table: t, agents: a, callers: c,
-		jobs: make(map[job.ID]*keptJob), ended: recent.New(), unknown: make(map[job.ID][]ref), ops: make(map[ledger.OpID]func(time.Time, ledger.Result)),
-		inquiry: inquiry.New(a, o.Settle, o.Without),
+		opts: o, store: s, table: t, callers: c, jobs: make(map[job.ID]*keptJob), ended: recent.New(),
+		ops:   make(map[ledger.OpID]func(time.Time, ledger.Result)),
+		notes: notes.New(a, s, o.Log), inquiry: inquiry.New(a, o.Settle, o.Without),
 	}
 	b.lease = tenure.New(tenure.Options{
 		Node: o.Node, Incarnation: o.Incarnation, Length: o.Lease, Renew: o.Renew, Without: o.Without, Log: o.Log,
--- a/internal/kept/book/ends.go
+++ b/internal/kept/book/ends.go
@@ -1,7 +1,6 @@
 package book
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -13,6 +12,7 @@
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/dispatch"
 	"hillreel/internal/kept/ledger"
+	"hillreel/internal/kept/notes"
 	"hillreel/internal/kept/record"
 )
 
@@ -22,33 +22,25 @@
 
 // RunEnded handles the end of a run that the table waited for.
 func (b *Book) RunEnded(now time.Time, agent ident.Incarnation, e fleet.End) {
-	r := ref{agent, fleet.RunRef{Task: e.Task, Run: e.Run}}
+	r := notes.End{Agent: agent, Run: fleet.RunRef{Task: e.Task, Run: e.Run}}
 	k := b.jobs[e.Task.Job]
 	switch {
 	case k != nil && k.phase == running:
 		b.count(now, k, r, e)
 	case b.ended.Has(e.Task.Job):
 		// The job has ended, and nothing of it begins any more.
-		b.note([]ref{r}, false)
+		b.notes.Stored(r)
 	}
 }
 
 // count notes an end in a job's progress.
-func (b *Book) count(now time.Time, k *keptJob, r ref, e fleet.End) {
-	k.open.Ends = append(k.open.Ends, record.End{
-		Step: e.Task.Step, Index: e.Task.Index, Run: e.Run, Failed: e.Outcome == job.Failed,
-	})
-	if e.Checkpoint != "" {
-		k.open.Checkpoints = slices.DeleteFunc(k.open.Checkpoints, func(c record.Checkpoint) bool {
-			return c.Step == e.Task.Step && c.Index == e.Task.Index
-		})
-		k.open.Checkpoints = append(k.open.Checkpoints, record.Checkpoint{Step: e.Task.Step, Index: e.Task.Index, Text: e.Checkpoint})
-	}
+func (b *Book) count(now time.Time, k *keptJob, r notes.End, e fleet.End) {
+	k.open.Count(e.Task, e.Run, e.Outcome == job.Failed, e.Checkpoint)
 	k.unstore(now, r)
 }
 
 // unstore lets an end be noted once the next write is done.
-func (k *keptJob) unstore(now time.Time, r ref) {
+func (k *keptJob) unstore(now time.Time, r notes.End) {
 	if len(k.unstored) == 0 {
 		k.dirtySince = now
 	}
@@ -60,22 +52,6 @@
 	return k.open.Ends.Counted(r.Task.Step, r.Task.Index, r.Run)
 }
 
-// mayCount tells whether an end that nobody has stored still counts while a job is being taken over: it is one of the
-// generation before, and its task was not placed again since.
-func (k *keptJob) mayCount(r fleet.RunRef) bool {
-	for _, e := range k.open.Ends {
-		if e.Step == r.Task.Step && e.Index == r.Task.Index && (!e.Failed || e.Run >= r.Run) {
-			return false
-		}
-	}
-	for _, v := range k.open.Void {
-		if v.Step == r.Task.Step && v.Index == r.Task.Index && v.Run >= r.Run {
-			return false
-		}
-	}
-	return r.Run > runsBefore(k.open.Generation-1)
-}
-
 // RunLost handles a run at an agent that is out of hearing. Its task may be placed again only once the store says that
 // the run counts for nothing, or whoever takes the job over could count both.
 func (b *Book) RunLost(_ time.Time, r fleet.RunRef) {
@@ -83,10 +59,7 @@
 	if k == nil || k.phase != running {
 		return
 	}
-	k.open.Void = slices.DeleteFunc(k.open.Void, func(v record.TaskRun) bool {
-		return v.Step == r.Task.Step && v.Index == r.Task.Index
-	})
-	k.open.Void = append(k.open.Void, record.TaskRun{Step: r.Task.Step, Index: r.Task.Index, Run: r.Run})
+	k.open.GiveUp(r.Task, r.Run)
 	k.lost = append(k.lost, r.Task)
 	if k.final == "" && !k.writing {
 		b.rewrite(k)
@@ -95,66 +68,29 @@
 
 // StrayEnd handles the end of a kept job's run that the table does not wait for.
 func (b *Book) StrayEnd(now time.Time, agent ident.Incarnation, e fleet.End) {
-	r := ref{agent, fleet.RunRef{Task: e.Task, Run: e.Run}}
+	r := notes.End{Agent: agent, Run: fleet.RunRef{Task: e.Task, Run: e.Run}}
 	k := b.jobs[e.Task.Job]
 	switch {
+	case k == nil && b.ended.Counted(r.Run):
+		b.notes.Stored(r)
 	case k == nil && b.ended.Has(e.Task.Job):
-		b.note([]ref{r}, !b.ended.Counted(r.run))
+		b.notes.Void(r)
 	case k == nil || k.phase == asked || k.phase == accepting:
-		b.lookUp(r)
-	case k.counted(r.run):
+		b.notes.LookUp(r)
+	case k.counted(r.Run):
 		k.unstore(now, r)
-	case k.phase == adopting && k.mayCount(r.run):
+	case k.phase == adopting && k.open.MayCount(e.Task, e.Run):
 		b.count(now, k, r, e)
 	default:
 		// The task was placed again, since the agent was out of hearing for too long.
 		b.event(logrus.InfoLevel, "end_came_too_late", logrus.Fields{"job": e.Task.Job, "task": e.Task, "run": e.Run})
-		b.note([]ref{r}, true)
+		b.notes.Void(r)
 	}
 }
 
-// lookUp asks the store about the job of an end that this entry does not know.
-func (b *Book) lookUp(r ref) {
-	id := r.run.Task.Job
-	if b.unknown[id] == nil {
-		b.store.Look(id)
-	}
-	b.unknown[id] = append(b.unknown[id], r)
-}
-
 // Looked handles what the store has of a job whose ends this entry was told of.
 func (b *Book) Looked(id job.ID, open, ended rows.Row, err error) {
-	refs := b.unknown[id]
-	delete(b.unknown, id)
-	if err != nil || open.Version != 0 {
-		return // agents tell the end again, and its job's owner will hear of it
-	}
-	var e record.Ended
-	if ended.Version != 0 {
-		if e, err = record.Read[record.Ended](ended); err != nil {
-			b.unreadable(err)
-			return
-		}
-	}
-	for _, r := range refs {
-		counted := e.Counted(r.run.Task.Step, r.run.Task.Index, r.run.Run)
-		b.note([]ref{r}, !counted)
-	}
-}
-
-// note tells agents that ends are stored or, with void, that they count for nothing.
-func (b *Book) note(refs []ref, void bool) {
-	var agents []ident.Incarnation
-	runs := make(map[ident.Incarnation][]fleet.RunRef)
-	for _, r := range refs {
-		if runs[r.agent] == nil {
-			agents = append(agents, r.agent)
-		}
-		runs[r.agent] = append(runs[r.agent], r.run)
-	}
-	for _, a := range agents {
-		b.agents.Noted(a, runs[a], void)
-	}
+	b.notes.Looked(id, open, ended, err)
 }
 
 // JobEnded handles the end of a job in the table.
@@ -259,7 +195,7 @@
 		version = r.Found[0].Version
 	}
 	k.version = version
-	b.note(k.storing, false)
+	b.notes.Stored(k.storing...)
 	k.storing = nil
 	return true
 }
@@ -317,7 +253,7 @@
 	b.forget(k)
 	b.ended.Add(now, k.id, s, k.open.Ends)
 	b.event(logrus.InfoLevel, "job_end_stored", logrus.Fields{"job": k.id, "state": s, "generation": k.open.Generation})
-	b.note(append(k.storing, k.unstored...), false)
+	b.notes.Stored(append(k.storing, k.unstored...)...)
 	k.callers.answer(b.callers, accepted)
 	k.cancels.answer(b.callers, dispatch.Answer{State: s, Verdict: verdict.Ran})
 	k.watchers.answer(b.callers, dispatch.Answer{State: s, Verdict: verdict.Ran})
--- a/internal/kept/book/submit.go
+++ b/internal/kept/book/submit.go
@@ -121,7 +121,7 @@
 	k.phase = running
 	known := &dispatch.Kept{
 		Done: make(map[job.TaskID]bool), Failures: make(map[job.TaskID]int), Checkpoints: make(map[job.TaskID]string),
-		Runs: runsBefore(k.open.Generation), Late: k.open.Generation > 1,
+		Runs: record.RunsBefore(k.open.Generation), Late: k.open.Generation > 1,
 	}
 	for _, e := range k.open.Ends {
 		task := job.TaskID{Job: k.id, Step: e.Step, Index: e.Index}
@@ -138,9 +138,6 @@
 	b.table.Submit(now, dispatch.Request{Job: k.id, Spec: &k.record.Spec, Route: k.record.Route, Sender: k.sender, Kept: known})
 }
 
-// runsBefore is the highest number of a run before a generation.
-func runsBefore(generation uint32) job.Run { return job.Run(generation-1) * job.RunsEach }
-
 // found decodes the rows that were there when a condition of an op did not hold; nil is no row, or an unreadable one.
 func (b *Book) found(r ledger.Result) (*record.Open, *record.Ended) {
 	var open *record.Open
