ledger: what a job's write looks at, and what is found, stand together

The book listed the rows to be read after a conflict in one place, and took them by number, with the version of the first, in four others. ledger.JobOp and Result.Present are side by side now, and three copies of "an attempt without an answer was done" are Present.Has.

--- a/internal/kept/book/adopt.go
+++ b/internal/kept/book/adopt.go
@@ -102,12 +102,12 @@
 	}
 	version := r.Version
 	if r.Outcome != ledger.Done {
-		open, _ := b.found(r)
-		if !isWrite(open, next) {
+		there := r.Present(b.opts.Log)
+		if !there.Has(next) {
 			b.forget(k)
 			return false
 		}
-		version = r.Found[0].Version
+		version = there.Version
 	}
 	k.open, k.version = next, version
 	b.claims.Taken(k.id)
--- a/internal/kept/book/ends.go
+++ b/internal/kept/book/ends.go
@@ -143,18 +143,12 @@
 // progressOp is the write that replaces the row of an open job.
 func (b *Book) progressOp(k *keptJob, next record.Open) ledger.Op {
 	key := b.opts.Layout.OpenKey(k.id)
-	return b.op(k.id, rows.Txn{
+	return ledger.JobOp(b.opts.Layout, k.id, rows.Txn{
 		If:  []rows.Condition{{Key: key, Version: k.version}},
 		Put: []rows.Row{{Key: key, Value: b.value(next)}},
 	})
 }
 
-// op is a write of a job's rows, after whose conflict found tells what is there.
-func (b *Book) op(id job.ID, t rows.Txn) ledger.Op {
-	l := b.opts.Layout
-	return ledger.Op{Part: l.Part(id), Look: []rows.Key{l.OpenKey(id), l.EndedKey(id)}, Txn: t}
-}
-
 // goOn goes on with a job that is still this entry's after a write.
 func (b *Book) goOn(now time.Time, k *keptJob, renewed bool) {
 	placing := k.losing
@@ -182,17 +176,16 @@
 	k.writing = false
 	version := r.Version
 	if r.Outcome == ledger.Conflict {
-		open, ended := b.found(r)
+		there := r.Present(b.opts.Log)
 		switch {
-		case ended != nil:
-			b.finish(now, k, ended.State)
+		case there.Ended != nil:
+			b.finish(now, k, there.Ended.State)
 			return false
-		case !isWrite(open, written):
+		case !there.Has(written):
 			b.drop(now, k, "owned_by_another_entry")
 			return false
 		}
-		// An attempt without an answer was done.
-		version = r.Found[0].Version
+		version = there.Version
 	}
 	k.version = version
 	b.notes.Stored(k.storing...)
@@ -214,7 +207,7 @@
 	b.unreadable(err)
 	k.writing = true
 	k.storing, k.unstored = append(k.storing, k.unstored...), nil
-	b.write(b.op(k.id, t), func(now time.Time, r ledger.Result) {
+	b.write(ledger.JobOp(b.opts.Layout, k.id, t), func(now time.Time, r ledger.Result) {
 		b.handleEnded(now, k, r)
 	})
 }
@@ -240,7 +233,7 @@
 		b.finish(now, k, k.final)
 		return
 	}
-	_, ended := b.found(r)
+	ended := r.Present(b.opts.Log).Ended
 	if ended == nil {
 		b.drop(now, k, "owned_by_another_entry")
 		return
--- a/internal/kept/book/submit.go
+++ b/internal/kept/book/submit.go
@@ -64,7 +64,7 @@
 	k.phase = accepting
 	k.open = record.Open{Owner: b.lease.ID(), Generation: 1, Sequence: 1}
 	l := b.opts.Layout
-	op := b.op(k.id, rows.Txn{
+	op := ledger.JobOp(l, k.id, rows.Txn{
 		If: []rows.Condition{{Key: l.JobKey(k.id)}},
 		Put: []rows.Row{
 			{Key: l.JobKey(k.id), Value: k.row}, {Key: l.OpenKey(k.id), Value: b.value(k.open)},
@@ -90,10 +90,8 @@
 		k.callers.answer(b.callers, b.refused(k, "store_unavailable"))
 		k.cancels.answer(b.callers, noSuchJob)
 	default:
-		open, _ := b.found(r)
-		if isWrite(open, k.open) {
-			// An attempt without an answer was done.
-			b.begin(now, k, r.Found[0].Version)
+		if there := r.Present(b.opts.Log); there.Has(k.open) {
+			b.begin(now, k, there.Version)
 			return
 		}
 		// Another entry has the job, or it has ended.
@@ -138,32 +136,6 @@
 	b.table.Submit(now, dispatch.Request{Job: k.id, Spec: &k.record.Spec, Route: k.record.Route, Sender: k.sender, Kept: known})
 }
 
-// found decodes the rows that were there when a condition of an op did not hold; nil is no row, or an unreadable one.
-func (b *Book) found(r ledger.Result) (*record.Open, *record.Ended) {
-	var open *record.Open
-	var ended *record.Ended
-	if r.Found[0].Version != 0 {
-		o, err := record.Read[record.Open](r.Found[0])
-		b.unreadable(err)
-		if err == nil {
-			open = &o
-		}
-	}
-	if r.Found[1].Version != 0 {
-		e, err := record.Read[record.Ended](r.Found[1])
-		b.unreadable(err)
-		if err == nil {
-			ended = &e
-		}
-	}
-	return open, ended
-}
-
-// isWrite tells whether the row that is there, if any, is the one that a write has put there.
-func isWrite(open *record.Open, written record.Open) bool {
-	return open != nil && open.Owner == written.Owner && open.Sequence == written.Sequence
-}
-
 // unreadable logs a row that can't be decoded.
 func (b *Book) unreadable(err error) { record.LogUnreadable(b.opts.Log, err) }
 
