dispatch: one question for upstreams that are ready

Ready, anyReady, alternatives and replaced asked four times in four ways whether an upstream takes work, and three places added to a task's list of upstreams to avoid, two of them unless it was there. Account.Accepts and Table.anyReady ask, task.shun adds; nothing reads how often an upstream stands in the list.

--- a/internal/entry/agent/agent.go
+++ b/internal/entry/agent/agent.go
@@ -92,6 +92,9 @@
 // Known tells whether the agent is linked and has told of its upstream.
 func (a *Account) Known() bool { return a.Linked && a.described }
 
+// Accepts tells whether the upstream is known and takes work.
+func (a *Account) Accepts() bool { return a.Known() && a.room.State.Accepts() }
+
 // Serves tells whether the upstream is known, serves a service, and is in one of the states.
 func (a *Account) Serves(s ident.Service, states ...fleet.State) bool {
 	return a.Known() && a.Up.Service == s && slices.Contains(states, a.room.State)
--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -84,13 +84,20 @@
 func (t *Table) Ready() int {
 	n := 0
 	for _, a := range t.order {
-		if a.Known() && a.Room().State.Accepts() {
+		if a.Accepts() {
 			n++
 		}
 	}
 	return n
 }
 
+// anyReady tells whether an upstream of a service that is not to be avoided is ready.
+func (t *Table) anyReady(s ident.Service, avoid []ident.UpstreamID) bool {
+	return slices.ContainsFunc(t.order, func(a *upstreamOf) bool {
+		return a.Serves(s, fleet.Ready) && !slices.Contains(avoid, a.Up.ID)
+	})
+}
+
 // Upstream handles an agent's description of its upstream.
 func (t *Table) Upstream(id ident.Incarnation, u fleet.Upstream) {
 	if a := t.agents[id]; a != nil {
@@ -113,7 +120,7 @@
 // replaced settles the runs of earlier agents of an upstream: its new agent takes work only once it knows that
 // nothing of theirs remains.
 func (t *Table) replaced(now time.Time, by *upstreamOf) {
-	if by.Up.ID == "" || !by.Room().State.Accepts() {
+	if !by.Accepts() {
 		return
 	}
 	for _, a := range slices.Clone(t.order) {
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -85,11 +85,9 @@
 	case job.Failed:
 		j.failures++
 		k.failures++
-		k.avoid = append(k.avoid, upstream)
+		k.shun(upstream)
 	case job.Stalled:
-		if !slices.Contains(k.avoid, upstream) {
-			k.avoid = append(k.avoid, upstream)
-		}
+		k.shun(upstream)
 	case job.Used:
 		k.run += usedStep
 		j.runs--
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -39,12 +39,19 @@
 	failures int
 	// checkpoint is the newest one that a run has saved; empty is none.
 	checkpoint string
-	// avoid lists upstreams that failed or stalled the task.
+	// avoid lists upstreams that failed or stalled the task, or from which it was moved.
 	avoid []ident.UpstreamID
 	// stopping is true once a stop was sent for the newest run, moving once that run was asked to make way for another.
 	stopping, moving bool
 }
 
+// shun lets the task avoid an upstream.
+func (k *task) shun(upstream ident.UpstreamID) {
+	if !slices.Contains(k.avoid, upstream) {
+		k.avoid = append(k.avoid, upstream)
+	}
+}
+
 // ref names the newest run.
 func (k *task) ref() fleet.RunRef { return fleet.RunRef{Task: k.id, Run: k.run} }
 
--- a/internal/entry/dispatch/move.go
+++ b/internal/entry/dispatch/move.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"hillreel/internal/core/fleet"
@@ -75,8 +74,6 @@
 // move stops a task's run; once that has ended, the task is placed elsewhere.
 func (t *Table) move(k *task) {
 	k.moving = true
-	if !slices.Contains(k.avoid, k.agent.Up.ID) {
-		k.avoid = append(k.avoid, k.agent.Up.ID)
-	}
+	k.shun(k.agent.Up.ID)
 	t.agentsIO.Stop(k.agent.ID, k.ref(), fleet.Moved)
 }
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -175,22 +175,12 @@
 		return false
 	}
 	unwanted := a.Probing() && k.run > 0 || slices.Contains(k.avoid, a.Up.ID)
-	if unwanted && t.alternatives(k) {
+	if unwanted && t.anyReady(service, k.avoid) {
 		return false
 	}
 	return step.MaxPerUpstream == 0 || t.onUpstream(a, k) < int(step.MaxPerUpstream)
 }
 
-// alternatives tells whether a sound upstream of the task's service is there that it does not avoid.
-func (t *Table) alternatives(k *task) bool {
-	for _, a := range t.order {
-		if a.Serves(k.job.route.Service, fleet.Ready) && !slices.Contains(k.avoid, a.Up.ID) {
-			return true
-		}
-	}
-	return false
-}
-
 // onUpstream counts the tasks of the same step that an agent has.
 func (t *Table) onUpstream(a *upstreamOf, k *task) int {
 	n := 0
--- a/internal/entry/dispatch/submit.go
+++ b/internal/entry/dispatch/submit.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"hillreel/internal/core/fleet"
-	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/verdict"
 )
@@ -148,7 +146,7 @@
 // patience is how long a job waits for room; chain is the estimated time of its longest chain of steps.
 func (t *Table) patience(j *jobState, chain time.Duration) time.Duration {
 	share := j.objective / waitShare
-	if t.anyReady(j.route.Service) {
+	if t.anyReady(j.route.Service, nil) {
 		return share
 	}
 	// After an outage upstreams come back within moments: as long as the job can be in time, it waits for them.
@@ -164,13 +162,3 @@
 // answerTime is what of an objective goes to networks and to handling a job: 3 ms each way to callers, and as much
 // for two hops inside.
 const answerTime = 10 * time.Millisecond
-
-// anyReady tells whether any upstream of a service takes work now.
-func (t *Table) anyReady(s ident.Service) bool {
-	for _, a := range t.order {
-		if a.Serves(s, fleet.Ready) {
-			return true
-		}
-	}
-	return false
-}
