dispatch: a tick sorts only the jobs that are due

All jobs were sorted at each tick, to go through them and to find nothing to do for nearly all. Those that are due are picked first, by the same conditions, and only they are sorted; a job can't become due while others are given up.

The walk over a job's steps does not show in its profile: all of placeJob's time is placeStep's.

--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -154,30 +153,39 @@
 	}
 	t.ticked = now
 	t.settleSilent(now)
-	for _, j := range t.sortedJobs() {
+	for _, j := range t.dueJobs(now) {
 		t.giveUp(now, j)
 	}
 	t.pump(now)
 }
 
+// expired tells whether a job's caller waits no longer.
+func (j *jobState) expired(now time.Time) bool {
+	return !j.kept && !j.deadline.IsZero() && now.After(j.deadline)
+}
+
+// tooLate tells whether a job can't be in time any more, and nothing of it was offered to an upstream.
+func (j *jobState) tooLate(now time.Time) bool { return !j.begun && now.After(j.startBy) }
+
 // giveUp answers a job that can't be served any more.
 func (t *Table) giveUp(now time.Time, j *jobState) {
 	switch {
 	case j.ending:
 		return
-	case j.kept:
-		t.fallBehind(now, j)
-	case !j.deadline.IsZero() && now.After(j.deadline):
+	case j.expired(now):
 		t.expireJob(now, j)
-	case !j.begun && now.After(j.startBy):
-		// It can't be in time any more, and nothing of it was offered to an upstream.
+	case !j.tooLate(now):
+		return
+	case j.kept:
+		t.fallBehind(j)
+	default:
 		t.close(now, j, refused(verdict.Overloaded))
 	}
 }
 
-// fallBehind lets a kept job that has not begun, and can't be in time any more, wait behind those that can.
-func (t *Table) fallBehind(now time.Time, j *jobState) {
-	if j.late || j.begun || !now.After(j.startBy) {
+// fallBehind lets a kept job that can't be in time any more wait behind those that can.
+func (t *Table) fallBehind(j *jobState) {
+	if j.late {
 		return
 	}
 	q := t.queue(j.route.Service)
@@ -208,7 +216,14 @@
 	}
 }
 
-// sortedJobs lists all jobs, the most urgent first.
-func (t *Table) sortedJobs() []*jobState {
-	return slices.SortedFunc(maps.Values(t.jobs), before)
+// dueJobs lists the jobs that may have to be given up, or to wait behind others, the most urgent first.
+func (t *Table) dueJobs(now time.Time) []*jobState {
+	var due []*jobState
+	for _, j := range t.jobs {
+		if !j.ending && (j.expired(now) || !j.late && j.tooLate(now)) {
+			due = append(due, j)
+		}
+	}
+	slices.SortFunc(due, before)
+	return due
 }
