dispatch, book: say what is not compared, and what is not in order

A reader of submitAgain could take it that bodies are compared, and one of queue.add that the list is in order; neither is so. The comments say what is.

--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -41,7 +41,9 @@
 	return -1
 }
 
-// add puts a job into its place.
+// add puts a job into its place. A job that begins while others of its tasks wait keeps the place it had, and so does one
+// of which nothing has begun after all: the list is in order but for those, and one that is added beside them may come
+// out before or behind them.
 func (q *queue) add(j *jobState) {
 	i, _ := slices.BinarySearchFunc(q.jobs, j, before)
 	q.jobs = slices.Insert(q.jobs, i, j)
--- a/internal/entry/dispatch/submit.go
+++ b/internal/entry/dispatch/submit.go
@@ -59,7 +59,8 @@
 // objective of the longest kind of job that either user sends.
 const refusedRetry = time.Second
 
-// submitAgain handles a job whose id is held already.
+// submitAgain handles a job whose id is held already. Two requests are taken for the same job when their texts and their
+// numbers of tasks are: steps and queues are not compared, and those of the first request stay in force.
 func (t *Table) submitAgain(now time.Time, j *jobState, r Request) {
 	switch {
 	case r.Kept != nil && !j.kept:
--- a/internal/kept/book/submit.go
+++ b/internal/kept/book/submit.go
@@ -28,7 +28,8 @@
 	refusedRetry = time.Second
 )
 
-// Submit takes a job that is to be kept. It is answered once it is stored.
+// Submit takes a job that is to be kept. It is answered once it is stored. What is sent again under the id of a job that is
+// known is not compared with it: the first one that is stored stays in force.
 func (b *Book) Submit(now time.Time, r dispatch.Request) {
 	if k := b.jobs[r.Job]; k != nil && (k.phase == asked || k.phase == accepting) {
 		k.callers.add(r.Caller, r.Deadline)
