--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -56,7 +57,7 @@
 // begun is stopped, so that it is gone when its caller sends the job again.
 func (t *Table) CloseAll(now time.Time) {
 	t.closing = true
-	for _, j := range t.sortedJobs() {
+	for _, j := range slices.SortedFunc(maps.Values(t.jobs), before) {
 		again := j.again
 		j.again = nil
 		for _, r := range again {
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -41,7 +41,9 @@
 	return -1
 }
 
-// add puts a job into its place.
+// add puts a job into its place. A job that begins while others of its tasks wait keeps the place it had, and so does one
+// of which nothing has begun after all: the list is in order but for those, and one that is added beside them may come
+// out before or behind them.
 func (q *queue) add(j *jobState) {
 	i, _ := slices.BinarySearchFunc(q.jobs, j, before)
 	q.jobs = slices.Insert(q.jobs, i, j)
@@ -175,22 +177,12 @@
 		return false
 	}
 	unwanted := a.Probing() && k.run > 0 || slices.Contains(k.avoid, a.Up.ID)
-	if unwanted && t.alternatives(k) {
+	if unwanted && t.anyReady(service, k.avoid) {
 		return false
 	}
 	return step.MaxPerUpstream == 0 || t.onUpstream(a, k) < int(step.MaxPerUpstream)
 }
 
-// alternatives tells whether a sound upstream of the task's service is there that it does not avoid.
-func (t *Table) alternatives(k *task) bool {
-	for _, a := range t.order {
-		if a.Serves(k.job.route.Service, fleet.Ready) && !slices.Contains(k.avoid, a.Up.ID) {
-			return true
-		}
-	}
-	return false
-}
-
 // onUpstream counts the tasks of the same step that an agent has.
 func (t *Table) onUpstream(a *upstreamOf, k *task) int {
 	n := 0
--- a/internal/entry/dispatch/submit.go
+++ b/internal/entry/dispatch/submit.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"hillreel/internal/core/fleet"
-	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/verdict"
 )
@@ -63,7 +61,8 @@
 // objective of the longest kind of job that either user sends.
 const refusedRetry = time.Second
 
-// submitAgain handles a job whose id is held already.
+// submitAgain handles a job whose id is held already. Two requests are taken for the same job when their texts and their
+// numbers of tasks are: steps and queues are not compared, and those of the first request stay in force.
 func (t *Table) submitAgain(now time.Time, j *jobState, r Request) {
 	switch {
 	case r.Kept != nil && !j.kept:
@@ -150,7 +149,7 @@
 // patience is how long a job waits for room; chain is the estimated time of its longest chain of steps.
 func (t *Table) patience(j *jobState, chain time.Duration) time.Duration {
 	share := j.objective / waitShare
-	if t.anyReady(j.route.Service) {
+	if t.anyReady(j.route.Service, nil) {
 		return share
 	}
 	// After an outage upstreams come back within moments: as long as the job can be in time, it waits for them.
@@ -166,13 +165,3 @@
 // answerTime is what of an objective goes to networks and to handling a job: 3 ms each way to callers, and as much
 // for two hops inside.
 const answerTime = 10 * time.Millisecond
-
-// anyReady tells whether any upstream of a service takes work now.
-func (t *Table) anyReady(s ident.Service) bool {
-	for _, a := range t.order {
-		if a.Serves(s, fleet.Ready) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/kept/book/book.go
+++ b/internal/kept/book/book.go
@@ -14,7 +14,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/route"
@@ -22,7 +21,10 @@
 	"hillreel/internal/core/rule"
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/dispatch"
+	"hillreel/internal/kept/claims"
+	"hillreel/internal/kept/inquiry"
 	"hillreel/internal/kept/ledger"
+	"hillreel/internal/kept/notes"
 	"hillreel/internal/kept/recent"
 	"hillreel/internal/kept/record"
 	"hillreel/internal/kept/tenure"
@@ -50,10 +52,8 @@
 
 // Agents sends to agents.
 type Agents interface {
-	// Linked lists the agents that are linked.
-	Linked() []ident.Incarnation
-	Noted(agent ident.Incarnation, runs []fleet.RunRef, void bool)
-	Ask(agent ident.Incarnation, number uint64, jobs []job.ID)
+	inquiry.Agents
+	notes.Agents
 }
 
 // Options are the settings of a Book.
@@ -82,27 +82,21 @@
 	opts    Options
 	store   Store
 	table   Table
-	agents  Agents
 	callers dispatch.Callers
 
 	jobs  map[job.ID]*keptJob
 	ended *recent.Jobs
-	// unknown are ends of jobs that the store is being asked about.
-	unknown map[job.ID][]ref
+	// notes tells agents which ends are stored.
+	notes *notes.Notes
 	// ops are the writes under way, by id.
 	ops    map[ledger.OpID]func(now time.Time, r ledger.Result)
 	lastOp ledger.OpID
 
 	lease *tenure.Tenure
-	// others are the leases of other entries, as they were read last.
-	others map[record.LeaseID]record.Lease
-	// adoptions are the leases whose jobs this entry takes over; scanning is true while open jobs are being read.
-	adoptions map[record.LeaseID]*adoption
-	scanning  bool
-	scanAt    time.Time
-	// rounds are the questions to agents that are not answered yet.
-	rounds    []*round
-	lastRound uint64
+	// claims are of other entries' leases that have ended.
+	claims *claims.Claims
+	// inquiry asks agents for ends of jobs that were taken over.
+	inquiry *inquiry.Inquiry
 }
 
 // phase is where a kept job stands.
@@ -119,19 +113,6 @@
 	running phase = "running"
 )
 
-// waiter is a caller that waits for its job to be accepted or cancelled, or to end.
-type waiter struct {
-	caller dispatch.CallerID
-	// deadline is until when it waits; zero is for as long as it takes.
-	deadline time.Time
-}
-
-// ref is the end of a run at an agent.
-type ref struct {
-	agent ident.Incarnation
-	run   fleet.RunRef
-}
-
 // keptJob is one job that this entry owns, or is about to.
 type keptJob struct {
 	id     job.ID
@@ -143,10 +124,10 @@
 	phase  phase
 	// callers wait for its acceptance until giveUp, cancels for its end; watchers want to know its state, at the latest at
 	// their deadlines.
-	callers  []waiter
+	callers  waiters
 	giveUp   time.Time
-	cancels  []waiter
-	watchers []waiter
+	cancels  waiters
+	watchers waiters
 
 	// open is the row as it is to be written next, version that of the row in the store.
 	open    record.Open
@@ -155,7 +136,7 @@
 	writing bool
 	// unstored are ends that the next write stores, storing those of the write under way. dirtySince is when the oldest
 	// of unstored came.
-	unstored, storing []ref
+	unstored, storing []notes.End
 	dirtySince        time.Time
 	// lost are tasks whose last run was given up, and which are placed again once the next write has said so; losing are
 	// those of the write under way.
@@ -169,13 +150,16 @@
 // New returns an empty Book.
 func New(o Options, s Store, t Table, a Agents, c dispatch.Callers, now time.Time) *Book {
 	b := &Book{
-		opts: o, store: s, table: t, agents: a, callers: c,
-		jobs: make(map[job.ID]*keptJob), ended: recent.New(), unknown: make(map[job.ID][]ref), ops: make(map[ledger.OpID]func(time.Time, ledger.Result)),
-		others: make(map[record.LeaseID]record.Lease), adoptions: make(map[record.LeaseID]*adoption),
+		opts: o, store: s, table: t, callers: c, jobs: make(map[job.ID]*keptJob), ended: recent.New(),
+		ops:   make(map[ledger.OpID]func(time.Time, ledger.Result)),
+		notes: notes.New(a, s, o.Log), inquiry: inquiry.New(a, o.Settle, o.Without),
 	}
 	b.lease = tenure.New(tenure.Options{
 		Node: o.Node, Incarnation: o.Incarnation, Length: o.Lease, Renew: o.Renew, Without: o.Without, Log: o.Log,
 	}, leaseOwner{b}, now)
+	b.claims = claims.New(claims.Options{
+		Node: o.Node, Length: o.Lease, Settle: o.Settle, Event: b.event, Log: o.Log,
+	}, b.lease, leaseOwner{b})
 	return b
 }
 
@@ -199,14 +183,8 @@
 	}
 }
 
-// value encodes a row's value; all types of record can be encoded.
-func (b *Book) value(v any) []byte {
-	raw, err := record.Value(v)
-	if err != nil {
-		b.opts.Log.WithField("error", err.Error()).Error("job_row_not_encoded")
-	}
-	return raw
-}
+// value encodes a row's value.
+func (b *Book) value(v any) []byte { return record.LoggedValue(b.opts.Log, v) }
 
 // event logs and counts an event.
 func (b *Book) event(level logrus.Level, name string, f logrus.Fields) {
@@ -221,7 +199,7 @@
 
 // Tick does what time alone brings about.
 func (b *Book) Tick(now time.Time) {
-	b.lease.Tick(now, len(b.jobs) > 0 || len(b.adoptions) > 0)
+	b.lease.Tick(now, len(b.jobs) > 0 || b.claims.Any())
 	for _, k := range b.sorted() {
 		switch k.phase {
 		case asked, accepting:
@@ -231,16 +209,10 @@
 		}
 		b.tellWatchers(now, k)
 	}
-	b.tickRounds(now)
-	b.endAdoptions()
+	b.inquiry.Tick(now)
+	b.claims.End()
 }
 
 // NotBegun counts a queue's jobs that have not begun at other entries, as they said last. This entry's own are counted
 // by its table.
-func (b *Book) NotBegun(r route.Name) int {
-	n := 0
-	for _, l := range b.others {
-		n += l.Waiting[r]
-	}
-	return n
-}
+func (b *Book) NotBegun(r route.Name) int { return b.claims.NotBegun(r) }
