agent: a life's late answer does not end its successor, and a life is remembered when it is taken up

An answer to the question about one life could come after the next life had been taken up, and ended that for good. And only a heartbeat let the agent remember a life, no longer the moment in which it is taken up, so that an agent started anew within 1.5 s recalled a dead one.

--- /dev/null
+++ b/internal/agent/node/life_test.go
@@ -0,0 +1,91 @@
+package node_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/agent/call"
+	"hillreel/internal/agent/node"
+	"hillreel/internal/agent/upstream"
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/logs"
+	"hillreel/internal/core/settings"
+	"hillreel/internal/link/session"
+)
+
+// oneLife is an upstream that answers for one life at a time.
+type oneLife struct {
+	mu   sync.Mutex
+	life ident.UpstreamID
+}
+
+func (u *oneLife) Start(context.Context, call.Start) (call.Answer, call.Clock, error) {
+	return call.OK, 0, nil
+}
+
+func (u *oneLife) Stop(context.Context, call.Stop) (call.Answer, call.Clock, error) {
+	return call.OK, 0, nil
+}
+
+func (u *oneLife) Hold(_ context.Context, c call.Hold) (call.Held, error) {
+	time.Sleep(5*time.Millisecond + c.Wait)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if c.Instance != u.life {
+		return call.Held{Answer: call.WrongInstance}, nil
+	}
+	return call.Held{Answer: call.OK, Clock: call.Clock(time.Hour)}, nil
+}
+
+// begin lets the next life begin.
+func (u *oneLife) begin(life ident.UpstreamID) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.life = life
+}
+
+// notebook keeps what an agent remembers.
+type notebook struct {
+	mu   sync.Mutex
+	last ident.UpstreamID
+}
+
+func (m *notebook) Recall(context.Context) (fleet.Upstream, bool, error) {
+	return fleet.Upstream{}, false, nil
+}
+
+func (m *notebook) Remember(_ context.Context, u fleet.Upstream) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.last = u.ID
+	return nil
+}
+
+func (m *notebook) lastIs(id ident.UpstreamID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.last == id
+}
+
+// TestNextLifeIsRemembered: a life of the upstream is remembered once it is taken up, without waiting for another heartbeat:
+// an agent that was started anew meanwhile would recall the life before, and wait for one as well.
+func TestNextLifeIsRemembered(t *testing.T) {
+	set, err := settings.Load("")
+	qt.Assert(t, err, qt.IsNil)
+	u, m := &oneLife{}, &notebook{}
+	n := node.New(set, u, m, session.TCP, logs.Discard())
+	qt.Assert(t, n.Start(context.Background()), qt.IsNil)
+	defer n.Stop()
+	for _, life := range []ident.UpstreamID{"u-1", "u-2"} {
+		u.begin(life)
+		n.Beat(upstream.Beat{Upstream: fleet.Upstream{ID: life, Service: "s"}, Sequence: 1, Clock: call.Clock(time.Minute)})
+		for until := time.Now().Add(5 * time.Second); !m.lastIs(life); time.Sleep(time.Millisecond) {
+			qt.Assert(t, time.Now().Before(until), qt.IsTrue, qt.Commentf("%s is not remembered", life))
+		}
+	}
+}
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -169,10 +169,6 @@
 	switch e := e.(type) {
 	case upstream.Beat:
 		n.keeper.Beat(now, e)
-		if u, known := n.keeper.Known(); known && u.ID != n.remembered {
-			n.remember(u)
-			n.chooseEntries()
-		}
 	case recalled:
 		n.log.WithField("upstream", e.upstream.ID).Info("upstream_recalled")
 		n.keeper.Recall(now, e.upstream)
@@ -199,9 +195,18 @@
 	case entriesListed:
 		n.handleListed(e.by, e.links)
 	}
+	n.noteLife()
 	n.keeper.Flush(now)
 }
 
+// noteLife remembers a life of the upstream that was taken up, and chooses the entries that want its service.
+func (n *Node) noteLife() {
+	if u, known := n.keeper.Known(); known && u.ID != n.remembered {
+		n.remember(u)
+		n.chooseEntries()
+	}
+}
+
 // handleOrderDone hands the end of a start or a stop to the keeper.
 func (n *Node) handleOrderDone(now time.Time, end any) {
 	switch e := end.(type) {
--- a/internal/agent/upstream/life.go
+++ b/internal/agent/upstream/life.go
@@ -91,11 +91,16 @@
 	}
 }
 
-// claimAnswered handles the answer to a question; one without an answer is put again.
-func (k *Keeper) claimAnswered(now time.Time, c *claim, a call.Answer) {
+// claimAnswered handles the answer to a question that was put at sent; one without an answer is put again.
+func (k *Keeper) claimAnswered(now time.Time, c *claim, sent time.Time, a call.Answer) {
 	c.asking = false
 	switch a {
 	case call.OK, call.Fenced:
+		if sent.Before(k.began) {
+			// Answers overtake each other: the life that has given this one may have ended before the present one began.
+			k.ask(now, c)
+			return
+		}
 		k.begin(now, c.beat)
 		k.Beat(now, c.beat)
 	case call.WrongInstance:
@@ -111,7 +116,7 @@
 		k.end(now)
 	}
 	delete(k.claims, b.ID)
-	k.known, k.up = true, b.Upstream
+	k.known, k.up, k.began = true, b.Upstream, now
 	k.holding, k.looking = false, false // calls under way are meant for the life before
 	k.sequence, k.listed, k.ends = 0, 0, ends.Account{}
 	clear(k.given)
--- a/internal/agent/upstream/life_test.go
+++ b/internal/agent/upstream/life_test.go
@@ -134,3 +134,22 @@
 		})
 	}
 }
+
+// TestAnswersOfLivesOvertake: the answer of a life that has crashed comes after that of the next one, which was asked as well.
+func TestAnswersOfLivesOvertake(t *testing.T) {
+	b := newBench(t, nil)
+	b.pass(time.Millisecond)
+	b.beat("u-2", 1)
+	b.pass(time.Millisecond)
+	b.beat("u-3", 1)
+	b.pass(time.Millisecond)
+	b.answer("u-3", call.OK)
+	b.answer("u-2", call.OK)
+	b.pass(time.Millisecond)
+	b.answer("u-2", call.WrongInstance)
+	b.answer("u-3", call.OK)
+	up, known := b.keeper.Known()
+	qt.Assert(t, known, qt.IsTrue)
+	qt.Assert(t, up.ID, qt.Equals, ident.UpstreamID("u-3"))
+	qt.Assert(t, b.rooms[one].State, qt.Equals, fleet.Ready)
+}
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -59,6 +59,8 @@
 	// up is the upstream's present life; known is false before its first heartbeat.
 	up    fleet.Upstream
 	known bool
+	// began is when the present life, or the last one, was taken up.
+	began time.Time
 	// past holds earlier lives, whose late heartbeats are ignored.
 	past map[ident.UpstreamID]bool
 	// claims are other lives than the known one that were heard of, until the upstream has said whether it is one of them.
