--- a/main.go
+++ b/main.go
@@ -5,6 +5,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -14,6 +16,8 @@
 )
 
 func main() {
+	// A process may be told to reload before it has read its settings, and would end. A server takes the signal up later.
+	signal.Ignore(syscall.SIGHUP)
 	err := commands.New().Run(context.Background(), os.Args)
 	if err == nil {
 		return
