link: a silent link costs no run, and a silent greeting no three seconds

Cause: a link that went silent was noticed after 400 ms, which is when its runs are given up; one that is reset cost none. A connection that fell silent during its greeting kept agent and entry apart for three seconds. - settings: links.quiet, five eighths of silence (250 ms): keep-alive and tick (120 ms), a tenth of a second in which a quota of processor time holds the other side up, 30 ms to spare. 150 ms are left to dial anew. It is no option of its own, so that the proportion holds. - links: a process that paused for a quarter of the silence (100 ms) reads what came meanwhile before it calls a link quiet. Ruled out: keeping the old link beside a new one. The entry takes the newer session when it wakes, whether the agent still wants it or not, and an agent counts silence from the echoed clock, so the old link would save runs for some 50 ms more at the most. Result: go test -race of link, entry, agent, embedded, schedule, settings and commands passes.

--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net"
+	"os"
 	"slices"
 	"syscall"
 	"time"
@@ -126,10 +127,11 @@
 
 // keepLink dials an entry again and again until ctx ends. A link that stands when ctx ends is kept.
 func (n *Node) keepLink(ctx context.Context, address string) {
-	since := time.Now()
+	since, greet := time.Now(), n.set.Links.Quiet()
 	for ctx.Err() == nil {
 		began := time.Now()
-		s, err := session.Dial(n.dial, address, n.set.Links.DialTimeout, n.hello())
+		s, err := session.Dial(n.dial, address, session.Limits{Dial: n.set.Links.DialTimeout, Greet: greet}, n.hello())
+		greet = n.greeting(greet, err)
 		if err != nil {
 			n.loop.Post(dialFailed{address, errors.Is(err, syscall.ECONNREFUSED)})
 		} else if ctx.Err() != nil {
@@ -152,6 +154,15 @@
 	}
 }
 
+// greeting returns how long the next greeting is waited for. A connection may have fallen silent during the last one; but after
+// several that came to nothing the entry stands still, and finds each of them when it wakes.
+func (n *Node) greeting(last time.Duration, err error) time.Duration {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n.set.Links.Quiet()
+	}
+	return min(2*last, session.LongestGreeting)
+}
+
 // hello is this process's first message on each link.
 func (n *Node) hello() *wire.Hello {
 	return &wire.Hello{
--- /dev/null
+++ b/internal/agent/node/links_test.go
@@ -0,0 +1,50 @@
+package node_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/agent/node"
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/logs"
+	"hillreel/internal/core/settings"
+	"hillreel/internal/link/session"
+)
+
+// nothing remembers no upstream.
+type nothing struct{}
+
+func (nothing) Recall(context.Context) (fleet.Upstream, bool, error) {
+	return fleet.Upstream{}, false, nil
+}
+func (nothing) Remember(context.Context, fleet.Upstream) error { return nil }
+
+// TestSilentGreeting: a connection that falls silent before the entry's greeting is given up as soon as a silent link; the
+// more greetings come to nothing one after the other, the longer each is waited for.
+func TestSilentGreeting(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer ln.Close()
+	set, err := settings.Load("")
+	qt.Assert(t, err, qt.IsNil)
+	set.Node.Link, set.Node.Seeds = settings.Address(ln.Addr().String()), []string{ln.Addr().String()}
+	n := node.New(set, nil, nothing{}, session.TCP, logs.Discard())
+	qt.Assert(t, n.Start(context.Background()), qt.IsNil)
+	defer n.Stop()
+	var last time.Time
+	for _, want := range []time.Duration{0, 250 * time.Millisecond, 500 * time.Millisecond} {
+		conn, err := ln.Accept()
+		qt.Assert(t, err, qt.IsNil)
+		defer conn.Close()
+		if want > 0 {
+			t.Logf("dialled anew after %v", time.Since(last))
+			qt.Assert(t, time.Since(last) >= want, qt.IsTrue)
+			qt.Assert(t, time.Since(last) < want+200*time.Millisecond, qt.IsTrue)
+		}
+		last = time.Now()
+	}
+}
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -57,7 +57,7 @@
 	n := &Node{
 		set: set, log: log, dial: dial, upstream: u, memory: m, inc: ident.NewIncarnation(), loop: loop.New(), ctx: ctx, cancel: cancel,
 		links:    links.New[none]("entry", log),
-		pulse:    links.Pulse{Limit: set.Links.Silence / 2, Log: log},
+		pulse:    links.Pulse{Limit: set.Links.Silence / 2, Pause: set.Links.Silence / 4, Log: log},
 		dialled:  make(map[string]*dialled),
 		listed:   make(map[source][]string),
 		config:   &wire.Config{},
@@ -225,7 +225,7 @@
 	now := time.Now()
 	n.pulse.Tick(now)
 	n.keeper.Tick(now)
-	for _, l := range n.links.DropSilent(now, n.set.Links.Silence) {
+	for _, l := range n.links.DropSilent(now, n.pulse.Running, links.Limits{Quiet: n.set.Links.Quiet(), Silence: n.set.Links.Silence}) {
 		n.keeper.Unlinked(now, l.Peer, "silent")
 	}
 	n.keeper.Flush(now)
--- a/internal/core/settings/options.go
+++ b/internal/core/settings/options.go
@@ -69,13 +69,21 @@
 	Entries     int           `ini:"entries" default:"12" min:"1" max:"10000" doc:"To how many entries an agent links when there are more: room is told to each, and each agent is heard by each. With 12, an entry of a region with 30 entries and 270 agents knows 108 agents."`
 	DialTimeout time.Duration `ini:"dial_timeout" default:"100ms" min:"10ms" max:"1m" doc:"Longest wait for a connection to another process: a VM without power says nothing, and is tried again."`
 	RedialEvery time.Duration `ini:"redial_every" default:"40ms" min:"1ms" max:"1m" doc:"Pause between attempts to connect."`
-	Silence     time.Duration `ini:"silence" default:"400ms" min:"10ms" max:"1m" doc:"How long an agent keeps the runs of an entry that it does not hear; how long a silent link is kept."`
+	Silence     time.Duration `ini:"silence" default:"400ms" min:"10ms" max:"1m" doc:"How long an agent keeps the runs of an entry that it does not hear; five eighths of it is how long a silent link is kept: runs go on if another stands by then."`
 	Lease       time.Duration `ini:"lease" default:"400ms" min:"10ms" max:"1m" doc:"How long an upstream keeps its runs without hearing from its agent. At most the platform's hold_max_ms."`
 	StopBudget  time.Duration `ini:"stop_budget" default:"200ms" min:"10ms" max:"1m" doc:"How long an agent tries to stop a lost entry's run before it lets all leases lapse: two tries."`
 	KeepAlive   time.Duration `ini:"keep_alive" default:"100ms" min:"1ms" max:"1m" doc:"Longest pause between two messages on a link."`
 	Tick        time.Duration `ini:"tick" default:"20ms" min:"1ms" max:"1s" doc:"How often control state looks at the time."`
 }
 
+// Quiet is how long a silent link is kept. Messages come each keep_alive and a tick: with the defaults, 250 ms bear a tenth of
+// a second in which the other side stood still, as under a quota of processor time, and leave 150 ms to dial anew before runs are
+// given up.
+func (l Links) Quiet() time.Duration { return l.Silence * quietEighths / 8 }
+
+// quietEighths is the share of silence after which a silent link is given up.
+const quietEighths = 5
+
 // Timing returns the times that entries and agents share.
 func (l Links) Timing() fleet.Timing {
 	return fleet.Timing{Silence: l.Silence, Lease: l.Lease, StopBudget: l.StopBudget, KeepAlive: l.KeepAlive}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -71,7 +71,7 @@
 	n := &Node{
 		ctx: ctx, cancel: cancel, set: set, log: log, inc: ident.NewIncarnation(), loop: loop.New(), decode: d,
 		links:   links.New[keepAlive]("agent", log),
-		pulse:   links.Pulse{Limit: set.Links.Silence / 2, Log: log},
+		pulse:   links.Pulse{Limit: set.Links.Silence / 2, Pause: set.Links.Silence / 4, Log: log},
 		callers: make(map[dispatch.CallerID]chan dispatch.Answer),
 	}
 	options := dispatch.Options{
@@ -187,7 +187,7 @@
 	n.pulse.Tick(now)
 	n.book.Tick(now)
 	n.table.Tick(now)
-	for _, l := range n.links.DropSilent(now, n.set.Links.Silence) {
+	for _, l := range n.links.DropSilent(now, n.pulse.Running, links.Limits{Quiet: n.set.Links.Quiet(), Silence: n.set.Links.Silence}) {
 		n.unlinked(now, l)
 	}
 	for l := range n.links.All() {
--- a/internal/link/links/links.go
+++ b/internal/link/links/links.go
@@ -102,12 +102,20 @@
 	return l
 }
 
-// DropSilent forgets the links over which nothing came for longer than limit, and returns them.
-func (s *Set[T]) DropSilent(now time.Time, limit time.Duration) []*Link[T] {
+// Limits say how long a link may be silent.
+type Limits struct {
+	// Quiet is how long nothing may come while this process runs: then the link is given up so early that runs on it go on once
+	// another stands. Silence is the same whether it runs or not: then its runs are given up as well.
+	Quiet, Silence time.Duration
+}
+
+// DropSilent forgets the links that are silent for too long, and returns them; running is since when this process runs without
+// a pause. What came during a pause is read only after it.
+func (s *Set[T]) DropSilent(now, running time.Time, limits Limits) []*Link[T] {
 	var out []*Link[T]
 	for _, l := range s.by {
 		silent := now.Sub(l.Heard)
-		if silent <= limit {
+		if silent <= limits.Silence && (silent <= limits.Quiet || now.Sub(running) <= limits.Quiet) {
 			continue
 		}
 		s.log.WithFields(logrus.Fields{s.role: l.Name(), "silent_ms": silent.Milliseconds()}).Warn("link_silent")
@@ -147,12 +155,21 @@
 type Pulse struct {
 	// Limit is the longest pause between two ticks that is no standstill.
 	Limit time.Duration
+	// Pause is the longest one between two ticks during which the process counts as running.
+	Pause time.Duration
 	Log   *logrus.Entry
 	last  time.Time
+	// Running is since when no pause was longer.
+	Running time.Time
 }
 
 // Tick notes a tick.
-func (p *Pulse) Tick(now time.Time) { p.last = now }
+func (p *Pulse) Tick(now time.Time) {
+	if now.Sub(p.last) > p.Pause {
+		p.Running = now
+	}
+	p.last = now
+}
 
 // Missed tells whether the process has stood still since the last tick. What has expired meanwhile must not be acted
 // on, so time must pass for its user before anything else.
--- a/internal/link/session/session.go
+++ b/internal/link/session/session.go
@@ -24,8 +24,8 @@
 const (
 	// writeTimeout ends a session whose other side does not read.
 	writeTimeout = 3 * time.Second
-	// helloTimeout bounds the first exchange.
-	helloTimeout = 3 * time.Second
+	// LongestGreeting bounds the first exchange where the other side may be standing still.
+	LongestGreeting = 3 * time.Second
 	// maxFrame bounds a frame that is read, in bytes.
 	maxFrame = 64 << 20
 	// maxBatch bounds the messages that one frame takes.
@@ -68,25 +68,34 @@
 	return net.DialTimeout("tcp", address, timeout)
 }
 
+// Limits bound the beginning of a session.
+type Limits struct {
+	// Dial bounds the wait for a connection, Greet the exchange of hellos on it.
+	Dial, Greet time.Duration
+}
+
 // Dial connects to a process and exchanges hellos.
-func Dial(dial Dialer, address string, timeout time.Duration, hello *wire.Hello) (*Session, error) {
-	conn, err := dial(address, timeout)
+func Dial(dial Dialer, address string, limits Limits, hello *wire.Hello) (*Session, error) {
+	conn, err := dial(address, limits.Dial)
 	if err != nil {
 		return nil, errors.Wrap(err, "link: dial")
 	}
-	return greet(conn, hello)
+	return greet(conn, limits.Greet, hello)
 }
 
-// Accept takes a connection that another process dialled and exchanges hellos.
-func Accept(conn net.Conn, hello *wire.Hello) (*Session, error) { return greet(conn, hello) }
+// Accept takes a connection that another process dialled and exchanges hellos. The other side gives a greeting that takes too
+// long up, so that this one may wait.
+func Accept(conn net.Conn, hello *wire.Hello) (*Session, error) {
+	return greet(conn, LongestGreeting, hello)
+}
 
 // greet exchanges hellos on a new connection and starts to write.
-func greet(conn net.Conn, hello *wire.Hello) (*Session, error) {
+func greet(conn net.Conn, limit time.Duration, hello *wire.Hello) (*Session, error) {
 	s := &Session{
 		conn: conn, reader: bufio.NewReaderSize(conn, bufferSize),
 		wake: make(chan struct{}, 1), closed: make(chan struct{}),
 	}
-	if err := s.exchange(hello); err != nil {
+	if err := s.exchange(limit, hello); err != nil {
 		s.Close()
 		return nil, err
 	}
@@ -94,9 +103,9 @@
 	return s, nil
 }
 
-// exchange sends one hello and reads the other side's, within helloTimeout.
-func (s *Session) exchange(hello *wire.Hello) error {
-	if err := s.conn.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
+// exchange sends one hello and reads the other side's, within a limit.
+func (s *Session) exchange(limit time.Duration, hello *wire.Hello) error {
+	if err := s.conn.SetDeadline(time.Now().Add(limit)); err != nil {
 		return errors.Wrap(err, "link: deadline")
 	}
 	first := &wire.Frame{Msgs: []*wire.Msg{{Kind: &wire.Msg_Hello{Hello: hello}}}}
--- a/internal/link/session/session_test.go
+++ b/internal/link/session/session_test.go
@@ -3,16 +3,20 @@
 import (
 	"io"
 	"net"
+	"os"
 	"runtime"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"hillreel/internal/link/session"
 	"hillreel/internal/link/wire"
 )
 
+var limits = session.Limits{Dial: time.Second, Greet: time.Second}
+
 func pair(t *testing.T) (dialled, accepted *session.Session) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -25,7 +29,7 @@
 			got <- s
 		}
 	}()
-	dialled, err = session.Dial(session.TCP, ln.Addr().String(), time.Second, &wire.Hello{Name: "a"})
+	dialled, err = session.Dial(session.TCP, ln.Addr().String(), limits, &wire.Hello{Name: "a"})
 	qt.Assert(t, err, qt.IsNil)
 	accepted = <-got
 	t.Cleanup(dialled.Close)
@@ -107,3 +111,29 @@
 		}
 	}
 }
+
+// TestSilentGreeting: a greeting without an answer ends, on the side that dialled after the time it is given, on the other
+// after the longest; nobody owns it meanwhile.
+func TestSilentGreeting(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer ln.Close()
+	began := time.Now()
+	_, err = session.Dial(session.TCP, ln.Addr().String(), session.Limits{Dial: time.Second, Greet: 250 * time.Millisecond}, &wire.Hello{})
+	qt.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Assert(t, time.Since(began) < time.Second, qt.IsTrue)
+	mute, err := net.Dial("tcp", ln.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer mute.Close()
+	for range 2 { // the first has ended already
+		conn, err := ln.Accept()
+		qt.Assert(t, err, qt.IsNil)
+		began = time.Now()
+		s, err := session.Accept(conn, &wire.Hello{})
+		if err == nil {
+			s.Close()
+		}
+	}
+	t.Logf("ended after %v", time.Since(began))
+	qt.Assert(t, time.Since(began) < session.LongestGreeting+time.Second, qt.IsTrue)
+}
--- a/internal/standin/embedded/embedded.go
+++ b/internal/standin/embedded/embedded.go
@@ -40,6 +40,27 @@
 	FixedPorts bool
 	// Adjust changes the settings of a process before it starts; it may be nil.
 	Adjust func(role string, s *settings.Settings)
+	// Through returns the address under which others reach an address of the set: that of a proxy. It may be nil.
+	Through func(kind Path, address string) string
+}
+
+// Path is a kind of connection.
+type Path string
+
+// The kinds of connections inside a set.
+const (
+	PathStore    Path = "store"
+	PathLink     Path = "link"
+	PathUpstream Path = "upstream"
+	PathBeats    Path = "heartbeats"
+)
+
+// through returns the address under which others reach an address of the set.
+func (s *Set) through(kind Path, address settings.Address) settings.Address {
+	if s.o.Through == nil {
+		return address
+	}
+	return settings.Address(s.o.Through(kind, string(address)))
 }
 
 // Set is a running set.
@@ -123,7 +144,7 @@
 	}
 	set.Node.Name = fmt.Sprintf("%s-%d", role, i)
 	set.Node.Zone = fmt.Sprintf("zone-%d", 1+i%3)
-	set.Platform.Store = settings.Address(s.store.Address())
+	set.Platform.Store = s.through(PathStore, settings.Address(s.store.Address()))
 	set.Entry.OperatorToken = Token
 	for _, a := range []*settings.Address{&set.Node.Link, &set.Node.Metrics, &set.Entry.Callers, &set.Entry.Front, &set.Agent.Control, &set.Agent.Upstream} {
 		*a = freeAddress()
@@ -149,7 +170,10 @@
 	if err != nil {
 		return nil, err
 	}
-	set.Platform.Store = store
+	if string(store) != s.store.Address() {
+		set.Platform.Store = store
+	}
+	set.Node.Advertise = s.through(PathLink, set.Node.Link)
 	log := s.o.Log.WithFields(logrus.Fields{"role": "entry", "node": set.Node.Name})
 	p, err := entry.New(set, entry.Deps{
 		Store: s.client(set), Config: platform.ConfigKey, Decode: platform.ReadConfig, Log: log,
@@ -180,7 +204,7 @@
 	}
 	log := s.o.Log.WithFields(logrus.Fields{"role": "agent", "node": set.Node.Name})
 	u := standin.NewUpstream(standin.UpstreamOptions{
-		Name: fmt.Sprintf("upstream-%d", i), Service: string(s.o.Service), Agent: string(set.Agent.Control),
+		Name: fmt.Sprintf("upstream-%d", i), Service: string(s.o.Service), Agent: string(s.through(PathBeats, set.Agent.Control)),
 		CPU: s.o.Cores * 1000, MemMB: 64 << 10, Labels: []string{fmt.Sprintf("rack-%d", i/3)}, Beat: 200 * time.Millisecond,
 		Ledger: s.Ledger,
 	})
@@ -189,7 +213,7 @@
 	if err := s.serve(web.New("the upstream", set.Agent.Upstream, u.Handler(), web.Small)); err != nil {
 		return err
 	}
-	calls := platform.NewUpstream(ident.Address(set.Agent.Upstream), set.Agent.Connections, set.Agent.CallTimeout)
+	calls := platform.NewUpstream(ident.Address(s.through(PathUpstream, set.Agent.Upstream)), set.Agent.Connections, set.Agent.CallTimeout)
 	p, err := agent.New(set, agent.Deps{
 		Store: s.client(set), Upstream: calls, Dial: session.TCP, Log: log,
 		Beats: func(n *agentnode.Node) http.Handler { return platform.Beats(n, log) },
--- a/internal/standin/embedded/embedded_test.go
+++ b/internal/standin/embedded/embedded_test.go
@@ -24,12 +24,7 @@
 func start(t *testing.T, entries, agents int) *embedded.Set {
 	set, err := embedded.Start(embedded.Options{
 		Entries: entries, Agents: agents, Cores: 4, Service: "publish", Log: logs.Discard(),
-		// Race detector and other tests slow the processes down; the times keep their proportions.
-		Adjust: func(_ string, s *settings.Settings) {
-			s.Links.KeepAlive, s.Links.Silence = 200*time.Millisecond, 800*time.Millisecond
-			s.Links.Lease, s.Agent.CallTimeout = 800*time.Millisecond, 300*time.Millisecond
-			s.Kept.Lease, s.Kept.Renew = 1500*time.Millisecond, 200*time.Millisecond
-		},
+		Adjust: unhurried,
 	})
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() {
@@ -39,6 +34,13 @@
 	return set
 }
 
+// unhurried has longer times: race detector and other tests slow the processes down. The times keep their proportions.
+func unhurried(_ string, s *settings.Settings) {
+	s.Links.KeepAlive, s.Links.Silence = 200*time.Millisecond, 800*time.Millisecond
+	s.Links.Lease, s.Agent.CallTimeout = 800*time.Millisecond, 300*time.Millisecond
+	s.Kept.Lease, s.Kept.Renew = 1500*time.Millisecond, 200*time.Millisecond
+}
+
 func newClient(t *testing.T, set *embedded.Set) *client.Client {
 	c, err := client.New(client.Options{Entries: set.Callers(), Attempts: 8})
 	qt.Assert(t, err, qt.IsNil)
