web: silent connections do not use up a server's limit

Cause: a silent connection counted against the limit until it had been idle for 60 s, and one whose request is served, for as long as the kernel tried (minutes). 64 silent ones kept heartbeats, checks of readiness and metrics out meanwhile. Heartbeats alone cannot get there: at one each 1.5 s there are at most 40 idle ones in 60 s. - web: probes on accepted connections, 1.5 s among the platform's own, 15 s for callers, so that one that is cut off for some seconds still gets its answer. Ruled out: higher limits and shorter idle times (a heartbeat each 1.5 s would need a new connection each time).

--- a/internal/core/probed/probed.go
+++ b/internal/core/probed/probed.go
@@ -14,16 +14,23 @@
 // Silence is how long nothing may come over a connection before it is given up.
 type Silence time.Duration
 
-// Dialled is for connections that this process dials: they are quickly dialled anew. The kernel counts probes in whole seconds,
-// sends the first after one and looks again a second later, so that silence shows after one to two seconds.
-const Dialled = Silence(1500 * time.Millisecond)
+const (
+	// Brief is for connections that the platform's processes dial: they are quickly dialled anew. The kernel counts probes in
+	// whole seconds, sends the first after one and looks again a second later, so that silence shows after one to two seconds.
+	Brief = Silence(1500 * time.Millisecond)
+	// Patient is for connections of callers: one that is cut off for some seconds still gets its answer.
+	Patient = Silence(15 * time.Second)
+)
+
+// parts is how many pauses a silence has, if they are not shorter than a second.
+const parts = 3
 
 // second is the least pause between probes that the kernel takes.
 const second = time.Second
 
 // Probes returns the probes that notice a silence.
 func (s Silence) Probes() net.KeepAliveConfig {
-	pause := max(second, time.Duration(s)/3)
+	pause := max(second, time.Duration(s)/parts)
 	return net.KeepAliveConfig{Enable: true, Idle: pause, Interval: pause, Count: max(1, int(time.Duration(s)/pause)-1)}
 }
 
--- a/internal/core/web/web.go
+++ b/internal/core/web/web.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/net/netutil"
 
+	"hillreel/internal/core/probed"
 	"hillreel/internal/core/settings"
 )
 
@@ -25,12 +26,15 @@
 	MaxHeader int
 	// MaxConnections bounds open connections; more wait unaccepted. Zero is no bound.
 	MaxConnections int
+	// Silence is how long a client may say nothing, not even acknowledge what it was sent: a silent connection would otherwise
+	// count until IdleTimeout, and while a request of it is served for good.
+	Silence probed.Silence
 }
 
 // Small suits servers that only other processes of the platform or an operator call.
 var Small = Options{
 	HeaderTimeout: 3 * time.Second, ReadTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second, MaxHeader: 16 << 10,
-	MaxConnections: 64,
+	MaxConnections: 64, Silence: probed.Brief,
 }
 
 // Server is one HTTP server.
@@ -52,8 +56,8 @@
 }
 
 // Start listens.
-func (s *Server) Start(context.Context) error {
-	ln, err := net.Listen("tcp", string(s.address))
+func (s *Server) Start(ctx context.Context) error {
+	ln, err := s.options.Silence.Listener().Listen(ctx, "tcp", string(s.address))
 	if err != nil {
 		return errors.Wrapf(err, "listen for %s", s.name)
 	}
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -16,6 +16,7 @@
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/kernel"
 	"hillreel/internal/core/ops"
+	"hillreel/internal/core/probed"
 	"hillreel/internal/core/route"
 	"hillreel/internal/core/rows"
 	"hillreel/internal/core/settings"
@@ -154,7 +155,7 @@
 func callers(set *settings.Settings) web.Options {
 	return web.Options{
 		HeaderTimeout: set.Entry.HeaderTimeout, ReadTimeout: set.Entry.ReadTimeout, IdleTimeout: set.Entry.IdleTimeout,
-		MaxHeader: maxHeader, MaxConnections: set.Entry.MaxConnections,
+		MaxHeader: maxHeader, MaxConnections: set.Entry.MaxConnections, Silence: probed.Patient,
 	}
 }
 
