soak: open connections fall silent for good

Cause: no fault of the soak left connections open without a word; a cut holds bytes up and lets them arrive later. - A second, independent schedule of faults, one a second on average: the links, callers, store, upstream's calls or heartbeats, or all of them, of one process or of all. The agents' paths to and from their upstreams go through proxies. - Callers notice silence themselves, as those of the platform do. - The other faults of a seed are drawn as before.

--- a/internal/core/follow/follow.go
+++ b/internal/core/follow/follow.go
@@ -49,8 +49,9 @@
 // Whole is the part of tables that are not divided.
 var Whole = []string{""}
 
-// New returns a Follower of a table with some parts that has not begun. wait bounds one call that waits for changes: a change is noticed
-// at most that much later when the store falls silent and returns.
+// New returns a Follower of a table with some parts that has not begun. wait bounds one call that waits for changes. A store whose
+// connection falls silent is noticed by the connection, within two seconds; one that takes the call and never answers, only after wait:
+// a change is noticed that much later then.
 func New(s Store, table rows.Table, parts []string, wait time.Duration, c Change, log *logrus.Entry) *Follower {
 	return &Follower{
 		store: s, table: table, parts: parts, wait: wait, change: c, log: log.WithField("table", string(table)),
--- a/internal/proof/soak/callers_test.go
+++ b/internal/proof/soak/callers_test.go
@@ -6,11 +6,12 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
+
+	"hillreel/internal/core/probed"
 )
 
 // resend is the pause before a job whose answer was lost is sent again.
@@ -39,7 +40,7 @@
 }
 
 func newCallers(s *set) *callers {
-	dialer := &net.Dialer{Timeout: 500 * time.Millisecond}
+	dialer := probed.Brief.Dialer(500 * time.Millisecond)
 	return &callers{s: s, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, DialContext: dialer.DialContext}}}
 }
 
--- a/internal/proof/soak/proxy_test.go
+++ b/internal/proof/soak/proxy_test.go
@@ -1,10 +1,13 @@
 package soak
 
 import (
+	"context"
 	"io"
 	"net"
 	"sync"
 	"time"
+
+	"hillreel/internal/standin/silence"
 )
 
 // proxy passes connections on, and can hold them up, silence them in either direction, or reset them.
@@ -17,14 +20,20 @@
 	delay time.Duration
 	// mute holds back what goes towards the server, deaf what comes from it.
 	mute, deaf bool
+	// silent are connections over which nothing comes any more. They are kept to the end of the set, since an end of theirs
+	// would be heard.
+	silent map[net.Conn]bool
 }
 
+// quiet sends no keep-alive probes: a process would take them for signs of life.
+var quiet = net.ListenConfig{KeepAlive: -1}
+
 func newProxy(address, to string) (*proxy, error) {
-	ln, err := net.Listen("tcp", address)
+	ln, err := quiet.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{ln: ln, to: to, conns: make(map[net.Conn]bool)}
+	p := &proxy{ln: ln, to: to, conns: make(map[net.Conn]bool), silent: make(map[net.Conn]bool)}
 	go p.accept()
 	return p, nil
 }
@@ -42,7 +51,8 @@
 }
 
 func (p *proxy) serve(near net.Conn) {
-	far, err := net.DialTimeout("tcp", p.to, time.Second)
+	dialer := net.Dialer{Timeout: time.Second, KeepAlive: -1}
+	far, err := dialer.Dial("tcp", p.to)
 	if err != nil {
 		reset(near)
 		return
@@ -63,8 +73,7 @@
 
 // carry copies one direction until either side ends.
 func (p *proxy) carry(from, to net.Conn, held func() bool) {
-	defer from.Close()
-	defer to.Close()
+	defer p.end(from, to)
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -78,6 +87,9 @@
 			hold = held()
 			p.mu.Unlock()
 		}
+		if p.isSilent(from) {
+			return
+		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
@@ -92,6 +104,36 @@
 	}
 }
 
+// isSilent tells whether a connection was silenced.
+func (p *proxy) isSilent(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent[c]
+}
+
+// end closes connections, unless nobody may hear of it.
+func (p *proxy) end(conns ...net.Conn) {
+	for _, c := range conns {
+		if !p.isSilent(c) {
+			c.Close()
+		}
+	}
+}
+
+// silenceAll makes all open connections silent for good; new ones work.
+func (p *proxy) silenceAll() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.silent[c] = true
+		if err := silence.Deafen(c); err != nil {
+			return err
+		}
+	}
+	clear(p.conns)
+	return nil
+}
+
 // reset ends a connection with a reset instead of an orderly end.
 func reset(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
@@ -119,4 +161,9 @@
 func (p *proxy) close() {
 	p.ln.Close()
 	p.resetAll()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.silent {
+		reset(c)
+	}
 }
--- a/internal/proof/soak/set_test.go
+++ b/internal/proof/soak/set_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -37,9 +38,22 @@
 	cmd        *exec.Cmd
 	// done is closed when cmd has ended.
 	done chan struct{}
-	// link, front and store are proxies; agents have only store.
-	link, front, store *proxy
-	upstream           *standin.Upstream
+	// link, front and store are proxies, and so are calls and beats, to the upstream and from it. Entries have the first three,
+	// agents the last three.
+	link, front, store, calls, beats *proxy
+	upstream                         *standin.Upstream
+}
+
+// paths are the kinds of connections.
+var paths = []struct {
+	name string
+	of   func(p *process) *proxy
+}{
+	{"links", func(p *process) *proxy { return p.link }},
+	{"callers", func(p *process) *proxy { return p.front }},
+	{"store", func(p *process) *proxy { return p.store }},
+	{"upstream", func(p *process) *proxy { return p.calls }},
+	{"heartbeats", func(p *process) *proxy { return p.beats }},
 }
 
 // set is a set of processes with one seed.
@@ -142,17 +156,22 @@
 	ip := s.ip(2, i)
 	p := &process{name: fmt.Sprintf("agent-%d", i), role: "agent", args: []string{"agent"}}
 	p.store = s.proxy(at(s.ip(4, i), portStore), at(s.ip(0, 0), portStore))
+	p.calls = s.proxy(at(s.ip(6, i), portUpstream), at(ip, portUpstream))
+	p.beats = s.proxy(at(s.ip(7, i), portControl), at(ip, portControl))
 	p.upstream = standin.NewUpstream(standin.UpstreamOptions{
-		Name: fmt.Sprintf("u%d", i), Service: "publish", Agent: at(ip, portControl), CPU: 4000, MemMB: 1000, Beat: 300 * time.Millisecond, Ledger: s.ledger,
+		Name: fmt.Sprintf("u%d", i), Service: "publish", Agent: p.beats.address(), CPU: 4000, MemMB: 1000, Beat: 300 * time.Millisecond, Ledger: s.ledger,
 	})
 	s.closers = append(s.closers, p.upstream.Close)
 	s.serve(s.listen(at(ip, portUpstream)), p.upstream.Handler())
 	s.write(p, fmt.Sprintf("[node]\nname = %s\nlink = %s\nmetrics = %s\n[agent]\nupstream = %s\ncontrol = %s\n[platform]\nstore = %s\n",
-		p.name, at(ip, portLinkProxy), at(ip, portMetrics), at(ip, portUpstream), at(ip, portControl), p.store.address()))
+		p.name, at(ip, portLinkProxy), at(ip, portMetrics), p.calls.address(), at(ip, portControl), p.store.address()))
 	s.agents = append(s.agents, p)
 	s.start(p)
 }
 
+// processes are all entries and agents.
+func (s *set) processes() []*process { return append(slices.Clone(s.entries), s.agents...) }
+
 func (s *set) write(p *process, ini string) {
 	qt.Assert(s.t, os.WriteFile(filepath.Join(s.dir, p.name+".ini"), []byte(ini), 0o600), qt.IsNil)
 }
@@ -221,7 +240,7 @@
 	s.mu.Lock()
 	s.ended = true
 	var running []chan struct{}
-	for _, p := range append(append([]*process(nil), s.entries...), s.agents...) {
+	for _, p := range s.processes() {
 		if p.cmd != nil {
 			p.cmd.Process.Signal(syscall.SIGKILL) //nolint:errcheck // it may just have ended
 			running = append(running, p.done)
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -27,7 +27,8 @@
 	soakKeepIn = flag.String("soak-keep", "", "keep the logs of seeds that fail in this directory")
 )
 
-// regressions are seeds that have failed once, with the cause.
+// regressions are seeds that have failed once, with the cause. Silences have a generator of their own, so that the other faults
+// of a seed are those that it had before there were any.
 var regressions = []struct {
 	seed  uint64
 	cause string
@@ -67,6 +68,8 @@
 	settle = 25 * time.Second
 	// jobEvery is the mean pause between two jobs.
 	jobEvery = 30 * time.Millisecond
+	// silenceEvery is the mean pause between two silences.
+	silenceEvery = time.Second
 )
 
 // soak runs one seed.
@@ -81,15 +84,19 @@
 			t.Fatalf("seed %d: the set does not come up: %s", seed, calm(s, 1))
 		}
 	}
-	traffic, faults := rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 4))
+	traffic, faults, silences := rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 4)), rand.New(rand.NewPCG(seed, 5))
 	end := time.Now().Add(*soakFor)
-	nextFault := time.Now()
+	nextFault, nextSilence := time.Now(), time.Now().Add(silenceEvery)
 	var log []string
 	for time.Now().Before(end) {
 		if time.Now().After(nextFault) {
 			log = append(log, s.fault(faults))
 			nextFault = time.Now().Add(time.Duration(faults.Int64N(int64(800 * time.Millisecond))))
 		}
+		if time.Now().After(nextSilence) {
+			log = append(log, s.silence(silences))
+			nextSilence = time.Now().Add(time.Duration(silences.Int64N(int64(2 * silenceEvery))))
+		}
 		leave := time.Duration(0)
 		if traffic.IntN(20) == 0 {
 			leave = time.Duration(10+traffic.IntN(300)) * time.Millisecond
@@ -144,6 +151,31 @@
 	}
 }
 
+// silence makes open connections silent for good: those of one kind or of all, of one process or of all.
+func (s *set) silence(rng *rand.Rand) string {
+	of, whose := s.processes(), "all"
+	if rng.IntN(3) > 0 {
+		p := of[rng.IntN(len(of))]
+		of, whose = []*process{p}, p.name
+	}
+	kinds, what := paths, "all connections"
+	if i := rng.IntN(len(paths) + 1); i < len(paths) {
+		kinds, what = paths[i:i+1], paths[i].name
+	}
+	for _, p := range of {
+		for _, kind := range kinds {
+			x := kind.of(p)
+			if x == nil {
+				continue
+			}
+			if err := x.silenceAll(); err != nil {
+				s.t.Errorf("silence %s of %s: %v", kind.name, p.name, err)
+			}
+		}
+	}
+	return fmt.Sprintf("silence %s of %s", what, whose)
+}
+
 // fault lets one thing go wrong, and lets it end by itself.
 func (s *set) fault(rng *rand.Rand) string {
 	e, a := s.entries[rng.IntN(len(s.entries))], s.agents[rng.IntN(len(s.agents))]
@@ -198,7 +230,7 @@
 		later(func() { a.upstream.Break(standin.UpstreamFault{}) })
 		return fmt.Sprintf("upstream of %s %+v %v", a.name, f, span)
 	}
-	for _, p := range append(append([]*process(nil), s.entries...), s.agents...) {
+	for _, p := range s.processes() {
 		s.restart(p, syscall.SIGKILL, span)
 	}
 	return "kill all"
