links: a standstill is told also when a tick is the first to notice it

Cause: only events asked whether the process had stood still; when the tick came first, as it does in a process without traffic, the log line was missing, and a frozen process could not be told from a slow link. Test: TestPulse counts the lines; none before, one after.

--- a/internal/link/links/links.go
+++ b/internal/link/links/links.go
@@ -163,21 +163,18 @@
 	Running time.Time
 }
 
-// Tick notes a tick.
+// Tick notes a tick; the first one begins the account.
 func (p *Pulse) Tick(now time.Time) {
-	if now.Sub(p.last) > p.Pause {
+	gap := now.Sub(p.last)
+	if p.Missed(now) && !p.last.IsZero() {
+		p.Log.WithField("gap_ms", gap.Milliseconds()).Warn("process_stood_still")
+	}
+	if gap > p.Pause {
 		p.Running = now
 	}
 	p.last = now
 }
 
 // Missed tells whether the process has stood still since the last tick. What has expired meanwhile must not be acted
-// on, so time must pass for its user before anything else.
-func (p *Pulse) Missed(now time.Time) bool {
-	gap := now.Sub(p.last)
-	if gap <= p.Limit {
-		return false
-	}
-	p.Log.WithField("gap_ms", gap.Milliseconds()).Warn("process_stood_still")
-	return true
-}
+// on, so time must pass for its user, by a tick, before anything else.
+func (p *Pulse) Missed(now time.Time) bool { return now.Sub(p.last) > p.Limit }
--- a/internal/link/links/links_test.go
+++ b/internal/link/links/links_test.go
@@ -1,7 +1,9 @@
 package links_test
 
 import (
+	"bytes"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,15 +57,19 @@
 	}
 }
 
-// TestPulse: the process runs since its last pause between two ticks.
+// TestPulse: the process runs since its last pause between two ticks, and a standstill is told, whatever notices it.
 func TestPulse(t *testing.T) {
-	p := links.Pulse{Limit: 200 * time.Millisecond, Pause: 100 * time.Millisecond, Log: logs.Discard()}
+	var out bytes.Buffer
+	log, err := logs.New(&out, "info", "entry", "e")
+	qt.Assert(t, err, qt.IsNil)
+	p := links.Pulse{Limit: 200 * time.Millisecond, Pause: 100 * time.Millisecond, Log: log}
 	now := time.Now()
 	for _, test := range []struct {
 		gap    time.Duration
 		paused bool
 	}{
 		{time.Hour, true}, {20 * time.Millisecond, false}, {100 * time.Millisecond, false}, {101 * time.Millisecond, true}, {20 * time.Millisecond, false},
+		{300 * time.Millisecond, true},
 	} {
 		before := p.Running
 		now = now.Add(test.gap)
@@ -74,4 +80,5 @@
 		}
 		qt.Assert(t, p.Running, qt.Equals, want)
 	}
+	qt.Assert(t, strings.Count(out.String(), "process_stood_still"), qt.Equals, 1)
 }
