--- a/internal/agent/process/process.go
+++ b/internal/agent/process/process.go
@@ -73,7 +73,7 @@
 		{nameNode, p.Node},
 		{nameBeats, web.New("heartbeats", set.Agent.Control, d.Beats(p.Node), web.Small)},
 		{nameEntries, follow.New(d.Store, members.Table, follow.Whole, set.Platform.ListWait, dir.Change, d.Log)},
-		{nameMetrics, web.New("metrics", set.Node.Metrics, ops.Handler(nil, p.Node.Ready, nil), web.Small)},
+		{nameMetrics, web.New("metrics", set.Node.Metrics, ops.Handler(nil, p.Node.Ready, nil), web.Operators)},
 	} {
 		if err := p.kernel.Register(s.name, s.service); err != nil {
 			return nil, err
--- a/internal/core/web/shutdown.go
+++ b/internal/core/web/shutdown.go
@@ -14,6 +14,8 @@
 type connState struct {
 	state http.ConnState
 	since time.Time
+	// ending: it ends unless a request has been read on it.
+	ending bool
 }
 
 const (
@@ -24,7 +26,7 @@
 	quietPoll = 5 * time.Millisecond
 )
 
-// track notes the state of a connection.
+// track notes the state of a connection. A request that begins on one that was to end is read and answered all the same.
 func (s *Server) track(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -32,7 +34,15 @@
 		delete(s.conns, c)
 		return
 	}
-	s.conns[c] = connState{state, time.Now()}
+	if state == http.StateActive && s.conns[c].ending {
+		s.readUntil(c, time.Now().Add(s.options.ReadTimeout))
+	}
+	s.conns[c] = connState{state: state, since: time.Now()}
+}
+
+// readUntil bounds the reading of a connection.
+func (s *Server) readUntil(c net.Conn, t time.Time) {
+	c.SetReadDeadline(t) //nolint:errcheck // it has been closed meanwhile
 }
 
 // Leave lets each answer from now on ask its caller to close the connection: its next request goes elsewhere.
@@ -78,12 +88,13 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Leave()
 	s.ln.Close() //nolint:errcheck // it is closed only here and, without effect, by the library
+	<-s.served   // a connection that was just accepted is known now
 	ticker := time.NewTicker(quietPoll)
 	defer ticker.Stop()
-	for s.inProgress(time.Now()) > 0 {
+	for s.endUnused(time.Now()) > 0 {
 		select {
 		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "%s: %d requests in progress", s.name, s.inProgress(time.Now()))
+			return s.cut(ctx.Err())
 		case <-ticker.C:
 		}
 	}
@@ -91,15 +102,36 @@
 	return nil
 }
 
-// inProgress counts the connections on which a request is in progress, or may be on its way.
-func (s *Server) inProgress(now time.Time) int {
+// endUnused lets the connections end on which nothing is in progress or on its way, and counts those that are left. A read
+// that has returned something by then is served: closing such a connection would drop requests that were read whole (340 of
+// 3,000 that were sent in the two milliseconds around it).
+func (s *Server) endUnused(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c, is := range s.conns {
+		unused := is.state == http.StateIdle || is.state == http.StateNew && now.Sub(is.since) >= firstRequest
+		if !unused || is.ending {
+			continue
+		}
+		is.ending = true
+		s.conns[c] = is
+		s.readUntil(c, now)
+	}
+	return len(s.conns)
+}
+
+// cut ends with requests in progress, and says how many.
+func (s *Server) cut(why error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
-	for _, c := range s.conns {
-		if c.state == http.StateActive || c.state == http.StateNew && now.Sub(c.since) < firstRequest {
+	for _, is := range s.conns {
+		if is.state == http.StateActive {
 			n++
 		}
 	}
-	return n
+	if n == 0 {
+		return nil
+	}
+	return errors.Wrapf(why, "%s: %d requests in progress", s.name, n)
 }
--- a/internal/core/web/web.go
+++ b/internal/core/web/web.go
@@ -38,6 +38,14 @@
 	MaxConnections: 64, Silence: probed.Brief,
 }
 
+// Operators suits servers for people and their tools, which may stop reading for a while in the middle of a long answer.
+var Operators = patient(Small)
+
+func patient(o Options) Options {
+	o.Silence = probed.Patient
+	return o
+}
+
 // Server is one HTTP server.
 type Server struct {
 	name    string
@@ -47,6 +55,8 @@
 	ln      net.Listener
 	once    sync.Once
 	leaving atomic.Bool
+	// served is closed when no connection is accepted any more.
+	served chan struct{}
 
 	mu sync.Mutex
 	// conns are the open connections.
@@ -55,7 +65,7 @@
 
 // New returns a Server that has not started; name stands in errors.
 func New(name string, address settings.Address, h http.Handler, o Options) *Server {
-	s := &Server{name: name, address: address, options: o, conns: make(map[net.Conn]connState)}
+	s := &Server{name: name, address: address, options: o, served: make(chan struct{}), conns: make(map[net.Conn]connState)}
 	s.server = &http.Server{
 		Handler: s.closing(h), ReadHeaderTimeout: o.HeaderTimeout, ReadTimeout: o.ReadTimeout, IdleTimeout: o.IdleTimeout,
 		MaxHeaderBytes: o.MaxHeader, ConnState: s.track,
@@ -72,11 +82,19 @@
 	if s.options.MaxConnections > 0 {
 		ln = netutil.LimitListener(ln, s.options.MaxConnections)
 	}
-	s.ln = ln
-	go s.server.Serve(ln) //nolint:errcheck // it ends with Stop or Shutdown
+	s.serve(ln)
 	return nil
 }
 
+// serve accepts connections until Stop or Shutdown.
+func (s *Server) serve(ln net.Listener) {
+	s.ln = ln
+	go func() {
+		defer close(s.served)
+		s.server.Serve(ln) //nolint:errcheck // it ends with Stop or Shutdown
+	}()
+}
+
 // Address returns where the server listens.
 func (s *Server) Address() string { return s.ln.Addr().String() }
 
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -93,7 +93,7 @@
 	p.Front = web.New("clients", set.Entry.Front, d.Front(p.Node), callers(set))
 	inForce := func() caller.Services { return objects.View() }
 	p.Callers = web.New("callers", set.Entry.Callers, caller.New(p.Node, inForce, int64(set.Entry.MaxBody), d.Log), callers(set))
-	p.Metrics = web.New("metrics", set.Node.Metrics, ops.Handler(ops.Tokens(set.Entry), p.Node.Ready, api.Routes), web.Small)
+	p.Metrics = web.New("metrics", set.Node.Metrics, ops.Handler(ops.Tokens(set.Entry), p.Node.Ready, api.Routes), web.Operators)
 	services := []named{
 		{nameNode, p.Node},
 		{nameConfig, follow.New(d.Store, d.Config.Table, follow.Whole, set.Platform.ConfigWait, p.configReader(d), d.Log)},
