entry, agent: last answers reach everybody; a life is confirmed by its instance alone

Cause, both found by the second reader: (1) questions for states, and cancels, of other entries' jobs wait for the store and were not among those who get a last answer; and a job to be kept that came after it waited for the store as well. (2) A refused token was taken for a confirmation that the life lives, which an upstream that looks at tokens first would give for any life. The question about a life is put again with a higher token.

--- a/internal/agent/lease/lease.go
+++ b/internal/agent/lease/lease.go
@@ -26,11 +26,14 @@
 	l := Lease{length: length}
 	if clock > 0 {
 		l.clock, l.readAt = clock, now
-		l.token = milliseconds(clock) + 1
+		l.token = Token(clock)
 	}
 	return l
 }
 
+// Token is one that is higher than those of all earlier agents, at a reading of the upstream's clock.
+func Token(c call.Clock) call.Token { return milliseconds(c) + 1 }
+
 // milliseconds is the token that a reading gives.
 func milliseconds(c call.Clock) call.Token { return call.Token(time.Duration(c).Milliseconds()) }
 
--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -62,7 +62,7 @@
 // HoldDone handles the answer to a Hold.
 func (k *Keeper) HoldDone(now time.Time, c call.Hold, h call.Held) {
 	if asked := k.claims[c.Instance]; asked != nil {
-		k.claimAnswered(now, asked, c.Sent, h.Answer)
+		k.claimAnswered(now, asked, c.Sent, h)
 		return
 	}
 	if c.Look {
--- a/internal/agent/upstream/life.go
+++ b/internal/agent/upstream/life.go
@@ -54,6 +54,8 @@
 // told as lost while they go on, and the upstream itself, whose heartbeats would count as those of a past life.
 type claim struct {
 	beat Beat
+	// token is what the question carries.
+	token call.Token
 	// asking is true while the question is under way, asked when it was put.
 	asking bool
 	asked  time.Time
@@ -63,7 +65,8 @@
 func (k *Keeper) claimed(now time.Time, b Beat) {
 	c := k.claims[b.ID]
 	if c == nil {
-		c = &claim{}
+		l := lease.New(k.timing.Lease, now, b.Clock)
+		c = &claim{token: l.Token()}
 		k.claims[b.ID] = c
 	}
 	if b.Sequence >= c.beat.Sequence {
@@ -78,8 +81,7 @@
 		return
 	}
 	c.asking, c.asked = true, now
-	l := lease.New(k.timing.Lease, now, c.beat.Clock)
-	k.caller.Hold(call.Hold{Header: call.Header{Instance: c.beat.ID, Token: l.Token(), Sent: now}, Look: true})
+	k.caller.Hold(call.Hold{Header: call.Header{Instance: c.beat.ID, Token: c.token, Sent: now}, Look: true})
 }
 
 // askAgain repeats the questions that got no answer.
@@ -92,10 +94,14 @@
 }
 
 // claimAnswered handles the answer to a question that was put at sent; one without an answer is put again.
-func (k *Keeper) claimAnswered(now time.Time, c *claim, sent time.Time, a call.Answer) {
+func (k *Keeper) claimAnswered(now time.Time, c *claim, sent time.Time, h call.Held) {
 	c.asking = false
-	switch a {
-	case call.OK, call.Fenced:
+	switch h.Answer {
+	case call.Fenced:
+		// An earlier agent has called this life, or another life looks at tokens first: only a higher one tells.
+		c.token = max(c.token+1, lease.Token(h.Clock))
+		k.ask(now, c)
+	case call.OK:
 		if sent.Before(k.began) {
 			// Answers overtake each other: the life that has given this one may have ended before the present one began.
 			k.ask(now, c)
--- a/internal/agent/upstream/life_test.go
+++ b/internal/agent/upstream/life_test.go
@@ -54,7 +54,8 @@
 		{"an earlier one, after an answer was lost", nil, []call.Answer{call.Unanswered, call.WrongInstance}, []ident.UpstreamID{"u-1", "u-1"}, 0},
 		{"the next one", nil, []call.Answer{call.OK, call.OK}, []ident.UpstreamID{"u-1", "u-other"}, 1},
 		{"the next one, after two answers were lost", nil, []call.Answer{call.Unanswered, call.Unanswered, call.OK, call.OK}, []ident.UpstreamID{"u-1", "u-other"}, 1},
-		{"the next one, which has seen a token", nil, []call.Answer{call.Fenced, call.OK}, []ident.UpstreamID{"u-1", "u-other"}, 1},
+		{"an earlier one, and the present one looks at tokens first", nil, []call.Answer{call.Fenced, call.WrongInstance}, []ident.UpstreamID{"u-1", "u-1"}, 0},
+		{"the next one, which has seen a token", nil, []call.Answer{call.Fenced, call.OK, call.OK}, []ident.UpstreamID{"u-1", "u-other"}, 1},
 		{"an earlier one, believed", rule.Without(rule.ConfirmLife), []call.Answer{call.WrongInstance}, []ident.UpstreamID{"u-1"}, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- /dev/null
+++ b/internal/entry/node/close_test.go
@@ -0,0 +1,82 @@
+package node_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/logs"
+	"hillreel/internal/core/route"
+	"hillreel/internal/core/rows"
+	"hillreel/internal/core/settings"
+	"hillreel/internal/core/verdict"
+	"hillreel/internal/entry/dispatch"
+	"hillreel/internal/entry/node"
+)
+
+// mute is a store that never answers.
+type mute struct{}
+
+func (mute) Commit(ctx context.Context, _ rows.Txn) (rows.Version, error) {
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+func (mute) Read(ctx context.Context, _ rows.Key) (rows.Row, error) {
+	<-ctx.Done()
+	return rows.Row{}, ctx.Err()
+}
+
+func (mute) Range(ctx context.Context, _ rows.Range) (rows.Page, error) {
+	<-ctx.Done()
+	return rows.Page{}, ctx.Err()
+}
+
+// TestCloseAll: an entry that is about to end answers everybody at once, whatever they wait for, and those who come then too.
+func TestCloseAll(t *testing.T) {
+	submit := func(keep bool) func(n *node.Node) (verdict.State, error) {
+		return func(n *node.Node) (verdict.State, error) {
+			a, err := n.Submit(context.Background(), dispatch.Request{
+				Job: 1, Route: route.Route{Service: "publish", Attempts: 2, Target: time.Minute}, Deadline: time.Now().Add(time.Minute),
+				Spec: &job.Spec{Text: "x", BestEffort: !keep, Steps: []job.Step{{Count: 1, Each: job.Resources{CPU: 1000}, Estimate: time.Second}}},
+			})
+			return a.State, err
+		}
+	}
+	for _, test := range []struct {
+		name string
+		ask  func(n *node.Node) (verdict.State, error)
+		// state is the answer, empty where an error says that nothing is known.
+		state verdict.State
+	}{
+		{"a job", submit(false), verdict.Refused},
+		{"a job to be kept", submit(true), verdict.Unresolved},
+		{"the state of a job of another entry", func(n *node.Node) (verdict.State, error) { return n.State(context.Background(), 2) }, ""},
+		{"the cancelling of a job of another entry", func(n *node.Node) (verdict.State, error) { return n.Cancel(context.Background(), 2) }, ""},
+	} {
+		for _, before := range []bool{true, false} {
+			t.Run(test.name, func(t *testing.T) {
+				t.Parallel()
+				set, err := settings.Load("")
+				qt.Assert(t, err, qt.IsNil)
+				set.Node.Link, set.Links.Silence = "127.0.0.1:0", time.Minute
+				n := node.New(set, mute{}, nil, node.NewObserver(logs.Discard(), nil), logs.Discard())
+				qt.Assert(t, n.Start(context.Background()), qt.IsNil)
+				defer n.Stop()
+				if before {
+					time.AfterFunc(50*time.Millisecond, n.CloseAll)
+				} else {
+					n.CloseAll()
+				}
+				began := time.Now()
+				state, err := test.ask(n)
+				qt.Assert(t, time.Since(began) < 250*time.Millisecond, qt.IsTrue, qt.Commentf("took %v", time.Since(began)))
+				qt.Assert(t, state, qt.Equals, test.state)
+				qt.Assert(t, err != nil, qt.Equals, test.state == "")
+			})
+		}
+	}
+}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -37,14 +37,19 @@
 	ln     net.Listener
 	ctx    context.Context
 	cancel context.CancelFunc
-	ledger *ledger.Ledger
-	reader *ledger.Reader
+	// questions is over once no question to the store is waited for any more.
+	questions      context.Context
+	closeQuestions context.CancelFunc
+	ledger         *ledger.Ledger
+	reader         *ledger.Reader
 
 	// The control goroutine owns what follows.
 	table   *dispatch.Table
 	book    *book.Book
 	links   *links.Set[keepAlive]
 	callers map[dispatch.CallerID]chan dispatch.Answer
+	// closing is true once everybody was given a last answer.
+	closing bool
 	// peers are the link addresses of all entries, as agents were told last.
 	peers []string
 	pulse links.Pulse
@@ -69,8 +74,9 @@
 // New returns a Node that has not started.
 func New(set *settings.Settings, store ledger.Store, d Decoder, observer dispatch.Observer, log *logrus.Entry) *Node {
 	ctx, cancel := context.WithCancel(context.Background())
+	questions, closeQuestions := context.WithCancel(ctx)
 	n := &Node{
-		ctx: ctx, cancel: cancel, set: set, log: log, inc: ident.NewIncarnation(), loop: loop.New(), decode: d,
+		ctx: ctx, cancel: cancel, questions: questions, closeQuestions: closeQuestions, set: set, log: log, inc: ident.NewIncarnation(), loop: loop.New(), decode: d,
 		links:   links.New[keepAlive]("agent", log),
 		pulse:   links.Pulse{Limit: set.Links.Silence / 2, Pause: set.Links.Silence / 4, Log: log},
 		callers: make(map[dispatch.CallerID]chan dispatch.Answer),
@@ -144,6 +150,20 @@
 	listed struct{ entries []members.Listed }
 )
 
+// submit hands a job in, to the book if it is to be kept.
+func (n *Node) submit(now time.Time, e submitted) {
+	n.callers[e.request.Caller] = e.answer
+	switch {
+	case !n.keeps(&e.request):
+		n.table.Submit(now, e.request)
+	case n.closing:
+		// The store would answer too late; the job may have been accepted when it was sent before.
+		(*answerer)(n).Answer(e.request.Caller, lastAnswer)
+	default:
+		n.book.Submit(now, e.request)
+	}
+}
+
 // handle handles one event on the control goroutine.
 func (n *Node) handle(e loop.Event) {
 	n.catchUp(time.Now())
@@ -156,12 +176,7 @@
 	case received:
 		n.links.Receive(now, e.session, e.msgs, func(l *link, m *wire.Msg) { n.handleMessage(now, l, m) })
 	case submitted:
-		n.callers[e.request.Caller] = e.answer
-		if n.keeps(&e.request) {
-			n.book.Submit(now, e.request)
-		} else {
-			n.table.Submit(now, e.request)
-		}
+		n.submit(now, e)
 	case abandoned:
 		delete(n.callers, e.caller)
 		n.book.Abandon(e.job, e.caller)
@@ -272,17 +287,30 @@
 // Leave makes the entry unready; what it is sent meanwhile is still served.
 func (n *Node) Leave() { n.leaving.Store(true) }
 
-// CloseAll answers everybody who still waits: the entry is about to end. A job to be kept may be stored all the same.
+// lastAnswer is for those of whose jobs nothing is certain when the entry ends.
+var lastAnswer = dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Leaving}
+
+// CloseAll answers everybody who still waits, and whoever comes then at once: the entry is about to end. A job to be kept may
+// be stored all the same.
 func (n *Node) CloseAll() {
+	n.closeQuestions()
 	n.call(func(now time.Time) {
+		n.closing = true
 		n.log.WithField("callers", len(n.callers)).Info("requests_closed")
 		n.table.CloseAll(now)
 		for c := range n.callers {
-			(*answerer)(n).Answer(c, dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Leaving})
+			(*answerer)(n).Answer(c, lastAnswer)
 		}
 	})
 }
 
+// question returns a context for a question to the store, which the entry's end bounds as well.
+func (n *Node) question(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(n.questions, cancel)
+	return ctx, func() { stop(); cancel() }
+}
+
 // HandOver lets other entries take this one's kept jobs over at once.
 func (n *Node) HandOver() { n.call(n.book.Leave) }
 
--- a/internal/entry/node/state.go
+++ b/internal/entry/node/state.go
@@ -15,6 +15,8 @@
 // State returns a job's state; verdict.Unknown when there is no such job. While the job runs, the answer waits a moment
 // for its end.
 func (n *Node) State(ctx context.Context, id job.ID) (verdict.State, error) {
+	ctx, done := n.question(ctx)
+	defer done()
 	until := time.Now().Add(stateWait)
 	if d, ok := ctx.Deadline(); ok {
 		until = earlier(until, time.Now().Add(time.Until(d)/2))
@@ -66,7 +68,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return state, nil
+			return state, nil // it is what the store said last
 		case <-time.After(stateRetry):
 		}
 	}
@@ -74,6 +76,8 @@
 
 // Cancel ends a job, and returns the state in which it has ended; verdict.Unknown when there is no such job.
 func (n *Node) Cancel(ctx context.Context, id job.ID) (verdict.State, error) {
+	ctx, done := n.question(ctx)
+	defer done()
 	found, own := false, false
 	answer, caller := n.newCaller()
 	n.call(func(now time.Time) {
