members: a leaving entry's row is removed though its last renewal was done late

Cause: the removal depends on what was read; a renewal that is done between the two made it fail, and the row stayed for up to 45 s. Figures: TestStopRemovesTheRow/its_own,_renewed_late fails before and passes after.

--- a/internal/link/members/members_test.go
+++ b/internal/link/members/members_test.go
@@ -28,6 +28,8 @@
 	hold bool
 	// held are the writes that were not answered.
 	held []rows.Txn
+	// late are the writes that are done just before the next one.
+	late []rows.Txn
 }
 
 func (s *heldStore) List(_ context.Context, table rows.Table, _ string) (rows.Page, error) {
@@ -49,6 +51,10 @@
 		s.held = append(s.held, t)
 		return 0, errNoAnswer
 	}
+	for _, l := range s.late {
+		s.rows.Commit(l)
+	}
+	s.late = nil
 	if !s.rows.Commit(t) {
 		return 0, rows.ErrConflict
 	}
@@ -150,6 +156,10 @@
 			key := rows.Key{Table: members.Table, Name: address}
 			s.rows.Put(key, s.rows.Rows[key].Value)
 		}, ""},
+		{"its own, renewed late", func(s *heldStore) {
+			key := rows.Key{Table: members.Table, Name: address}
+			s.late = []rows.Txn{{Put: []rows.Row{s.rows.Rows[key]}}}
+		}, ""},
 		{"a successor's", func(s *heldStore) {
 			s.rows.Put(rows.Key{Table: members.Table, Name: address}, []byte(`{"incarnation":"2"}`))
 		}, "2"},
--- a/internal/link/members/registrar.go
+++ b/internal/link/members/registrar.go
@@ -96,7 +96,11 @@
 	<-r.done
 	ctx, cancel := context.WithTimeout(context.Background(), retryAfter)
 	defer cancel()
-	if err := r.remove(ctx); err != nil {
+	err := r.remove(ctx)
+	for errors.Is(err, rows.ErrConflict) {
+		err = r.remove(ctx) // a renewal of this life was done late
+	}
+	if err != nil {
 		r.log.WithField("error", err.Error()).Info("member_row_left")
 	}
 }
