--- a/internal/core/metrics/metrics.go
+++ b/internal/core/metrics/metrics.go
@@ -22,6 +22,8 @@
 // NewCounters publishes an empty set of counters under a name. A process that asks again, as one with several nodes
 // does, gets the same set.
 func NewCounters(name string) *Counters {
+	publishing.Lock()
+	defer publishing.Unlock()
 	if v, ok := expvar.Get(name).(*expvar.Map); ok {
 		return &Counters{v}
 	}
@@ -50,7 +52,8 @@
 	return l
 }
 
-// published holds the sets by name, for processes with several nodes, which share them.
+// publishing lets one goroutine at a time look for a set and publish it; published holds the histograms by name, for processes
+// with several nodes, which share them.
 var (
 	publishing sync.Mutex
 	published  = make(map[string]*Latencies)
--- /dev/null
+++ b/internal/core/metrics/metrics_test.go
@@ -0,0 +1,33 @@
+package metrics_test
+
+import (
+	"expvar"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/core/metrics"
+)
+
+// TestNodesShareSets: nodes of one process that start side by side share the sets of a name; publishing one twice would end the
+// process.
+func TestNodesShareSets(t *testing.T) {
+	const nodes = 50
+	run := fmt.Sprint(time.Now().UnixNano()) // sets last as long as the process
+	var group sync.WaitGroup
+	begin := make(chan struct{})
+	for range nodes {
+		group.Go(func() {
+			<-begin
+			metrics.NewCounters("counters"+run).Add("events", 1)
+			metrics.NewLatencies("latencies"+run).Record("key", time.Millisecond)
+		})
+	}
+	close(begin)
+	group.Wait()
+	qt.Assert(t, expvar.Get("counters"+run).(*expvar.Map).Get("events").String(), qt.Equals, "50")
+	qt.Assert(t, expvar.Get("latencies"+run).String(), qt.Contains, `"count":50`)
+}
