loopback: a process draws no address twice

Servers of tests had addresses drawn at random from two million; with 300 of them two are the same in one run of fifty (by arithmetic). Not ruled out: a test of another package, which ran at the same time and draws from the same range; with this change that is less likely too. Change: addresses are counted up from a random beginning.

--- a/internal/standin/loopback/loopback.go
+++ b/internal/standin/loopback/loopback.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 )
 
 // Range is the first of the 64 networks 127.Range.0.0/16 from which addresses are drawn.
@@ -18,8 +19,16 @@
 )
 
 // Draw draws a loopback address of its own for each server. A port of 127.0.0.1 that was free a moment ago may be taken
-// by then for somebody's outgoing connection.
+// by then for somebody's outgoing connection. A process draws no address twice; where it begins is random, since the same
+// tests may run twice at a time.
 func Draw(r Range, port int) string {
-	n := rand.Uint32()
-	return fmt.Sprintf("127.%d.%d.%d:%d", uint32(r)+n>>16&63, n>>8&255, 1+n&127, port)
+	n := drawn.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:%d", uint32(r)+n>>15&63, n>>7&255, 1+n&127, port)
 }
+
+// drawn counts the addresses.
+var drawn = func() *atomic.Uint32 {
+	var n atomic.Uint32
+	n.Store(rand.Uint32())
+	return &n
+}()
