--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"hillreel/internal/agent/peers"
 	"hillreel/internal/core/fleet"
@@ -230,7 +231,14 @@
 func (n *Node) handleMessage(now time.Time, l *link, m *wire.Msg) {
 	switch m := m.GetKind().(type) {
 	case *wire.Msg_Start:
-		n.keeper.Order(now, l.Peer, codec.ReadOrder(m.Start))
+		o, err := codec.ReadOrder(m.Start)
+		if err != nil {
+			// The orders behind it would be taken for it by their numbers.
+			n.log.WithFields(logrus.Fields{"entry": l.Name(), "error": err.Error()}).Error("order_unreadable")
+			l.Session.Close()
+			return
+		}
+		n.keeper.Order(now, l.Peer, o)
 	case *wire.Msg_Stop:
 		r, why := codec.ReadStop(m.Stop)
 		n.keeper.StopTask(now, l.Peer, r, why)
--- a/internal/link/codec/codec.go
+++ b/internal/link/codec/codec.go
@@ -7,6 +7,7 @@
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
+	"hillreel/internal/link/deflate"
 	"hillreel/internal/link/wire"
 )
 
@@ -23,9 +24,12 @@
 // Order encodes an order.
 func Order(o fleet.Order) *wire.Msg {
 	m := &wire.Start{
-		Seq: o.Seq, Job: uint64(o.Job), Step: o.Step, Spec: o.Spec, Each: resources(o.Each),
+		Seq: o.Seq, Job: uint64(o.Job), Step: o.Step, Each: resources(o.Each),
 		EstimateUs: o.Estimate.Microseconds(), Kept: o.Kept,
 	}
+	if m.DeflatedSpec = deflate.Compress(o.Spec); m.DeflatedSpec == nil {
+		m.Spec = o.Spec
+	}
 	for _, t := range o.Tasks {
 		m.Tasks = append(m.Tasks, &wire.TaskRun{
 			Index: t.Index, Run: uint32(t.Run), Id: uint64(t.ID), Failures: t.Failures, Checkpoint: t.Checkpoint,
@@ -34,10 +38,17 @@
 	return &wire.Msg{Kind: &wire.Msg_Start{Start: m}}
 }
 
-// ReadOrder decodes an order.
-func ReadOrder(m *wire.Start) fleet.Order {
+// ReadOrder decodes an order. It fails where its text can't be decompressed.
+func ReadOrder(m *wire.Start) (fleet.Order, error) {
+	spec := m.GetSpec()
+	if c := m.GetDeflatedSpec(); len(c) > 0 {
+		var err error
+		if spec, err = deflate.Decompress(c); err != nil {
+			return fleet.Order{}, err
+		}
+	}
 	o := fleet.Order{
-		Seq: m.GetSeq(), Job: job.ID(m.GetJob()), Step: m.GetStep(), Spec: m.GetSpec(), Each: readResources(m.GetEach()),
+		Seq: m.GetSeq(), Job: job.ID(m.GetJob()), Step: m.GetStep(), Spec: spec, Each: readResources(m.GetEach()),
 		Estimate: microseconds(m.GetEstimateUs()), Kept: m.GetKept(),
 	}
 	for _, t := range m.GetTasks() {
@@ -45,7 +56,7 @@
 			Index: t.GetIndex(), Run: job.Run(t.GetRun()), ID: fleet.RunID(t.GetId()), Failures: t.GetFailures(), Checkpoint: t.GetCheckpoint(),
 		})
 	}
-	return o
+	return o, nil
 }
 
 // Stop encodes the wish to stop a run; why is fleet.OnRequest or fleet.Moved.
--- a/internal/link/codec/codec_test.go
+++ b/internal/link/codec/codec_test.go
@@ -19,7 +19,9 @@
 		{Seq: 7, Job: task.Job, Step: 1, Spec: "text", Each: job.Resources{CPU: 1600, Mem: 64, GPU: 1}, Estimate: 60 * time.Millisecond,
 			Tasks: []fleet.TaskRun{{Index: 3, Run: 2, Failures: 1, Checkpoint: "saved"}, {Index: 4, Run: 1}}},
 	} {
-		qt.Assert(t, codec.ReadOrder(codec.Order(o).GetStart()), qt.DeepEquals, o)
+		got, err := codec.ReadOrder(codec.Order(o).GetStart())
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got, qt.DeepEquals, o)
 	}
 	for _, e := range []fleet.End{
 		{},
--- a/internal/load/plan/plan.go
+++ b/internal/load/plan/plan.go
@@ -30,6 +30,8 @@
 	Near, Far, Callers time.Duration
 	// Handling is what a process takes for a message at the most; it is drawn anew each time.
 	Handling time.Duration
+	// EntryLink is what an entry's VM can send, in megabits a second; zero is no bound.
+	EntryLink float64
 }
 
 // Zone is an availability zone.
@@ -67,6 +69,8 @@
 	// Stretch times the longest task and Target make up the objective; Deadline is when callers leave.
 	Stretch          float64
 	Target, Deadline time.Duration
+	// Text is the length of the job's text in bytes, which goes to each agent that gets one of its tasks.
+	Text int
 	// Priority 0 goes first; Attempts is after how many failed runs of one task the job has failed.
 	Priority, Attempts int
 }
--- a/internal/load/plan/read.go
+++ b/internal/load/plan/read.go
@@ -119,6 +119,7 @@
 	p.Delays = Delays{
 		Near: f.time("near", 200*time.Microsecond, 0, most), Far: f.time("far", 500*time.Microsecond, 0, most),
 		Callers: f.time("callers", time.Millisecond, 0, most), Handling: f.time("handling", 300*time.Microsecond, 0, most),
+		EntryLink: f.number("entry_link_mbits", 0, 0, 1e6),
 	}
 }
 
@@ -126,6 +127,7 @@
 const (
 	mostVMs   = 5000
 	mostTasks = 10_000
+	mostText  = 1 << 20
 )
 
 func (f *fields) zone(p *Plan, name string) {
@@ -150,6 +152,7 @@
 		Uneven: f.number("uneven", 0.15, 0, 3), EstimateOff: f.number("estimate_off", 0.4, 0, 0.99),
 		Cores: f.number("cores", 1, 0.001, 10_000), Stretch: f.number("stretch", 1.6, 0, 100),
 		Target: f.time("target", 60*time.Millisecond, 0, time.Hour), Deadline: f.time("deadline", 4*time.Second, time.Millisecond, time.Hour),
+		Text:     f.count("text_bytes", 0, 0, mostText),
 		Priority: f.count("priority", 0, 0, 100), Attempts: f.count("attempts", 2, 1, 100),
 	})
 }
--- a/internal/load/world/callers.go
+++ b/internal/load/world/callers.go
@@ -88,7 +88,7 @@
 	s.cores = j.Cores * w.vary(coresSpread)
 	estimate := time.Duration(base * (1 + j.EstimateOff*(2*w.load.Float64()-1)))
 	each := job.Resources{CPU: int64(s.cores * milli), Mem: 64}
-	s.spec = &job.Spec{Text: s.id.String(), BestEffort: true, Steps: []job.Step{{Count: uint32(n), Each: each, Estimate: estimate}}}
+	s.spec = &job.Spec{Text: w.text(s.id, j.Text), BestEffort: true, Steps: []job.Step{{Count: uint32(n), Each: each, Estimate: estimate}}}
 	s.objective = j.Target + time.Duration(j.Stretch*float64(longest))
 	s.leaves = j.Deadline
 	if w.load.Float64() < w.plan.Leaving(w.elapsed()) {
@@ -98,6 +98,18 @@
 	s.send()
 }
 
+// text draws a job's text: of so many letters, of which there are sixteen, so that it holds as much as the users' texts do.
+func (w *World) text(id job.ID, length int) string {
+	if length == 0 {
+		return id.String()
+	}
+	b := make([]byte, length)
+	for i := range b {
+		b[i] = 'a' + byte(w.load.IntN(16))
+	}
+	return string(b)
+}
+
 // send hands the job to an entry of the caller's zone, or to any where none lives there.
 func (s *submission) send() {
 	if s.over {
--- a/internal/load/world/entry.go
+++ b/internal/load/world/entry.go
@@ -4,11 +4,14 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/route"
 	"hillreel/internal/entry/dispatch"
+	"hillreel/internal/link/codec"
 	"hillreel/internal/load/plan"
 )
 
@@ -23,6 +26,8 @@
 	// order lists the agents in the order in which they were linked, so that runs repeat.
 	order   []*agent
 	waiting map[dispatch.CallerID]*request
+	// sentAll is when the VM's link has sent all messages so far.
+	sentAll time.Time
 }
 
 // Bounds of an entry's table: the defaults of the settings are of that order.
@@ -64,7 +69,29 @@
 func (e *entry) ping(a *agent, l *link) {
 	l.pinged = e.w.Now()
 	clock, pace := l.clock, e.table.Pace()
-	l.toAgent(func() { a.keeper.Ping(e.w.Now(), e.inc, clock, pace) })
+	l.toAgent(shortMessage, func() { a.keeper.Ping(e.w.Now(), e.inc, clock, pace) })
+}
+
+// Sizes of messages, in bytes.
+const (
+	// headers are those of Ethernet, IP and TCP with time stamps, each message in a packet of its own.
+	headers = 14 + 20 + 32
+	// shortMessage is a message of a few numbers.
+	shortMessage = headers + 20
+)
+
+// transmit returns how long it takes until the VM's link has sent a message of so many bytes, after those before it.
+func (e *entry) transmit(size int) time.Duration {
+	mbits := e.w.plan.Delays.EntryLink
+	if mbits == 0 {
+		return 0
+	}
+	now := e.w.Now()
+	if e.sentAll.Before(now) {
+		e.sentAll = now
+	}
+	e.sentAll = e.sentAll.Add(time.Duration(float64(8*size) / mbits * float64(time.Microsecond)))
+	return e.sentAll.Sub(now)
 }
 
 // lose lets the VM lose power for a while.
@@ -97,7 +124,7 @@
 func (o orders) Order(to ident.Incarnation, order fleet.Order) {
 	if l := o.e.linkTo(to); l != nil {
 		o.e.w.result.Messages.Orders++
-		l.toAgent(func() { l.a.keeper.Order(o.e.w.Now(), l.e.inc, order) })
+		l.toAgent(headers+proto.Size(codec.Order(order)), func() { l.a.keeper.Order(o.e.w.Now(), l.e.inc, order) })
 	}
 }
 
@@ -105,7 +132,7 @@
 func (o orders) Stop(to ident.Incarnation, r fleet.OrderedRun, why fleet.Reason) {
 	if l := o.e.linkTo(to); l != nil {
 		o.e.w.result.Messages.Stops++
-		l.toAgent(func() { l.a.keeper.StopTask(o.e.w.Now(), l.e.inc, r, why) })
+		l.toAgent(shortMessage, func() { l.a.keeper.StopTask(o.e.w.Now(), l.e.inc, r, why) })
 	}
 }
 
--- a/internal/load/world/link.go
+++ b/internal/load/world/link.go
@@ -48,16 +48,17 @@
 	})
 }
 
-// toAgent carries a message to the agent.
-func (l *link) toAgent(f func()) {
-	l.carry(&l.nextA, func() { f(); l.a.keeper.Flush(l.w.Now()) })
+// toAgent carries a message of so many bytes to the agent.
+func (l *link) toAgent(size int, f func()) {
+	l.carry(&l.nextA, l.e.transmit(size), func() { f(); l.a.keeper.Flush(l.w.Now()) })
 }
 
 // toEntry carries a message to the entry.
-func (l *link) toEntry(f func()) { l.carry(&l.nextE, f) }
+func (l *link) toEntry(f func()) { l.carry(&l.nextE, 0, f) }
 
-func (l *link) carry(next *time.Time, f func()) {
-	at := l.w.Now().Add(l.w.delay(l.e.zone, l.a.zone))
+// carry carries a message that its sender's link has sent after a while.
+func (l *link) carry(next *time.Time, sent time.Duration, f func()) {
+	at := l.w.Now().Add(sent + l.w.delay(l.e.zone, l.a.zone))
 	if at.Before(*next) {
 		at = *next
 	}
