dispatch: a session that replaces another leaves its agent known

Cause: Linked of an agent that was still linked ended the former session, which forgets an agent without runs, and then went on with an agent that the table did not hold: its room was never looked at. Change: the former session ends before the agent is looked up. Test that failed before: TestLinkedAnew.

--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -35,17 +35,15 @@
 	t.lost--
 }
 
-// Linked handles a new session with an agent.
+// Linked handles a new session with an agent, in place of one whose end was not told.
 func (t *Table) Linked(now time.Time, id ident.Incarnation, name ident.UpstreamName, zone ident.Zone) {
+	t.Unlinked(now, id) // forgets an agent that has no runs
 	a := t.agents[id]
 	if a == nil {
 		a = &upstreamOf{Account: agent.Account{ID: id, Heard: now}, runs: make(map[job.TaskID]*task)}
 		t.agents[id] = a
 		t.order = append(t.order, a)
 	}
-	if a.Linked {
-		t.Unlinked(now, id)
-	}
 	t.setLost(a, false)
 	a.Link(name, zone)
 	t.countPace(a)
--- a/internal/entry/dispatch/agents_test.go
+++ b/internal/entry/dispatch/agents_test.go
@@ -93,6 +93,15 @@
 	qt.Assert(t, b.stops[1], qt.Equals, stop{1, unknown, fleet.OnRequest})
 }
 
+// TestLinkedAnew: a session that replaces one whose end was not told leaves the agent known, whether it has runs or not.
+func TestLinkedAnew(t *testing.T) {
+	b := newBench(t, 1)
+	b.link(1)
+	b.room(1, fleet.Ready, 2000, 0)
+	b.submit(7, 1, 1, time.Second, time.Minute)
+	qt.Assert(t, b.orders, qt.HasLen, 1)
+}
+
 // TestCloseAll: an entry that is about to end answers everybody: what has not begun is refused for good, what has may have run
 // and is stopped, and what comes then is refused.
 func TestCloseAll(t *testing.T) {
