--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 # make lint    formatter and linter only
 # make soak    a long randomised run (SCHEDULES=n SEED=n)
 # make soak-faults  the real programs under faults (SEED=n SEEDS=n LENGTH=time AGENTS=n PARALLEL=n)
-# make days    write our days for the users' bench (DIR=directory)
+# make days    write our days for the users' bench into deploy/days, where hunts find them (DIR=directory)
 # make rules   leave out each safety rule and search for a schedule that fails (SCHEDULES=n SEED=n)
 GO ?= go
 SCHEDULES ?= 200000
@@ -12,7 +12,7 @@
 LENGTH ?= 10s
 AGENTS ?= 6
 PARALLEL ?= 2
-DIR ?= out/days
+DIR ?= deploy/days
 
 .PHONY: all build demo check lint test soak soak-faults days rules generate
 
--- a/internal/agent/node/observe.go
+++ b/internal/agent/node/observe.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sirupsen/logrus"
 
+	"hillreel/internal/agent/upstream"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -52,6 +53,23 @@
 	o.log.WithFields(logrus.Fields{"upstream": id, "present": by}).Info("heartbeat_outlived")
 }
 
+// Begun logs a life of the upstream that is taken up.
+func (o *observer) Begun(b upstream.Beat) {
+	o.counters.Add("lives", 1)
+	o.log.WithFields(logrus.Fields{"upstream": b.ID, "service": b.Service, "sequence": b.Sequence, "draining": b.Draining}).Info("upstream_begun")
+}
+
+// Dropped logs a heartbeat that counts as overtaken.
+func (o *observer) Dropped(b upstream.Beat, newest uint64) {
+	o.counters.Add("dropped_heartbeats", 1)
+	o.log.WithFields(logrus.Fields{
+		"upstream": b.ID, "sequence": b.Sequence, "newest": newest, "draining": b.Draining,
+	}).Info("heartbeat_dropped")
+}
+
+// Overtaken counts a listing that is passed over: there can be one with each answer.
+func (o *observer) Overtaken() { o.counters.Add("listings_overtaken", 1) }
+
 // Unsure logs a start that got no answer.
 func (o *observer) Unsure(task job.TaskID, run job.Run) {
 	o.counters.Add("starts_unsure", 1)
--- a/internal/agent/upstream/bench_test.go
+++ b/internal/agent/upstream/bench_test.go
@@ -56,6 +56,9 @@
 func (b *bench) Orphaned(ident.Incarnation, int, string) {}
 func (b *bench) Outlived(_, _ ident.UpstreamID)          {}
 func (b *bench) Unsure(job.TaskID, job.Run)              {}
+func (b *bench) Begun(upstream.Beat)                     {}
+func (b *bench) Dropped(upstream.Beat, uint64)           {}
+func (b *bench) Overtaken()                              {}
 
 // The entries and the job that the tests use.
 const (
--- a/internal/agent/upstream/life.go
+++ b/internal/agent/upstream/life.go
@@ -39,6 +39,7 @@
 		k.begin(now, b)
 	}
 	if b.Sequence < k.sequence {
+		k.observer.Dropped(b, k.sequence)
 		return
 	}
 	k.sequence = b.Sequence
@@ -123,6 +124,7 @@
 	}
 	delete(k.claims, b.ID)
 	k.known, k.up, k.began = true, b.Upstream, now
+	k.observer.Begun(b)
 	k.holding, k.looking = false, false // calls under way are meant for the life before
 	k.sequence, k.listed, k.ends = 0, 0, ends.Account{}
 	clear(k.given)
--- a/internal/agent/upstream/listed.go
+++ b/internal/agent/upstream/listed.go
@@ -26,8 +26,13 @@
 		k.first(h)
 	}
 	news = k.takeEnds(now, h.Finished)
-	if h.Clock < k.listed || len(h.Finished) >= ends.ListLimit {
-		// A newer answer has come before this one, and what it lists as running may have ended; or ends may be missing.
+	if h.Clock < k.listed {
+		// A newer answer has come before this one, and what it lists as running may have ended.
+		k.observer.Overtaken()
+		return news
+	}
+	if len(h.Finished) >= ends.ListLimit {
+		// Ends may be missing.
 		return news
 	}
 	k.listed = h.Clock
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -45,6 +45,12 @@
 	Outlived(id, by ident.UpstreamID)
 	// Unsure is called when a start got no answer.
 	Unsure(task job.TaskID, run job.Run)
+	// Begun is called when a life of the upstream is taken up.
+	Begun(b Beat)
+	// Dropped is called for a heartbeat whose number is below newest, that of the newest one.
+	Dropped(b Beat, newest uint64)
+	// Overtaken is called for a listing whose clock is older than that of one taken in before.
+	Overtaken()
 }
 
 // Keeper is the account of one upstream.
--- a/internal/load/world/agent.go
+++ b/internal/load/world/agent.go
@@ -170,3 +170,6 @@
 func (quiet) Orphaned(ident.Incarnation, int, string)     {}
 func (quiet) Outlived(ident.UpstreamID, ident.UpstreamID) {}
 func (quiet) Unsure(job.TaskID, job.Run)                  {}
+func (quiet) Begun(upstream.Beat)                         {}
+func (quiet) Dropped(upstream.Beat, uint64)               {}
+func (quiet) Overtaken()                                  {}
--- a/internal/proof/schedule/words_test.go
+++ b/internal/proof/schedule/words_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hillreel/internal/agent/call"
+	"hillreel/internal/agent/upstream"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -201,6 +202,14 @@
 	n.a.w.note("%s: a late heartbeat of %s while %s lives", n.a.name, id, by)
 }
 
+func (n agentNotes) Begun(b upstream.Beat) { n.a.w.note("%s: takes up %s", n.a.name, b.ID) }
+
+func (n agentNotes) Dropped(b upstream.Beat, newest uint64) {
+	n.a.w.note("%s: heartbeat %d of %s comes after %d", n.a.name, b.Sequence, b.ID, newest)
+}
+
+func (n agentNotes) Overtaken() {}
+
 func (n agentNotes) Unsure(task job.TaskID, run job.Run) {
 	n.a.w.note("%s: run %d of %v may have started", n.a.name, run, task)
 }
