--- a/internal/agent/call/call.go
+++ b/internal/agent/call/call.go
@@ -17,13 +17,18 @@
 
 // Header is what every call to an upstream carries.
 type Header struct {
-	// Instance is the life of the upstream that is meant.
+	// Instance is the upstream that is meant: another one refuses the call. Born tells the agent which of its lives; the wire
+	// doesn't carry it, so that the next life under the same id takes the call for its own.
 	Instance ident.UpstreamID
+	Born     ident.Born
 	Token    Token
 	// Sent is when the call was made.
 	Sent time.Time
 }
 
+// Life is the life that is meant.
+func (h Header) Life() ident.UpstreamLife { return ident.UpstreamLife{ID: h.Instance, Born: h.Born} }
+
 // Start starts one run.
 type Start struct {
 	Header
@@ -108,8 +113,10 @@
 
 // Held is the result of a Hold.
 type Held struct {
-	Answer   Answer
-	Clock    Clock
+	Answer Answer
+	Clock  Clock
+	// Born is when the life began that has answered; zero is not told.
+	Born     ident.Born
 	Running  []Listed
 	Finished []Finished
 }
--- a/internal/agent/lease/lease.go
+++ b/internal/agent/lease/lease.go
@@ -1,5 +1,5 @@
 // Package lease keeps an agent's account of its upstream's clock, of the lease on what runs there, and of the fencing
-// token, which is a reading of that clock.
+// token.
 package lease
 
 import (
@@ -9,7 +9,7 @@
 	"hillreel/internal/core/fleet"
 )
 
-// Lease is the account of one life of an upstream.
+// Lease is the account of one life of an upstream, with a token that outlasts it.
 type Lease struct {
 	length time.Duration
 	// clock is the newest known reading of the upstream's clock, taken at readAt; a zero readAt is none.
@@ -17,25 +17,33 @@
 	readAt time.Time
 	// until is the latest lease that any call carried.
 	until call.Clock
+	// misled: calls that were meant for another life may have extended the lease of this one, whose clock isn't known yet.
+	misled bool
+	// token never falls: the next life of an upstream may have the same id, and take late calls to the former for its own.
 	token call.Token
+	// step is by how much the token was raised last to outbid a foreign one.
+	step call.Token
 }
 
-// New returns the account of a new life. clock is a reading that came with its first heartbeat; zero is none. Every
-// token of an earlier agent was at most the upstream's clock at that time, so the first token is above them all.
-func New(length time.Duration, now time.Time, clock call.Clock) Lease {
-	l := Lease{length: length}
+// New returns an account of a life of which nothing is known yet.
+func New(length time.Duration, now time.Time) Lease { return Lease{length: length, token: token(now)} }
+
+// token is one that is higher than those of all earlier agents of this VM: they were at most the VM's time of day, in Unix
+// milliseconds. If that was set back meanwhile, the upstream refuses the token, and Outbid finds a higher one.
+func token(now time.Time) call.Token { return call.Token(now.UnixMilli()) }
+
+// Begin begins the account of another life. clock is a reading of its clock; zero is none. misled: calls that were meant for the life
+// before, whose clock read something else, may have extended the lease of this one.
+func (l *Lease) Begin(now time.Time, clock call.Clock, misled bool) {
+	l.Raise(now)
+	l.clock, l.readAt, l.until, l.misled = 0, time.Time{}, 0, misled
 	if clock > 0 {
-		l.clock, l.readAt = clock, now
-		l.token = Token(clock)
+		l.Read(now, clock)
 	}
-	return l
 }
 
-// Token is one that is higher than those of all earlier agents, at a reading of the upstream's clock.
-func Token(c call.Clock) call.Token { return milliseconds(c) + 1 }
-
-// milliseconds is the token that a reading gives.
-func milliseconds(c call.Clock) call.Token { return call.Token(time.Duration(c).Milliseconds()) }
+// Longest is the longest lease that an upstream takes: hold_max_ms on all deployments seen. It cuts longer ones to that.
+const Longest = call.Clock(time.Second)
 
 // Now is a reading that the upstream's clock has surely passed.
 func (l *Lease) Now(now time.Time) call.Clock {
@@ -50,8 +58,15 @@
 	if c > l.Now(now) {
 		l.clock, l.readAt = c, now
 	}
+	if l.misled {
+		l.Mislead(now)
+		l.misled = false
+	}
 }
 
+// Mislead notes that until now calls which were meant for another life may have extended the lease.
+func (l *Lease) Mislead(now time.Time) { l.until = max(l.until, l.Now(now)+Longest) }
+
 // Extend returns the lease that a call made now carries.
 func (l *Lease) Extend(now time.Time) call.Clock {
 	until := l.Now(now) + call.Clock(l.length)
@@ -65,8 +80,18 @@
 // Lapsed tells whether the latest lease has surely run out, so that nothing runs any more.
 func (l *Lease) Lapsed(now time.Time) bool { return l.Now(now) > l.until+call.Clock(Margin) }
 
-// Token is what calls carry; zero is none yet.
+// Token is what calls carry.
 func (l *Lease) Token() call.Token { return l.token }
 
 // Raise raises the token, so that calls made before can do nothing from the next answered call on.
-func (l *Lease) Raise(now time.Time) { l.token = max(l.token+1, milliseconds(l.Now(now))) }
+func (l *Lease) Raise(now time.Time) { l.token = max(l.token+1, token(now)) }
+
+// Outbid raises the token by more each time: the upstream has seen a higher one than refused, and does not tell which. Twice as
+// much each time reaches any in a few dozen calls.
+func (l *Lease) Outbid(now time.Time, refused call.Token) {
+	if refused < l.token {
+		return // it was raised since
+	}
+	l.step = max(1, 2*l.step)
+	l.token = max(l.token+l.step, token(now))
+}
--- a/internal/agent/memory/memory.go
+++ b/internal/agent/memory/memory.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"hillreel/internal/agent/upstream"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -29,41 +30,43 @@
 	key  rows.Key
 }
 
-// upstream is the value of a row.
-type upstream struct {
+// value is that of a row.
+type value struct {
 	ID      ident.UpstreamID `json:"id"`
+	Born    ident.Born       `json:"born_ms"`
 	Service ident.Service    `json:"service"`
 	Labels  []job.Label      `json:"labels"`
 	CPU     int64            `json:"cpu_millis"`
 	Mem     int64            `json:"mem_mb"`
 	GPU     int64            `json:"gpu"`
+	// Draining: the upstream has said that it leaves.
+	Draining bool `json:"draining"`
 }
 
 // New returns the memory of the agent on a VM.
 func New(r Rows, vm string) *Memory { return &Memory{r, rows.Key{Table: table, Name: vm}} }
 
 // Recall returns the upstream that was remembered last, and whether there is one.
-func (m *Memory) Recall(ctx context.Context) (fleet.Upstream, bool, error) {
+func (m *Memory) Recall(ctx context.Context) (upstream.Known, bool, error) {
 	row, err := m.rows.Read(ctx, m.key)
 	if err != nil || row.Version == 0 {
-		return fleet.Upstream{}, false, err
+		return upstream.Known{}, false, err
 	}
-	var u upstream
-	if err := json.Unmarshal(row.Value, &u); err != nil {
-		return fleet.Upstream{}, false, errors.Wrap(err, "memory: row")
+	var v value
+	if err := json.Unmarshal(row.Value, &v); err != nil {
+		return upstream.Known{}, false, errors.Wrap(err, "memory: row")
 	}
-	return fleet.Upstream{
-		ID: u.ID, Service: u.Service, Labels: u.Labels, Total: job.Resources{CPU: u.CPU, Mem: u.Mem, GPU: u.GPU},
-	}, true, nil
+	up := fleet.Upstream{ID: v.ID, Service: v.Service, Labels: v.Labels, Total: job.Resources{CPU: v.CPU, Mem: v.Mem, GPU: v.GPU}}
+	return upstream.Known{Upstream: up, Born: v.Born, Draining: v.Draining}, true, nil
 }
 
 // Remember keeps an upstream. Only this agent writes its row, and any life of the upstream that is remembered by
 // mistake is refused by the upstream itself, so that no condition is needed.
-func (m *Memory) Remember(ctx context.Context, u fleet.Upstream) error {
-	value, err := json.Marshal(upstream{u.ID, u.Service, u.Labels, u.Total.CPU, u.Total.Mem, u.Total.GPU})
+func (m *Memory) Remember(ctx context.Context, u upstream.Known) error {
+	raw, err := json.Marshal(value{u.ID, u.Born, u.Service, u.Labels, u.Total.CPU, u.Total.Mem, u.Total.GPU, u.Draining})
 	if err != nil {
 		return errors.Wrap(err, "memory: encode")
 	}
-	_, err = m.rows.Commit(ctx, rows.Txn{Put: []rows.Row{{Key: m.key, Value: value}}})
+	_, err = m.rows.Commit(ctx, rows.Txn{Put: []rows.Row{{Key: m.key, Value: raw}}})
 	return err
 }
--- a/internal/agent/node/life_test.go
+++ b/internal/agent/node/life_test.go
@@ -21,7 +21,7 @@
 // oneLife is an upstream that answers for one life at a time.
 type oneLife struct {
 	mu   sync.Mutex
-	life ident.UpstreamID
+	life ident.UpstreamLife
 }
 
 func (u *oneLife) Start(context.Context, call.Start) (call.Answer, call.Clock, error) {
@@ -36,14 +36,14 @@
 	time.Sleep(5*time.Millisecond + c.Wait)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if c.Instance != u.life {
+	if c.Instance != u.life.ID {
 		return call.Held{Answer: call.WrongInstance}, nil
 	}
-	return call.Held{Answer: call.OK, Clock: call.Clock(time.Hour)}, nil
+	return call.Held{Answer: call.OK, Clock: call.Clock(time.Hour), Born: u.life.Born}, nil
 }
 
 // begin lets the next life begin.
-func (u *oneLife) begin(life ident.UpstreamID) {
+func (u *oneLife) begin(life ident.UpstreamLife) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.life = life
@@ -52,21 +52,21 @@
 // notebook keeps what an agent remembers.
 type notebook struct {
 	mu   sync.Mutex
-	last ident.UpstreamID
+	last ident.UpstreamLife
 }
 
-func (m *notebook) Recall(context.Context) (fleet.Upstream, bool, error) {
-	return fleet.Upstream{}, false, nil
+func (m *notebook) Recall(context.Context) (upstream.Known, bool, error) {
+	return upstream.Known{}, false, nil
 }
 
-func (m *notebook) Remember(_ context.Context, u fleet.Upstream) error {
+func (m *notebook) Remember(_ context.Context, u upstream.Known) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.last = u.ID
+	m.last = u.Life()
 	return nil
 }
 
-func (m *notebook) lastIs(id ident.UpstreamID) bool {
+func (m *notebook) lastIs(id ident.UpstreamLife) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.last == id
@@ -81,9 +81,9 @@
 	n := node.New(set, u, m, session.TCP, logs.Discard())
 	qt.Assert(t, n.Start(context.Background()), qt.IsNil)
 	defer n.Stop()
-	for _, life := range []ident.UpstreamID{"u-1", "u-2"} {
+	for _, life := range []ident.UpstreamLife{{ID: "u-1"}, {ID: "u-2"}, {ID: "u-3", Born: 1}, {ID: "u-3", Born: 2}} {
 		u.begin(life)
-		n.Beat(upstream.Beat{Upstream: fleet.Upstream{ID: life, Service: "s"}, Sequence: 1, Clock: call.Clock(time.Minute)})
+		n.Beat(upstream.Beat{Upstream: fleet.Upstream{ID: life.ID, Service: "s"}, Born: life.Born, Sequence: 1, Clock: call.Clock(time.Minute)})
 		for until := time.Now().Add(5 * time.Second); !m.lastIs(life); time.Sleep(time.Millisecond) {
 			qt.Assert(t, time.Now().Before(until), qt.IsTrue, qt.Commentf("%s is not remembered", life))
 		}
--- a/internal/agent/node/links_test.go
+++ b/internal/agent/node/links_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"hillreel/internal/agent/node"
-	"hillreel/internal/core/fleet"
+	"hillreel/internal/agent/upstream"
 	"hillreel/internal/core/logs"
 	"hillreel/internal/core/settings"
 	"hillreel/internal/link/session"
@@ -18,10 +18,10 @@
 // nothing remembers no upstream.
 type nothing struct{}
 
-func (nothing) Recall(context.Context) (fleet.Upstream, bool, error) {
-	return fleet.Upstream{}, false, nil
+func (nothing) Recall(context.Context) (upstream.Known, bool, error) {
+	return upstream.Known{}, false, nil
 }
-func (nothing) Remember(context.Context, fleet.Upstream) error { return nil }
+func (nothing) Remember(context.Context, upstream.Known) error { return nil }
 
 // TestSilentGreeting: a connection that falls silent before the entry's greeting is given up as soon as a silent link; the
 // more greetings come to nothing one after the other, the longer each is waited for.
--- a/internal/agent/node/memory.go
+++ b/internal/agent/node/memory.go
@@ -4,13 +4,14 @@
 	"context"
 	"time"
 
-	"hillreel/internal/core/fleet"
+	"hillreel/internal/agent/upstream"
+	"hillreel/internal/core/ident"
 )
 
 // Memory keeps what this agent's next life should know.
 type Memory interface {
-	Recall(ctx context.Context) (fleet.Upstream, bool, error)
-	Remember(ctx context.Context, u fleet.Upstream) error
+	Recall(ctx context.Context) (upstream.Known, bool, error)
+	Remember(ctx context.Context, u upstream.Known) error
 }
 
 // recallPause is the pause between two attempts to read or write the memory.
@@ -34,9 +35,15 @@
 	}
 }
 
-// remember writes a new upstream, until it is written or another has come.
-func (n *Node) remember(u fleet.Upstream) {
-	n.remembered = u.ID
+// noted is what of an upstream makes it worth remembering anew.
+type noted struct {
+	life     ident.UpstreamLife
+	draining bool
+}
+
+// remember writes what is new of the upstream, until it is written or another has come.
+func (n *Node) remember(u upstream.Known) {
+	n.remembered = noted{u.Life(), u.Draining}
 	go func() {
 		for n.ctx.Err() == nil {
 			err := n.memory.Remember(n.ctx, u)
@@ -46,7 +53,7 @@
 			n.log.WithField("error", err.Error()).Info("memory_unwritable")
 			time.Sleep(recallPause)
 			current := false
-			n.loop.Call(func() { current = n.remembered == u.ID })
+			n.loop.Call(func() { current = n.remembered == noted{u.Life(), u.Draining} })
 			if !current {
 				return
 			}
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -11,7 +11,6 @@
 
 	"hillreel/internal/agent/call"
 	"hillreel/internal/agent/upstream"
-	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/loop"
 	"hillreel/internal/core/patience"
@@ -37,8 +36,8 @@
 
 	// The control goroutine owns what follows.
 	keeper *upstream.Keeper
-	// remembered is the upstream that was last given to the memory.
-	remembered ident.UpstreamID
+	// remembered is what was last given to the memory.
+	remembered noted
 	patience   patience.Patience
 	links      *links.Set[none]
 	// dialled are the entries that are dialled or linked, by address; listed are the addresses that each source told last.
@@ -117,7 +116,7 @@
 // The events that the control goroutine handles, beside upstream.Beat.
 type (
 	left     struct{ id ident.UpstreamID }
-	recalled struct{ upstream fleet.Upstream }
+	recalled struct{ known upstream.Known }
 	// orderDone carries the end of a start or a stop, and how long its answer took if there was one.
 	orderDone struct {
 		took, limit time.Duration
@@ -170,8 +169,8 @@
 	case upstream.Beat:
 		n.keeper.Beat(now, e)
 	case recalled:
-		n.log.WithField("upstream", e.upstream.ID).Info("upstream_recalled")
-		n.keeper.Recall(now, e.upstream)
+		n.log.WithField("upstream", e.known.Life()).Info("upstream_recalled")
+		n.keeper.Recall(now, e.known)
 	case left:
 		n.log.WithField("upstream", e.id).Info("upstream_left")
 		n.keeper.Left(now, e.id)
@@ -199,10 +198,15 @@
 	n.keeper.Flush(now)
 }
 
-// noteLife remembers a life of the upstream that was taken up, and chooses the entries that want its service.
+// noteLife remembers a life of the upstream that was taken up, or that leaves, and chooses the entries that want its service.
 func (n *Node) noteLife() {
-	if u, known := n.keeper.Known(); known && u.ID != n.remembered {
-		n.remember(u)
+	u, known := n.keeper.Known()
+	if !known || n.remembered == (noted{u.Life(), u.Draining}) {
+		return
+	}
+	began := n.remembered.life != u.Life()
+	n.remember(u)
+	if began {
 		n.chooseEntries()
 	}
 }
--- a/internal/agent/node/observe.go
+++ b/internal/agent/node/observe.go
@@ -48,22 +48,22 @@
 }
 
 // Outlived logs a heartbeat of an earlier life that was held up on the way.
-func (o *observer) Outlived(id, by ident.UpstreamID) {
+func (o *observer) Outlived(life, by ident.UpstreamLife) {
 	o.counters.Add("late_heartbeats", 1)
-	o.log.WithFields(logrus.Fields{"upstream": id, "present": by}).Info("heartbeat_outlived")
+	o.log.WithFields(logrus.Fields{"upstream": life, "present": by}).Info("heartbeat_outlived")
 }
 
 // Begun logs a life of the upstream that is taken up.
-func (o *observer) Begun(b upstream.Beat) {
+func (o *observer) Begun(life ident.UpstreamLife, why string, described bool) {
 	o.counters.Add("lives", 1)
-	o.log.WithFields(logrus.Fields{"upstream": b.ID, "service": b.Service, "sequence": b.Sequence, "draining": b.Draining}).Info("upstream_begun")
+	o.log.WithFields(logrus.Fields{"upstream": life, "why": why, "described": described}).Info("upstream_begun")
 }
 
 // Dropped logs a heartbeat that counts as overtaken.
 func (o *observer) Dropped(b upstream.Beat, newest uint64) {
 	o.counters.Add("dropped_heartbeats", 1)
 	o.log.WithFields(logrus.Fields{
-		"upstream": b.ID, "sequence": b.Sequence, "newest": newest, "draining": b.Draining,
+		"upstream": b.Life(), "sequence": b.Sequence, "newest": newest, "draining": b.Draining,
 	}).Info("heartbeat_dropped")
 }
 
--- a/internal/agent/upstream/bench_test.go
+++ b/internal/agent/upstream/bench_test.go
@@ -54,9 +54,9 @@
 func (b *bench) Ended(ident.Incarnation, fleet.End)      {}
 func (b *bench) State(_, _ fleet.State, _ string)        {}
 func (b *bench) Orphaned(ident.Incarnation, int, string) {}
-func (b *bench) Outlived(_, _ ident.UpstreamID)          {}
+func (b *bench) Outlived(_, _ ident.UpstreamLife)        {}
 func (b *bench) Unsure(job.TaskID, job.Run)              {}
-func (b *bench) Begun(upstream.Beat)                     {}
+func (b *bench) Begun(ident.UpstreamLife, string, bool)  {}
 func (b *bench) Dropped(upstream.Beat, uint64)           {}
 func (b *bench) Overtaken()                              {}
 
--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -5,6 +5,7 @@
 
 	"hillreel/internal/agent/call"
 	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
 	"hillreel/internal/core/rule"
 )
 
@@ -18,6 +19,11 @@
 	}
 	k.holding = true
 	c := call.Hold{Header: k.header(now), Seen: k.seen(now), Wait: k.timing.KeepAlive / holdShare}
+	if k.unsure(now) {
+		c.Wait = 0
+		k.caller.Hold(c)
+		return
+	}
 	// A hold without an answer may have been done: one that extended the lease would put off, each time it is
 	// repeated, the moment from which on everything has surely lapsed.
 	if len(k.runs) > 0 && k.failures < unreachableAfter && !k.mustLapse(now) {
@@ -29,6 +35,20 @@
 	k.caller.Hold(c)
 }
 
+// sureFor is how long after a call that the present life has answered its next life can't be there: crash and start take longer.
+// Holds are answered within 50 ms, or were lost.
+const sureFor = 200 * time.Millisecond
+
+// unsure tells whether another life under the same id may have begun, which would take calls for its own. Until an answer says
+// which life is there, nothing starts, no end is acknowledged, and no lease extended by the clock of the one before. Where
+// lives are told by ids alone, the id in each call is enough.
+func (k *Keeper) unsure(now time.Time) bool {
+	if k.life.Born == 0 || k.without.Off(rule.LifeBorn) {
+		return false
+	}
+	return k.failures > 0 || now.Sub(k.answered) > sureFor
+}
+
 // holdShare: a hold waits for half of the keep-alive interval, so that a run that stands still is seen soon on an
 // upstream where nothing ends.
 const holdShare = 2
@@ -61,15 +81,19 @@
 
 // HoldDone handles the answer to a Hold.
 func (k *Keeper) HoldDone(now time.Time, c call.Hold, h call.Held) {
-	if asked := k.claims[c.Instance]; asked != nil {
-		k.claimAnswered(now, asked, c.Sent, h)
+	if asked := k.claims[c.Life()]; asked != nil {
+		k.claimAnswered(now, asked, c.Header, h)
 		return
 	}
-	if c.Look {
-		k.lookDone(now, c, h)
+	if c.Life() != k.life || !k.known || c.Token < k.fence {
+		return
+	}
+	if h.Answer == call.OK && k.reborn(h.Born) {
+		k.takeUp(now, ident.UpstreamLife{ID: k.life.ID, Born: h.Born}, h.Clock)
 		return
 	}
-	if c.Instance != k.up.ID || !k.known {
+	if c.Look {
+		k.lookDone(now, c, h)
 		return
 	}
 	k.holding = false
@@ -80,8 +104,7 @@
 		k.end(now)
 		k.touchAll()
 	case call.Fenced:
-		k.lease.Read(now, h.Clock)
-		k.lease.Raise(now)
+		k.lease.Outbid(now, c.Token)
 		k.hold(now)
 	default:
 		k.holdFailed(now)
@@ -92,10 +115,6 @@
 func (k *Keeper) holdAnswered(now time.Time, c call.Hold, h call.Held) {
 	k.lease.Read(now, h.Clock)
 	news := k.held(now, c, h)
-	if k.lease.Token() == 0 {
-		// Recalled, and the upstream has seen no token yet.
-		k.lease.Raise(now)
-	}
 	if !news && (k.ends.Len() > 0 || now.Before(k.quietUntil)) && now.Sub(c.Sent) < c.Wait/2 {
 		// The upstream answers at once while it remembers ends.
 		k.holdAt = now.Add(withheldPause)
@@ -124,9 +143,6 @@
 
 // lookDone handles the answer to a look. One without an answer is repeated while it is needed.
 func (k *Keeper) lookDone(now time.Time, c call.Hold, h call.Held) {
-	if c.Instance != k.up.ID || !k.known {
-		return
-	}
 	k.looking = false
 	if h.Answer == call.OK {
 		k.lease.Read(now, h.Clock)
@@ -149,7 +165,7 @@
 
 // seen is the number up to which the upstream may forget ends.
 func (k *Keeper) seen(now time.Time) uint64 {
-	if now.Before(k.quietUntil) {
+	if now.Before(k.quietUntil) || k.unsure(now) {
 		return 0
 	}
 	return k.ends.Seen()
@@ -189,6 +205,10 @@
 			k.caller.Stop(call.Stop{Header: k.header(now), Task: key.Task, Run: key.Run})
 		}
 	}
+	if k.departed && k.failures >= unreachableAfter && len(k.runs) == 0 {
+		k.known, k.looked = false, false // if it lives after all, its next heartbeat says so
+		k.touchAll()
+	}
 	k.askAgain(now)
 	k.ends.Relieve(now)
 	again, to := k.ends.Again(now, k.linkedEntries())
--- a/internal/agent/upstream/life.go
+++ b/internal/agent/upstream/life.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -15,9 +16,16 @@
 	"hillreel/internal/core/rule"
 )
 
+// An upstream that starts again, perhaps under the id that it had, is another life: it runs nothing, and its heartbeats, its ends
+// and its clock are numbered anew. With the account of its former life, heartbeats would be dropped as overtaken, its leaving
+// unheard, and ends acknowledged before they are listed. So everything here belongs to one life, and which life stands there is
+// believed of the upstream's own answers only: heartbeats may be held up on the way.
+
 // Beat is a heartbeat of the upstream.
 type Beat struct {
 	fleet.Upstream
+	// Born tells lives under one id apart.
+	Born ident.Born
 	// Sequence rises with each heartbeat of one life.
 	Sequence uint64
 	// Clock is a reading of the upstream's clock; zero is none.
@@ -26,37 +34,66 @@
 	Draining bool
 }
 
+// Life is whose heartbeat it is.
+func (b *Beat) Life() ident.UpstreamLife { return ident.UpstreamLife{ID: b.ID, Born: b.Born} }
+
 // Beat handles a heartbeat.
 func (k *Keeper) Beat(now time.Time, b Beat) {
-	if k.past[b.ID] {
-		return
+	if k.without.Off(rule.LifeBorn) {
+		b.Born = 0
 	}
-	if k.known && b.ID != k.up.ID && !k.without.Off(rule.ConfirmLife) {
+	life := b.Life()
+	switch {
+	case k.past[life]:
+	case !k.known:
+		k.begin(now, life, &b, b.Clock, "heartbeat")
+		k.describe(now, b)
+	case life == k.life:
+		k.describe(now, b)
+	case k.without.Off(rule.ConfirmLife):
+		k.begin(now, life, &b, b.Clock, "heartbeat")
+		k.describe(now, b)
+	default:
 		k.claimed(now, b)
-		return
 	}
-	if !k.known || b.ID != k.up.ID {
-		k.begin(now, b)
+}
+
+// describe takes in a heartbeat of the present life.
+func (k *Keeper) describe(now time.Time, b Beat) {
+	if b.Draining {
+		// A life that leaves does not come back to work, so that this holds in whatever order heartbeats arrive.
+		k.draining = true
+		k.touchAll()
 	}
 	if b.Sequence < k.sequence {
 		k.observer.Dropped(b, k.sequence)
 		return
 	}
-	k.sequence = b.Sequence
-	if b.Draining {
-		k.draining = true
+	k.sequence, k.departed = b.Sequence, false
+	if !k.described {
+		k.described, k.up = true, b.Upstream
+		k.tellUpstream()
 	}
 	k.up.Labels, k.up.Total = b.Labels, b.Total
 	k.touchAll()
 }
 
+// tellUpstream tells all entries what stands here.
+func (k *Keeper) tellUpstream() {
+	for _, s := range k.order {
+		if s.linked {
+			k.entries.Upstream(s.entry, k.up)
+		}
+	}
+}
+
 // claim is the heartbeat of a life other than the known one. It is a later life, or an earlier one whose heartbeat was held
 // up on the way: only the upstream can tell. To believe the heartbeat would cost, in the second case, all runs that are
 // told as lost while they go on, and the upstream itself, whose heartbeats would count as those of a past life.
 type claim struct {
 	beat Beat
-	// token is what the question carries.
-	token call.Token
+	// lease has the token that the question carries.
+	lease lease.Lease
 	// asking is true while the question is under way, asked when it was put.
 	asking bool
 	asked  time.Time
@@ -64,97 +101,178 @@
 
 // claimed takes in a heartbeat of a life other than the known one.
 func (k *Keeper) claimed(now time.Time, b Beat) {
-	c := k.claims[b.ID]
+	c := k.claims[b.Life()]
 	if c == nil {
-		l := lease.New(k.timing.Lease, now, b.Clock)
-		c = &claim{token: l.Token()}
-		k.claims[b.ID] = c
+		c = &claim{lease: lease.New(k.timing.Lease, now)}
+		k.claims[b.Life()] = c
 	}
 	if b.Sequence >= c.beat.Sequence {
+		draining := c.beat.Draining || b.Draining
 		c.beat = b
+		c.beat.Draining = draining
 	}
 	k.ask(now, c)
 }
 
-// ask asks the upstream whether it is the life that a claim is about: another one refuses the call.
+// ask asks the upstream whether it is the life that a claim is about. Another upstream refuses the call, another life under the
+// same id says when it began.
 func (k *Keeper) ask(now time.Time, c *claim) {
 	if c.asking {
 		return
 	}
 	c.asking, c.asked = true, now
-	k.caller.Hold(call.Hold{Header: call.Header{Instance: c.beat.ID, Token: c.token, Sent: now}, Look: true})
+	h := call.Header{Instance: c.beat.ID, Born: c.beat.Born, Token: c.lease.Token(), Sent: now}
+	if c.beat.ID == k.life.ID {
+		h.Token = k.lease.Token() // it may be the present life that answers
+	}
+	k.caller.Hold(call.Hold{Header: h, Look: true})
 }
 
 // askAgain repeats the questions that got no answer.
 func (k *Keeper) askAgain(now time.Time) {
-	for _, id := range slices.Sorted(maps.Keys(k.claims)) {
-		if c := k.claims[id]; now.Sub(c.asked) >= holdRetry {
+	lives := slices.SortedFunc(maps.Keys(k.claims), func(a, b ident.UpstreamLife) int {
+		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born))
+	})
+	for _, life := range lives {
+		if c := k.claims[life]; c != nil && now.Sub(c.asked) >= holdRetry {
 			k.ask(now, c)
 		}
 	}
 }
 
-// claimAnswered handles the answer to a question that was put at sent; one without an answer is put again.
-func (k *Keeper) claimAnswered(now time.Time, c *claim, sent time.Time, h call.Held) {
+// claimAnswered handles the answer to a question; one without an answer is put again.
+func (k *Keeper) claimAnswered(now time.Time, c *claim, asked call.Header, h call.Held) {
 	c.asking = false
 	switch h.Answer {
 	case call.Fenced:
-		// An earlier agent has called this life, or another life looks at tokens first: only a higher one tells.
-		c.token = max(c.token+1, lease.Token(h.Clock))
+		// An earlier agent has called this life, or another life looks at tokens first.
+		c.lease.Outbid(now, asked.Token)
+		k.lease.Outbid(now, asked.Token)
 		k.ask(now, c)
 	case call.OK:
-		if sent.Before(k.began) {
+		if asked.Sent.Before(k.began) {
 			// Answers overtake each other: the life that has given this one may have ended before the present one began.
 			k.ask(now, c)
 			return
 		}
-		k.begin(now, c.beat)
-		k.Beat(now, c.beat)
+		k.answeredBy(now, c, h)
 	case call.WrongInstance:
-		delete(k.claims, c.beat.ID)
-		k.past[c.beat.ID] = true
-		k.observer.Outlived(c.beat.ID, k.up.ID)
+		k.outlived(c.beat.Life())
 	}
 }
 
-// begin takes up a new life of the upstream: whatever ran in the one before is gone.
-func (k *Keeper) begin(now time.Time, b Beat) {
-	if k.known {
-		k.end(now)
+// answeredBy takes up the life that has answered a question, unless it is the present one.
+func (k *Keeper) answeredBy(now time.Time, c *claim, h call.Held) {
+	claimed := c.beat.Life()
+	present := ident.UpstreamLife{ID: claimed.ID, Born: h.Born}
+	if h.Born == 0 || k.without.Off(rule.LifeBorn) {
+		present = claimed
+	}
+	if present != claimed {
+		k.outlived(claimed)
+	}
+	if present == k.life && k.known {
+		return
+	}
+	k.takeUp(now, present, h.Clock)
+}
+
+// outlived notes that a life has ended before the present one.
+func (k *Keeper) outlived(life ident.UpstreamLife) {
+	delete(k.claims, life)
+	k.past[life] = true
+	k.observer.Outlived(life, k.life)
+}
+
+// takeUp takes up a life that the upstream itself has told, with its heartbeat if one has come.
+func (k *Keeper) takeUp(now time.Time, life ident.UpstreamLife, clock call.Clock) {
+	c := k.claims[life]
+	if c == nil {
+		k.begin(now, life, nil, clock, "answer")
+		return
+	}
+	k.begin(now, life, &c.beat, clock, "answer")
+	k.describe(now, c.beat)
+}
+
+// reborn tells whether an answer to a call that was made of the present life is another life's, which has the same id.
+func (k *Keeper) reborn(born ident.Born) bool {
+	return born != 0 && born != k.life.Born && !k.without.Off(rule.LifeBorn)
+}
+
+// begin takes up a new life of the upstream: whatever ran in the one before is gone. first is its heartbeat, if one has come, clock
+// a reading of its clock; zero is none.
+func (k *Keeper) begin(now time.Time, life ident.UpstreamLife, first *Beat, clock call.Clock, why string) {
+	former, sameID := k.known, k.known && k.life.ID == life.ID
+	if former {
+		k.past[k.life] = true
 	}
-	delete(k.claims, b.ID)
-	k.known, k.up, k.began = true, b.Upstream, now
-	k.observer.Begun(b)
+	delete(k.past, life)
+	delete(k.claims, life)
+	k.known, k.life, k.began = true, life, now
+	k.described = first != nil
+	k.looked, k.failures, k.draining, k.departed = false, 0, false, false
 	k.holding, k.looking = false, false // calls under way are meant for the life before
 	k.sequence, k.listed, k.ends = 0, 0, ends.Account{}
-	clear(k.given)
-	k.lease = lease.New(k.timing.Lease, now, b.Clock)
-	k.looked, k.failures, k.draining = false, 0, false
+	clear(k.strays)
+	if first != nil {
+		k.up = first.Upstream
+	}
+	k.lease.Begin(now, clock, sameID)
+	k.shared, k.fence = sameID, k.lease.Token()
 	k.health = health.Health{}
-	for _, s := range k.order {
-		if s.linked {
-			k.entries.Upstream(s.entry, k.up)
-		}
+	k.observer.Begun(life, why, k.described)
+	if former {
+		k.leaveRuns(now, sameID)
+	}
+	clear(k.given)
+	if k.described {
+		k.tellUpstream()
 	}
+	k.touchAll()
 	k.hold(now)
 }
 
+// leaveRuns handles the runs of the life before. Those that it has listed are lost. If the new life has the same id, it may have
+// taken the calls of others for its own: they count as there until it has listed what runs, under a token that makes
+// calls still on their way harmless.
+func (k *Keeper) leaveRuns(now time.Time, sameID bool) {
+	for _, r := range k.sorted() {
+		if !sameID || r.listed {
+			k.finish(now, r, job.Lost, fleet.UpstreamGone, "")
+			continue
+		}
+		r.phase, r.sure, r.carried = unsure, time.Time{}, true
+		if r.stop != nil {
+			r.stop.calling, r.stop.acked, r.stop.sent = false, false, time.Time{}
+		}
+	}
+}
+
 // Recall takes up an upstream that an earlier agent has known, before its first heartbeat. If it lives no more, the
-// first call says so. Its clock and the tokens that it has seen are learned by that call.
-func (k *Keeper) Recall(now time.Time, u fleet.Upstream) {
+// first call says so. Its clock is learned by that call.
+func (k *Keeper) Recall(now time.Time, u Known) {
+	b := Beat{Upstream: u.Upstream, Born: u.Born, Draining: u.Draining}
+	if k.without.Off(rule.LifeBorn) {
+		b.Born = 0
+	}
 	switch {
-	case k.past[u.ID] || k.known && k.up.ID == u.ID:
+	case k.past[b.Life()]:
+	case k.known && k.life == b.Life():
+		k.draining = k.draining || u.Draining // the heartbeat may be older than what was known
+		k.touchAll()
 	case k.known:
 		// The heartbeat that came first may be an earlier life's.
-		k.claimed(now, Beat{Upstream: u})
+		k.claimed(now, b)
 	default:
-		k.begin(now, Beat{Upstream: u})
+		k.begin(now, b.Life(), &b, 0, "recalled")
+		k.describe(now, b)
 	}
 }
 
 // end forgets the present life.
 func (k *Keeper) end(now time.Time) {
-	k.past[k.up.ID] = true
+	k.past[k.life] = true
 	k.known, k.looked = false, false
 	clear(k.strays)
 	k.loseAll(now, fleet.UpstreamGone)
@@ -167,12 +285,18 @@
 	}
 }
 
-// Left handles an upstream that says it has ended.
+// Left handles an upstream's word that it has ended. It does not say which life: where lives share an id, it may be a former one's
+// that was held up on the way, so the present one takes no more work until it is heard again, and its runs are lost only once
+// their lease has lapsed.
 func (k *Keeper) Left(now time.Time, id ident.UpstreamID) {
-	if k.known && k.up.ID == id {
+	switch {
+	case !k.known || k.life.ID != id:
+		k.past[ident.UpstreamLife{ID: id}] = true
+		delete(k.claims, ident.UpstreamLife{ID: id})
+	case k.life.Born == 0:
 		k.end(now)
+	default:
+		k.departed = true
 	}
-	k.past[id] = true
-	delete(k.claims, id)
 	k.touchAll()
 }
--- a/internal/agent/upstream/life_test.go
+++ b/internal/agent/upstream/life_test.go
@@ -114,7 +114,7 @@
 		{"its heartbeat comes before the present one is recalled", func(b *bench) {
 			b.keeper.Left(b.now, "u-1")
 			b.beat("u-0", 7)
-			b.keeper.Recall(b.now, fleet.Upstream{ID: "u-2", Service: "publish", Total: job.Resources{CPU: 2000}})
+			b.keeper.Recall(b.now, upstream.Known{Upstream: fleet.Upstream{ID: "u-2", Service: "publish", Total: job.Resources{CPU: 2000}}})
 			b.answer("u-2", call.OK)
 			b.look()
 		}},
@@ -154,3 +154,208 @@
 	qt.Assert(t, up.ID, qt.Equals, ident.UpstreamID("u-3"))
 	qt.Assert(t, b.rooms[one].State, qt.Equals, fleet.Ready)
 }
+
+// beatOf sends a heartbeat of a life of u-1.
+func (b *bench) beatOf(born ident.Born, sequence uint64, draining bool) {
+	b.keeper.Beat(b.now, upstream.Beat{
+		Upstream: fleet.Upstream{ID: "u-1", Service: "publish", Total: job.Resources{CPU: 2000}},
+		Born:     born, Sequence: sequence, Clock: call.Clock(time.Second), Draining: draining,
+	})
+	b.keeper.Flush(b.now)
+}
+
+// answerOf answers the holds that wait, as a life of u-1 does.
+func (b *bench) answerOf(born ident.Born, h call.Held) {
+	waiting := b.holds[b.answered:]
+	b.answered = len(b.holds)
+	h.Answer, h.Born = call.OK, born
+	for _, c := range waiting {
+		h.Clock = b.clock()
+		b.keeper.HoldDone(b.now, c, h)
+	}
+	b.keeper.Flush(b.now)
+}
+
+// newBornBench returns a Keeper of an upstream whose first life, born at 1, has sent nine heartbeats and listed an end.
+func newBornBench(t *testing.T) *bench {
+	b := newBench(t, nil)
+	b.answerOf(1, call.Held{})
+	b.beatOf(1, 9, false)
+	b.answerOf(1, call.Held{})
+	b.order(one, 1)
+	b.keeper.StartDone(b.now, b.starts[0], call.OK, b.clock())
+	b.answerOf(1, call.Held{Finished: []call.Finished{{N: 317, Task: task, Run: 1, How: call.HowDone}}})
+	b.ends[one] = nil
+	b.pass(time.Millisecond)
+	return b
+}
+
+// orderOther orders a task of another job than those that newBornBench has ended.
+func (b *bench) orderOther(j job.ID) {
+	b.seq++
+	b.keeper.Order(b.now, one, fleet.Order{
+		Seq: b.seq, Job: j, Each: job.Resources{CPU: 1000}, Estimate: time.Second, Tasks: []fleet.TaskRun{{Run: 1}},
+	})
+	b.keeper.Flush(b.now)
+}
+
+// TestNextLifeUnderTheSameID: what an upstream that starts again says is numbered anew, and nothing that was said of its former life
+// counts for it.
+func TestNextLifeUnderTheSameID(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		do   func(b *bench)
+		want fleet.State
+	}{
+		{"its heartbeat alone proves nothing", func(b *bench) { b.beatOf(2, 1, true) }, fleet.Ready},
+		{"it leaves", func(b *bench) {
+			b.answerOf(2, call.Held{})
+			b.beatOf(2, 1, false)
+			b.answerOf(2, call.Held{})
+			b.beatOf(2, 2, true)
+		}, fleet.Leaving},
+		{"its first heartbeat, which says that it leaves, comes before its first answer", func(b *bench) {
+			b.beatOf(2, 1, true)
+			b.answerOf(2, call.Held{})
+		}, fleet.Leaving},
+		{"its heartbeats overtake each other", func(b *bench) {
+			b.answerOf(2, call.Held{})
+			b.beatOf(2, 4, false)
+			b.beatOf(2, 3, true)
+		}, fleet.Leaving},
+		{"it may be of another kind until its heartbeat comes", func(b *bench) { b.answerOf(2, call.Held{}) }, fleet.Clearing},
+		{"the former one left", func(b *bench) {
+			b.beatOf(1, 10, true)
+			b.answerOf(2, call.Held{})
+			b.beatOf(2, 1, false)
+			b.answerOf(2, call.Held{})
+		}, fleet.Ready},
+		{"the former one's leaving comes late", func(b *bench) {
+			b.answerOf(2, call.Held{})
+			b.beatOf(2, 1, false)
+			b.answerOf(2, call.Held{})
+			b.beatOf(1, 10, true)
+			b.answerOf(2, call.Held{})
+		}, fleet.Ready},
+		{"a word that it has ended stops new work", func(b *bench) { b.keeper.Left(b.now, "u-1") }, fleet.Leaving},
+		{"that word was a former life's", func(b *bench) {
+			b.keeper.Left(b.now, "u-1")
+			b.answerOf(1, call.Held{})
+			b.beatOf(1, 10, false)
+		}, fleet.Ready},
+		{"a heartbeat that doesn't say whose it is changes nothing", func(b *bench) {
+			b.beatOf(0, 20, true)
+			b.answerOf(1, call.Held{})
+		}, fleet.Ready},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBornBench(t)
+			test.do(b)
+			b.pass(100 * time.Millisecond) // news of room are due
+			b.keeper.Ping(b.now, one, b.rooms[one].Clock, 0)
+			b.keeper.Tick(b.now)
+			b.keeper.Flush(b.now)
+			qt.Assert(t, b.rooms[one].State, qt.Equals, test.want)
+			b.orderOther(60)
+			accepted := len(b.starts) == 2
+			qt.Assert(t, accepted, qt.Equals, test.want == fleet.Ready, qt.Commentf("%v", b.ends[one]))
+		})
+	}
+}
+
+// TestHoldsWhileUnsure: while another life under the same id may have begun, a hold acknowledges no end and extends no lease; and a
+// new life's first hold does neither.
+func TestHoldsWhileUnsure(t *testing.T) {
+	b := newBornBench(t)
+	b.orderOther(61)
+	b.answerOf(1, call.Held{})
+	last := b.holds[len(b.holds)-1]
+	qt.Assert(t, last.Seen, qt.Equals, uint64(317))
+	qt.Assert(t, last.Until > 0, qt.IsTrue)
+	b.keeper.HoldDone(b.now, last, call.Held{Answer: call.Unanswered})
+	bare := b.holds[len(b.holds)-1]
+	qt.Assert(t, bare.Seen, qt.Equals, uint64(0))
+	qt.Assert(t, bare.Until, qt.Equals, call.Clock(0))
+	b.keeper.HoldDone(b.now, bare, call.Held{Answer: call.OK, Born: 2, Clock: call.Clock(time.Hour)})
+	first := b.holds[len(b.holds)-1]
+	qt.Assert(t, first.Born, qt.Equals, ident.Born(2))
+	qt.Assert(t, first.Seen, qt.Equals, uint64(0))
+	qt.Assert(t, first.Token > bare.Token, qt.IsTrue)
+}
+
+// TestRunsAcrossLives: a start that was sent before the next life under the same id was noticed may have reached either. It counts as
+// there, and takes room, until the new life has listed what runs; one that the former life has listed is lost at once.
+func TestRunsAcrossLives(t *testing.T) {
+	listed := []call.Listed{{Task: job.TaskID{Job: 62}, Run: 1, Percent: 3}}
+	for _, test := range []struct {
+		name string
+		// before is listed by the former life, after by the new one, ended its list of ends.
+		before, after []call.Listed
+		ended         []call.Finished
+		outcome       job.Outcome
+		reason        fleet.Reason
+	}{
+		{"listed by the former", listed, nil, nil, job.Lost, fleet.UpstreamGone},
+		{"listed by the new one", nil, listed, nil, "", ""},
+		{"listed by neither", nil, nil, nil, job.Lost, fleet.UpstreamGone},
+		{"done at the new one", nil, nil, []call.Finished{{N: 1, Task: job.TaskID{Job: 62}, Run: 1, How: call.HowDone}}, job.Done, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBornBench(t)
+			b.orderOther(62)
+			b.keeper.StartDone(b.now, b.starts[1], call.OK, b.clock())
+			b.pass(time.Millisecond)
+			if test.before != nil {
+				b.answerOf(1, call.Held{Running: test.before})
+			}
+			b.pass(time.Millisecond)
+			b.answerOf(2, call.Held{})
+			qt.Assert(t, len(b.ends[one]) > 0, qt.Equals, test.before != nil)
+			b.pass(time.Millisecond)
+			b.answerOf(2, call.Held{Running: test.after, Finished: test.ended})
+			if test.outcome == "" {
+				qt.Assert(t, b.ends[one], qt.HasLen, 0)
+				qt.Assert(t, b.keeper.Runs(), qt.Equals, 1)
+				return
+			}
+			qt.Assert(t, b.ends[one], qt.HasLen, 1)
+			qt.Assert(t, b.ends[one][0].Outcome, qt.Equals, test.outcome)
+			qt.Assert(t, b.ends[one][0].Reason, qt.Equals, test.reason)
+		})
+	}
+}
+
+// TestForeignTokensAreOutbid: whatever token an upstream has seen, from a clock that was set back since for example, its agent finds a
+// higher one in a few dozen calls.
+func TestForeignTokensAreOutbid(t *testing.T) {
+	for _, seen := range []call.Token{1, 1 << 20, 1 << 41, 1 << 52} {
+		b := newBench(t, nil)
+		calls := 0
+		for ; b.holds[len(b.holds)-1].Token < seen; calls++ {
+			c := b.holds[len(b.holds)-1]
+			b.keeper.HoldDone(b.now, c, call.Held{Answer: call.Fenced, Clock: b.clock()})
+		}
+		qt.Assert(t, calls < 60, qt.IsTrue, qt.Commentf("%d calls to outbid %d", calls, seen))
+	}
+}
+
+// TestLeavingIsRecalled: that an upstream leaves is known to its agent's next process, though a heartbeat of before, held up on the
+// way, comes first.
+func TestLeavingIsRecalled(t *testing.T) {
+	b := newBornBench(t)
+	b.beatOf(1, 10, true)
+	known, ok := b.keeper.Known()
+	qt.Assert(t, ok, qt.IsTrue)
+	for _, beatFirst := range []bool{false, true} {
+		next := &bench{t: t, now: b.now, ends: make(map[ident.Incarnation][]fleet.End), rooms: make(map[ident.Incarnation]fleet.Room)}
+		next.keeper = upstream.New(timing, nil, next.now, next, next, next)
+		if beatFirst {
+			next.beatOf(1, 9, false)
+		}
+		next.keeper.Recall(next.now, known)
+		next.answerOf(1, call.Held{})
+		next.keeper.Linked(next.now, one)
+		next.keeper.Flush(next.now)
+		qt.Assert(t, next.rooms[one].State, qt.Equals, fleet.Leaving)
+	}
+}
--- a/internal/agent/upstream/listed.go
+++ b/internal/agent/upstream/listed.go
@@ -22,8 +22,14 @@
 		k.touchAll()
 	}
 	k.failures = 0
+	if c.Sent.After(k.answered) {
+		k.answered = c.Sent
+	}
 	if !k.looked {
 		k.first(h)
+		if k.shared {
+			k.lease.Mislead(now) // from this answer on, calls to the former life are refused
+		}
 	}
 	news = k.takeEnds(now, h.Finished)
 	if h.Clock < k.listed {
@@ -83,7 +89,11 @@
 	last := len(h.Finished) - 1
 	lapsed := len(h.Running) == 0 && (last < 0 || h.Finished[last].How == call.HowLapsed)
 	if !lapsed && !k.without.Off(rule.AckAfterLapse) {
-		k.quietUntil = k.start.Add(fleet.LeaseBound(k.timing.Lease) + lease.Margin)
+		longest := k.timing.Lease
+		if k.life.Born != 0 {
+			longest = time.Duration(lease.Longest) // the earlier agent may have extended it by the clock of a former life
+		}
+		k.quietUntil = k.start.Add(fleet.LeaseBound(longest) + lease.Margin)
 	}
 }
 
@@ -122,6 +132,8 @@
 	switch {
 	case r.stop != nil:
 		k.finish(now, r, r.stop.outcome, r.stop.reason, "")
+	case r.carried:
+		k.finish(now, r, job.Lost, fleet.UpstreamGone, "")
 	case r.phase == unsure:
 		k.finish(now, r, job.NotStarted, fleet.NeverArrived, "")
 	default:
@@ -136,6 +148,7 @@
 		k.stray(now, l)
 		return
 	}
+	r.listed, r.carried = true, false
 	if r.phase != running && (r.phase == unsure || c.Sent.After(r.begun)) {
 		r.phase, r.sure = running, now
 	}
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -85,7 +85,7 @@
 	}
 	k.runs[r.task] = r
 	invariant.Check(job.Resources{}.Fits(k.free()), invariant.RoomKept, func() logrus.Fields {
-		return logrus.Fields{"upstream": k.up.ID, "task": r.task, "free": k.free()}
+		return logrus.Fields{"upstream": k.life, "task": r.task, "free": k.free()}
 	})
 	k.health.Started()
 	k.callStart(now, r)
@@ -145,7 +145,7 @@
 
 // StartDone handles the answer to a Start.
 func (k *Keeper) StartDone(now time.Time, c call.Start, a call.Answer, clock call.Clock) {
-	if c.Instance != k.up.ID || !k.known {
+	if c.Life() != k.life || !k.known {
 		return
 	}
 	if a == call.OK {
@@ -190,16 +190,13 @@
 		k.finish(now, r, r.stop.outcome, r.stop.reason, "")
 		return
 	}
-	if c.Token >= k.lease.Token() {
-		// Somebody else has called the upstream: its earlier agent is not quite gone.
-		k.lease.Raise(now)
-	}
+	k.lease.Outbid(now, c.Token)
 	k.callStart(now, r)
 }
 
 // StopDone handles the answer to a Stop.
 func (k *Keeper) StopDone(now time.Time, c call.Stop, a call.Answer, clock call.Clock) {
-	if c.Instance != k.up.ID || !k.known {
+	if c.Life() != k.life || !k.known {
 		return
 	}
 	if a == call.OK {
@@ -220,7 +217,7 @@
 			r.stop.acked, r.phase, r.sure = true, running, now
 		}
 	case call.Fenced:
-		k.lease.Raise(now)
+		k.lease.Outbid(now, c.Token)
 		k.callStop(now, r)
 	}
 }
--- a/internal/agent/upstream/room.go
+++ b/internal/agent/upstream/room.go
@@ -50,7 +50,9 @@
 		return fleet.Leaving, "agent_leaving"
 	case k.draining:
 		return fleet.Leaving, "draining"
-	case !k.known:
+	case k.departed:
+		return fleet.Leaving, "said_it_ended"
+	case !k.known || !k.described:
 		return fleet.Clearing, "no_heartbeat"
 	case !k.looked && !k.without.Off(rule.LookFirst):
 		return fleet.Clearing, "not_listed_yet"
@@ -58,6 +60,8 @@
 		return fleet.Clearing, "earlier_lease"
 	case k.failures >= unreachableAfter:
 		return fleet.Unreachable, "no_answer"
+	case k.unsure(now):
+		return fleet.Unreachable, "answer_overdue"
 	case len(k.strays) > 0 && !k.without.Off(rule.LookFirst):
 		return fleet.Clearing, "unknown_runs"
 	case k.mustLapse(now):
--- a/internal/agent/upstream/sessions.go
+++ b/internal/agent/upstream/sessions.go
@@ -59,7 +59,7 @@
 	*s = session{
 		entry: entry, epoch: s.epoch + 1, linked: true, dirty: true, urgent: true, unsent: s.unsent, echoed: s.echoed, heard: s.heard,
 	}
-	if k.known {
+	if k.known && k.described {
 		k.entries.Upstream(entry, k.up)
 	}
 	if k.heardLately(now, s) {
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -42,11 +42,11 @@
 	// Orphaned is called when the runs of a lost entry are stopped.
 	Orphaned(owner ident.Incarnation, runs int, why string)
 	// Outlived is called when a heartbeat came of a life that another has followed.
-	Outlived(id, by ident.UpstreamID)
+	Outlived(life, by ident.UpstreamLife)
 	// Unsure is called when a start got no answer.
 	Unsure(task job.TaskID, run job.Run)
-	// Begun is called when a life of the upstream is taken up.
-	Begun(b Beat)
+	// Begun is called when a life of the upstream is taken up, with what told of it. described is false if no heartbeat of it has come.
+	Begun(life ident.UpstreamLife, why string, described bool)
 	// Dropped is called for a heartbeat whose number is below newest, that of the newest one.
 	Dropped(b Beat, newest uint64)
 	// Overtaken is called for a listing whose clock is older than that of one taken in before.
@@ -62,21 +62,31 @@
 	observer Observer
 	start    time.Time
 
-	// up is the upstream's present life; known is false before its first heartbeat.
-	up    fleet.Upstream
+	// life is the upstream's present life, or the last one; known is false while there is none. What the account has of its upstream
+	// (numbers, clock, runs) is of that life alone.
+	life  ident.UpstreamLife
 	known bool
+	// up describes the upstream. It is that of an earlier life while described is false: no heartbeat of this one has come, and it
+	// may be of another kind.
+	up        fleet.Upstream
+	described bool
 	// began is when the present life, or the last one, was taken up.
 	began time.Time
 	// past holds earlier lives, whose late heartbeats are ignored.
-	past map[ident.UpstreamID]bool
+	past map[ident.UpstreamLife]bool
 	// claims are other lives than the known one that were heard of, until the upstream has said whether it is one of them.
-	claims map[ident.UpstreamID]*claim
+	claims map[ident.UpstreamLife]*claim
 	// sequence is the newest heartbeat's number.
 	sequence uint64
-	// draining: this life of the upstream ends soon; leaving: the agent does.
-	draining, leaving bool
+	// draining: this life of the upstream ends soon; departed: a word that it has ended came, perhaps a former life's; leaving: the
+	// agent ends.
+	draining, departed, leaving bool
 
 	lease lease.Lease
+	// shared: the life before had the same id, so that calls to it may have reached this one.
+	shared bool
+	// fence is the token from which on calls are of the present life's account.
+	fence call.Token
 	ends  ends.Account
 	// given are runs of kept jobs that were given up before their ends were listed.
 	given map[fleet.RunRef]bool
@@ -90,8 +100,9 @@
 	holdAt           time.Time
 	// listed is the upstream's clock in the newest answer that was taken in: answers overtake each other.
 	listed call.Clock
-	// failures counts the holds in a row that got no answer.
+	// failures counts the holds in a row that got no answer; answered is when the last one was made that got one.
 	failures int
+	answered time.Time
 	// questions are those of entries that wait until nothing of the jobs in question runs here.
 	questions []question
 	// strays are runs at the upstream that nobody here ordered, with when a stop of each was answered; zero is not yet.
@@ -149,6 +160,9 @@
 	percent  int
 	advanced time.Time
 
+	// listed: the upstream's present life has listed it; carried: it was ordered of a former life under the same id, and may be at
+	// either.
+	listed, carried bool
 	// stop is nil until the run is to be stopped.
 	stop *stopping
 	// next waits for this run's end: the same task, ordered anew.
@@ -198,9 +212,9 @@
 // New returns a Keeper that knows nothing yet. without leaves out safety rules, for experiments only.
 func New(t fleet.Timing, without rule.Set, now time.Time, c Caller, e Entries, o Observer) *Keeper {
 	return &Keeper{
-		timing: t, without: without, caller: c, entries: e, observer: o, start: now,
-		past:     make(map[ident.UpstreamID]bool),
-		claims:   make(map[ident.UpstreamID]*claim),
+		timing: t, without: without, caller: c, entries: e, observer: o, start: now, lease: lease.New(t.Lease, now),
+		past:     make(map[ident.UpstreamLife]bool),
+		claims:   make(map[ident.UpstreamLife]*claim),
 		strays:   make(map[fleet.RunRef]time.Time),
 		given:    make(map[fleet.RunRef]bool),
 		runs:     make(map[job.TaskID]*run),
@@ -214,7 +228,7 @@
 
 // header returns what every call made now carries.
 func (k *Keeper) header(now time.Time) call.Header {
-	return call.Header{Instance: k.up.ID, Token: k.lease.Token(), Sent: now}
+	return call.Header{Instance: k.life.ID, Born: k.life.Born, Token: k.lease.Token(), Sent: now}
 }
 
 // Runs returns how many runs are, or may be, at the upstream.
@@ -223,5 +237,19 @@
 // Leave makes the agent take no more work.
 func (k *Keeper) Leave() { k.leaving = true; k.touchAll() }
 
-// Known returns the upstream and whether it has been heard of.
-func (k *Keeper) Known() (fleet.Upstream, bool) { return k.up, k.known }
+// Known is what the agent's next life should know of the upstream: its VM keeps nothing, and the upstream does not repeat at once
+// what it was told is heard.
+type Known struct {
+	fleet.Upstream
+	Born ident.Born
+	// Draining: the upstream has said that it leaves.
+	Draining bool
+}
+
+// Life is the life that is known.
+func (k *Known) Life() ident.UpstreamLife { return ident.UpstreamLife{ID: k.ID, Born: k.Born} }
+
+// Known returns what is known of the upstream, and whether a heartbeat of its present life has been heard.
+func (k *Keeper) Known() (Known, bool) {
+	return Known{k.up, k.life.Born, k.draining}, k.known && k.described
+}
--- a/internal/agent/upstream/upstream_test.go
+++ b/internal/agent/upstream/upstream_test.go
@@ -178,8 +178,9 @@
 		t.Run(test.name, func(t *testing.T) {
 			b := &bench{t: t, now: time.Unix(1000, 0), ends: make(map[ident.Incarnation][]fleet.End), rooms: make(map[ident.Incarnation]fleet.Room)}
 			b.keeper = upstream.New(timing, nil, b.now, b, b, b)
-			b.keeper.Recall(b.now, up)
-			qt.Assert(t, b.holds[0].Token, qt.Equals, call.Token(0))
+			b.keeper.Recall(b.now, upstream.Known{Upstream: up})
+			earlier := b.holds[0].Token
+			qt.Assert(t, earlier >= call.Token(b.now.UnixMilli()), qt.IsTrue)
 			b.pass(time.Millisecond)
 			b.keeper.HoldDone(b.now, b.holds[0], test.answer)
 			b.answered = 1
@@ -188,7 +189,7 @@
 			if !test.ready {
 				return
 			}
-			qt.Assert(t, b.holds[len(b.holds)-1].Token >= call.Token(time.Minute.Milliseconds()), qt.IsTrue)
+			qt.Assert(t, b.holds[len(b.holds)-1].Token > earlier, qt.Equals, test.answer.Answer == call.Fenced)
 			b.pass(time.Millisecond)
 			b.look()
 			b.keeper.Linked(b.now, one)
--- a/internal/core/ident/ident.go
+++ b/internal/core/ident/ident.go
@@ -10,8 +10,11 @@
 type (
 	// UpstreamName is an upstream's name in settings and configuration.
 	UpstreamName string
-	// UpstreamID is one life of an upstream; after a crash it has another.
+	// UpstreamID names an upstream. One that starts again may have another, or the same: only an UpstreamLife is certain.
 	UpstreamID string
+	// Born is when a life of an upstream began, in Unix milliseconds by its own VM's time of day: lives of one id differ in it, but
+	// only the upstream itself can tell which is the later. Zero is not told.
+	Born int64
 	// Zone is an availability zone.
 	Zone string
 	// Service is the kind of work that a pool of upstreams serves.
@@ -24,6 +27,17 @@
 	ConfigVersion uint64
 )
 
+// UpstreamLife is one life of an upstream: nothing that it has counted, been told or run outlasts it.
+type UpstreamLife struct {
+	ID   UpstreamID
+	Born Born
+}
+
+// String prints a life as its id and its start.
+func (l UpstreamLife) String() string {
+	return string(l.ID) + "@" + strconv.FormatInt(int64(l.Born), 10)
+}
+
 // String prints an incarnation as fixed-width hexadecimal.
 func (i Incarnation) String() string {
 	s := strconv.FormatUint(uint64(i), 16)
--- a/internal/core/rule/rule.go
+++ b/internal/core/rule/rule.go
@@ -30,6 +30,8 @@
 	LookFirst Rule = "look_first"
 	// ConfirmLife: an agent that knows a life of its upstream takes up another only once the upstream answers for it.
 	ConfirmLife Rule = "confirm_life"
+	// LifeBorn: an upstream that starts again under its id is another life, and the account of the former does not go on.
+	LifeBorn Rule = "life_born"
 	// CountStopping: a run that is being stopped, or may have started, takes room.
 	CountStopping Rule = "count_stopping"
 	// WithholdEnds: an upstream may forget the end of a kept job's run only once it is stored.
@@ -47,7 +49,7 @@
 // All lists the rules.
 var All = []Rule{
 	SettleWait, StopsFirst, RunIDs, EchoedClock, FreshSession, StopSilent, FenceUnsure, SameTaskWaits, LapseBudget, LookFirst,
-	ConfirmLife, CountStopping, WithholdEnds, AckAfterLapse, OwnerLease, AskFirst, StoreFirst,
+	ConfirmLife, LifeBorn, CountStopping, WithholdEnds, AckAfterLapse, OwnerLease, AskFirst, StoreFirst,
 }
 
 // Set is a set of rules that are left out.
--- a/internal/load/world/agent.go
+++ b/internal/load/world/agent.go
@@ -165,11 +165,11 @@
 // quiet observes nothing.
 type quiet struct{}
 
-func (quiet) Ended(ident.Incarnation, fleet.End)          {}
-func (quiet) State(fleet.State, fleet.State, string)      {}
-func (quiet) Orphaned(ident.Incarnation, int, string)     {}
-func (quiet) Outlived(ident.UpstreamID, ident.UpstreamID) {}
-func (quiet) Unsure(job.TaskID, job.Run)                  {}
-func (quiet) Begun(upstream.Beat)                         {}
-func (quiet) Dropped(upstream.Beat, uint64)               {}
-func (quiet) Overtaken()                                  {}
+func (quiet) Ended(ident.Incarnation, fleet.End)      {}
+func (quiet) State(fleet.State, fleet.State, string)  {}
+func (quiet) Orphaned(ident.Incarnation, int, string) {}
+func (quiet) Outlived(_, _ ident.UpstreamLife)        {}
+func (quiet) Unsure(job.TaskID, job.Run)              {}
+func (quiet) Begun(ident.UpstreamLife, string, bool)  {}
+func (quiet) Dropped(upstream.Beat, uint64)           {}
+func (quiet) Overtaken()                              {}
--- a/internal/proof/schedule/faults_test.go
+++ b/internal/proof/schedule/faults_test.go
@@ -98,6 +98,31 @@
 	}
 }
 
+// restarts lets upstreams start again and leave, where they keep their ids.
+func (w *world) restarts() {
+	if !w.odds.restarts {
+		return
+	}
+	for range 1 + w.rng.IntN(4) {
+		u := w.agents[w.rng.IntN(len(w.agents))].upstream
+		down := w.between(0, 800*time.Millisecond)
+		if w.chance(0.2) {
+			down = 0
+		}
+		if w.chance(0.4) {
+			serves := w.between(500*time.Millisecond, 3*time.Second)
+			w.After(w.between(0, busy), func() { u.leave(serves, down) })
+			continue
+		}
+		w.After(w.between(0, busy), func() {
+			if u.up {
+				w.note("%s crashes for %v", u.id, down)
+				u.crash(down)
+			}
+		})
+	}
+}
+
 // slowLinks lets links be slow for a while.
 func (w *world) slowLinks() {
 	for range w.odds.slowLinks {
--- a/internal/proof/schedule/process_test.go
+++ b/internal/proof/schedule/process_test.go
@@ -109,6 +109,8 @@
 	proc
 	keeper   *upstream.Keeper
 	upstream *simUpstream
+	// remembered outlasts the process, as its row in the store does.
+	remembered *upstream.Known
 }
 
 // Leases of kept jobs are shorter than by default, so that schedules are.
@@ -170,9 +172,18 @@
 	a.keeper = upstream.New(timing, w.without, w.Now(), agentIO{a, a.inc}, agentIO{a, a.inc}, agentNotes{a})
 	a.tickNow = a.passTime
 	a.ticking(a.inc)
+	if u := a.remembered; u != nil && w.odds.restarts {
+		inc := a.inc
+		w.After(w.between(5*time.Millisecond, 200*time.Millisecond), func() { a.doIn(inc, func() { a.keeper.Recall(w.Now(), *u); a.flush() }) })
+	}
 }
 
-func (a *agentProc) flush() { a.keeper.Flush(a.w.Now()) }
+func (a *agentProc) flush() {
+	a.keeper.Flush(a.w.Now())
+	if u, known := a.keeper.Known(); known {
+		a.remembered = &u
+	}
+}
 
 func (a *agentProc) passTime() {
 	a.keeper.Tick(a.w.Now())
--- a/internal/proof/schedule/schedule_test.go
+++ b/internal/proof/schedule/schedule_test.go
@@ -54,12 +54,13 @@
 			w.After(w.between(0, busy), w.fault)
 		}
 		w.slowLinks()
+		w.restarts()
 	})
 	if faults > 0 {
 		w.removeSome(s)
 	}
 	w.watchCancelled()
-	w.run(quiet * time.Duration(w.odds.moreJobs)) // more jobs take longer to end
+	w.run(w.odds.rest())
 	if w.broken == "" {
 		w.checkRest()
 	}
@@ -173,6 +174,16 @@
 	t.Logf("%d schedules from seed %d, no violation", ran, impatientFrom+*seed)
 }
 
+// TestRestartedUpstreams runs random schedules in which upstreams start again under the ids that they had, also at once, and leave
+// and come back.
+func TestRestartedUpstreams(t *testing.T) {
+	w, s, ran := search(restartsFrom+*seed, *schedules, nil, someFaults)
+	if w != nil {
+		t.Fatal(w.report(s))
+	}
+	t.Logf("%d schedules from seed %d, no violation", ran, restartsFrom+*seed)
+}
+
 // TestTracedSchedules runs schedules that have found a fault; docs/FINDINGS.md has the causes.
 func TestTracedSchedules(t *testing.T) {
 	for _, s := range []uint64{7019612, 7024031} {
--- a/internal/proof/schedule/upstream_test.go
+++ b/internal/proof/schedule/upstream_test.go
@@ -40,7 +40,15 @@
 	up   bool
 	id   ident.UpstreamID
 	life int
+	// born is when the life began; told, in milliseconds, is how it says so. skew is its clock's reading then.
 	born time.Time
+	told ident.Born
+	skew call.Clock
+	// leaving: it has said, or will say, that it leaves; heardAt is when its agent has taken that in.
+	leaving bool
+	heardAt time.Time
+	// carriesLate is true while it carries out an order late.
+	carriesLate bool
 	// rate is how fast its clock runs: up to 2% slow.
 	rate  float64
 	until call.Clock
@@ -70,13 +78,19 @@
 	u.life++
 	u.up, u.born, u.rate = true, u.w.Now(), 1/(1+0.02*u.w.rng.Float64())
 	u.id = ident.UpstreamID(fmt.Sprintf("%s-%d", u.name, u.life))
+	if u.w.odds.restarts {
+		u.id = ident.UpstreamID(u.name)
+		u.told = max(u.told+1, ident.Born(u.w.Now().UnixMilli()))
+		u.skew = call.Clock(u.w.between(0, time.Hour))
+	}
+	u.leaving, u.heardAt = false, time.Time{}
 	u.until, u.token, u.n, u.beats, u.lapsed = 0, 0, 0, 0, u.w.Now()
 	u.runs, u.past, u.ends, u.waiters = make(map[job.TaskID]*simRun), make(map[job.TaskID]job.Run), nil, nil
 	u.beat(u.life)
 }
 
 func (u *simUpstream) clock() call.Clock {
-	return call.Clock(float64(u.w.Now().Sub(u.born)) * u.rate)
+	return u.skew + call.Clock(float64(u.w.Now().Sub(u.born))*u.rate)
 }
 
 // beat sends heartbeats for one life.
@@ -84,23 +98,62 @@
 	if u.life != life || !u.up {
 		return
 	}
+	u.sendBeat()
+	u.w.After(500*time.Millisecond, func() { u.beat(life) })
+}
+
+// sendBeat sends one heartbeat.
+func (u *simUpstream) sendBeat() {
 	u.beats++
 	b := upstream.Beat{
-		Upstream: fleet.Upstream{ID: u.id, Service: service, Total: capacity}, Sequence: u.beats, Clock: u.clock(),
+		Upstream: fleet.Upstream{ID: u.id, Service: service, Total: capacity}, Sequence: u.beats, Clock: u.clock(), Born: u.told, Draining: u.leaving,
+	}
+	life := u.life
+	arrive := func() {
+		u.agent.do(func() {
+			u.agent.keeper.Beat(u.w.Now(), b)
+			if u.w.odds.restarts {
+				u.agent.flush()
+			}
+			if b.Draining && u.life == life && u.heardAt.IsZero() {
+				u.heardAt = u.w.Now()
+			}
+		})
 	}
-	arrive := func() { u.agent.do(func() { u.agent.keeper.Beat(u.w.Now(), b) }) }
 	switch {
 	case !u.cut:
 		u.w.After(u.w.between(0, time.Millisecond), arrive)
 	case u.w.holdBeats:
 		u.w.After(u.w.between(heldLeast, heldMost), arrive)
 	}
-	u.w.After(500*time.Millisecond, func() { u.beat(life) })
 }
 
 // A heartbeat that a cut holds up comes this much later: often after another life has begun, and after the agent has.
 const heldLeast, heldMost = 500 * time.Millisecond, 6 * time.Second
 
+// leaveBound is how long after its agent has heard that an upstream leaves a start may still arrive there: those under way, but not
+// one that the upstream carries out late.
+const leaveBound = 200 * time.Millisecond
+
+// leave says that the upstream leaves, ends some time later, and starts again. Its word that it has ended may be held up until after
+// that.
+func (u *simUpstream) leave(serves, down time.Duration) {
+	if !u.up || u.leaving {
+		return
+	}
+	u.w.note("%s leaves", u.id)
+	u.leaving = true
+	u.sendBeat()
+	life, id := u.life, u.id
+	u.w.After(serves, func() {
+		if u.life != life || !u.up {
+			return
+		}
+		u.w.After(u.w.between(0, 2*down), func() { u.agent.do(func() { u.agent.keeper.Left(u.w.Now(), id) }) })
+		u.crash(down)
+	})
+}
+
 // crash ends what runs; a new life begins later.
 func (u *simUpstream) crash(down time.Duration) {
 	u.up = false
@@ -178,6 +231,9 @@
 
 // begins starts a run and checks what must hold at that moment.
 func (u *simUpstream) begins(task job.TaskID, run job.Run) {
+	if !u.heardAt.IsZero() && !u.carriesLate && u.w.Now().Sub(u.heardAt) > leaveBound {
+		u.w.violate("%s starts run %d of %v %v after its agent has heard that it leaves", u.id, run, task, u.w.Now().Sub(u.heardAt))
+	}
 	s := u.w.jobs[task.Job]
 	used := need
 	for range u.runs {
@@ -256,7 +312,7 @@
 
 // held answers a hold.
 func (u *simUpstream) held() call.Held {
-	h := call.Held{Answer: call.OK, Clock: u.clock()}
+	h := call.Held{Answer: call.OK, Clock: u.clock(), Born: u.told}
 	for _, e := range u.ends {
 		h.Finished = append(h.Finished, e.Finished)
 	}
@@ -316,11 +372,15 @@
 	if lost && u.w.chance(u.late) {
 		delay, vanish = u.w.between(2*time.Second, 12*time.Second), false
 	}
+	// An order that is carried out seconds late waits at the upstream, and is gone with its life; one on its way is not.
+	waits, life := delay >= 2*time.Second && u.w.odds.restarts, u.life
 	u.w.After(delay, func() {
-		if !u.up || u.cut || vanish {
+		if !u.up || u.cut || vanish || waits && u.life != life {
 			return
 		}
+		u.carriesLate = waits
 		a, c := do(), u.clock()
+		u.carriesLate = false
 		if !lost {
 			u.w.After(u.w.between(100*time.Microsecond, 2*time.Millisecond), func() { reply(a, c) })
 		}
--- a/internal/proof/schedule/words_test.go
+++ b/internal/proof/schedule/words_test.go
@@ -198,11 +198,13 @@
 	n.a.w.note("%s: %d runs of an entry that is %s", n.a.name, runs, why)
 }
 
-func (n agentNotes) Outlived(id, by ident.UpstreamID) {
+func (n agentNotes) Outlived(id, by ident.UpstreamLife) {
 	n.a.w.note("%s: a late heartbeat of %s while %s lives", n.a.name, id, by)
 }
 
-func (n agentNotes) Begun(b upstream.Beat) { n.a.w.note("%s: takes up %s", n.a.name, b.ID) }
+func (n agentNotes) Begun(life ident.UpstreamLife, why string, _ bool) {
+	n.a.w.note("%s: takes up %s by its %s", n.a.name, life, why)
+}
 
 func (n agentNotes) Dropped(b upstream.Beat, newest uint64) {
 	n.a.w.note("%s: heartbeat %d of %s comes after %d", n.a.name, b.Sequence, b.ID, newest)
--- a/internal/proof/schedule/world_test.go
+++ b/internal/proof/schedule/world_test.go
@@ -55,12 +55,30 @@
 	leaves, again float64
 	// slowLinks is how many faults more are slow links, moreJobs how many times as many jobs come.
 	slowLinks, moreJobs int
+	// restarts: upstreams that start again have the id that they had, clocks begin at any reading, lives say when they began, and
+	// upstreams leave and come back.
+	restarts bool
+}
+
+// rest is by when everything must have come to rest: more jobs take longer to end, and so do those whose upstreams leave for
+// seconds and are slow as well (seed 2000013041: a kept job's task that was lost with its upstream and took 22 s more).
+func (o *odds) rest() time.Duration {
+	if o.restarts {
+		return 2 * quiet
+	}
+	return quiet * time.Duration(o.moreJobs)
 }
 
 // impatientFrom is the first seed of the worlds in which many callers give up early and send again at once, over slow links.
 const impatientFrom = 1_000_000_000
 
+// restartsFrom is the first seed of the worlds in which upstreams start again under the ids that they had.
+const restartsFrom = 2_000_000_000
+
 func oddsOf(seed uint64) odds {
+	if seed >= restartsFrom {
+		return odds{leaves: 0.05, again: 0.2, moreJobs: 1, restarts: true}
+	}
 	if seed >= impatientFrom {
 		return odds{leaves: 0.5, again: 0.9, slowLinks: 4, moreJobs: 3}
 	}
