beats, members: heartbeats and rows of other writers tell nothing

A heartbeat with a field missing, of another type, of a service that isn't this VM's, or in a state that isn't known was read as far as it went: it could take up an upstream without room, or of a service that nobody asks for, until the next one. It is refused now with the field that says so; the agent learns its VM's service from its settings ([agent] service, empty takes any). A row of the table of entries whose name is no address is passed over, as nobody can be linked to there.

--- a/internal/core/settings/options.go
+++ b/internal/core/settings/options.go
@@ -58,6 +58,7 @@
 // Agent holds an agent's options.
 type Agent struct {
 	Upstream    Address       `ini:"upstream" default:"" doc:"Address of the upstream, an IP number with a port."`
+	Service     string        `ini:"service" default:"" doc:"Service of the upstream; heartbeats of another one are refused. Empty takes any."`
 	Control     Address       `ini:"control" default:"127.0.0.1:7600" doc:"Address on which the upstream's heartbeats arrive."`
 	Connections int           `ini:"connections" default:"4" min:"1" max:"10000" doc:"Most connections for orders to the upstream; a start takes under a millisecond."`
 	CallTimeout time.Duration `ini:"call_timeout" default:"150ms" min:"1ms" max:"1m" doc:"Longest wait for the answer to an order; then it is unknown whether it was carried out. The agent waits less where answers are usually quick."`
--- a/internal/link/members/members.go
+++ b/internal/link/members/members.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"encoding/json"
 	"maps"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -75,6 +76,10 @@
 			delete(d.all, address)
 			continue
 		}
+		if _, err := netip.ParseAddrPort(string(address)); err != nil {
+			d.log.WithFields(logrus.Fields{"link": address, "error": err.Error()}).Warn("member_unreadable")
+			continue // somebody else's row
+		}
 		var e Entry
 		if err := json.Unmarshal(r.Value, &e); err != nil {
 			// The address is in the name, so that agents find the entry all the same.
--- a/internal/link/members/members_test.go
+++ b/internal/link/members/members_test.go
@@ -183,3 +183,21 @@
 	defer s.mu.Unlock()
 	return len(s.held)
 }
+
+// TestRowsOfOtherWriters: a row that names no address is nobody to link to; one that can't be read names its entry all the same.
+func TestRowsOfOtherWriters(t *testing.T) {
+	var all []members.Listed
+	d := members.NewDirectory(func(l []members.Listed) { all = l }, logs.Discard())
+	row := func(name, value string) rows.Row {
+		return rows.Row{Key: rows.Key{Table: members.Table, Name: name}, Value: []byte(value)}
+	}
+	d.Change([]rows.Row{
+		row(address, `{"name":"entry-1"}`), row("10.0.0.2:7400", "\xff\x00"), row("10.0.0.3:7400", `{"name":7,"wants":"all"}`),
+		row("", `{"name":"entry-4"}`), row("entry-5", `{}`), row("10.0.0.6", `{}`), row("host:7400", `{}`),
+	}, true, 0)
+	var addresses []string
+	for _, l := range all {
+		addresses = append(addresses, string(l.Address))
+	}
+	qt.Assert(t, addresses, qt.DeepEquals, []string{address, "10.0.0.2:7400", "10.0.0.3:7400"})
+}
--- a/internal/standin/embedded/embedded.go
+++ b/internal/standin/embedded/embedded.go
@@ -216,7 +216,7 @@
 	calls := platform.NewUpstream(ident.Address(s.through(PathUpstream, set.Agent.Upstream)), set.Agent.Connections, set.Agent.CallTimeout)
 	p, err := agent.New(set, agent.Deps{
 		Store: s.client(set), Upstream: calls, Dial: session.TCP, Log: log,
-		Beats: func(n *agentnode.Node) http.Handler { return platform.Beats(n, log) },
+		Beats: func(n *agentnode.Node) http.Handler { return platform.Beats(n, s.o.Service, log) },
 	})
 	if err != nil {
 		return err
