standin, soak, load, schedule: upstreams that start again under their ids, leave and come back; all VMs lose power

Soak: a stream of its own draws these each 0.7 s, so that the faults of earlier seeds stay what they were; power lost by all VMs at once. Experiment: upstreams_restart. Schedules: power lost by all VMs in every fourth of those with restarts.

--- a/internal/load/plan/plan.go
+++ b/internal/load/plan/plan.go
@@ -84,6 +84,8 @@
 	Burst Kind = "burst"
 	// UpstreamsLost: VMs of upstreams lose power.
 	UpstreamsLost Kind = "upstreams_lost"
+	// UpstreamsRestart: upstreams crash and start again under their ids, beside agents that go on.
+	UpstreamsRestart Kind = "upstreams_restart"
 	// UpstreamsSlow: tasks that start there take Factor times as long.
 	UpstreamsSlow Kind = "upstreams_slow"
 	// UpstreamsHang: tasks that start there never end.
@@ -97,7 +99,7 @@
 )
 
 // Kinds lists the kinds of faults.
-var Kinds = []Kind{Burst, UpstreamsLost, UpstreamsSlow, UpstreamsHang, UpstreamsFail, EntriesLost, CallersLeave}
+var Kinds = []Kind{Burst, UpstreamsLost, UpstreamsRestart, UpstreamsSlow, UpstreamsHang, UpstreamsFail, EntriesLost, CallersLeave}
 
 // Fault is something that goes wrong for a while.
 type Fault struct {
--- a/internal/load/world/agent.go
+++ b/internal/load/world/agent.go
@@ -37,6 +37,7 @@
 func (a *agent) start() {
 	a.inc, a.alive = ident.Incarnation(a.w.rng.Uint64()|1), true
 	a.links, a.order = make(map[*entry]*link), nil
+	a.up.named++
 	a.keeper = upstream.New(a.w.timing, nil, a.w.Now(), calls{a, a.inc}, words{a}, quiet{})
 	a.up.begin()
 	a.tick(a.inc)
--- a/internal/load/world/upstream.go
+++ b/internal/load/world/upstream.go
@@ -16,11 +16,13 @@
 
 // simUpstream runs tasks for the time that their jobs say.
 type simUpstream struct {
-	a     *agent
-	w     *World
-	kind  *plan.Upstream
-	up    bool
-	life  int
+	a    *agent
+	w    *World
+	kind *plan.Upstream
+	up   bool
+	life int
+	// named counts the lives that had a new id.
+	named int
 	id    ident.UpstreamID
 	born  time.Time
 	token call.Token
@@ -55,7 +57,7 @@
 
 func (u *simUpstream) begin() {
 	u.life++
-	u.up, u.born, u.id = true, u.w.Now(), ident.UpstreamID(fmt.Sprintf("%s-%d", u.a.name, u.life))
+	u.up, u.born, u.id = true, u.w.Now(), ident.UpstreamID(fmt.Sprintf("%s-%d", u.a.name, u.named))
 	u.runs, u.ends, u.waiters = make(map[job.TaskID]*simRun), nil, nil
 	u.n, u.beats, u.token = 0, 0, 0
 	u.beat(u.life)
@@ -70,6 +72,19 @@
 	u.runs = nil
 }
 
+// restart lets the upstream crash and start again under its id.
+func (u *simUpstream) restart(down time.Duration) {
+	u.crash()
+	u.w.After(down, func() {
+		if !u.up && u.a.alive {
+			u.begin()
+		}
+	})
+}
+
+// told is when the present life began, as it says so.
+func (u *simUpstream) told() ident.Born { return ident.Born(u.born.UnixMilli()) }
+
 func (u *simUpstream) clock() call.Clock { return call.Clock(u.w.Now().Sub(u.born)) }
 
 // beat sends heartbeats for one life.
@@ -80,7 +95,7 @@
 	u.beats++
 	total := job.Resources{CPU: int64(u.kind.Cores * milli), Mem: 1 << 30}
 	u.a.keeper.Beat(u.w.Now(), upstream.Beat{
-		Upstream: fleet.Upstream{ID: u.id, Service: service, Total: total}, Sequence: u.beats, Clock: u.clock(),
+		Upstream: fleet.Upstream{ID: u.id, Service: service, Total: total}, Born: u.told(), Sequence: u.beats, Clock: u.clock(),
 	})
 	u.w.After(beatEvery, func() { u.beat(life) })
 }
@@ -111,7 +126,9 @@
 // admits checks a call's life and token.
 func (u *simUpstream) admits(h call.Header) call.Answer {
 	switch {
-	case !u.up || h.Instance != u.id:
+	case !u.up:
+		return call.Unanswered
+	case h.Instance != u.id:
 		return call.WrongInstance
 	case h.Token < u.token:
 		return call.Fenced
@@ -178,7 +195,7 @@
 
 // held lists what runs and what has ended.
 func (u *simUpstream) held() call.Held {
-	h := call.Held{Answer: call.OK, Clock: u.clock(), Finished: slices.Clone(u.ends)}
+	h := call.Held{Answer: call.OK, Clock: u.clock(), Born: u.told(), Finished: slices.Clone(u.ends)}
 	for _, r := range u.runs {
 		percent := 0
 		if r.takes > 0 {
--- a/internal/load/world/world.go
+++ b/internal/load/world/world.go
@@ -135,6 +135,10 @@
 		for _, a := range w.chooseAgents(f) {
 			a.lose(f.For)
 		}
+	case plan.UpstreamsRestart:
+		for _, a := range w.chooseAgents(f) {
+			a.up.restart(f.For)
+		}
 	case plan.UpstreamsSlow:
 		for _, a := range w.chooseAgents(f) {
 			a.up.slow = f.Factor
--- a/internal/proof/schedule/faults_test.go
+++ b/internal/proof/schedule/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -103,6 +104,7 @@
 	if !w.odds.restarts {
 		return
 	}
+	w.powerLoss()
 	for range 1 + w.rng.IntN(4) {
 		u := w.agents[w.rng.IntN(len(w.agents))].upstream
 		down := w.between(0, 800*time.Millisecond)
@@ -123,6 +125,28 @@
 	}
 }
 
+// powerLoss lets, in every fourth schedule, all VMs lose power at once, those of upstreams too. It draws by itself, so that all other
+// draws of a seed are what they were when its schedule was traced.
+func (w *world) powerLoss() {
+	if w.seed%4 != 2 {
+		return
+	}
+	rng := rand.New(rand.NewPCG(w.seed, 3))
+	at := time.Duration(rng.Int64N(int64(busy)))
+	down := time.Duration(rng.Int64N(int64(2 * time.Second)))
+	w.After(at, func() {
+		for _, e := range w.entries {
+			w.endEntry(e, true, down)
+		}
+		for _, a := range w.agents {
+			w.endAgent(a, true, down)
+			if a.upstream.up {
+				a.upstream.crash(down)
+			}
+		}
+	})
+}
+
 // slowLinks lets links be slow for a while.
 func (w *world) slowLinks() {
 	for range w.odds.slowLinks {
--- a/internal/proof/schedule/world_test.go
+++ b/internal/proof/schedule/world_test.go
@@ -28,6 +28,7 @@
 // world is one schedule.
 type world struct {
 	*clock.Clock
+	seed    uint64
 	rng     *rand.Rand
 	without rule.Set
 	store   *simStore
@@ -87,7 +88,7 @@
 
 func newWorld(seed uint64, without rule.Set) *world {
 	w := &world{
-		Clock: clock.New(time.Unix(1_000_000, 0)), rng: rand.New(rand.NewPCG(seed, 1)), without: without,
+		Clock: clock.New(time.Unix(1_000_000, 0)), seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), without: without,
 		jobs: make(map[job.ID]*submission), holdBeats: seed%3 == 0, odds: oddsOf(seed),
 	}
 	w.store = newSimStore(w)
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -70,6 +70,8 @@
 	jobEvery = 30 * time.Millisecond
 	// silenceEvery is the mean pause between two silences.
 	silenceEvery = time.Second
+	// lifeEvery is the mean pause between two upstreams that start again under their ids.
+	lifeEvery = 700 * time.Millisecond
 )
 
 // soak runs one seed.
@@ -85,8 +87,9 @@
 		}
 	}
 	traffic, faults, silences := rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 4)), rand.New(rand.NewPCG(seed, 5))
+	lives := rand.New(rand.NewPCG(seed, 6))
 	end := time.Now().Add(*soakFor)
-	nextFault, nextSilence := time.Now(), time.Now().Add(silenceEvery)
+	nextFault, nextSilence, nextLife := time.Now(), time.Now().Add(silenceEvery), time.Now()
 	var log []string
 	for time.Now().Before(end) {
 		if time.Now().After(nextFault) {
@@ -97,6 +100,10 @@
 			log = append(log, s.silence(silences))
 			nextSilence = time.Now().Add(time.Duration(silences.Int64N(int64(2 * silenceEvery))))
 		}
+		if time.Now().After(nextLife) {
+			log = append(log, s.life(lives))
+			nextLife = time.Now().Add(time.Duration(lives.Int64N(int64(2 * lifeEvery))))
+		}
 		leave := time.Duration(0)
 		if traffic.IntN(20) == 0 {
 			leave = time.Duration(10+traffic.IntN(300)) * time.Millisecond
@@ -189,6 +196,36 @@
 	return fmt.Sprintf("heartbeats of %s are %v late, and its upstream crashes meanwhile", a.name, span)
 }
 
+// life lets an upstream start again under its id, at once or later, or leave and come back, or lets another writer send heartbeats.
+func (s *set) life(rng *rand.Rand) string {
+	a := s.agents[rng.IntN(len(s.agents))]
+	down := time.Duration(rng.IntN(800)) * time.Millisecond
+	switch rng.IntN(8) {
+	case 0, 1, 2:
+		a.upstream.Restart(down)
+		return fmt.Sprintf("the upstream of %s starts again after %v", a.name, down)
+	case 3:
+		a.upstream.Restart(down)
+		s.restart(a, syscall.SIGKILL, down)
+		return fmt.Sprintf("%s and its upstream start again after %v", a.name, down)
+	case 4, 5:
+		serves, late := time.Duration(500+rng.IntN(3000))*time.Millisecond, time.Duration(rng.IntN(1500))*time.Millisecond
+		a.upstream.Leave(serves, down, late)
+		return fmt.Sprintf("the upstream of %s leaves after %v and is back %v later", a.name, serves, down)
+	case 6:
+		for _, p := range s.processes() {
+			s.restart(p, syscall.SIGKILL, down)
+		}
+		for _, p := range s.agents {
+			p.upstream.Restart(down)
+		}
+		return "all VMs lose power"
+	}
+	n := rng.IntN(16)
+	go a.upstream.BeatForeign(n)
+	return fmt.Sprintf("a foreign heartbeat at %s", a.name)
+}
+
 // fault lets one thing go wrong, and lets it end by itself.
 func (s *set) fault(rng *rand.Rand) string {
 	e, a := s.entries[rng.IntN(len(s.entries))], s.agents[rng.IntN(len(s.agents))]
--- a/internal/standin/embedded/restart_test.go
+++ b/internal/standin/embedded/restart_test.go
@@ -49,7 +49,7 @@
 	c := newClient(t, set)
 	time.Sleep(3 * time.Second) // heartbeats of the first life get numbers that the second does not reach below
 	complete(t, c, 4)
-	set.Upstreams[0].Restart()
+	set.Upstreams[0].Restart(0)
 	time.Sleep(500 * time.Millisecond)
 	set.Upstreams[0].Drain()
 	time.Sleep(500 * time.Millisecond) // two heartbeats
@@ -70,17 +70,28 @@
 		name    string
 		restart func(u *standin.Upstream)
 	}{
-		{"at once", func(u *standin.Upstream) { u.Restart() }},
+		{"at once", func(u *standin.Upstream) { u.Restart(0) }},
 		{"after it was away", func(u *standin.Upstream) {
 			u.Break(standin.UpstreamFault{Mute: true})
 			time.Sleep(2 * time.Second)
-			u.Restart()
+			u.Restart(0)
 			u.Break(standin.UpstreamFault{})
 		}},
+		{"after a second, beside heartbeats of other writers", func(u *standin.Upstream) {
+			u.Restart(time.Second)
+			for n := range 16 {
+				u.BeatForeign(n)
+				time.Sleep(100 * time.Millisecond)
+			}
+		}},
+		{"after it has left, and its word that it has ended comes late", func(u *standin.Upstream) {
+			u.Leave(500*time.Millisecond, 100*time.Millisecond, 500*time.Millisecond)
+			time.Sleep(1500 * time.Millisecond)
+		}},
 		{"twice", func(u *standin.Upstream) {
-			u.Restart()
+			u.Restart(0)
 			time.Sleep(50 * time.Millisecond)
-			u.Restart()
+			u.Restart(0)
 		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
