docs, load: the incident's postmortem; what names a life; one loop for the experiment's faults

Longest-unanswered time follows keep_alive instead of a constant, so that a longer hold is not taken for overdue (no change with the default settings).

--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -35,9 +35,9 @@
 	k.caller.Hold(c)
 }
 
-// sureFor is how long after a call that the present life has answered its next life can't be there: crash and start take longer.
-// Holds are answered within 50 ms, or were lost.
-const sureFor = 200 * time.Millisecond
+// sureFactor times the keep-alive interval is how long after a call that the present life has answered its next life can't be there:
+// 200 ms by default, and crash and start take longer. A hold is answered within a quarter of that, or was lost.
+const sureFactor = 2
 
 // unsure tells whether another life under the same id may have begun, which would take calls for its own. Until an answer says
 // which life is there, nothing starts, no end is acknowledged, and no lease extended by the clock of the one before. Where
@@ -46,7 +46,7 @@
 	if k.life.Born == 0 || k.without.Off(rule.LifeBorn) {
 		return false
 	}
-	return k.failures > 0 || now.Sub(k.answered) > sureFor
+	return k.failures > 0 || now.Sub(k.answered) > sureFactor*k.timing.KeepAlive
 }
 
 // holdShare: a hold waits for half of the keep-alive interval, so that a run that stands still is seen soon on an
--- a/internal/load/world/restart_test.go
+++ b/internal/load/world/restart_test.go
@@ -15,16 +15,7 @@
 // 0.995 and 11 with an account of the new ones.
 func TestUpstreamsRestart(t *testing.T) {
 	const least, mostRefused = 0.98, 30
-	var inTime, asked, refused int
-	for seed := range uint64(3) {
-		p := example(t)
-		p.Seed, p.Length, p.Warmup = seed+1, 12*time.Second, 6*time.Second
-		p.Faults = []plan.Fault{{Kind: plan.UpstreamsRestart, Count: 4, At: 4 * time.Second, For: time.Second}}
-		all := play(t, p).All
-		inTime, asked, refused = inTime+all.InTime, asked+all.Asked, refused+all.Refused
-	}
-	served := float64(inTime) / float64(asked)
-	t.Logf("served %.3f in time of %d, refused %d", served, asked, refused)
+	served, refused := playFault(t, plan.Fault{Kind: plan.UpstreamsRestart, Count: 4, At: counted - 2*time.Second, For: time.Second})
 	qt.Check(t, served >= least, qt.IsTrue)
 	qt.Check(t, refused <= mostRefused, qt.IsTrue)
 }
--- a/internal/standin/embedded/restart_test.go
+++ b/internal/standin/embedded/restart_test.go
@@ -19,8 +19,8 @@
 //
 // The cause: an agent told lives of its upstream apart by the id alone. It went on with the account of the life before, so that
 // the new life's heartbeats, numbered from 1 again, were dropped as overtaken, and ends numbered from 1 again were acknowledged
-// before they were listed. What proved it: as many runs were lost after each restart as ends had been taken in before it, 317
-// and 317, 231 and 231, 4 and 4, and the agent's log has no change of state when the upstream said that it leaves.
+// before they were listed. What proved it: as many runs were lost after a restart as ends had been taken in before it, 317
+// and 317, 4 and 4, and the agent's log has no change of state when the upstream said that it leaves.
 
 // tasksPerJob is how many starts a job takes whose tasks are all done once.
 const tasksPerJob = 2
