--- /dev/null
+++ b/internal/agent/lives/lives.go
@@ -0,0 +1,134 @@
+// Package lives keeps an agent's account of the lives of its upstream that have been heard of, beside the present one.
+//
+// A heartbeat of another life than the known one may be a later life's, or an earlier one's that was held up on the way: only the
+// upstream can tell. To believe it would cost, in the second case, all runs that are told as lost while they go on, and the
+// upstream itself, whose heartbeats would count as those of a past life. So it is a claim, until the upstream has answered.
+package lives
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"hillreel/internal/agent/call"
+	"hillreel/internal/agent/lease"
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+)
+
+// Beat is a heartbeat of the upstream.
+type Beat struct {
+	fleet.Upstream
+	// Born tells lives under one id apart.
+	Born ident.Born
+	// Sequence rises with each heartbeat of one life.
+	Sequence uint64
+	// Clock is a reading of the upstream's clock; zero is none.
+	Clock call.Clock
+	// Draining: it takes no more work and ends soon.
+	Draining bool
+}
+
+// Life is whose heartbeat it is.
+func (b *Beat) Life() ident.UpstreamLife { return ident.UpstreamLife{ID: b.ID, Born: b.Born} }
+
+// Known is what the agent's next process should know of the upstream: its VM keeps nothing, and the upstream does not repeat at once
+// what it was told is heard.
+type Known struct {
+	fleet.Upstream
+	Born ident.Born
+	// Draining: the upstream has said that it leaves.
+	Draining bool
+}
+
+// Life is the life that is known.
+func (k *Known) Life() ident.UpstreamLife { return ident.UpstreamLife{ID: k.ID, Born: k.Born} }
+
+// Beat is what is known, as if a heartbeat had told it before all others.
+func (k *Known) Beat() Beat { return Beat{Upstream: k.Upstream, Born: k.Born, Draining: k.Draining} }
+
+// Claim is the newest heartbeat of a life other than the present one.
+type Claim struct {
+	Beat Beat
+	// lease has the token that the question carries.
+	lease lease.Lease
+	// asking is true while the question is under way, asked when it was put.
+	asking bool
+	asked  time.Time
+}
+
+// Ask returns the token of a question that is to be put now; false is that one is under way.
+func (c *Claim) Ask(now time.Time) (call.Token, bool) {
+	if c.asking {
+		return 0, false
+	}
+	c.asking, c.asked = true, now
+	return c.lease.Token(), true
+}
+
+// Answered notes that the question is not under way any more.
+func (c *Claim) Answered() { c.asking = false }
+
+// Outbid raises the token of the next question above one that was refused.
+func (c *Claim) Outbid(now time.Time, refused call.Token) { c.lease.Outbid(now, refused) }
+
+// Account is that of one agent.
+type Account struct {
+	// past holds lives that have ended, whose late heartbeats mean nothing. It has at most one for each life heard of.
+	past map[ident.UpstreamLife]bool
+	// claims are lives that may be present, until the upstream has said whether it is one of them.
+	claims map[ident.UpstreamLife]*Claim
+}
+
+// New returns an account of no life.
+func New() *Account {
+	return &Account{past: make(map[ident.UpstreamLife]bool), claims: make(map[ident.UpstreamLife]*Claim)}
+}
+
+// Past tells whether a life has ended.
+func (a *Account) Past(life ident.UpstreamLife) bool { return a.past[life] }
+
+// End notes that a life has ended.
+func (a *Account) End(life ident.UpstreamLife) {
+	a.past[life] = true
+	delete(a.claims, life)
+}
+
+// Begin notes that a life is the present one.
+func (a *Account) Begin(life ident.UpstreamLife) {
+	delete(a.past, life)
+	delete(a.claims, life)
+}
+
+// Claim takes in a heartbeat of a life other than the present one.
+func (a *Account) Claim(now time.Time, b Beat) *Claim {
+	c := a.claims[b.Life()]
+	if c == nil {
+		c = &Claim{lease: lease.New(0, now)}
+		a.claims[b.Life()] = c
+	}
+	// That a life leaves holds in whatever order its heartbeats arrive.
+	draining := c.Beat.Draining || b.Draining
+	if b.Sequence >= c.Beat.Sequence {
+		c.Beat = b
+	}
+	c.Beat.Draining = draining
+	return c
+}
+
+// Claimed returns what is claimed of a life, or nil.
+func (a *Account) Claimed(life ident.UpstreamLife) *Claim { return a.claims[life] }
+
+// Due lists the claims whose questions were put a pause ago or earlier, in a fixed order.
+func (a *Account) Due(now time.Time, pause time.Duration) []*Claim {
+	var out []*Claim
+	for _, c := range a.claims {
+		if now.Sub(c.asked) >= pause {
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(x, y *Claim) int {
+		return cmp.Or(cmp.Compare(x.Beat.ID, y.Beat.ID), cmp.Compare(x.Beat.Born, y.Beat.Born))
+	})
+	return out
+}
--- a/internal/agent/memory/memory.go
+++ b/internal/agent/memory/memory.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"hillreel/internal/agent/upstream"
+	"hillreel/internal/agent/lives"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -47,22 +47,22 @@
 func New(r Rows, vm string) *Memory { return &Memory{r, rows.Key{Table: table, Name: vm}} }
 
 // Recall returns the upstream that was remembered last, and whether there is one.
-func (m *Memory) Recall(ctx context.Context) (upstream.Known, bool, error) {
+func (m *Memory) Recall(ctx context.Context) (lives.Known, bool, error) {
 	row, err := m.rows.Read(ctx, m.key)
 	if err != nil || row.Version == 0 {
-		return upstream.Known{}, false, err
+		return lives.Known{}, false, err
 	}
 	var v value
 	if err := json.Unmarshal(row.Value, &v); err != nil {
-		return upstream.Known{}, false, errors.Wrap(err, "memory: row")
+		return lives.Known{}, false, errors.Wrap(err, "memory: row")
 	}
 	up := fleet.Upstream{ID: v.ID, Service: v.Service, Labels: v.Labels, Total: job.Resources{CPU: v.CPU, Mem: v.Mem, GPU: v.GPU}}
-	return upstream.Known{Upstream: up, Born: v.Born, Draining: v.Draining}, true, nil
+	return lives.Known{Upstream: up, Born: v.Born, Draining: v.Draining}, true, nil
 }
 
 // Remember keeps an upstream. Only this agent writes its row, and any life of the upstream that is remembered by
 // mistake is refused by the upstream itself, so that no condition is needed.
-func (m *Memory) Remember(ctx context.Context, u upstream.Known) error {
+func (m *Memory) Remember(ctx context.Context, u lives.Known) error {
 	raw, err := json.Marshal(value{u.ID, u.Born, u.Service, u.Labels, u.Total.CPU, u.Total.Mem, u.Total.GPU, u.Draining})
 	if err != nil {
 		return errors.Wrap(err, "memory: encode")
--- a/internal/agent/node/life_test.go
+++ b/internal/agent/node/life_test.go
@@ -9,8 +9,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"hillreel/internal/agent/call"
+	"hillreel/internal/agent/lives"
 	"hillreel/internal/agent/node"
-	"hillreel/internal/agent/upstream"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/logs"
@@ -55,11 +55,11 @@
 	last ident.UpstreamLife
 }
 
-func (m *notebook) Recall(context.Context) (upstream.Known, bool, error) {
-	return upstream.Known{}, false, nil
+func (m *notebook) Recall(context.Context) (lives.Known, bool, error) {
+	return lives.Known{}, false, nil
 }
 
-func (m *notebook) Remember(_ context.Context, u upstream.Known) error {
+func (m *notebook) Remember(_ context.Context, u lives.Known) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.last = u.Life()
@@ -83,7 +83,7 @@
 	defer n.Stop()
 	for _, life := range []ident.UpstreamLife{{ID: "u-1"}, {ID: "u-2"}, {ID: "u-3", Born: 1}, {ID: "u-3", Born: 2}} {
 		u.begin(life)
-		n.Beat(upstream.Beat{Upstream: fleet.Upstream{ID: life.ID, Service: "s"}, Born: life.Born, Sequence: 1, Clock: call.Clock(time.Minute)})
+		n.Beat(lives.Beat{Upstream: fleet.Upstream{ID: life.ID, Service: "s"}, Born: life.Born, Sequence: 1, Clock: call.Clock(time.Minute)})
 		for until := time.Now().Add(5 * time.Second); !m.lastIs(life); time.Sleep(time.Millisecond) {
 			qt.Assert(t, time.Now().Before(until), qt.IsTrue, qt.Commentf("%s is not remembered", life))
 		}
--- a/internal/agent/node/links_test.go
+++ b/internal/agent/node/links_test.go
@@ -8,8 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"hillreel/internal/agent/lives"
 	"hillreel/internal/agent/node"
-	"hillreel/internal/agent/upstream"
 	"hillreel/internal/core/logs"
 	"hillreel/internal/core/settings"
 	"hillreel/internal/link/session"
@@ -18,10 +18,10 @@
 // nothing remembers no upstream.
 type nothing struct{}
 
-func (nothing) Recall(context.Context) (upstream.Known, bool, error) {
-	return upstream.Known{}, false, nil
+func (nothing) Recall(context.Context) (lives.Known, bool, error) {
+	return lives.Known{}, false, nil
 }
-func (nothing) Remember(context.Context, upstream.Known) error { return nil }
+func (nothing) Remember(context.Context, lives.Known) error { return nil }
 
 // TestSilentGreeting: a connection that falls silent before the entry's greeting is given up as soon as a silent link; the
 // more greetings come to nothing one after the other, the longer each is waited for.
--- a/internal/agent/node/memory.go
+++ b/internal/agent/node/memory.go
@@ -4,14 +4,14 @@
 	"context"
 	"time"
 
-	"hillreel/internal/agent/upstream"
+	"hillreel/internal/agent/lives"
 	"hillreel/internal/core/ident"
 )
 
 // Memory keeps what this agent's next life should know.
 type Memory interface {
-	Recall(ctx context.Context) (upstream.Known, bool, error)
-	Remember(ctx context.Context, u upstream.Known) error
+	Recall(ctx context.Context) (lives.Known, bool, error)
+	Remember(ctx context.Context, u lives.Known) error
 }
 
 // recallPause is the pause between two attempts to read or write the memory.
@@ -42,7 +42,7 @@
 }
 
 // remember writes what is new of the upstream, until it is written or another has come.
-func (n *Node) remember(u upstream.Known) {
+func (n *Node) remember(u lives.Known) {
 	n.remembered = noted{u.Life(), u.Draining}
 	go func() {
 		for n.ctx.Err() == nil {
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hillreel/internal/agent/call"
+	"hillreel/internal/agent/lives"
 	"hillreel/internal/agent/upstream"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/loop"
@@ -83,7 +84,7 @@
 }
 
 // Beat handles a heartbeat of the upstream.
-func (n *Node) Beat(b upstream.Beat) { n.loop.Post(b) }
+func (n *Node) Beat(b lives.Beat) { n.loop.Post(b) }
 
 // Left handles the upstream's word that it has ended.
 func (n *Node) Left(id ident.UpstreamID) { n.loop.Post(left{id}) }
@@ -113,10 +114,10 @@
 	return ok, why
 }
 
-// The events that the control goroutine handles, beside upstream.Beat.
+// The events that the control goroutine handles, beside lives.Beat.
 type (
 	left     struct{ id ident.UpstreamID }
-	recalled struct{ known upstream.Known }
+	recalled struct{ known lives.Known }
 	// orderDone carries the end of a start or a stop, and how long its answer took if there was one.
 	orderDone struct {
 		took, limit time.Duration
@@ -166,7 +167,7 @@
 	n.catchUp(time.Now())
 	now := time.Now()
 	switch e := e.(type) {
-	case upstream.Beat:
+	case lives.Beat:
 		n.keeper.Beat(now, e)
 	case recalled:
 		n.log.WithField("upstream", e.known.Life()).Info("upstream_recalled")
--- a/internal/agent/node/observe.go
+++ b/internal/agent/node/observe.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/sirupsen/logrus"
 
-	"hillreel/internal/agent/upstream"
+	"hillreel/internal/agent/lives"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -60,7 +60,7 @@
 }
 
 // Dropped logs a heartbeat that counts as overtaken.
-func (o *observer) Dropped(b upstream.Beat, newest uint64) {
+func (o *observer) Dropped(b lives.Beat, newest uint64) {
 	o.counters.Add("dropped_heartbeats", 1)
 	o.log.WithFields(logrus.Fields{
 		"upstream": b.Life(), "sequence": b.Sequence, "newest": newest, "draining": b.Draining,
--- a/internal/agent/upstream/bench_test.go
+++ b/internal/agent/upstream/bench_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hillreel/internal/agent/call"
+	"hillreel/internal/agent/lives"
 	"hillreel/internal/agent/upstream"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
@@ -57,7 +58,7 @@
 func (b *bench) Outlived(_, _ ident.UpstreamLife)        {}
 func (b *bench) Unsure(job.TaskID, job.Run)              {}
 func (b *bench) Begun(ident.UpstreamLife, string, bool)  {}
-func (b *bench) Dropped(upstream.Beat, uint64)           {}
+func (b *bench) Dropped(lives.Beat, uint64)              {}
 func (b *bench) Overtaken()                              {}
 
 // The entries and the job that the tests use.
@@ -80,7 +81,7 @@
 	}
 	b.keeper = upstream.New(timing, without, b.now, b, b, b)
 	b.pass(10 * time.Millisecond)
-	b.keeper.Beat(b.now, upstream.Beat{
+	b.keeper.Beat(b.now, lives.Beat{
 		Upstream: fleet.Upstream{ID: "u-1", Service: "publish", Total: job.Resources{CPU: 2000}}, Sequence: 1, Clock: call.Clock(time.Minute),
 	})
 	b.look()
--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -81,7 +81,7 @@
 
 // HoldDone handles the answer to a Hold.
 func (k *Keeper) HoldDone(now time.Time, c call.Hold, h call.Held) {
-	if asked := k.claims[c.Life()]; asked != nil {
+	if asked := k.lives.Claimed(c.Life()); asked != nil {
 		k.claimAnswered(now, asked, c.Header, h)
 		return
 	}
--- a/internal/agent/upstream/kept_test.go
+++ b/internal/agent/upstream/kept_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"hillreel/internal/agent/call"
+	"hillreel/internal/agent/lives"
 	"hillreel/internal/agent/upstream"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
@@ -218,7 +219,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			b := &bench{t: t, now: time.Unix(1000, 0), ends: make(map[ident.Incarnation][]fleet.End), rooms: make(map[ident.Incarnation]fleet.Room)}
 			b.keeper = upstream.New(timing, test.without, b.now, b, b, b)
-			b.keeper.Beat(b.now, upstream.Beat{
+			b.keeper.Beat(b.now, lives.Beat{
 				Upstream: fleet.Upstream{ID: "u-1", Service: "publish", Total: job.Resources{CPU: 2000}}, Sequence: 1, Clock: call.Clock(time.Minute),
 			})
 			b.keeper.Linked(b.now, one)
--- a/internal/agent/upstream/life.go
+++ b/internal/agent/upstream/life.go
@@ -1,15 +1,12 @@
 package upstream
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"time"
 
 	"hillreel/internal/agent/call"
 	"hillreel/internal/agent/ends"
 	"hillreel/internal/agent/health"
-	"hillreel/internal/agent/lease"
+	"hillreel/internal/agent/lives"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -21,30 +18,14 @@
 // unheard, and ends acknowledged before they are listed. So everything here belongs to one life, and which life stands there is
 // believed of the upstream's own answers only: heartbeats may be held up on the way.
 
-// Beat is a heartbeat of the upstream.
-type Beat struct {
-	fleet.Upstream
-	// Born tells lives under one id apart.
-	Born ident.Born
-	// Sequence rises with each heartbeat of one life.
-	Sequence uint64
-	// Clock is a reading of the upstream's clock; zero is none.
-	Clock call.Clock
-	// Draining: it takes no more work and ends soon.
-	Draining bool
-}
-
-// Life is whose heartbeat it is.
-func (b *Beat) Life() ident.UpstreamLife { return ident.UpstreamLife{ID: b.ID, Born: b.Born} }
-
 // Beat handles a heartbeat.
-func (k *Keeper) Beat(now time.Time, b Beat) {
+func (k *Keeper) Beat(now time.Time, b lives.Beat) {
 	if k.without.Off(rule.LifeBorn) {
 		b.Born = 0
 	}
 	life := b.Life()
 	switch {
-	case k.past[life]:
+	case k.lives.Past(life):
 	case !k.known:
 		k.begin(now, life, &b, b.Clock, "heartbeat")
 		k.describe(now, b)
@@ -59,7 +40,7 @@
 }
 
 // describe takes in a heartbeat of the present life.
-func (k *Keeper) describe(now time.Time, b Beat) {
+func (k *Keeper) describe(now time.Time, b lives.Beat) {
 	if b.Draining {
 		// A life that leaves does not come back to work, so that this holds in whatever order heartbeats arrive.
 		k.draining = true
@@ -87,66 +68,37 @@
 	}
 }
 
-// claim is the heartbeat of a life other than the known one. It is a later life, or an earlier one whose heartbeat was held
-// up on the way: only the upstream can tell. To believe the heartbeat would cost, in the second case, all runs that are
-// told as lost while they go on, and the upstream itself, whose heartbeats would count as those of a past life.
-type claim struct {
-	beat Beat
-	// lease has the token that the question carries.
-	lease lease.Lease
-	// asking is true while the question is under way, asked when it was put.
-	asking bool
-	asked  time.Time
-}
-
 // claimed takes in a heartbeat of a life other than the known one.
-func (k *Keeper) claimed(now time.Time, b Beat) {
-	c := k.claims[b.Life()]
-	if c == nil {
-		c = &claim{lease: lease.New(k.timing.Lease, now)}
-		k.claims[b.Life()] = c
-	}
-	if b.Sequence >= c.beat.Sequence {
-		draining := c.beat.Draining || b.Draining
-		c.beat = b
-		c.beat.Draining = draining
-	}
-	k.ask(now, c)
-}
+func (k *Keeper) claimed(now time.Time, b lives.Beat) { k.ask(now, k.lives.Claim(now, b)) }
 
 // ask asks the upstream whether it is the life that a claim is about. Another upstream refuses the call, another life under the
 // same id says when it began.
-func (k *Keeper) ask(now time.Time, c *claim) {
-	if c.asking {
+func (k *Keeper) ask(now time.Time, c *lives.Claim) {
+	token, due := c.Ask(now)
+	if !due {
 		return
 	}
-	c.asking, c.asked = true, now
-	h := call.Header{Instance: c.beat.ID, Born: c.beat.Born, Token: c.lease.Token(), Sent: now}
-	if c.beat.ID == k.life.ID {
-		h.Token = k.lease.Token() // it may be the present life that answers
+	if c.Beat.ID == k.life.ID {
+		token = k.lease.Token() // it may be the present life that answers
 	}
+	h := call.Header{Instance: c.Beat.ID, Born: c.Beat.Born, Token: token, Sent: now}
 	k.caller.Hold(call.Hold{Header: h, Look: true})
 }
 
 // askAgain repeats the questions that got no answer.
 func (k *Keeper) askAgain(now time.Time) {
-	lives := slices.SortedFunc(maps.Keys(k.claims), func(a, b ident.UpstreamLife) int {
-		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born))
-	})
-	for _, life := range lives {
-		if c := k.claims[life]; c != nil && now.Sub(c.asked) >= holdRetry {
-			k.ask(now, c)
-		}
+	for _, c := range k.lives.Due(now, holdRetry) {
+		k.ask(now, c)
 	}
 }
 
 // claimAnswered handles the answer to a question; one without an answer is put again.
-func (k *Keeper) claimAnswered(now time.Time, c *claim, asked call.Header, h call.Held) {
-	c.asking = false
+func (k *Keeper) claimAnswered(now time.Time, c *lives.Claim, asked call.Header, h call.Held) {
+	c.Answered()
 	switch h.Answer {
 	case call.Fenced:
 		// An earlier agent has called this life, or another life looks at tokens first.
-		c.lease.Outbid(now, asked.Token)
+		c.Outbid(now, asked.Token)
 		k.lease.Outbid(now, asked.Token)
 		k.ask(now, c)
 	case call.OK:
@@ -157,13 +109,13 @@
 		}
 		k.answeredBy(now, c, h)
 	case call.WrongInstance:
-		k.outlived(c.beat.Life())
+		k.outlived(c.Beat.Life())
 	}
 }
 
 // answeredBy takes up the life that has answered a question, unless it is the present one.
-func (k *Keeper) answeredBy(now time.Time, c *claim, h call.Held) {
-	claimed := c.beat.Life()
+func (k *Keeper) answeredBy(now time.Time, c *lives.Claim, h call.Held) {
+	claimed := c.Beat.Life()
 	present := ident.UpstreamLife{ID: claimed.ID, Born: h.Born}
 	if h.Born == 0 || k.without.Off(rule.LifeBorn) {
 		present = claimed
@@ -179,20 +131,19 @@
 
 // outlived notes that a life has ended before the present one.
 func (k *Keeper) outlived(life ident.UpstreamLife) {
-	delete(k.claims, life)
-	k.past[life] = true
+	k.lives.End(life)
 	k.observer.Outlived(life, k.life)
 }
 
 // takeUp takes up a life that the upstream itself has told, with its heartbeat if one has come.
 func (k *Keeper) takeUp(now time.Time, life ident.UpstreamLife, clock call.Clock) {
-	c := k.claims[life]
+	c := k.lives.Claimed(life)
 	if c == nil {
 		k.begin(now, life, nil, clock, "answer")
 		return
 	}
-	k.begin(now, life, &c.beat, clock, "answer")
-	k.describe(now, c.beat)
+	k.begin(now, life, &c.Beat, clock, "answer")
+	k.describe(now, c.Beat)
 }
 
 // reborn tells whether an answer to a call that was made of the present life is another life's, which has the same id.
@@ -202,13 +153,12 @@
 
 // begin takes up a new life of the upstream: whatever ran in the one before is gone. first is its heartbeat, if one has come, clock
 // a reading of its clock; zero is none.
-func (k *Keeper) begin(now time.Time, life ident.UpstreamLife, first *Beat, clock call.Clock, why string) {
+func (k *Keeper) begin(now time.Time, life ident.UpstreamLife, first *lives.Beat, clock call.Clock, why string) {
 	former, sameID := k.known, k.known && k.life.ID == life.ID
 	if former {
-		k.past[k.life] = true
+		k.lives.End(k.life)
 	}
-	delete(k.past, life)
-	delete(k.claims, life)
+	k.lives.Begin(life)
 	k.known, k.life, k.began = true, life, now
 	k.described = first != nil
 	k.looked, k.failures, k.draining, k.departed = false, 0, false, false
@@ -251,13 +201,13 @@
 
 // Recall takes up an upstream that an earlier agent has known, before its first heartbeat. If it lives no more, the
 // first call says so. Its clock is learned by that call.
-func (k *Keeper) Recall(now time.Time, u Known) {
-	b := Beat{Upstream: u.Upstream, Born: u.Born, Draining: u.Draining}
+func (k *Keeper) Recall(now time.Time, u lives.Known) {
+	b := u.Beat()
 	if k.without.Off(rule.LifeBorn) {
 		b.Born = 0
 	}
 	switch {
-	case k.past[b.Life()]:
+	case k.lives.Past(b.Life()):
 	case k.known && k.life == b.Life():
 		k.draining = k.draining || u.Draining // the heartbeat may be older than what was known
 		k.touchAll()
@@ -272,7 +222,7 @@
 
 // end forgets the present life.
 func (k *Keeper) end(now time.Time) {
-	k.past[k.life] = true
+	k.lives.End(k.life)
 	k.known, k.looked = false, false
 	clear(k.strays)
 	k.loseAll(now, fleet.UpstreamGone)
@@ -291,8 +241,7 @@
 func (k *Keeper) Left(now time.Time, id ident.UpstreamID) {
 	switch {
 	case !k.known || k.life.ID != id:
-		k.past[ident.UpstreamLife{ID: id}] = true
-		delete(k.claims, ident.UpstreamLife{ID: id})
+		k.lives.End(ident.UpstreamLife{ID: id})
 	case k.life.Born == 0:
 		k.end(now)
 	default:
--- a/internal/agent/upstream/life_test.go
+++ b/internal/agent/upstream/life_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"hillreel/internal/agent/call"
+	"hillreel/internal/agent/lives"
 	"hillreel/internal/agent/upstream"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
@@ -17,7 +18,7 @@
 
 // beat hands the keeper a heartbeat of a life of the upstream.
 func (b *bench) beat(id ident.UpstreamID, sequence uint64) {
-	b.keeper.Beat(b.now, upstream.Beat{
+	b.keeper.Beat(b.now, lives.Beat{
 		Upstream: fleet.Upstream{ID: id, Service: "publish", Total: job.Resources{CPU: 2000}}, Sequence: sequence, Clock: call.Clock(time.Second),
 	})
 	b.keeper.Flush(b.now)
@@ -114,7 +115,7 @@
 		{"its heartbeat comes before the present one is recalled", func(b *bench) {
 			b.keeper.Left(b.now, "u-1")
 			b.beat("u-0", 7)
-			b.keeper.Recall(b.now, upstream.Known{Upstream: fleet.Upstream{ID: "u-2", Service: "publish", Total: job.Resources{CPU: 2000}}})
+			b.keeper.Recall(b.now, lives.Known{Upstream: fleet.Upstream{ID: "u-2", Service: "publish", Total: job.Resources{CPU: 2000}}})
 			b.answer("u-2", call.OK)
 			b.look()
 		}},
@@ -157,7 +158,7 @@
 
 // beatOf sends a heartbeat of a life of u-1.
 func (b *bench) beatOf(born ident.Born, sequence uint64, draining bool) {
-	b.keeper.Beat(b.now, upstream.Beat{
+	b.keeper.Beat(b.now, lives.Beat{
 		Upstream: fleet.Upstream{ID: "u-1", Service: "publish", Total: job.Resources{CPU: 2000}},
 		Born:     born, Sequence: sequence, Clock: call.Clock(time.Second), Draining: draining,
 	})
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -13,6 +13,7 @@
 	"hillreel/internal/agent/ends"
 	"hillreel/internal/agent/health"
 	"hillreel/internal/agent/lease"
+	"hillreel/internal/agent/lives"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -48,7 +49,7 @@
 	// Begun is called when a life of the upstream is taken up, with what told of it. described is false if no heartbeat of it has come.
 	Begun(life ident.UpstreamLife, why string, described bool)
 	// Dropped is called for a heartbeat whose number is below newest, that of the newest one.
-	Dropped(b Beat, newest uint64)
+	Dropped(b lives.Beat, newest uint64)
 	// Overtaken is called for a listing whose clock is older than that of one taken in before.
 	Overtaken()
 }
@@ -72,10 +73,8 @@
 	described bool
 	// began is when the present life, or the last one, was taken up.
 	began time.Time
-	// past holds earlier lives, whose late heartbeats are ignored.
-	past map[ident.UpstreamLife]bool
-	// claims are other lives than the known one that were heard of, until the upstream has said whether it is one of them.
-	claims map[ident.UpstreamLife]*claim
+	// lives has the other lives that were heard of.
+	lives *lives.Account
 	// sequence is the newest heartbeat's number.
 	sequence uint64
 	// draining: this life of the upstream ends soon; departed: a word that it has ended came, perhaps a former life's; leaving: the
@@ -212,9 +211,7 @@
 // New returns a Keeper that knows nothing yet. without leaves out safety rules, for experiments only.
 func New(t fleet.Timing, without rule.Set, now time.Time, c Caller, e Entries, o Observer) *Keeper {
 	return &Keeper{
-		timing: t, without: without, caller: c, entries: e, observer: o, start: now, lease: lease.New(t.Lease, now),
-		past:     make(map[ident.UpstreamLife]bool),
-		claims:   make(map[ident.UpstreamLife]*claim),
+		timing: t, without: without, caller: c, entries: e, observer: o, start: now, lease: lease.New(t.Lease, now), lives: lives.New(),
 		strays:   make(map[fleet.RunRef]time.Time),
 		given:    make(map[fleet.RunRef]bool),
 		runs:     make(map[job.TaskID]*run),
@@ -237,19 +234,7 @@
 // Leave makes the agent take no more work.
 func (k *Keeper) Leave() { k.leaving = true; k.touchAll() }
 
-// Known is what the agent's next life should know of the upstream: its VM keeps nothing, and the upstream does not repeat at once
-// what it was told is heard.
-type Known struct {
-	fleet.Upstream
-	Born ident.Born
-	// Draining: the upstream has said that it leaves.
-	Draining bool
-}
-
-// Life is the life that is known.
-func (k *Known) Life() ident.UpstreamLife { return ident.UpstreamLife{ID: k.ID, Born: k.Born} }
-
 // Known returns what is known of the upstream, and whether a heartbeat of its present life has been heard.
-func (k *Keeper) Known() (Known, bool) {
-	return Known{k.up, k.life.Born, k.draining}, k.known && k.described
+func (k *Keeper) Known() (lives.Known, bool) {
+	return lives.Known{Upstream: k.up, Born: k.life.Born, Draining: k.draining}, k.known && k.described
 }
--- a/internal/agent/upstream/upstream_test.go
+++ b/internal/agent/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"hillreel/internal/agent/call"
+	"hillreel/internal/agent/lives"
 	"hillreel/internal/agent/upstream"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
@@ -106,7 +107,7 @@
 		{"heard only now, but of long ago", func(b *bench) { b.pass(timing.Silence); b.keeper.Ping(b.now, one, time.Millisecond, 0) }, fleet.StaleSession},
 		{"leaving", func(b *bench) { b.keeper.Leave() }, fleet.NotAccepting},
 		{"upstream draining", func(b *bench) {
-			b.keeper.Beat(b.now, upstream.Beat{Upstream: fleet.Upstream{ID: "u-1"}, Sequence: 2, Draining: true})
+			b.keeper.Beat(b.now, lives.Beat{Upstream: fleet.Upstream{ID: "u-1"}, Sequence: 2, Draining: true})
 		}, fleet.NotAccepting},
 		{"upstream unreachable", func(b *bench) {
 			for range 2 {
@@ -178,7 +179,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			b := &bench{t: t, now: time.Unix(1000, 0), ends: make(map[ident.Incarnation][]fleet.End), rooms: make(map[ident.Incarnation]fleet.Room)}
 			b.keeper = upstream.New(timing, nil, b.now, b, b, b)
-			b.keeper.Recall(b.now, upstream.Known{Upstream: up})
+			b.keeper.Recall(b.now, lives.Known{Upstream: up})
 			earlier := b.holds[0].Token
 			qt.Assert(t, earlier >= call.Token(b.now.UnixMilli()), qt.IsTrue)
 			b.pass(time.Millisecond)
@@ -213,7 +214,7 @@
 		b.told = 0
 		for i := range 1000 {
 			b.pass(time.Millisecond)
-			b.keeper.Beat(b.now, upstream.Beat{
+			b.keeper.Beat(b.now, lives.Beat{
 				Upstream: fleet.Upstream{ID: "u-1", Service: "publish", Total: job.Resources{CPU: int64(2000 + i)}}, Sequence: uint64(2 + i),
 			})
 			b.keeper.Flush(b.now)
@@ -242,7 +243,7 @@
 		b.keeper.Flush(b.now)
 		b.told = 0
 		clear(b.rooms)
-		b.keeper.Beat(b.now, upstream.Beat{
+		b.keeper.Beat(b.now, lives.Beat{
 			Upstream: fleet.Upstream{ID: "u-1", Service: "publish", Total: job.Resources{CPU: int64(3000 + i)}}, Sequence: uint64(2 + i),
 		})
 		for told := 0; told < entries; told++ {
@@ -271,13 +272,13 @@
 	}{
 		{"the agent leaves", func(b *bench) { b.keeper.Leave() }, fleet.Leaving},
 		{"the former life drained", func(b *bench) {
-			b.keeper.Beat(b.now, upstream.Beat{Upstream: fleet.Upstream{ID: "u-1"}, Sequence: 2, Draining: true})
+			b.keeper.Beat(b.now, lives.Beat{Upstream: fleet.Upstream{ID: "u-1"}, Sequence: 2, Draining: true})
 		}, fleet.Ready},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			b := newBench(t, nil)
 			test.leave(b)
-			b.keeper.Beat(b.now, upstream.Beat{
+			b.keeper.Beat(b.now, lives.Beat{
 				Upstream: fleet.Upstream{ID: "u-2", Service: "publish", Total: job.Resources{CPU: 2000}}, Sequence: 1, Clock: call.Clock(time.Second),
 			})
 			b.answer("u-1", call.WrongInstance)
--- a/internal/load/world/agent.go
+++ b/internal/load/world/agent.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hillreel/internal/agent/call"
+	"hillreel/internal/agent/lives"
 	"hillreel/internal/agent/upstream"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
@@ -172,5 +173,5 @@
 func (quiet) Outlived(_, _ ident.UpstreamLife)        {}
 func (quiet) Unsure(job.TaskID, job.Run)              {}
 func (quiet) Begun(ident.UpstreamLife, string, bool)  {}
-func (quiet) Dropped(upstream.Beat, uint64)           {}
+func (quiet) Dropped(lives.Beat, uint64)              {}
 func (quiet) Overtaken()                              {}
--- a/internal/load/world/upstream.go
+++ b/internal/load/world/upstream.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"hillreel/internal/agent/call"
-	"hillreel/internal/agent/upstream"
+	"hillreel/internal/agent/lives"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -94,7 +94,7 @@
 	}
 	u.beats++
 	total := job.Resources{CPU: int64(u.kind.Cores * milli), Mem: 1 << 30}
-	u.a.keeper.Beat(u.w.Now(), upstream.Beat{
+	u.a.keeper.Beat(u.w.Now(), lives.Beat{
 		Upstream: fleet.Upstream{ID: u.id, Service: service, Total: total}, Born: u.told(), Sequence: u.beats, Clock: u.clock(),
 	})
 	u.w.After(beatEvery, func() { u.beat(life) })
--- a/internal/proof/schedule/process_test.go
+++ b/internal/proof/schedule/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hillreel/internal/agent/lives"
 	"hillreel/internal/agent/upstream"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/entry/dispatch"
@@ -110,7 +111,7 @@
 	keeper   *upstream.Keeper
 	upstream *simUpstream
 	// remembered outlasts the process, as its row in the store does.
-	remembered *upstream.Known
+	remembered *lives.Known
 }
 
 // Leases of kept jobs are shorter than by default, so that schedules are.
--- a/internal/proof/schedule/upstream_test.go
+++ b/internal/proof/schedule/upstream_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"hillreel/internal/agent/call"
-	"hillreel/internal/agent/upstream"
+	"hillreel/internal/agent/lives"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -105,7 +105,7 @@
 // sendBeat sends one heartbeat.
 func (u *simUpstream) sendBeat() {
 	u.beats++
-	b := upstream.Beat{
+	b := lives.Beat{
 		Upstream: fleet.Upstream{ID: u.id, Service: service, Total: capacity}, Sequence: u.beats, Clock: u.clock(), Born: u.told, Draining: u.leaving,
 	}
 	life := u.life
--- a/internal/proof/schedule/words_test.go
+++ b/internal/proof/schedule/words_test.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"hillreel/internal/agent/call"
-	"hillreel/internal/agent/upstream"
+	"hillreel/internal/agent/lives"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -206,7 +206,7 @@
 	n.a.w.note("%s: takes up %s by its %s", n.a.name, life, why)
 }
 
-func (n agentNotes) Dropped(b upstream.Beat, newest uint64) {
+func (n agentNotes) Dropped(b lives.Beat, newest uint64) {
 	n.a.w.note("%s: heartbeat %d of %s comes after %d", n.a.name, b.Sequence, b.ID, newest)
 }
 
