--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -201,6 +201,7 @@
 	}
 	n.keeper.Linked(now, l.Peer)
 	n.passConfig(l)
+	l.TellCordons(n.cordons.All())
 }
 
 // handleDialFailed handles an address that can't be reached. When it refuses, nobody listens there any more: the entry
@@ -254,6 +255,8 @@
 		n.keeper.Ask(now, l.Peer, number, jobs)
 	case *wire.Msg_Config:
 		n.handleConfig(l, m.Config)
+	case *wire.Msg_Cordons:
+		n.adoptCordons(l.ReadCordons(m.Cordons), "link")
 	case *wire.Msg_Peers:
 		n.handleListed(others, m.Peers.GetLinks())
 	default:
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -12,6 +12,7 @@
 	"hillreel/internal/agent/call"
 	"hillreel/internal/agent/lives"
 	"hillreel/internal/agent/upstream"
+	"hillreel/internal/config/cordon"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/loop"
 	"hillreel/internal/core/patience"
@@ -48,7 +49,9 @@
 	wants map[string][]ident.Service
 	// config is the newest configuration that an entry has sent, to be passed on.
 	config *wire.Config
-	pulse  links.Pulse
+	// cordons is what is known of the zones that operators have cordoned.
+	cordons *cordon.Set
+	pulse   links.Pulse
 }
 
 // New returns a Node that has not started.
@@ -61,10 +64,12 @@
 		dialled:  make(map[string]*dialled),
 		listed:   make(map[source][]string),
 		config:   &wire.Config{},
+		cordons:  cordon.NewSet(nil),
 		patience: patience.New(patienceFactor, leastPatience, set.Agent.CallTimeout),
 	}
 	n.pulse.Tick(time.Now())
 	n.keeper = upstream.New(set.Links.Timing(), nil, time.Now(), (*caller)(n), (*sender)(n), newObserver(log))
+	n.keeper.SetZone(upstream.ZoneUnknown)
 	return n
 }
 
@@ -156,6 +161,8 @@
 		call call.Hold
 		held call.Held
 	}
+	// cordonsRead carries what the store says of cordons.
+	cordonsRead   struct{ snapshot cordon.Snapshot }
 	entriesListed struct {
 		by    source
 		links []string
@@ -192,6 +199,8 @@
 		n.handleOrderDone(now, e.end)
 	case holdDone:
 		n.keeper.HoldDone(now, e.call, e.held)
+	case cordonsRead:
+		n.adoptCordons(e.snapshot, "store")
 	case entriesListed:
 		n.handleListed(e.by, e.links)
 	}
--- a/internal/agent/node/observe.go
+++ b/internal/agent/node/observe.go
@@ -67,6 +67,14 @@
 	}).Info("heartbeat_dropped")
 }
 
+// Gated counts and logs an order that is refused because the zone is cordoned: its entry has not heard of that.
+func (o *observer) Gated(task job.TaskID, entry ident.Incarnation) {
+	o.counters.Add("orders_zone_cordoned", 1)
+	o.log.WithFields(logrus.Fields{
+		"job": task.Job, "task": task, "reason": fleet.ZoneCordoned, "entry_incarnation": entry,
+	}).Info("order_refused")
+}
+
 // Overtaken counts a listing that is passed over: there can be one with each answer.
 func (o *observer) Overtaken() { o.counters.Add("listings_overtaken", 1) }
 
--- a/internal/agent/process/process.go
+++ b/internal/agent/process/process.go
@@ -11,6 +11,8 @@
 
 	"hillreel/internal/agent/memory"
 	"hillreel/internal/agent/node"
+	"hillreel/internal/config/cordon"
+	"hillreel/internal/config/store"
 	"hillreel/internal/core/bus"
 	"hillreel/internal/core/follow"
 	"hillreel/internal/core/kernel"
@@ -26,6 +28,8 @@
 	nameNode    = "agent"
 	nameBeats   = "heartbeats"
 	nameEntries = "entries"
+	nameCordons = "cordons"
+	nameObjects = "objects"
 	nameMetrics = "metrics"
 )
 
@@ -42,7 +46,9 @@
 	// Beats makes the handler of the upstream's heartbeats.
 	Beats func(n *node.Node) http.Handler
 	Dial  session.Dialer
-	Log   *logrus.Entry
+	// Cordons is the table of the platform's store in which its operators cordon zones.
+	Cordons cordon.Table
+	Log     *logrus.Entry
 }
 
 // Process is one agent.
@@ -73,6 +79,8 @@
 		{nameNode, p.Node},
 		{nameBeats, web.New("heartbeats", set.Agent.Control, d.Beats(p.Node), web.Small)},
 		{nameEntries, follow.New(d.Store, members.Table, follow.Whole, set.Platform.ListWait, dir.Change, d.Log)},
+		{nameCordons, p.follow(d, d.Cordons)},
+		{nameObjects, p.follow(d, store.Cordons)},
 		{nameMetrics, web.New("metrics", set.Node.Metrics, ops.Handler(nil, p.Node.Ready, nil), web.Operators)},
 	} {
 		if err := p.kernel.Register(s.name, s.service); err != nil {
@@ -82,6 +90,12 @@
 	return p, bus.Subscribe(context.Background(), p.bus, bus.Entries, p.Node.SetEntries)
 }
 
+// follow returns a follower of a table that holds cordons.
+func (p *Process) follow(d Deps, t cordon.Table) *follow.Follower {
+	r := cordon.NewReader(t, p.Node.SetCordons, d.Log)
+	return follow.New(d.Store, t.Name, follow.Whole, p.set.Platform.ListWait, r.Change, d.Log)
+}
+
 // Start starts all services in order.
 func (p *Process) Start(ctx context.Context) error { return p.kernel.Start(ctx) }
 
--- a/internal/agent/upstream/bench_test.go
+++ b/internal/agent/upstream/bench_test.go
@@ -59,6 +59,7 @@
 func (b *bench) Unsure(job.TaskID, job.Run)              {}
 func (b *bench) Begun(ident.UpstreamLife, string, bool)  {}
 func (b *bench) Dropped(lives.Beat, uint64)              {}
+func (b *bench) Gated(job.TaskID, ident.Incarnation)     {}
 func (b *bench) Overtaken()                              {}
 
 // The entries and the job that the tests use.
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -56,7 +56,11 @@
 	if w.order.Kept && k.hasEnded(w) {
 		return
 	}
-	if !k.stateFor(now, w.owner).Accepts() {
+	switch state := k.stateFor(now, w.owner); {
+	case state == fleet.Cordoned:
+		k.gate(w)
+		return
+	case !state.Accepts():
 		k.refuse(w, fleet.NotAccepting)
 		return
 	}
@@ -184,13 +188,18 @@
 	}
 }
 
-// fenced sends a start again that a newer token of this agent has overtaken.
+// fenced sends a start again that a newer token of this agent has overtaken: the upstream has done nothing.
 func (k *Keeper) fenced(now time.Time, r *run, c call.Start) {
 	if r.stop != nil {
 		k.finish(now, r, r.stop.outcome, r.stop.reason, "")
 		return
 	}
 	k.lease.Outbid(now, c.Token)
+	if k.cordoned() {
+		k.observer.Gated(r.task, r.owner)
+		k.finish(now, r, job.NotStarted, fleet.ZoneCordoned, "")
+		return
+	}
 	k.callStart(now, r)
 }
 
--- a/internal/agent/upstream/room.go
+++ b/internal/agent/upstream/room.go
@@ -66,8 +66,12 @@
 		return fleet.Clearing, "unknown_runs"
 	case k.mustLapse(now):
 		return fleet.Clearing, "stop_unconfirmed"
+	case k.zone == ZoneUnknown && !k.without.Off(rule.CordonKnown):
+		return fleet.Clearing, "cordons_not_known"
 	case k.ends.Full(len(k.runs)):
 		return fleet.Clearing, "ends_not_stored"
+	case k.cordoned():
+		return fleet.Cordoned, "zone_cordoned"
 	case k.health.Suspect():
 		return fleet.Suspect, "failing"
 	}
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -50,6 +50,8 @@
 	Begun(life ident.UpstreamLife, why string, described bool)
 	// Dropped is called for a heartbeat whose number is below newest, that of the newest one.
 	Dropped(b lives.Beat, newest uint64)
+	// Gated is called when an order is refused because the zone is cordoned.
+	Gated(task job.TaskID, entry ident.Incarnation)
 	// Overtaken is called for a listing whose clock is older than that of one taken in before.
 	Overtaken()
 }
@@ -81,6 +83,9 @@
 	// agent ends.
 	draining, departed, leaving bool
 
+	// zone says whether operators have cordoned the VM's availability zone.
+	zone ZoneState
+
 	lease lease.Lease
 	// shared: the life before had the same id, so that calls to it may have reached this one.
 	shared bool
@@ -217,6 +222,7 @@
 		runs:     make(map[job.TaskID]*run),
 		sessions: make(map[ident.Incarnation]*session),
 		told:     fleet.Clearing,
+		zone:     ZoneOpen,
 	}
 }
 
--- /dev/null
+++ b/internal/config/cordon/cordon_test.go
@@ -0,0 +1,111 @@
+package cordon_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"hillreel/internal/config/cordon"
+	"hillreel/internal/core/follow"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/logs"
+	"hillreel/internal/core/rows"
+)
+
+// TestSetBelievesTheNewest: whatever the order in which snapshots arrive, the newest of each source holds.
+func TestSetBelievesTheNewest(t *testing.T) {
+	platform := func(version rows.Version, zones ...ident.Zone) cordon.Snapshot {
+		return cordon.Snapshot{Source: cordon.Platform, Version: version, Zones: zones}
+	}
+	objects := func(version rows.Version, zones ...ident.Zone) cordon.Snapshot {
+		return cordon.Snapshot{Source: cordon.Objects, Version: version, Zones: zones}
+	}
+	for _, test := range []struct {
+		name  string
+		told  []cordon.Snapshot
+		zones []ident.Zone
+		known bool
+		news  int
+	}{
+		{"nothing", nil, nil, false, 0},
+		{"one source", []cordon.Snapshot{platform(3, "a")}, []ident.Zone{"a"}, false, 1},
+		{"both sources", []cordon.Snapshot{platform(3, "a"), objects(2, "b")}, []ident.Zone{"a", "b"}, true, 2},
+		{"both cordon one zone", []cordon.Snapshot{platform(3, "a"), objects(2, "a")}, []ident.Zone{"a"}, true, 2},
+		{"lifted by one of two", []cordon.Snapshot{platform(3, "a"), objects(2, "a"), platform(5)}, []ident.Zone{"a"}, true, 3},
+		{"asked for, lifted, asked for", []cordon.Snapshot{platform(3, "a"), platform(5), platform(8, "a")}, []ident.Zone{"a"}, false, 3},
+		{"the same, arriving backwards", []cordon.Snapshot{platform(8, "a"), platform(5), platform(3, "a")}, []ident.Zone{"a"}, false, 1},
+		{"lifted, and told late that it was asked for", []cordon.Snapshot{platform(5), platform(3, "a")}, nil, false, 1},
+		{"twice", []cordon.Snapshot{platform(3, "a"), platform(3, "a")}, []ident.Zone{"a"}, false, 1},
+		{"an empty store", []cordon.Snapshot{platform(0), objects(0)}, nil, true, 2},
+		{"a source that isn't known", []cordon.Snapshot{{Source: "others", Version: 9, Zones: []ident.Zone{"a"}}}, nil, false, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s, news := cordon.NewSet(nil), 0
+			for _, told := range test.told {
+				if s.Adopt(told) {
+					news++
+				}
+			}
+			qt.Assert(t, news, qt.Equals, test.news)
+			qt.Assert(t, s.Zones(), qt.DeepEquals, test.zones)
+			qt.Assert(t, s.Known(), qt.Equals, test.known)
+			for _, z := range test.zones {
+				qt.Assert(t, s.Cordoned(z), qt.IsTrue)
+			}
+			qt.Assert(t, s.Cordoned("c"), qt.IsFalse)
+		})
+	}
+}
+
+// TestReader: snapshots follow the table, whichever way its changes are told; a row that can't be read names no zone.
+func TestReader(t *testing.T) {
+	table := cordon.Table{Source: cordon.Platform, Name: "op", Decode: func(r rows.Row) (ident.Zone, error) {
+		switch string(r.Value) {
+		case "other":
+			return "", nil
+		case "bad":
+			return "", errors.New("value: bad")
+		}
+		return ident.Zone(r.Key.Name), nil
+	}}
+	row := func(name, value string) rows.Row { return rows.Row{Key: rows.Key{Name: name}, Value: []byte(value)} }
+	gone := func(name string) rows.Row { return rows.Row{Key: rows.Key{Name: name}, Removed: true} }
+	snapshot := func(version rows.Version, zones ...ident.Zone) cordon.Snapshot {
+		return cordon.Snapshot{Source: cordon.Platform, Version: version, Zones: zones}
+	}
+	for _, test := range []struct {
+		name    string
+		changes []follow.Changes
+		want    []cordon.Snapshot
+	}{
+		{"an empty table is known", []follow.Changes{{Whole: true, Version: 4}}, []cordon.Snapshot{snapshot(4)}},
+		{"asked for and lifted", []follow.Changes{
+			{Whole: true, Version: 4}, {Rows: []rows.Row{row("a", "")}, Version: 6}, {Rows: []rows.Row{gone("a")}, Version: 7},
+		}, []cordon.Snapshot{snapshot(4), snapshot(6, "a"), snapshot(7)}},
+		{"other rows are no news", []follow.Changes{
+			{Whole: true, Version: 4, Rows: []rows.Row{row("config", "other")}}, {Rows: []rows.Row{row("config", "other")}, Version: 6},
+		}, []cordon.Snapshot{snapshot(4)}},
+		{"gone while the history was forgotten", []follow.Changes{
+			{Whole: true, Version: 4, Rows: []rows.Row{row("a", ""), row("b", "")}}, {Whole: true, Version: 9, Rows: []rows.Row{row("b", "")}},
+		}, []cordon.Snapshot{snapshot(4, "a", "b"), snapshot(9, "b")}},
+		{"asked for and lifted in one reading", []follow.Changes{
+			{Whole: true, Version: 4}, {Rows: []rows.Row{row("a", ""), gone("a")}, Version: 6},
+		}, []cordon.Snapshot{snapshot(4)}},
+		{"unreadable", []follow.Changes{
+			{Whole: true, Version: 4, Rows: []rows.Row{row("a", "bad"), row("b", "")}},
+		}, []cordon.Snapshot{snapshot(4, "b")}},
+		{"overwritten by another writer", []follow.Changes{
+			{Whole: true, Version: 4, Rows: []rows.Row{row("a", ""), row("b", "")}}, {Rows: []rows.Row{row("a", "bad")}, Version: 5},
+		}, []cordon.Snapshot{snapshot(4, "a", "b"), snapshot(5, "b")}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var got []cordon.Snapshot
+			r := cordon.NewReader(table, func(s cordon.Snapshot) { got = append(got, s) }, logs.Discard())
+			for _, c := range test.changes {
+				r.Change(c)
+			}
+			qt.Assert(t, got, qt.DeepEquals, test.want)
+		})
+	}
+}
--- a/internal/config/object/object.go
+++ b/internal/config/object/object.go
@@ -20,10 +20,11 @@
 	KindPool      Kind = "pool"
 	KindUpstream  Kind = "upstream"
 	KindObjective Kind = "objective"
+	KindZone      Kind = "zone"
 )
 
 // Kinds lists all kinds, in the order in which a file should create them.
-var Kinds = []Kind{KindService, KindPool, KindUpstream, KindObjective}
+var Kinds = []Kind{KindService, KindPool, KindUpstream, KindObjective, KindZone}
 
 // Name is an object's name, unique in its kind.
 type Name string
@@ -68,6 +69,12 @@
 	Cordoned bool `json:"cordoned,omitempty"`
 }
 
+// Zone holds what operators say of an availability zone.
+type Zone struct {
+	// Cordoned: no upstream of the zone gets new work.
+	Cordoned bool `json:"cordoned,omitempty"`
+}
+
 // Objective is a service-level objective.
 type Objective struct {
 	Service Name `json:"service"`
@@ -107,6 +114,9 @@
 	case KindUpstream:
 		var s Upstream
 		return firstError(decode(spec, &s), checkLabels(&s))
+	case KindZone:
+		var s Zone
+		return decode(spec, &s)
 	case KindObjective:
 		var s Objective
 		return firstError(decode(spec, &s), named("service", &s.Service), atLeastOne("within_ideal", &s.WithinIdeal),
--- a/internal/config/store/copy.go
+++ b/internal/config/store/copy.go
@@ -2,14 +2,13 @@
 
 import (
 	"sync"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"hillreel/internal/config/object"
 	"hillreel/internal/config/view"
+	"hillreel/internal/core/follow"
 	"hillreel/internal/core/ident"
-	"hillreel/internal/core/rows"
 )
 
 // Copy is an entry's copy of all objects. A follow.Follower feeds it.
@@ -34,15 +33,15 @@
 	return c.view
 }
 
-// Change takes in rows of Objects; it is a follow.Change. The view's version is the newest object's: one that is
+// Change takes in changes of Objects; it is a follow.Change. The view's version is the newest object's: one that is
 // deleted takes nothing back.
-func (c *Copy) Change(changed []rows.Row, whole bool, _ time.Duration) {
+func (c *Copy) Change(ch follow.Changes) {
 	c.mu.Lock()
-	if whole {
+	if ch.Whole {
 		clear(c.objects)
 	}
 	version := c.view.Version
-	for _, row := range changed {
+	for _, row := range ch.Rows {
 		if row.Removed {
 			delete(c.objects, row.Key.Name)
 			continue
--- a/internal/config/view/view.go
+++ b/internal/config/view/view.go
@@ -25,6 +25,7 @@
 	pools    map[ident.Service][]labels.Selector
 	services map[ident.Service]object.Service
 	upstream map[ident.UpstreamName]object.Upstream
+	zones    map[ident.Zone]object.Zone
 }
 
 // New compiles objects, in the order of their names. Objects that can't be read are left out: they were checked
@@ -33,6 +34,7 @@
 	v := &View{
 		Version: version, objects: slices.Clone(objects), pools: make(map[ident.Service][]labels.Selector),
 		services: make(map[ident.Service]object.Service), upstream: make(map[ident.UpstreamName]object.Upstream),
+		zones: make(map[ident.Zone]object.Zone),
 	}
 	slices.SortFunc(v.objects, func(a, b object.Object) int { return cmp.Compare(a.Ref.String(), b.Ref.String()) })
 	for _, o := range v.objects {
@@ -87,6 +89,10 @@
 		if sel, err := labels.Parse(p.Selector); err == nil {
 			v.pools[ident.Service(p.Service)] = append(v.pools[ident.Service(p.Service)], sel)
 		}
+	case object.KindZone:
+		if z, err := object.As[object.Zone](o); err == nil {
+			v.zones[ident.Zone(o.Name)] = z
+		}
 	case object.KindUpstream:
 		if u, err := object.As[object.Upstream](o); err == nil {
 			v.upstream[ident.UpstreamName(o.Name)] = u
@@ -94,10 +100,10 @@
 	}
 }
 
-// Serves tells whether configuration lets an upstream serve a service: it is not cordoned, and a pool of
+// Serves tells whether configuration lets an upstream serve a service: neither it nor its zone is cordoned, and a pool of
 // the service selects it. A service without pools is served by every upstream that offers it.
 func (v *View) Serves(u ident.UpstreamName, zone ident.Zone, s ident.Service) bool {
-	if v.upstream[u].Cordoned {
+	if v.upstream[u].Cordoned || v.zones[zone].Cordoned {
 		return false
 	}
 	pools := v.pools[s]
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -26,11 +26,16 @@
 	Clearing State = "clearing"
 	// Unreachable: the agent gets no answer from its upstream.
 	Unreachable State = "unreachable"
+	// Cordoned: operators have cordoned its availability zone. What runs there goes on.
+	Cordoned State = "cordoned"
 )
 
 // Accepts tells whether a task may be offered in this state.
 func (s State) Accepts() bool { return s == Ready || s == Probing }
 
+// Settled tells whether in this state all that runs at the upstream is known.
+func (s State) Settled() bool { return s.Accepts() || s == Cordoned }
+
 // Upstream describes the upstream beside an agent.
 type Upstream struct {
 	ID      ident.UpstreamID
@@ -141,6 +146,8 @@
 const (
 	NoRoom       Reason = "no_room"
 	NotAccepting Reason = "not_accepting"
+	// ZoneCordoned: operators have cordoned the upstream's availability zone, and nothing was begun.
+	ZoneCordoned Reason = "zone_cordoned"
 	StaleSession Reason = "stale_session"
 	Refused      Reason = "upstream_refused"
 	NeverArrived Reason = "never_arrived"
--- a/internal/core/follow/follow.go
+++ b/internal/core/follow/follow.go
@@ -25,8 +25,19 @@
 	maxPause   = 500 * time.Millisecond
 )
 
-// Change is called with the rows that are new or were removed; whole is true when they are all there are.
-type Change func(changed []rows.Row, whole bool, now time.Duration)
+// Changes are what one reading of a table has brought.
+type Changes struct {
+	// Rows are new or were removed; with Whole they are all that there are.
+	Rows  []rows.Row
+	Whole bool
+	// Version is the store's version up to which the table is known now.
+	Version rows.Version
+	// Now is the store's steady clock.
+	Now time.Duration
+}
+
+// Change takes in changes.
+type Change func(c Changes)
 
 // Follower follows one table.
 type Follower struct {
@@ -111,7 +122,7 @@
 	}
 	f.at = max(f.at, page.Version)
 	if len(page.Rows) > 0 {
-		f.change(page.Rows, false, page.Now)
+		f.change(Changes{Rows: page.Rows, Version: f.at, Now: page.Now})
 	}
 	return nil
 }
@@ -129,8 +140,8 @@
 		}
 		all.Rows, all.Now = append(all.Rows, page.Rows...), page.Now
 	}
-	f.change(all.Rows, true, all.Now)
 	f.at, f.known = all.Version, true
+	f.change(Changes{Rows: all.Rows, Whole: true, Version: f.at, Now: all.Now})
 	return nil
 }
 
--- a/internal/core/rule/rule.go
+++ b/internal/core/rule/rule.go
@@ -32,6 +32,12 @@
 	ConfirmLife Rule = "confirm_life"
 	// LifeBorn: an upstream that starts again under its id is another life, and the account of the former does not go on.
 	LifeBorn Rule = "life_born"
+	// CordonGate: an agent starts nothing while its zone is cordoned, whoever orders it.
+	CordonGate Rule = "cordon_gate"
+	// CordonKnown: an agent that starts takes no work before it has heard which zones are cordoned.
+	CordonKnown Rule = "cordon_known"
+	// CordonOrder: of two accounts of the cordons the one with the higher version of the store is believed.
+	CordonOrder Rule = "cordon_order"
 	// CountStopping: a run that is being stopped, or may have started, takes room.
 	CountStopping Rule = "count_stopping"
 	// WithholdEnds: an upstream may forget the end of a kept job's run only once it is stored.
@@ -49,7 +55,7 @@
 // All lists the rules.
 var All = []Rule{
 	SettleWait, StopsFirst, RunIDs, EchoedClock, FreshSession, StopSilent, FenceUnsure, SameTaskWaits, LapseBudget, LookFirst,
-	ConfirmLife, LifeBorn, CountStopping, WithholdEnds, AckAfterLapse, OwnerLease, AskFirst, StoreFirst,
+	ConfirmLife, LifeBorn, CordonGate, CordonKnown, CordonOrder, CountStopping, WithholdEnds, AckAfterLapse, OwnerLease, AskFirst, StoreFirst,
 }
 
 // Set is a set of rules that are left out.
--- a/internal/core/verdict/verdict.go
+++ b/internal/core/verdict/verdict.go
@@ -46,10 +46,12 @@
 
 // The reasons, as they stand in answers, logs and metrics.
 const (
-	BadID         Reason = "bad_id"
-	BadRequest    Reason = "bad_request"
-	CallerGone    Reason = "caller_gone"
-	ByCaller      Reason = "cancelled"
+	BadID      Reason = "bad_id"
+	BadRequest Reason = "bad_request"
+	CallerGone Reason = "caller_gone"
+	ByCaller   Reason = "cancelled"
+	// Cordoned: operators have cordoned all upstreams that could serve.
+	Cordoned      Reason = "cordoned"
 	Conflict      Reason = "conflict"
 	Deadline      Reason = "deadline"
 	DifferentBody Reason = "different_body"
--- a/internal/entry/agent/agent.go
+++ b/internal/entry/agent/agent.go
@@ -66,6 +66,9 @@
 	a.sent = rest
 }
 
+// Cordon notes that the agent has refused an order because its zone is cordoned; its next news say how it stands then.
+func (a *Account) Cordon() { a.room.State = fleet.Cordoned }
+
 // Reserve counts a task that the next order will carry.
 func (a *Account) Reserve(each job.Resources) {
 	a.pending = a.pending.Add(each)
--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -84,6 +84,8 @@
 	Pace float64 `json:"pace"`
 	// Runs are this entry's.
 	Runs int `json:"runs"`
+	// Cordoned: operators have cordoned it, its zone, or what selects it.
+	Cordoned bool `json:"cordoned"`
 }
 
 // Upstreams lists the upstreams whose agents are linked.
@@ -92,7 +94,7 @@
 	for _, a := range t.order {
 		if a.Known() {
 			out = append(out, Upstream{
-				a.Name, a.Up.ID, a.Zone, a.Up.Service, a.Room().State, a.Room().Free.CPU, a.Up.Total.CPU, a.Room().Pace, len(a.runs),
+				a.Name, a.Up.ID, a.Zone, a.Up.Service, a.Room().State, a.Room().Free.CPU, a.Up.Total.CPU, a.Room().Pace, len(a.runs), !t.open(a, a.Up.Service),
 			})
 		}
 	}
@@ -113,7 +115,7 @@
 // anyReady tells whether an upstream of a service that is not to be avoided is ready.
 func (t *Table) anyReady(s ident.Service, avoid []ident.UpstreamID) bool {
 	return slices.ContainsFunc(t.order, func(a *upstreamOf) bool {
-		return a.Serves(s, fleet.Ready) && !slices.Contains(avoid, a.Up.ID)
+		return a.Serves(s, fleet.Ready) && !slices.Contains(avoid, a.Up.ID) && t.open(a, s)
 	})
 }
 
@@ -136,10 +138,10 @@
 	t.fill(now, a)
 }
 
-// replaced settles the runs of earlier agents of an upstream: its new agent takes work only once it knows that
-// nothing of theirs remains.
+// replaced settles the runs of earlier agents of an upstream: its new agent takes work, but for a cordon, only once it
+// knows that nothing of theirs remains.
 func (t *Table) replaced(now time.Time, by *upstreamOf) {
-	if !by.Accepts() || t.lost == 0 {
+	if !by.Known() || !by.Room().State.Settled() || t.lost == 0 {
 		return
 	}
 	for _, a := range slices.Clone(t.order) {
--- /dev/null
+++ b/internal/entry/dispatch/cordon_test.go
@@ -0,0 +1,135 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/verdict"
+	"hillreel/internal/entry/dispatch"
+)
+
+// zoned returns a bench whose agents stand in zones a, b and a by turns.
+func zoned(t *testing.T, agents int) *bench {
+	b := newBench(t, 0)
+	for i := 1; i <= agents; i++ {
+		id := ident.Incarnation(i)
+		b.table.Linked(b.now, id, "vm", []ident.Zone{"b", "a"}[i%2])
+		b.table.Upstream(id, fleet.Upstream{ID: ident.UpstreamID(id.String()), Service: "publish", Total: job.Resources{CPU: 2000}})
+		b.room(id, fleet.Ready, 2000, 0)
+	}
+	return b
+}
+
+// TestNothingIsPlacedInCordonedZones: while a zone is cordoned, tasks go elsewhere; afterwards there as well.
+func TestNothingIsPlacedInCordonedZones(t *testing.T) {
+	b := zoned(t, 2)
+	b.table.SetCordoned(b.now, []ident.Zone{"a", "a zone that nobody has"})
+	b.submit(1, 1, 4, time.Second, time.Minute)
+	qt.Assert(t, b.orders, qt.HasLen, 1)
+	qt.Assert(t, b.orders[0].agent, qt.Equals, ident.Incarnation(2))
+	qt.Assert(t, b.orders[0].Tasks, qt.HasLen, 2)
+	b.table.SetCordoned(b.now, nil)
+	qt.Assert(t, b.orders, qt.HasLen, 2)
+	qt.Assert(t, b.orders[1].agent, qt.Equals, ident.Incarnation(1))
+}
+
+// TestGatedOrderGoesElsewhere: an order that an agent refuses because of a cordon costs the job nothing, is placed elsewhere at once,
+// and the agent gets no other before it says that the cordon is lifted.
+func TestGatedOrderGoesElsewhere(t *testing.T) {
+	b := newBench(t, 1)
+	b.submit(1, 1, 2, time.Second, time.Minute)
+	qt.Assert(t, b.orders, qt.HasLen, 1)
+	b.link(2)
+	b.room(2, fleet.Ready, 2000, 0)
+	for i := range 2 {
+		b.end(b.orders[0], i, job.NotStarted, fleet.ZoneCordoned)
+	}
+	qt.Assert(t, b.orders, qt.HasLen, 3)
+	for i, o := range b.orders[1:] {
+		qt.Assert(t, o.agent, qt.Equals, ident.Incarnation(2))
+		b.end(o, 0, job.Done, "")
+		qt.Assert(t, o.Tasks[0].Failures, qt.Equals, uint32(0), qt.Commentf("task %d", i))
+	}
+	qt.Assert(t, b.answers[1].State, qt.Equals, verdict.Complete)
+	b.room(2, fleet.Ready, 2000, 9)
+	b.submit(2, 2, 2, time.Second, time.Minute)
+	qt.Assert(t, b.orders[3].agent, qt.Equals, ident.Incarnation(2))
+	zones := b.table.Zones()
+	qt.Assert(t, zones, qt.HasLen, 1)
+	qt.Assert(t, zones[0].Gated, qt.Equals, int64(2))
+}
+
+// TestNowhere: when all that could serve is cordoned, jobs are refused at once and truthfully, with when to come back.
+func TestNowhere(t *testing.T) {
+	both := []ident.Zone{"a", "b"}
+	for _, test := range []struct {
+		name string
+		do   func(b *bench)
+		want dispatch.Answer
+	}{
+		{"a new job", func(b *bench) {
+			b.table.SetCordoned(b.now, both)
+			b.submit(1, 1, 2, time.Second, time.Minute)
+		}, dispatch.Answer{State: verdict.Refused, Verdict: verdict.NotRun, Reason: verdict.Cordoned, RetryAfter: 5 * time.Second}},
+		{"one that waits", func(b *bench) {
+			b.room(1, fleet.Ready, 0, 0)
+			b.room(2, fleet.Ready, 0, 0)
+			b.submit(1, 1, 2, time.Second, time.Minute)
+			b.table.SetCordoned(b.now, both)
+		}, dispatch.Answer{State: verdict.Refused, Verdict: verdict.NotRun, Reason: verdict.Cordoned, RetryAfter: 5 * time.Second}},
+		{"one of which a part has begun", func(b *bench) {
+			b.submit(1, 1, 5, time.Second, time.Minute)
+			b.table.SetCordoned(b.now, both)
+		}, dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Cordoned}},
+		{"one that runs", func(b *bench) {
+			b.submit(1, 1, 2, time.Second, time.Minute)
+			b.table.SetCordoned(b.now, both)
+		}, dispatch.Answer{}},
+		{"agents that say so themselves", func(b *bench) {
+			b.room(1, fleet.Cordoned, 2000, 0)
+			b.room(2, fleet.Cordoned, 2000, 0)
+			b.submit(1, 1, 2, time.Second, time.Minute)
+		}, dispatch.Answer{State: verdict.Refused, Verdict: verdict.NotRun, Reason: verdict.Cordoned, RetryAfter: 5 * time.Second}},
+		{"an outage of the zone that is left", func(b *bench) {
+			b.table.SetCordoned(b.now, []ident.Zone{"a"})
+			b.room(2, fleet.Unreachable, 2000, 0)
+			b.submit(1, 1, 2, time.Second, time.Minute)
+		}, dispatch.Answer{}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := zoned(t, 2)
+			test.do(b)
+			qt.Assert(t, b.answers[1], qt.Equals, test.want)
+		})
+	}
+}
+
+// TestOutageOfWhatIsLeft: while no upstream that may serve is ready, jobs wait as in an outage, though some of a cordoned zone are
+// ready.
+func TestOutageOfWhatIsLeft(t *testing.T) {
+	b := zoned(t, 2)
+	b.table.SetCordoned(b.now, []ident.Zone{"a"})
+	b.room(2, fleet.Unreachable, 2000, 0)
+	b.submit(1, 1, 2, 100*time.Millisecond, time.Minute)
+	b.pass(100 * time.Millisecond) // longer than it would wait for room: a fourth part of 260 ms
+	qt.Assert(t, b.answers, qt.HasLen, 0)
+	b.room(2, fleet.Ready, 2000, 0)
+	qt.Assert(t, b.orders, qt.HasLen, 1)
+}
+
+// TestZones: what an operator looks at before a zone is emptied, and while it is.
+func TestZones(t *testing.T) {
+	b := zoned(t, 3)
+	b.table.SetCordoned(b.now, []ident.Zone{"b"})
+	b.submit(1, 1, 3, time.Second, time.Minute)
+	want := []dispatch.ZoneWork{
+		{Zone: "a", Upstreams: 2, Ready: 2, Runs: 3, FreeCPU: 1000, TotalCPU: 4000},
+		{Zone: "b", Cordoned: true, Upstreams: 1, FreeCPU: 2000, TotalCPU: 2000},
+	}
+	qt.Assert(t, b.table.Zones(), qt.DeepEquals, want)
+}
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -190,6 +190,10 @@
 	lost int
 	// allowed tells whether configuration lets an upstream serve a service.
 	allowed Allowed
+	// cordoned are the availability zones that operators have cordoned, gated counts by zone the orders that agents have refused
+	// for that reason.
+	cordoned []ident.Zone
+	gated    map[ident.Zone]int64
 	// closing is true once the entry is about to end.
 	closing bool
 	// ordered is the id of the newest run.
@@ -201,7 +205,7 @@
 	return &Table{
 		opts: o, agentsIO: a, callers: c, observer: ob, rng: rand.New(rand.NewPCG(seed, 0)),
 		jobs: make(map[job.ID]*jobState), queues: make(map[ident.Service]*queue),
-		agents: make(map[ident.Incarnation]*upstreamOf), pace: 1, patient: demand.NewCallers(),
+		agents: make(map[ident.Incarnation]*upstreamOf), pace: 1, patient: demand.NewCallers(), gated: make(map[ident.Zone]int64),
 		allowed: func(ident.UpstreamName, ident.Zone, ident.Service) bool { return true },
 	}
 }
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -71,6 +71,9 @@
 		k.phase = over
 		t.close(now, j, Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Superseded})
 	default:
+		if e.Reason == fleet.ZoneCordoned {
+			t.gatedAt(a)
+		}
 		k.learn(a.Up.ID, e.Outcome)
 		t.goOn(now, a, k, e)
 	}
@@ -155,6 +158,7 @@
 	}
 	t.ticked = now
 	t.settleSilent(now)
+	t.refuseNowhere(now)
 	for _, j := range t.dueJobs(now) {
 		t.giveUp(now, j)
 	}
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -12,13 +12,16 @@
 )
 
 // queue holds the jobs of one service that have tasks to place, the most urgent first.
-type queue struct{ jobs []*jobState }
+type queue struct {
+	service ident.Service
+	jobs    []*jobState
+}
 
 // queue returns the queue of a service, a new one if there is none.
 func (t *Table) queue(s ident.Service) *queue {
 	q := t.queues[s]
 	if q == nil {
-		q = &queue{}
+		q = &queue{service: s}
 		t.queues[s] = q
 		t.queued = append(t.queued, q)
 	}
@@ -199,7 +202,7 @@
 // eligible tells whether a task may go to an agent now.
 func (t *Table) eligible(a *upstreamOf, k *task, step *job.Step) bool {
 	service := k.job.route.Service
-	if !a.Takes(service, step) || !t.allowed(a.Name, a.Zone, service) {
+	if !a.Takes(service, step) || !t.open(a, service) {
 		return false
 	}
 	unwanted := a.Probing() && k.run > 0 || slices.Contains(k.avoid, a.Up.ID)
--- a/internal/entry/node/kept.go
+++ b/internal/entry/node/kept.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/follow"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/metrics"
@@ -65,10 +66,10 @@
 // layout is how kept jobs are spread over the parts of the store.
 func (n *Node) layout() record.Layout { return record.Layout{Parts: n.set.Kept.Parts()} }
 
-// Cancelled takes in rows of the table of cancellations; it is a follow.Change.
-func (n *Node) Cancelled(changed []rows.Row, _ bool, _ time.Duration) {
+// Cancelled takes in changes of the table of cancellations; it is a follow.Change.
+func (n *Node) Cancelled(c follow.Changes) {
 	var ids []job.ID
-	for _, r := range changed {
+	for _, r := range c.Rows {
 		id, err := record.JobOf(r.Key)
 		if err != nil {
 			n.log.WithField("error", err.Error()).Error("job_row_unreadable")
--- a/internal/entry/node/links.go
+++ b/internal/entry/node/links.go
@@ -71,6 +71,7 @@
 	}
 	l := n.links.Add(now, s)
 	l.Own.pinged = now
+	l.TellCordons(n.cordons.All())
 	n.linked.Store(int32(n.links.Len()))
 	n.table.Linked(now, l.Peer, ident.UpstreamName(l.Name()), ident.Zone(s.Remote.GetZone()))
 	if len(n.peers) > 0 {
@@ -118,6 +119,8 @@
 		n.table.Resumed(l.Peer, codec.ReadResumed(m.Resumed))
 	case *wire.Msg_Settled:
 		n.table.Settled(now, l.Peer)
+	case *wire.Msg_Cordons:
+		n.adoptCordons(now, l.ReadCordons(m.Cordons), "relay")
 	case *wire.Msg_Config:
 		n.handleRelayed(l, m.Config)
 	default:
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"hillreel/internal/config/cordon"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/loop"
@@ -51,7 +52,9 @@
 	closing bool
 	// peers are the link addresses of all entries, as agents were told last.
 	peers []string
-	pulse links.Pulse
+	// cordons is what is known of the zones that operators have cordoned.
+	cordons *cordon.Set
+	pulse   links.Pulse
 
 	routes  atomic.Pointer[route.Table]
 	lastID  atomic.Uint64
@@ -78,7 +81,7 @@
 		ctx: ctx, cancel: cancel, questions: questions, closeQuestions: closeQuestions, set: set, log: log, inc: ident.NewIncarnation(), loop: loop.New(), decode: d,
 		links:   links.New[keepAlive]("agent", log),
 		pulse:   links.Pulse{Limit: set.Links.Silence / 2, Pause: set.Links.Silence / 4, Log: log},
-		callers: make(map[dispatch.CallerID]chan dispatch.Answer),
+		callers: make(map[dispatch.CallerID]chan dispatch.Answer), cordons: cordon.NewSet(nil),
 	}
 	options := dispatch.Options{
 		Timing: set.Links.Timing(), Zone: ident.Zone(set.Node.Zone), MaxQueue: set.Entry.QueueLimit, MaxTasks: set.Entry.MaxTasks,
@@ -147,6 +150,8 @@
 		from  ident.Incarnation
 	}
 	listed struct{ entries []members.Listed }
+	// cordonsRead carries what the store says of cordons.
+	cordonsRead struct{ snapshot cordon.Snapshot }
 )
 
 // submit hands a job in, to the book if it is to be kept.
@@ -184,6 +189,8 @@
 		n.handleConfigured(e.table, e.from)
 	case listed:
 		n.handleListed(e.entries)
+	case cordonsRead:
+		n.adoptCordons(now, e.snapshot, "store")
 	default:
 		n.handleKept(now, e)
 	}
@@ -261,6 +268,12 @@
 	return out
 }
 
+// Zones lists what this entry has in each availability zone.
+func (n *Node) Zones() (out []dispatch.ZoneWork) {
+	n.loop.Call(func() { out = n.table.Zones() })
+	return out
+}
+
 // Allow replaces what configuration lets upstreams serve.
 func (n *Node) Allow(f dispatch.Allowed) { n.loop.Post(func() { n.table.SetAllowed(f) }) }
 
--- a/internal/entry/operator/dryrun.go
+++ b/internal/entry/operator/dryrun.go
@@ -5,6 +5,7 @@
 	"hillreel/internal/config/store"
 	"hillreel/internal/config/view"
 	"hillreel/internal/core/ident"
+	"hillreel/internal/entry/dispatch"
 )
 
 // Moves says what a change would do to one service.
@@ -16,6 +17,10 @@
 	// Left counts the upstreams that would serve it. Zero: its work would have nowhere to run.
 	Left    int  `json:"left"`
 	Nowhere bool `json:"nowhere_to_run,omitempty"`
+	// UsedCPU is what runs take now at the upstreams that serve it, LeftCPU what those that would serve it have in all, both in
+	// thousandths of a core and as far as this entry is linked: with less left than used, work is refused.
+	UsedCPU int64 `json:"used_cpu_millis"`
+	LeftCPU int64 `json:"left_cpu_millis"`
 }
 
 // DryRun says what a change would move; nothing was changed.
@@ -58,7 +63,7 @@
 			byService[u.Service] = m
 			services = append(services, string(u.Service))
 		}
-		m.count(string(u.Name), before.Serves(u.Name, u.Zone, u.Service), after.Serves(u.Name, u.Zone, u.Service))
+		m.count(u, before.Serves(u.Name, u.Zone, u.Service), after.Serves(u.Name, u.Zone, u.Service))
 	}
 	var out []Moves
 	for _, service := range sorted(services) {
@@ -72,15 +77,19 @@
 }
 
 // count takes in one upstream: whether it serves now, and whether it would.
-func (m *Moves) count(upstream string, serves, would bool) {
+func (m *Moves) count(u dispatch.Upstream, serves, would bool) {
 	switch {
 	case would && !serves:
-		m.Gained = append(m.Gained, upstream)
+		m.Gained = append(m.Gained, string(u.Name))
 	case serves && !would:
-		m.Lost = append(m.Lost, upstream)
+		m.Lost = append(m.Lost, string(u.Name))
+	}
+	if serves {
+		m.UsedCPU += u.TotalCPU - u.FreeCPU
 	}
 	if would {
 		m.Left++
+		m.LeftCPU += u.TotalCPU
 	}
 }
 
--- a/internal/entry/operator/operator.go
+++ b/internal/entry/operator/operator.go
@@ -29,8 +29,11 @@
 // Objects is the entry's copy of the configuration.
 type Objects interface{ View() *view.View }
 
-// Upstreams lists the upstreams whose agents are linked.
-type Upstreams interface{ Upstreams() []dispatch.Upstream }
+// Upstreams lists the upstreams whose agents are linked, and what the entry has in each availability zone.
+type Upstreams interface {
+	Upstreams() []dispatch.Upstream
+	Zones() []dispatch.ZoneWork
+}
 
 // Burn reports how fast services burn their error budgets.
 type Burn interface{ Report() []burn.Service }
@@ -59,6 +62,7 @@
 	r.Delete("/v1/config/{kind}/{name}", s.delete)
 	r.Get("/v1/audit", s.audit)
 	r.Get("/v1/burn", func(w http.ResponseWriter, _ *http.Request) { write(w, http.StatusOK, s.burn.Report()) })
+	r.Get("/v1/zones", func(w http.ResponseWriter, _ *http.Request) { write(w, http.StatusOK, s.upstreams.Zones()) })
 	r.Get("/v1/upstreams", func(w http.ResponseWriter, _ *http.Request) { write(w, http.StatusOK, s.upstreams.Upstreams()) })
 }
 
--- a/internal/entry/process/coverage.go
+++ b/internal/entry/process/coverage.go
@@ -64,11 +64,14 @@
 	}
 }
 
-// look takes in the routes and the upstreams that are linked now, and lists the services of which more are wanted.
+// look takes in the routes and the upstreams that are linked now, and lists the services of which more are wanted. Those that
+// are cordoned don't count: what is left must be known well enough to find room in it.
 func (c *coverage) look(routes []route.Route, upstreams []dispatch.Upstream) []ident.Service {
 	count := make(map[ident.Service]int)
 	for _, u := range upstreams {
-		count[u.Service]++
+		if !u.Cordoned {
+			count[u.Service]++
+		}
 	}
 	services := make(map[ident.Service]bool)
 	for _, r := range routes {
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hillreel/internal/config/cordon"
 	"hillreel/internal/config/object"
 	"hillreel/internal/config/store"
 	"hillreel/internal/config/view"
@@ -57,9 +58,10 @@
 // Deps are what an entry gets from outside.
 type Deps struct {
 	Store Store
-	// Config is where the operator's configuration lies, and Decode reads it.
-	Config rows.Key
-	Decode node.Decoder
+	// Config is where the operator's configuration lies, and Decode reads it. Cordons is the same table, as the cordons in it are read.
+	Config  rows.Key
+	Decode  node.Decoder
+	Cordons cordon.Table
 	// Front makes the handler of the platform's clients.
 	Front func(n *node.Node) http.Handler
 	Log   *logrus.Entry
@@ -98,7 +100,7 @@
 		{nameNode, p.Node},
 		{nameConfig, follow.New(d.Store, d.Config.Table, follow.Whole, set.Platform.ConfigWait, p.configReader(d), d.Log)},
 		{nameCancels, follow.New(d.Store, record.Cancels, p.Node.CancelRows(), set.Platform.ListWait, p.Node.Cancelled, d.Log)},
-		{nameObjects, follow.New(d.Store, store.Objects, follow.Whole, set.Platform.ListWait, objects.Change, d.Log)},
+		{nameObjects, follow.New(d.Store, store.Objects, follow.Whole, set.Platform.ListWait, p.objectsReader(objects), d.Log)},
 		{nameEntries, follow.New(d.Store, members.Table, follow.Whole, set.Platform.ListWait, dir.Change, d.Log)},
 		{nameRegister, register},
 		{nameCoverage, newCoverage(p.Node, dir, register, set.Links.Entries)},
@@ -162,10 +164,12 @@
 // maxHeader bounds a request's headers, in bytes.
 const maxHeader = 16 << 10
 
-// configReader decodes the operator's configuration and announces it.
+// configReader decodes the operator's configuration and cordons and announces them, cordons first: a configuration lets jobs in.
 func (p *Process) configReader(d Deps) follow.Change {
-	return func(changed []rows.Row, _ bool, _ time.Duration) {
-		for _, r := range changed {
+	cordons := cordon.NewReader(d.Cordons, p.Node.SetCordons, p.log)
+	return func(c follow.Changes) {
+		cordons.Change(c)
+		for _, r := range c.Rows {
 			if r.Key != d.Config || r.Removed {
 				continue
 			}
@@ -179,6 +183,15 @@
 	}
 }
 
+// objectsReader takes in hillreel's own configuration and the cordons in it.
+func (p *Process) objectsReader(objects *store.Copy) follow.Change {
+	cordons := cordon.NewReader(store.Cordons, p.Node.SetCordons, p.log)
+	return func(c follow.Changes) {
+		cordons.Change(c)
+		objects.Change(c)
+	}
+}
+
 // publish announces an event inside the process.
 func (p *Process) publish(t bus.Topic, event any) {
 	if err := p.bus.Publish(t, event); err != nil {
--- a/internal/link/codec/codec.go
+++ b/internal/link/codec/codec.go
@@ -4,9 +4,11 @@
 import (
 	"time"
 
+	"hillreel/internal/config/cordon"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
+	"hillreel/internal/core/rows"
 	"hillreel/internal/link/deflate"
 	"hillreel/internal/link/wire"
 )
@@ -268,6 +270,24 @@
 	return &wire.Msg{Kind: &wire.Msg_Config{Config: &wire.Config{Version: uint64(v), Raw: raw}}}
 }
 
+// Cordons encodes which zones a source has cordoned.
+func Cordons(s cordon.Snapshot) *wire.Msg {
+	m := &wire.Cordons{Source: string(s.Source), Version: uint64(s.Version)}
+	for _, z := range s.Zones {
+		m.Zones = append(m.Zones, string(z))
+	}
+	return &wire.Msg{Kind: &wire.Msg_Cordons{Cordons: m}}
+}
+
+// ReadCordons decodes which zones a source has cordoned.
+func ReadCordons(m *wire.Cordons) cordon.Snapshot {
+	s := cordon.Snapshot{Source: cordon.Source(m.GetSource()), Version: rows.Version(m.GetVersion())}
+	for _, z := range m.GetZones() {
+		s.Zones = append(s.Zones, ident.Zone(z))
+	}
+	return s
+}
+
 // Peers encodes the entries that the sender knows.
 func Peers(links []string) *wire.Msg {
 	return &wire.Msg{Kind: &wire.Msg_Peers{Peers: &wire.Peers{Links: links}}}
--- a/internal/link/codec/codec_test.go
+++ b/internal/link/codec/codec_test.go
@@ -6,7 +6,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"hillreel/internal/config/cordon"
 	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/link/codec"
 )
@@ -47,6 +49,9 @@
 	qt.Assert(t, codec.ReadResumed(codec.Resumed(refs).GetResumed()), qt.DeepEquals, refs)
 	progress := []fleet.Progress{{OrderedRun: ref, Left: 70 * time.Millisecond}}
 	qt.Assert(t, codec.ReadProgress(codec.Progress(progress).GetProgress()), qt.DeepEquals, progress)
+	for _, s := range []cordon.Snapshot{{}, {Source: cordon.Platform, Version: 78, Zones: []ident.Zone{"zone-1", "zone-3"}}} {
+		qt.Assert(t, codec.ReadCordons(codec.Cordons(s).GetCordons()), qt.DeepEquals, s)
+	}
 	echo, version, pace := codec.ReadPing(codec.Ping(1500*time.Microsecond, 12, 1.5).GetPing())
 	qt.Assert(t, pace, qt.Equals, 1.5)
 	qt.Assert(t, echo, qt.Equals, 1500*time.Microsecond)
--- a/internal/link/links/links.go
+++ b/internal/link/links/links.go
@@ -9,7 +9,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hillreel/internal/config/cordon"
 	"hillreel/internal/core/ident"
+	"hillreel/internal/core/rows"
 	"hillreel/internal/link/session"
 	"hillreel/internal/link/wire"
 )
@@ -22,7 +24,9 @@
 	Heard time.Time
 	// Config is the configuration that the other side has, or can pass on, as far as it is known.
 	Config ident.ConfigVersion
-	Own    T
+	// cordons are the versions that the other side has of each source of cordons, as far as is known.
+	cordons map[cordon.Source]rows.Version
+	Own     T
 }
 
 // Name is that of the VM at the other end.
@@ -77,7 +81,7 @@
 func (s *Set[T]) Add(now time.Time, session *session.Session) *Link[T] {
 	l := &Link[T]{
 		Peer: ident.Incarnation(session.Remote.GetIncarnation()), Session: session, Heard: now,
-		Config: ident.ConfigVersion(session.Remote.GetConfigVersion()),
+		Config: ident.ConfigVersion(session.Remote.GetConfigVersion()), cordons: make(map[cordon.Source]rows.Version),
 	}
 	s.by[l.Peer] = l
 	s.log.WithFields(logrus.Fields{s.role: l.Name(), "incarnation": l.Peer, "zone": session.Remote.GetZone()}).Info("link_up")
--- a/internal/link/members/members.go
+++ b/internal/link/members/members.go
@@ -12,10 +12,10 @@
 	"net/netip"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"hillreel/internal/core/follow"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/rows"
 )
@@ -64,13 +64,13 @@
 	return len(d.all)
 }
 
-// Change takes in rows of the table; it is a follow.Change.
-func (d *Directory) Change(changed []rows.Row, whole bool, _ time.Duration) {
+// Change takes in changes of the table; it is a follow.Change.
+func (d *Directory) Change(c follow.Changes) {
 	d.mu.Lock()
-	if whole {
+	if c.Whole {
 		clear(d.all)
 	}
-	for _, r := range changed {
+	for _, r := range c.Rows {
 		address := ident.Address(r.Key.Name)
 		if r.Removed {
 			delete(d.all, address)
--- a/internal/load/world/agent.go
+++ b/internal/load/world/agent.go
@@ -171,6 +171,7 @@
 func (quiet) State(fleet.State, fleet.State, string)  {}
 func (quiet) Orphaned(ident.Incarnation, int, string) {}
 func (quiet) Outlived(_, _ ident.UpstreamLife)        {}
+func (quiet) Gated(job.TaskID, ident.Incarnation)     {}
 func (quiet) Unsure(job.TaskID, job.Run)              {}
 func (quiet) Begun(ident.UpstreamLife, string, bool)  {}
 func (quiet) Dropped(lives.Beat, uint64)              {}
--- /dev/null
+++ b/internal/proof/schedule/cordons_test.go
@@ -0,0 +1,252 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"hillreel/internal/agent/upstream"
+	"hillreel/internal/config/cordon"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/rows"
+)
+
+// operators cordon zones. They draw by themselves, so that all other draws of a seed are what they were when its schedule was traced.
+type operators struct {
+	w   *world
+	rng *rand.Rand
+	// zones are those that are cordoned now, version is the store's when that last changed.
+	zones   map[ident.Zone]bool
+	version rows.Version
+	// turned are the processes that the store turns away.
+	turned map[*proc]bool
+}
+
+func newOperators(w *world) *operators {
+	return &operators{
+		w: w, rng: rand.New(rand.NewPCG(w.seed, 4)), zones: make(map[ident.Zone]bool), turned: make(map[*proc]bool),
+	}
+}
+
+const (
+	// readEvery is the pause between two readings of the cordons.
+	readEvery = 150 * time.Millisecond
+	// cordonsEnd is when all cordons are lifted, so that kept jobs can end.
+	cordonsEnd = busy + time.Second
+	// gateBound is how long after its agent has heard of a cordon, or has begun, a start may still arrive at an upstream: those under way.
+	gateBound = 200 * time.Millisecond
+)
+
+// zoneOf is the zone of an agent's VM.
+func (w *world) zoneOf(a *agentProc) ident.Zone {
+	if !w.odds.cordons {
+		return "z"
+	}
+	return ident.Zone("zone of " + a.name)
+}
+
+// between draws a time.
+func (o *operators) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(o.rng.Int64N(int64(most-least)+1))
+}
+
+// act plans what operators do, and which processes the store turns away.
+func (o *operators) act() {
+	if !o.w.odds.cordons {
+		return
+	}
+	for _, a := range o.w.agents {
+		for range o.rng.IntN(3) {
+			from := o.between(0, busy)
+			o.w.After(from, func() { o.set(o.w.zoneOf(a), true) })
+			o.w.After(from+o.between(10*time.Millisecond, 2*time.Second), func() { o.set(o.w.zoneOf(a), false) })
+		}
+	}
+	for _, p := range o.procs() {
+		if o.rng.IntN(2) == 0 {
+			from := o.between(0, busy)
+			o.w.After(from, func() { o.turned[p] = true })
+			o.w.After(from+o.between(500*time.Millisecond, 4*time.Second), func() { delete(o.turned, p) })
+		}
+	}
+	o.w.After(cordonsEnd, func() {
+		for _, a := range o.w.agents {
+			o.set(o.w.zoneOf(a), false)
+		}
+	})
+}
+
+// procs lists all processes.
+func (o *operators) procs() []*proc {
+	var out []*proc
+	for _, e := range o.w.entries {
+		out = append(out, &e.proc)
+	}
+	for _, a := range o.w.agents {
+		out = append(out, &a.proc)
+	}
+	return out
+}
+
+// set cordons a zone or lifts its cordon.
+func (o *operators) set(z ident.Zone, cordoned bool) {
+	if o.zones[z] == cordoned {
+		return
+	}
+	o.w.note("operators: %s cordoned %v", z, cordoned)
+	o.zones[z] = cordoned
+	o.w.store.Version++
+	o.version = o.w.store.Version
+}
+
+// snapshot is what a reading of the store brings now.
+func (o *operators) snapshot() cordon.Snapshot {
+	s := cordon.Snapshot{Source: cordon.Platform, Version: o.version}
+	for z, cordoned := range o.zones {
+		if cordoned {
+			s.Zones = append(s.Zones, z)
+		}
+	}
+	slices.Sort(s.Zones)
+	return s
+}
+
+// read lets a process read the cordons again and again, as long as it lives: the answer comes a moment later, or, over a slow
+// store, so late that cordons have changed meanwhile.
+func (o *operators) read(p *proc, cut func() bool, take func(cordon.Snapshot)) {
+	if !o.w.odds.cordons {
+		return
+	}
+	inc := p.inc
+	var again func()
+	again = func() {
+		if p.inc != inc || !p.alive {
+			return
+		}
+		if s := o.w.store; !s.silent && !s.busy && !o.turned[p] && !cut() {
+			snapshot, delay := o.snapshot(), o.between(time.Millisecond, 10*time.Millisecond)
+			if o.rng.IntN(10) == 0 {
+				delay += o.between(0, time.Second)
+			}
+			o.w.After(delay, func() {
+				p.doIn(inc, func() {
+					take(snapshot)
+					take(cordon.Snapshot{Source: cordon.Objects})
+				})
+			})
+		}
+		o.w.After(readEvery, again)
+	}
+	o.w.After(o.between(0, 300*time.Millisecond), again)
+}
+
+// adopt takes in a snapshot; what is believed never goes back to an older one.
+func (w *world) adopt(name string, set *cordon.Set, s cordon.Snapshot) bool {
+	var before rows.Version
+	for _, have := range set.All() {
+		if have.Source == s.Source {
+			before = have.Version
+		}
+	}
+	if !set.Adopt(s) {
+		return false
+	}
+	if s.Version < before {
+		w.violate("%s believes the cordons of version %d after those of version %d", name, s.Version, before)
+	}
+	return true
+}
+
+// adoptCordons is what the entry's node does with what it hears.
+func (e *entryProc) adoptCordons(s cordon.Snapshot) {
+	if !e.w.adopt(e.name, e.cordons, s) {
+		return
+	}
+	for _, a := range e.w.agents {
+		if side := e.links[&a.proc]; side != nil {
+			e.tellCordons(side)
+		}
+	}
+	e.table.SetCordoned(e.w.Now(), e.cordons.Zones())
+}
+
+// tellCordons tells an agent what the entry knows.
+func (e *entryProc) tellCordons(side *linkSide) {
+	for _, a := range e.w.agents {
+		if &a.proc != side.other.owner {
+			continue
+		}
+		for _, s := range e.cordons.All() {
+			side.send(func() { a.adoptCordons(s) })
+		}
+	}
+}
+
+// adoptCordons is what the agent's node does with what it hears.
+func (a *agentProc) adoptCordons(s cordon.Snapshot) {
+	if !a.w.adopt(a.name, a.cordons, s) {
+		return
+	}
+	for _, e := range a.w.entries {
+		if side := a.links[&e.proc]; side != nil {
+			a.tellCordons(side)
+		}
+	}
+	switch {
+	case a.cordons.Cordoned(a.w.zoneOf(a)):
+		if a.cordonedAt.IsZero() {
+			a.cordonedAt = a.w.Now()
+		}
+		a.keeper.SetZone(upstream.ZoneCordoned)
+	case a.cordons.Known():
+		a.cordonedAt = time.Time{}
+		a.keeper.SetZone(upstream.ZoneOpen)
+	}
+	a.flush()
+}
+
+// tellCordons tells an entry what the agent knows.
+func (a *agentProc) tellCordons(side *linkSide) {
+	for _, e := range a.w.entries {
+		if &e.proc != side.other.owner {
+			continue
+		}
+		for _, s := range a.cordons.All() {
+			side.send(func() { e.adoptCordons(s) })
+		}
+	}
+}
+
+// checkCordon checks that a start doesn't come to an upstream whose agent has heard that its zone is cordoned, or has heard nothing.
+func (u *simUpstream) checkCordon(task job.TaskID, run job.Run) {
+	a, now := u.agent, u.w.Now()
+	if !u.w.odds.cordons || u.carriesLate || !a.alive {
+		return
+	}
+	what := fmt.Sprintf("%s starts run %d of %v", u.id, run, task)
+	if heard := a.cordonedAt; !heard.IsZero() && now.Sub(heard) > gateBound {
+		u.w.violate("%s %v after its agent has heard that its zone is cordoned", what, now.Sub(heard))
+	}
+	if !a.cordons.Known() && now.Sub(a.begunAt) > gateBound {
+		u.w.violate("%s while its agent has not heard which zones are cordoned", what)
+	}
+}
+
+// checkCordons checks that all processes know how it stands once everything has come to rest.
+func (w *world) checkCordons() {
+	if !w.odds.cordons {
+		return
+	}
+	for _, e := range w.entries {
+		if z := e.cordons.Zones(); e.alive && len(z) > 0 {
+			w.violate("%s still takes %v for cordoned", e.name, z)
+		}
+	}
+	for _, a := range w.agents {
+		if z := a.cordons.Zones(); a.alive && len(z) > 0 {
+			w.violate("%s still takes %v for cordoned", a.name, z)
+		}
+	}
+}
--- a/internal/proof/schedule/process_test.go
+++ b/internal/proof/schedule/process_test.go
@@ -5,6 +5,7 @@
 
 	"hillreel/internal/agent/lives"
 	"hillreel/internal/agent/upstream"
+	"hillreel/internal/config/cordon"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/entry/dispatch"
 	"hillreel/internal/kept/book"
@@ -101,6 +102,8 @@
 	open map[dispatch.CallerID]openRequest
 	// power: the process ended with its VM's power, so that nothing says that it has ended.
 	power bool
+	// cordons is what this life knows of cordons.
+	cordons *cordon.Set
 	// clientCut: nothing gets through to callers or from them, unnoticed by the entry.
 	clientCut bool
 }
@@ -110,6 +113,10 @@
 	proc
 	keeper   *upstream.Keeper
 	upstream *simUpstream
+	// cordons is what this life knows of cordons; cordonedAt is when it has learned that its zone is cordoned, zero while it is not, and
+	// begunAt when it began.
+	cordons             *cordon.Set
+	cordonedAt, begunAt time.Time
 	// remembered outlasts the process, as its row in the store does.
 	remembered *lives.Known
 }
@@ -131,6 +138,8 @@
 		Settle: timing.SettleAfter(), Without: w.without, MaxRow: 1 << 16, Count: func(string) {}, Log: w.logOf(e.name),
 	}, storeIO{e, e.inc}, e.table, entryIO{e}, entryIO{e}, w.Now())
 	e.table.SetKeeper(e.book)
+	e.cordons = cordon.NewSet(w.without)
+	w.operators.read(&e.proc, func() bool { return e.storeCut }, e.adoptCordons)
 	e.tickNow = e.passTime
 	e.ticking(e.inc)
 }
@@ -171,6 +180,11 @@
 	a.inc, a.alive, a.frozen, a.held = ident.Incarnation(w.rng.Uint64()), true, false, nil
 	a.links = make(map[*proc]*linkSide)
 	a.keeper = upstream.New(timing, w.without, w.Now(), agentIO{a, a.inc}, agentIO{a, a.inc}, agentNotes{a})
+	a.cordons, a.cordonedAt, a.begunAt = cordon.NewSet(w.without), time.Time{}, w.Now()
+	if w.odds.cordons {
+		a.keeper.SetZone(upstream.ZoneUnknown)
+	}
+	w.operators.read(&a.proc, func() bool { return false }, a.adoptCordons)
 	a.tickNow = a.passTime
 	a.ticking(a.inc)
 	if u := a.remembered; u != nil && w.odds.restarts {
--- a/internal/proof/schedule/schedule_test.go
+++ b/internal/proof/schedule/schedule_test.go
@@ -55,6 +55,7 @@
 		}
 		w.slowLinks()
 		w.restarts()
+		w.operators.act()
 	})
 	if faults > 0 {
 		w.removeSome(s)
@@ -128,6 +129,7 @@
 		}
 	}
 	w.checkKept()
+	w.checkCordons()
 	for _, s := range w.order {
 		for _, a := range s.attempts {
 			if !a.answered {
@@ -209,6 +211,16 @@
 	t.Logf("%d schedules from seed %d, no violation", ran, restartsFrom+*seed)
 }
 
+// TestCordonedZones runs random schedules in which operators cordon zones and lift the cordons, while the store turns processes away,
+// is silent, or is read late.
+func TestCordonedZones(t *testing.T) {
+	w, s, ran := search(cordonsFrom+*seed, *schedules, nil, someFaults)
+	if w != nil {
+		t.Fatal(w.report(s))
+	}
+	t.Logf("%d schedules from seed %d, no violation", ran, cordonsFrom+*seed)
+}
+
 // TestTracedSchedules runs schedules that have found a fault; docs/FINDINGS.md has the causes.
 func TestTracedSchedules(t *testing.T) {
 	for _, s := range []uint64{7019612, 7024031, 2000013041, 2000119632, 2000126139} {
--- a/internal/proof/schedule/words_test.go
+++ b/internal/proof/schedule/words_test.go
@@ -210,6 +210,9 @@
 	n.a.w.note("%s: heartbeat %d of %s comes after %d", n.a.name, b.Sequence, b.ID, newest)
 }
 
+func (n agentNotes) Gated(task job.TaskID, _ ident.Incarnation) {
+	n.a.w.note("%s: %v is refused, its zone is cordoned", n.a.name, task)
+}
 func (n agentNotes) Overtaken() {}
 
 func (n agentNotes) Unsure(task job.TaskID, run job.Run) {
--- a/internal/proof/schedule/world_test.go
+++ b/internal/proof/schedule/world_test.go
@@ -42,6 +42,8 @@
 	holdBeats bool
 	// odds are how callers behave and how often links are slow.
 	odds odds
+	// operators cordon zones in worlds that have it.
+	operators *operators
 	// broken is the first violation.
 	broken string
 	// log holds what happened, for a schedule that fails.
@@ -59,6 +61,8 @@
 	// restarts: upstreams that start again have the id that they had, clocks begin at any reading, lives say when they began, and
 	// upstreams leave and come back.
 	restarts bool
+	// cordons: operators cordon the zones of upstreams, each of which has one of its own.
+	cordons bool
 }
 
 // impatientFrom is the first seed of the worlds in which many callers give up early and send again at once, over slow links.
@@ -67,7 +71,13 @@
 // restartsFrom is the first seed of the worlds in which upstreams start again under the ids that they had.
 const restartsFrom = 2_000_000_000
 
+// cordonsFrom is the first seed of the worlds in which operators cordon zones.
+const cordonsFrom = 3_000_000_000
+
 func oddsOf(seed uint64) odds {
+	if seed >= cordonsFrom {
+		return odds{leaves: 0.05, again: 0.2, moreJobs: 1, cordons: true}
+	}
 	if seed >= restartsFrom {
 		return odds{leaves: 0.05, again: 0.2, moreJobs: 1, restarts: true}
 	}
@@ -83,6 +93,7 @@
 		jobs: make(map[job.ID]*submission), holdBeats: seed%3 == 0, odds: oddsOf(seed),
 	}
 	w.store = newSimStore(w)
+	w.operators = newOperators(w)
 	return w
 }
 
--- a/internal/standin/embedded/embedded.go
+++ b/internal/standin/embedded/embedded.go
@@ -176,7 +176,7 @@
 	set.Node.Advertise = s.through(PathLink, set.Node.Link)
 	log := s.o.Log.WithFields(logrus.Fields{"role": "entry", "node": set.Node.Name})
 	p, err := entry.New(set, entry.Deps{
-		Store: s.client(set), Config: platform.ConfigKey, Decode: platform.ReadConfig, Log: log,
+		Store: s.client(set), Config: platform.ConfigKey, Cordons: platform.Cordons, Decode: platform.ReadConfig, Log: log,
 		Front: func(n *node.Node) http.Handler { return platform.NewFront(n, int64(set.Entry.MaxBody), log) },
 	})
 	if err != nil {
@@ -215,7 +215,7 @@
 	}
 	calls := platform.NewUpstream(ident.Address(s.through(PathUpstream, set.Agent.Upstream)), set.Agent.Connections, set.Agent.CallTimeout)
 	p, err := agent.New(set, agent.Deps{
-		Store: s.client(set), Upstream: calls, Dial: session.TCP, Log: log,
+		Store: s.client(set), Upstream: calls, Cordons: platform.Cordons, Dial: session.TCP, Log: log,
 		Beats: func(n *agentnode.Node) http.Handler { return platform.Beats(n, s.o.Service, log) },
 	})
 	if err != nil {
