cordon, links: processes tell each other only cordons that differ

What a peer has told of an older version and says something else is answered. Entries are taken to know of no cordon until they hear of one.

--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -256,7 +256,8 @@
 	case *wire.Msg_Config:
 		n.handleConfig(l, m.Config)
 	case *wire.Msg_Cordons:
-		n.adoptCordons(l.ReadCordons(m.Cordons), "link")
+		n.adoptCordons(l.HeardCordons(m.Cordons), "link")
+		l.TellCordons(n.cordons.All()) // what it told may be out of date
 	case *wire.Msg_Peers:
 		n.handleListed(others, m.Peers.GetLinks())
 	default:
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -59,7 +59,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		set: set, log: log, dial: dial, upstream: u, memory: m, inc: ident.NewIncarnation(), loop: loop.New(), ctx: ctx, cancel: cancel,
-		links:    links.New[none]("entry", log),
+		links:    links.New[none]("entry", cordon.NewOpenPeer, log),
 		pulse:    links.Pulse{Limit: set.Links.Silence / 2, Pause: set.Links.Silence / 4, Log: log},
 		dialled:  make(map[string]*dialled),
 		listed:   make(map[source][]string),
--- a/internal/config/cordon/cordon.go
+++ b/internal/config/cordon/cordon.go
@@ -49,7 +49,8 @@
 // NewSet returns a Set that knows nothing. without leaves out safety rules, for experiments only.
 func NewSet(without rule.Set) *Set { return &Set{make(map[Source]Snapshot), without} }
 
-// Adopt takes in a snapshot, and tells whether it was news: an older one, or one of a source that isn't known, changes nothing.
+// Adopt takes in a snapshot, and tells whether it was news: an older one, or one of a source that isn't known, changes nothing, and
+// one that says the same is believed from its version on.
 func (s *Set) Adopt(n Snapshot) bool {
 	have, known := s.by[n.Source]
 	older := n.Version < have.Version && !s.without.Off(rule.CordonOrder)
@@ -57,7 +58,7 @@
 		return false
 	}
 	s.by[n.Source] = n
-	return true
+	return !known || !slices.Equal(n.Zones, have.Zones)
 }
 
 // Known tells whether every source was heard of.
--- a/internal/config/cordon/cordon_test.go
+++ b/internal/config/cordon/cordon_test.go
@@ -109,3 +109,34 @@
 		})
 	}
 }
+
+// TestPeers: a peer is told what differs, once, and what it has told of an older version is answered with the newer one.
+func TestPeers(t *testing.T) {
+	at := func(version rows.Version, zones ...ident.Zone) cordon.Snapshot {
+		return cordon.Snapshot{Source: cordon.Platform, Version: version, Zones: zones}
+	}
+	for _, test := range []struct {
+		name  string
+		peer  *cordon.Peer
+		heard []cordon.Snapshot
+		have  cordon.Snapshot
+		told  bool
+	}{
+		{"of which nothing is known", cordon.NewPeer(), nil, at(3), true},
+		{"that takes all for open, and they are", cordon.NewOpenPeer(), nil, at(3), false},
+		{"that takes all for open, and they are not", cordon.NewOpenPeer(), nil, at(3, "a"), true},
+		{"that has told the same at an older version", cordon.NewPeer(), []cordon.Snapshot{at(2, "a")}, at(3, "a"), false},
+		{"that has told something older", cordon.NewPeer(), []cordon.Snapshot{at(2)}, at(3, "a"), true},
+		{"that has told something newer", cordon.NewPeer(), []cordon.Snapshot{at(4)}, at(3, "a"), false},
+		{"whose word was overtaken", cordon.NewPeer(), []cordon.Snapshot{at(4), at(2, "a")}, at(3, "a"), false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			for _, s := range test.heard {
+				test.peer.Heard(s)
+			}
+			due := test.peer.Due([]cordon.Snapshot{test.have})
+			qt.Assert(t, len(due) == 1, qt.Equals, test.told)
+			qt.Assert(t, test.peer.Due([]cordon.Snapshot{test.have}), qt.HasLen, 0)
+		})
+	}
+}
--- a/internal/entry/node/links.go
+++ b/internal/entry/node/links.go
@@ -120,7 +120,8 @@
 	case *wire.Msg_Settled:
 		n.table.Settled(now, l.Peer)
 	case *wire.Msg_Cordons:
-		n.adoptCordons(now, l.ReadCordons(m.Cordons), "relay")
+		n.adoptCordons(now, l.HeardCordons(m.Cordons), "relay")
+		l.TellCordons(n.cordons.All()) // what it told may be out of date
 	case *wire.Msg_Config:
 		n.handleRelayed(l, m.Config)
 	default:
--- a/internal/link/links/links.go
+++ b/internal/link/links/links.go
@@ -11,7 +11,6 @@
 
 	"hillreel/internal/config/cordon"
 	"hillreel/internal/core/ident"
-	"hillreel/internal/core/rows"
 	"hillreel/internal/link/session"
 	"hillreel/internal/link/wire"
 )
@@ -24,8 +23,8 @@
 	Heard time.Time
 	// Config is the configuration that the other side has, or can pass on, as far as it is known.
 	Config ident.ConfigVersion
-	// cordons are the versions that the other side has of each source of cordons, as far as is known.
-	cordons map[cordon.Source]rows.Version
+	// cordons is what the other side knows of cordons.
+	cordons *cordon.Peer
 	Own     T
 }
 
@@ -40,11 +39,13 @@
 	by   map[ident.Incarnation]*Link[T]
 	// newest is the highest session that each process has begun: 16 bytes for each life of a process that was ever linked.
 	newest map[ident.Incarnation]uint64
+	// newPeer makes the account of what the other side of a new link knows of cordons.
+	newPeer func() *cordon.Peer
 }
 
-// New returns an empty Set; role says what the other ends are.
-func New[T any](role string, log *logrus.Entry) *Set[T] {
-	return &Set[T]{role, log, make(map[ident.Incarnation]*Link[T]), make(map[ident.Incarnation]uint64)}
+// New returns an empty Set; role says what the other ends are, newPeer makes the account of what one knows of cordons.
+func New[T any](role string, newPeer func() *cordon.Peer, log *logrus.Entry) *Set[T] {
+	return &Set[T]{role, log, make(map[ident.Incarnation]*Link[T]), make(map[ident.Incarnation]uint64), newPeer}
 }
 
 // Outdated tells whether a session is an earlier one of its process than one that was seen already: a connection that was held
@@ -81,7 +82,7 @@
 func (s *Set[T]) Add(now time.Time, session *session.Session) *Link[T] {
 	l := &Link[T]{
 		Peer: ident.Incarnation(session.Remote.GetIncarnation()), Session: session, Heard: now,
-		Config: ident.ConfigVersion(session.Remote.GetConfigVersion()), cordons: make(map[cordon.Source]rows.Version),
+		Config: ident.ConfigVersion(session.Remote.GetConfigVersion()), cordons: s.newPeer(),
 	}
 	s.by[l.Peer] = l
 	s.log.WithFields(logrus.Fields{s.role: l.Name(), "incarnation": l.Peer, "zone": session.Remote.GetZone()}).Info("link_up")
