--- a/internal/agent/health/health.go
+++ b/internal/agent/health/health.go
@@ -96,6 +96,9 @@
 	return h.spent / h.work
 }
 
+// ForgetPace forgets the pace: what it was says nothing of what it will be.
+func (h *Health) ForgetPace() { h.spent, h.work = 0, 0 }
+
 // Slow tells whether the upstream is slow beside others; median is the median of all paces, zero when it is unknown.
 func (h *Health) Slow(median float64) bool { return fleet.Slow(h.Pace(), median) }
 
--- a/internal/agent/lives/lives.go
+++ b/internal/agent/lives/lives.go
@@ -27,6 +27,8 @@
 	Clock call.Clock
 	// Draining: it takes no more work and ends soon.
 	Draining bool
+	// Cold is how much longer it is slow from its start.
+	Cold time.Duration
 }
 
 // Life is whose heartbeat it is.
--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -209,6 +209,7 @@
 			k.orphan(now, s.entry, "silent")
 		}
 	}
+	k.noteCold(now)
 	if k.known && !k.holding && !now.Before(k.holdAt) {
 		k.hold(now)
 	}
--- a/internal/agent/upstream/life.go
+++ b/internal/agent/upstream/life.go
@@ -51,6 +51,8 @@
 		return
 	}
 	k.sequence, k.departed = b.Sequence, false
+	k.coldUntil = now.Add(b.Cold)
+	k.noteCold(now)
 	if !k.described {
 		k.described, k.up = true, b.Upstream
 		k.tellUpstream()
@@ -170,7 +172,7 @@
 	}
 	k.lease.Begin(now, clock, sameID)
 	k.shared, k.fence = sameID, k.lease.Token()
-	k.health = health.Health{}
+	k.health, k.coldUntil, k.cold = health.Health{}, time.Time{}, false
 	k.observer.Begun(life, why, k.described)
 	if former {
 		k.leaveRuns(now, sameID)
--- a/internal/agent/upstream/room.go
+++ b/internal/agent/upstream/room.go
@@ -153,6 +153,6 @@
 func (k *Keeper) sendRoom(now time.Time, s *session, state fleet.State) {
 	s.dirty, s.urgent, s.sent = false, false, now
 	k.entries.Room(s.entry, fleet.Room{
-		Free: k.free(), Seq: s.seq, Clock: k.uptime(now), State: k.shown(now, state, s.entry), Pace: k.health.Pace(),
+		Free: k.free(), Seq: s.seq, Clock: k.uptime(now), State: k.shown(now, state, s.entry), Pace: k.pace(),
 	})
 }
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -117,6 +117,9 @@
 	// order lists the sessions from the oldest on, so that runs of the state machine repeat.
 	order  []*session
 	health health.Health
+	// coldUntil is until when the upstream is slow from its start, as it has said; cold is whether it was when time passed last.
+	coldUntil time.Time
+	cold      bool
 	// median is the median of all upstreams' paces, as an entry told it last; slowTold is when entries were told last
 	// how runs get on while this one is slow.
 	median   float64
