upstream: what became of an unanswered start is asked for with pauses

Cause: a look without an answer was repeated at once while a run's fate was open. An upstream that resets every connection answers within a millisecond: 200 looks in 200 ms (the test, before), each a new connection.

Change: the next one comes after the same pause as a hold's.

--- a/internal/agent/upstream/health_test.go
+++ b/internal/agent/upstream/health_test.go
@@ -156,3 +156,32 @@
 	}
 	qt.Assert(t, b.now.Sub(before) <= 260*time.Millisecond, qt.IsTrue)
 }
+
+// TestUndecidedRunIsLookedForWithPauses: while an upstream resets every connection, what became of a start without an answer is asked for a
+// few times, and once it answers the run's fate is decided.
+func TestUndecidedRunIsLookedForWithPauses(t *testing.T) {
+	b := newBench(t, nil)
+	b.order(one, 1)
+	b.keeper.StartDone(b.now, b.starts[0], call.Unanswered, 0)
+	looks := 0
+	for range 200 { // 200 ms
+		for _, c := range b.holds[b.answered:] {
+			b.answered++
+			if c.Look {
+				looks++
+			}
+			b.keeper.HoldDone(b.now, c, call.Held{Answer: call.Unanswered})
+		}
+		b.pass(time.Millisecond)
+		b.keeper.Tick(b.now)
+	}
+	qt.Assert(t, looks >= 3 && looks <= 10, qt.IsTrue, qt.Commentf("%d looks", looks))
+	for b.keeper.Runs() > 0 && looks < 100 {
+		looks++
+		b.pass(10 * time.Millisecond)
+		b.keeper.Tick(b.now)
+		b.look()
+	}
+	qt.Assert(t, b.keeper.Runs(), qt.Equals, 0)
+	qt.Assert(t, b.ends[one][0].Outcome, qt.Equals, job.NotStarted)
+}
--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -163,13 +163,16 @@
 // answers get lost now and then; the first repeat still extends the lease.
 const unreachableAfter = 2
 
-// lookDone handles the answer to a look. One without an answer is repeated while it is needed.
+// lookDone handles the answer to a look. One without an answer is repeated while it is needed, after a pause: an upstream that resets
+// every connection answers at once, and would be asked a thousand times a second.
 func (k *Keeper) lookDone(now time.Time, c call.Hold, h call.Held) {
 	k.looking = false
-	if h.Answer == call.OK {
-		k.lease.Read(now, h.Clock)
-		k.held(now, c, h)
+	if h.Answer != call.OK {
+		k.lookAt = now.Add(retryPause(k.silent(now)))
+		return
 	}
+	k.lease.Read(now, h.Clock)
+	k.held(now, c, h)
 	if k.undecided() {
 		k.look(now)
 	}
@@ -213,6 +216,9 @@
 	if k.known && !k.holding && !now.Before(k.holdAt) {
 		k.hold(now)
 	}
+	if k.undecided() && !now.Before(k.lookAt) {
+		k.look(now)
+	}
 	if k.failures >= unreachableAfter && len(k.runs) > 0 && k.lease.Lapsed(now) {
 		k.lease.Raise(now)
 		k.loseAll(now, fleet.LeaseLapsed)
--- a/internal/agent/upstream/life.go
+++ b/internal/agent/upstream/life.go
@@ -164,6 +164,7 @@
 	k.known, k.life, k.began = true, life, now
 	k.described = first != nil
 	k.looked, k.failures, k.draining, k.departed = false, 0, false, false
+	k.holdAt, k.lookAt = time.Time{}, time.Time{}
 	k.holding, k.looking = false, false // calls under way are meant for the life before
 	k.sequence, k.listed, k.ends = 0, 0, ends.Account{}
 	clear(k.strays)
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -99,9 +99,9 @@
 
 	// looked is false until a hold of this life was answered: before, it isn't known what runs.
 	looked bool
-	// holding is true while a hold is under way, looking while a look is; after a failure, no hold is made before holdAt.
+	// holding is true while a hold is under way, looking while a look is; after a failure, none is made before holdAt or lookAt.
 	holding, looking bool
-	holdAt           time.Time
+	holdAt, lookAt   time.Time
 	// listed is the upstream's clock in the newest answer that was taken in: answers overtake each other.
 	listed call.Clock
 	// failures counts the holds in a row that got no answer; answered is when the last one was made that got one.
