soak, standin: zones of real processes are evacuated

Operators' requests come from a generator of their own, so that all other faults of a seed are what they were: evacuations asked for, taken back, asked for again with the history forgotten, unreadable rows.

--- a/internal/proof/soak/set_test.go
+++ b/internal/proof/soak/set_test.go
@@ -34,8 +34,10 @@
 // process is one process under test, with the proxies in front of what it talks to.
 type process struct {
 	name, role string
-	args       []string
-	cmd        *exec.Cmd
+	// zone is the availability zone.
+	zone string
+	args []string
+	cmd  *exec.Cmd
 	// done is closed when cmd has ended.
 	done chan struct{}
 	// link, front and store are proxies, and so are calls and beats, to the upstream and from it. Entries have the first three,
@@ -142,33 +144,41 @@
 
 func (s *set) addEntry(i int) {
 	ip := s.ip(1, i)
-	p := &process{name: fmt.Sprintf("entry-%d", i), role: "entry", args: []string{"entry"}}
+	p := &process{name: fmt.Sprintf("entry-%d", i), role: "entry", zone: zoneOf(i), args: []string{"entry"}}
 	p.store = s.proxy(at(s.ip(3, i), portStore), at(s.ip(0, 0), portStore))
 	p.link = s.proxy(at(ip, portLinkProxy), at(ip, portLink))
 	p.front = s.proxy(at(s.ip(5, i), portFront), at(ip, portFront))
-	s.write(p, fmt.Sprintf("[node]\nname = %s\nlink = %s\nadvertise = %s\nmetrics = %s\n[entry]\nfront = %s\nunready = 300ms\n[platform]\nstore = %s\n",
-		p.name, at(ip, portLink), p.link.address(), at(ip, portMetrics), at(ip, portFront), p.store.address()))
+	s.write(p, fmt.Sprintf("[node]\nname = %s\nzone = %s\nlink = %s\nadvertise = %s\nmetrics = %s\n[entry]\nfront = %s\nunready = 300ms\n[platform]\nstore = %s\n",
+		p.name, p.zone, at(ip, portLink), p.link.address(), at(ip, portMetrics), at(ip, portFront), p.store.address()))
 	s.entries = append(s.entries, p)
 	s.start(p)
 }
 
 func (s *set) addAgent(i int) {
 	ip := s.ip(2, i)
-	p := &process{name: fmt.Sprintf("agent-%d", i), role: "agent", args: []string{"agent"}}
+	p := &process{name: fmt.Sprintf("agent-%d", i), role: "agent", zone: zoneOf(i), args: []string{"agent"}}
 	p.store = s.proxy(at(s.ip(4, i), portStore), at(s.ip(0, 0), portStore))
 	p.calls = s.proxy(at(s.ip(6, i), portUpstream), at(ip, portUpstream))
 	p.beats = s.proxy(at(s.ip(7, i), portControl), at(ip, portControl))
 	p.upstream = standin.NewUpstream(standin.UpstreamOptions{
-		Name: fmt.Sprintf("u%d", i), Service: "publish", Agent: p.beats.address(), CPU: 4000, MemMB: 1000, Beat: 300 * time.Millisecond, Ledger: s.ledger,
+		Name: upstreamName(i), Service: "publish", Agent: p.beats.address(), CPU: 4000, MemMB: 1000, Beat: 300 * time.Millisecond, Ledger: s.ledger,
 	})
 	s.closers = append(s.closers, p.upstream.Close)
 	s.serve(s.listen(at(ip, portUpstream)), p.upstream.Handler())
-	s.write(p, fmt.Sprintf("[node]\nname = %s\nlink = %s\nmetrics = %s\n[agent]\nupstream = %s\ncontrol = %s\n[platform]\nstore = %s\n",
-		p.name, at(ip, portLinkProxy), at(ip, portMetrics), p.calls.address(), at(ip, portControl), p.store.address()))
+	s.write(p, fmt.Sprintf("[node]\nname = %s\nzone = %s\nlink = %s\nmetrics = %s\n[agent]\nupstream = %s\ncontrol = %s\n[platform]\nstore = %s\n",
+		p.name, p.zone, at(ip, portLinkProxy), at(ip, portMetrics), p.calls.address(), at(ip, portControl), p.store.address()))
 	s.agents = append(s.agents, p)
 	s.start(p)
 }
 
+// zones is how many availability zones a set has; zoneOf deals VMs out to them.
+const zones = 3
+
+func zoneOf(i int) string { return fmt.Sprintf("zone-%d", 1+i%zones) }
+
+// upstreamName is the ledger's name of the upstream beside an agent.
+func upstreamName(i int) string { return fmt.Sprintf("u%d", i) }
+
 // processes are all entries and agents.
 func (s *set) processes() []*process { return append(slices.Clone(s.entries), s.agents...) }
 
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -87,9 +87,9 @@
 		}
 	}
 	traffic, faults, silences := rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 4)), rand.New(rand.NewPCG(seed, 5))
-	lives := rand.New(rand.NewPCG(seed, 6))
+	lives, operators := rand.New(rand.NewPCG(seed, 6)), rand.New(rand.NewPCG(seed, 7))
 	end := time.Now().Add(*soakFor)
-	nextFault, nextSilence, nextLife := time.Now(), time.Now().Add(silenceEvery), time.Now()
+	nextFault, nextSilence, nextLife, nextCordon := time.Now(), time.Now().Add(silenceEvery), time.Now(), time.Now().Add(cordonEvery)
 	var log []string
 	for time.Now().Before(end) {
 		if time.Now().After(nextFault) {
@@ -104,6 +104,10 @@
 			log = append(log, s.life(lives))
 			nextLife = time.Now().Add(time.Duration(lives.Int64N(int64(2 * lifeEvery))))
 		}
+		if time.Now().After(nextCordon) {
+			log = append(log, s.evacuate(operators))
+			nextCordon = time.Now().Add(time.Duration(operators.Int64N(int64(2 * cordonEvery))))
+		}
 		leave := time.Duration(0)
 		if traffic.IntN(20) == 0 {
 			leave = time.Duration(10+traffic.IntN(300)) * time.Millisecond
@@ -111,6 +115,7 @@
 		c.submit(traffic, time.Duration(1500+traffic.IntN(3000))*time.Millisecond, leave)
 		time.Sleep(time.Duration(traffic.Int64N(int64(2 * jobEvery))))
 	}
+	left := s.leaveOneZone(operators)
 	c.wait.Wait()
 	problems := append(s.ledger.Broken(), c.check()...)
 	rest := time.Now().Add(settle)
@@ -121,6 +126,7 @@
 			break
 		}
 	}
+	problems = append(problems, s.checkEvacuated(left)...)
 	problems = append(problems, s.ledger.Broken()...)
 	t.Logf("seed %d: %v, faults: %s", seed, c.counts(), strings.Join(log, "; "))
 	if len(problems) > 0 {
