--- a/internal/agent/process/process.go
+++ b/internal/agent/process/process.go
@@ -16,6 +16,7 @@
 	"hillreel/internal/core/bus"
 	"hillreel/internal/core/follow"
 	"hillreel/internal/core/kernel"
+	"hillreel/internal/core/metrics"
 	"hillreel/internal/core/ops"
 	"hillreel/internal/core/settings"
 	"hillreel/internal/core/web"
@@ -67,6 +68,7 @@
 	}
 	p := &Process{set: set, log: d.Log, kernel: kernel.New(d.Log), bus: bus.New()}
 	p.Node = node.New(set, d.Upstream, memory.New(d.Store, set.Node.Name), d.Dial, d.Log)
+	metrics.Report("runs", func() any { return p.Node.Runs() })
 	dir := members.NewDirectory(func(entries []members.Listed) {
 		if err := p.bus.Publish(bus.Entries, entries); err != nil {
 			p.log.WithField("error", err.Error()).Error("event_not_published")
--- a/internal/core/metrics/metrics.go
+++ b/internal/core/metrics/metrics.go
@@ -43,11 +43,30 @@
 	return l
 }
 
+// Report publishes what f returns, under a name; of several nodes of one process the newest is reported.
+func Report(name string, f func() any) {
+	publishing.Lock()
+	defer publishing.Unlock()
+	if _, known := reports[name]; !known {
+		expvar.Publish(name, expvar.Func(func() any { return reportOf(name)() }))
+	}
+	reports[name] = f
+}
+
+// reportOf returns what is reported under a name now.
+func reportOf(name string) func() any {
+	publishing.Lock()
+	defer publishing.Unlock()
+	return reports[name]
+}
+
 // publishing lets one goroutine at a time look for a set and publish it; published holds the histograms by name, for processes
 // with several nodes, which share them.
 var (
 	publishing sync.Mutex
 	published  = make(map[string]*Latencies)
+	// reports are the functions whose results are served, by name.
+	reports = make(map[string]func() any)
 )
 
 // Record adds one time.
--- a/internal/core/metrics/metrics_test.go
+++ b/internal/core/metrics/metrics_test.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"fmt"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -31,3 +32,11 @@
 	qt.Assert(t, expvar.Get("counters"+run).(*expvar.Map).Get("events").String(), qt.Equals, "50")
 	qt.Assert(t, expvar.Get("latencies"+run).String(), qt.Contains, `"count":50`)
 }
+
+// TestReport: the newest report under a name is served.
+func TestReport(t *testing.T) {
+	for _, want := range []int{1, 2} {
+		metrics.Report("a_report", func() any { return want })
+		qt.Assert(t, expvar.Get("a_report").String(), qt.Equals, strconv.Itoa(want))
+	}
+}
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -16,6 +16,7 @@
 	"hillreel/internal/core/follow"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/kernel"
+	"hillreel/internal/core/metrics"
 	"hillreel/internal/core/ops"
 	"hillreel/internal/core/probed"
 	"hillreel/internal/core/route"
@@ -96,6 +97,7 @@
 	inForce := func() caller.Services { return objects.View() }
 	p.Callers = web.New("callers", set.Entry.Callers, caller.New(p.Node, inForce, int64(set.Entry.MaxBody), d.Log), callers(set))
 	p.Metrics = web.New("metrics", set.Node.Metrics, ops.Handler(ops.Tokens(set.Entry), p.Node.Ready, api.Routes), web.Operators)
+	metrics.Report("zones", func() any { return p.Node.Zones() })
 	services := []named{
 		{nameNode, p.Node},
 		{nameConfig, follow.New(d.Store, d.Config.Table, follow.Whole, set.Platform.ConfigWait, p.configReader(d), d.Log)},
