--- a/internal/agent/lives/lives.go
+++ b/internal/agent/lives/lives.go
@@ -76,11 +76,21 @@
 // Outbid raises the token of the next question above one that was refused.
 func (c *Claim) Outbid(now time.Time, refused call.Token) { c.lease.Outbid(now, refused) }
 
+// An upstream that flaps for weeks has a new life each second. What is forgotten costs a question: a late heartbeat of a forgotten life
+// is a claim again, and a claimed life that is present sends another heartbeat.
+const (
+	// maxPast bounds the lives that are remembered as ended: an hour of lives of 14 s, in some 40 kB.
+	maxPast = 256
+	// maxClaims bounds the lives that may be present. Each is asked for up to four times a second while the upstream gives no answer.
+	maxClaims = 8
+)
+
 // Account is that of one agent.
 type Account struct {
-	// past holds lives that have ended, whose late heartbeats mean nothing. It has at most one for each life heard of.
-	past map[ident.UpstreamLife]bool
-	// claims are lives that may be present, until the upstream has said whether it is one of them.
+	// past holds lives that have ended, whose late heartbeats mean nothing; ended lists them from the oldest on, maxPast at most.
+	past  map[ident.UpstreamLife]bool
+	ended []ident.UpstreamLife
+	// claims are lives that may be present, until the upstream has said whether it is one of them; maxClaims at most.
 	claims map[ident.UpstreamLife]*Claim
 }
 
@@ -94,13 +104,22 @@
 
 // End notes that a life has ended.
 func (a *Account) End(life ident.UpstreamLife) {
-	a.past[life] = true
 	delete(a.claims, life)
+	if a.past[life] {
+		return
+	}
+	a.past[life] = true
+	a.ended = append(a.ended, life)
+	if len(a.ended) > maxPast {
+		delete(a.past, a.ended[0])
+		a.ended = slices.Delete(a.ended, 0, 1)
+	}
 }
 
 // Begin notes that a life is the present one.
 func (a *Account) Begin(life ident.UpstreamLife) {
 	delete(a.past, life)
+	a.ended = slices.DeleteFunc(a.ended, func(have ident.UpstreamLife) bool { return have == life })
 	delete(a.claims, life)
 }
 
@@ -110,6 +129,7 @@
 	if c == nil {
 		c = &Claim{lease: lease.New(0, now), since: now}
 		a.claims[b.Life()] = c
+		a.dropClaim(c)
 	}
 	// That a life leaves holds in whatever order its heartbeats arrive.
 	draining := c.Beat.Draining || b.Draining
@@ -120,6 +140,25 @@
 	return c
 }
 
+// dropClaim forgets the oldest claim but a new one, if there are too many.
+func (a *Account) dropClaim(but *Claim) {
+	if len(a.claims) <= maxClaims {
+		return
+	}
+	var oldest *Claim
+	for _, c := range a.claims {
+		if c != but && (oldest == nil || c.before(oldest)) {
+			oldest = c
+		}
+	}
+	delete(a.claims, oldest.Beat.Life())
+}
+
+// before orders claims by when they were made, and those of one moment by life, so that runs repeat.
+func (c *Claim) before(other *Claim) bool {
+	return cmp.Or(c.since.Compare(other.since), cmp.Compare(c.Beat.ID, other.Beat.ID), cmp.Compare(c.Beat.Born, other.Beat.Born)) < 0
+}
+
 // Claimed returns what is claimed of a life, or nil.
 func (a *Account) Claimed(life ident.UpstreamLife) *Claim { return a.claims[life] }
 
