dispatch: while an entry begins, a cordon of those that are linked first refuses nobody

An entry that starts during an evacuation may be linked to agents of the cordoned zone first, and refused all jobs as having nowhere to run until another was linked: milliseconds, but just after a loss of power. For its first second jobs wait as in an outage.

--- a/internal/entry/dispatch/cordon.go
+++ b/internal/entry/dispatch/cordon.go
@@ -29,9 +29,17 @@
 	return a.Room().State != fleet.Cordoned && !slices.Contains(t.cordoned, a.Zone) && t.allowed(a.Name, a.Zone, s)
 }
 
+// linkTime is how long after an entry has begun its agents may still be coming: after a loss of all power 65 of them had linked to
+// each of eleven entries within 0.5 s.
+const linkTime = time.Second
+
 // nowhere tells whether operators have cordoned all upstreams of a service that are linked. Without any that are linked, some may come
-// within moments: that is an outage, and jobs wait for its end as long as they can be in time.
-func (t *Table) nowhere(s ident.Service) bool {
+// within moments: that is an outage, and jobs wait for its end as long as they can be in time. So they do while the entry begins, when
+// those of a cordoned zone may happen to come first.
+func (t *Table) nowhere(now time.Time, s ident.Service) bool {
+	if now.Sub(t.began) < linkTime {
+		return false
+	}
 	linked := false
 	for _, a := range t.order {
 		if !a.Known() || a.Up.Service != s {
@@ -56,7 +64,7 @@
 // for nothing. Kept jobs wait until operators lift a cordon.
 func (t *Table) refuseNowhere(now time.Time) {
 	for _, q := range t.queued {
-		if len(q.jobs) == 0 || !t.nowhere(q.service) {
+		if len(q.jobs) == 0 || !t.nowhere(now, q.service) {
 			continue
 		}
 		for _, j := range slices.Clone(q.jobs) {
--- a/internal/entry/dispatch/cordon_test.go
+++ b/internal/entry/dispatch/cordon_test.go
@@ -16,6 +16,7 @@
 // zoned returns a bench whose agents stand in zones a, b and a by turns.
 func zoned(t *testing.T, agents int) *bench {
 	b := newBench(t, 0)
+	b.pass(time.Second) // an entry that has just begun waits for more agents
 	for i := 1; i <= agents; i++ {
 		id := ident.Incarnation(i)
 		b.table.Linked(b.now, id, "vm", []ident.Zone{"b", "a"}[i%2])
@@ -122,6 +123,17 @@
 	qt.Assert(t, b.orders, qt.HasLen, 1)
 }
 
+// TestCordonedComeFirst: while an entry begins, agents of cordoned zones may be linked first, and nobody is refused for that.
+func TestCordonedComeFirst(t *testing.T) {
+	b := newBench(t, 1)
+	b.room(1, fleet.Cordoned, 2000, 0)
+	b.submit(1, 1, 2, time.Second, time.Minute)
+	qt.Assert(t, b.answers, qt.HasLen, 0)
+	b.link(2)
+	b.room(2, fleet.Ready, 2000, 0)
+	qt.Assert(t, b.orders, qt.HasLen, 1)
+}
+
 // TestZones: what an operator looks at before a zone is emptied, and while it is.
 func TestZones(t *testing.T) {
 	b := zoned(t, 3)
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -175,8 +175,8 @@
 	agents map[ident.Incarnation]*upstreamOf
 	// order lists the agents in the order in which they were linked, so that runs repeat.
 	order []*upstreamOf
-	// ticked is when Tick was last called. The process last stood still from stoodFrom until woke.
-	ticked, stoodFrom, woke time.Time
+	// began is when Tick was called first, ticked when it was last. The process last stood still from stoodFrom until woke.
+	began, ticked, stoodFrom, woke time.Time
 	// pressure is how much more than what fits was lately asked for.
 	pressure demand.Pressure
 	// patient tells which callers have sent their job before.
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -156,6 +156,9 @@
 	if !t.ticked.IsZero() && now.Sub(t.ticked) > t.opts.Timing.Silence {
 		t.stoodFrom, t.woke = t.ticked, now
 	}
+	if t.began.IsZero() {
+		t.began = now
+	}
 	t.ticked = now
 	t.settleSilent(now)
 	t.refuseNowhere(now)
--- a/internal/entry/dispatch/submit.go
+++ b/internal/entry/dispatch/submit.go
@@ -46,7 +46,7 @@
 		return refused(verdict.TooLarge), true
 	case r.Kept == nil && t.waitingJobs() >= t.opts.MaxQueue:
 		return refused(verdict.Overloaded), true
-	case r.Kept == nil && t.nowhere(r.Route.Service):
+	case r.Kept == nil && t.nowhere(now, r.Route.Service):
 		return cordonedAnswer, true
 	case !r.Deadline.IsZero() && !now.Before(t.deadline(now, r)):
 		return refused(verdict.Deadline), true
