agent: what ran at a lost upstream, and how it was lost, stands in the log

Change: one line upstream_lost for each loss with runs (upstream, cause, silence, the youngest runs and their ages), one hold_unanswered with its error for the first of several, a counter upstreams_lost.

--- a/internal/agent/node/calls.go
+++ b/internal/agent/node/calls.go
@@ -64,9 +64,6 @@
 		ctx, cancel := context.WithTimeout(c.ctx, limit)
 		defer cancel()
 		h, err := c.upstream.Hold(ctx, o)
-		if err != nil {
-			c.log.WithField("error", err.Error()).Debug("hold_unanswered")
-		}
-		c.loop.Post(holdDone{o, h})
+		c.loop.Post(holdDone{o, h, err})
 	}()
 }
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -52,6 +52,8 @@
 	// cordons is what is known of the zones that operators have cordoned.
 	cordons *cordon.Set
 	pulse   links.Pulse
+	// holdsFail is true while holds get no answer.
+	holdsFail bool
 }
 
 // New returns a Node that has not started.
@@ -160,6 +162,7 @@
 	holdDone struct {
 		call call.Hold
 		held call.Held
+		err  error
 	}
 	// cordonsRead carries what the store says of cordons.
 	cordonsRead   struct{ snapshot cordon.Snapshot }
@@ -198,6 +201,7 @@
 		}
 		n.handleOrderDone(now, e.end)
 	case holdDone:
+		n.noteHold(e.err)
 		n.keeper.HoldDone(now, e.call, e.held)
 	case cordonsRead:
 		n.adoptCordons(e.snapshot, "store")
@@ -221,6 +225,14 @@
 	}
 }
 
+// noteHold logs the first of several holds without an answer: one that is refused says more of the upstream than one that is lost.
+func (n *Node) noteHold(err error) {
+	if err != nil && !n.holdsFail {
+		n.log.WithField("error", err.Error()).Info("hold_unanswered")
+	}
+	n.holdsFail = err != nil
+}
+
 // handleOrderDone hands the end of a start or a stop to the keeper.
 func (n *Node) handleOrderDone(now time.Time, end any) {
 	switch e := end.(type) {
--- a/internal/agent/node/observe.go
+++ b/internal/agent/node/observe.go
@@ -1,9 +1,15 @@
 package node
 
 import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
 	"github.com/sirupsen/logrus"
 
 	"hillreel/internal/agent/lives"
+	"hillreel/internal/agent/upstream"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -75,6 +81,23 @@
 	}).Info("order_refused")
 }
 
+// maxAboard bounds the runs that are named in one line, the youngest first.
+const maxAboard = 12
+
+// Lost logs the loss of an upstream and the youngest of the runs that were there, each with its age when the upstream last answered.
+func (o *observer) Lost(l upstream.Loss) {
+	o.counters.Add("upstreams_lost", 1)
+	aboard := slices.Clone(l.Aboard)
+	slices.SortStableFunc(aboard, func(a, b upstream.Aboard) int { return cmp.Compare(a.Age, b.Age) })
+	var youngest []string
+	for _, a := range aboard[:min(len(aboard), maxAboard)] {
+		youngest = append(youngest, fmt.Sprintf("%v/%d@%dms", a.Task, a.Run, a.Age.Milliseconds()))
+	}
+	o.log.WithFields(logrus.Fields{
+		"upstream": l.Life, "why": l.Why, "silent_ms": l.Silent.Milliseconds(), "runs": len(l.Aboard), "youngest": strings.Join(youngest, " "),
+	}).Warn("upstream_lost")
+}
+
 // Overtaken counts a listing that is passed over: there can be one with each answer.
 func (o *observer) Overtaken() { o.counters.Add("listings_overtaken", 1) }
 
--- a/internal/agent/upstream/bench_test.go
+++ b/internal/agent/upstream/bench_test.go
@@ -61,6 +61,7 @@
 func (b *bench) Dropped(lives.Beat, uint64)              {}
 func (b *bench) Gated(job.TaskID, ident.Incarnation)     {}
 func (b *bench) Overtaken()                              {}
+func (b *bench) Lost(upstream.Loss)                      {}
 
 // The entries and the job that the tests use.
 const (
--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -114,6 +114,9 @@
 		k.takeUp(now, ident.UpstreamLife{ID: k.life.ID, Born: h.Born}, h.Clock)
 		return
 	}
+	if h.Answer == call.OK {
+		k.heard(now)
+	}
 	if c.Look {
 		k.lookDone(now, c, h)
 		return
--- a/internal/agent/upstream/life.go
+++ b/internal/agent/upstream/life.go
@@ -159,9 +159,10 @@
 	former, sameID := k.known, k.known && k.life.ID == life.ID
 	if former {
 		k.lives.End(k.life)
+		k.noteLoss(now, k.life, fleet.UpstreamGone)
 	}
 	k.lives.Begin(life)
-	k.known, k.life, k.began = true, life, now
+	k.known, k.life, k.began, k.heardAt = true, life, now, now
 	k.described = first != nil
 	k.looked, k.failures, k.draining, k.departed = false, 0, false, false
 	k.holdAt, k.lookAt = time.Time{}, time.Time{}
@@ -233,6 +234,7 @@
 
 // loseAll ends every run as lost.
 func (k *Keeper) loseAll(now time.Time, why fleet.Reason) {
+	k.noteLoss(now, k.life, why)
 	for _, r := range k.sorted() {
 		k.finish(now, r, job.Lost, why, "")
 	}
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -52,6 +52,8 @@
 	Dropped(b lives.Beat, newest uint64)
 	// Gated is called when an order is refused because the zone is cordoned.
 	Gated(task job.TaskID, entry ident.Incarnation)
+	// Lost is called when an upstream is lost that runs were at.
+	Lost(l Loss)
 	// Overtaken is called for a listing whose clock is older than that of one taken in before.
 	Overtaken()
 }
@@ -107,6 +109,8 @@
 	// failures counts the holds in a row that got no answer; answered is when the last one was made that got one.
 	failures int
 	answered time.Time
+	// heardAt is when the present life has answered last, whatever it was asked.
+	heardAt time.Time
 	// questions are those of entries that wait until nothing of the jobs in question runs here.
 	questions []question
 	// strays are runs at the upstream that nobody here ordered, with when a stop of each was answered; zero is not yet.
--- a/internal/load/world/agent.go
+++ b/internal/load/world/agent.go
@@ -177,3 +177,4 @@
 func (quiet) Begun(ident.UpstreamLife, string, bool)  {}
 func (quiet) Dropped(lives.Beat, uint64)              {}
 func (quiet) Overtaken()                              {}
+func (quiet) Lost(upstream.Loss)                      {}
--- a/internal/proof/schedule/words_test.go
+++ b/internal/proof/schedule/words_test.go
@@ -5,6 +5,7 @@
 
 	"hillreel/internal/agent/call"
 	"hillreel/internal/agent/lives"
+	"hillreel/internal/agent/upstream"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -215,6 +216,10 @@
 }
 func (n agentNotes) Overtaken() {}
 
+func (n agentNotes) Lost(l upstream.Loss) {
+	n.a.w.note("%s: %v is lost (%s) with %v", n.a.name, l.Life, l.Why, l.Aboard)
+}
+
 func (n agentNotes) Unsure(task job.TaskID, run job.Run) {
 	n.a.w.note("%s: run %d of %v may have started", n.a.name, run, task)
 }
