schedule: tasks that crash upstreams, and upstreams that crash for other causes

Seen by callers: while such a task is about, all other jobs are refused or fail for seconds; the task is started three times more after three upstreams have crashed under it. Cause: told at the head of the test.

--- a/internal/proof/schedule/callers_test.go
+++ b/internal/proof/schedule/callers_test.go
@@ -25,6 +25,8 @@
 	failed        int
 	noted         bool
 	notedFailures int
+	// crasher is nil for a task that crashes nothing.
+	crasher *crasher
 }
 
 // attempt is one request of a caller for a job.
@@ -81,6 +83,7 @@
 	}
 	s.spec = &job.Spec{Text: s.id.String(), BestEffort: true, Steps: []job.Step{{Count: uint32(n), Each: need, Estimate: estimate}}}
 	s.kept = w.chance(0.4)
+	w.crashes.draw(s)
 	s.spec.BestEffort = !s.kept
 	w.jobs[s.id] = s
 	w.order = append(w.order, s)
@@ -196,6 +199,9 @@
 	if answer.State == verdict.Accepted {
 		w.accepted(s)
 	}
+	if answer.State == verdict.Failed {
+		s.checkFailed()
+	}
 	if answer.State == verdict.Complete {
 		for i, t := range s.tasks {
 			if t.done.IsZero() {
--- /dev/null
+++ b/internal/proof/schedule/crashes_test.go
@@ -0,0 +1,211 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/verdict"
+)
+
+// Seen: a task that crashes its upstreams took down one after the other, half a second apart, until none was left; all other jobs of
+// those seconds were refused or failed. It was started three times more after three had crashed under it. Each time it was among the
+// runs that were lost with the upstream, which are no failures of their tasks, so nothing bounded how often it was placed again but
+// its caller's patience; and tasks that were lost with it were placed again in the same moment, beside it. That it was the youngest
+// run at each of the upstreams, by a few milliseconds, while the others' ages differed, proved that the task did it.
+
+// crashesFrom is the first seed of the worlds in which some tasks crash the upstreams that start them.
+const crashesFrom = 4_000_000_000
+
+const (
+	// crashesBefore: once so many upstreams have crashed under a task, it may be started fewer than crashStarts times more.
+	crashesBefore, crashStarts = 3, 3
+	// crashCause is how many upstreams must have crashed under a task for its job to be called failed.
+	crashCause = 2
+	// contact is how long after a disturbance of its VM an agent is not held to that.
+	contact = 3 * time.Second
+)
+
+// crasher is how a task crashes the upstreams that start it; the zero crasher does not.
+type crasher struct {
+	// after is how long after its start.
+	after time.Duration
+	// crashed counts the upstreams that have crashed under it, more the starts since the third.
+	crashed, more int
+}
+
+// crashes lets tasks and other causes crash upstreams. It draws by itself, like operators.
+type crashes struct {
+	w   *world
+	rng *rand.Rand
+}
+
+func newCrashes(w *world) *crashes { return &crashes{w, rand.New(rand.NewPCG(w.seed, 5))} }
+
+// between draws a time.
+func (c *crashes) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(c.rng.Int64N(int64(most-least)+1))
+}
+
+// down is how long an upstream that has crashed is away.
+func (c *crashes) down() time.Duration { return c.between(time.Second, 4*time.Second) }
+
+// draw decides which of a job's tasks crash upstreams: most do at once, some when a part of their work is done.
+func (c *crashes) draw(s *submission) {
+	if !c.w.odds.crashes || c.rng.IntN(8) != 0 {
+		return
+	}
+	t := &s.tasks[c.rng.IntN(len(s.tasks))]
+	t.crasher = &crasher{after: c.between(0, 20*time.Millisecond)}
+	if c.rng.IntN(4) == 0 {
+		t.crasher.after = c.between(0, t.work)
+	}
+	c.w.note("job %v has a task that crashes upstreams after %v", s.id, t.crasher.after)
+}
+
+// act lets upstreams crash for other causes: single ones, one that goes down and up by turns, and all at once.
+func (c *crashes) act() {
+	if !c.w.odds.crashes {
+		return
+	}
+	for range c.rng.IntN(6) {
+		u := c.w.agents[c.rng.IntN(len(c.w.agents))].upstream
+		c.w.After(c.between(0, busy), func() { u.crashFor(c.down(), "by itself") })
+	}
+	if c.rng.IntN(3) == 0 {
+		u, pause := c.w.agents[c.rng.IntN(len(c.w.agents))].upstream, c.between(200*time.Millisecond, 2*time.Second)
+		for at := c.between(0, busy); at < busy; at += pause {
+			c.w.After(at, func() { u.crashFor(pause/2, "by turns") })
+		}
+	}
+	if c.rng.IntN(3) == 0 {
+		down := c.down()
+		c.w.After(c.between(0, busy), func() {
+			for _, a := range c.w.agents {
+				a.upstream.crashFor(down, "with all others")
+			}
+		})
+	}
+}
+
+// crashFor crashes the upstream if it is up.
+func (u *simUpstream) crashFor(down time.Duration, how string) {
+	if u.up {
+		u.w.note("%s crashes %s", u.id, how)
+		u.crash(down)
+	}
+}
+
+// crashes checks a start of a task that crashes upstreams, and lets it do so.
+func (u *simUpstream) crashes(r *simRun) {
+	t := u.w.jobs[r.task.Job].tasks[r.task.Index].crasher
+	if t == nil {
+		return
+	}
+	if t.crashed >= crashesBefore && !u.carriesLate && u.w.Now().After(u.agent.disturbed) {
+		t.more++
+		if t.more >= crashStarts {
+			u.w.violate("%v starts %d times more after %d upstreams have crashed under it", r.task, t.more, crashesBefore)
+		}
+	}
+	life := u.life
+	u.w.After(t.after, func() {
+		if u.up && u.life == life && u.runs[r.task] == r {
+			t.crashed++
+			u.crashFor(u.w.crashes.down(), "under "+r.task.String())
+		}
+	})
+}
+
+// crashedUnder tells whether enough upstreams have crashed under a task of the job for it to be called failed.
+func (s *submission) crashedUnder() bool {
+	for _, t := range s.tasks {
+		if t.crasher != nil && t.crasher.crashed >= crashCause {
+			return true
+		}
+	}
+	return false
+}
+
+// checkFailed checks that a job which is called failed could not be done.
+func (s *submission) checkFailed() {
+	if !s.w.odds.crashes || s.crashedUnder() {
+		return
+	}
+	for _, t := range s.tasks {
+		if t.failed >= publish.Attempts {
+			return
+		}
+	}
+	s.w.violate("job %v is called failed, and no task of it has failed or crashed upstreams often enough", s.id)
+}
+
+// disturb notes that an agent's VM is disturbed for a while.
+func (a *agentProc) disturb(d time.Duration) {
+	if until := a.w.Now().Add(d + contact); until.After(a.disturbed) {
+		a.disturbed = until
+	}
+}
+
+// disturbAll notes that all agents' VMs are, or the store.
+func (w *world) disturbAll(d time.Duration) {
+	for _, a := range w.agents {
+		a.disturb(d)
+	}
+}
+
+// TestCrashingTasks runs random schedules in which some tasks crash the upstreams that start them, while upstreams also crash for
+// other causes: no such task is started three times more after three have crashed under it, and no job is called failed for
+// a task that was merely there.
+func TestCrashingTasks(t *testing.T) {
+	w, s, ran := search(crashesFrom+*seed, *schedules, nil, someFaults)
+	if w != nil {
+		t.Fatal(w.report(s))
+	}
+	t.Logf("%d schedules from seed %d, no violation", ran, crashesFrom+*seed)
+}
+
+// TestCrashingTaskAlone: with nothing else wrong, a job whose task crashes upstreams is called failed soon, and all others end well.
+func TestCrashingTaskAlone(t *testing.T) {
+	for s := range uint64(40) {
+		w := newWorld(crashesFrom+s, nil)
+		w.build(2, 4)
+		var all []*submission
+		w.After(time.Second, func() {
+			for i := range 12 {
+				w.After(time.Duration(i)*300*time.Millisecond, func() { all = append(all, w.submitPatient(i%6 == 1)) })
+			}
+		})
+		w.run(quiet)
+		qt.Assert(t, w.broken, qt.Equals, "", qt.Commentf("seed %d", crashesFrom+s))
+		for i, j := range all {
+			want := verdict.Complete
+			if i%6 == 1 {
+				want = verdict.Failed
+			}
+			last := j.answers[len(j.answers)-1].State
+			if j.kept {
+				last = j.endedState()
+			}
+			qt.Assert(t, last, qt.Equals, want, qt.Commentf("seed %d job %v", crashesFrom+s, j.id))
+		}
+	}
+}
+
+// submitPatient sends a job of two tasks whose caller is patient; one of its tasks may crash upstreams.
+func (w *world) submitPatient(crashing bool) *submission {
+	s := &submission{w: w, id: job.ID(len(w.order) + 1), first: w.Now(), patience: 10 * time.Second, kept: w.chance(0.5)}
+	s.tasks = []simTask{{work: 200 * time.Millisecond}, {work: 200 * time.Millisecond}}
+	if crashing {
+		s.tasks[1].crasher = &crasher{after: w.between(0, 20*time.Millisecond)}
+	}
+	s.spec = &job.Spec{Text: fmt.Sprint(s.id), BestEffort: !s.kept, Steps: []job.Step{{Count: 2, Each: need, Estimate: 200 * time.Millisecond}}}
+	w.jobs[s.id] = s
+	w.order = append(w.order, s)
+	s.send()
+	return s
+}
--- a/internal/proof/schedule/faults_test.go
+++ b/internal/proof/schedule/faults_test.go
@@ -42,6 +42,7 @@
 		return
 	}
 	w.note("%s is killed (power %v)", a.name, power)
+	a.disturb(down)
 	a.alive = false
 	a.inc = 0
 	for _, p := range w.pairs {
@@ -174,10 +175,13 @@
 	case 4:
 		e.freeze(short)
 	case 5:
+		a.disturb(short)
 		a.freeze(short)
 	case 6, 7:
+		p.a.disturb(short)
 		w.cut(p, short)
 	case 8:
+		p.a.disturb(0)
 		w.snap(p, w.chance(0.3))
 	case 9:
 		w.note("%s crashes", u.id)
@@ -198,15 +202,19 @@
 		w.window("callers are cut off from "+e.name, short, func() { e.clientCut = true }, func() { e.clientCut = false })
 	case 16:
 		slow := w.between(50*time.Millisecond, 2*time.Second)
+		p.a.disturb(short)
 		w.window("the link of "+p.e.name+" and "+p.a.name+" is slow", short, func() { p.slow = slow }, func() { p.slow = 0 })
 	case 18:
 		w.window("upstream "+u.name+" is slow", short, func() { u.slow = 2 + 4*w.rng.Float64() }, func() { u.slow = 0 })
 	case 19:
+		w.disturbAll(short)
 		w.window("the store is silent", short, func() { w.store.silent = true }, func() { w.store.silent = false })
 	case 20:
+		w.disturbAll(short)
 		w.window("the store is busy", short, func() { w.store.busy = true }, func() { w.store.busy = false })
 	case 21, 22:
 		loses, late := 0.2+0.6*w.rng.Float64(), w.rng.Float64()
+		w.disturbAll(short)
 		w.window("the store loses answers", short, func() { w.store.loses, w.store.late = loses, late }, func() { w.store.loses = 0 })
 	case 23:
 		w.window("the store is out of reach of "+e.name, w.between(time.Second, 6*time.Second), func() { e.storeCut = true }, func() { e.storeCut = false })
--- a/internal/proof/schedule/kept_test.go
+++ b/internal/proof/schedule/kept_test.go
@@ -58,6 +58,9 @@
 			}
 		}
 	case verdict.Failed:
+		if s.crashedUnder() {
+			return
+		}
 		for _, t := range s.tasks {
 			if t.failed >= publish.Attempts {
 				return
@@ -73,6 +76,15 @@
 	}
 }
 
+// endedState is how a kept job has ended, as the store has it.
+func (s *submission) endedState() verdict.State {
+	ended, err := record.Read[record.Ended](s.w.store.Rows[layout.EndedKey(s.id)])
+	if err != nil {
+		s.w.violate("a row that can't be read: %v", err)
+	}
+	return ended.State
+}
+
 // cancel asks some entry to cancel the job.
 func (s *submission) cancel() {
 	w := s.w
--- a/internal/proof/schedule/process_test.go
+++ b/internal/proof/schedule/process_test.go
@@ -117,6 +117,8 @@
 	// begunAt when it began.
 	cordons             *cordon.Set
 	cordonedAt, begunAt time.Time
+	// disturbed is until when the agent is not in touch.
+	disturbed time.Time
 	// remembered outlasts the process, as its row in the store does.
 	remembered *lives.Known
 }
--- a/internal/proof/schedule/schedule_test.go
+++ b/internal/proof/schedule/schedule_test.go
@@ -44,7 +44,7 @@
 // schedule runs one schedule and returns its world.
 func schedule(s uint64, without rule.Set, faults int) *world {
 	w := newWorld(s, without)
-	w.build(2, 2+w.rng.IntN(2))
+	w.build(2, 2+w.rng.IntN(2)+w.odds.moreAgents)
 	jobs := (10 + w.rng.IntN(25)) * w.odds.moreJobs
 	w.After(time.Second, func() {
 		for range jobs {
@@ -56,6 +56,7 @@
 		w.slowLinks()
 		w.restarts()
 		w.operators.act()
+		w.crashes.act()
 	})
 	if faults > 0 {
 		w.removeSome(s)
--- a/internal/proof/schedule/upstream_test.go
+++ b/internal/proof/schedule/upstream_test.go
@@ -263,6 +263,7 @@
 	r.hang = u.w.chance(u.hangs)
 	u.runs[task] = r
 	u.w.note("%s starts run %d of %v", u.id, run, task)
+	u.crashes(r)
 	if !r.hang {
 		u.w.After(r.work, func() { u.finish(r, r.how) })
 	}
--- a/internal/proof/schedule/world_test.go
+++ b/internal/proof/schedule/world_test.go
@@ -44,6 +44,8 @@
 	odds odds
 	// operators cordon zones in worlds that have it.
 	operators *operators
+	// crashes lets tasks crash upstreams in worlds that have it.
+	crashes *crashes
 	// broken is the first violation.
 	broken string
 	// log holds what happened, for a schedule that fails.
@@ -58,11 +60,15 @@
 	leaves, again float64
 	// slowLinks is how many faults more are slow links, moreJobs how many times as many jobs come.
 	slowLinks, moreJobs int
+	// moreAgents is how many more agents there are.
+	moreAgents int
 	// restarts: upstreams that start again have the id that they had, clocks begin at any reading, lives say when they began, and
 	// upstreams leave and come back.
 	restarts bool
 	// cordons: operators cordon the zones of upstreams, each of which has one of its own.
 	cordons bool
+	// crashes: some tasks crash the upstreams that start them, and more upstreams crash for other causes.
+	crashes bool
 }
 
 // impatientFrom is the first seed of the worlds in which many callers give up early and send again at once, over slow links.
@@ -75,6 +81,9 @@
 const cordonsFrom = 3_000_000_000
 
 func oddsOf(seed uint64) odds {
+	if seed >= crashesFrom {
+		return odds{leaves: 0.05, again: 0.2, moreJobs: 1, crashes: true, moreAgents: 1}
+	}
 	if seed >= cordonsFrom {
 		return odds{leaves: 0.05, again: 0.2, moreJobs: 1, cordons: true}
 	}
@@ -94,6 +103,7 @@
 	}
 	w.store = newSimStore(w)
 	w.operators = newOperators(w)
+	w.crashes = newCrashes(w)
 	return w
 }
 
