--- /dev/null
+++ b/internal/agent/upstream/alone_test.go
@@ -0,0 +1,168 @@
+package upstream_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/agent/call"
+	"hillreel/internal/agent/lives"
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+)
+
+// orderAlone orders a task of another job that is to be started alone.
+func (b *bench) orderAlone(e ident.Incarnation, alone time.Duration) fleet.OrderedRun {
+	b.seq++
+	const suspect = job.ID(9)
+	b.keeper.Order(b.now, e, fleet.Order{
+		Seq: b.seq, Job: suspect, Each: job.Resources{CPU: 1000}, Estimate: time.Second, Tasks: []fleet.TaskRun{{Run: 1, ID: 5, Alone: alone}},
+	})
+	b.keeper.Flush(b.now)
+	return fleet.OrderedRun{RunRef: fleet.RunRef{Task: job.TaskID{Job: suspect}, Run: 1}, ID: 5}
+}
+
+// tick lets time pass by a tick, in which the entries are heard and all holds are answered.
+func (b *bench) tick(running ...call.Listed) {
+	b.pass(20 * time.Millisecond)
+	for _, e := range []ident.Incarnation{one, two} {
+		b.keeper.Ping(b.now, e, b.rooms[e].Clock, 0)
+	}
+	b.look(running...)
+	b.keeper.Tick(b.now)
+	b.keeper.Flush(b.now)
+	b.look(running...)
+	b.keeper.Flush(b.now)
+}
+
+// TestAlone: a task is started alone once the others have ended, nothing starts beside it, and a while after its start others may.
+func TestAlone(t *testing.T) {
+	b := newBench(t, nil)
+	b.order(one, 1)
+	first := b.starts[0]
+	b.keeper.StartDone(b.now, first, call.OK, b.clock())
+	b.orderAlone(two, 200*time.Millisecond)
+	qt.Assert(t, b.starts, qt.HasLen, 1)
+	b.order(two, 2) // the same task as the one that runs waits for its end, and is refused then: room is closed
+	for range 3 {
+		b.tick(call.Listed{Task: task, Run: 1})
+	}
+	qt.Assert(t, b.rooms[one].Free, qt.Equals, job.Resources{})
+	qt.Assert(t, b.starts, qt.HasLen, 1)
+	b.tick() // the run has ended
+	for range 2 {
+		b.tick()
+	}
+	qt.Assert(t, b.starts, qt.HasLen, 2)
+	qt.Assert(t, b.starts[1].Task.Job, qt.Equals, job.ID(9))
+	qt.Assert(t, b.ends[two][0].Reason, qt.Equals, fleet.NoRoom)
+	b.keeper.StartDone(b.now, b.starts[1], call.OK, b.clock())
+	b.order(one, 3)
+	qt.Assert(t, b.starts, qt.HasLen, 2)
+	for range 11 {
+		b.tick(call.Listed{Task: b.starts[1].Task, Run: 1})
+	}
+	qt.Assert(t, b.rooms[one].Free, qt.Equals, job.Resources{CPU: 1000})
+	b.order(one, 4)
+	qt.Assert(t, b.starts, qt.HasLen, 3)
+}
+
+// TestAloneBesideLongRuns: the end of long runs is not waited for, so that work goes on.
+func TestAloneBesideLongRuns(t *testing.T) {
+	b := newBench(t, nil)
+	b.order(one, 1)
+	b.keeper.StartDone(b.now, b.starts[0], call.OK, b.clock())
+	b.orderAlone(two, 200*time.Millisecond)
+	for range 15 {
+		b.tick(call.Listed{Task: task, Run: 1})
+	}
+	qt.Assert(t, b.starts, qt.HasLen, 2)
+}
+
+// TestAloneIsGivenUp: an order that waits to be started alone goes with whoever wants it, and its entry is told.
+func TestAloneIsGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(b *bench, waits fleet.OrderedRun)
+		want fleet.Reason
+	}{
+		{"stopped", func(b *bench, w fleet.OrderedRun) { b.keeper.StopTask(b.now, two, w, fleet.OnRequest) }, fleet.NotListed},
+		{"its job is taken over", func(b *bench, w fleet.OrderedRun) { b.keeper.Ask(b.now, one, 1, []job.ID{w.Task.Job}) }, fleet.Superseded},
+		{"the upstream leaves", func(b *bench, _ fleet.OrderedRun) {
+			b.keeper.Beat(b.now, lives.Beat{Upstream: fleet.Upstream{ID: "u-1", Service: "publish", Total: job.Resources{CPU: 2000}}, Sequence: 2, Draining: true})
+		}, fleet.NotAccepting},
+		{"the entry is silent", func(b *bench, _ fleet.OrderedRun) {
+			b.pass(500 * time.Millisecond)
+			b.keeper.Tick(b.now)
+		}, fleet.StaleSession},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.order(one, 1)
+			waits := b.orderAlone(two, 200*time.Millisecond)
+			c.do(b, waits)
+			b.keeper.Flush(b.now)
+			qt.Assert(t, b.starts, qt.HasLen, 1)
+			qt.Assert(t, b.ends[two], qt.HasLen, 1)
+			qt.Assert(t, b.ends[two][0].Reason, qt.Equals, c.want)
+			qt.Assert(t, b.ends[two][0].ID, qt.Equals, waits.ID)
+		})
+	}
+}
+
+// TestLossIsTold: what ran at a lost upstream is told with its age when the upstream was last heard, and refuted if that answers after all.
+func TestLossIsTold(t *testing.T) {
+	b := newBench(t, nil)
+	b.orderAlone(one, 200*time.Millisecond)
+	b.pass(time.Millisecond)
+	b.look()
+	b.keeper.Flush(b.now)
+	b.keeper.StartDone(b.now, b.starts[0], call.OK, b.clock())
+	listed := call.Listed{Task: b.starts[0].Task, Run: 1}
+	b.tick(listed)
+	b.lose()
+	qt.Assert(t, b.losses, qt.HasLen, 2) // by the observer and by the entries
+	l := b.losses[0]
+	qt.Assert(t, l.Planned, qt.IsFalse)
+	qt.Assert(t, l.Aboard, qt.HasLen, 1)
+	qt.Assert(t, l.Aboard[0].Alone, qt.IsTrue)
+	qt.Assert(t, l.Aboard[0].Age, qt.Equals, 20*time.Millisecond)
+	qt.Assert(t, l.Crashes("vm"), qt.DeepEquals, []fleet.Crash{{
+		Task: listed.Task, VM: "vm", Life: ident.UpstreamLife{ID: "u-1"}, Loss: l.Number, After: 20 * time.Millisecond, Alone: true,
+	}})
+	qt.Assert(t, b.refuted, qt.HasLen, 0)
+	b.pass(time.Second)
+	b.keeper.Tick(b.now)
+	b.look()
+	qt.Assert(t, b.refuted, qt.DeepEquals, []fleet.Refutation{{Life: l.Life, UpTo: l.Number}})
+}
+
+// TestPlannedLossSaysNothing: an upstream that has said that it leaves has not crashed.
+func TestPlannedLossSaysNothing(t *testing.T) {
+	b := newBench(t, nil)
+	b.order(one, 1)
+	b.keeper.StartDone(b.now, b.starts[0], call.OK, b.clock())
+	b.keeper.Beat(b.now, lives.Beat{Upstream: fleet.Upstream{ID: "u-1", Service: "publish", Total: job.Resources{CPU: 2000}}, Sequence: 2, Draining: true})
+	b.lose()
+	qt.Assert(t, b.losses[0].Planned, qt.IsTrue)
+	qt.Assert(t, b.losses[0].Crashes("vm"), qt.HasLen, 0)
+}
+
+// lose lets the upstream answer nothing until the lease has lapsed.
+func (b *bench) lose() {
+	for range 60 {
+		b.pass(10 * time.Millisecond)
+		for _, e := range []ident.Incarnation{one, two} {
+			b.keeper.Ping(b.now, e, b.rooms[e].Clock, 0)
+		}
+		waiting := b.holds[b.answered:]
+		b.answered = len(b.holds)
+		for _, c := range waiting {
+			b.keeper.HoldDone(b.now, c, call.Held{Answer: call.Unanswered})
+		}
+		b.keeper.Tick(b.now)
+		b.keeper.Flush(b.now)
+	}
+}
--- /dev/null
+++ b/internal/entry/dispatch/crash_test.go
@@ -0,0 +1,138 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/verdict"
+)
+
+// newVMs returns a bench whose agents are on VMs of their own, named as agents are.
+func newVMs(t *testing.T, n int) *bench {
+	b := newBench(t, 0)
+	for i := 1; i <= n; i++ {
+		id := ident.Incarnation(i)
+		b.table.Linked(b.now, id, ident.UpstreamName(id.String()), "z")
+		b.table.Upstream(b.now, id, fleet.Upstream{ID: ident.UpstreamID(id.String()), Service: "publish", Total: job.Resources{CPU: 2000}})
+		b.room(id, fleet.Ready, 2000, 0)
+	}
+	return b
+}
+
+// lose ends the runs of an order as lost with its upstream, of which it is told first.
+func (b *bench) lose(o order, after time.Duration) {
+	var lost []fleet.Crash
+	for i, t := range o.Tasks {
+		lost = append(lost, fleet.Crash{
+			Task: o.Task(i), VM: ident.UpstreamName(o.agent.String()), Life: ident.UpstreamLife{ID: ident.UpstreamID(o.agent.String())},
+			Loss: 1, After: after, Alone: t.Alone > 0,
+		})
+	}
+	b.room(o.agent, fleet.Unreachable, 2000, o.Seq)
+	b.table.Crashed(b.now, lost)
+	for i := range o.Tasks {
+		b.end(o, i, job.Lost, fleet.LeaseLapsed)
+	}
+}
+
+// TestTaskThatCrashesUpstreams: it is placed alone after the first loss, elsewhere each time, and its job fails after the third; sent
+// again, the job fails at once.
+func TestTaskThatCrashesUpstreams(t *testing.T) {
+	b := newVMs(t, 4)
+	b.submit(1, 1, 1, time.Second, 10*time.Second)
+	qt.Assert(t, b.orders, qt.HasLen, 1)
+	qt.Assert(t, b.orders[0].Tasks[0].Alone, qt.Equals, time.Duration(0))
+	for i := range 3 {
+		qt.Assert(t, b.orders, qt.HasLen, i+1)
+		b.lose(b.orders[i], 5*time.Millisecond)
+		if i > 0 {
+			qt.Assert(t, b.orders[i].Tasks[0].Alone > 0, qt.IsTrue)
+			qt.Assert(t, b.orders[i].agent, qt.Not(qt.Equals), b.orders[i-1].agent)
+		}
+	}
+	qt.Assert(t, b.answers[1].State, qt.Equals, verdict.Failed)
+	qt.Assert(t, b.answers[1].Reason, qt.Equals, verdict.CrashesUpstreams)
+	b.submit(1, 2, 1, time.Second, 10*time.Second)
+	qt.Assert(t, b.answers[2].State, qt.Equals, verdict.Failed)
+	qt.Assert(t, b.orders, qt.HasLen, 3)
+}
+
+// TestSoundTaskBesideOneThatCrashes: tasks that were lost beside each other are not placed beside each other again, and those that end
+// are done.
+func TestSoundTaskBesideOneThatCrashes(t *testing.T) {
+	b := newVMs(t, 3)
+	b.submit(1, 1, 2, time.Second, 10*time.Second)
+	first := b.orders
+	if len(first) == 1 {
+		b.lose(first[0], time.Millisecond)
+	} else {
+		b.lose(first[0], time.Millisecond)
+		b.lose(first[1], time.Millisecond)
+	}
+	again := b.orders[len(first):]
+	agents := make(map[ident.Incarnation]bool)
+	for _, o := range again {
+		qt.Assert(t, o.Tasks, qt.HasLen, 1)
+		qt.Assert(t, o.Tasks[0].Alone > 0, qt.IsTrue)
+		qt.Assert(t, agents[o.agent], qt.IsFalse)
+		agents[o.agent] = true
+		b.end(o, 0, job.Done, "")
+		b.room(o.agent, fleet.Ready, 2000, o.Seq)
+	}
+	for _, o := range b.orders[len(first)+len(again):] {
+		b.end(o, 0, job.Done, "")
+	}
+	qt.Assert(t, b.answers[1].State, qt.Equals, verdict.Complete)
+}
+
+// TestOldRunsAreNotSuspected: a task that had run for long when its upstream was lost goes on beside others.
+func TestOldRunsAreNotSuspected(t *testing.T) {
+	b := newVMs(t, 3)
+	b.submit(1, 1, 1, time.Second, 10*time.Second)
+	b.lose(b.orders[0], 700*time.Millisecond)
+	qt.Assert(t, b.orders, qt.HasLen, 2)
+	qt.Assert(t, b.orders[1].Tasks[0].Alone, qt.Equals, time.Duration(0))
+}
+
+// TestNothingBesideASuspect: what waits for room finds none where a task is about to be alone.
+func TestNothingBesideASuspect(t *testing.T) {
+	b := newVMs(t, 2)
+	b.submit(1, 1, 1, time.Second, 10*time.Second)
+	lost := b.orders[0]
+	b.lose(lost, time.Millisecond)
+	suspect := b.orders[1]
+	b.submit(2, 2, 1, time.Second, 10*time.Second)
+	qt.Assert(t, b.orders, qt.HasLen, 2)
+	b.room(suspect.agent, fleet.Ready, 1000, suspect.Seq) // it is alone no longer
+	qt.Assert(t, b.orders, qt.HasLen, 3)
+}
+
+// TestLossOfAnAgentIsDecided: a run that was lost with its agent counts as lost with its upstream once another upstream stands there, and
+// not if the same one does.
+func TestLossOfAnAgentIsDecided(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		up    ident.UpstreamID
+		alone bool
+	}{
+		{"another upstream", "other", true},
+		{"the same upstream", "0000000000000001", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newVMs(t, 1)
+			b.submit(1, 1, 1, time.Second, 10*time.Second)
+			b.table.Unlinked(b.now, 1)
+			b.pass(timing.SettleAfter() + 40*time.Millisecond)
+			b.table.Linked(b.now, 2, "0000000000000001", "z")
+			b.table.Upstream(b.now, 2, fleet.Upstream{ID: c.up, Service: "publish", Total: job.Resources{CPU: 2000}})
+			b.room(2, fleet.Ready, 2000, 0)
+			qt.Assert(t, b.orders, qt.HasLen, 2)
+			qt.Assert(t, b.orders[1].Tasks[0].Alone > 0, qt.Equals, c.alone)
+		})
+	}
+}
