schedule: VMs that are suspended while their clocks stand, and rooms that shrink

Seen: schedule: a task of a kept job starts though the end of a run that went well was noted. Cause: processes count time by a clock that stands while their VM is suspended. One that wakes takes what it was told before for fresh, and leases for alive that have ended. Other worlds are what they were (TestTracedSchedules, TestSchedulesRepeat).

--- /dev/null
+++ b/internal/core/boottime/boottime_test.go
@@ -0,0 +1,34 @@
+package boottime
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestSuspension: what passes while the VM is suspended, and time.Now doesn't count, is counted.
+func TestSuspension(t *testing.T) {
+	elapsed := time.Hour
+	c := newClock(func() time.Duration { return elapsed })
+	before := c.now()
+	qt.Assert(t, time.Since(before).Abs() < time.Second, qt.IsTrue)
+	elapsed += 5 * time.Second
+	qt.Assert(t, c.now().Sub(before), qt.Equals, 5*time.Second)
+}
+
+// TestNow: the process's clock goes on as time.Now does while nothing is suspended, and has no monotonic reading, which differences
+// would go by.
+func TestNow(t *testing.T) {
+	before, real := Now(), time.Now()
+	time.Sleep(20 * time.Millisecond)
+	qt.Assert(t, Since(before) >= 20*time.Millisecond, qt.IsTrue)
+	qt.Assert(t, (Since(before)-time.Since(real)).Abs() < 10*time.Millisecond, qt.IsTrue)
+	qt.Assert(t, before, qt.Equals, before.Round(0))
+}
+
+func BenchmarkNow(b *testing.B) {
+	for b.Loop() {
+		Now()
+	}
+}
--- a/internal/proof/schedule/callers_test.go
+++ b/internal/proof/schedule/callers_test.go
@@ -129,7 +129,7 @@
 						e.book.Abandon(s.id, caller)
 						return
 					}
-					e.table.Abandon(w.Now(), s.id, caller)
+					e.table.Abandon(e.now(), s.id, caller)
 				})
 			})
 		}
@@ -175,20 +175,19 @@
 
 // take is the arrival of a request at its entry.
 func (e *entryProc) take(s *submission, a *attempt, c dispatch.CallerID) {
-	w := e.w
 	if a.answered && !e.clientCut {
 		// The entry sees that the connection is closed before it handles the request.
 		return
 	}
 	e.waiting[c] = func(answer dispatch.Answer) { s.answer(e, a, answer) }
 	if s.kept {
-		e.book.Submit(w.Now(), dispatch.Request{
-			Job: s.id, Spec: s.spec, Route: publish, Caller: c, Deadline: w.Now().Add(s.patience),
+		e.book.Submit(e.now(), dispatch.Request{
+			Job: s.id, Spec: s.spec, Route: publish, Caller: c, Deadline: e.now().Add(s.patience),
 		})
 		return
 	}
-	e.table.Submit(w.Now(), dispatch.Request{
-		Job: s.id, Spec: s.spec, Route: publish, Caller: c, Deadline: w.Now().Add(s.patience),
+	e.table.Submit(e.now(), dispatch.Request{
+		Job: s.id, Spec: s.spec, Route: publish, Caller: c, Deadline: e.now().Add(s.patience),
 	})
 }
 
--- a/internal/proof/schedule/cordons_test.go
+++ b/internal/proof/schedule/cordons_test.go
@@ -170,7 +170,7 @@
 			e.tellCordons(side)
 		}
 	}
-	e.table.SetCordoned(e.w.Now(), e.cordons.Zones())
+	e.table.SetCordoned(e.now(), e.cordons.Zones())
 }
 
 // tellCordons tells an agent what the entry knows.
--- a/internal/proof/schedule/crashes_test.go
+++ b/internal/proof/schedule/crashes_test.go
@@ -149,7 +149,7 @@
 
 // disturb notes that an agent's VM is disturbed for a while.
 func (a *agentProc) disturb(d time.Duration) {
-	if until := a.w.Now().Add(d + contact); until.After(a.disturbed) {
+	if until := a.now().Add(d + contact); until.After(a.disturbed) {
 		a.disturbed = until
 	}
 }
@@ -251,7 +251,7 @@
 func (a *agentProc) tellCrashes(from *entryProc, all []fleet.Crash, refuted []fleet.Refutation) {
 	var news []fleet.Crash
 	for _, c := range all {
-		if a.crashes.Add(a.w.Now(), c) {
+		if a.crashes.Add(a.now(), c) {
 			news = append(news, c)
 		}
 	}
@@ -284,8 +284,8 @@
 			lives = append(lives, l)
 		}
 	}
-	e.table.Refuted(e.w.Now(), refuted)
-	news := known.Spread(e.table.Crashed(e.w.Now(), all))
+	e.table.Refuted(e.now(), refuted)
+	news := known.Spread(e.table.Crashed(e.now(), all))
 	for _, a := range e.w.agents {
 		if side := e.links[&a.proc]; side != nil && a != from && len(news)+len(lives) > 0 {
 			side.send(func() { a.tellCrashes(e, news, lives) })
@@ -295,7 +295,7 @@
 
 // greetCrashes tells an entry that has linked what the agent knows of crashes.
 func (a *agentProc) greetCrashes(side *linkSide) {
-	if all := a.crashes.All(a.w.Now()); len(all) > 0 {
+	if all := a.crashes.All(a.now()); len(all) > 0 {
 		for _, e := range a.w.entries {
 			if side.other.owner == &e.proc {
 				side.send(func() { e.adoptCrashes(a, all, nil) })
@@ -306,7 +306,7 @@
 
 // greetCrashes tells an agent that has linked what the entry knows of repeated crashes.
 func (e *entryProc) greetCrashes(side *linkSide) {
-	if known := e.table.Crashes().Repeated(e.w.Now()); len(known) > 0 {
+	if known := e.table.Crashes().Repeated(e.now()); len(known) > 0 {
 		for _, a := range e.w.agents {
 			if side.other.owner == &a.proc {
 				side.send(func() { a.tellCrashes(e, known, nil) })
--- a/internal/proof/schedule/kept_test.go
+++ b/internal/proof/schedule/kept_test.go
@@ -93,7 +93,7 @@
 	caller := dispatch.CallerID(uint64(s.id)<<8 | 0xff)
 	e.do(func() {
 		e.waiting[caller] = func(a dispatch.Answer) { s.cancelled(a.State) }
-		if e.book.Cancel(w.Now(), s.id, caller) {
+		if e.book.Cancel(e.now(), s.id, caller) {
 			return
 		}
 		delete(e.waiting, caller)
--- a/internal/proof/schedule/process_test.go
+++ b/internal/proof/schedule/process_test.go
@@ -24,8 +24,13 @@
 	// tickNow lets time pass for the state machine.
 	tickNow func()
 	links   map[*proc]*linkSide
+	// asleep is for how long the VM was suspended during this life of the process, as far as its clock has not counted that.
+	asleep time.Duration
 }
 
+// now is the process's clock.
+func (p *proc) now() time.Time { return p.w.Now().Add(-p.asleep) }
+
 // do handles an event now, or once the process wakes.
 func (p *proc) do(f func()) {
 	switch {
@@ -50,8 +55,8 @@
 }
 
 func (p *proc) catchUp() {
-	if p.w.Now().Sub(p.tickAt) > timing.Silence/2 {
-		p.tickAt = p.w.Now()
+	if p.now().Sub(p.tickAt) > timing.Silence/2 {
+		p.tickAt = p.now()
 		p.tickNow()
 	}
 }
@@ -62,17 +67,23 @@
 		return
 	}
 	if !p.frozen {
-		p.tickAt = p.w.Now()
+		p.tickAt = p.now()
 		p.tickNow()
 	}
 	p.w.After(tick, func() { p.ticking(inc) })
 }
 
-func (p *proc) freeze(d time.Duration) {
+func (p *proc) freeze(d time.Duration) { p.pause(d, "stands still", 0) }
+
+// suspend lets the VM be suspended: the process stands still, and so does its clock.
+func (p *proc) suspend(d time.Duration) { p.pause(d, "is suspended", d) }
+
+// pause lets the process stand still for a while, of which its clock does not count a part.
+func (p *proc) pause(d time.Duration, how string, uncounted time.Duration) {
 	if !p.alive || p.frozen {
 		return
 	}
-	p.w.note("%s stands still for %v", p.name, d)
+	p.w.note("%s %s for %v", p.name, how, d)
 	p.frozen = true
 	inc := p.inc
 	p.w.After(d, func() {
@@ -81,6 +92,7 @@
 		}
 		p.w.note("%s wakes", p.name)
 		p.frozen = false
+		p.asleep += uncounted
 		held := p.held
 		p.held = nil
 		for _, f := range held {
@@ -134,6 +146,7 @@
 
 func (w *world) startEntry(e *entryProc) {
 	e.inc, e.alive, e.frozen, e.held = ident.Incarnation(w.rng.Uint64()), true, false, nil
+	e.asleep = 0
 	e.links = make(map[*proc]*linkSide)
 	e.waiting, e.storeSilent = make(map[dispatch.CallerID]func(dispatch.Answer)), time.Time{}
 	o := dispatch.Options{Timing: timing, Zone: "z", MaxQueue: 100, MaxTasks: 100, Without: w.without}
@@ -141,7 +154,7 @@
 	e.book = book.New(book.Options{
 		Node: e.name, Incarnation: e.inc, Layout: layout, Lease: keptLease, Renew: keptRenew, Keep: time.Hour,
 		Settle: timing.SettleAfter(), Without: w.without, MaxRow: 1 << 16, Count: func(string) {}, Log: w.logOf(e.name),
-	}, storeIO{e, e.inc}, e.table, entryIO{e}, entryIO{e}, w.Now())
+	}, storeIO{e, e.inc}, e.table, entryIO{e}, entryIO{e}, e.now())
 	e.table.SetKeeper(e.book)
 	e.cordons = cordon.NewSet(w.without)
 	w.operators.read(&e.proc, func() bool { return e.storeCut }, e.adoptCordons)
@@ -150,20 +163,20 @@
 }
 
 func (e *entryProc) passTime() {
-	e.book.Tick(e.w.Now())
-	e.table.Tick(e.w.Now())
+	e.book.Tick(e.now())
+	e.table.Tick(e.now())
 	for _, a := range e.w.agents {
 		s := e.links[&a.proc]
 		if s == nil {
 			continue
 		}
-		if e.w.Now().Sub(s.heard) > timing.Silence {
+		if e.now().Sub(s.heard) > timing.Silence {
 			s.open = false
 			delete(e.links, &a.proc)
 			e.unlinked(s.other.inc)
 			continue
 		}
-		if e.w.Now().Sub(s.ping) >= timing.KeepAlive {
+		if e.now().Sub(s.ping) >= timing.KeepAlive {
 			e.sendPing(s, a)
 		}
 	}
@@ -171,20 +184,21 @@
 
 // unlinked handles the end of a link.
 func (e *entryProc) unlinked(agent ident.Incarnation) {
-	e.table.Unlinked(e.w.Now(), agent)
-	e.book.AgentLost(e.w.Now(), agent)
+	e.table.Unlinked(e.now(), agent)
+	e.book.AgentLost(e.now(), agent)
 }
 
 func (e *entryProc) sendPing(s *linkSide, a *agentProc) {
-	s.ping = e.w.Now()
+	s.ping = e.now()
 	echo, pace, inc := s.clock, e.table.Pace(), e.inc
-	s.send(func() { a.keeper.Ping(e.w.Now(), inc, echo, pace); a.flush() })
+	s.send(func() { a.keeper.Ping(e.now(), inc, echo, pace); a.flush() })
 }
 
 func (w *world) startAgent(a *agentProc) {
 	a.inc, a.alive, a.frozen, a.held = ident.Incarnation(w.rng.Uint64()), true, false, nil
+	a.asleep = 0
 	a.links = make(map[*proc]*linkSide)
-	a.keeper = upstream.New(timing, w.without, w.Now(), agentIO{a, a.inc}, agentIO{a, a.inc}, agentNotes{a})
+	a.keeper = upstream.New(timing, w.without, a.now(), agentIO{a, a.inc}, agentIO{a, a.inc}, agentNotes{a})
 	a.crashes = crash.New(w.without)
 	a.cordons, a.cordonedAt, a.begunAt = cordon.NewSet(w.without), time.Time{}, w.Now()
 	if w.odds.cordons {
@@ -193,27 +207,27 @@
 	w.operators.read(&a.proc, func() bool { return false }, a.adoptCordons)
 	a.tickNow = a.passTime
 	a.ticking(a.inc)
-	if u := a.remembered; u != nil && w.odds.restarts {
+	if u := a.remembered; u != nil && (w.odds.restarts || w.odds.recalls) {
 		inc := a.inc
-		w.After(w.between(5*time.Millisecond, 200*time.Millisecond), func() { a.doIn(inc, func() { a.keeper.Recall(w.Now(), *u); a.flush() }) })
+		w.After(w.between(5*time.Millisecond, 200*time.Millisecond), func() { a.doIn(inc, func() { a.keeper.Recall(a.now(), *u); a.flush() }) })
 	}
 }
 
 func (a *agentProc) flush() {
-	a.keeper.Flush(a.w.Now())
+	a.keeper.Flush(a.now())
 	if u, known := a.keeper.Known(); known {
 		a.remembered = &u
 	}
 }
 
 func (a *agentProc) passTime() {
-	a.keeper.Tick(a.w.Now())
+	a.keeper.Tick(a.now())
 	for _, e := range a.w.entries {
 		s := a.links[&e.proc]
-		if s != nil && a.w.Now().Sub(s.heard) > timing.Silence {
+		if s != nil && a.now().Sub(s.heard) > timing.Silence {
 			s.open = false
 			delete(a.links, &e.proc)
-			a.keeper.Unlinked(a.w.Now(), s.other.inc, "silent")
+			a.keeper.Unlinked(a.now(), s.other.inc, "silent")
 		}
 	}
 	a.flush()
--- a/internal/proof/schedule/schedule_test.go
+++ b/internal/proof/schedule/schedule_test.go
@@ -57,6 +57,7 @@
 		w.restarts()
 		w.operators.act()
 		w.crashes.act()
+		w.hard.act()
 	})
 	if faults > 0 {
 		w.removeSome(s)
--- a/internal/proof/schedule/store_test.go
+++ b/internal/proof/schedule/store_test.go
@@ -82,7 +82,7 @@
 				case ok && !refused:
 					x.e.storeSilent = time.Time{}
 				case x.e.storeSilent.IsZero():
-					x.e.storeSilent = w.Now()
+					x.e.storeSilent = x.e.now()
 				}
 				then(ok, refused)
 			})
@@ -110,7 +110,7 @@
 
 // Away tells whether the store has not answered for a while.
 func (x storeIO) Away() bool {
-	return !x.e.storeSilent.IsZero() && x.e.w.Now().Sub(x.e.storeSilent) > time.Second
+	return !x.e.storeSilent.IsZero() && x.e.now().Sub(x.e.storeSilent) > time.Second
 }
 
 // Write carries out a write, again and again until it is certain what came of it.
@@ -130,13 +130,13 @@
 		doubt = doubt || !answered
 		switch {
 		case answered && !refused && done:
-			x.e.book.Written(w.Now(), ledger.Result{ID: op.ID, Outcome: ledger.Done, Version: version})
+			x.e.book.Written(x.e.now(), ledger.Result{ID: op.ID, Outcome: ledger.Done, Version: version})
 		case answered && !refused:
 			x.look(op)
-		case !doubt && (op.Once || !op.Until.IsZero() && w.Now().After(op.Until)):
-			x.e.book.Written(w.Now(), ledger.Result{ID: op.ID, Outcome: ledger.Refused})
+		case !doubt && (op.Once || !op.Until.IsZero() && x.e.now().After(op.Until)):
+			x.e.book.Written(x.e.now(), ledger.Result{ID: op.ID, Outcome: ledger.Refused})
 		case op.Once:
-			x.e.book.Written(w.Now(), ledger.Result{ID: op.ID, Outcome: ledger.Doubtful})
+			x.e.book.Written(x.e.now(), ledger.Result{ID: op.ID, Outcome: ledger.Doubtful})
 		default:
 			w.After(storeRetry, func() { x.e.doIn(x.inc, func() { x.try(op, doubt) }) })
 		}
@@ -157,7 +157,7 @@
 			w.After(storeRetry, func() { x.e.doIn(x.inc, func() { x.look(op) }) })
 			return
 		}
-		x.e.book.Written(w.Now(), ledger.Result{ID: op.ID, Outcome: ledger.Conflict, Found: found})
+		x.e.book.Written(x.e.now(), ledger.Result{ID: op.ID, Outcome: ledger.Conflict, Found: found})
 	})
 }
 
@@ -165,10 +165,10 @@
 
 // ReadLeases reads all leases.
 func (x storeIO) ReadLeases() {
-	w, sent := x.e.w, x.e.w.Now()
+	w, sent := x.e.w, x.e.now()
 	var page rows.Page
 	x.call(func() { page = w.store.list(record.Leases) }, func(answered, refused bool) {
-		x.e.book.LeasesRead(w.Now(), sent, page, unless(answered && !refused))
+		x.e.book.LeasesRead(x.e.now(), sent, page, unless(answered && !refused))
 	})
 }
 
@@ -186,11 +186,11 @@
 	var open, leases rows.Page
 	x.call(func() { open = w.store.list(record.OpenRows("").Table) }, func(answered, refused bool) {
 		if !answered || refused {
-			x.e.book.Scanned(w.Now(), nil, leases, errAway)
+			x.e.book.Scanned(x.e.now(), nil, leases, errAway)
 			return
 		}
 		x.call(func() { leases = w.store.list(record.Leases) }, func(answered, refused bool) {
-			x.e.book.Scanned(w.Now(), open.Rows, leases, unless(answered && !refused))
+			x.e.book.Scanned(x.e.now(), open.Rows, leases, unless(answered && !refused))
 		})
 	})
 }
@@ -204,7 +204,7 @@
 		for _, id := range ids {
 			found = append(found, w.store.Rows[layout.JobKey(id)])
 		}
-	}, func(answered, refused bool) { x.e.book.Fetched(w.Now(), ids, found, unless(answered && !refused)) })
+	}, func(answered, refused bool) { x.e.book.Fetched(x.e.now(), ids, found, unless(answered && !refused)) })
 }
 
 // Look reads the rows of an open and of an ended job.
@@ -224,7 +224,7 @@
 	for _, e := range w.entries {
 		inc := e.inc
 		w.After(w.between(time.Millisecond, 50*time.Millisecond), func() {
-			e.doIn(inc, func() { e.book.CancelledElsewhere(w.Now(), []job.ID{id}) })
+			e.doIn(inc, func() { e.book.CancelledElsewhere(e.now(), []job.ID{id}) })
 		})
 	}
 }
--- a/internal/proof/schedule/upstream_test.go
+++ b/internal/proof/schedule/upstream_test.go
@@ -70,11 +70,17 @@
 	slow float64
 	// fails and hangs are how often runs do so.
 	fails, hangs float64
+	// room is what the upstream says it has, rooms what it has had and until when.
+	room  job.Resources
+	rooms []formerRoom
 	// cut: nothing gets through to it or from it, while it runs on.
 	cut bool
 }
 
 func (u *simUpstream) begin() {
+	if u.room == (job.Resources{}) {
+		u.room = capacity
+	}
 	u.life++
 	u.up, u.born, u.rate = true, u.w.Now(), 1/(1+0.02*u.w.rng.Float64())
 	u.id = ident.UpstreamID(fmt.Sprintf("%s-%d", u.name, u.life))
@@ -93,20 +99,23 @@
 	return u.skew + call.Clock(float64(u.w.Now().Sub(u.born))*u.rate)
 }
 
+// beatEvery is the pause between two heartbeats.
+const beatEvery = 500 * time.Millisecond
+
 // beat sends heartbeats for one life.
 func (u *simUpstream) beat(life int) {
 	if u.life != life || !u.up {
 		return
 	}
 	u.sendBeat()
-	u.w.After(500*time.Millisecond, func() { u.beat(life) })
+	u.w.After(beatEvery, func() { u.beat(life) })
 }
 
 // sendBeat sends one heartbeat.
 func (u *simUpstream) sendBeat() {
 	u.beats++
 	b := lives.Beat{
-		Upstream: fleet.Upstream{ID: u.id, Service: service, Total: capacity}, Sequence: u.beats, Clock: u.clock(), Born: u.told, Draining: u.leaving,
+		Upstream: fleet.Upstream{ID: u.id, Service: service, Total: u.room}, Sequence: u.beats, Clock: u.clock(), Born: u.told, Draining: u.leaving,
 	}
 	life := u.life
 	arrive := func() {
@@ -240,7 +249,7 @@
 	for range u.runs {
 		used = used.Add(need)
 	}
-	if !used.Fits(capacity) {
+	if !used.Fits(u.allowed()) {
 		u.w.violate("%s is over its capacity by run %d of %v", u.id, run, task)
 	}
 	for _, other := range u.w.agents {
--- a/internal/proof/schedule/words_test.go
+++ b/internal/proof/schedule/words_test.go
@@ -28,14 +28,14 @@
 func (x entryIO) Order(agent ident.Incarnation, o fleet.Order) {
 	if s, a := x.linkTo(agent); s != nil {
 		inc := x.e.inc
-		s.send(func() { a.keeper.Order(a.w.Now(), inc, o); a.flush() })
+		s.send(func() { a.keeper.Order(a.now(), inc, o); a.flush() })
 	}
 }
 
 func (x entryIO) Stop(agent ident.Incarnation, r fleet.OrderedRun, why fleet.Reason) {
 	if s, a := x.linkTo(agent); s != nil {
 		inc := x.e.inc
-		s.send(func() { a.keeper.StopTask(a.w.Now(), inc, r, why); a.flush() })
+		s.send(func() { a.keeper.StopTask(a.now(), inc, r, why); a.flush() })
 	}
 }
 
@@ -66,7 +66,7 @@
 func (x entryIO) Ask(agent ident.Incarnation, number uint64, jobs []job.ID) {
 	if s, a := x.linkTo(agent); s != nil {
 		inc := x.e.inc
-		s.send(func() { a.keeper.Ask(a.w.Now(), inc, number, jobs); a.flush() })
+		s.send(func() { a.keeper.Ask(a.now(), inc, number, jobs); a.flush() })
 	}
 }
 
@@ -93,14 +93,14 @@
 func (x agentIO) Start(c call.Start) {
 	u := x.a.upstream
 	u.order(func() call.Answer { return u.start(c) }, func(a call.Answer, clock call.Clock) {
-		x.back(func() { x.a.keeper.StartDone(x.a.w.Now(), c, a, clock) })
+		x.back(func() { x.a.keeper.StartDone(x.a.now(), c, a, clock) })
 	})
 }
 
 func (x agentIO) Stop(c call.Stop) {
 	u := x.a.upstream
 	u.order(func() call.Answer { return u.stop(c) }, func(a call.Answer, clock call.Clock) {
-		x.back(func() { x.a.keeper.StopDone(x.a.w.Now(), c, a, clock) })
+		x.back(func() { x.a.keeper.StopDone(x.a.now(), c, a, clock) })
 	})
 }
 
@@ -110,7 +110,7 @@
 	reply := func(h call.Held) {
 		if !answered {
 			answered = true
-			x.back(func() { x.a.keeper.HoldDone(w.Now(), c, h) })
+			x.back(func() { x.a.keeper.HoldDone(x.a.now(), c, h) })
 		}
 	}
 	w.After(c.Wait+callTimeout, func() { reply(call.Held{Answer: call.Unanswered}) })
@@ -143,7 +143,7 @@
 }
 
 func (x agentIO) Upstream(to ident.Incarnation, u fleet.Upstream) {
-	x.tell(to, func(e *entryProc, _ *linkSide) { e.table.Upstream(e.w.Now(), x.inc, u) })
+	x.tell(to, func(e *entryProc, _ *linkSide) { e.table.Upstream(e.now(), x.inc, u) })
 }
 
 func (x agentIO) Room(to ident.Incarnation, r fleet.Room) {
@@ -153,20 +153,20 @@
 		if first {
 			e.sendPing(s, x.a)
 		}
-		e.table.Room(e.w.Now(), x.inc, r)
+		e.table.Room(e.now(), x.inc, r)
 	})
 }
 
 func (x agentIO) End(to ident.Incarnation, e fleet.End) {
 	x.tell(to, func(p *entryProc, _ *linkSide) {
-		if !p.table.Ended(p.w.Now(), x.inc, e) && e.Kept {
-			p.book.StrayEnd(p.w.Now(), x.inc, e)
+		if !p.table.Ended(p.now(), x.inc, e) && e.Kept {
+			p.book.StrayEnd(p.now(), x.inc, e)
 		}
 	})
 }
 
 func (x agentIO) Progress(to ident.Incarnation, runs []fleet.Progress) {
-	x.tell(to, func(e *entryProc, _ *linkSide) { e.table.Progress(e.w.Now(), x.inc, runs) })
+	x.tell(to, func(e *entryProc, _ *linkSide) { e.table.Progress(e.now(), x.inc, runs) })
 }
 
 func (x agentIO) Resumed(to ident.Incarnation, runs []fleet.OrderedRun) {
@@ -174,11 +174,11 @@
 }
 
 func (x agentIO) Asked(to ident.Incarnation, number uint64) {
-	x.tell(to, func(p *entryProc, _ *linkSide) { p.book.Asked(p.w.Now(), x.inc, number) })
+	x.tell(to, func(p *entryProc, _ *linkSide) { p.book.Asked(p.now(), x.inc, number) })
 }
 
 func (x agentIO) Settled(to ident.Incarnation) {
-	x.tell(to, func(e *entryProc, _ *linkSide) { e.table.Settled(e.w.Now(), x.inc) })
+	x.tell(to, func(e *entryProc, _ *linkSide) { e.table.Settled(e.now(), x.inc) })
 }
 
 func (x agentIO) Lost(l upstream.Loss) {
--- a/internal/proof/schedule/world_test.go
+++ b/internal/proof/schedule/world_test.go
@@ -46,6 +46,8 @@
 	operators *operators
 	// crashes lets tasks crash upstreams in worlds that have it.
 	crashes *crashes
+	// hard suspends VMs and lets rooms shrink in worlds that have it.
+	hard *hard
 	// broken is the first violation.
 	broken string
 	// log holds what happened, for a schedule that fails.
@@ -60,6 +62,9 @@
 	leaves, again float64
 	// slowLinks is how many faults more are slow links, moreJobs how many times as many jobs come.
 	slowLinks, moreJobs int
+	// suspends: VMs are suspended for seconds. shrinks: the rooms of upstreams shrink and grow again. recalls: agents that start know what
+	// their former lives have remembered of their upstreams.
+	suspends, shrinks, recalls bool
 	// moreAgents is how many more agents there are.
 	moreAgents int
 	// restarts: upstreams that start again have the id that they had, clocks begin at any reading, lives say when they began, and
@@ -81,6 +86,9 @@
 const cordonsFrom = 3_000_000_000
 
 func oddsOf(seed uint64) odds {
+	if seed >= hardFrom {
+		return odds{leaves: 0.05, again: 0.2, moreJobs: 1, moreAgents: 1, crashes: seed%2 == 0, suspends: true, shrinks: true, recalls: true}
+	}
 	if seed >= crashesFrom {
 		return odds{leaves: 0.05, again: 0.2, moreJobs: 1, crashes: true, moreAgents: 1}
 	}
@@ -104,6 +112,7 @@
 	w.store = newSimStore(w)
 	w.operators = newOperators(w)
 	w.crashes = newCrashes(w)
+	w.hard = newHard(w)
 	return w
 }
 
