boottime: what expires goes by a clock that counts the time for which the VM was suspended

Seen: tasks that had ended started again, at agents and entries whose VMs had been suspended (schedule). Cause: the steady clock stands still meanwhile. A process that woke took messages, leases and deadlines from before for fresh; the account of standstills, which refuses such things after a freeze, saw no gap. Class: a time-out on a clock that doesn't count all the time that passes for the others. Rule count_suspensions.

--- a/internal/agent/node/calls.go
+++ b/internal/agent/node/calls.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hillreel/internal/agent/call"
+	"hillreel/internal/core/boottime"
 )
 
 // Upstream makes calls to the upstream beside this agent. An error goes with an answer of Unanswered.
@@ -33,9 +34,9 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, limit)
 		defer cancel()
-		began := time.Now()
+		began := boottime.Now()
 		a, clock, err := do(ctx)
-		took := time.Since(began)
+		took := boottime.Since(began)
 		if err != nil {
 			c.log.WithFields(fields).WithFields(logrus.Fields{"limit_ms": limit.Milliseconds(), "error": err.Error()}).Info(what)
 		}
--- a/internal/agent/node/crashes.go
+++ b/internal/agent/node/crashes.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hillreel/internal/agent/upstream"
+	"hillreel/internal/core/boottime"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/link/codec"
@@ -14,7 +15,7 @@
 // Lost tells all entries of the tasks that the upstream was lost under.
 func (s *sender) Lost(l upstream.Loss) {
 	n := (*Node)(s)
-	now := time.Now()
+	now := boottime.Now()
 	var news []fleet.Crash
 	for _, c := range l.Crashes(ident.UpstreamName(n.set.Node.Name)) {
 		if n.crashes.Add(now, c) {
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -13,6 +13,7 @@
 	"hillreel/internal/agent/lives"
 	"hillreel/internal/agent/upstream"
 	"hillreel/internal/config/cordon"
+	"hillreel/internal/core/boottime"
 	"hillreel/internal/core/crash"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/loop"
@@ -73,8 +74,8 @@
 		crashes:  crash.New(nil),
 		patience: patience.New(patienceFactor, leastPatience, set.Agent.CallTimeout),
 	}
-	n.pulse.Tick(time.Now())
-	n.keeper = upstream.New(set.Links.Timing(), nil, time.Now(), (*caller)(n), (*sender)(n), newObserver(log))
+	n.pulse.Tick(boottime.Now())
+	n.keeper = upstream.New(set.Links.Timing(), nil, boottime.Now(), (*caller)(n), (*sender)(n), newObserver(log))
 	n.keeper.SetZone(upstream.ZoneUnknown)
 	return n
 }
@@ -101,7 +102,7 @@
 func (n *Node) Left(id ident.UpstreamID) { n.loop.Post(left{id}) }
 
 // Leave makes the agent take no more work.
-func (n *Node) Leave() { n.loop.Post(func() { n.keeper.Leave(); n.keeper.Flush(time.Now()) }) }
+func (n *Node) Leave() { n.loop.Post(func() { n.keeper.Leave(); n.keeper.Flush(boottime.Now()) }) }
 
 // Runs returns how many runs are, or may be, at the upstream.
 func (n *Node) Runs() (count int) {
@@ -178,8 +179,7 @@
 
 // handle handles one event on the control goroutine.
 func (n *Node) handle(e loop.Event) {
-	n.catchUp(time.Now())
-	now := time.Now()
+	now := n.catchUp()
 	switch e := e.(type) {
 	case lives.Beat:
 		n.keeper.Beat(now, e)
@@ -249,15 +249,18 @@
 
 // catchUp lets time pass before anything else when the process has stood still: an entry's runs, and orders that
 // came meanwhile, may have expired.
-func (n *Node) catchUp(now time.Time) {
-	if n.pulse.Missed(now) {
-		n.tick()
+func (n *Node) catchUp() time.Time {
+	now := boottime.Now()
+	if !n.pulse.Missed(now) {
+		return now
 	}
+	n.tick()
+	return boottime.Now()
 }
 
 // tick does what time alone brings about.
 func (n *Node) tick() {
-	now := time.Now()
+	now := boottime.Now()
 	n.pulse.Tick(now)
 	n.keeper.Tick(now)
 	for _, l := range n.links.DropSilent(now, n.pulse.Running, links.Limits{Quiet: n.set.Links.Quiet(), Silence: n.set.Links.Silence}) {
--- a/internal/core/rule/rule.go
+++ b/internal/core/rule/rule.go
@@ -18,6 +18,8 @@
 	EchoedClock Rule = "echoed_clock"
 	// FreshSession: an agent takes no order of an entry that it has not heard within the silence.
 	FreshSession Rule = "fresh_session"
+	// CountSuspensions: what expires goes by a clock that counts the time for which the VM was suspended.
+	CountSuspensions Rule = "count_suspensions"
 	// StopSilent: an agent stops the runs of an entry that is silent or whose session has ended.
 	StopSilent Rule = "stop_silent"
 	// FenceUnsure: a start without an answer is unknown until the upstream, under a higher token, has said.
@@ -60,7 +62,7 @@
 
 // All lists the rules.
 var All = []Rule{
-	SettleWait, StopsFirst, RunIDs, EchoedClock, FreshSession, StopSilent, FenceUnsure, SameTaskWaits, LapseBudget, LookFirst,
+	SettleWait, StopsFirst, RunIDs, EchoedClock, FreshSession, CountSuspensions, StopSilent, FenceUnsure, SameTaskWaits, LapseBudget, LookFirst,
 	ConfirmLife, LifeBorn, CordonGate, CordonKnown, CordonOrder, CountStopping, CrashAlone, CrashTold, CrashStored, WithholdEnds, AckAfterLapse, OwnerLease, AskFirst, StoreFirst,
 }
 
--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hillreel/api"
+	"hillreel/internal/core/boottime"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/verdict"
@@ -91,7 +92,7 @@
 
 // run reads a job, submits it and answers with its end or, if it is to be kept, with its acceptance.
 func (h *Handler) run(w http.ResponseWriter, r *http.Request, id job.ID) {
-	began := time.Now()
+	began := boottime.Now()
 	var body api.Job
 	if !h.readBody(w, r, &body) {
 		return
--- a/internal/entry/node/kept.go
+++ b/internal/entry/node/kept.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hillreel/internal/core/boottime"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/follow"
 	"hillreel/internal/core/ident"
@@ -57,7 +58,7 @@
 		Node: n.set.Node.Name, Incarnation: n.inc, Layout: layout, Lease: k.Lease, Renew: k.Renew, Keep: k.Keep,
 		MaxRow: int(k.MaxRow), Settle: n.set.Links.Timing().SettleAfter(), Log: n.log,
 		Count: func(event string) { counters.Add(event, 1) },
-	}, (*keptStore)(n), n.table, (*keptAgents)(n), (*answerer)(n), time.Now())
+	}, (*keptStore)(n), n.table, (*keptAgents)(n), (*answerer)(n), boottime.Now())
 }
 
 // CancelRows are the parts of the table of cancellations, which Cancelled takes changes of.
@@ -129,11 +130,11 @@
 
 // ReadLeases reads the leases.
 func (s *keptStore) ReadLeases() {
-	sent := time.Now()
+	sent := boottime.Now()
 	s.read("leases", func(ctx context.Context) (any, error) {
 		page, err := s.reader.Leases(ctx)
 		if err == nil {
-			s.ledger.ReadTook(time.Since(sent))
+			s.ledger.ReadTook(boottime.Since(sent))
 		}
 		return leasesRead{sent, page, err}, err
 	})
@@ -199,7 +200,7 @@
 		case <-time.After(sweepEvery):
 		}
 		active := false
-		n.loop.Call(func() { active = n.book.Active(time.Now()) })
+		n.loop.Call(func() { active = n.book.Active(boottime.Now()) })
 		if !active {
 			continue // nobody has kept jobs, and each look is a call that has a price
 		}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hillreel/internal/config/cordon"
+	"hillreel/internal/core/boottime"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/loop"
@@ -99,7 +100,7 @@
 		return errors.Wrap(err, "listen for links")
 	}
 	n.ln = ln
-	n.pulse.Tick(time.Now())
+	n.pulse.Tick(boottime.Now())
 	go n.loop.Run(n.set.Links.Tick, n.handle, n.tick)
 	go n.accept()
 	go n.sweep()
@@ -170,8 +171,7 @@
 
 // handle handles one event on the control goroutine.
 func (n *Node) handle(e loop.Event) {
-	n.catchUp(time.Now())
-	now := time.Now()
+	now := n.catchUp()
 	switch e := e.(type) {
 	case linkUp:
 		n.handleLinkUp(now, e.session)
@@ -197,15 +197,18 @@
 }
 
 // catchUp lets time pass before anything else when the process has stood still.
-func (n *Node) catchUp(now time.Time) {
-	if n.pulse.Missed(now) {
-		n.tick()
+func (n *Node) catchUp() time.Time {
+	now := boottime.Now()
+	if !n.pulse.Missed(now) {
+		return now
 	}
+	n.tick()
+	return boottime.Now()
 }
 
 // tick does what time alone brings about.
 func (n *Node) tick() {
-	now := time.Now()
+	now := boottime.Now()
 	n.pulse.Tick(now)
 	n.book.Tick(now)
 	n.table.Tick(now)
@@ -251,8 +254,7 @@
 // call runs f on the control goroutine and waits for it; once the node has stopped it does nothing.
 func (n *Node) call(f func(now time.Time)) {
 	n.loop.Call(func() {
-		n.catchUp(time.Now())
-		f(time.Now())
+		f(n.catchUp())
 	})
 }
 
--- a/internal/entry/node/state.go
+++ b/internal/entry/node/state.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"hillreel/internal/core/boottime"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/verdict"
 )
@@ -17,9 +18,9 @@
 func (n *Node) State(ctx context.Context, id job.ID) (verdict.State, error) {
 	ctx, done := n.question(ctx)
 	defer done()
-	until := time.Now().Add(stateWait)
+	until := boottime.Now().Add(stateWait)
 	if d, ok := ctx.Deadline(); ok {
-		until = earlier(until, time.Now().Add(time.Until(d)/2))
+		until = earlier(until, boottime.Now().Add(time.Until(d)/2))
 	}
 	var state verdict.State
 	known, watched := false, false
@@ -63,7 +64,7 @@
 	for {
 		state, err := n.reader.State(ctx, id)
 		open := state == verdict.Pending || state == verdict.Running
-		if err != nil || !open || time.Now().Add(stateRetry).After(until) {
+		if err != nil || !open || boottime.Now().Add(stateRetry).After(until) {
 			return state, err
 		}
 		select {
--- a/internal/kept/ledger/lane.go
+++ b/internal/kept/ledger/lane.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"hillreel/internal/core/boottime"
 	"hillreel/internal/core/rows"
 )
 
@@ -94,7 +95,7 @@
 	for _, a := range group {
 		t.If, t.Put, t.Remove = append(t.If, a.Txn.If...), append(t.Put, a.Txn.Put...), append(t.Remove, a.Txn.Remove...)
 	}
-	began, limit := time.Now(), n.ledger.limit()
+	began, limit := boottime.Now(), n.ledger.limit()
 	ctx, cancel := context.WithTimeout(n.ledger.ctx, limit)
 	defer cancel()
 	version, err := n.ledger.store.Commit(ctx, t)
@@ -120,7 +121,7 @@
 	for _, a := range group {
 		a.doubt = a.doubt || !refused
 		switch {
-		case !a.doubt && (a.Once || !a.Until.IsZero() && time.Now().After(a.Until)):
+		case !a.doubt && (a.Once || !a.Until.IsZero() && boottime.Now().After(a.Until)):
 			n.ledger.done(Result{ID: a.ID, Outcome: Refused})
 		case a.Once:
 			n.ledger.done(Result{ID: a.ID, Outcome: Doubtful})
@@ -150,7 +151,7 @@
 	n.ledger.mu.Lock()
 	var rest, over []*attempt
 	for _, a := range n.queue {
-		if !a.doubt && !a.Until.IsZero() && time.Now().After(a.Until) {
+		if !a.doubt && !a.Until.IsZero() && boottime.Now().After(a.Until) {
 			over = append(over, a)
 		} else {
 			rest = append(rest, a)
--- a/internal/kept/ledger/ledger.go
+++ b/internal/kept/ledger/ledger.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hillreel/internal/core/boottime"
 	"hillreel/internal/core/patience"
 	"hillreel/internal/core/rows"
 )
@@ -92,7 +93,7 @@
 func (l *Ledger) Away() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.silentSince.IsZero() && time.Since(l.silentSince) > awayAfter
+	return !l.silentSince.IsZero() && boottime.Since(l.silentSince) > awayAfter
 }
 
 // limit is how long the next answer is waited for.
@@ -114,11 +115,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if ok {
-		l.patience.Learn(time.Since(began))
+		l.patience.Learn(boottime.Since(began))
 		l.silentSince = time.Time{}
 		return
 	}
-	if time.Since(began) >= limit {
+	if boottime.Since(began) >= limit {
 		l.patience.Missed(limit)
 	}
 	if l.silentSince.IsZero() {
