--- a/internal/agent/node/life_test.go
+++ b/internal/agent/node/life_test.go
@@ -13,6 +13,7 @@
 	"hillreel/internal/agent/node"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
 	"hillreel/internal/core/logs"
 	"hillreel/internal/core/settings"
 	"hillreel/internal/link/session"
@@ -53,6 +54,8 @@
 type notebook struct {
 	mu   sync.Mutex
 	last ident.UpstreamLife
+	// total is the room that was remembered last.
+	total job.Resources
 }
 
 func (m *notebook) Recall(context.Context) (lives.Known, bool, error) {
@@ -62,10 +65,17 @@
 func (m *notebook) Remember(_ context.Context, u lives.Known) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.last = u.Life()
+	m.last, m.total = u.Life(), u.Total
 	return nil
 }
 
+// totalIs tells whether a room was remembered last.
+func (m *notebook) totalIs(r job.Resources) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.total == r
+}
+
 func (m *notebook) lastIs(id ident.UpstreamLife) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -89,3 +99,22 @@
 		}
 	}
 }
+
+// TestRoomIsRemembered: an agent that is started anew takes its upstream for what was remembered of it until a heartbeat comes. If that has
+// shrunk meanwhile and the former room is remembered still, the new agent starts runs beyond it.
+func TestRoomIsRemembered(t *testing.T) {
+	set, err := settings.Load("")
+	qt.Assert(t, err, qt.IsNil)
+	u, m := &oneLife{}, &notebook{}
+	n := node.New(set, u, m, session.TCP, logs.Discard())
+	qt.Assert(t, n.Start(context.Background()), qt.IsNil)
+	defer n.Stop()
+	u.begin(ident.UpstreamLife{ID: "u-1"})
+	for i, cpu := range []int64{16000, 4000, 0, 16000} {
+		total := job.Resources{CPU: cpu, Mem: 64}
+		n.Beat(lives.Beat{Upstream: fleet.Upstream{ID: "u-1", Service: "s", Total: total}, Sequence: uint64(i + 1), Clock: call.Clock(time.Minute)})
+		for until := time.Now().Add(5 * time.Second); !m.totalIs(total); time.Sleep(time.Millisecond) {
+			qt.Assert(t, time.Now().Before(until), qt.IsTrue, qt.Commentf("%v is not remembered", total))
+		}
+	}
+}
