agent: a room that has shrunk is remembered at once, and no late write brings the former one back

Seen by upstreams: a start beyond their room, after their agent had started anew (TestRoomIsRemembered). Cause: what an agent's next life recalls was written when the upstream's life began or left, not when its room changed; and writes had no condition, so that one without an answer could be carried out after a newer one. Entries hear of a room that has changed in size, by which they rate how full an upstream is.

--- a/internal/agent/memory/memory.go
+++ b/internal/agent/memory/memory.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 
 	"github.com/pkg/errors"
 
@@ -24,10 +25,15 @@
 	Commit(ctx context.Context, t rows.Txn) (rows.Version, error)
 }
 
-// Memory is one agent's row.
+// Memory is one agent's row. It is safe for use by several goroutines.
 type Memory struct {
 	rows Rows
 	key  rows.Key
+
+	mu sync.Mutex
+	// version is the row's, as far as it is known.
+	version rows.Version
+	known   bool
 }
 
 // value is that of a row.
@@ -44,11 +50,13 @@
 }
 
 // New returns the memory of the agent on a VM.
-func New(r Rows, vm string) *Memory { return &Memory{r, rows.Key{Table: table, Name: vm}} }
+func New(r Rows, vm string) *Memory { return &Memory{rows: r, key: rows.Key{Table: table, Name: vm}} }
 
 // Recall returns the upstream that was remembered last, and whether there is one.
 func (m *Memory) Recall(ctx context.Context) (lives.Known, bool, error) {
-	row, err := m.rows.Read(ctx, m.key)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	row, err := m.read(ctx)
 	if err != nil || row.Version == 0 {
 		return lives.Known{}, false, err
 	}
@@ -60,13 +68,30 @@
 	return lives.Known{Upstream: up, Born: v.Born, Draining: v.Draining}, true, nil
 }
 
-// Remember keeps an upstream. Only this agent writes its row, and any life of the upstream that is remembered by
-// mistake is refused by the upstream itself, so that no condition is needed.
+// read reads the row, and learns its version.
+func (m *Memory) read(ctx context.Context) (rows.Row, error) {
+	row, err := m.rows.Read(ctx, m.key)
+	m.version, m.known = row.Version, err == nil
+	return row, err
+}
+
+// Remember keeps an upstream. A write without an answer may be carried out seconds later; it must not bring back what a newer one has
+// replaced, such as a room that has shrunk since. So each write is done only while the row is as it was read or written last.
 func (m *Memory) Remember(ctx context.Context, u lives.Known) error {
 	raw, err := json.Marshal(value{u.ID, u.Born, u.Service, u.Labels, u.Total.CPU, u.Total.Mem, u.Total.GPU, u.Draining})
 	if err != nil {
 		return errors.Wrap(err, "memory: encode")
 	}
-	_, err = m.rows.Commit(ctx, rows.Txn{Put: []rows.Row{{Key: m.key, Value: raw}}})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.known {
+		if _, err := m.read(ctx); err != nil {
+			return errors.Wrap(err, "memory: read the row's version")
+		}
+	}
+	m.version, err = m.rows.Commit(ctx, rows.Txn{
+		If: []rows.Condition{{Key: m.key, Version: m.version}}, Put: []rows.Row{{Key: m.key, Value: raw}},
+	})
+	m.known = err == nil
 	return err
 }
--- /dev/null
+++ b/internal/agent/memory/memory_test.go
@@ -0,0 +1,78 @@
+package memory_test
+
+import (
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"hillreel/internal/agent/lives"
+	"hillreel/internal/agent/memory"
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/rows"
+	standin "hillreel/internal/standin/memory"
+)
+
+// store is a store some of whose writes get no answer and are carried out later.
+type store struct {
+	standin.Store
+	// loses: the next write gets no answer; held are those that wait to be carried out.
+	loses bool
+	held  []rows.Txn
+}
+
+var errNoAnswer = errors.New("no answer")
+
+func (s *store) Read(_ context.Context, k rows.Key) (rows.Row, error) { return s.Rows[k], nil }
+
+func (s *store) Commit(_ context.Context, t rows.Txn) (rows.Version, error) {
+	if s.loses {
+		s.loses = false
+		s.held = append(s.held, t)
+		return 0, errNoAnswer
+	}
+	if !s.Store.Commit(t) {
+		return 0, rows.ErrConflict
+	}
+	return s.Version, nil
+}
+
+func known(cpu int64) lives.Known {
+	return lives.Known{Upstream: fleet.Upstream{ID: "u-1", Service: "s", Total: job.Resources{CPU: cpu}}}
+}
+
+// TestLateWrite: a write that got no answer and is carried out after a newer one changes nothing.
+func TestLateWrite(t *testing.T) {
+	ctx := context.Background()
+	s := &store{Store: standin.New()}
+	m := memory.New(s, "vm")
+	qt.Assert(t, m.Remember(ctx, known(3)), qt.IsNil)
+	s.loses = true
+	qt.Assert(t, m.Remember(ctx, known(2)), qt.Equals, errNoAnswer)
+	qt.Assert(t, m.Remember(ctx, known(1)), qt.IsNil)
+	for _, late := range s.held {
+		qt.Assert(t, s.Store.Commit(late), qt.IsFalse)
+	}
+	u, found, err := memory.New(s, "vm").Recall(ctx)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, found, qt.IsTrue)
+	qt.Assert(t, u, qt.DeepEquals, known(1))
+}
+
+// TestWrittenMeanwhile: what another life of the agent has written late is replaced all the same.
+func TestWrittenMeanwhile(t *testing.T) {
+	ctx := context.Background()
+	s := &store{Store: standin.New()}
+	m, former := memory.New(s, "vm"), memory.New(s, "vm")
+	_, found, err := m.Recall(ctx)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, found, qt.IsFalse)
+	qt.Assert(t, former.Remember(ctx, known(3)), qt.IsNil)
+	qt.Assert(t, m.Remember(ctx, known(1)), qt.Equals, rows.ErrConflict)
+	qt.Assert(t, m.Remember(ctx, known(1)), qt.IsNil)
+	u, _, err := m.Recall(ctx)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, u, qt.DeepEquals, known(1))
+}
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -42,6 +42,8 @@
 	keeper *upstream.Keeper
 	// remembered is what was last given to the memory.
 	remembered noted
+	// toRemember is what waits to be written there, at most one.
+	toRemember chan lives.Known
 	patience   patience.Patience
 	links      *links.Set[none]
 	// dialled are the entries that are dialled or linked, by address; listed are the addresses that each source told last.
@@ -65,14 +67,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		set: set, log: log, dial: dial, upstream: u, memory: m, inc: ident.NewIncarnation(), loop: loop.New(), ctx: ctx, cancel: cancel,
-		links:    links.New[none]("entry", cordon.NewOpenPeer, log),
-		pulse:    links.Pulse{Limit: set.Links.Silence / 2, Pause: set.Links.Silence / 4, Log: log},
-		dialled:  make(map[string]*dialled),
-		listed:   make(map[source][]string),
-		config:   &wire.Config{},
-		cordons:  cordon.NewSet(nil),
-		crashes:  crash.New(nil),
-		patience: patience.New(patienceFactor, leastPatience, set.Agent.CallTimeout),
+		links:      links.New[none]("entry", cordon.NewOpenPeer, log),
+		pulse:      links.Pulse{Limit: set.Links.Silence / 2, Pause: set.Links.Silence / 4, Log: log},
+		dialled:    make(map[string]*dialled),
+		listed:     make(map[source][]string),
+		config:     &wire.Config{},
+		cordons:    cordon.NewSet(nil),
+		crashes:    crash.New(nil),
+		toRemember: make(chan lives.Known, 1),
+		patience:   patience.New(patienceFactor, leastPatience, set.Agent.CallTimeout),
 	}
 	n.pulse.Tick(boottime.Now())
 	n.keeper = upstream.New(set.Links.Timing(), nil, boottime.Now(), (*caller)(n), (*sender)(n), newObserver(log))
@@ -85,6 +88,7 @@
 	go n.loop.Run(n.set.Links.Tick, n.handle, n.tick)
 	n.SetSeeds(n.set.Node.Seeds)
 	go n.recall()
+	go n.keepRemembering()
 	return nil
 }
 
@@ -212,18 +216,19 @@
 	case entriesListed:
 		n.handleListed(e.by, e.links)
 	}
-	n.noteLife()
+	n.noteLife(now)
 	n.keeper.Flush(now)
 }
 
-// noteLife remembers a life of the upstream that was taken up, or that leaves, and chooses the entries that want its service.
-func (n *Node) noteLife() {
+// noteLife remembers a life of the upstream that was taken up, that leaves, or whose room has changed, and chooses the entries that want
+// its service.
+func (n *Node) noteLife(now time.Time) {
 	u, known := n.keeper.Known()
-	if !known || n.remembered == (noted{u.Life(), u.Draining}) {
+	if !known || !n.remembered.outdated(now, notedOf(now, &u)) {
 		return
 	}
 	began := n.remembered.life != u.Life()
-	n.remember(u)
+	n.remember(now, u)
 	if began {
 		n.chooseEntries()
 	}
--- a/internal/agent/upstream/bench_test.go
+++ b/internal/agent/upstream/bench_test.go
@@ -123,3 +123,12 @@
 	})
 	b.keeper.Flush(b.now)
 }
+
+// orderBeside orders a task of another job for an entry.
+func (b *bench) orderBeside(e ident.Incarnation, run job.Run) {
+	b.seq++
+	b.keeper.Order(b.now, e, fleet.Order{
+		Seq: b.seq, Job: jobID + 1, Each: job.Resources{CPU: 1000}, Estimate: time.Second, Tasks: []fleet.TaskRun{{Run: run}},
+	})
+	b.keeper.Flush(b.now)
+}
--- a/internal/agent/upstream/life.go
+++ b/internal/agent/upstream/life.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"slices"
 	"time"
 
 	"hillreel/internal/agent/call"
@@ -53,11 +54,14 @@
 	k.sequence, k.departed = b.Sequence, false
 	k.coldUntil = now.Add(b.Cold)
 	k.noteCold(now)
+	news := !k.described || k.up.Total != b.Total || !slices.Equal(k.up.Labels, b.Labels)
 	if !k.described {
 		k.described, k.up = true, b.Upstream
-		k.tellUpstream()
 	}
 	k.up.Labels, k.up.Total = b.Labels, b.Total
+	if news {
+		k.tellUpstream()
+	}
 	k.touchAll()
 }
 
