soak, standin: tasks that crash upstreams, and rooms that shrink, among real processes

The soak sends one such job in 80, resizes a room each 2 s, checks that what is called failed had a cause, and in one seed of five disturbs nothing else, so that agents are held to how often they start such a task.

--- a/internal/proof/soak/callers_test.go
+++ b/internal/proof/soak/callers_test.go
@@ -27,6 +27,8 @@
 	left    bool
 	// kept: the job is answered once it is stored, and must complete whatever happens then.
 	kept bool
+	// crash: its tasks crash upstreams.
+	crash bool
 }
 
 // callers sends jobs and keeps what came of them. Connections stay open until their entry is gone. A silent one is waited for as
@@ -45,14 +47,21 @@
 	return &callers{s: s, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16, DialContext: dialer.DialContext}}}
 }
 
+// crashOdds: one job in so many has a task that crashes the upstreams that start it.
+const crashOdds = 80
+
 // submit sends one job, and again to another entry while its answer is lost. patience is how long each answer is
 // waited for; leave is when the caller breaks off for good, zero is never.
 func (c *callers) submit(rng *rand.Rand, patience, leave time.Duration) {
-	j := &job{id: fmt.Sprintf("%016x", rng.Uint64()), tasks: 1 + rng.IntN(4), runMs: 20 + rng.IntN(300), left: leave > 0}
+	id := rng.Uint64()
+	j := &job{id: fmt.Sprintf("%016x", id), tasks: 1 + rng.IntN(4), runMs: 20 + rng.IntN(300), left: leave > 0}
 	if rng.IntN(5) == 0 {
 		j.runMs = 1000 + rng.IntN(1500)
 	}
 	j.kept = rng.IntN(4) == 0
+	if id%crashOdds == 0 {
+		j.crash, j.tasks = true, 1
+	}
 	first := rng.IntN(len(c.s.entries))
 	c.mu.Lock()
 	c.jobs = append(c.jobs, j)
@@ -80,7 +89,7 @@
 func (c *callers) send(j *job, e *process, limit, patience time.Duration) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	body := fmt.Sprintf(`{"spec":"{\"run_ms\":%d,\"cpu\":1000}","best_effort":%v,"phases":[{"count":%d,"cpu":1000,"mem_mb":1,"estimate_ms":%d}]}`, j.runMs, !j.kept, j.tasks, j.runMs)
+	body := fmt.Sprintf(`{"spec":"{\"run_ms\":%d,\"cpu\":1000,\"crash\":%v}","best_effort":%v,"phases":[{"count":%d,"cpu":1000,"mem_mb":1,"estimate_ms":%d}]}`, j.runMs, j.crash, !j.kept, j.tasks, j.runMs)
 	return c.call(ctx, http.MethodPost, e, j, body, patience)
 }
 
@@ -118,6 +127,8 @@
 			refused = refused && a == http.StatusServiceUnavailable
 		}
 		switch {
+		case strings.Contains(j.state, "failed") && !c.s.ledger.MayFail(j.id):
+			out = append(out, fmt.Sprintf("job %s is called failed, and nothing of it has failed or crashed upstreams often enough", j.id))
 		case strings.Contains(j.state, "completed") && done < j.tasks:
 			out = append(out, fmt.Sprintf("job %s is called complete with %d of %d tasks done", j.id, done, j.tasks))
 		case last == http.StatusServiceUnavailable && refused && begun > 0:
@@ -146,6 +157,9 @@
 			_, state = c.call(ctx, http.MethodGet, c.s.entries[i%len(c.s.entries)], j, "", 2*time.Second)
 			cancel()
 		}
+		if strings.Contains(state, "failed") && !c.s.ledger.MayFail(j.id) {
+			out = append(out, fmt.Sprintf("job %s is shown as failed, and nothing of it has failed or crashed upstreams often enough", j.id))
+		}
 		if _, done := c.s.ledger.Job(j.id); strings.Contains(state, "completed") && done < j.tasks {
 			out = append(out, fmt.Sprintf("job %s is shown as complete with %d of %d tasks done", j.id, done, j.tasks))
 		}
--- a/internal/proof/soak/set_test.go
+++ b/internal/proof/soak/set_test.go
@@ -161,7 +161,7 @@
 	p.calls = s.proxy(at(s.ip(6, i), portUpstream), at(ip, portUpstream))
 	p.beats = s.proxy(at(s.ip(7, i), portControl), at(ip, portControl))
 	p.upstream = standin.NewUpstream(standin.UpstreamOptions{
-		Name: upstreamName(i), Service: "publish", Agent: p.beats.address(), CPU: 4000, MemMB: 1000, Beat: 300 * time.Millisecond, Ledger: s.ledger,
+		Name: upstreamName(i), Service: "publish", Agent: p.beats.address(), CPU: upstreamCPU, MemMB: 1000, Beat: 300 * time.Millisecond, Ledger: s.ledger,
 	})
 	s.closers = append(s.closers, p.upstream.Close)
 	s.serve(s.listen(at(ip, portUpstream)), p.upstream.Handler())
@@ -176,6 +176,9 @@
 
 func zoneOf(i int) string { return fmt.Sprintf("zone-%d", 1+i%zones) }
 
+// upstreamCPU is an upstream's own room, in thousandths of a core.
+const upstreamCPU = 4000
+
 // upstreamName is the ledger's name of the upstream beside an agent.
 func upstreamName(i int) string { return fmt.Sprintf("u%d", i) }
 
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -72,6 +72,11 @@
 	silenceEvery = time.Second
 	// lifeEvery is the mean pause between two upstreams that start again under their ids.
 	lifeEvery = 700 * time.Millisecond
+	// roomEvery is the mean pause between two changes of an upstream's room.
+	roomEvery = 2 * time.Second
+	// undisturbed: in one seed of so many no process and no connection is disturbed, so that agents are held to how often they start a task
+	// that crashes upstreams.
+	undisturbed = 5
 )
 
 // soak runs one seed.
@@ -87,20 +92,22 @@
 		}
 	}
 	traffic, faults, silences := rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 4)), rand.New(rand.NewPCG(seed, 5))
+	rooms := rand.New(rand.NewPCG(seed, 8))
 	lives, operators := rand.New(rand.NewPCG(seed, 6)), rand.New(rand.NewPCG(seed, 7))
 	end := time.Now().Add(*soakFor)
 	nextFault, nextSilence, nextLife, nextCordon := time.Now(), time.Now().Add(silenceEvery), time.Now(), time.Now().Add(cordonEvery)
+	nextRoom, disturbs := time.Now(), seed%undisturbed != 0
 	var log []string
 	for time.Now().Before(end) {
-		if time.Now().After(nextFault) {
+		if disturbs && time.Now().After(nextFault) {
 			log = append(log, s.fault(faults))
 			nextFault = time.Now().Add(time.Duration(faults.Int64N(int64(800 * time.Millisecond))))
 		}
-		if time.Now().After(nextSilence) {
+		if disturbs && time.Now().After(nextSilence) {
 			log = append(log, s.silence(silences))
 			nextSilence = time.Now().Add(time.Duration(silences.Int64N(int64(2 * silenceEvery))))
 		}
-		if time.Now().After(nextLife) {
+		if disturbs && time.Now().After(nextLife) {
 			log = append(log, s.life(lives))
 			nextLife = time.Now().Add(time.Duration(lives.Int64N(int64(2 * lifeEvery))))
 		}
@@ -108,6 +115,10 @@
 			log = append(log, s.evacuate(operators))
 			nextCordon = time.Now().Add(time.Duration(operators.Int64N(int64(2 * cordonEvery))))
 		}
+		if time.Now().After(nextRoom) {
+			log = append(log, s.resize(rooms))
+			nextRoom = time.Now().Add(time.Duration(rooms.Int64N(int64(2 * roomEvery))))
+		}
 		leave := time.Duration(0)
 		if traffic.IntN(20) == 0 {
 			leave = time.Duration(10+traffic.IntN(300)) * time.Millisecond
@@ -128,6 +139,9 @@
 	}
 	problems = append(problems, s.checkEvacuated(left)...)
 	problems = append(problems, s.ledger.Broken()...)
+	if !disturbs {
+		problems = append(problems, s.ledger.Overdone()...)
+	}
 	t.Logf("seed %d: %v, faults: %s", seed, c.counts(), strings.Join(log, "; "))
 	if len(problems) > 0 {
 		s.keep(seed)
@@ -232,6 +246,15 @@
 	return fmt.Sprintf("a foreign heartbeat at %s", a.name)
 }
 
+// resize gives an upstream another room, and after a while its own again.
+func (s *set) resize(rng *rand.Rand) string {
+	a, cpu := s.agents[rng.IntN(len(s.agents))], int64(rng.IntN(4))*1000
+	span := time.Duration(300+rng.IntN(2500)) * time.Millisecond
+	a.upstream.Resize(cpu)
+	time.AfterFunc(span, func() { a.upstream.Resize(upstreamCPU) })
+	return fmt.Sprintf("the upstream of %s has room for %d tasks for %v", a.name, cpu/1000, span)
+}
+
 // fault lets one thing go wrong, and lets it end by itself.
 func (s *set) fault(rng *rand.Rand) string {
 	e, a := s.entries[rng.IntN(len(s.entries))], s.agents[rng.IntN(len(s.agents))]
