codec, record: tests of what is told and stored of crashes

Round trips of crashes, refutations and tasks that are alone; the largest job's progress with as many crashes as are kept fits into a row; crashes of a refuted loss are dropped. All pass on the code as it is.

--- a/internal/kept/record/record_test.go
+++ b/internal/kept/record/record_test.go
@@ -6,6 +6,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/rows"
 	"hillreel/internal/core/verdict"
@@ -18,6 +20,7 @@
 		Owner: "a-0", Generation: 2, Sequence: 9, Void: []record.TaskRun{{Step: 1, Index: 2, Run: 3}},
 		Ends:        record.Ends{{Step: 0, Index: 7, Run: 1}, {Step: 1, Index: 0, Run: 1025, Failed: true}},
 		Checkpoints: []record.Checkpoint{{Index: 4, Text: "saved"}},
+		Crashes:     []record.Crash{{Step: 1, Index: 2, VM: "vm", ID: "i-1", Born: 7, Loss: 8, AfterMs: 9, Alone: true}},
 	}
 	raw, err := record.Value(open)
 	qt.Assert(t, err, qt.IsNil)
@@ -39,6 +42,10 @@
 	var open record.Open
 	for i := range uint32(1500) {
 		open.Ends = append(open.Ends, record.End{Step: i % 30, Index: i, Run: 1025})
+		open.AddCrash(fleet.Crash{
+			Task: job.TaskID{Step: i % 30, Index: i}, VM: "a-vm-with-quite-a-long-name-of-50-bytes-in-zone-abc", Life: ident.UpstreamLife{ID: "i-0123456789", Born: 1 << 41},
+			Loss: 1 << 41, After: time.Hour, Alone: true,
+		})
 	}
 	raw, err := record.Value(open)
 	qt.Assert(t, err, qt.IsNil)
@@ -91,3 +98,22 @@
 		qt.Assert(t, test.row.Counted(0, test.index, test.run), qt.Equals, test.want)
 	}
 }
+
+// TestCrashes: crashes are read as they were added, those of a loss that was refuted are dropped, and there is a bound.
+func TestCrashes(t *testing.T) {
+	var open record.Open
+	lost := fleet.Crash{
+		Task: job.TaskID{Job: 7, Step: 1, Index: 2}, VM: "vm", Life: ident.UpstreamLife{ID: "i-1", Born: 5}, Loss: 9, After: 10 * time.Millisecond, Alone: true,
+	}
+	again := lost
+	again.Loss = 10
+	open.AddCrash(lost)
+	open.AddCrash(again)
+	qt.Assert(t, open.CrashesOf(7), qt.DeepEquals, []fleet.Crash{lost, again})
+	open.DropCrashes(fleet.Refutation{Life: lost.Life, UpTo: 9})
+	qt.Assert(t, open.CrashesOf(7), qt.DeepEquals, []fleet.Crash{again})
+	for range 100 {
+		open.AddCrash(lost)
+	}
+	qt.Assert(t, open.Crashes, qt.HasLen, 64)
+}
--- a/internal/link/codec/codec_test.go
+++ b/internal/link/codec/codec_test.go
@@ -19,7 +19,7 @@
 	for _, o := range []fleet.Order{
 		{},
 		{Seq: 7, Job: task.Job, Step: 1, Spec: "text", Each: job.Resources{CPU: 1600, Mem: 64, GPU: 1}, Estimate: 60 * time.Millisecond,
-			Tasks: []fleet.TaskRun{{Index: 3, Run: 2, Failures: 1, Checkpoint: "saved"}, {Index: 4, Run: 1}}},
+			Tasks: []fleet.TaskRun{{Index: 3, Run: 2, Failures: 1, Checkpoint: "saved"}, {Index: 4, Run: 1, Alone: 200 * time.Millisecond}}},
 	} {
 		got, err := codec.ReadOrder(codec.Order(o).GetStart())
 		qt.Assert(t, err, qt.IsNil)
@@ -52,6 +52,14 @@
 	for _, s := range []cordon.Snapshot{{}, {Source: cordon.Platform, Version: 78, Zones: []ident.Zone{"zone-1", "zone-3"}}} {
 		qt.Assert(t, codec.ReadCordons(codec.Cordons(s).GetCordons()), qt.DeepEquals, s)
 	}
+	life := ident.UpstreamLife{ID: "i-1", Born: 1234}
+	crashes := []fleet.Crash{
+		{Task: task, VM: "vm", Life: life, Loss: 99, After: 10 * time.Millisecond, Alone: true}, {Task: task, VM: "vm-2", Life: ident.UpstreamLife{ID: "i-2"}},
+	}
+	refuted := []fleet.Refutation{{Life: life, UpTo: 98}}
+	gotCrashes, gotRefuted := codec.ReadCrashes(codec.Crashes(crashes, refuted).GetCrashes())
+	qt.Assert(t, gotCrashes, qt.DeepEquals, crashes)
+	qt.Assert(t, gotRefuted, qt.DeepEquals, refuted)
 	echo, version, pace := codec.ReadPing(codec.Ping(1500*time.Microsecond, 12, 1.5).GetPing())
 	qt.Assert(t, pace, qt.Equals, 1.5)
 	qt.Assert(t, echo, qt.Equals, 1500*time.Microsecond)
