dispatch, links: a suspected task is a probe like any other; both nodes' catch-up stands once

Where no upstream is ready, and nothing else waits, a kept job whose task is suspected would have waited for ever: it was never offered to an upstream that takes a probe only (TestSuspectIsAProbe). The rule for all tasks covers it. links.Pulse.CatchUp takes the place of two copies.

--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -183,7 +183,7 @@
 
 // handle handles one event on the control goroutine.
 func (n *Node) handle(e loop.Event) {
-	now := n.catchUp()
+	now := n.pulse.CatchUp(n.tick)
 	switch e := e.(type) {
 	case lives.Beat:
 		n.keeper.Beat(now, e)
@@ -252,17 +252,6 @@
 	}
 }
 
-// catchUp lets time pass before anything else when the process has stood still: an entry's runs, and orders that
-// came meanwhile, may have expired.
-func (n *Node) catchUp() time.Time {
-	now := boottime.Now()
-	if !n.pulse.Missed(now) {
-		return now
-	}
-	n.tick()
-	return boottime.Now()
-}
-
 // tick does what time alone brings about.
 func (n *Node) tick() {
 	now := boottime.Now()
--- a/internal/entry/dispatch/crash.go
+++ b/internal/entry/dispatch/crash.go
@@ -120,7 +120,7 @@
 	var best *upstreamOf
 	var bestCost float64
 	for _, a := range among {
-		if !t.eligible(a, k, step) || a.Probing() || t.tooSlow(now, a, k) || elsewhere && t.crashes.Met(k.id, a.Name) {
+		if !t.eligible(a, k, step) || t.tooSlow(now, a, k) || elsewhere && t.crashes.Met(k.id, a.Name) {
 			continue
 		}
 		c := a.Cost(step, t.opts.Zone, t.pace, t.rng) + emptyCost*a.Used()
--- a/internal/entry/dispatch/crash_test.go
+++ b/internal/entry/dispatch/crash_test.go
@@ -136,3 +136,17 @@
 		})
 	}
 }
+
+// TestSuspectIsAProbe: where no upstream is ready, a suspected task is what finds out whether one is sound again.
+func TestSuspectIsAProbe(t *testing.T) {
+	b := newVMs(t, 2)
+	b.submit(1, 1, 1, time.Second, 10*time.Second)
+	b.room(1, fleet.Suspect, 2000, 0)
+	b.room(2, fleet.Suspect, 2000, 0)
+	b.lose(b.orders[0], time.Millisecond)
+	qt.Assert(t, b.orders, qt.HasLen, 1)
+	other := 3 - b.orders[0].agent
+	b.room(other, fleet.Probing, 2000, 0)
+	qt.Assert(t, b.orders, qt.HasLen, 2)
+	qt.Assert(t, b.orders[1].agent, qt.Equals, other)
+}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -171,7 +171,7 @@
 
 // handle handles one event on the control goroutine.
 func (n *Node) handle(e loop.Event) {
-	now := n.catchUp()
+	now := n.pulse.CatchUp(n.tick)
 	switch e := e.(type) {
 	case linkUp:
 		n.handleLinkUp(now, e.session)
@@ -196,16 +196,6 @@
 	}
 }
 
-// catchUp lets time pass before anything else when the process has stood still.
-func (n *Node) catchUp() time.Time {
-	now := boottime.Now()
-	if !n.pulse.Missed(now) {
-		return now
-	}
-	n.tick()
-	return boottime.Now()
-}
-
 // tick does what time alone brings about.
 func (n *Node) tick() {
 	now := boottime.Now()
@@ -254,7 +244,7 @@
 // call runs f on the control goroutine and waits for it; once the node has stopped it does nothing.
 func (n *Node) call(f func(now time.Time)) {
 	n.loop.Call(func() {
-		f(n.catchUp())
+		f(n.pulse.CatchUp(n.tick))
 	})
 }
 
--- a/internal/link/links/links.go
+++ b/internal/link/links/links.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hillreel/internal/config/cordon"
+	"hillreel/internal/core/boottime"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/link/session"
 	"hillreel/internal/link/wire"
@@ -183,3 +184,13 @@
 // Missed tells whether the process has stood still since the last tick. What has expired meanwhile must not be acted
 // on, so time must pass for its user, by a tick, before anything else.
 func (p *Pulse) Missed(now time.Time) bool { return now.Sub(p.last) > p.Limit }
+
+// CatchUp lets time pass by a tick if the process has stood still, and returns the time.
+func (p *Pulse) CatchUp(tick func()) time.Time {
+	now := boottime.Now()
+	if !p.Missed(now) {
+		return now
+	}
+	tick()
+	return boottime.Now()
+}
