upstream, crash: names that say what they hold

LostRun for a run that was at a lost upstream, aloneRun and aloneOrder for what an agent has of tasks that are alone, Crashes and LostOn of an account. No change of behaviour: the schedules give the same results.

--- a/internal/agent/node/observe.go
+++ b/internal/agent/node/observe.go
@@ -81,20 +81,20 @@
 	}).Info("order_refused")
 }
 
-// maxAboard bounds the runs that are named in one line, the youngest first.
-const maxAboard = 12
+// maxNamed bounds the runs that are named in one line, the youngest first.
+const maxNamed = 12
 
 // Lost logs the loss of an upstream and the youngest of the runs that were there, each with its age when the upstream last answered.
 func (o *observer) Lost(l upstream.Loss) {
 	o.counters.Add("upstreams_lost", 1)
-	aboard := slices.Clone(l.Aboard)
-	slices.SortStableFunc(aboard, func(a, b upstream.Aboard) int { return cmp.Compare(a.Age, b.Age) })
+	lost := slices.Clone(l.Runs)
+	slices.SortStableFunc(lost, func(a, b upstream.LostRun) int { return cmp.Compare(a.Age, b.Age) })
 	var youngest []string
-	for _, a := range aboard[:min(len(aboard), maxAboard)] {
+	for _, a := range lost[:min(len(lost), maxNamed)] {
 		youngest = append(youngest, fmt.Sprintf("%v/%d@%dms", a.Task, a.Run, a.Age.Milliseconds()))
 	}
 	o.log.WithFields(logrus.Fields{
-		"upstream": l.Life, "why": l.Why, "silent_ms": l.Silent.Milliseconds(), "runs": len(l.Aboard), "youngest": strings.Join(youngest, " "),
+		"upstream": l.Life, "why": l.Why, "silent_ms": l.Silent.Milliseconds(), "runs": len(l.Runs), "youngest": strings.Join(youngest, " "),
 	}).Warn("upstream_lost")
 }
 
--- a/internal/agent/upstream/alone.go
+++ b/internal/agent/upstream/alone.go
@@ -14,8 +14,8 @@
 // crash.Prompt; to wait for the end of long ones would cost more than they are worth.
 const aloneWait = 250 * time.Millisecond
 
-// alone is an order of a task that is to be started alone.
-type alone struct {
+// aloneOrder is an order of a task that is to be started alone.
+type aloneOrder struct {
 	waiting
 	since time.Time
 	// asked is when the upstream was asked last whether it lives, before the start; zero is not yet.
@@ -27,12 +27,12 @@
 
 // closed tells whether nothing may be started, because a task is alone, or is about to be.
 func (k *Keeper) closed(now time.Time) bool {
-	return k.next != nil || k.sole != nil && now.Sub(k.sole.begun) < k.sole.alone
+	return k.aloneOrder != nil || k.aloneRun != nil && now.Sub(k.aloneRun.begun) < k.aloneRun.alone
 }
 
 // awaitAlone lets an order wait until its task can be started alone.
 func (k *Keeper) awaitAlone(now time.Time, w waiting) {
-	k.next = &alone{waiting: w, since: now}
+	k.aloneOrder = &aloneOrder{waiting: w, since: now}
 	k.touchAll()
 }
 
@@ -40,18 +40,18 @@
 // answered a question that was put after that. Without the answer, a task that is ordered just after its upstream was lost
 // would count as one that was alone there.
 func (k *Keeper) startAlone(now time.Time) {
-	n := k.next
+	n := k.aloneOrder
 	if n == nil {
 		return
 	}
 	switch {
 	case !k.stateFor(now, n.owner).Accepts():
-		k.next = nil
+		k.aloneOrder = nil
 		k.refuse(n.waiting, fleet.NotAccepting)
 		k.touchAll()
 	case len(k.runs) > 0 && now.Sub(n.since) < aloneWait:
 	case !n.asked.IsZero() && k.heardAt.After(n.asked):
-		k.next = nil
+		k.aloneOrder = nil
 		n.ready = true
 		k.orderTask(now, n.waiting)
 		k.touchAll()
@@ -63,11 +63,11 @@
 
 // dropAlone forgets the order that waits to be started alone if it meets a condition, and tells its entry why unless that is empty.
 func (k *Keeper) dropAlone(why fleet.Reason, when func(w *waiting) bool) {
-	n := k.next
+	n := k.aloneOrder
 	if n == nil || !when(&n.waiting) {
 		return
 	}
-	k.next = nil
+	k.aloneOrder = nil
 	if why != "" {
 		k.refuse(n.waiting, why)
 	}
@@ -78,9 +78,9 @@
 // an upstream was lost, and lets others be started again once the task has been alone for long enough.
 func (k *Keeper) watchAlone(now time.Time) {
 	switch {
-	case k.sole == nil:
-	case now.Sub(k.sole.begun) >= k.sole.alone:
-		k.sole = nil
+	case k.aloneRun == nil:
+	case now.Sub(k.aloneRun.begun) >= k.aloneRun.alone:
+		k.aloneRun = nil
 		k.touchAll()
 	case !now.Before(k.lookAt):
 		k.look(now)
--- a/internal/agent/upstream/alone_test.go
+++ b/internal/agent/upstream/alone_test.go
@@ -126,9 +126,9 @@
 	qt.Assert(t, b.losses, qt.HasLen, 2) // by the observer and by the entries
 	l := b.losses[0]
 	qt.Assert(t, l.Planned, qt.IsFalse)
-	qt.Assert(t, l.Aboard, qt.HasLen, 1)
-	qt.Assert(t, l.Aboard[0].Alone, qt.IsTrue)
-	qt.Assert(t, l.Aboard[0].Age, qt.Equals, 20*time.Millisecond)
+	qt.Assert(t, l.Runs, qt.HasLen, 1)
+	qt.Assert(t, l.Runs[0].Alone, qt.IsTrue)
+	qt.Assert(t, l.Runs[0].Age, qt.Equals, 20*time.Millisecond)
 	qt.Assert(t, l.Crashes("vm"), qt.DeepEquals, []fleet.Crash{{
 		Task: listed.Task, VM: "vm", Life: ident.UpstreamLife{ID: "u-1"}, Loss: l.Number, After: 20 * time.Millisecond, Alone: true,
 	}})
--- a/internal/agent/upstream/loss.go
+++ b/internal/agent/upstream/loss.go
@@ -7,8 +7,8 @@
 	"hillreel/internal/core/ident"
 )
 
-// Aboard is a run that was at an upstream when it was lost.
-type Aboard struct {
+// LostRun is a run that was at an upstream when it was lost.
+type LostRun struct {
 	fleet.RunRef
 	// Age is how long the run had been there when the upstream last answered; zero if it has not answered since.
 	Age time.Duration
@@ -27,8 +27,8 @@
 	Planned bool
 	// Silent is for how long the upstream had given no answer.
 	Silent time.Duration
-	// Aboard lists the runs that were there, in the order of their tasks.
-	Aboard []Aboard
+	// Runs lists the runs that were there, in the order of their tasks.
+	Runs []LostRun
 }
 
 // Crashes lists what the loss of the upstream on a VM says of tasks; a planned one says nothing.
@@ -36,8 +36,8 @@
 	if l.Planned {
 		return nil
 	}
-	out := make([]fleet.Crash, 0, len(l.Aboard))
-	for _, a := range l.Aboard {
+	out := make([]fleet.Crash, 0, len(l.Runs))
+	for _, a := range l.Runs {
 		out = append(out, fleet.Crash{Task: a.Task, VM: vm, Life: l.Life, Loss: l.Number, After: a.Age, Alone: a.Alone})
 	}
 	return out
@@ -61,7 +61,7 @@
 	l := Loss{Life: life, Number: fleet.LossNumber(now.UnixMilli()), Why: why, Planned: k.draining || k.departed, Silent: now.Sub(k.heardAt)}
 	for _, r := range k.sorted() {
 		age := max(k.heardAt.Sub(r.begun), 0)
-		l.Aboard = append(l.Aboard, Aboard{r.ref(), age, r.wasAlone(age)})
+		l.Runs = append(l.Runs, LostRun{r.ref(), age, r.wasAlone(age)})
 	}
 	k.lost = fleet.Refutation{Life: life, UpTo: l.Number}
 	k.observer.Lost(l)
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -94,7 +94,7 @@
 	}
 	k.runs[r.task] = r
 	if r.alone > 0 {
-		k.sole = r
+		k.aloneRun = r
 	}
 	invariant.Check(job.Resources{}.Fits(k.free()), invariant.RoomKept, func() logrus.Fields {
 		return logrus.Fields{"upstream": k.life, "task": r.task, "free": k.free()}
@@ -245,8 +245,8 @@
 // finish takes a run out of the account, tells its entry, and lets the task's next run begin.
 func (k *Keeper) finish(now time.Time, r *run, o job.Outcome, why fleet.Reason, checkpoint string) {
 	delete(k.runs, r.task)
-	if k.sole == r {
-		k.sole = nil
+	if k.aloneRun == r {
+		k.aloneRun = nil
 	}
 	e := fleet.End{Task: r.task, Run: r.number, ID: r.id, Outcome: o, Took: now.Sub(r.begun), Checkpoint: checkpoint, Reason: why}
 	if o == job.NotStarted || o == job.Used {
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -121,9 +121,9 @@
 	strays map[fleet.RunRef]time.Time
 
 	runs map[job.TaskID]*run
-	// sole is the run that is alone, next the order that is to be; each nil if there is none.
-	sole *run
-	next *alone
+	// aloneRun is the run that is alone, aloneOrder the order that is to be; each nil if there is none.
+	aloneRun   *run
+	aloneOrder *aloneOrder
 	// lost refutes the loss that was told last, should its life answer.
 	lost fleet.Refutation
 
--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -189,8 +189,8 @@
 	return true
 }
 
-// Of returns the crashes under a task, from the first on.
-func (a *Account) Of(t job.TaskID) []fleet.Crash {
+// Crashes returns the crashes under a task, from the first on.
+func (a *Account) Crashes(t job.TaskID) []fleet.Crash {
 	if r := a.tasks[t]; r != nil {
 		return r.crashes
 	}
@@ -199,7 +199,7 @@
 
 // Finding returns what the crashes under a task say of it.
 func (a *Account) Finding(t job.TaskID) Finding {
-	all := a.Of(t)
+	all := a.Crashes(t)
 	switch {
 	case a.proven(all):
 		return Proven
@@ -258,7 +258,7 @@
 // which upstreams were lost, and where these differ as long again.
 func (a *Account) Alone(t job.TaskID) time.Duration {
 	var latest time.Duration
-	for _, c := range a.Of(t) {
+	for _, c := range a.Crashes(t) {
 		latest = max(latest, c.After)
 	}
 	if latest <= Prompt {
@@ -267,14 +267,14 @@
 	return 2 * (latest + Prompt)
 }
 
-// Met tells whether a VM's upstream was lost under a task: another one proves more.
-func (a *Account) Met(t job.TaskID, vm ident.UpstreamName) bool {
-	return slices.ContainsFunc(a.Of(t), func(c fleet.Crash) bool { return c.VM == vm })
+// LostOn tells whether a VM's upstream was lost under a task: another one proves more.
+func (a *Account) LostOn(t job.TaskID, vm ident.UpstreamName) bool {
+	return slices.ContainsFunc(a.Crashes(t), func(c fleet.Crash) bool { return c.VM == vm })
 }
 
 // Spread picks from news what concerns tasks that more than one upstream was lost under: that is passed on to all.
 func (a *Account) Spread(news []fleet.Crash) []fleet.Crash {
-	return slices.DeleteFunc(slices.Clone(news), func(c fleet.Crash) bool { return len(a.Of(c.Task)) < 2 })
+	return slices.DeleteFunc(slices.Clone(news), func(c fleet.Crash) bool { return len(a.Crashes(c.Task)) < 2 })
 }
 
 // Repeats tells whether a life counts as lost under such a task, and has not been refuted.
--- a/internal/entry/dispatch/crash.go
+++ b/internal/entry/dispatch/crash.go
@@ -37,7 +37,7 @@
 func (t *Table) resumeCrashes(now time.Time, j *jobState, stored []fleet.Crash) {
 	for i := range j.steps {
 		for _, k := range j.steps[i].tasks {
-			for _, c := range t.crashes.Of(k.id) {
+			for _, c := range t.crashes.Crashes(k.id) {
 				same := func(s fleet.Crash) bool { return s.Task == c.Task && s.Life == c.Life }
 				if !slices.ContainsFunc(stored, same) {
 					t.keeper.Crashed(now, c)
@@ -116,11 +116,11 @@
 // lost under the task, if one is ready.
 func (t *Table) chooseAlone(now time.Time, k *task, among []*upstreamOf) *upstreamOf {
 	step := &k.job.spec.Steps[k.id.Step]
-	elsewhere := t.readyUnmet(k)
+	elsewhere := t.readyElsewhere(k)
 	var best *upstreamOf
 	var bestCost float64
 	for _, a := range among {
-		if !t.eligible(a, k, step) || t.tooSlow(now, a, k) || elsewhere && t.crashes.Met(k.id, a.Name) {
+		if !t.eligible(a, k, step) || t.tooSlow(now, a, k) || elsewhere && t.crashes.LostOn(k.id, a.Name) {
 			continue
 		}
 		c := a.Cost(step, t.opts.Zone, t.pace, t.rng) + emptyCost*a.Used()
@@ -131,10 +131,10 @@
 	return best
 }
 
-// readyUnmet tells whether an upstream is ready on a VM whose upstream was not lost under a task, and the task need not avoid it.
-func (t *Table) readyUnmet(k *task) bool {
+// readyElsewhere tells whether an upstream is ready on a VM whose upstream was not lost under a task, and the task need not avoid it.
+func (t *Table) readyElsewhere(k *task) bool {
 	service := k.job.route.Service
 	return slices.ContainsFunc(t.order, func(a *upstreamOf) bool {
-		return a.Serves(service, fleet.Ready) && t.open(a, service) && !t.crashes.Met(k.id, a.Name) && !slices.Contains(k.avoid, a.Up.ID)
+		return a.Serves(service, fleet.Ready) && t.open(a, service) && !t.crashes.LostOn(k.id, a.Name) && !slices.Contains(k.avoid, a.Up.ID)
 	})
 }
--- a/internal/entry/node/crashes.go
+++ b/internal/entry/node/crashes.go
@@ -52,7 +52,7 @@
 		}
 		n.log.WithFields(logrus.Fields{
 			"job": c.Task.Job, "task": c.Task, "upstream": c.Life, "vm": c.VM, "after_ms": c.After.Milliseconds(),
-			"crashes": len(n.table.Crashes().Of(c.Task)),
+			"crashes": len(n.table.Crashes().Crashes(c.Task)),
 		}).Warn("task_crashes_upstreams")
 	}
 }
--- a/internal/proof/schedule/words_test.go
+++ b/internal/proof/schedule/words_test.go
@@ -233,7 +233,7 @@
 func (n agentNotes) Overtaken() {}
 
 func (n agentNotes) Lost(l upstream.Loss) {
-	n.a.w.note("%s: %v is lost (%s) with %v", n.a.name, l.Life, l.Why, l.Aboard)
+	n.a.w.note("%s: %v is lost (%s) with %v", n.a.name, l.Life, l.Why, l.Runs)
 }
 
 func (n agentNotes) Unsure(task job.TaskID, run job.Run) {
