--- a/internal/agent/lives/lives.go
+++ b/internal/agent/lives/lives.go
@@ -49,7 +49,9 @@
 func (k *Known) Life() ident.UpstreamLife { return ident.UpstreamLife{ID: k.ID, Born: k.Born} }
 
 // Beat is what is known, as if a heartbeat had told it before all others.
-func (k *Known) Beat() Beat { return Beat{Upstream: k.Upstream, Born: k.Born, Draining: k.Draining, Recalled: true} }
+func (k *Known) Beat() Beat {
+	return Beat{Upstream: k.Upstream, Born: k.Born, Draining: k.Draining, Recalled: true}
+}
 
 // Claim is the newest heartbeat of a life other than the present one.
 type Claim struct {
