--- a/internal/agent/memory/memory.go
+++ b/internal/agent/memory/memory.go
@@ -1,5 +1,5 @@
-// Package memory keeps, in the platform's store, which upstream stands beside an agent, so that the agent's next
-// life can take work without waiting for a heartbeat: its VM keeps nothing.
+// Package memory keeps, in the platform's store, which upstream stands beside an agent, so that the agent's next life knows it before its
+// first heartbeat: its VM keeps nothing. It learns at once what runs there, and that an upstream leaves which has said so before.
 package memory
 
 import (
