crash, links: what is news of crashes, what is remembered and how it is told stand once

The loop that adds crashes and keeps the news stood four times (agent twice, table, schedules), the loop that sends to all links but one three times, All and Repeated were copies but for a bound. AddAll, Broadcast and remembered serve them now. No behaviour is changed.

--- a/internal/agent/node/crashes.go
+++ b/internal/agent/node/crashes.go
@@ -15,14 +15,7 @@
 // Lost tells all entries of the tasks that the upstream was lost under.
 func (s *sender) Lost(l upstream.Loss) {
 	n := (*Node)(s)
-	now := boottime.Now()
-	var news []fleet.Crash
-	for _, c := range l.Crashes(ident.UpstreamName(n.set.Node.Name)) {
-		if n.crashes.Add(now, c) {
-			news = append(news, c)
-		}
-	}
-	n.tellCrashes(nil, news, nil)
+	n.tellCrashes(nil, n.crashes.AddAll(boottime.Now(), l.Crashes(ident.UpstreamName(n.set.Node.Name))), nil)
 }
 
 // Refuted tells all entries that a life has answered which was taken for lost.
@@ -36,12 +29,7 @@
 // adoptCrashes takes in what an entry has told of crashes, and passes on to the others what is news and concerns tasks that more than one
 // upstream was lost under.
 func (n *Node) adoptCrashes(now time.Time, from *link, crashes []fleet.Crash, refuted []fleet.Refutation) {
-	var news []fleet.Crash
-	for _, c := range crashes {
-		if n.crashes.Add(now, c) {
-			news = append(news, c)
-		}
-	}
+	news := n.crashes.AddAll(now, crashes)
 	var spread []fleet.Refutation
 	for _, r := range refuted {
 		repeats := n.crashes.Repeats(r.Life)
@@ -54,14 +42,8 @@
 
 // tellCrashes tells all entries but one of crashes.
 func (n *Node) tellCrashes(but *link, crashes []fleet.Crash, refuted []fleet.Refutation) {
-	if len(crashes)+len(refuted) == 0 {
-		return
-	}
-	m := codec.Crashes(crashes, refuted)
-	for l := range n.links.All() {
-		if l != but {
-			l.Session.Send(m)
-		}
+	if len(crashes)+len(refuted) > 0 {
+		n.links.Broadcast(codec.Crashes(crashes, refuted), but)
 	}
 }
 
--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -126,6 +126,17 @@
 	return true
 }
 
+// AddAll takes in crashes, and returns those that are news.
+func (a *Account) AddAll(now time.Time, all []fleet.Crash) []fleet.Crash {
+	var news []fleet.Crash
+	for _, c := range all {
+		if a.Add(now, c) {
+			news = append(news, c)
+		}
+	}
+	return news
+}
+
 // sameLife tells whether two lives are, or may be, the same: an entry knows the lives of upstreams by their ids alone.
 func sameLife(a, b ident.UpstreamLife) bool {
 	return a == b || a.ID == b.ID && (a.Born == 0 || b.Born == 0)
@@ -292,21 +303,16 @@
 // Repeated lists the crashes under tasks that more than one upstream was lost under, as far as they are remembered: single ones are
 // known to all that were linked with the agent, and in a region of thousands of VMs an outage brings too many of them to be told
 // to all others.
-func (a *Account) Repeated(now time.Time) []fleet.Crash {
-	var out []fleet.Crash
-	for _, t := range a.order {
-		if r := a.tasks[t]; len(r.crashes) > 1 && now.Sub(r.last) < keepFor {
-			out = append(out, r.crashes...)
-		}
-	}
-	return out
-}
+func (a *Account) Repeated(now time.Time) []fleet.Crash { return a.remembered(now, 2) }
 
 // All lists all crashes that are remembered.
-func (a *Account) All(now time.Time) []fleet.Crash {
+func (a *Account) All(now time.Time) []fleet.Crash { return a.remembered(now, 1) }
+
+// remembered lists the crashes under tasks that at least so many upstreams were lost under.
+func (a *Account) remembered(now time.Time, least int) []fleet.Crash {
 	var out []fleet.Crash
 	for _, t := range a.order {
-		if r := a.tasks[t]; now.Sub(r.last) < keepFor {
+		if r := a.tasks[t]; len(r.crashes) >= least && now.Sub(r.last) < keepFor {
 			out = append(out, r.crashes...)
 		}
 	}
--- a/internal/entry/dispatch/crash.go
+++ b/internal/entry/dispatch/crash.go
@@ -17,12 +17,8 @@
 // Crashed takes in that upstreams were lost under tasks, and returns what of it is news. It is called before the ends of their runs
 // are. A job with a task that crashes upstreams fails.
 func (t *Table) Crashed(now time.Time, all []fleet.Crash) []fleet.Crash {
-	var news []fleet.Crash
-	for _, c := range all {
-		if !t.crashes.Add(now, c) {
-			continue
-		}
-		news = append(news, c)
+	news := t.crashes.AddAll(now, all)
+	for _, c := range news {
 		if j := t.jobs[c.Task.Job]; j != nil && !j.ending && j.kept {
 			t.keeper.Crashed(now, c)
 		}
--- a/internal/entry/node/crashes.go
+++ b/internal/entry/node/crashes.go
@@ -24,24 +24,15 @@
 	news := n.table.Crashed(now, crashes)
 	n.logProven(news)
 	news = known.Spread(news)
-	if len(news)+len(spread) == 0 {
-		return
-	}
-	m := codec.Crashes(news, spread)
-	for l := range n.links.All() {
-		if l != from {
-			l.Session.Send(m)
-		}
+	if len(news)+len(spread) > 0 {
+		n.links.Broadcast(codec.Crashes(news, spread), from)
 	}
 }
 
 // Crashes tells all agents of tasks that upstreams were lost under.
 func (s *sender) Crashes(all []fleet.Crash) {
 	(*Node)(s).logProven(all)
-	m := codec.Crashes(all, nil)
-	for l := range s.links.All() {
-		l.Session.Send(m)
-	}
+	s.links.Broadcast(codec.Crashes(all, nil), nil)
 }
 
 // logProven logs the tasks that news prove to crash upstreams, with all the crashes that the proof rests on.
--- a/internal/link/links/links.go
+++ b/internal/link/links/links.go
@@ -150,6 +150,15 @@
 	}
 }
 
+// Broadcast sends a message to all processes but one; but may be nil.
+func (s *Set[T]) Broadcast(m *wire.Msg, but *Link[T]) {
+	for l := range s.All() {
+		if l != but {
+			l.Session.Send(m)
+		}
+	}
+}
+
 // Close closes all links.
 func (s *Set[T]) Close() {
 	for _, l := range s.by {
--- a/internal/proof/schedule/crashes_test.go
+++ b/internal/proof/schedule/crashes_test.go
@@ -269,12 +269,7 @@
 
 // tellCrashes is what the agent's node does with what its keeper, or an entry, has told of crashes.
 func (a *agentProc) tellCrashes(from *entryProc, all []fleet.Crash, refuted []fleet.Refutation) {
-	var news []fleet.Crash
-	for _, c := range all {
-		if a.crashes.Add(a.now(), c) {
-			news = append(news, c)
-		}
-	}
+	news := a.crashes.AddAll(a.now(), all)
 	var lives []fleet.Refutation
 	for _, l := range refuted {
 		spread := from == nil || a.crashes.Repeats(l.Life)
