--- /dev/null
+++ b/internal/load/report/same_test.go
@@ -0,0 +1,41 @@
+package report_test
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/load/plan"
+	"hillreel/internal/load/report"
+	"hillreel/internal/load/world"
+)
+
+var sameWrite = flag.Bool("same-write", false, "write what the deployments of TestSame come to")
+
+// sameFile has it.
+const sameFile = "testdata/same.txt"
+
+// TestSame: deployments that are played in virtual time come to the very figures that they came to when these were written last. A change that
+// only moves code leaves them; one that changes what is decided writes them anew (make same).
+func TestSame(t *testing.T) {
+	var b bytes.Buffer
+	for _, file := range []string{"../../../deploy/load.ini", "../../../deploy/plans/three_zones.ini"} {
+		p, err := plan.Read(file)
+		qt.Assert(t, err, qt.IsNil)
+		p.Length, p.Warmup = 6*time.Second, time.Second
+		r, err := world.Run(p)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, report.Table(&b, p, r), qt.IsNil)
+	}
+	t.Log(b.String())
+	if *sameWrite {
+		qt.Assert(t, os.WriteFile(sameFile, b.Bytes(), 0o644), qt.IsNil)
+	}
+	want, err := os.ReadFile(sameFile)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, b.String(), qt.Equals, string(want))
+}
--- /dev/null
+++ b/internal/proof/schedule/same_test.go
@@ -0,0 +1,38 @@
+package schedule
+
+import (
+	"crypto/sha256"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var sameWrite = flag.Bool("same-write", false, "write the digest of what the schedules of TestSame decide")
+
+// sameFile has that digest.
+const sameFile = "testdata/same.txt"
+
+// TestSame: schedules of each kind decide what they did when the digest was written last. A change that only moves code leaves it; one that
+// changes what is decided writes it anew (make same).
+func TestSame(t *testing.T) {
+	var b strings.Builder
+	for _, from := range []uint64{1, impatientFrom, restartsFrom, cordonsFrom, crashesFrom, hardFrom} {
+		all := sha256.New()
+		for s := range uint64(12) {
+			w := schedule(from+s, nil, someFaults(from+s))
+			fmt.Fprintln(all, strings.Join(w.log, "\n"))
+		}
+		fmt.Fprintf(&b, "schedules from %d: %x\n", from, all.Sum(nil)[:8])
+	}
+	t.Log(b.String())
+	if *sameWrite {
+		qt.Assert(t, os.WriteFile(sameFile, []byte(b.String()), 0o644), qt.IsNil)
+	}
+	want, err := os.ReadFile(sameFile)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, b.String(), qt.Equals, string(want))
+}
--- a/internal/proof/schedule/unasked_test.go
+++ b/internal/proof/schedule/unasked_test.go
@@ -21,6 +21,22 @@
 	unaskedFor = 3 * time.Second
 )
 
+// checkpointOf is what a task's runs save.
+func checkpointOf(t job.TaskID) string { return "saved by " + t.String() }
+
+// checkAsked checks that a start is of a task that a caller has sent, with its text, and from no other task's checkpoint.
+func (u *simUpstream) checkAsked(c call.Start) {
+	s := u.w.jobs[c.Task.Job]
+	switch {
+	case s == nil || c.Task.Step != 0 || int(c.Task.Index) >= len(s.tasks):
+		u.w.violate("%s is told to start %v, which nobody has sent", u.id, c.Task)
+	case c.Spec != s.spec.Text:
+		u.w.violate("%s is told to start %v with the text %q, its caller has sent %q", u.id, c.Task, c.Spec, s.spec.Text)
+	case c.Checkpoint != "" && c.Checkpoint != checkpointOf(c.Task):
+		u.w.violate("%s is told to start %v from what was %s", u.id, c.Task, c.Checkpoint)
+	}
+}
+
 // watchCancelled looks again and again whether a task runs on whose job was cancelled.
 func (w *world) watchCancelled() {
 	for _, a := range w.agents {
--- a/internal/proof/schedule/upstream_test.go
+++ b/internal/proof/schedule/upstream_test.go
@@ -223,7 +223,7 @@
 	delete(u.runs, r.task)
 	u.past[r.task] = max(u.past[r.task], r.run)
 	u.n++
-	u.ends = append(u.ends, simEnd{call.Finished{N: u.n, Task: r.task, Run: r.run, How: how}, u.w.Now()})
+	u.ends = append(u.ends, simEnd{call.Finished{N: u.n, Task: r.task, Run: r.run, How: how, Checkpoint: checkpointOf(r.task)}, u.w.Now()})
 	u.w.note("%s run %d of %v ended %s", u.id, r.run, r.task, how)
 	if how == call.HowFailed {
 		u.w.jobs[r.task.Job].tasks[r.task.Index].failed++
@@ -305,6 +305,7 @@
 	if c.Run <= u.past[c.Task] {
 		return call.Used
 	}
+	u.checkAsked(c)
 	u.begins(c.Task, c.Run)
 	return call.OK
 }
@@ -332,7 +333,7 @@
 		if !r.hang {
 			percent = min(int(100*u.w.Now().Sub(r.from)/r.work), 99)
 		}
-		h.Running = append(h.Running, call.Listed{Task: r.task, Run: r.run, Percent: percent})
+		h.Running = append(h.Running, call.Listed{Task: r.task, Run: r.run, Checkpoint: checkpointOf(r.task), Percent: percent})
 	}
 	return h
 }
