--- a/internal/entry/dispatch/crash.go
+++ b/internal/entry/dispatch/crash.go
@@ -89,20 +89,63 @@
 // emptyCost is how much dearer a full upstream is than an empty one for a task that is to be alone there: others wait for it.
 const emptyCost = 10
 
-// placeSuspects places those of a step's tasks that must be alone, each by an order of its own.
-func (t *Table) placeSuspects(now time.Time, j *jobState, s int, among []*upstreamOf) {
-	var suspects []*task
+// closedShare: one in so many upstreams may be closed for suspected tasks at a time, by all entries together, but one by each entry. Suspects
+// beyond that wait, and others keep the rest of the room.
+const closedShare = 8
+
+// aloneRun is a run that an upstream is closed for.
+type aloneRun struct {
+	task *task
+	id   fleet.RunID
+	// until is when it surely is alone no longer.
+	until time.Time
+}
+
+// closedMost is how many upstreams this entry may have closed for suspected tasks.
+func (t *Table) closedMost() int { return max(1, len(t.order)/(closedShare*t.entries)) }
+
+// closedNow counts the upstreams that are closed for suspected tasks of this entry.
+func (t *Table) closedNow(now time.Time) int {
+	t.alone = slices.DeleteFunc(t.alone, func(r aloneRun) bool {
+		return r.task.runID != r.id || r.task.phase != placed || !now.Before(r.until)
+	})
+	return len(t.alone)
+}
+
+// suspects lists those of a step's tasks that wait and must be alone.
+func (t *Table) suspects(j *jobState, s int) []*task {
+	var out []*task
 	for _, k := range j.steps[s].waiting {
 		if t.suspected(k) {
-			suspects = append(suspects, k)
+			out = append(out, k)
 		}
 	}
-	for _, k := range suspects {
+	return out
+}
+
+// onlySuspects tells whether nothing but suspected tasks of a job waits.
+func (t *Table) onlySuspects(j *jobState) bool {
+	for s := range j.steps {
+		if slices.ContainsFunc(j.steps[s].waiting, func(k *task) bool { return !t.suspected(k) }) {
+			return false
+		}
+	}
+	return true
+}
+
+// placeSuspects places those of a step's tasks that must be alone, each by an order of its own.
+func (t *Table) placeSuspects(now time.Time, j *jobState, s int, among []*upstreamOf) {
+	for _, k := range t.suspects(j, s) {
+		if t.closedNow(now) >= t.closedMost() {
+			return
+		}
 		if a := t.chooseAlone(now, k, among); a != nil {
 			o := t.newOrder(j, s)
 			a.ReserveAll()
 			t.assign(now, k, a, o)
-			o.Tasks[0].Alone = t.crashes.Alone(k.id)
+			alone := t.crashes.Alone(k.id)
+			o.Tasks[0].Alone = alone
+			t.alone = append(t.alone, aloneRun{k, k.runID, now.Add(crash.Seasoned + alone)})
 			t.send(now, a, o)
 		}
 	}
--- a/internal/entry/dispatch/crash_test.go
+++ b/internal/entry/dispatch/crash_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/verdict"
+	"hillreel/internal/entry/dispatch"
 )
 
 // newVMs returns a bench whose agents are on VMs of their own, named as agents are.
@@ -30,7 +32,7 @@
 	for i, t := range o.Tasks {
 		lost = append(lost, fleet.Crash{
 			Task: o.Task(i), VM: ident.UpstreamName(o.agent.String()), Life: ident.UpstreamLife{ID: ident.UpstreamID(o.agent.String())},
-			Loss: 1, After: after, Alone: t.Alone > 0,
+			Loss: 1, After: after, Alone: t.Alone > 0, Sole: t.Alone > 0 && len(o.Tasks) == 1,
 		})
 	}
 	b.room(o.agent, fleet.Unreachable, 2000, o.Seq)
@@ -150,3 +152,33 @@
 	qt.Assert(t, b.orders, qt.HasLen, 2)
 	qt.Assert(t, b.orders[1].agent, qt.Equals, other)
 }
+
+// TestSuspectsLeaveRoom: while many tasks are suspected, an entry has one upstream in eight closed for them, but one at least, and places
+// what is behind them in the queue on the others; as many entries more close no more together.
+func TestSuspectsLeaveRoom(t *testing.T) {
+	for _, c := range []struct{ vms, entries, closed int }{
+		{6, 1, 1}, {11, 3, 1}, {64, 1, 8}, {128, 1, 16}, {64, 2, 4}, {128, 4, 4}, {256, 8, 4},
+	} {
+		b := newVMs(t, c.vms)
+		b.table.SetEntries(c.entries)
+		suspects := c.closed + 5
+		for i := range suspects {
+			b.submit(job.ID(i+1), dispatch.CallerID(i+1), 1, time.Second, 10*time.Second)
+		}
+		lost := slices.Clone(b.orders)
+		qt.Assert(t, lost, qt.HasLen, suspects)
+		for _, o := range lost {
+			b.lose(o, time.Millisecond)
+			b.room(o.agent, fleet.Ready, 2000, o.Seq)
+		}
+		closed := 0
+		for _, o := range b.orders[len(lost):] {
+			if o.Tasks[0].Alone > 0 {
+				closed++
+			}
+		}
+		qt.Assert(t, closed, qt.Equals, c.closed, qt.Commentf("%+v", c))
+		b.submit(100, 100, 1, time.Second, 10*time.Second)
+		qt.Assert(t, b.orders[len(b.orders)-1].Job, qt.Equals, job.ID(100), qt.Commentf("%+v", c))
+	}
+}
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -192,6 +192,9 @@
 	patient *demand.Callers
 	// crashes is what is known of the tasks that upstreams were lost under.
 	crashes *crash.Account
+	// alone are the runs that upstreams are closed for; entries is how many entries share the upstreams, one at least.
+	alone   []aloneRun
+	entries int
 	// doubts are runs that were lost with their agents.
 	doubts []doubt
 	// paces are those of the agents that are linked, sorted; pace is their median, 1 while none is known.
@@ -218,7 +221,7 @@
 	return &Table{
 		opts: o, agentsIO: a, callers: c, observer: ob, rng: rand.New(rand.NewPCG(seed, 0)),
 		jobs: make(map[job.ID]*jobState), queues: make(map[ident.Service]*queue),
-		agents: make(map[ident.Incarnation]*upstreamOf), pace: 1, patient: demand.NewCallers(), crashes: crash.New(o.Without), gated: make(map[ident.Zone]int64),
+		agents: make(map[ident.Incarnation]*upstreamOf), pace: 1, entries: 1, patient: demand.NewCallers(), crashes: crash.New(o.Without), gated: make(map[ident.Zone]int64),
 		allowed: func(ident.UpstreamName, ident.Zone, ident.Service) bool { return true },
 	}
 }
@@ -229,6 +232,9 @@
 // SetAllowed replaces what configuration lets upstreams serve.
 func (t *Table) SetAllowed(f Allowed) { t.allowed = f }
 
+// SetEntries says how many entries share the upstreams, this one included.
+func (t *Table) SetEntries(n int) { t.entries = max(1, n) }
+
 // Pace is the median of the upstreams' paces; zero is unknown.
 func (t *Table) Pace() float64 { return t.pace }
 
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -62,7 +62,8 @@
 }
 
 // lookahead is how many jobs that do not fit are passed over for ones behind them that do. Passing over more
-// would let small tasks hold up large ones.
+// would let small tasks hold up large ones. Those of which only suspected tasks wait do not count: what they wait for is no room that
+// others could leave them.
 const lookahead = 4
 
 // pump places what fits anywhere.
@@ -89,7 +90,9 @@
 			t.placeJob(now, j, among)
 			if i < len(q.jobs) && q.jobs[i] == j {
 				i++
-				missed++
+				if !t.onlySuspects(j) {
+					missed++
+				}
 			}
 		}
 	}
--- a/internal/entry/node/config.go
+++ b/internal/entry/node/config.go
@@ -83,6 +83,7 @@
 		return
 	}
 	n.peers = peers
+	n.table.SetEntries(len(peers))
 	n.log.WithField("entries", len(peers)).Info("entries_listed")
 	for l := range n.links.All() {
 		l.Session.Send(codec.Peers(peers))
