--- a/internal/entry/dispatch/cordon.go
+++ b/internal/entry/dispatch/cordon.go
@@ -64,10 +64,10 @@
 // for nothing. Kept jobs wait until operators lift a cordon.
 func (t *Table) refuseNowhere(now time.Time) {
 	for _, q := range t.queued {
-		if len(q.jobs) == 0 || !t.nowhere(now, q.service) {
+		if q.Len() == 0 || !t.nowhere(now, q.Service) {
 			continue
 		}
-		for _, j := range slices.Clone(q.jobs) {
+		for _, j := range q.All() {
 			switch {
 			case j.kept || j.ending:
 			case j.begun:
--- a/internal/entry/dispatch/crash.go
+++ b/internal/entry/dispatch/crash.go
@@ -9,6 +9,7 @@
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/rule"
 	"hillreel/internal/core/verdict"
+	"hillreel/internal/entry/choice"
 )
 
 // Crashes is what is known of the tasks that upstreams were lost under.
@@ -156,18 +157,12 @@
 func (t *Table) chooseAlone(now time.Time, k *task, among []*upstreamOf) *upstreamOf {
 	step := &k.job.spec.Steps[k.id.Step]
 	elsewhere := t.readyElsewhere(k)
-	var best *upstreamOf
-	var bestCost float64
-	for _, a := range among {
-		if !t.eligible(a, k, step) || t.tooSlow(now, a, k) || elsewhere && t.crashes.LostOn(k.id, a.Name) {
-			continue
-		}
-		c := a.Cost(step, t.opts.Zone, t.pace, t.rng) + emptyCost*a.Used()
-		if best == nil || c < bestCost {
-			best, bestCost = a, c
-		}
+	may := func(a *upstreamOf) bool {
+		return t.eligible(a, k, step) && !t.tooSlow(now, a, k) && !(elsewhere && t.crashes.LostOn(k.id, a.Name))
 	}
-	return best
+	return choice.Cheapest(among, may, func(a *upstreamOf) float64 {
+		return a.Cost(step, t.opts.Zone, t.pace, t.rng) + emptyCost*a.Used()
+	})
 }
 
 // readyElsewhere tells whether an upstream is ready on a VM whose upstream was not lost under a task, and the task need not avoid it.
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	"hillreel/internal/core/rule"
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/demand"
+	"hillreel/internal/entry/queue"
 )
 
 // CallerID names one request of a caller that waits for an answer.
@@ -178,9 +179,9 @@
 	rng      *rand.Rand
 
 	jobs   map[job.ID]*jobState
-	queues map[ident.Service]*queue
+	queues map[ident.Service]*queue.Queue[*jobState]
 	// queued lists the queues in the order in which they were made, so that runs repeat.
-	queued []*queue
+	queued []*queue.Queue[*jobState]
 	agents map[ident.Incarnation]*upstreamOf
 	// order lists the agents in the order in which they were linked, so that runs repeat.
 	order []*upstreamOf
@@ -220,7 +221,7 @@
 func New(o Options, a Agents, c Callers, ob Observer, seed uint64) *Table {
 	return &Table{
 		opts: o, agentsIO: a, callers: c, observer: ob, rng: rand.New(rand.NewPCG(seed, 0)),
-		jobs: make(map[job.ID]*jobState), queues: make(map[ident.Service]*queue),
+		jobs: make(map[job.ID]*jobState), queues: make(map[ident.Service]*queue.Queue[*jobState]),
 		agents: make(map[ident.Incarnation]*upstreamOf), pace: 1, entries: 1, patient: demand.NewCallers(), crashes: crash.New(o.Without), gated: make(map[ident.Zone]int64),
 		allowed: func(ident.UpstreamName, ident.Zone, ident.Service) bool { return true },
 	}
@@ -279,7 +280,7 @@
 func (t *Table) waitingJobs() int {
 	n := 0
 	for _, q := range t.queued {
-		n += len(q.jobs)
+		n += q.Len()
 	}
 	return n
 }
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -199,11 +199,11 @@
 	}
 	q := t.queue(j.route.Service)
 	if j.waiting > 0 {
-		q.remove(j)
+		q.Remove(j)
 	}
 	j.late = true
 	if j.waiting > 0 {
-		q.add(j)
+		q.Add(j)
 	}
 }
 
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -132,7 +132,7 @@
 	t.fresh = true
 	j.waiting++
 	if j.waiting == 1 {
-		t.queue(j.route.Service).add(j)
+		t.queue(j.route.Service).Add(j)
 	}
 }
 
@@ -145,6 +145,6 @@
 	}
 	j.waiting--
 	if j.waiting == 0 {
-		t.queue(j.route.Service).remove(j)
+		t.queue(j.route.Service).Remove(j)
 	}
 }
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -9,62 +8,28 @@
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/rule"
+	"hillreel/internal/entry/choice"
+	"hillreel/internal/entry/queue"
 )
 
-// queue holds the jobs of one service that have tasks to place, the most urgent first.
-type queue struct {
-	service ident.Service
-	jobs    []*jobState
-}
-
 // queue returns the queue of a service, a new one if there is none.
-func (t *Table) queue(s ident.Service) *queue {
+func (t *Table) queue(s ident.Service) *queue.Queue[*jobState] {
 	q := t.queues[s]
 	if q == nil {
-		q = &queue{service: s}
+		q = queue.New[*jobState](s)
 		t.queues[s] = q
 		t.queued = append(t.queued, q)
 	}
 	return q
 }
 
-// before orders jobs: those already begun first, since giving them up would waste their work; those that can't be in time
-// last; then by the time until which they wait, wide ones earlier.
-func before(a, b *jobState) int {
-	return cmp.Or(cmpBool(b.begun, a.begun), cmpBool(a.late, b.late), a.goesBy.Compare(b.goesBy), cmp.Compare(a.route.Priority, b.route.Priority), cmp.Compare(a.id, b.id))
-}
-
-// cmpBool orders false before true.
-func cmpBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
-// add puts a job into its place. A job that begins while others of its tasks wait keeps the place it had, and so does one
-// of which nothing has begun after all: the list is in order but for those, and one that is added beside them may come
-// out before or behind them.
-func (q *queue) add(j *jobState) {
-	i, _ := slices.BinarySearchFunc(q.jobs, j, before)
-	q.jobs = slices.Insert(q.jobs, i, j)
+// Turn is the job's place in the order in which jobs wait for room.
+func (j *jobState) Turn() queue.Turn {
+	return queue.Turn{Begun: j.begun, Late: j.late, GoesBy: j.goesBy, Priority: j.route.Priority, Job: j.id}
 }
 
-// remove takes a job out.
-func (q *queue) remove(j *jobState) {
-	// The order may have changed since the job was added, so it is sought one by one.
-	if i := slices.Index(q.jobs, j); i >= 0 {
-		q.jobs = slices.Delete(q.jobs, i, i+1)
-	}
-}
-
-// lookahead is how many jobs that do not fit are passed over for ones behind them that do. Passing over more
-// would let small tasks hold up large ones. Those of which only suspected tasks wait do not count: what they wait for is no room that
-// others could leave them.
-const lookahead = 4
+// before orders jobs as they wait for room.
+func before(a, b *jobState) int { return queue.Compare(a.Turn(), b.Turn()) }
 
 // pump places what fits anywhere.
 func (t *Table) pump(now time.Time) {
@@ -81,20 +46,13 @@
 	}
 }
 
-// place places what fits at some of the agents.
+// place places what fits at some of the agents. What suspected tasks wait for is no room that other jobs could leave them.
 func (t *Table) place(now time.Time, among []*upstreamOf) {
 	for _, q := range t.queued {
-		missed := 0
-		for i := 0; i < len(q.jobs) && missed < lookahead; {
-			j := q.jobs[i]
+		q.Offer(func(j *jobState) bool {
 			t.placeJob(now, j, among)
-			if i < len(q.jobs) && q.jobs[i] == j {
-				i++
-				if !t.onlySuspects(j) {
-					missed++
-				}
-			}
-		}
+			return !t.onlySuspects(j)
+		})
 	}
 }
 
@@ -175,41 +133,18 @@
 	t.agentsIO.Order(a.ID, *o)
 }
 
-// draws is how many agents that could take a task are rated for it, from a place in their order that is drawn. Entries that rate all of them
-// find the same one the cheapest and race for its room: with eleven entries and 65 upstreams asked for 0.63 of their room, 0.56
-// orders found the room taken for each run begun, and with three draws 0.32, with the same jobs in time (hillreel load,
-// deploy/plans/three_zones.ini; docs/design/decisions.md has other loads). It also ends the look at all agents, once three have room: a job
-// of eight tasks and its ends take 41 to 58 us at 2,100 agents instead of 1,850 us (BenchmarkJob, a busy machine).
-const draws = 3
-
-// fewAgents is up to how many agents all are rated. With eleven, three draws leave 0.783 instead of 0.815 in time under lasting overload
-// (TestOverload), since the emptiest is seldom among them.
-const fewAgents = 24
-
 // choose returns the agent among some for a task, or nil while nothing fits: the cheapest of a few that could take it. Where
 // a task's data lie matters more than races, so that for one that prefers a rack all are rated.
 func (t *Table) choose(now time.Time, k *task, among []*upstreamOf) *upstreamOf {
 	step := &k.job.spec.Steps[k.id.Step]
-	first, left := 0, len(among)
-	if len(among) > fewAgents && step.Prefers == "" {
-		first, left = t.rng.IntN(len(among)), draws
+	may := func(a *upstreamOf) bool {
+		return t.eligible(a, k, step) && !t.tooSlow(now, a, k) && !t.reserved(now, a, k)
 	}
-	var best *upstreamOf
-	var bestCost float64
-	for i := range among {
-		a := among[(first+i)%len(among)]
-		if !t.eligible(a, k, step) || t.tooSlow(now, a, k) || t.reserved(now, a, k) {
-			continue
-		}
-		c := a.Cost(step, t.opts.Zone, t.pace, t.rng)
-		if best == nil || c < bestCost {
-			best, bestCost = a, c
-		}
-		if left--; left == 0 {
-			break
-		}
+	cost := func(a *upstreamOf) float64 { return a.Cost(step, t.opts.Zone, t.pace, t.rng) }
+	if step.Prefers != "" {
+		return choice.Cheapest(among, may, cost)
 	}
-	return best
+	return choice.Drawn(t.rng, among, may, cost)
 }
 
 // lastResort is how long before a job gives up waiting an upstream is good enough on which it will be late: the time
--- a/internal/entry/dispatch/resent.go
+++ b/internal/entry/dispatch/resent.go
@@ -21,13 +21,3 @@
 
 // sentBefore tells whether the job's caller has probably sent it before.
 func (j *jobState) sentBefore() bool { return j.late && !j.kept }
-
-// estimateError is how much longer than estimated a run may take: estimates are off by 40%.
-const estimateError = 1.5
-
-// lateWait is how long a job that was sent before waits for room behind others: as long as its refusal would tell its caller to stay
-// away, but no longer than leaves time for it to run.
-func (t *Table) lateWait(now time.Time, j *jobState, chain time.Duration) time.Duration {
-	spare := j.deadline.Sub(now) - time.Duration(estimateError*t.pace*float64(chain)) - answerTime
-	return min(refusedRetry, spare)
-}
--- a/internal/entry/dispatch/submit.go
+++ b/internal/entry/dispatch/submit.go
@@ -6,6 +6,7 @@
 	"hillreel/internal/core/crash"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/verdict"
+	"hillreel/internal/entry/admission"
 )
 
 // Submit takes a job, or answers at once why not.
@@ -57,13 +58,9 @@
 
 // refused is the answer to a job of which nothing has run, and nothing will.
 func refused(why verdict.Reason) Answer {
-	return Answer{State: verdict.Refused, Verdict: verdict.NotRun, Reason: why, RetryAfter: refusedRetry}
+	return Answer{State: verdict.Refused, Verdict: verdict.NotRun, Reason: why, RetryAfter: admission.RefusedRetry}
 }
 
-// refusedRetry is when a refused caller may come back: as long as a burst's queue takes to drain, about the
-// objective of the longest kind of job that either user sends.
-const refusedRetry = time.Second
-
 // submitAgain handles a job whose id is held already. Two requests are taken for the same job when their texts and their
 // numbers of tasks are: steps and queues are not compared, and those of the first request stay in force.
 func (t *Table) submitAgain(now time.Time, j *jobState, r Request) {
--- /dev/null
+++ b/internal/entry/queue/queue_test.go
@@ -0,0 +1,92 @@
+package queue_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/core/job"
+	"hillreel/internal/entry/queue"
+)
+
+// waiter is a job that waits.
+type waiter struct{ turn queue.Turn }
+
+func (w *waiter) Turn() queue.Turn { return w.turn }
+
+var start = time.Unix(1000, 0)
+
+// ids lists the jobs of a queue.
+func ids(q *queue.Queue[*waiter]) []job.ID {
+	var out []job.ID
+	for _, w := range q.All() {
+		out = append(out, w.turn.Job)
+	}
+	return out
+}
+
+func TestOrder(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		turns []queue.Turn
+		want  []job.ID
+	}{
+		{"by when they should go", []queue.Turn{{GoesBy: start.Add(time.Second), Job: 1}, {GoesBy: start, Job: 2}}, []job.ID{2, 1}},
+		{"begun first", []queue.Turn{{GoesBy: start, Job: 1}, {GoesBy: start.Add(time.Second), Begun: true, Job: 2}}, []job.ID{2, 1}},
+		{"late last", []queue.Turn{{GoesBy: start, Late: true, Job: 1}, {GoesBy: start.Add(time.Second), Job: 2}}, []job.ID{2, 1}},
+		{"begun before late", []queue.Turn{{Late: true, Begun: true, Job: 1}, {Job: 2}}, []job.ID{1, 2}},
+		{"priority, then id", []queue.Turn{{Priority: 1, Job: 1}, {Job: 3}, {Job: 2}}, []job.ID{2, 3, 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q := queue.New[*waiter]("s")
+			for _, turn := range c.turns {
+				q.Add(&waiter{turn})
+			}
+			qt.Assert(t, ids(q), qt.DeepEquals, c.want)
+		})
+	}
+}
+
+// TestChangedTurn: a job whose turn has changed since it was added is found all the same.
+func TestChangedTurn(t *testing.T) {
+	q := queue.New[*waiter]("s")
+	first := &waiter{queue.Turn{Job: 1}}
+	q.Add(first)
+	q.Add(&waiter{queue.Turn{Job: 2}})
+	first.turn.Late = true
+	q.Remove(first)
+	qt.Assert(t, ids(q), qt.DeepEquals, []job.ID{2})
+}
+
+// TestOffer: four jobs that do not fit are passed over, those that other jobs' room can't help besides, and those that leave the queue don't
+// count.
+func TestOffer(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fits  func(job.ID) bool
+		waits func(job.ID) bool
+		want  int
+	}{
+		{"nothing fits", func(job.ID) bool { return false }, func(job.ID) bool { return true }, 4},
+		{"every second fits", func(id job.ID) bool { return id%2 == 0 }, func(job.ID) bool { return true }, 7},
+		{"all fit", func(job.ID) bool { return true }, func(job.ID) bool { return true }, 10},
+		{"six can't be helped", func(job.ID) bool { return false }, func(id job.ID) bool { return id > 6 }, 10},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q := queue.New[*waiter]("s")
+			for id := range job.ID(10) {
+				q.Add(&waiter{queue.Turn{Job: id + 1}})
+			}
+			offered := 0
+			q.Offer(func(w *waiter) bool {
+				offered++
+				if c.fits(w.turn.Job) {
+					q.Remove(w)
+				}
+				return c.waits(w.turn.Job)
+			})
+			qt.Assert(t, offered, qt.Equals, c.want)
+		})
+	}
+}
