--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -35,14 +35,13 @@
 )
 
 const (
-	// Prompt is how soon after its start most tasks that crash an upstream do so: they need little of their work for it. Each task that is
-	// as young by chance at a loss is started alone for nothing, so that a longer time costs room on days when upstreams crash by themselves.
+	// Prompt is how soon after its start most tasks that crash an upstream do so: they need little of their work for it.
 	Prompt = 40 * time.Millisecond
 	// Seasoned is from which age on a run is not to blame for a prompt crash: Prompt, and ageError.
 	Seasoned = 100 * time.Millisecond
 	// ageError is by how much less than its true age the age of a run at a crash may be: an upstream that takes no start and ends
-	// no run answers its agent every 50 ms.
-	ageError = 50 * time.Millisecond
+	// no run answers its agent every 50 ms, and the answer takes its time.
+	ageError = 60 * time.Millisecond
 	// samePoint is how far apart in a task's run two crashes count as one point of it. While a task is alone its upstream is asked some
 	// 10 ms apart, or 20 ms at worst; half as much again for slow answers.
 	samePoint = 30 * time.Millisecond
@@ -57,11 +56,14 @@
 	// togetherProofs is how many it takes then, beside other tasks or not, once the task was alone at two of them.
 	togetherProofs = 4
 	// ownProofs is how many must be lost where there is only one VM, all of them promptly: an upstream that goes down and up by turns
-	// loses whatever is there.
+	// loses whatever is there. One of them may be made up for by two beside other tasks.
 	ownProofs = 4
-	// otherLosses is how many upstreams are lost to other causes, for each there is, within lossesFor when it takes more proofs.
+	// otherLosses is how many upstreams are lost to other causes, for each there is, within lossesFor when it takes more to suspect a task,
+	// and more proofs.
 	otherLosses = 0.6
 	lossesFor   = 20 * time.Second
+	// fewLosses are not many, however few upstreams there are, where it is about suspecting a task.
+	fewLosses = 2
 )
 
 const (
@@ -127,15 +129,15 @@
 		return false
 	}
 	if len(r.crashes) >= maxCrashes {
-		r.forgetOne()
+		a.forgetOne(r)
 	}
 	r.crashes, r.last = append(r.crashes, c), now
 	return true
 }
 
 // forgetOne forgets the oldest crash that the task did not cause, or the oldest of all.
-func (r *record) forgetOne() {
-	all := suspicious(r.crashes)
+func (a *Account) forgetOne(r *record) {
+	all := a.suspicious(r.crashes)
 	i := slices.IndexFunc(r.crashes, func(c fleet.Crash) bool { return !slices.Contains(all, c) })
 	r.crashes = slices.Delete(r.crashes, max(i, 0), max(i, 0)+1)
 }
@@ -170,15 +172,21 @@
 // SetUpstreams says how many upstreams there are.
 func (a *Account) SetUpstreams(n int) { a.upstreams = n }
 
-// needed is how many upstreams must be lost under a task to prove that it causes that.
-func (a *Account) needed() int {
+// manyLost tells whether more upstreams than so many, and than a part of those that there are, were lately lost to other causes than tasks
+// that were alone there.
+func (a *Account) manyLost(atLeast int) bool {
 	others := 0
 	for _, l := range a.losses {
 		if !l.alone {
 			others++
 		}
 	}
-	if float64(others) > otherLosses*float64(a.upstreams) {
+	return others > atLeast && float64(others) > otherLosses*float64(a.upstreams)
+}
+
+// needed is how many upstreams must be lost under a task to prove that it causes that.
+func (a *Account) needed() int {
+	if a.manyLost(0) {
 		return moreProofs
 	}
 	return proofs
@@ -230,22 +238,24 @@
 	switch {
 	case a.proven(all):
 		return Proven
-	case len(suspicious(all)) > 0:
+	case len(a.suspicious(all)) > 0:
 		return Suspected
 	}
 	return Unsuspected
 }
 
 // suspicious picks the crashes that a task may have caused. A task that crashes upstreams does so at one point of its run, so that it is
-// not to blame for a crash at a point that a later run of it has outlived, nor for a late one that is the only one at its point: each
-// upstream that something else takes is lost under all its runs, most of them late.
-func suspicious(all []fleet.Crash) []fleet.Crash {
+// not to blame for a crash at a point that a later run of it has outlived. Each upstream that something else takes is lost under all its
+// runs, most of them late, so that a late crash which is the only one at its point says nothing, and while many upstreams are lost to other
+// causes a prompt one says nothing either.
+func (a *Account) suspicious(all []fleet.Crash) []fleet.Crash {
+	prompt := !a.manyLost(fewLosses)
 	var out []fleet.Crash
 	for i, c := range all {
 		if outlived(c, all[i+1:]) {
 			continue
 		}
-		if c.After <= Prompt || repeated(c, all) {
+		if prompt && c.After <= Prompt || repeated(c, all) {
 			out = append(out, c)
 		}
 	}
@@ -291,7 +301,7 @@
 		switch {
 		case s.vms > 1 && (s.alone > needed || s.alone == needed && s.surely()), s.alone >= proofs && s.all >= togetherProofs && s.vms > 1:
 			return true
-		case s.alone >= ownProofs && c.After <= Prompt:
+		case c.After <= Prompt && (s.alone >= ownProofs || s.alone >= moreProofs && s.all > ownProofs):
 			return true
 		}
 	}
@@ -338,7 +348,7 @@
 // which it may have crashed upstreams, by as much as their ages may be wrong.
 func (a *Account) Alone(t job.TaskID) time.Duration {
 	var latest time.Duration
-	for _, c := range suspicious(a.Crashes(t)) {
+	for _, c := range a.suspicious(a.Crashes(t)) {
 		latest = max(latest, c.After)
 	}
 	return latest + Seasoned
@@ -364,11 +374,11 @@
 	return false
 }
 
-// SuspectsOn lists the newest crashes of a VM's upstreams under tasks that are suspected: what the VM's agent remembers, for the case that
-// all processes end at once.
+// SuspectsOn lists the newest crashes of a VM's upstreams under tasks that are suspected, and the prompt
+// ones: what the VM's agent remembers, for the case that all processes end at once.
 func (a *Account) SuspectsOn(now time.Time, vm ident.UpstreamName) []fleet.Crash {
 	all := slices.DeleteFunc(a.All(now), func(c fleet.Crash) bool {
-		return c.VM != vm || anyPoint(c) || a.Finding(c.Task) == Unsuspected
+		return c.VM != vm || anyPoint(c) || c.After > Prompt && a.Finding(c.Task) == Unsuspected
 	})
 	slices.SortStableFunc(all, func(a, b fleet.Crash) int { return cmp.Compare(b.Loss, a.Loss) })
 	return all[:min(len(all), maxSuspectsOn)]
