--- a/internal/core/follow/follow.go
+++ b/internal/core/follow/follow.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,6 +27,20 @@
 	maxPause   = 500 * time.Millisecond
 )
 
+// restPoll is how often a follower that rests, or waits for a change, looks whether it is to go on so.
+const restPoll = 100 * time.Millisecond
+
+// Options say how a table is followed. The zero value reads each change at once.
+type Options struct {
+	// Gather says how long to wait after a change until the next is asked for, so that those of that time are read together: where many
+	// rows change at once, each process would otherwise read once for each of them. Nil is not at all.
+	Gather func() time.Duration
+	// Wait says how long one call waits for changes, where that is not always the same. Nil is what New was given.
+	Wait func() time.Duration
+	// Rest tells whether the table need not be read now, since others tell this process what is in it. Nil is never.
+	Rest func() bool
+}
+
 // Changes are what one reading of a table has brought.
 type Changes struct {
 	// Rows are new or were removed; with Whole they are all that there are.
@@ -47,9 +63,12 @@
 	wait   time.Duration
 	change Change
 	log    *logrus.Entry
+	opts   Options
 
 	cancel context.CancelFunc
 	done   chan struct{}
+	// current: the last reading was done, and the next is under way.
+	current atomic.Bool
 
 	// The goroutine that run is on owns what follows. at is the version up to which the table is known.
 	at      rows.Version
@@ -70,6 +89,15 @@
 	}
 }
 
+// With sets options, before Start.
+func (f *Follower) With(o Options) *Follower {
+	f.opts = o
+	return f
+}
+
+// Current tells whether the table is known, as far as the store has answered.
+func (f *Follower) Current() bool { return f.current.Load() }
+
 // Start begins; that the store can't be read is no reason not to.
 func (f *Follower) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -88,43 +116,98 @@
 func (f *Follower) run(ctx context.Context) {
 	defer close(f.done)
 	pause := firstPause
-	for ctx.Err() == nil {
-		err := f.step(ctx)
+	for f.rest(ctx); ctx.Err() == nil; f.rest(ctx) {
+		changed, err := f.read(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		f.note(err)
-		if err == nil {
-			pause = firstPause
+		switch {
+		case err != nil:
+			sleep(ctx, jitter(pause))
+			pause = min(2*pause, maxPause)
 			continue
+		case changed && f.opts.Gather != nil:
+			sleep(ctx, f.opts.Gather())
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
+		pause = firstPause
+	}
+}
+
+// jitter returns a time between half of a pause and all of it: what has failed for all processes of a region at once must not be tried by
+// all of them again at once.
+func jitter(pause time.Duration) time.Duration {
+	return pause/2 + rand.N(pause/2+1)
+}
+
+// sleep waits for a while, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// rests tells whether the table need not be read.
+func (f *Follower) rests() bool { return f.opts.Rest != nil && f.opts.Rest() }
+
+// rest waits while the table need not be read.
+func (f *Follower) rest(ctx context.Context) {
+	for ctx.Err() == nil && f.rests() {
+		f.current.Store(false)
+		sleep(ctx, restPoll)
+	}
+}
+
+// read is a step that ends early once the table need not be read any more.
+func (f *Follower) read(ctx context.Context) (changed bool, err error) {
+	if f.opts.Rest == nil {
+		return f.step(ctx)
+	}
+	reading, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		for reading.Err() == nil {
+			sleep(reading, restPoll)
+			if f.rests() {
+				cancel()
+			}
 		}
-		pause = min(2*pause, maxPause)
+	}()
+	changed, err = f.step(reading)
+	if err != nil && reading.Err() != nil {
+		return false, nil
 	}
+	return changed, err
 }
 
-// step reads the whole table, or waits for changes.
-func (f *Follower) step(ctx context.Context) error {
+// step reads the whole table, or waits for changes, and tells whether there were any.
+func (f *Follower) step(ctx context.Context) (changed bool, err error) {
 	if !f.known {
-		return f.readWhole(ctx)
+		return true, f.readWhole(ctx)
 	}
-	page, err := f.store.Watch(ctx, f.table, f.at, f.wait)
+	page, err := f.store.Watch(ctx, f.table, f.at, f.waits())
 	if errors.Is(err, rows.ErrHistoryGone) {
 		f.known = false
 		f.log.WithField("version", uint64(f.at)).Info("store_history_gone")
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	f.at = max(f.at, page.Version)
 	if len(page.Rows) > 0 {
 		f.change(Changes{Rows: page.Rows, Version: f.at, Now: page.Now})
 	}
-	return nil
+	return len(page.Rows) > 0, nil
+}
+
+// waits is how long the next call waits for changes.
+func (f *Follower) waits() time.Duration {
+	if f.opts.Wait != nil {
+		return f.opts.Wait()
+	}
+	return f.wait
 }
 
 // readWhole reads all parts. Changes are followed from the version at which the first was read.
@@ -147,6 +230,7 @@
 
 // note logs when the table becomes unreadable, and when it is readable again.
 func (f *Follower) note(err error) {
+	f.current.Store(err == nil && f.known)
 	if (err != nil) == f.failing {
 		return
 	}
