--- /dev/null
+++ b/internal/agent/node/config_test.go
@@ -0,0 +1,130 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/agent/node"
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/logs"
+	"hillreel/internal/core/settings"
+	"hillreel/internal/link/codec"
+	"hillreel/internal/link/session"
+	"hillreel/internal/link/wire"
+)
+
+// entry is the other end of an agent's link: it tells which configuration it has, and counts those that it gets.
+type entry struct {
+	ln     net.Listener
+	linked chan *session.Session
+
+	mu sync.Mutex
+	// alive is what its keep-alives say.
+	alive fleet.KeepAlive
+	got   int
+}
+
+// listen starts an entry of a number; all have the same port.
+func listen(t *testing.T, number int, port string) *entry {
+	host := fmt.Sprintf("127.0.0.%d", number)
+	ln, err := net.Listen("tcp", net.JoinHostPort(host, port))
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { ln.Close() })
+	e := &entry{ln: ln, linked: make(chan *session.Session, 1), alive: fleet.KeepAlive{Config: 1, Follows: true}}
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		s, err := session.Accept(conn, &wire.Hello{Role: "entry", Name: host, Incarnation: uint64(number), ConfigVersion: 1})
+		if err != nil {
+			return
+		}
+		e.linked <- s
+		s.Receive(func(msgs []*wire.Msg) { //nolint:errcheck // it ends with the test
+			for _, m := range msgs {
+				if m.GetConfig() != nil {
+					e.set(func() { e.got++; e.alive.Config = ident.ConfigVersion(m.GetConfig().GetVersion()) })
+				}
+			}
+		})
+	}()
+	return e
+}
+
+func (e *entry) set(change func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change()
+}
+
+// count returns how many configurations it got.
+func (e *entry) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.got
+}
+
+// keepAlive tells what the entry has, every 20 ms until the test ends.
+func (e *entry) keepAlive(t *testing.T, s *session.Session) {
+	for t.Context().Err() == nil {
+		e.mu.Lock()
+		alive := e.alive
+		e.mu.Unlock()
+		s.Send(codec.Ping(alive))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestConfigGoesToThoseWithout: of a new configuration that most entries read themselves, an agent passes on one copy for each that does
+// not, however many entries it is linked to.
+func TestConfigGoesToThoseWithout(t *testing.T) {
+	for _, n := range []int{4, 8} {
+		t.Run(fmt.Sprint(n, " entries"), func(t *testing.T) {
+			first := listen(t, 1, "0")
+			_, port, err := net.SplitHostPort(first.ln.Addr().String())
+			qt.Assert(t, err, qt.IsNil)
+			all := []*entry{first}
+			set, err := settings.Load("")
+			qt.Assert(t, err, qt.IsNil)
+			set.Node.Link, set.Node.Seeds = settings.Address(first.ln.Addr().String()), []string{first.ln.Addr().String()}
+			for i := 2; i <= n; i++ {
+				e := listen(t, i, port)
+				all = append(all, e)
+				set.Node.Seeds = append(set.Node.Seeds, e.ln.Addr().String())
+			}
+			a := node.New(set, nil, nothing{}, session.TCP, logs.Discard())
+			qt.Assert(t, a.Start(context.Background()), qt.IsNil)
+			defer a.Stop()
+			var sessions []*session.Session
+			for _, e := range all {
+				s := <-e.linked
+				sessions = append(sessions, s)
+				go e.keepAlive(t, s)
+			}
+			const version = 2
+			cutOff := all[n-1]
+			cutOff.set(func() { cutOff.alive.Follows = false })
+			sessions[0].Send(codec.Config(version, []byte("routes")))
+			for _, e := range all[:n-1] {
+				e.set(func() { e.alive.Config = version })
+			}
+			for until := time.Now().Add(1300 * time.Millisecond); cutOff.count() == 0; time.Sleep(10 * time.Millisecond) {
+				qt.Assert(t, time.Now().Before(until), qt.IsTrue)
+			}
+			time.Sleep(200 * time.Millisecond)
+			for _, e := range all[:n-1] {
+				qt.Assert(t, e.count(), qt.Equals, 0)
+			}
+			qt.Assert(t, cutOff.count(), qt.Equals, 1)
+			qt.Assert(t, a.Following(), qt.Equals, n-1)
+		})
+	}
+}
--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -17,7 +17,6 @@
 	"hillreel/internal/core/ident"
 	"hillreel/internal/link/codec"
 	"hillreel/internal/link/links"
-	"hillreel/internal/link/members"
 	"hillreel/internal/link/session"
 	"hillreel/internal/link/wire"
 )
@@ -37,8 +36,11 @@
 
 // link is the session with one entry; nothing is kept beside it.
 type (
-	link = links.Link[none]
-	none struct{}
+	link = links.Link[told]
+	told struct {
+		// follows: the entry reads the store's tables that agents need.
+		follows bool
+	}
 )
 
 // dialled is an entry's address that is being dialled or linked.
@@ -51,15 +53,15 @@
 }
 
 // seedLinks are the seeds' addresses for links: all entries of a region use the same port.
-func (n *Node) seedLinks(from []string) []string {
+func (n *Node) seedLinks(from []string) []fleet.Entry {
 	_, port, err := net.SplitHostPort(string(n.set.Node.Link))
 	if err != nil {
 		return nil // the settings were checked
 	}
-	var out []string
+	var out []fleet.Entry
 	for _, seed := range from {
 		if host, _, err := net.SplitHostPort(seed); err == nil {
-			out = append(out, net.JoinHostPort(host, port))
+			out = append(out, fleet.Entry{Address: ident.Address(net.JoinHostPort(host, port))})
 		}
 	}
 	return out
@@ -69,19 +71,15 @@
 func (n *Node) SetSeeds(from []string) { n.loop.Post(entriesListed{seeds, n.seedLinks(from)}) }
 
 // SetEntries tells the node which entries the store lists.
-func (n *Node) SetEntries(all []members.Listed) {
-	out, wants := make([]string, len(all)), make(map[string][]ident.Service)
-	for i, l := range all {
-		out[i] = string(l.Address)
-		wants[out[i]] = l.Wants
-	}
-	n.loop.Post(func() { n.wants = wants })
-	n.loop.Post(entriesListed{store, out})
-}
+func (n *Node) SetEntries(all []fleet.Entry) { n.loop.Post(entriesListed{store, all}) }
 
 // handleListed takes in which entries somebody lists.
-func (n *Node) handleListed(by source, links []string) {
-	n.listed[by] = links
+func (n *Node) handleListed(by source, entries []fleet.Entry) {
+	same := func(a, b fleet.Entry) bool { return a.Address == b.Address && slices.Equal(a.Wants, b.Wants) }
+	if slices.EqualFunc(n.listed[by], entries, same) {
+		return // each entry tells the same
+	}
+	n.listed[by] = entries
 	n.chooseEntries()
 }
 
@@ -91,11 +89,11 @@
 	candidates := make(map[string]peers.Candidate)
 	up, _ := n.keeper.Known()
 	for _, list := range n.listed {
-		for _, l := range list {
+		for _, e := range list {
+			l := string(e.Address)
 			d := n.dialled[l]
-			candidates[l] = peers.Candidate{
-				Address: l, Wanted: slices.Contains(n.wants[l], up.Service), Failing: d != nil && d.failing,
-			}
+			wanted := candidates[l].Wanted || slices.Contains(e.Wants, up.Service)
+			candidates[l] = peers.Candidate{Address: l, Wanted: wanted, Failing: d != nil && d.failing}
 		}
 	}
 	chosen := peers.Choose(n.set.Node.Name, n.set.Links.Entries, slices.Collect(maps.Values(candidates)))
@@ -201,7 +199,7 @@
 	}
 	n.greetCrashes(now, l)
 	n.keeper.Linked(now, l.Peer)
-	n.passConfig(l)
+	n.passConfig(now, l)
 	l.TellCordons(n.cordons.All())
 }
 
@@ -245,17 +243,18 @@
 		r, why := codec.ReadStop(m.Stop)
 		n.keeper.StopTask(now, l.Peer, r, why)
 	case *wire.Msg_Ping:
-		echo, version, pace := codec.ReadPing(m.Ping)
-		n.keeper.Ping(now, l.Peer, echo, pace)
-		l.Config = max(l.Config, version)
-		n.passConfig(l)
+		k := codec.ReadPing(m.Ping)
+		n.keeper.Ping(now, l.Peer, k.Echo, k.Pace)
+		l.Own.follows = k.Follows
+		l.Config = max(l.Config, k.Config)
+		n.passConfig(now, l)
 	case *wire.Msg_Noted:
 		n.keeper.Noted(codec.ReadNoted(m.Noted))
 	case *wire.Msg_Ask:
 		number, jobs := codec.ReadAsk(m.Ask)
 		n.keeper.Ask(now, l.Peer, number, jobs)
 	case *wire.Msg_Config:
-		n.handleConfig(l, m.Config)
+		n.handleConfig(now, l, m.Config)
 	case *wire.Msg_Cordons:
 		n.adoptCordons(l.HeardCordons(m.Cordons), "link")
 		l.TellCordons(n.cordons.All()) // what it told may be out of date
@@ -263,33 +262,12 @@
 		crashes, refuted := codec.ReadCrashes(m.Crashes)
 		n.adoptCrashes(now, l, crashes, refuted)
 	case *wire.Msg_Peers:
-		n.handleListed(others, m.Peers.GetLinks())
+		n.handleListed(others, codec.ReadPeers(m.Peers))
 	default:
 		n.log.WithField("entry", l.Name()).Warn("message_unknown")
 	}
 }
 
-// handleConfig keeps a configuration and passes it to entries that have an older one.
-func (n *Node) handleConfig(from *link, c *wire.Config) {
-	from.Config = max(from.Config, ident.ConfigVersion(c.GetVersion()))
-	if c.GetVersion() <= n.config.GetVersion() {
-		return
-	}
-	n.config = c
-	for l := range n.links.All() {
-		n.passConfig(l)
-	}
-}
-
-// passConfig sends an entry the configuration if it has an older one.
-func (n *Node) passConfig(l *link) {
-	if l.Config >= ident.ConfigVersion(n.config.GetVersion()) {
-		return
-	}
-	l.Config = ident.ConfigVersion(n.config.GetVersion())
-	l.Session.Send(codec.Config(l.Config, n.config.GetRaw()))
-}
-
 // sender sends the keeper's words to entries.
 type sender Node
 
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -35,9 +35,11 @@
 	inc      ident.Incarnation
 	loop     *loop.Loop
 	// dials counts the links that were dialled, so that entries can tell newer ones from older ones.
-	dials  atomic.Uint64
-	ctx    context.Context
-	cancel context.CancelFunc
+	dials atomic.Uint64
+	// following is how many entries are linked that read the store's tables that agents need.
+	following atomic.Int32
+	ctx       context.Context
+	cancel    context.CancelFunc
 
 	// The control goroutine owns what follows.
 	keeper *upstream.Keeper
@@ -46,14 +48,11 @@
 	// toRemember is what waits to be written there, at most one.
 	toRemember chan lives.Known
 	patience   patience.Patience
-	links      *links.Set[none]
-	// dialled are the entries that are dialled or linked, by address; listed are the addresses that each source told last.
+	links      *links.Set[told]
+	// dialled are the entries that are dialled or linked, by address; listed are those that each source told last.
 	dialled map[string]*dialled
-	listed  map[source][]string
-	// wants are the services of whose agents entries have asked for more, by the entry's address.
-	wants map[string][]ident.Service
-	// config is the newest configuration that an entry has sent, to be passed on.
-	config *wire.Config
+	listed  map[source][]fleet.Entry
+	relay   relayed
 	// cordons is what is known of the zones that operators have cordoned.
 	cordons *cordon.Set
 	// crashes is what is known of the tasks that upstreams were lost under.
@@ -70,11 +69,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		set: set, log: log, dial: dial, upstream: u, memory: m, inc: ident.NewIncarnation(), loop: loop.New(), ctx: ctx, cancel: cancel,
-		links:      links.New[none]("entry", cordon.NewOpenPeer, log),
+		links:      links.New[told]("entry", cordon.NewOpenPeer, log),
 		pulse:      links.Pulse{Limit: set.Links.Silence / 2, Pause: set.Links.Silence / 4, Log: log},
 		dialled:    make(map[string]*dialled),
-		listed:     make(map[source][]string),
-		config:     &wire.Config{},
+		listed:     make(map[source][]fleet.Entry),
+		relay:      relayed{config: &wire.Config{}},
 		cordons:    cordon.NewSet(nil),
 		crashes:    crash.New(nil),
 		toRemember: make(chan lives.Known, 1),
@@ -179,8 +178,8 @@
 	// cordonsRead carries what the store says of cordons.
 	cordonsRead   struct{ snapshot cordon.Snapshot }
 	entriesListed struct {
-		by    source
-		links []string
+		by      source
+		entries []fleet.Entry
 	}
 )
 
@@ -218,7 +217,7 @@
 	case cordonsRead:
 		n.adoptCordons(e.snapshot, "store")
 	case entriesListed:
-		n.handleListed(e.by, e.links)
+		n.handleListed(e.by, e.entries)
 	}
 	n.noteLife(now)
 	n.keeper.Flush(now)
@@ -239,6 +238,20 @@
 	}
 }
 
+// countFollowing counts the entries that read the store.
+func (n *Node) countFollowing() {
+	var count int32
+	for l := range n.links.All() {
+		if l.Own.follows {
+			count++
+		}
+	}
+	n.following.Store(count)
+}
+
+// Following returns how many of the entries that are linked read the store's tables that agents need, and tell what changes there.
+func (n *Node) Following() int { return int(n.following.Load()) }
+
 // noteHold logs the first of several holds without an answer: one that is refused says more of the upstream than one that is lost.
 func (n *Node) noteHold(err error) {
 	if err != nil && !n.holdsFail {
@@ -265,5 +278,6 @@
 	for _, l := range n.links.DropSilent(now, n.pulse.Running, links.Limits{Quiet: n.set.Links.Quiet(), Silence: n.set.Links.Silence}) {
 		n.keeper.Unlinked(now, l.Peer, "silent")
 	}
+	n.countFollowing()
 	n.keeper.Flush(now)
 }
--- a/internal/agent/process/process.go
+++ b/internal/agent/process/process.go
@@ -14,6 +14,7 @@
 	"hillreel/internal/config/cordon"
 	"hillreel/internal/config/store"
 	"hillreel/internal/core/bus"
+	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/follow"
 	"hillreel/internal/core/kernel"
 	"hillreel/internal/core/metrics"
@@ -69,7 +70,7 @@
 	p := &Process{set: set, log: d.Log, kernel: kernel.New(d.Log), bus: bus.New()}
 	p.Node = node.New(set, d.Upstream, memory.New(d.Store, set.Node.Name), d.Dial, d.Log)
 	metrics.Report("runs", func() any { return p.Node.Runs() })
-	dir := members.NewDirectory(func(entries []members.Listed) {
+	dir := members.NewDirectory(func(entries []fleet.Entry) {
 		if err := p.bus.Publish(bus.Entries, entries); err != nil {
 			p.log.WithField("error", err.Error()).Error("event_not_published")
 		}
@@ -80,7 +81,9 @@
 	}{
 		{nameNode, p.Node},
 		{nameBeats, web.New("heartbeats", set.Agent.Control, d.Beats(p.Node), web.Small)},
-		{nameEntries, follow.New(d.Store, members.Table, follow.Whole, set.Platform.ListWait, dir.Change, d.Log)},
+		{nameEntries, follow.New(d.Store, members.Table, follow.Whole, set.Platform.ListWait, dir.Change, d.Log).With(follow.Options{
+			Gather: dir.Gather, Rest: p.told(time.Now(), entriesGrace),
+		})},
 		{nameCordons, p.follow(d, d.Cordons)},
 		{nameObjects, p.follow(d, store.Cordons)},
 		{nameMetrics, web.New("metrics", set.Node.Metrics, ops.Handler(nil, p.Node.Ready, nil), web.Operators)},
@@ -95,7 +98,26 @@
 // follow returns a follower of a table that holds cordons.
 func (p *Process) follow(d Deps, t cordon.Table) *follow.Follower {
 	r := cordon.NewReader(t, p.Node.SetCordons, d.Log)
-	return follow.New(d.Store, t.Name, follow.Whole, p.set.Platform.ListWait, r.Change, d.Log)
+	return follow.New(d.Store, t.Name, follow.Whole, p.set.Platform.ListWait, r.Change, d.Log).With(follow.Options{
+		Rest: p.told(time.Now(), cordonsGrace),
+	})
+}
+
+// Entries tell their agents what changes in the store's tables that agents need. An agent reads these itself only while it hears too few
+// entries that do: otherwise each change would be read by all processes of a region, and a configuration by many that have no use for it.
+const (
+	// tellers is how many entries must tell it: with fewer, as in small regions, it reads as well, so that what it knows does not depend
+	// on entries that the store may have turned away without their knowing it yet.
+	tellers = 6
+	// entriesGrace and cordonsGrace are how long an agent that starts waits for links to entries before it reads. Without the list
+	// of entries it may find none, so it waits for that less.
+	entriesGrace = 300 * time.Millisecond
+	cordonsGrace = time.Second
+)
+
+// told tells whether entries tell the agent what is in the store, or soon may, after a start.
+func (p *Process) told(start time.Time, grace time.Duration) func() bool {
+	return func() bool { return p.Node.Following() >= tellers || time.Since(start) < grace }
 }
 
 // Start starts all services in order.
--- a/internal/entry/node/config.go
+++ b/internal/entry/node/config.go
@@ -5,16 +5,23 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/invariant"
 	"hillreel/internal/core/route"
 	"hillreel/internal/link/codec"
-	"hillreel/internal/link/members"
 	"hillreel/internal/link/wire"
 )
 
-// relays is how many agents get a new configuration to pass on. Two, since one may be cut off.
-const relays = 2
+// holders is about how many agents of each entry, at least, shall get a new configuration to pass on: some may be cut off. An agent is linked
+// to several entries and may get it from each of them.
+const holders = 6
+
+// relays is to how many agents this entry passes a new configuration.
+func (n *Node) relays() int {
+	shared := min(max(len(n.peers), 1), n.set.Links.Entries)
+	return (holders + shared - 1) / shared
+}
 
 // Decoder decodes a configuration that another process has passed on.
 type Decoder func(raw []byte) (*route.Table, error)
@@ -45,7 +52,7 @@
 
 // relay passes a configuration to a few agents; they pass it to entries that the store turns away.
 func (n *Node) relay(t *route.Table, from ident.Incarnation) {
-	left := relays
+	left := n.relays()
 	for l := range n.links.All() {
 		if left == 0 {
 			return
@@ -71,21 +78,18 @@
 }
 
 // SetEntries tells the node which entries there are, for agents that can't read the store.
-func (n *Node) SetEntries(entries []members.Listed) { n.loop.Post(listed{entries}) }
+func (n *Node) SetEntries(entries []fleet.Entry) { n.loop.Post(listed{entries}) }
 
 // handleListed passes the list of entries to all agents when it has changed.
-func (n *Node) handleListed(entries []members.Listed) {
-	peers := make([]string, len(entries))
-	for i, l := range entries {
-		peers[i] = string(l.Address)
-	}
-	if slices.Equal(peers, n.peers) {
+func (n *Node) handleListed(entries []fleet.Entry) {
+	same := func(a, b fleet.Entry) bool { return a.Address == b.Address && slices.Equal(a.Wants, b.Wants) }
+	if slices.EqualFunc(n.peers, entries, same) {
 		return
 	}
-	n.peers = peers
-	n.table.SetEntries(len(peers))
-	n.log.WithField("entries", len(peers)).Info("entries_listed")
+	n.peers = entries
+	n.table.SetEntries(len(entries))
+	n.log.WithField("entries", len(entries)).Info("entries_listed")
 	for l := range n.links.All() {
-		l.Session.Send(codec.Peers(peers))
+		l.Session.Send(codec.Peers(entries))
 	}
 }
--- a/internal/entry/node/links.go
+++ b/internal/entry/node/links.go
@@ -140,7 +140,7 @@
 	if t := n.routes.Load(); t != nil {
 		v = t.Version
 	}
-	l.Session.Send(codec.Ping(l.Own.clock, v, n.table.Pace()))
+	l.Session.Send(codec.Ping(fleet.KeepAlive{Echo: l.Own.clock, Config: v, Pace: n.table.Pace(), Follows: n.follows()}))
 }
 
 // sender sends the table's orders to agents.
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -14,6 +14,7 @@
 
 	"hillreel/internal/config/cordon"
 	"hillreel/internal/core/boottime"
+	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/loop"
@@ -23,7 +24,6 @@
 	"hillreel/internal/kept/book"
 	"hillreel/internal/kept/ledger"
 	"hillreel/internal/link/links"
-	"hillreel/internal/link/members"
 	"hillreel/internal/link/session"
 	"hillreel/internal/link/wire"
 )
@@ -51,8 +51,8 @@
 	callers map[dispatch.CallerID]chan dispatch.Answer
 	// closing is true once everybody was given a last answer.
 	closing bool
-	// peers are the link addresses of all entries, as agents were told last.
-	peers []string
+	// peers are all entries, as agents were told last.
+	peers []fleet.Entry
 	// cordons is what is known of the zones that operators have cordoned.
 	cordons *cordon.Set
 	pulse   links.Pulse
@@ -61,6 +61,8 @@
 	lastID  atomic.Uint64
 	linked  atomic.Int32
 	leaving atomic.Bool
+	// follows tells whether the store's tables that agents need are known here, as far as the store has answered.
+	follows func() bool
 }
 
 // link is the session with one agent.
@@ -83,6 +85,7 @@
 		links:   links.New[keepAlive]("agent", cordon.NewPeer, log),
 		pulse:   links.Pulse{Limit: set.Links.Silence / 2, Pause: set.Links.Silence / 4, Log: log},
 		callers: make(map[dispatch.CallerID]chan dispatch.Answer), cordons: cordon.NewSet(nil),
+		follows: func() bool { return false },
 	}
 	options := dispatch.Options{
 		Timing: set.Links.Timing(), Zone: ident.Zone(set.Node.Zone), MaxQueue: set.Entry.QueueLimit, MaxTasks: set.Entry.MaxTasks,
@@ -107,6 +110,9 @@
 	return nil
 }
 
+// SetFollows sets what tells whether the store's tables that agents need are known here, before Start.
+func (n *Node) SetFollows(f func() bool) { n.follows = f }
+
 // Address returns where the node listens for links.
 func (n *Node) Address() string { return n.ln.Addr().String() }
 
@@ -150,7 +156,7 @@
 		table *route.Table
 		from  ident.Incarnation
 	}
-	listed struct{ entries []members.Listed }
+	listed struct{ entries []fleet.Entry }
 	// cordonsRead carries what the store says of cordons.
 	cordonsRead struct{ snapshot cordon.Snapshot }
 )
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -13,6 +13,7 @@
 	"hillreel/internal/config/store"
 	"hillreel/internal/config/view"
 	"hillreel/internal/core/bus"
+	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/follow"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/kernel"
@@ -90,20 +91,26 @@
 	p.Node = node.New(set, d.Store, d.Decode, node.NewObserver(d.Log, recordBurn(recorder)), d.Log)
 	changes := store.New(d.Store, time.Now)
 	api := operator.New(changes, objects, p.Node, recorder, d.Log)
-	dir := members.NewDirectory(func(entries []members.Listed) { p.publish(bus.Entries, entries) }, d.Log)
+	dir := members.NewDirectory(func(entries []fleet.Entry) { p.publish(bus.Entries, entries) }, d.Log)
 	entry := members.Entry{Name: set.Node.Name, Incarnation: p.Node.Incarnation().String(), Zone: ident.Zone(set.Node.Zone)}
-	register := members.NewRegistrar(d.Store, advertised(set), entry, d.Log)
+	register := members.NewRegistrar(d.Store, advertised(set), entry, dir.Len, d.Log)
 	p.Front = web.New("clients", set.Entry.Front, d.Front(p.Node), callers(set))
 	inForce := func() caller.Services { return objects.View() }
 	p.Callers = web.New("callers", set.Entry.Callers, caller.New(p.Node, inForce, int64(set.Entry.MaxBody), d.Log), callers(set))
 	p.Metrics = web.New("metrics", set.Node.Metrics, ops.Handler(ops.Tokens(set.Entry), p.Node.Ready, api.Routes), web.Operators)
 	metrics.Report("zones", func() any { return p.Node.Zones() })
+	configFollower := follow.New(d.Store, d.Config.Table, follow.Whole, set.Platform.ConfigWait, p.configReader(d), d.Log).With(follow.Options{
+		Wait: func() time.Duration { return configWait(set, dir.Len()) },
+	})
+	objectsFollower := follow.New(d.Store, store.Objects, follow.Whole, set.Platform.ListWait, p.objectsReader(objects), d.Log)
+	entriesFollower := follow.New(d.Store, members.Table, follow.Whole, set.Platform.ListWait, dir.Change, d.Log).With(follow.Options{Gather: dir.Gather})
+	p.Node.SetFollows(func() bool { return configFollower.Current() && objectsFollower.Current() && entriesFollower.Current() })
 	services := []named{
 		{nameNode, p.Node},
-		{nameConfig, follow.New(d.Store, d.Config.Table, follow.Whole, set.Platform.ConfigWait, p.configReader(d), d.Log)},
+		{nameConfig, configFollower},
 		{nameCancels, follow.New(d.Store, record.Cancels, p.Node.CancelRows(), set.Platform.ListWait, p.Node.Cancelled, d.Log)},
-		{nameObjects, follow.New(d.Store, store.Objects, follow.Whole, set.Platform.ListWait, p.objectsReader(objects), d.Log)},
-		{nameEntries, follow.New(d.Store, members.Table, follow.Whole, set.Platform.ListWait, dir.Change, d.Log)},
+		{nameObjects, objectsFollower},
+		{nameEntries, entriesFollower},
 		{nameRegister, register},
 		{nameCoverage, newCoverage(p.Node, dir, register, set.Links.Entries)},
 	}
@@ -116,6 +123,17 @@
 	return p, p.subscribe()
 }
 
+// freshPolls is how many entries, on average, ask for the configuration anew within its wait. A call that the store has taken and will
+// never answer is noticed after its wait only; an entry that hangs so gets a new configuration from agents, which have it from those that do
+// not. So the calls of a region need not grow with its entries.
+const freshPolls = 6
+
+// configWait is how long one call waits for a change of the configuration, in a region of so many entries.
+func configWait(set *settings.Settings, entries int) time.Duration {
+	shared := max(entries, freshPolls)
+	return min(set.Platform.ConfigWait*time.Duration(shared)/freshPolls, max(set.Platform.ListWait, set.Platform.ConfigWait))
+}
+
 // servers lists the servers that the settings give an address. They start last, when there is what they serve.
 func (p *Process) servers() []named {
 	var out []named
--- a/internal/link/codec/codec.go
+++ b/internal/link/codec/codec.go
@@ -79,13 +79,17 @@
 }
 
 // Ping encodes an entry's keep-alive.
-func Ping(echo time.Duration, v ident.ConfigVersion, pace float64) *wire.Msg {
-	return &wire.Msg{Kind: &wire.Msg_Ping{Ping: &wire.Ping{EchoUs: echo.Microseconds(), ConfigVersion: uint64(v), Pace: pace}}}
+func Ping(k fleet.KeepAlive) *wire.Msg {
+	return &wire.Msg{Kind: &wire.Msg_Ping{Ping: &wire.Ping{
+		EchoUs: k.Echo.Microseconds(), ConfigVersion: uint64(k.Config), Pace: k.Pace, Follows: k.Follows,
+	}}}
 }
 
 // ReadPing decodes an entry's keep-alive.
-func ReadPing(m *wire.Ping) (echo time.Duration, v ident.ConfigVersion, pace float64) {
-	return microseconds(m.GetEchoUs()), ident.ConfigVersion(m.GetConfigVersion()), m.GetPace()
+func ReadPing(m *wire.Ping) fleet.KeepAlive {
+	return fleet.KeepAlive{
+		Echo: microseconds(m.GetEchoUs()), Config: ident.ConfigVersion(m.GetConfigVersion()), Pace: m.GetPace(), Follows: m.GetFollows(),
+	}
 }
 
 // Upstream encodes the description of an upstream.
@@ -290,6 +294,33 @@
 }
 
 // Peers encodes the entries that the sender knows.
-func Peers(links []string) *wire.Msg {
-	return &wire.Msg{Kind: &wire.Msg_Peers{Peers: &wire.Peers{Links: links}}}
+func Peers(entries []fleet.Entry) *wire.Msg {
+	m := &wire.Peers{}
+	for _, e := range entries {
+		m.Links = append(m.Links, string(e.Address))
+		if len(e.Wants) == 0 {
+			continue
+		}
+		w := &wire.Wants{Link: string(e.Address)}
+		for _, s := range e.Wants {
+			w.Services = append(w.Services, string(s))
+		}
+		m.Wants = append(m.Wants, w)
+	}
+	return &wire.Msg{Kind: &wire.Msg_Peers{Peers: m}}
+}
+
+// ReadPeers decodes them.
+func ReadPeers(m *wire.Peers) []fleet.Entry {
+	wants := make(map[string][]ident.Service)
+	for _, w := range m.GetWants() {
+		for _, s := range w.GetServices() {
+			wants[w.GetLink()] = append(wants[w.GetLink()], ident.Service(s))
+		}
+	}
+	out := make([]fleet.Entry, len(m.GetLinks()))
+	for i, l := range m.GetLinks() {
+		out[i] = fleet.Entry{Address: ident.Address(l), Wants: wants[l]}
+	}
+	return out
 }
--- a/internal/link/codec/codec_test.go
+++ b/internal/link/codec/codec_test.go
@@ -60,8 +60,8 @@
 	gotCrashes, gotRefuted := codec.ReadCrashes(codec.Crashes(crashes, refuted).GetCrashes())
 	qt.Assert(t, gotCrashes, qt.DeepEquals, crashes)
 	qt.Assert(t, gotRefuted, qt.DeepEquals, refuted)
-	echo, version, pace := codec.ReadPing(codec.Ping(1500*time.Microsecond, 12, 1.5).GetPing())
-	qt.Assert(t, pace, qt.Equals, 1.5)
-	qt.Assert(t, echo, qt.Equals, 1500*time.Microsecond)
-	qt.Assert(t, uint64(version), qt.Equals, uint64(12))
+	alive := fleet.KeepAlive{Echo: 1500 * time.Microsecond, Config: 12, Pace: 1.5, Follows: true}
+	qt.Assert(t, codec.ReadPing(codec.Ping(alive).GetPing()), qt.DeepEquals, alive)
+	entries := []fleet.Entry{{Address: "10.0.0.1:7720"}, {Address: "10.0.0.2:7720", Wants: []ident.Service{"a", "b"}}}
+	qt.Assert(t, codec.ReadPeers(codec.Peers(entries).GetPeers()), qt.DeepEquals, entries)
 }
--- a/internal/link/members/members.go
+++ b/internal/link/members/members.go
@@ -12,9 +12,11 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/follow"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/rows"
@@ -37,24 +39,18 @@
 	Wants []ident.Service `json:"wants,omitempty"`
 }
 
-// Listed is an entry as the table has it.
-type Listed struct {
-	Address ident.Address   `json:"address"`
-	Wants   []ident.Service `json:"wants,omitempty"`
-}
-
 // Directory is the list of entries as the store has it.
 type Directory struct {
-	changed func([]Listed)
+	changed func([]fleet.Entry)
 	log     *logrus.Entry
 
 	mu  sync.Mutex
-	all map[ident.Address]Listed
+	all map[ident.Address]fleet.Entry
 }
 
 // NewDirectory returns an empty Directory; changed is called with all entries each time one comes, goes or changes.
-func NewDirectory(changed func([]Listed), log *logrus.Entry) *Directory {
-	return &Directory{changed: changed, log: log, all: make(map[ident.Address]Listed)}
+func NewDirectory(changed func([]fleet.Entry), log *logrus.Entry) *Directory {
+	return &Directory{changed: changed, log: log, all: make(map[ident.Address]fleet.Entry)}
 }
 
 // Len returns how many entries are listed.
@@ -64,6 +60,17 @@
 	return len(d.all)
 }
 
+const (
+	// gatherEach is for how long changes of the list are gathered, for each entry in it. Where a whole region starts, all entries come
+	// within a second, and each of their rows would else wake all processes.
+	gatherEach = 3 * time.Millisecond
+	// gatherMost bounds it: an entry that has just started gets no work before agents have heard of it.
+	gatherMost = 2 * time.Second
+)
+
+// Gather is for how long a process gathers changes of the list before it reads them.
+func (d *Directory) Gather() time.Duration { return min(time.Duration(d.Len())*gatherEach, gatherMost) }
+
 // Change takes in changes of the table; it is a follow.Change.
 func (d *Directory) Change(c follow.Changes) {
 	d.mu.Lock()
@@ -85,9 +92,9 @@
 			// The address is in the name, so that agents find the entry all the same.
 			d.log.WithFields(logrus.Fields{"link": address, "error": err.Error()}).Warn("member_unreadable")
 		}
-		d.all[address] = Listed{address, e.Wants}
+		d.all[address] = fleet.Entry{Address: address, Wants: e.Wants}
 	}
-	live := slices.SortedFunc(maps.Values(d.all), func(a, b Listed) int { return cmp.Compare(a.Address, b.Address) })
+	live := slices.SortedFunc(maps.Values(d.all), func(a, b fleet.Entry) int { return cmp.Compare(a.Address, b.Address) })
 	d.mu.Unlock()
 	d.changed(live)
 }
--- a/internal/link/members/members_test.go
+++ b/internal/link/members/members_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -11,7 +12,9 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 
+	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/follow"
+	"hillreel/internal/core/ident"
 	"hillreel/internal/core/logs"
 	"hillreel/internal/core/rows"
 	"hillreel/internal/link/members"
@@ -29,16 +32,19 @@
 	hold bool
 	// held are the writes that were not answered.
 	held []rows.Txn
+	// read counts the rows that were read.
+	read int
 	// late are the writes that are done just before the next one.
 	late []rows.Txn
 }
 
-func (s *heldStore) List(_ context.Context, table rows.Table, _ string) (rows.Page, error) {
+func (s *heldStore) Range(_ context.Context, of rows.Range) (rows.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	page := rows.Page{Version: s.rows.Version, Now: time.Minute}
 	for k, r := range s.rows.Rows {
-		if k.Table == table {
+		if k.Table == of.Table && k.Name >= of.From && (of.To == "" || k.Name < of.To) {
+			s.read++
 			page.Rows = append(page.Rows, r)
 		}
 	}
@@ -83,7 +89,7 @@
 
 // registered returns the incarnation in the entry's row, empty when there is none.
 func (s *heldStore) registered(t *testing.T) string {
-	page, err := s.List(context.Background(), members.Table, "")
+	page, err := s.Range(context.Background(), rows.Range{Table: members.Table})
 	qt.Assert(t, err, qt.IsNil)
 	i := slices.IndexFunc(page.Rows, func(r rows.Row) bool { return r.Key.Name == address })
 	if i < 0 {
@@ -103,7 +109,7 @@
 
 // life starts one life of the entry.
 func life(t *testing.T, s *heldStore, incarnation string) *members.Registrar {
-	r := members.NewRegistrar(s, address, members.Entry{Name: "e", Incarnation: incarnation}, logs.Discard())
+	r := members.NewRegistrar(s, address, members.Entry{Name: "e", Incarnation: incarnation}, func() int { return 1 }, logs.Discard())
 	qt.Assert(t, r.Start(context.Background()), qt.IsNil)
 	return r
 }
@@ -187,8 +193,8 @@
 
 // TestRowsOfOtherWriters: a row that names no address is nobody to link to; one that can't be read names its entry all the same.
 func TestRowsOfOtherWriters(t *testing.T) {
-	var all []members.Listed
-	d := members.NewDirectory(func(l []members.Listed) { all = l }, logs.Discard())
+	var all []fleet.Entry
+	d := members.NewDirectory(func(l []fleet.Entry) { all = l }, logs.Discard())
 	row := func(name, value string) rows.Row {
 		return rows.Row{Key: rows.Key{Table: members.Table, Name: name}, Value: []byte(value)}
 	}
@@ -202,3 +208,24 @@
 	}
 	qt.Assert(t, addresses, qt.DeepEquals, []string{address, "10.0.0.2:7400", "10.0.0.3:7400"})
 }
+
+// TestRenewalsReadFewRows: what all entries of a region read together at their renewals grows with their number, not with its square; in
+// a small region each looks at all rows.
+func TestRenewalsReadFewRows(t *testing.T) {
+	const rounds = 20
+	read := make(map[int]int)
+	for _, n := range []int{3, 100, 200} {
+		s := &heldStore{rows: memory.New()}
+		ctx := context.Background()
+		for range rounds {
+			for i := range n {
+				r := members.NewRegistrar(s, ident.Address(fmt.Sprintf("10.0.0.%d:1", i)), members.Entry{Name: "e"}, func() int { return n }, logs.Discard())
+				qt.Assert(t, r.Renew(ctx), qt.IsNil)
+			}
+		}
+		read[n] = s.read / rounds
+	}
+	qt.Check(t, read[3] >= 3*2*2, qt.IsTrue, qt.Commentf("%v", read))
+	qt.Check(t, read[100] < 100*2*8, qt.IsTrue, qt.Commentf("%v", read))
+	qt.Check(t, read[200] < 3*read[100], qt.IsTrue, qt.Commentf("%v", read))
+}
--- a/internal/link/members/registrar.go
+++ b/internal/link/members/registrar.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -33,7 +34,7 @@
 
 // Writer is what a Registrar needs of the store.
 type Writer interface {
-	List(ctx context.Context, table rows.Table, part string) (rows.Page, error)
+	Range(ctx context.Context, r rows.Range) (rows.Page, error)
 	Commit(ctx context.Context, t rows.Txn) (rows.Version, error)
 }
 
@@ -42,6 +43,8 @@
 	store   Writer
 	address ident.Address
 	log     *logrus.Entry
+	// entries tells how many entries are known.
+	entries func() int
 	cancel  context.CancelFunc
 	done    chan struct{}
 	// wake lets the row be written before its next renewal.
@@ -51,9 +54,9 @@
 	entry Entry
 }
 
-// NewRegistrar returns a Registrar that has not begun.
-func NewRegistrar(s Writer, address ident.Address, e Entry, log *logrus.Entry) *Registrar {
-	return &Registrar{store: s, address: address, entry: e, log: log, done: make(chan struct{}), wake: make(chan struct{}, 1)}
+// NewRegistrar returns a Registrar that has not begun; entries tells how many entries are known.
+func NewRegistrar(s Writer, address ident.Address, e Entry, entries func() int, log *logrus.Entry) *Registrar {
+	return &Registrar{store: s, address: address, entry: e, entries: entries, log: log, done: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
 // Want lets agents of some services link to the entry, beside those that do anyway. They do so for the entry's life, and
@@ -107,7 +110,7 @@
 
 // remove removes this life's rows, unless a successor has replaced them.
 func (r *Registrar) remove(ctx context.Context) error {
-	present, err := r.read(ctx)
+	present, err := r.read(ctx, r.ownRow())
 	if err != nil {
 		return err
 	}
@@ -139,13 +142,32 @@
 // listing is what the two tables hold at one time.
 type listing struct{ entries, renewals rows.Page }
 
-// read reads both tables.
-func (r *Registrar) read(ctx context.Context) (listing, error) {
-	entries, err := r.store.List(ctx, Table, "")
+// sweeps is how many entries look at each renewal for what others have left behind, on average. If all did, what they read would grow
+// with the square of their number.
+const sweeps = 3
+
+// scope returns the rows that a renewal reads: the entry's own, and now and then all.
+func (r *Registrar) scope() rows.Range {
+	if n := r.entries(); n > sweeps && rand.IntN(n) >= sweeps {
+		return r.ownRow()
+	}
+	return rows.Range{}
+}
+
+// ownRow bounds a reading to the entry's own row.
+func (r *Registrar) ownRow() rows.Range {
+	return rows.Range{From: string(r.address), To: string(r.address) + "\x00"}
+}
+
+// read reads both tables within a range of names.
+func (r *Registrar) read(ctx context.Context, names rows.Range) (listing, error) {
+	names.Table = Table
+	entries, err := r.store.Range(ctx, names)
 	if err != nil {
 		return listing{}, err
 	}
-	renewed, err := r.store.List(ctx, renewals, "")
+	names.Table = renewals
+	renewed, err := r.store.Range(ctx, names)
 	return listing{entries, renewed}, err
 }
 
@@ -178,7 +200,7 @@
 	defer close(r.done)
 	failing := false
 	for ctx.Err() == nil {
-		err := r.renew(ctx)
+		err := r.Renew(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -198,10 +220,10 @@
 	}
 }
 
-// renew writes the entry's renewal and, if it is missing or another life's, its row; and it removes what others
-// have left behind.
-func (r *Registrar) renew(ctx context.Context) error {
-	present, err := r.read(ctx)
+// Renew writes the entry's renewal and, if it is missing or another life's, its row; and it removes what others
+// have left behind, of the rows that it reads.
+func (r *Registrar) Renew(ctx context.Context) error {
+	present, err := r.read(ctx, r.scope())
 	if err != nil {
 		return err
 	}
--- a/internal/standin/embedded/embedded.go
+++ b/internal/standin/embedded/embedded.go
@@ -13,12 +13,12 @@
 
 	agentnode "hillreel/internal/agent/node"
 	agent "hillreel/internal/agent/process"
+	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/settings"
 	"hillreel/internal/core/web"
 	"hillreel/internal/entry/node"
 	entry "hillreel/internal/entry/process"
-	"hillreel/internal/link/members"
 	"hillreel/internal/link/session"
 	"hillreel/internal/standin/loopback"
 	"hillreel/platform"
@@ -188,7 +188,7 @@
 	s.Entries = append(s.Entries, p)
 	if string(store) != s.store.Address() {
 		for _, g := range s.Agents {
-			g.Node.SetEntries([]members.Listed{
+			g.Node.SetEntries([]fleet.Entry{
 				{Address: ident.Address(s.Entries[0].Node.Address())}, {Address: ident.Address(p.Node.Address())},
 			})
 		}
