--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 # make soak    a long randomised run (SCHEDULES=n SEED=n)
 # make soak-faults  the real programs under faults (SEED=n SEEDS=n LENGTH=time AGENTS=n PARALLEL=n)
 # make days    write our days for the users' bench into deploy/days, where hunts find them (DIR=directory)
+# make same    write the digests of what schedules and played deployments decide, which tests compare
 # make rules   leave out each safety rule and search for a schedule that fails (SCHEDULES=n SEED=n)
 GO ?= go
 SCHEDULES ?= 200000
@@ -14,7 +15,7 @@
 PARALLEL ?= 2
 DIR ?= deploy/days
 
-.PHONY: all build demo check lint test soak soak-faults days rules generate
+.PHONY: all build demo check lint test soak soak-faults days rules same generate
 
 all: build
 
@@ -48,6 +49,9 @@
 days:
 	$(GO) test ./platform/days -run TestDays -count=1 -days-into $(abspath $(DIR))
 
+same:
+	$(GO) test ./internal/proof/schedule ./internal/load/report -run TestSame$$ -count=1 -v -same-write
+
 generate:
 	mkdir -p bin
 	$(GO) build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
