--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	"hillreel/internal/core/rule"
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/demand"
+	"hillreel/internal/entry/doubt"
 	"hillreel/internal/entry/queue"
 )
 
@@ -197,7 +198,7 @@
 	alone   []aloneRun
 	entries int
 	// doubts are runs that were lost with their agents.
-	doubts []doubt
+	doubts doubt.List
 	// paces are those of the agents that are linked, sorted; pace is their median, 1 while none is known.
 	paces []float64
 	pace  float64
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -8,6 +8,7 @@
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/verdict"
+	"hillreel/internal/entry/repeat"
 )
 
 // minAttempts is how many failed runs at different upstreams it takes at least to fail a job that need not be
@@ -104,20 +105,20 @@
 // goOn ends a task, or its job, or lets the task be placed again.
 func (t *Table) goOn(now time.Time, a *upstreamOf, k *task, e fleet.End) {
 	j := k.job
-	switch {
-	case e.Outcome == job.Done:
-		t.observer.Ended(a.Name, e, "done")
+	action := repeat.After(repeat.Ended{
+		Outcome: e.Outcome, Reason: e.Reason, Failures: k.failures, Attempts: j.attempts(), Kept: j.kept, StoreFirst: t.mustStore(k, e.Outcome),
+	})
+	t.observer.Ended(a.Name, e, string(action))
+	switch action {
+	case repeat.Done:
 		t.done(now, k)
-	case e.Outcome == job.Failed && k.failures >= j.attempts():
-		t.observer.Ended(a.Name, e, "job_fails")
+	case repeat.JobFails:
 		k.phase = over
 		t.close(now, j, Answer{State: verdict.Failed, Verdict: verdict.Ran, Reason: verdict.TaskFailed})
-	case j.kept && e.Reason == fleet.AgentSilent || t.mustStore(k, e.Outcome):
-		t.observer.Ended(a.Name, e, "doubtful")
+	case repeat.Doubtful:
 		k.phase = doubtful
 		t.keeper.RunLost(now, k.ref())
-	default:
-		t.observer.Ended(a.Name, e, "again")
+	case repeat.Again:
 		j.begun = j.begun && (j.runs > 0)
 		t.wait(k)
 	}
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -10,6 +10,7 @@
 	"hillreel/internal/core/rule"
 	"hillreel/internal/entry/choice"
 	"hillreel/internal/entry/queue"
+	"hillreel/internal/entry/repeat"
 )
 
 // queue returns the queue of a service, a new one if there is none.
@@ -158,7 +159,7 @@
 	}
 	estimate := k.job.spec.Steps[k.id.Step].Estimate
 	end := now.Add(time.Duration(a.Room().Pace * float64(estimate)))
-	return k.job.worthAt(end) < inTime
+	return repeat.At(end.Sub(k.job.submitted), k.job.objective) < repeat.InTime
 }
 
 // eligible tells whether a task may go to an agent now.
