--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -103,7 +103,7 @@
 	t.notePressure(now, j, a)
 	s := t.summary(now, j)
 	if a.Verdict == verdict.NotRun {
-		s.Room = t.roomLeft(j)
+		s.Room = t.roomLeft(now, j)
 	}
 	for _, c := range j.callers {
 		t.callers.Answer(c, a)
@@ -131,8 +131,8 @@
 }
 
 // roomLeft tells what room there is for a job's waiting tasks.
-func (t *Table) roomLeft(j *jobState) RoomLeft {
-	var r RoomLeft
+func (t *Table) roomLeft(now time.Time, j *jobState) RoomLeft {
+	r := RoomLeft{Closed: t.closedNow(now)}
 	for s := range j.steps {
 		n := len(j.steps[s].waiting)
 		if n <= r.Tasks {
--- a/internal/entry/dispatch/crash_test.go
+++ b/internal/entry/dispatch/crash_test.go
@@ -114,6 +114,18 @@
 	qt.Assert(t, b.orders, qt.HasLen, 3)
 }
 
+// TestRefusalTellsOfClosedRoom: who reads the log of a refused job can tell that upstreams were closed for a suspected task.
+func TestRefusalTellsOfClosedRoom(t *testing.T) {
+	b := newVMs(t, 2)
+	b.submit(1, 1, 1, time.Second, 10*time.Second)
+	b.lose(b.orders[0], time.Millisecond)
+	qt.Assert(t, b.orders[1].Tasks[0].Alone > 0, qt.IsTrue)
+	b.submit(2, 2, 1, 80*time.Millisecond, 10*time.Second)
+	b.pass(100 * time.Millisecond)
+	qt.Assert(t, b.answers[2].Reason, qt.Equals, verdict.Overloaded)
+	qt.Assert(t, b.summaries[2].Room.Closed, qt.Equals, 1)
+}
+
 // TestLossOfAnAgentIsDecided: a run that was lost with its agent counts as lost with its upstream once another upstream stands there, and
 // not if the same one does.
 func TestLossOfAnAgentIsDecided(t *testing.T) {
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -155,6 +155,8 @@
 	Tasks int
 	// Ready counts the upstreams that take work, Fits how many more such tasks they have room for together.
 	Ready, Fits int
+	// Closed is how many upstreams this entry has closed for tasks that may have crashed others.
+	Closed int
 }
 
 // Options are the settings of a Table.
--- a/internal/entry/node/observe.go
+++ b/internal/entry/node/observe.go
@@ -101,6 +101,10 @@
 	if a.Verdict == verdict.NotRun {
 		f["tasks_waiting"], f["task_cpu_millis"], f["upstreams_ready"], f["tasks_fit"] = s.Room.Tasks, s.Room.Wants, s.Room.Ready, s.Room.Fits
 	}
+	if s.Room.Closed > 0 {
+		o.counters.Add("jobs_refused_while_closed", 1)
+		f["upstreams_closed"] = s.Room.Closed
+	}
 	if a.State != verdict.Complete || !inTime {
 		f["way"] = strings.Join(o.traces[id], "; ")
 	}
