--- a/internal/agent/upstream/room.go
+++ b/internal/agent/upstream/room.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"hillreel/internal/agent/condition"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -45,39 +46,23 @@
 
 // state returns the upstream's state as it is for all entries, and what decided it.
 func (k *Keeper) state(now time.Time) (fleet.State, string) {
-	switch {
-	case k.leaving:
-		return fleet.Leaving, "agent_leaving"
-	case k.draining:
-		return fleet.Leaving, "draining"
-	case k.departed:
-		return fleet.Leaving, "said_it_ended"
-	case !k.known || !k.described:
-		return fleet.Clearing, "no_heartbeat"
-	case !k.roomHeard && !k.without.Off(rule.RoomHeard):
-		return fleet.Clearing, "room_not_heard"
-	case !k.looked && !k.without.Off(rule.LookFirst):
-		return fleet.Clearing, "not_listed_yet"
-	case now.Before(k.quietUntil):
-		return fleet.Clearing, "earlier_lease"
-	case k.failures >= unreachableAfter:
-		return fleet.Unreachable, "no_answer"
-	case k.unsure(now):
-		return fleet.Unreachable, "answer_overdue"
-	case len(k.strays) > 0 && !k.without.Off(rule.LookFirst):
-		return fleet.Clearing, "unknown_runs"
-	case k.mustLapse(now):
-		return fleet.Clearing, "stop_unconfirmed"
-	case k.zone == ZoneUnknown && !k.without.Off(rule.CordonKnown):
-		return fleet.Clearing, "cordons_not_known"
-	case k.ends.Full(len(k.runs)):
-		return fleet.Clearing, "ends_not_stored"
-	case k.cordoned():
-		return fleet.Cordoned, "zone_cordoned"
-	case k.health.Suspect():
-		return fleet.Suspect, "failing"
-	}
-	return fleet.Ready, "sound"
+	return condition.Of(condition.Facts{
+		AgentLeaves:     k.leaving,
+		Draining:        k.draining,
+		Ended:           k.departed,
+		Described:       k.known && k.described,
+		RoomHeard:       k.roomHeard || k.without.Off(rule.RoomHeard),
+		Listed:          k.looked || k.without.Off(rule.LookFirst),
+		EarlierLease:    now.Before(k.quietUntil),
+		Silent:          k.failures >= unreachableAfter,
+		Overdue:         k.unsure(now),
+		UnknownRuns:     len(k.strays) > 0 && !k.without.Off(rule.LookFirst),
+		StopUnconfirmed: k.mustLapse(now),
+		CordonsUnknown:  k.zone == ZoneUnknown && !k.without.Off(rule.CordonKnown),
+		EndsNotStored:   k.ends.Full(len(k.runs)),
+		Cordoned:        k.cordoned(),
+		Failing:         k.health.Suspect(),
+	})
 }
 
 // stateFor returns the state that one entry is told.
