--- a/internal/agent/node/config_test.go
+++ b/internal/agent/node/config_test.go
@@ -37,28 +37,46 @@
 	ln, err := net.Listen("tcp", net.JoinHostPort(host, port))
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { ln.Close() })
-	e := &entry{ln: ln, linked: make(chan *session.Session, 1), alive: fleet.KeepAlive{Config: 1, Follows: true}}
+	e := &entry{ln: ln, linked: make(chan *session.Session, 10), alive: fleet.KeepAlive{Config: 1, Follows: true}}
 	go func() {
-		conn, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		s, err := session.Accept(conn, &wire.Hello{Role: "entry", Name: host, Incarnation: uint64(number), ConfigVersion: 1})
-		if err != nil {
-			return
-		}
-		e.linked <- s
-		s.Receive(func(msgs []*wire.Msg) { //nolint:errcheck // it ends with the test
-			for _, m := range msgs {
-				if m.GetConfig() != nil {
-					e.set(func() { e.got++; e.alive.Config = ident.ConfigVersion(m.GetConfig().GetVersion()) })
-				}
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
 			}
-		})
+			go e.serve(conn, number)
+		}
 	}()
 	return e
 }
 
+// serve takes one link of the agent.
+func (e *entry) serve(conn net.Conn, number int) {
+	s, err := session.Accept(conn, &wire.Hello{Role: "entry", Name: conn.LocalAddr().String(), Incarnation: uint64(number), ConfigVersion: 1})
+	if err != nil {
+		return
+	}
+	e.linked <- s
+	s.Receive(func(msgs []*wire.Msg) { //nolint:errcheck // it ends with the test
+		for _, m := range msgs {
+			if m.GetConfig() != nil {
+				e.set(func() { e.got++; e.alive.Config = ident.ConfigVersion(m.GetConfig().GetVersion()) })
+			}
+		}
+	})
+}
+
+// awaitLink returns the next link of the agent.
+func (e *entry) awaitLink(t *testing.T) *session.Session {
+	select {
+	case s := <-e.linked:
+		return s
+	case <-time.After(5 * time.Second):
+		t.Fatalf("%s is not linked", e.ln.Addr())
+		return nil
+	}
+}
+
 func (e *entry) set(change func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -105,7 +123,7 @@
 			defer a.Stop()
 			var sessions []*session.Session
 			for _, e := range all {
-				s := <-e.linked
+				s := e.awaitLink(t)
 				sessions = append(sessions, s)
 				go e.keepAlive(t, s)
 			}
@@ -128,3 +146,33 @@
 		})
 	}
 }
+
+// TestListsOfEntries: an agent dials what any linked entry lists, also if another has not heard of it yet.
+func TestListsOfEntries(t *testing.T) {
+	first := listen(t, 1, "0")
+	_, port, err := net.SplitHostPort(first.ln.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	second, third := listen(t, 2, port), listen(t, 3, port)
+	set, err := settings.Load("")
+	qt.Assert(t, err, qt.IsNil)
+	set.Node.Link, set.Node.Seeds = settings.Address(first.ln.Addr().String()), []string{first.ln.Addr().String()}
+	a := node.New(set, nil, nothing{}, session.TCP, logs.Discard())
+	qt.Assert(t, a.Start(context.Background()), qt.IsNil)
+	defer a.Stop()
+	tell := func(e *entry, all ...*entry) *session.Session {
+		s := e.awaitLink(t)
+		go e.keepAlive(t, s)
+		var out []fleet.Entry
+		for _, listed := range all {
+			out = append(out, fleet.Entry{Address: ident.Address(listed.ln.Addr().String())})
+		}
+		s.Send(codec.Peers(out))
+		return s
+	}
+	tell(first, first, second)
+	lost := tell(second, third)
+	tell(third, third)
+	time.Sleep(100 * time.Millisecond)
+	lost.Close()
+	second.awaitLink(t)
+}
--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -27,21 +27,20 @@
 // source is who told of an entry.
 type source string
 
-// The sources: the settings, the platform's store, and entries over their links.
+// The sources, besides entries over their links: the settings and the platform's store.
 const (
-	seeds  source = "seeds"
-	store  source = "store"
-	others source = "peers"
+	seeds source = "seeds"
+	store source = "store"
 )
 
-// link is the session with one entry; nothing is kept beside it.
-type (
-	link = links.Link[told]
-	told struct {
-		// follows: the entry reads the store's tables that agents need.
-		follows bool
-	}
-)
+// link is the session with one entry.
+type link = links.Link[keepAlive]
+
+// keepAlive is what an entry's keep-alives have said.
+type keepAlive struct {
+	// follows: the entry reads the store's tables that agents need.
+	follows bool
+}
 
 // dialled is an entry's address that is being dialled or linked.
 type dialled struct {
@@ -73,28 +72,35 @@
 // SetEntries tells the node which entries the store lists.
 func (n *Node) SetEntries(all []fleet.Entry) { n.loop.Post(entriesListed{store, all}) }
 
-// handleListed takes in which entries somebody lists.
+// handleListed takes in which entries the settings or the store list.
 func (n *Node) handleListed(by source, entries []fleet.Entry) {
-	same := func(a, b fleet.Entry) bool { return a.Address == b.Address && slices.Equal(a.Wants, b.Wants) }
-	if slices.EqualFunc(n.listed[by], entries, same) {
-		return // each entry tells the same
-	}
 	n.listed[by] = entries
 	n.chooseEntries()
 }
 
+// handleTold takes in which entries a linked one lists. What others have told counts while they are linked, or until somebody else tells.
+func (n *Node) handleTold(by ident.Incarnation, entries []fleet.Entry) {
+	n.told[by] = entries
+	maps.DeleteFunc(n.told, func(other ident.Incarnation, _ []fleet.Entry) bool { return n.links.Get(other) == nil })
+	n.chooseEntries()
+}
+
+// allListed is what all sources list; an entry may come several times.
+func (n *Node) allListed() []fleet.Entry {
+	all := slices.Concat(slices.Collect(maps.Values(n.listed))...)
+	return append(all, slices.Concat(slices.Collect(maps.Values(n.told))...)...)
+}
+
 // chooseEntries dials entries that are newly chosen, and gives up those that are not listed any more, or that others have
 // taken the place of.
 func (n *Node) chooseEntries() {
 	candidates := make(map[string]peers.Candidate)
 	up, _ := n.keeper.Known()
-	for _, list := range n.listed {
-		for _, e := range list {
-			l := string(e.Address)
-			d := n.dialled[l]
-			wanted := candidates[l].Wanted || slices.Contains(e.Wants, up.Service)
-			candidates[l] = peers.Candidate{Address: l, Wanted: wanted, Failing: d != nil && d.failing}
-		}
+	for _, e := range n.allListed() {
+		l := string(e.Address)
+		d := n.dialled[l]
+		wanted := candidates[l].Wanted || slices.Contains(e.Wants, up.Service)
+		candidates[l] = peers.Candidate{Address: l, Wanted: wanted, Failing: d != nil && d.failing}
 	}
 	chosen := peers.Choose(n.set.Node.Name, n.set.Links.Entries, slices.Collect(maps.Values(candidates)))
 	for l := range chosen {
@@ -262,7 +268,7 @@
 		crashes, refuted := codec.ReadCrashes(m.Crashes)
 		n.adoptCrashes(now, l, crashes, refuted)
 	case *wire.Msg_Peers:
-		n.handleListed(others, codec.ReadPeers(m.Peers))
+		n.handleTold(l.Peer, codec.ReadPeers(m.Peers))
 	default:
 		n.log.WithField("entry", l.Name()).Warn("message_unknown")
 	}
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -48,10 +48,11 @@
 	// toRemember is what waits to be written there, at most one.
 	toRemember chan lives.Known
 	patience   patience.Patience
-	links      *links.Set[told]
-	// dialled are the entries that are dialled or linked, by address; listed are those that each source told last.
+	links      *links.Set[keepAlive]
+	// dialled are the entries that are dialled or linked, by address; listed are those that each source listed last, told those that entries did.
 	dialled map[string]*dialled
 	listed  map[source][]fleet.Entry
+	told    map[ident.Incarnation][]fleet.Entry
 	relay   relayed
 	// cordons is what is known of the zones that operators have cordoned.
 	cordons *cordon.Set
@@ -69,10 +70,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		set: set, log: log, dial: dial, upstream: u, memory: m, inc: ident.NewIncarnation(), loop: loop.New(), ctx: ctx, cancel: cancel,
-		links:      links.New[told]("entry", cordon.NewOpenPeer, log),
+		links:      links.New[keepAlive]("entry", cordon.NewOpenPeer, log),
 		pulse:      links.Pulse{Limit: set.Links.Silence / 2, Pause: set.Links.Silence / 4, Log: log},
 		dialled:    make(map[string]*dialled),
 		listed:     make(map[source][]fleet.Entry),
+		told:       make(map[ident.Incarnation][]fleet.Entry),
 		relay:      relayed{config: &wire.Config{}},
 		cordons:    cordon.NewSet(nil),
 		crashes:    crash.New(nil),
@@ -247,8 +249,15 @@
 		}
 	}
 	n.following.Store(count)
+	if count >= Tellers {
+		delete(n.listed, store) // it grows old while nobody reads it
+	}
 }
 
+// Tellers is how many entries must tell what changes in the store, for the agent not to read it: with fewer, as in small regions, it reads as
+// well, so that what it knows does not depend on entries that the store may have turned away without their knowing it yet.
+const Tellers = 6
+
 // Following returns how many of the entries that are linked read the store's tables that agents need, and tell what changes there.
 func (n *Node) Following() int { return int(n.following.Load()) }
 
--- a/internal/agent/process/process.go
+++ b/internal/agent/process/process.go
@@ -106,9 +106,6 @@
 // Entries tell their agents what changes in the store's tables that agents need. An agent reads these itself only while it hears too few
 // entries that do: otherwise each change would be read by all processes of a region, and a configuration by many that have no use for it.
 const (
-	// tellers is how many entries must tell it: with fewer, as in small regions, it reads as well, so that what it knows does not depend
-	// on entries that the store may have turned away without their knowing it yet.
-	tellers = 6
 	// entriesGrace and cordonsGrace are how long an agent that starts waits for links to entries before it reads. Without the list
 	// of entries it may find none, so it waits for that less.
 	entriesGrace = 300 * time.Millisecond
@@ -117,7 +114,7 @@
 
 // told tells whether entries tell the agent what is in the store, or soon may, after a start.
 func (p *Process) told(start time.Time, grace time.Duration) func() bool {
-	return func() bool { return p.Node.Following() >= tellers || time.Since(start) < grace }
+	return func() bool { return p.Node.Following() >= node.Tellers || time.Since(start) < grace }
 }
 
 // Start starts all services in order.
--- a/internal/entry/node/config.go
+++ b/internal/entry/node/config.go
@@ -80,16 +80,37 @@
 // SetEntries tells the node which entries there are, for agents that can't read the store.
 func (n *Node) SetEntries(entries []fleet.Entry) { n.loop.Post(listed{entries}) }
 
-// handleListed passes the list of entries to all agents when it has changed.
+// handleListed takes in which entries there are, for all agents to be told.
 func (n *Node) handleListed(entries []fleet.Entry) {
 	same := func(a, b fleet.Entry) bool { return a.Address == b.Address && slices.Equal(a.Wants, b.Wants) }
 	if slices.EqualFunc(n.peers, entries, same) {
 		return
 	}
-	n.peers = entries
+	n.peers, n.peersNumber = entries, n.peersNumber+1
 	n.table.SetEntries(len(entries))
 	n.log.WithField("entries", len(entries)).Info("entries_listed")
+}
+
+// peersTicks is within how many ticks all agents are told of a new list of entries: if they all were at once, a thin link would hold up orders
+// behind as many copies of it.
+const peersTicks = 50
+
+// tellPeers tells some of the agents that have not been told of the newest list.
+func (n *Node) tellPeers() {
+	left := 1 + n.links.Len()/peersTicks
 	for l := range n.links.All() {
-		l.Session.Send(codec.Peers(entries))
+		if left == 0 {
+			return
+		}
+		if l.Own.peersNumber != n.peersNumber {
+			n.sendPeers(l)
+			left--
+		}
 	}
 }
+
+// sendPeers tells an agent of the newest list.
+func (n *Node) sendPeers(l *link) {
+	l.Own.peersNumber = n.peersNumber
+	l.Session.Send(codec.Peers(n.peers))
+}
--- a/internal/entry/node/links.go
+++ b/internal/entry/node/links.go
@@ -76,7 +76,7 @@
 	n.linked.Store(int32(n.links.Len()))
 	n.table.Linked(now, l.Peer, ident.UpstreamName(l.Name()), ident.Zone(s.Remote.GetZone()))
 	if len(n.peers) > 0 {
-		s.Send(codec.Peers(n.peers))
+		n.sendPeers(l)
 	}
 }
 
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -51,8 +51,9 @@
 	callers map[dispatch.CallerID]chan dispatch.Answer
 	// closing is true once everybody was given a last answer.
 	closing bool
-	// peers are all entries, as agents were told last.
-	peers []fleet.Entry
+	// peers are all entries, peersNumber counts how often they have changed.
+	peers       []fleet.Entry
+	peersNumber int
 	// cordons is what is known of the zones that operators have cordoned.
 	cordons *cordon.Set
 	pulse   links.Pulse
@@ -74,6 +75,8 @@
 	pinged time.Time
 	// clock is the newest reading of the agent's clock.
 	clock time.Duration
+	// peersNumber is of the newest list of entries that the agent was told of.
+	peersNumber int
 }
 
 // New returns a Node that has not started.
@@ -216,6 +219,7 @@
 			n.ping(now, l)
 		}
 	}
+	n.tellPeers()
 }
 
 // Submit hands a job in, to the book if it is to be kept, and waits for its answer, or until ctx ends: then the caller has
