--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -236,6 +236,8 @@
 func (a *Account) Finding(t job.TaskID) Finding {
 	all := a.Crashes(t)
 	switch {
+	case len(all) == 0:
+		return Unsuspected // nearly all tasks
 	case a.proven(all):
 		return Proven
 	case len(a.suspicious(all)) > 0:
@@ -374,8 +376,8 @@
 	return false
 }
 
-// SuspectsOn lists the newest crashes of a VM's upstreams under tasks that are suspected, and the prompt
-// ones: what the VM's agent remembers, for the case that all processes end at once.
+// SuspectsOn lists the newest crashes of a VM's upstreams under tasks that are suspected, and the prompt ones: what the VM's agent remembers,
+// for the case that all processes end at once.
 func (a *Account) SuspectsOn(now time.Time, vm ident.UpstreamName) []fleet.Crash {
 	all := slices.DeleteFunc(a.All(now), func(c fleet.Crash) bool {
 		return c.VM != vm || anyPoint(c) || c.After > Prompt && a.Finding(c.Task) == Unsuspected
