--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -89,6 +89,8 @@
 	// losses are the lives that were lost lately, and upstreams how many there are.
 	losses    map[ident.UpstreamLife]loss
 	upstreams int
+	// others is how many of the losses no task that was alone explains.
+	others int
 	// refuted are of lives that have answered after they were taken for lost, the oldest first.
 	refuted []fleet.Refutation
 }
@@ -167,6 +169,18 @@
 	}
 	l.alone = l.alone || c.Alone
 	a.losses[c.Life] = l
+	a.countOthers()
+}
+
+// countOthers counts the losses to other causes than tasks that were alone there: Finding is asked for each task at each placing, and losses
+// change seldom.
+func (a *Account) countOthers() {
+	a.others = 0
+	for _, l := range a.losses {
+		if !l.alone {
+			a.others++
+		}
+	}
 }
 
 // SetUpstreams says how many upstreams there are.
@@ -175,13 +189,7 @@
 // manyLost tells whether more upstreams than so many, and than a part of those that there are, were lately lost to other causes than tasks
 // that were alone there.
 func (a *Account) manyLost(atLeast int) bool {
-	others := 0
-	for _, l := range a.losses {
-		if !l.alone {
-			others++
-		}
-	}
-	return others > atLeast && float64(others) > otherLosses*float64(a.upstreams)
+	return a.others > atLeast && float64(a.others) > otherLosses*float64(a.upstreams)
 }
 
 // needed is how many upstreams must be lost under a task to prove that it causes that.
@@ -218,6 +226,7 @@
 		a.refuted = slices.Delete(a.refuted, 0, 1)
 	}
 	delete(a.losses, n.Life)
+	a.countOthers()
 	for _, r := range a.tasks {
 		r.crashes = slices.DeleteFunc(r.crashes, func(c fleet.Crash) bool { return refutes(n, c) })
 	}
--- a/internal/entry/dispatch/crash.go
+++ b/internal/entry/dispatch/crash.go
@@ -113,35 +113,26 @@
 	return len(t.alone)
 }
 
-// suspects lists those of a step's tasks that wait and must be alone.
-func (t *Table) suspects(j *jobState, s int) []*task {
-	var out []*task
-	for _, k := range j.steps[s].waiting {
+// divide divides tasks that wait into those that must be alone and the others.
+func (t *Table) divide(waiting []*task) (suspects, others []*task) {
+	for _, k := range waiting {
 		if t.suspected(k) {
-			out = append(out, k)
+			suspects = append(suspects, k)
+			continue
 		}
+		others = append(others, k)
 	}
-	return out
+	return suspects, others
 }
 
-// onlySuspects tells whether nothing but suspected tasks of a job waits.
-func (t *Table) onlySuspects(j *jobState) bool {
-	for s := range j.steps {
-		if slices.ContainsFunc(j.steps[s].waiting, func(k *task) bool { return !t.suspected(k) }) {
-			return false
-		}
-	}
-	return true
-}
-
-// placeSuspects places those of a step's tasks that must be alone, each by an order of its own.
-func (t *Table) placeSuspects(now time.Time, j *jobState, s int, among []*upstreamOf) {
-	for _, k := range t.suspects(j, s) {
+// placeSuspects places tasks that must be alone, each by an order of its own.
+func (t *Table) placeSuspects(now time.Time, suspects []*task, among []*upstreamOf) {
+	for _, k := range suspects {
 		if t.closedNow(now) >= t.closedMost() {
 			return
 		}
 		if a := t.chooseAlone(now, k, among); a != nil {
-			o := t.newOrder(j, s)
+			o := t.newOrder(k.job, int(k.id.Step))
 			a.ReserveAll()
 			t.assign(now, k, a, o)
 			alone := t.crashes.Alone(k.id)
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -50,33 +50,30 @@
 // place places what fits at some of the agents. What suspected tasks wait for is no room that other jobs could leave them.
 func (t *Table) place(now time.Time, among []*upstreamOf) {
 	for _, q := range t.queued {
-		q.Offer(func(j *jobState) bool {
-			t.placeJob(now, j, among)
-			return !t.onlySuspects(j)
-		})
+		q.Offer(func(j *jobState) bool { return t.placeJob(now, j, among) })
 	}
 }
 
-// placeJob places as many tasks of a job as fit.
-func (t *Table) placeJob(now time.Time, j *jobState, among []*upstreamOf) {
+// placeJob places as many tasks of a job as fit, and tells whether some that are not suspected still wait.
+func (t *Table) placeJob(now time.Time, j *jobState, among []*upstreamOf) (waits bool) {
 	for s := range j.steps {
-		if len(j.steps[s].waiting) > 0 {
-			t.placeStep(now, j, s, among)
+		if len(j.steps[s].waiting) > 0 && t.placeStep(now, j, s, among) {
+			waits = true
 		}
 	}
+	return waits
 }
 
-// placeStep places as many tasks of a step as fit, in one order for each agent.
-func (t *Table) placeStep(now time.Time, j *jobState, s int, among []*upstreamOf) {
-	t.placeSuspects(now, j, s, among)
+// placeStep places as many tasks of a step as fit, in one order for each agent, and tells whether some that are not suspected still wait.
+func (t *Table) placeStep(now time.Time, j *jobState, s int, among []*upstreamOf) (waits bool) {
+	suspects, others := t.divide(j.steps[s].waiting)
+	t.placeSuspects(now, suspects, among)
 	orders := make(map[*upstreamOf]*fleet.Order)
 	var agents []*upstreamOf
-	for _, k := range slices.Clone(j.steps[s].waiting) {
-		if t.suspected(k) {
-			continue
-		}
+	for _, k := range others {
 		a := t.choose(now, k, among)
 		if a == nil {
+			waits = true
 			break
 		}
 		o := orders[a]
@@ -90,6 +87,7 @@
 	for _, a := range agents {
 		t.send(now, a, orders[a])
 	}
+	return waits
 }
 
 // newOrder returns an order of one step without tasks.
