--- a/internal/agent/memory/memory.go
+++ b/internal/agent/memory/memory.go
@@ -6,11 +6,11 @@
 	"context"
 	"encoding/json"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 
 	"hillreel/internal/agent/lives"
+	"hillreel/internal/core/crash"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -49,41 +49,24 @@
 	// Draining: the upstream has said that it leaves.
 	Draining bool `json:"draining"`
 	// Crashes are of this VM's upstreams, under tasks that are suspected.
-	Crashes []crash `json:"crashes,omitempty"`
+	Crashes []crashRow `json:"crashes,omitempty"`
 }
 
-// crash is one of them.
-type crash struct {
-	Job     job.ID           `json:"job"`
-	Step    uint32           `json:"step"`
-	Index   uint32           `json:"index"`
-	ID      ident.UpstreamID `json:"id"`
-	Born    ident.Born       `json:"born_ms,omitempty"`
-	Loss    fleet.LossNumber `json:"loss"`
-	AfterMs int64            `json:"after_ms"`
-	Alone   bool             `json:"alone,omitempty"`
-	Sole    bool             `json:"sole,omitempty"`
+// crashRow is one of them.
+type crashRow struct {
+	Job job.ID `json:"job"`
+	crash.Row
 }
 
 // crashes encodes crashes.
-func crashes(all []fleet.Crash) []crash {
-	var out []crash
+func crashes(all []fleet.Crash) []crashRow {
+	var out []crashRow
 	for _, c := range all {
-		out = append(out, crash{
-			c.Task.Job, c.Task.Step, c.Task.Index, c.Life.ID, c.Life.Born, c.Loss, c.After.Milliseconds(), c.Alone, c.Sole,
-		})
+		out = append(out, crashRow{c.Task.Job, crash.RowOf(c)})
 	}
 	return out
 }
 
-// decode returns a crash of the upstream on a VM.
-func (c *crash) decode(vm string) fleet.Crash {
-	return fleet.Crash{
-		Task: job.TaskID{Job: c.Job, Step: c.Step, Index: c.Index}, VM: ident.UpstreamName(vm), Life: ident.UpstreamLife{ID: c.ID, Born: c.Born},
-		Loss: c.Loss, After: time.Duration(c.AfterMs) * time.Millisecond, Alone: c.Alone, Sole: c.Sole,
-	}
-}
-
 // New returns the memory of the agent on a VM.
 func New(r Rows, vm string) *Memory { return &Memory{rows: r, key: rows.Key{Table: table, Name: vm}} }
 
@@ -102,7 +85,7 @@
 	up := fleet.Upstream{ID: v.ID, Service: v.Service, Labels: v.Labels, Total: job.Resources{CPU: v.CPU, Mem: v.Mem, GPU: v.GPU}}
 	known := lives.Known{Upstream: up, Born: v.Born, Draining: v.Draining}
 	for _, c := range v.Crashes {
-		known.Crashes = append(known.Crashes, c.decode(m.key.Name))
+		known.Crashes = append(known.Crashes, c.Of(c.Job))
 	}
 	return known, true, nil
 }
--- a/internal/kept/record/record.go
+++ b/internal/kept/record/record.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"hillreel/internal/core/crash"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/route"
 	"hillreel/internal/core/rows"
@@ -154,7 +155,7 @@
 	Ends        Ends         `json:"ends,omitempty"`
 	Checkpoints []Checkpoint `json:"checkpoints,omitempty"`
 	// Crashes are of upstreams that were lost under tasks of the job.
-	Crashes []Crash `json:"crashes,omitempty"`
+	Crashes []crash.Row `json:"crashes,omitempty"`
 }
 
 // Ended is how a job has ended.
--- a/internal/kept/record/record_test.go
+++ b/internal/kept/record/record_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"hillreel/internal/core/crash"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -20,7 +21,7 @@
 		Owner: "a-0", Generation: 2, Sequence: 9, Void: []record.TaskRun{{Step: 1, Index: 2, Run: 3}},
 		Ends:        record.Ends{{Step: 0, Index: 7, Run: 1}, {Step: 1, Index: 0, Run: 1025, Failed: true}},
 		Checkpoints: []record.Checkpoint{{Index: 4, Text: "saved"}},
-		Crashes:     []record.Crash{{Step: 1, Index: 2, VM: "vm", ID: "i-1", Born: 7, Loss: 8, AfterMs: 9, Alone: true, Sole: true}},
+		Crashes:     []crash.Row{{Step: 1, Index: 2, VM: "vm", ID: "i-1", Born: 7, Loss: 8, AfterMs: 9, Alone: true, Sole: true}},
 	}
 	raw, err := record.Value(open)
 	qt.Assert(t, err, qt.IsNil)
