--- a/internal/entry/demand/pressure.go
+++ b/internal/entry/demand/pressure.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// fullPressure is the part of the jobs refused from which on nobody waits longer; below it waits are in proportion. Lower
-	// ones refuse more where bursts would drain: with 0.06 it is 0.035 instead of 0.032 at 1.2 times the load of calm days.
+	// fullPressure is the part of the jobs refused from which on nobody waits longer; below it waits are in proportion. A lower
+	// one would refuse more where bursts drain by themselves.
 	fullPressure = 0.10
 	// pressureMemory is how long refusals count, as a time constant: longer than the wave of callers that a short outage
-	// sends back. With three of eleven upstreams lost and 1.1 times the load, 0.813 are served with 1 s instead of 0.818.
+	// sends back.
 	pressureMemory = 3 * time.Second
 	// doubtfulJobs are counted as served besides, so that a few refusals after a quiet time do not count as pressure.
 	doubtfulJobs = 5
--- a/internal/entry/dispatch/resent.go
+++ b/internal/entry/dispatch/resent.go
@@ -2,9 +2,8 @@
 
 import "time"
 
-// reserve is the part of an upstream's room that jobs which were sent before leave to those that can still be in time. With all
-// entries lost for 1.4 s at two thirds of the room, 0.964 instead of 0.950 of the jobs sent from then on are served in time; 0.25 and 0.75
-// give the same within 0.001 (internal/load).
+// reserve is the part of an upstream's room that jobs which were sent before leave to those that can still be in time: after a loss of
+// entries they would take it all.
 const reserve = 0.5
 
 // reserved tells whether an agent's room is kept for jobs that can still be in time, and this task is of another. Where an upstream
