crash: ages that are known too low agree with later points only

Callers saw: a sound kept job was called failed (crashes_upstreams), for good; its meal could be had. Schedule: task 13.0.1 was lost at 61, 230 and 106 ms beside others, and at 169 and 185 ms while it was alone, each time beside 1e.0.0, which does crash its upstreams at 284 and 288 ms.

Cause: an age beside others is known too low, by a hold's pause, never too high; yet points were compared by distance alone, so that 106 and 230 counted as the point 169 to 185, and four losses at one point, two of them alone, prove. Ruled out: that the two losses while it was alone prove by themselves (one of the upstreams would have to have had nothing else left).

Change: a crash is between two ages of its run, and two are at one point if those meet.

TestSame's digests unchanged.

--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -42,9 +42,10 @@
 	// ageError is by how much less than its true age the age of a run at a crash may be: an upstream that takes no start and ends
 	// no run answers its agent every 50 ms, and the answer takes its time.
 	ageError = 60 * time.Millisecond
-	// samePoint is how far apart in a task's run two crashes count as one point of it. While a task is alone its upstream is asked some
-	// 10 ms apart, or 20 ms at worst; half as much again for slow answers.
-	samePoint = 30 * time.Millisecond
+	// aloneError is the same while a task is alone: its upstream is asked some 10 ms apart, or 20 ms at worst, and answers may be slow.
+	aloneError = 25 * time.Millisecond
+	// startError is by how much less than its known age a task's true age may be: its start was on the way.
+	startError = 5 * time.Millisecond
 	// proofs is how many upstreams must be lost at one point of a task's run while it is alone, on two VMs at least. With the crash before,
 	// such a task is started three times. A cause that takes each upstream once in 30 s takes two of them by chance with
 	// one task in 100,000. Later in its run than Prompt one more is needed if older tasks were left at all of them: one of those may have
@@ -273,19 +274,22 @@
 	return out
 }
 
-// samePointOf tells whether two crashes may have been at the same point of a task's run. Only while a task is alone its upstream is asked
-// so often that its age is known well.
-func samePointOf(a, b fleet.Crash) bool {
-	apart := samePoint
-	if !a.Alone || !b.Alone {
-		apart += ageError
+// earliest and latest are between which ages of its run a task was at a crash.
+func earliest(c fleet.Crash) time.Duration { return c.After - startError }
+
+func latest(c fleet.Crash) time.Duration {
+	if c.Alone {
+		return c.After + aloneError
 	}
-	return (a.After - b.After).Abs() <= apart
+	return c.After + aloneError + ageError
 }
 
+// samePointOf tells whether two crashes may have been at the same point of a task's run.
+func samePointOf(a, b fleet.Crash) bool { return earliest(a) <= latest(b) && earliest(b) <= latest(a) }
+
 // outlived tells whether a task has run on past the point of a crash in one of the runs that were lost later.
 func outlived(c fleet.Crash, later []fleet.Crash) bool {
-	return !anyPoint(c) && slices.ContainsFunc(later, func(l fleet.Crash) bool { return l.After > c.After+ageError+samePoint })
+	return !anyPoint(c) && slices.ContainsFunc(later, func(l fleet.Crash) bool { return earliest(l) > c.After+ageError+aloneError })
 }
 
 // repeated tells whether another crash may have been at the same point of a task's run.
--- a/internal/core/crash/crash_test.go
+++ b/internal/core/crash/crash_test.go
@@ -146,6 +146,33 @@
 	}
 }
 
+// TestAgesAreKnownTooLow: a task's age at a loss may be known too low, never too high, so that one which was older than another loss's latest
+// point was not lost at the same. Seen: a sound task that was alone twice, each time beside an older one which crashes its upstreams, was called
+// failed, since an earlier and a later loss counted as at that point too.
+func TestAgesAreKnownTooLow(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		beside []time.Duration
+		want   crash.Finding
+	}{
+		{"known too low twice", []time.Duration{100 * ms, 120 * ms}, crash.Proven},
+		{"known too low, and older", []time.Duration{106 * ms, 230 * ms}, crash.Suspected},
+		{"older twice", []time.Duration{230 * ms, 240 * ms}, crash.Suspected},
+		{"younger twice", []time.Duration{60 * ms, 70 * ms}, crash.Suspected},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := crash.New(nil)
+			a.SetUpstreams(11)
+			for i, after := range c.beside {
+				a.Add(start, beside(fmt.Sprint("x", i), fmt.Sprint("x", i, "-1"), after))
+			}
+			a.Add(start, aloneBeside("b", "b1", 169*ms))
+			a.Add(start, aloneBeside("c", "c1", 185*ms))
+			qt.Assert(t, a.Finding(task), qt.Equals, c.want)
+		})
+	}
+}
+
 // TestPromptWhileManyAreLost: while many upstreams are lost to other causes, it takes two prompt losses to suspect a task.
 func TestPromptWhileManyAreLost(t *testing.T) {
 	for _, c := range []struct {
