agent/upstream: what is ordered after an upstream fell silent was not lost with it

Callers saw: a kept job called failed although its task had crashed one upstream only, and others whose tasks were started alone for nothing.

Cause: each run in the agent's account counts as lost with the upstream, also one that was begun when the answer to a hold was overdue already, so that the upstream was gone before. Ruled out: the coincidence alone (without the first loss the task is not suspected at the second).

Change: such runs are no losses under their task. Looked for elsewhere: runs that are lost with their agents count once another upstream stands there, which has the same gap, but says nothing of the point (no age).

Seen: TestOrderedAfterTheLoss fails in two of four cases before, passes.

--- a/internal/agent/upstream/alone_test.go
+++ b/internal/agent/upstream/alone_test.go
@@ -170,6 +170,31 @@
 	qt.Assert(t, b.refuted, qt.DeepEquals, []fleet.Refutation{{Life: l.Life, UpTo: l.Number}})
 }
 
+// TestOrderedAfterTheLoss: a task that was ordered when an answer was overdue already was not there when its upstream was lost. Seen: it counted
+// as one that was lost at its start, was started alone and, with one true crash and one of another cause, called failed.
+func TestOrderedAfterTheLoss(t *testing.T) {
+	for _, c := range []struct {
+		silent time.Duration
+		lost   int
+	}{
+		{0, 2},
+		{50 * time.Millisecond, 2},
+		{90 * time.Millisecond, 1},
+		{200 * time.Millisecond, 1},
+	} {
+		b := newBench(t, nil)
+		b.order(one, 1)
+		b.keeper.StartDone(b.now, b.starts[0], call.OK, b.clock())
+		b.look(call.Listed{Task: task, Run: 1})
+		b.pass(c.silent)
+		b.orderBeside(two, 1)
+		qt.Assert(t, b.starts, qt.HasLen, 2)
+		b.lose()
+		qt.Assert(t, b.losses, qt.HasLen, 2) // by the observer and by the entries
+		qt.Assert(t, b.losses[0].Crashes("vm"), qt.HasLen, c.lost, qt.Commentf("%v", c.silent))
+	}
+}
+
 // TestPlannedLossSaysNothing: an upstream that has said that it leaves has not crashed.
 func TestPlannedLossSaysNothing(t *testing.T) {
 	b := newBench(t, nil)
--- a/internal/agent/upstream/loss.go
+++ b/internal/agent/upstream/loss.go
@@ -53,13 +53,23 @@
 	}
 }
 
-// noteLoss tells of the loss of a life with the runs that are there.
+// slowAnswer is how much later than it should an answer of an upstream that lives may come.
+const slowAnswer = 30 * time.Millisecond
+
+// answerOverdue is for how long an upstream that lives gives no answer at most: one hold follows the other, and each is answered after its wait.
+func (k *Keeper) answerOverdue() time.Duration { return k.timing.KeepAlive/holdShare + slowAnswer }
+
+// noteLoss tells of the loss of a life with the runs that are there, but for those that were ordered when it had fallen silent already:
+// it was lost before, and not under them.
 func (k *Keeper) noteLoss(now time.Time, life ident.UpstreamLife, why fleet.Reason) {
 	if len(k.runs) == 0 {
 		return
 	}
 	l := Loss{Life: life, Number: fleet.LossNumber(now.UnixMilli()), Why: why, Planned: k.draining || k.departed, Silent: now.Sub(k.heardAt)}
 	for _, r := range k.sorted() {
+		if r.begun.Sub(k.heardAt) > k.answerOverdue() {
+			continue
+		}
 		age := max(k.heardAt.Sub(r.begun), 0)
 		l.Runs = append(l.Runs, LostRun{r.ref(), age, r.wasAlone(age)})
 	}
