crash: a late proof needs an upstream with nothing else left twice, or four losses at the point

Callers saw: a job called failed that could be done. Schedule: task 4.0.1, which crashes nothing, was lost alone to an upstream that went by itself (36 ms) and alone beside a task that crashes its upstreams after 177 ms, which nobody knew yet (60 ms). Two losses while it was alone, nothing else left at one of them: that was taken as proof that the other one was not another task's doing.

Cause: of two losses one may be another cause's and one another task's; each alone was excluded, both together not. What the proof lacks is whether the task beside it crashes upstreams: that can't be recorded before the start, it shows only when that one is lost again.

Change: later in its run than 40 ms the proof by two needs nothing else left at both, or four losses at the point, two of them alone. Most late ones are known from two losses beside others before they are alone at all, so that they fail as soon as before.

Test: the case of TestFinding that called two such losses proven is replaced: it is the fault. In its place stand three: suspected by two and by three, proven by four. The two new bounds failed before.

--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -334,8 +334,11 @@
 	latest time.Duration
 }
 
-// surely tells whether no other task can have been at its own point each time.
-func (s *sum) surely() bool { return s.sole > 0 || s.latest <= Prompt }
+// surely tells whether no other task can have been at its own point each time. Nothing else was left at one of them: another cause may have taken
+// that, unless there are two, or as many more at the point.
+func (s *sum) surely() bool {
+	return s.latest <= Prompt || s.sole >= proofs || s.sole > 0 && s.all >= togetherProofs
+}
 
 // agreeing sums up the crashes at the same point of a task's run as one of them.
 func (a *Account) agreeing(all []fleet.Crash, as fleet.Crash) sum {
--- a/internal/core/crash/crash_test.go
+++ b/internal/core/crash/crash_test.go
@@ -72,7 +72,13 @@
 		{"lost with its agent, and old at another", []fleet.Crash{withAgent("a", "a1"), beside("b", "b1", late)}, crash.Suspected},
 		{"alone at two, beside older ones", []fleet.Crash{aloneBeside("b", "b1", ms), aloneBeside("c", "c1", 9*ms)}, crash.Proven},
 		{"alone at two, late, beside older ones", []fleet.Crash{aloneBeside("b", "b1", late), aloneBeside("c", "c1", late)}, crash.Suspected},
-		{"alone at two, late, beside older ones at one", []fleet.Crash{aloneBeside("b", "b1", late), alone("c", "c1", late)}, crash.Proven},
+		{"alone at two, late, beside older ones at one", []fleet.Crash{aloneBeside("b", "b1", late), alone("c", "c1", late)}, crash.Suspected},
+		{"alone at two, late, beside older ones at one, and beside others at two", []fleet.Crash{
+			beside("x", "x1", late), beside("y", "y1", late), aloneBeside("b", "b1", late), alone("c", "c1", late),
+		}, crash.Proven},
+		{"alone at two, late, beside older ones at one, and beside others at one", []fleet.Crash{
+			beside("x", "x1", late), aloneBeside("b", "b1", late), alone("c", "c1", late),
+		}, crash.Suspected},
 		{"alone at three, late, beside older ones", []fleet.Crash{aloneBeside("b", "b1", late), aloneBeside("c", "c1", late), aloneBeside("d", "d1", late)}, crash.Proven},
 		{"alone at two, at different points", []fleet.Crash{alone("b", "b1", ms), alone("c", "c1", 80*ms)}, crash.Suspected},
 		{"alone at two, the first point outlived", []fleet.Crash{alone("b", "b1", ms), alone("c", "c1", 100*ms)}, crash.Unsuspected},
