crash, agent/node: an agent's row keeps all crashes of its VM's upstreams

Callers saw: a task that crashes its upstreams took a sixth one.

Cause: what agents' rows remember was limited to prompt losses and suspected tasks, and a kept job's row is written ahead of a suspect's next start only; so the loss that nobody suspects yet lived in memory alone.

Change: the row has the newest 32 crashes of the VM's upstreams, whoever is suspected. It costs one write for each upstream that is lost with runs; the next life is written by the same agent anyway, a second or more later. 4 kB at most, as before.

Test: TestSuspectsOn, which asked that late losses of unsuspected tasks be left out, is replaced by TestOn: they must be there, newest first, 32 at most.

--- a/internal/agent/lives/lives.go
+++ b/internal/agent/lives/lives.go
@@ -43,7 +43,7 @@
 	Born ident.Born
 	// Draining: the upstream has said that it leaves.
 	Draining bool
-	// Crashes are of the VM's upstreams, under tasks that are suspected. They are remembered with the upstream, and mean nothing here.
+	// Crashes are of the VM's upstreams. They are remembered with the upstream, and mean nothing here.
 	Crashes []fleet.Crash
 }
 
--- a/internal/agent/memory/memory.go
+++ b/internal/agent/memory/memory.go
@@ -48,7 +48,7 @@
 	GPU     int64            `json:"gpu"`
 	// Draining: the upstream has said that it leaves.
 	Draining bool `json:"draining"`
-	// Crashes are of this VM's upstreams, under tasks that are suspected.
+	// Crashes are of this VM's upstreams.
 	Crashes []crashRow `json:"crashes,omitempty"`
 }
 
--- a/internal/agent/node/crashes.go
+++ b/internal/agent/node/crashes.go
@@ -27,7 +27,7 @@
 func (n *Node) addCrashes(now time.Time, all []fleet.Crash) []fleet.Crash {
 	news := n.crashes.AddAll(now, all)
 	if slices.ContainsFunc(news, func(c fleet.Crash) bool { return n.crashes.LostOn(c.Task, n.vm()) }) {
-		n.suspects = n.crashes.SuspectsOn(now, n.vm())
+		n.lostHere = n.crashes.On(now, n.vm())
 	}
 	return news
 }
--- a/internal/agent/node/memory.go
+++ b/internal/agent/node/memory.go
@@ -48,7 +48,7 @@
 	// total is its room: a next life of the agent that recalled more would start runs beyond it.
 	total job.Resources
 	at    time.Time
-	// crash is the newest loss under a suspected task.
+	// crash is the newest loss of an upstream that tasks ran at.
 	crash fleet.LossNumber
 }
 
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -58,8 +58,8 @@
 	cordons *cordon.Set
 	// crashes is what is known of the tasks that upstreams were lost under.
 	crashes *crash.Account
-	// suspects are those of this VM's upstreams under tasks that are suspected, to be remembered.
-	suspects []fleet.Crash
+	// lostHere are those of this VM's upstreams, to be remembered.
+	lostHere []fleet.Crash
 	pulse    links.Pulse
 	// holdsFail is true while holds get no answer.
 	holdsFail bool
@@ -229,7 +229,7 @@
 // its service.
 func (n *Node) noteLife(now time.Time) {
 	u, known := n.keeper.Known()
-	u.Crashes = n.suspects
+	u.Crashes = n.lostHere
 	if !known || !n.remembered.outdated(now, notedOf(now, &u)) {
 		return
 	}
--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -75,8 +75,8 @@
 	maxTasks = 4096
 	// maxCrashes bounds the crashes that are remembered of one task.
 	maxCrashes = 8
-	// maxSuspectsOn bounds what is remembered of one VM: a row of 4 kB.
-	maxSuspectsOn = 32
+	// maxOn bounds what is remembered of one VM: a row of 4 kB.
+	maxOn = 32
 	// maxRefuted bounds the refutations that are remembered.
 	maxRefuted = 256
 )
@@ -392,14 +392,11 @@
 	return false
 }
 
-// SuspectsOn lists the newest crashes of a VM's upstreams under tasks that are suspected, and the prompt ones: what the VM's agent remembers,
-// for the case that all processes end at once.
-func (a *Account) SuspectsOn(now time.Time, vm ident.UpstreamName) []fleet.Crash {
-	all := slices.DeleteFunc(a.All(now), func(c fleet.Crash) bool {
-		return c.VM != vm || anyPoint(c) || c.After > Prompt && a.Finding(c.Task) == Unsuspected
-	})
+// On lists the newest crashes of a VM's upstreams: what the VM's agent remembers, for the case that all processes end at once.
+func (a *Account) On(now time.Time, vm ident.UpstreamName) []fleet.Crash {
+	all := slices.DeleteFunc(a.All(now), func(c fleet.Crash) bool { return c.VM != vm || anyPoint(c) })
 	slices.SortStableFunc(all, func(a, b fleet.Crash) int { return cmp.Compare(b.Loss, a.Loss) })
-	return all[:min(len(all), maxSuspectsOn)]
+	return all[:min(len(all), maxOn)]
 }
 
 // Repeated lists the crashes under tasks that more than one upstream was lost under, as far as they are remembered: single ones are
--- a/internal/core/crash/crash_test.go
+++ b/internal/core/crash/crash_test.go
@@ -248,19 +248,28 @@
 	}
 }
 
-// TestSuspectsOn: an agent remembers the newest crashes of its VM's upstreams under tasks that are suspected.
-func TestSuspectsOn(t *testing.T) {
+// TestOn: an agent remembers the newest crashes of its VM's upstreams, the only late one under a task among them. Seen: where all processes
+// ended after a task's first crash, and after its second before that was noticed, both were forgotten, and it was started once too often.
+func TestOn(t *testing.T) {
 	a := crash.New(nil)
-	old := beside("a", "a1", late)
-	old.Task = other
-	a.Add(start, old)
+	first := beside("a", "a1", late)
+	first.Task = other
+	a.Add(start, first)
 	older, newer := alone("a", "a2", ms), alone("a", "a3", ms)
-	newer.Loss = 2
+	older.Loss, newer.Loss = 2, 3
 	a.Add(start, older)
 	a.Add(start, newer)
 	a.Add(start, alone("b", "b1", ms))
-	qt.Assert(t, a.SuspectsOn(start, "a"), qt.DeepEquals, []fleet.Crash{newer, older})
-	qt.Assert(t, a.SuspectsOn(start.Add(crash.KeepFor), "a"), qt.HasLen, 0)
+	a.Add(start, withAgent("a", "a4"))
+	qt.Assert(t, a.On(start, "a"), qt.DeepEquals, []fleet.Crash{newer, older, first})
+	qt.Assert(t, a.On(start.Add(crash.KeepFor), "a"), qt.HasLen, 0)
+	for i := range 40 {
+		c := beside("a", fmt.Sprint("x", i), late)
+		c.Task.Job, c.Loss = job.ID(100+i), fleet.LossNumber(4+i)
+		a.Add(start, c)
+	}
+	qt.Assert(t, a.On(start, "a"), qt.HasLen, 32)
+	qt.Assert(t, a.On(start, "a")[0].Loss, qt.Equals, fleet.LossNumber(43))
 }
 
 // TestAlone: a task is alone until it has outlived the point at which upstreams were lost.
--- a/internal/proof/schedule/crashes_test.go
+++ b/internal/proof/schedule/crashes_test.go
@@ -296,7 +296,7 @@
 
 // rememberCrashes lets the agent's row have what it knows of crashes of its own VM's upstreams.
 func (a *agentProc) rememberCrashes() {
-	all, inc := a.crashes.SuspectsOn(a.now(), ident.UpstreamName(a.name)), a.inc
+	all, inc := a.crashes.On(a.now(), ident.UpstreamName(a.name)), a.inc
 	if len(all) == 0 {
 		return
 	}
