crash: three losses close together prove while many upstreams are lost

Its first two crashes ended unseen with all processes; of the next three it was known, at 3.6 ms beside others, 4.3 and 1.4 ms alone, on two VMs. While more than 0.6 of the upstreams are lost to other causes it took three alone, or four.

Cause: how near to each other the losses are did not count, only that they may be at one point, and how many they are.

Change: three crashes no further than 10 ms from one of them, two of them while the task was alone, on two VMs, prove however much else is lost; late ones only as far as nothing else was left. What the proof lacks: by chance three losses to other causes are that close with less than one suspect in 10,000 at one loss of each upstream in two seconds; nothing that could be recorded before the start would tell more.

Seen: TestCloseWhileManyAreLost fails before in its first two cases, passes.

--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -56,6 +56,11 @@
 	moreProofs = 3
 	// togetherProofs is how many it takes then, beside other tasks or not, once the task was alone at two of them.
 	togetherProofs = 4
+	// closeProofs crashes that are no further than closePoint from one of them prove as well, two of them while the task was alone, however much else
+	// is lost: other causes strike one point of a task's run that often with less than one suspect in 10,000 even if they take each
+	// upstream every two seconds.
+	closeProofs = 3
+	closePoint  = 10 * time.Millisecond
 	// ownProofs is how many must be lost where there is only one VM, all of them promptly: an upstream that goes down and up by turns
 	// loses whatever is there. One of them may be made up for by two beside other tasks.
 	ownProofs = 4
@@ -316,6 +321,8 @@
 		switch {
 		case s.vms > 1 && (s.alone > needed || s.alone == needed && s.surely()), s.alone >= proofs && s.all >= togetherProofs && s.vms > 1:
 			return true
+		case s.vms > 1 && s.closeAlone >= proofs && s.close >= closeProofs && s.surely():
+			return true
 		case c.After <= Prompt && (s.alone >= ownProofs || s.alone >= moreProofs && s.all > ownProofs):
 			return true
 		}
@@ -327,9 +334,10 @@
 func (a *Account) counts(c fleet.Crash) bool { return c.Alone || a.without.Off(rule.CrashAlone) }
 
 // sum counts the crashes at one point of a task's run: all of them, those while it was alone, those while nothing else was left there, and
-// the VMs on which they were.
+// the VMs on which they were; and those close to the point.
 type sum struct {
 	all, alone, sole, vms int
+	close, closeAlone     int
 	// latest is the latest of them while it was alone.
 	latest time.Duration
 }
@@ -357,6 +365,12 @@
 		if c.Sole {
 			s.sole++
 		}
+		if (c.After - as.After).Abs() <= closePoint {
+			s.close++
+			if a.counts(c) {
+				s.closeAlone++
+			}
+		}
 	}
 	s.vms = len(on)
 	return s
--- a/internal/core/crash/crash_test.go
+++ b/internal/core/crash/crash_test.go
@@ -128,6 +128,37 @@
 	qt.Assert(t, a.Finding(second), qt.Equals, crash.Proven)
 }
 
+// TestCloseWhileManyAreLost: three losses within a few milliseconds of one point prove also while many upstreams are lost to other causes, but not
+// three that merely may have been at one point. Seen: a task that had crashed three upstreams after 4 ms and two that nobody knew of
+// was started a sixth time.
+func TestCloseWhileManyAreLost(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		own  []fleet.Crash
+		want crash.Finding
+	}{
+		{"close, prompt", []fleet.Crash{beside("a", "a1", 3*ms), aloneBeside("b", "b1", 4*ms), aloneBeside("a", "a2", ms)}, crash.Proven},
+		{"close, late, nothing else left", []fleet.Crash{beside("a", "a1", late-5*ms), alone("b", "b1", late), alone("c", "c1", late+5*ms)}, crash.Proven},
+		{"close, late, others left", []fleet.Crash{beside("a", "a1", late), aloneBeside("b", "b1", late), aloneBeside("c", "c1", late)}, crash.Suspected},
+		{"not close beside others", []fleet.Crash{beside("a", "a1", late-20*ms), alone("b", "b1", late), alone("c", "c1", late)}, crash.Suspected},
+		{"not close alone", []fleet.Crash{beside("a", "a1", late), alone("b", "b1", late), alone("c", "c1", late+20*ms)}, crash.Suspected},
+		{"two alone", []fleet.Crash{alone("b", "b1", ms), alone("c", "c1", ms)}, crash.Suspected},
+		{"on one VM", []fleet.Crash{beside("a", "a1", ms), alone("a", "a2", ms), alone("a", "a3", ms)}, crash.Suspected},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := crash.New(nil)
+			a.SetUpstreams(4)
+			for _, life := range []string{"x1", "x2", "x3", "x4", "x5"} {
+				a.Add(start, fleet.Crash{Task: other, VM: "x", Life: ident.UpstreamLife{ID: ident.UpstreamID(life)}, After: time.Second})
+			}
+			for _, one := range c.own {
+				a.Add(start, one)
+			}
+			qt.Assert(t, a.Finding(task), qt.Equals, c.want)
+		})
+	}
+}
+
 // TestAgesBesideOthers: while many upstreams are lost to other causes, losses while a task was beside others count too, although its age
 // at them is known too low by a hold's pause.
 func TestAgesBesideOthers(t *testing.T) {
