--- a/internal/agent/lives/lives.go
+++ b/internal/agent/lives/lives.go
@@ -45,8 +45,6 @@
 	Draining bool
 	// Crashes are of the VM's upstreams. They are remembered with the upstream, and mean nothing here.
 	Crashes []fleet.Crash
-	// Alone is the run that was started alone last, or is about to be; zero is none. If its life is gone, it was lost with that.
-	Alone fleet.RunRef
 }
 
 // Life is the life that is known.
--- a/internal/agent/memory/memory.go
+++ b/internal/agent/memory/memory.go
@@ -50,32 +50,6 @@
 	Draining bool `json:"draining"`
 	// Crashes are of this VM's upstreams.
 	Crashes []crashRow `json:"crashes,omitempty"`
-	// Alone is the run that was started alone last, or was about to be.
-	Alone *runRow `json:"alone,omitempty"`
-}
-
-// runRow is a run.
-type runRow struct {
-	Job   job.ID  `json:"job"`
-	Step  uint32  `json:"step"`
-	Index uint32  `json:"index"`
-	Run   job.Run `json:"run"`
-}
-
-// runOf encodes a run; nil is none.
-func runOf(r fleet.RunRef) *runRow {
-	if r == (fleet.RunRef{}) {
-		return nil
-	}
-	return &runRow{Job: r.Task.Job, Step: r.Task.Step, Index: r.Task.Index, Run: r.Run}
-}
-
-// of decodes a run.
-func (r *runRow) of() fleet.RunRef {
-	if r == nil {
-		return fleet.RunRef{}
-	}
-	return fleet.RunRef{Task: job.TaskID{Job: r.Job, Step: r.Step, Index: r.Index}, Run: r.Run}
 }
 
 // crashRow is one of them.
@@ -109,7 +83,7 @@
 		return lives.Known{}, false, errors.Wrap(err, "memory: row")
 	}
 	up := fleet.Upstream{ID: v.ID, Service: v.Service, Labels: v.Labels, Total: job.Resources{CPU: v.CPU, Mem: v.Mem, GPU: v.GPU}}
-	known := lives.Known{Upstream: up, Born: v.Born, Draining: v.Draining, Alone: v.Alone.of()}
+	known := lives.Known{Upstream: up, Born: v.Born, Draining: v.Draining}
 	for _, c := range v.Crashes {
 		known.Crashes = append(known.Crashes, c.Of(c.Job))
 	}
@@ -126,7 +100,7 @@
 // Remember keeps an upstream. A write without an answer may be carried out seconds later; it must not bring back what a newer one has
 // replaced, such as a room that has shrunk since. So each write is done only while the row is as it was read or written last.
 func (m *Memory) Remember(ctx context.Context, u lives.Known) error {
-	raw, err := json.Marshal(value{u.ID, u.Born, u.Service, u.Labels, u.Total.CPU, u.Total.Mem, u.Total.GPU, u.Draining, crashes(u.Crashes), runOf(u.Alone)})
+	raw, err := json.Marshal(value{u.ID, u.Born, u.Service, u.Labels, u.Total.CPU, u.Total.Mem, u.Total.GPU, u.Draining, crashes(u.Crashes)})
 	if err != nil {
 		return errors.Wrap(err, "memory: encode")
 	}
--- a/internal/agent/memory/memory_test.go
+++ b/internal/agent/memory/memory_test.go
@@ -79,7 +79,7 @@
 	qt.Assert(t, u, qt.DeepEquals, known(1))
 }
 
-// TestCrashesAreRemembered: an agent's next life knows of the crashes that its former one knew of, and which run that one started alone.
+// TestCrashesAreRemembered: an agent's next life knows of the crashes under suspected tasks that its former one knew of.
 func TestCrashesAreRemembered(t *testing.T) {
 	ctx := context.Background()
 	s := &store{Store: standin.New()}
@@ -89,7 +89,6 @@
 		{Task: job.TaskID{Job: 7, Step: 1, Index: 2}, VM: "vm", Life: life, Loss: 9, After: 10 * time.Millisecond, Alone: true, Sole: true},
 		{Task: job.TaskID{Job: 8}, VM: "vm", Life: life, Loss: 9},
 	}
-	want.Alone = fleet.RunRef{Task: job.TaskID{Job: 9, Step: 1, Index: 2}, Run: 4}
 	qt.Assert(t, memory.New(s, "vm").Remember(ctx, want), qt.IsNil)
 	got, _, err := memory.New(s, "vm").Recall(ctx)
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/agent/node/memory.go
+++ b/internal/agent/node/memory.go
@@ -48,15 +48,13 @@
 	// total is its room: a next life of the agent that recalled more would start runs beyond it.
 	total job.Resources
 	at    time.Time
-	// alone is the run that was started alone last, or is about to be.
-	alone fleet.RunRef
 	// crash is the newest loss of an upstream that tasks ran at.
 	crash fleet.LossNumber
 }
 
 // notedOf is what of a known upstream is remembered.
 func notedOf(now time.Time, u *lives.Known) noted {
-	n := noted{life: u.Life(), draining: u.Draining, total: u.Total, at: now, alone: u.Alone}
+	n := noted{life: u.Life(), draining: u.Draining, total: u.Total, at: now}
 	for _, c := range u.Crashes {
 		n.crash = max(n.crash, c.Loss)
 	}
@@ -67,8 +65,7 @@
 func (n noted) outdated(now time.Time, next noted) bool {
 	shrunk := !n.total.Fits(next.total)
 	grown := n.total != next.total && now.Sub(n.at) >= grownPause
-	suspect := next.alone != n.alone && next.alone != fleet.RunRef{}
-	return suspect || next.crash > n.crash || n.life != next.life || n.draining != next.draining || shrunk || grown
+	return next.crash > n.crash || n.life != next.life || n.draining != next.draining || shrunk || grown
 }
 
 // remember lets what is new of the upstream be written, in place of what has not been yet.
@@ -97,11 +94,7 @@
 func (n *Node) write(u lives.Known) {
 	for {
 		err := n.memory.Remember(n.ctx, u)
-		if err == nil {
-			n.loop.Post(written{u})
-			return
-		}
-		if n.ctx.Err() != nil {
+		if err == nil || n.ctx.Err() != nil {
 			return
 		}
 		n.log.WithField("error", err.Error()).Info("memory_unwritable")
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -138,8 +138,6 @@
 type (
 	left     struct{ id ident.UpstreamID }
 	recalled struct{ known lives.Known }
-	// written: the agent's row has what is known.
-	written struct{ known lives.Known }
 	// orderDone carries the end of a start or a stop, and how long its answer took if there was one.
 	orderDone struct {
 		took, limit time.Duration
@@ -197,9 +195,6 @@
 		n.log.WithField("upstream", e.known.Life()).Info("upstream_recalled")
 		n.recallCrashes(now, e.known.Crashes)
 		n.keeper.Recall(now, e.known)
-		n.keeper.Inherit(e.known.Life(), e.known.Alone)
-	case written:
-		n.keeper.AloneNoted(now, e.known.Alone)
 	case left:
 		n.log.WithField("upstream", e.id).Info("upstream_left")
 		n.keeper.Left(now, e.id)
--- a/internal/agent/upstream/alone.go
+++ b/internal/agent/upstream/alone.go
@@ -14,10 +14,6 @@
 // crash.Seasoned, and not to blame if the upstream is lost promptly; to wait for their end would keep others out for longer.
 const aloneWait = crash.Seasoned
 
-// noteWait is how long the agent's row is waited for, which must have the run ahead of its start: where all processes end before the loss is
-// noticed, nobody else would know that it was there. While the store is away the task starts without.
-const noteWait = 100 * time.Millisecond
-
 // aloneLook is how long a look waits at the upstream while a task is alone. One look follows the other, so that the task's age is known to
 // within this and an answer's way if the upstream is lost.
 const aloneLook = 8 * time.Millisecond
@@ -47,7 +43,6 @@
 // awaitAlone lets an order wait until its task can be started alone.
 func (k *Keeper) awaitAlone(now time.Time, w waiting) {
 	k.aloneOrder = &aloneOrder{waiting: w, since: now}
-	k.aloneLast = w.ordered().RunRef
 	k.touchAll()
 }
 
@@ -65,7 +60,6 @@
 		k.refuse(n.waiting, fleet.NotAccepting)
 		k.touchAll()
 	case len(k.runs) > 0 && now.Sub(n.since) < aloneWait:
-	case k.noted != n.ordered().RunRef && now.Sub(n.since) < noteWait:
 	case !n.asked.IsZero() && k.heardAt.After(n.asked):
 		k.aloneOrder = nil
 		n.ready = true
--- a/internal/agent/upstream/alone_test.go
+++ b/internal/agent/upstream/alone_test.go
@@ -13,15 +13,8 @@
 	"hillreel/internal/core/job"
 )
 
-// orderAlone orders a task of another job that is to be started alone; the agent's row has its run at once.
+// orderAlone orders a task of another job that is to be started alone.
 func (b *bench) orderAlone(e ident.Incarnation, alone time.Duration) fleet.OrderedRun {
-	run := b.orderUnnoted(e, alone)
-	b.keeper.AloneNoted(b.now, run.RunRef)
-	return run
-}
-
-// orderUnnoted does so while the agent's row is not written.
-func (b *bench) orderUnnoted(e ident.Incarnation, alone time.Duration) fleet.OrderedRun {
 	b.seq++
 	const suspect = job.ID(9)
 	b.keeper.Order(b.now, e, fleet.Order{
--- a/internal/agent/upstream/life.go
+++ b/internal/agent/upstream/life.go
@@ -139,7 +139,6 @@
 // outlived notes that a life has ended before the present one.
 func (k *Keeper) outlived(life ident.UpstreamLife) {
 	k.lives.End(life)
-	k.loseInherited(life)
 	k.observer.Outlived(life, k.life)
 }
 
@@ -167,10 +166,6 @@
 		k.lives.End(k.life)
 		k.noteLoss(now, k.life, fleet.UpstreamGone)
 	}
-	if k.inherited.life != life {
-		k.loseInherited(k.inherited.life) // which has ended, whether or not this process has known it
-	}
-	k.aloneLast, k.noted = fleet.RunRef{}, fleet.RunRef{}
 	k.lives.Begin(life)
 	k.known, k.life, k.began, k.heardAt = true, life, now, now
 	k.described, k.roomHeard = first != nil, false
@@ -237,7 +232,6 @@
 // end forgets the present life.
 func (k *Keeper) end(now time.Time) {
 	k.lives.End(k.life)
-	k.loseInherited(k.life)
 	k.known, k.looked = false, false
 	clear(k.strays)
 	k.loseAll(now, fleet.UpstreamGone)
--- a/internal/agent/upstream/listed.go
+++ b/internal/agent/upstream/listed.go
@@ -70,7 +70,6 @@
 		l, ok := listed[r.Task]
 		return ok && l.Run == r.Run
 	}
-	k.settleInherited(isListed)
 	for _, r := range k.sorted() {
 		if !isListed(r.ref()) && r.phase != starting && c.Sent.After(r.sure) {
 			k.absent(now, r)
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -128,10 +128,6 @@
 	// aloneRun is the run that is alone, aloneOrder the order that is to be; each nil if there is none.
 	aloneRun   *run
 	aloneOrder *aloneOrder
-	// aloneLast is the run that was started alone last, or is about to be; noted is the one that the agent's row has.
-	aloneLast, noted fleet.RunRef
-	// inherited is the run that an earlier process of the agent has started alone, while nothing shows what has become of it.
-	inherited inherited
 	// lost refutes the loss that was told last, should its life answer.
 	lost fleet.Refutation
 
@@ -271,5 +267,5 @@
 
 // Known returns what is known of the upstream, and whether a heartbeat of its present life has been heard.
 func (k *Keeper) Known() (lives.Known, bool) {
-	return lives.Known{Upstream: k.up, Born: k.life.Born, Draining: k.draining, Alone: k.aloneLast}, k.known && k.described
+	return lives.Known{Upstream: k.up, Born: k.life.Born, Draining: k.draining}, k.known && k.described
 }
--- a/internal/core/rule/rule.go
+++ b/internal/core/rule/rule.go
@@ -50,8 +50,6 @@
 	CrashTold Rule = "crash_told"
 	// CrashStored: a kept job's suspected task starts again only once the crash under it is stored.
 	CrashStored Rule = "crash_stored"
-	// CrashNoted: an agent's row has the run of a suspected task ahead of its start, and the agent's next process tells of its loss.
-	CrashNoted Rule = "crash_noted"
 	// WithholdEnds: an upstream may forget the end of a kept job's run only once it is stored.
 	WithholdEnds Rule = "withhold_ends"
 	// AckAfterLapse: an agent that starts lets its upstream forget ends only once the lease before has lapsed.
@@ -67,7 +65,7 @@
 // All lists the rules.
 var All = []Rule{
 	SettleWait, StopsFirst, RunIDs, EchoedClock, FreshSession, CountSuspensions, StopSilent, FenceUnsure, SameTaskWaits, LapseBudget, LookFirst,
-	ConfirmLife, LifeBorn, CordonGate, CordonKnown, CordonOrder, CountStopping, RoomHeard, CrashAlone, CrashTold, CrashStored, CrashNoted, WithholdEnds, AckAfterLapse, OwnerLease, AskFirst, StoreFirst,
+	ConfirmLife, LifeBorn, CordonGate, CordonKnown, CordonOrder, CountStopping, RoomHeard, CrashAlone, CrashTold, CrashStored, WithholdEnds, AckAfterLapse, OwnerLease, AskFirst, StoreFirst,
 }
 
 // Set is a set of rules that are left out.
--- a/internal/load/world/agent.go
+++ b/internal/load/world/agent.go
@@ -52,9 +52,6 @@
 	}
 	a.keeper.Tick(a.w.Now())
 	a.keeper.Flush(a.w.Now())
-	if u, known := a.keeper.Known(); known {
-		a.keeper.AloneNoted(a.w.Now(), u.Alone)
-	}
 	a.w.After(a.w.links.Tick, func() { a.tick(inc) })
 }
 
--- a/internal/proof/schedule/crashes_test.go
+++ b/internal/proof/schedule/crashes_test.go
@@ -9,7 +9,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"hillreel/internal/agent/lives"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -306,37 +305,12 @@
 
 // recallCrashes is what an agent that starts does with what its row has of them.
 func (a *agentProc) recallCrashes() {
-	a.recallAlone()
 	all, inc := a.rememberedCrashes, a.inc
 	if len(all) > 0 {
 		a.w.After(crashRead, func() { a.doIn(inc, func() { a.tellCrashes(nil, all, nil) }) })
 	}
 }
 
-// noteAlone lets the agent's row have the run that is about to be started alone.
-func (a *agentProc) noteAlone(u lives.Known) {
-	if u.Alone == a.noting || u.Alone == (fleet.RunRef{}) {
-		return
-	}
-	a.noting = u.Alone
-	inc := a.inc
-	a.w.After(crashWrite, func() {
-		a.doIn(inc, func() {
-			a.rememberedAlone = u
-			a.keeper.AloneNoted(a.now(), u.Alone)
-		})
-	})
-}
-
-// recallAlone is what an agent that starts does with the run that its row has.
-func (a *agentProc) recallAlone() {
-	u, inc := a.rememberedAlone, a.inc
-	a.noting, a.rememberedAlone = fleet.RunRef{}, lives.Known{}
-	if u.Alone != (fleet.RunRef{}) {
-		a.w.After(crashRead, func() { a.doIn(inc, func() { a.keeper.Inherit(u.Life(), u.Alone) }) })
-	}
-}
-
 // adoptCrashes is what the entry's node does with what an agent has told of crashes.
 func (e *entryProc) adoptCrashes(from *agentProc, all []fleet.Crash, refuted []fleet.Refutation) {
 	if e.w.without.Off(rule.CrashTold) {
--- a/internal/proof/schedule/process_test.go
+++ b/internal/proof/schedule/process_test.go
@@ -145,9 +145,6 @@
 	remembered *lives.Known
 	// rememberedCrashes does too, a write's time after they are known.
 	rememberedCrashes []fleet.Crash
-	// noting is the run that is about to be started alone, rememberedAlone the life and the run that the row has.
-	noting          fleet.RunRef
-	rememberedAlone lives.Known
 }
 
 // Leases of kept jobs are shorter than by default, so that schedules are.
@@ -230,7 +227,6 @@
 	a.keeper.Flush(a.now())
 	if u, known := a.keeper.Known(); known {
 		a.remembered = &u
-		a.noteAlone(u)
 	}
 }
 
