--- a/internal/agent/upstream/alone.go
+++ b/internal/agent/upstream/alone.go
@@ -18,12 +18,6 @@
 // within this and an answer's way if the upstream is lost.
 const aloneLook = 8 * time.Millisecond
 
-// lookOverdue is after how long a look that waits so long is followed by another, if it has no answer.
-const lookOverdue = 2 * aloneLook
-
-// looksFollow is for how long after the last answer looks follow each other so: an upstream that has crashed is not asked on and on.
-const looksFollow = crash.Seasoned
-
 // aloneOrder is an order of a task that is to be started alone.
 type aloneOrder struct {
 	waiting
@@ -92,10 +86,6 @@
 	case now.Sub(k.aloneRun.begun) >= k.aloneRun.alone:
 		k.aloneRun = nil
 		k.touchAll()
-	case k.looking && now.Sub(k.lookSent) >= lookOverdue && now.Sub(k.heardAt) < looksFollow:
-		// One answer that is lost must not hide for a call's time-out that the upstream lives.
-		k.looking = false
-		k.look(now)
 	case !now.Before(k.lookAt):
 		k.look(now)
 	}
--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -80,7 +80,7 @@
 	if k.looking || !k.known || !k.looked {
 		return
 	}
-	k.looking, k.lookSent = true, now
+	k.looking = true
 	c := call.Hold{Header: k.header(now), Seen: k.seen(now), Look: true}
 	if k.aloneRun != nil {
 		c.Wait = aloneLook
@@ -173,14 +173,6 @@
 // lookDone handles the answer to a look. One without an answer is repeated while it is needed, after a pause: an upstream that resets
 // every connection answers at once, and would be asked a thousand times a second.
 func (k *Keeper) lookDone(now time.Time, c call.Hold, h call.Held) {
-	if c.Sent.Before(k.lookSent) {
-		// Another look has followed it.
-		if h.Answer == call.OK {
-			k.lease.Read(now, h.Clock)
-			k.held(now, c, h)
-		}
-		return
-	}
 	k.looking = false
 	if h.Answer != call.OK {
 		k.lookAt = now.Add(retryPause(k.silent(now)))
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -110,8 +110,6 @@
 	// holding is true while a hold is under way, looking while a look is; after a failure, none is made before holdAt or lookAt.
 	holding, looking bool
 	holdAt, lookAt   time.Time
-	// lookSent is when the newest look was made.
-	lookSent time.Time
 	// listed is the upstream's clock in the newest answer that was taken in: answers overtake each other.
 	listed call.Clock
 	// failures counts the holds in a row that got no answer; answered is when the last one was made that got one.
