crash: a loss of unknown age counts at any point

Callers saw: a task started once too often where a loss was known, but not how old its run was: the upstream was lost with its agent.

Cause: such a loss made a suspect at any point of its run, but counted towards a proof as one at the run's start; and a task that is suspected for its sake alone was to be alone for 100 ms, however late the loss that is known.

Change: it counts at any point among the four that prove, two of which must be losses while the task was alone; and the task is alone until the latest point that is known. It never counts as close to a point, nor as a loss while alone.

Seen: the new case of TestFinding ("lost with agents twice") and TestDoubtSuspects fail before, pass.

--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -353,7 +353,7 @@
 	var s sum
 	on := make(map[ident.UpstreamName]bool)
 	for _, c := range all {
-		if !samePointOf(c, as) {
+		if !anyPoint(c) && !samePointOf(c, as) {
 			continue
 		}
 		s.all++
@@ -365,7 +365,7 @@
 		if c.Sole {
 			s.sole++
 		}
-		if (c.After - as.After).Abs() <= closePoint {
+		if !anyPoint(c) && (c.After-as.After).Abs() <= closePoint {
 			s.close++
 			if a.counts(c) {
 				s.closeAlone++
@@ -377,10 +377,16 @@
 }
 
 // Alone is for how long after its start nothing may be started beside a suspected task: until it has outlived the points at
-// which it may have crashed upstreams, by as much as their ages may be wrong.
+// which it may have crashed upstreams, by as much as their ages may be wrong. If it is suspected for the sake of a run that nobody has
+// seen lost, that may be any point at which upstreams were lost.
 func (a *Account) Alone(t job.TaskID) time.Duration {
 	var latest time.Duration
-	for _, c := range a.suspicious(a.Crashes(t)) {
+	all := a.Crashes(t)
+	suspicious := a.suspicious(all)
+	if len(suspicious) == 0 {
+		suspicious = all
+	}
+	for _, c := range suspicious {
 		latest = max(latest, c.After)
 	}
 	return latest + Seasoned
--- a/internal/core/crash/crash_test.go
+++ b/internal/core/crash/crash_test.go
@@ -92,6 +92,10 @@
 			beside("b", "b0", ms), beside("b", "b00", ms), alone("b", "b1", ms), alone("b", "b2", ms), alone("b", "b3", ms),
 		}, crash.Proven},
 		{"alone at four on one VM, late", []fleet.Crash{alone("b", "b1", late), alone("b", "b2", late), alone("b", "b3", late), alone("b", "b4", late)}, crash.Suspected},
+		{"alone at two, late, beside older ones, and lost with agents twice", []fleet.Crash{
+			withAgent("x", "x1"), withAgent("y", "y1"), aloneBeside("b", "b1", late), aloneBeside("c", "c1", late),
+		}, crash.Proven},
+		{"alone at one, late, and lost with agents thrice", []fleet.Crash{withAgent("x", "x1"), withAgent("y", "y1"), withAgent("z", "z1"), alone("b", "b1", late)}, crash.Suspected},
 		{"one life, told twice", []fleet.Crash{beside("a", "a1", ms), alone("b", "b1", ms), alone("b", "b1", ms)}, crash.Suspected},
 	} {
 		t.Run(c.name, func(t *testing.T) {
