crash: losses that one other task was at each time prove nothing

Callers saw: a sound kept job called failed. Schedule: task 5.0.0 was lost alone at 504.6 and 505.9 ms, both times beside 10.0.0, which had been started 440 ms before it and crashes its upstreams after 945 ms (known 944.7 and 945.9). Two losses beside others happened to agree as well.

Cause: tasks that are lost together are placed anew together, so that their ages agree from one upstream to the next, whichever crashes it. The proof by four took it for the one that was alone. Ruled out: the precision of ages (1.3 ms here).

Change: late losses while a task was alone prove nothing if one other task was left at all of them, at one point of its own run. It is enough that it was not there once. Prompt losses count as before: what is at its own point at a suspect's start is rare, and most crashing tasks are prompt.

Test: TestCompanion fails before in its first case, passes.

--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -318,6 +318,9 @@
 			continue
 		}
 		s := a.agreeing(all, c)
+		if a.shared(&s) {
+			continue
+		}
 		switch {
 		case s.vms > 1 && (s.alone > needed || s.alone == needed && s.surely()), s.alone >= proofs && s.all >= togetherProofs && s.vms > 1:
 			return true
@@ -338,6 +341,8 @@
 type sum struct {
 	all, alone, sole, vms int
 	close, closeAlone     int
+	// left are those while it was alone, beside older tasks.
+	left []fleet.Crash
 	// latest is the latest of them while it was alone.
 	latest time.Duration
 }
@@ -348,6 +353,34 @@
 	return s.latest <= Prompt || s.sole >= proofs || s.sole > 0 && s.all >= togetherProofs
 }
 
+// shared tells whether another task was left at all upstreams that were lost late in a task's run while that was alone, at one point of its own
+// run: it may be the one that crashes them. Two tasks that are placed anew together start at like distances each time, so that their
+// ages agree from one upstream to the next, whichever does it.
+func (a *Account) shared(s *sum) bool {
+	if s.sole > 0 || s.latest <= Prompt || len(s.left) == 0 {
+		return false
+	}
+	for t, r := range a.tasks {
+		if t != s.left[0].Task && companion(r.crashes, s.left) {
+			return true
+		}
+	}
+	return false
+}
+
+// companion tells whether a task's crashes are, at one point of its run, of all the lives that others are of.
+func companion(own, others []fleet.Crash) bool {
+	var first *fleet.Crash
+	for _, o := range others {
+		i := slices.IndexFunc(own, func(c fleet.Crash) bool { return sameLife(c.Life, o.Life) && !anyPoint(c) })
+		if i < 0 || first != nil && !samePointOf(*first, own[i]) {
+			return false
+		}
+		first = &own[i]
+	}
+	return true
+}
+
 // agreeing sums up the crashes at the same point of a task's run as one of them.
 func (a *Account) agreeing(all []fleet.Crash, as fleet.Crash) sum {
 	var s sum
@@ -362,8 +395,11 @@
 			s.alone++
 			s.latest = max(s.latest, c.After)
 		}
-		if c.Sole {
+		switch {
+		case c.Sole:
 			s.sole++
+		case a.counts(c):
+			s.left = append(s.left, c)
 		}
 		if !anyPoint(c) && (c.After-as.After).Abs() <= closePoint {
 			s.close++
--- a/internal/core/crash/crash_test.go
+++ b/internal/core/crash/crash_test.go
@@ -132,6 +132,39 @@
 	qt.Assert(t, a.Finding(second), qt.Equals, crash.Proven)
 }
 
+// TestCompanion: losses while a task was alone prove nothing against it if one other task was left at all of them, at one point of its own run. Seen: a
+// sound task was started 440 ms after one that crashes its upstreams, at two upstreams one after the other, and called failed.
+func TestCompanion(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		others []time.Duration
+		alone  time.Duration
+		want   crash.Finding
+	}{
+		{"the same task each time", []time.Duration{945 * ms, 946 * ms}, 505 * ms, crash.Suspected},
+		{"the same task, at different points", []time.Duration{945 * ms, 300 * ms}, 505 * ms, crash.Proven},
+		{"at one of them only", []time.Duration{945 * ms}, 505 * ms, crash.Proven},
+		{"the same task each time, and prompt", []time.Duration{945 * ms, 946 * ms}, 5 * ms, crash.Proven},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := crash.New(nil)
+			a.SetUpstreams(11)
+			a.Add(start, beside("x", "x1", c.alone))
+			a.Add(start, beside("y", "y1", c.alone))
+			for i, after := range c.others {
+				o := beside(fmt.Sprint("b", i), fmt.Sprint("b", i, "-1"), after)
+				o.Task = other
+				a.Add(start, o)
+			}
+			a.Add(start, aloneBeside("b0", "b0-1", c.alone))
+			a.Add(start, aloneBeside("b1", "b1-1", c.alone+ms))
+			qt.Assert(t, a.Finding(task), qt.Equals, c.want)
+			a.Add(start, alone("c", "c1", c.alone))
+			qt.Assert(t, a.Finding(task), qt.Equals, crash.Proven)
+		})
+	}
+}
+
 // TestCloseWhileManyAreLost: three losses within a few milliseconds of one point prove also while many upstreams are lost to other causes, but not
 // three that merely may have been at one point. Seen: a task that had crashed three upstreams after 4 ms and two that nobody knew of
 // was started a sixth time.
