crash: a late proof by two close losses and a third at the point

Callers saw: a start too many after the two-exclusions mend: has losses at 118.9 ms (nothing else there) and 110.7 ms while alone and one beside others at the point, 94.7, and is started on; and traced likewise.

Cause: that mend asks four losses at the point where nothing else was left only once, however close they are; the sound task it was made for had 36 and 60 ms.

Change: three losses at the point do, if the two while the task was alone are within 10 ms.

--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -348,9 +348,15 @@
 }
 
 // surely tells whether no other task can have been at its own point each time. Nothing else was left at one of them: another cause may have taken
-// that, unless there are two, or as many more at the point.
+// that, unless there are two, or more at the point, fewer of them if they are close.
 func (s *sum) surely() bool {
-	return s.latest <= Prompt || s.sole >= proofs || s.sole > 0 && s.all >= togetherProofs
+	switch {
+	case s.latest <= Prompt, s.sole >= proofs:
+		return true
+	case s.sole == 0:
+		return false
+	}
+	return s.all >= togetherProofs || s.all >= closeProofs && s.closeAlone >= proofs
 }
 
 // shared tells whether another task was left at all upstreams that were lost late in a task's run while that was alone, at one point of its own
@@ -433,6 +439,12 @@
 	return slices.ContainsFunc(a.Crashes(t), func(c fleet.Crash) bool { return c.VM == vm })
 }
 
+// LostAloneOn tells whether that was while the task was alone there, and not longer ago than a time.
+func (a *Account) LostAloneOn(now time.Time, t job.TaskID, vm ident.UpstreamName, within time.Duration) bool {
+	r := a.tasks[t]
+	return r != nil && now.Sub(r.last) <= within && slices.ContainsFunc(r.crashes, func(c fleet.Crash) bool { return c.VM == vm && c.Alone })
+}
+
 // Spread picks from news what concerns tasks that more than one upstream was lost under: that is passed on to all.
 func (a *Account) Spread(news []fleet.Crash) []fleet.Crash {
 	return slices.DeleteFunc(slices.Clone(news), func(c fleet.Crash) bool { return len(a.Crashes(c.Task)) < 2 })
