dispatch: a suspect waits for another VM than the one it was alone at

Callers saw: a task that crashes its upstreams took one more. Late losses on one VM prove nothing, however many, since an upstream that goes down and up by turns loses whatever is there.

Cause: another VM was preferred only where one was ready at that moment.

Change: for 3 s after its last loss a task that was alone at a VM is not started there while the entry knows another VM; longer than most crashed upstreams are down. Callers of sound suspects wait that long at most, and only after a loss while alone.

Seen: TestSuspectWaitsForAnotherVM fails before in two cases.

--- a/internal/entry/dispatch/crash.go
+++ b/internal/entry/dispatch/crash.go
@@ -103,6 +103,10 @@
 // beyond that wait, and others keep the rest of the room.
 const closedShare = 8
 
+// elsewhereWait is for how long after a loss a task that was alone there waits for an upstream on another VM: one more loss on the same VM proves
+// nothing, and upstreams that crash are back within that.
+const elsewhereWait = 3 * time.Second
+
 // aloneRun is a run that an upstream is closed for.
 type aloneRun struct {
 	task *task
@@ -157,8 +161,13 @@
 func (t *Table) chooseAlone(now time.Time, k *task, among []*upstreamOf) *upstreamOf {
 	step := &k.job.spec.Steps[k.id.Step]
 	elsewhere := t.readyElsewhere(k)
+	others := len(t.order) > 1
 	may := func(a *upstreamOf) bool {
-		return t.eligible(a, k, step) && !t.tooSlow(now, a, k) && !(elsewhere && t.crashes.LostOn(k.id, a.Name))
+		switch {
+		case elsewhere && t.crashes.LostOn(k.id, a.Name), others && t.crashes.LostAloneOn(now, k.id, a.Name, elsewhereWait):
+			return false
+		}
+		return t.eligible(a, k, step) && !t.tooSlow(now, a, k)
 	}
 	return choice.Cheapest(among, may, func(a *upstreamOf) float64 {
 		return a.Cost(step, t.opts.Zone, t.pace, t.rng) + emptyCost*a.Used()
--- a/internal/entry/dispatch/crash_test.go
+++ b/internal/entry/dispatch/crash_test.go
@@ -185,6 +185,57 @@
 	}
 }
 
+// TestSuspectWaitsForAnotherVM: a task that was lost alone on a VM waits there for an upstream on another one, but not for ever. Seen: a task that
+// crashes its upstreams late was started five times on the VM that was back first each time, which proves nothing.
+func TestSuspectWaitsForAnotherVM(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		vms   int
+		wait  time.Duration
+		ready bool
+		// placed is whether the task is started again, elsewhere whether on the other VM.
+		placed, elsewhere bool
+	}{
+		{"no other is up", 2, 2 * time.Second, false, false, false},
+		{"another is back", 2, 2 * time.Second, true, true, true},
+		{"no other is up for long", 2, 4 * time.Second, false, true, false},
+		{"there is no other", 1, 0, false, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newVMs(t, c.vms)
+			b.submit(1, 1, 1, time.Second, time.Minute)
+			first := b.orders[0].agent
+			other := 3 - first
+			if c.vms > 1 {
+				b.room(other, fleet.Unreachable, 2000, 0)
+			}
+			b.lose(b.orders[0], time.Millisecond)
+			again := func(life ident.UpstreamID) {
+				b.table.Upstream(b.now, first, fleet.Upstream{ID: life, Service: "publish", Total: job.Resources{CPU: 2000}})
+				b.room(first, fleet.Ready, 2000, 100)
+			}
+			again("second")
+			qt.Assert(t, b.orders, qt.HasLen, 2)
+			qt.Assert(t, b.orders[1].Tasks[0].Alone > 0, qt.IsTrue)
+			o := b.orders[1]
+			b.table.Crashed(b.now, []fleet.Crash{{
+				Task: o.Task(0), VM: ident.UpstreamName(first.String()), Life: ident.UpstreamLife{ID: "second"}, Loss: 2, After: time.Millisecond, Alone: true, Sole: true,
+			}})
+			b.room(first, fleet.Unreachable, 2000, o.Seq)
+			b.end(o, 0, job.Lost, fleet.LeaseLapsed)
+			b.pass(c.wait)
+			again("third")
+			if c.ready {
+				b.room(other, fleet.Ready, 2000, 100)
+			}
+			qt.Assert(t, len(b.orders) > 2, qt.Equals, c.placed)
+			if c.placed {
+				qt.Assert(t, b.orders[2].agent == other, qt.Equals, c.elsewhere)
+			}
+		})
+	}
+}
+
 // TestSuspectIsAProbe: where no upstream is ready, a suspected task is what finds out whether one is sound again.
 func TestSuspectIsAProbe(t *testing.T) {
 	b := newVMs(t, 2)
--- a/internal/proof/schedule/crashes_test.go
+++ b/internal/proof/schedule/crashes_test.go
@@ -189,11 +189,11 @@
 
 // unproven are schedules in which a task is started once too often, or one called failed, in order; two are among the first 4,000 of both kinds.
 // In 4000003125 the age at a loss is known a quarter of a second too low, and other causes take two more upstreams under the task. In 4000301760 and
-// 4000304616 the first crash, or the first two, are followed by the end of all processes that know of them, in 5000203694 and 4000215516 an age is known too
+// 4000304616 the first crash, or the first two, are followed by the end of all processes that know of them, in 4000215516 an age is known too
 // low while the task is alone. In 5000307620 two upstreams go by themselves while a task is alone, after a true crash. The others are not traced.
 var unproven = []uint64{
 	4000003125, 4000215516, 4000301760, 4000301921, 4000304542, 4000304616,
-	5000002286, 5000203694, 5000301042, 5000304454, 5000304498, 5000307620, 5000308878,
+	5000002286, 5000301042, 5000304454, 5000304498, 5000307620, 5000308878,
 }
 
 // onceForgotten are schedules in which such a task was started too often, another was called failed, or a job was held for ever, before the
@@ -205,7 +205,7 @@
 	4000201425, 4000218368, 4000204708, 4000208997, 4000302311, 4000308700, 4000704024, 5000006004,
 	4000201659, 4000203947, 4000206821, 4000207691, 4000208473, 4000211734, 4000214209, 4000217819, 4000219856,
 	5000202210, 5000207182, 5000212150, 5000216366, 5000218476, 5000219794,
-	4000301032, 4000301801, 4000302089, 4000302160,
+	4000301032, 4000301801, 4000302089, 4000302160, 4000000169, 4000001240, 5000203694,
 	4000010010, 4000010299, 4000010601, 4000010750, 4000010766, 5000000095, 5000000496, 5000000866, 5000001784, 5000002258,
 }
 
