--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -419,16 +419,10 @@
 }
 
 // Alone is for how long after its start nothing may be started beside a suspected task: until it has outlived the points at
-// which it may have crashed upstreams, by as much as their ages may be wrong. If it is suspected for the sake of a run that nobody has
-// seen lost, that may be any point at which upstreams were lost.
+// which it may have crashed upstreams, by as much as their ages may be wrong.
 func (a *Account) Alone(t job.TaskID) time.Duration {
 	var latest time.Duration
-	all := a.Crashes(t)
-	suspicious := a.suspicious(all)
-	if len(suspicious) == 0 {
-		suspicious = all
-	}
-	for _, c := range suspicious {
+	for _, c := range a.suspicious(a.Crashes(t)) {
 		latest = max(latest, c.After)
 	}
 	return latest + Seasoned
--- a/internal/entry/dispatch/crash.go
+++ b/internal/entry/dispatch/crash.go
@@ -78,22 +78,13 @@
 	return j.steps[id.Step].tasks[id.Index]
 }
 
-// suspected tells whether a task may have crashed an upstream. A run that was lost with its agent counts as soon as another upstream was lost under
-// the task, although it is not certain yet that its own was lost as well: the VM may take seconds to tell.
-func (t *Table) suspected(now time.Time, k *task) bool {
-	switch t.crashes.Finding(k.id) {
-	case crash.Suspected:
-		return true
-	case crash.Unsuspected:
-		return len(t.crashes.Crashes(k.id)) > 0 && t.doubts.Has(now, k.id)
-	}
-	return false
-}
+// suspected tells whether a task may have crashed an upstream.
+func (t *Table) suspected(k *task) bool { return t.crashes.Finding(k.id) == crash.Suspected }
 
 // mustStore tells whether the crash under a kept job's task has to be stored before the task may be placed again: whoever takes the job
 // over would count from nothing.
-func (t *Table) mustStore(now time.Time, k *task, o job.Outcome) bool {
-	return k.job.kept && o == job.Lost && t.suspected(now, k) && !t.opts.Without.Off(rule.CrashStored)
+func (t *Table) mustStore(k *task, o job.Outcome) bool {
+	return k.job.kept && o == job.Lost && t.suspected(k) && !t.opts.Without.Off(rule.CrashStored)
 }
 
 // emptyCost is how much dearer a full upstream is than an empty one for a task that is to be alone there: others wait for it.
@@ -127,9 +118,9 @@
 }
 
 // divide divides tasks that wait into those that must be alone and the others.
-func (t *Table) divide(now time.Time, waiting []*task) (suspects, others []*task) {
+func (t *Table) divide(waiting []*task) (suspects, others []*task) {
 	for _, k := range waiting {
-		if t.suspected(now, k) {
+		if t.suspected(k) {
 			suspects = append(suspects, k)
 			continue
 		}
--- a/internal/entry/dispatch/crash_test.go
+++ b/internal/entry/dispatch/crash_test.go
@@ -151,40 +151,6 @@
 	}
 }
 
-// TestDoubtSuspects: a run that was lost with its agent makes its task a suspect as soon as an upstream was lost under it, though nobody has told
-// yet which upstream stands on that VM. Seen: a task whose first and third crash took their agents with them was alone at its fifth start
-// only, one too late for a proof.
-func TestDoubtSuspects(t *testing.T) {
-	for _, c := range []struct {
-		name      string
-		withAgent bool
-		wait      time.Duration
-		alone     bool
-	}{
-		{"lost with its agent, and late with an upstream", true, 0, true},
-		{"late with an upstream", false, 0, false},
-		{"lost with its agent long ago, and late with an upstream", true, 11 * time.Second, false},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			b := newVMs(t, 4)
-			b.submit(1, 1, 1, time.Second, time.Minute)
-			if c.withAgent {
-				b.table.Unlinked(b.now, b.orders[0].agent)
-				b.pass(timing.SettleAfter() + 40*time.Millisecond)
-			}
-			b.pass(c.wait)
-			last := b.orders[len(b.orders)-1]
-			qt.Assert(t, last.Tasks[0].Alone, qt.Equals, time.Duration(0))
-			b.lose(last, 500*time.Millisecond)
-			next := b.orders[len(b.orders)-1]
-			qt.Assert(t, next.Tasks[0].Alone > 0, qt.Equals, c.alone)
-			if c.alone {
-				qt.Assert(t, next.Tasks[0].Alone > 500*time.Millisecond, qt.IsTrue)
-			}
-		})
-	}
-}
-
 // TestSuspectWaitsForAnotherVM: a task that was lost alone on a VM waits there for an upstream on another one, but not for ever. Seen: a task that
 // crashes its upstreams late was started five times on the VM that was back first each time, which proves nothing.
 func TestSuspectWaitsForAnotherVM(t *testing.T) {
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -106,7 +106,7 @@
 func (t *Table) goOn(now time.Time, a *upstreamOf, k *task, e fleet.End) {
 	j := k.job
 	action := repeat.After(repeat.Ended{
-		Outcome: e.Outcome, Reason: e.Reason, Failures: k.failures, Attempts: j.attempts(), Kept: j.kept, StoreFirst: t.mustStore(now, k, e.Outcome),
+		Outcome: e.Outcome, Reason: e.Reason, Failures: k.failures, Attempts: j.attempts(), Kept: j.kept, StoreFirst: t.mustStore(k, e.Outcome),
 	})
 	t.observer.Ended(a.Name, e, string(action))
 	switch action {
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -66,7 +66,7 @@
 
 // placeStep places as many tasks of a step as fit, in one order for each agent, and tells whether some that are not suspected still wait.
 func (t *Table) placeStep(now time.Time, j *jobState, s int, among []*upstreamOf) (waits bool) {
-	suspects, others := t.divide(now, j.steps[s].waiting)
+	suspects, others := t.divide(j.steps[s].waiting)
 	t.placeSuspects(now, suspects, among)
 	orders := make(map[*upstreamOf]*fleet.Order)
 	var agents []*upstreamOf
--- a/internal/entry/doubt/doubt.go
+++ b/internal/entry/doubt/doubt.go
@@ -10,7 +10,6 @@
 
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
-	"hillreel/internal/core/job"
 )
 
 const (
@@ -36,11 +35,6 @@
 	}
 }
 
-// Has tells whether a run of a task is in doubt.
-func (l *List) Has(now time.Time, t job.TaskID) bool {
-	return slices.ContainsFunc(l.all, func(e entry) bool { return e.crash.Task == t && now.Sub(e.since) <= keepFor })
-}
-
 // Decide takes in which upstream an agent tells of on a VM, and returns the crashes that this makes certain. An agent that begins
 // tells first of the upstream that its former life knew; settled is whether it knows that this one lives.
 func (l *List) Decide(now time.Time, vm ident.UpstreamName, stands ident.UpstreamID, settled bool) []fleet.Crash {
--- a/internal/entry/doubt/doubt_test.go
+++ b/internal/entry/doubt/doubt_test.go
@@ -51,29 +51,6 @@
 	}
 }
 
-// TestHas: a task is in doubt from when its run was lost with its agent until that is decided, or forgotten.
-func TestHas(t *testing.T) {
-	for _, c := range []struct {
-		name string
-		look look
-		want bool
-	}{
-		{"at once", look{0, "other", "u-2", true}, true},
-		{"the same lives, not settled", look{time.Second, "vm", "u-1", false}, true},
-		{"the same lives", look{time.Second, "vm", "u-1", true}, false},
-		{"another stands there", look{time.Second, "vm", "u-2", false}, false},
-		{"forgotten", look{11 * time.Second, "other", "u-2", true}, false},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			var l doubt.List
-			l.Add(start, lost(1))
-			l.Decide(start.Add(c.look.after), c.look.vm, c.look.stands, c.look.settled)
-			qt.Assert(t, l.Has(start.Add(c.look.after), lost(1).Task), qt.Equals, c.want)
-			qt.Assert(t, l.Has(start, lost(2).Task), qt.IsFalse)
-		})
-	}
-}
-
 // TestBound: what is in doubt has a bound.
 func TestBound(t *testing.T) {
 	var l doubt.List
