--- a/Makefile
+++ b/Makefile
@@ -5,17 +5,19 @@
 # make soak-faults  the real programs under faults (SEED=n SEEDS=n LENGTH=time AGENTS=n PARALLEL=n)
 # make days    write our days for the users' bench into deploy/days, where hunts find them (DIR=directory)
 # make same    write the digests of what schedules and played deployments decide, which tests compare
+# make count   how many schedules of one kind fail (SCHEDULES=n FROM=seed)
 # make rules   leave out each safety rule and search for a schedule that fails (SCHEDULES=n SEED=n)
 GO ?= go
 SCHEDULES ?= 200000
 SEED ?= 1
+FROM ?= 4000000001
 SEEDS ?= 5
 LENGTH ?= 10s
 AGENTS ?= 6
 PARALLEL ?= 2
 DIR ?= deploy/days
 
-.PHONY: all build demo check lint test soak soak-faults days rules same generate
+.PHONY: all build demo check lint test soak soak-faults days rules same generate count
 
 all: build
 
@@ -42,6 +44,9 @@
 soak:
 	$(GO) test ./internal/proof/schedule -run TestSchedules$$ -count=1 -timeout 12h -v -schedules $(SCHEDULES) -seed $(SEED)
 
+count:
+	$(GO) test ./internal/proof/schedule -run TestCount$$ -count=1 -timeout 12h -v -schedules $(SCHEDULES) -count-from $(FROM)
+
 soak-faults:
 	$(GO) test ./internal/proof/soak -run TestSoak -count=1 -timeout 12h -v -soak-seed $(SEED) -soak-seeds $(SEEDS) \
 		-soak-for $(LENGTH) -soak-agents $(AGENTS) -soak-parallel $(PARALLEL) -soak-keep $(CURDIR)/out/soak
