crash, dispatch: companions are looked for once a proof stands; VMs of other services are not waited for

Whether another task was left at all losses was asked before anything else was known, which looks through up to 4,096 tasks each time a suspect is placed; it is asked last now, of proofs that stand otherwise. The conditions of a proof are a method of its sum. And a suspect waited 3 s for VMs that serve another service: the new case of TestSuspectWaitsForAnotherVM fails before.

--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -44,7 +44,7 @@
 	ageError = 60 * time.Millisecond
 	// aloneError is the same while a task is alone: its upstream is asked some 10 ms apart, or 20 ms at worst, and answers may be slow.
 	aloneError = 25 * time.Millisecond
-	// startError is by how much less than its known age a task's true age may be: its start was on the way.
+	// startError is by how much a task's true age at a crash may be less than the known one: its start was on the way.
 	startError = 5 * time.Millisecond
 	// proofs is how many upstreams must be lost at one point of a task's run while it is alone, on two VMs at least. With the crash before,
 	// such a task is started three times. A cause that takes each upstream once in 30 s takes two of them by chance with
@@ -318,15 +318,7 @@
 			continue
 		}
 		s := a.agreeing(all, c)
-		if a.shared(&s) {
-			continue
-		}
-		switch {
-		case s.vms > 1 && (s.alone > needed || s.alone == needed && s.surely()), s.alone >= proofs && s.all >= togetherProofs && s.vms > 1:
-			return true
-		case s.vms > 1 && s.closeAlone >= proofs && s.close >= closeProofs && s.surely():
-			return true
-		case c.After <= Prompt && (s.alone >= ownProofs || s.alone >= moreProofs && s.all > ownProofs):
+		if s.enough(needed, c.After) && !a.shared(&s) {
 			return true
 		}
 	}
@@ -347,6 +339,21 @@
 	latest time.Duration
 }
 
+// enough tells whether the crashes are enough to prove that the task causes them, at a point of its run; needed is how many it takes on two VMs.
+func (s *sum) enough(needed int, point time.Duration) bool {
+	if s.vms > 1 {
+		switch {
+		case s.alone > needed, s.alone == needed && s.surely():
+			return true
+		case s.alone >= proofs && s.all >= togetherProofs:
+			return true
+		case s.closeAlone >= proofs && s.close >= closeProofs && s.surely():
+			return true
+		}
+	}
+	return point <= Prompt && (s.alone >= ownProofs || s.alone >= moreProofs && s.all > ownProofs)
+}
+
 // surely tells whether no other task can have been at its own point each time. Nothing else was left at one of them: another cause may have taken
 // that, unless there are two, or more at the point, fewer of them if they are close.
 func (s *sum) surely() bool {
--- a/internal/entry/dispatch/crash.go
+++ b/internal/entry/dispatch/crash.go
@@ -152,7 +152,7 @@
 func (t *Table) chooseAlone(now time.Time, k *task, among []*upstreamOf) *upstreamOf {
 	step := &k.job.spec.Steps[k.id.Step]
 	elsewhere := t.readyElsewhere(k)
-	others := len(t.order) > 1
+	others := t.otherVMs(k)
 	may := func(a *upstreamOf) bool {
 		switch {
 		case elsewhere && t.crashes.LostOn(k.id, a.Name), others && t.crashes.LostAloneOn(now, k.id, a.Name, elsewhereWait):
@@ -165,6 +165,17 @@
 	})
 }
 
+// otherVMs tells whether there are several VMs that have, or may have, an upstream of a task's service.
+func (t *Table) otherVMs(k *task) bool {
+	n := 0
+	for _, a := range t.order {
+		if !a.Known() || a.Up.Service == k.job.route.Service {
+			n++
+		}
+	}
+	return n > 1
+}
+
 // readyElsewhere tells whether an upstream is ready on a VM whose upstream was not lost under a task, and the task need not avoid it.
 func (t *Table) readyElsewhere(k *task) bool {
 	service := k.job.route.Service
--- a/internal/entry/dispatch/crash_test.go
+++ b/internal/entry/dispatch/crash_test.go
@@ -161,14 +161,20 @@
 		ready bool
 		// placed is whether the task is started again, elsewhere whether on the other VM.
 		placed, elsewhere bool
+		// service is the other VM's if it is another one.
+		service ident.Service
 	}{
-		{"no other is up", 2, 2 * time.Second, false, false, false},
-		{"another is back", 2, 2 * time.Second, true, true, true},
-		{"no other is up for long", 2, 4 * time.Second, false, true, false},
-		{"there is no other", 1, 0, false, true, false},
+		{"no other is up", 2, 2 * time.Second, false, false, false, ""},
+		{"another is back", 2, 2 * time.Second, true, true, true, ""},
+		{"no other is up for long", 2, 4 * time.Second, false, true, false, ""},
+		{"there is no other", 1, 0, false, true, false, ""},
+		{"the other serves another service", 2, 0, false, true, false, "other"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := newVMs(t, c.vms)
+			if c.service != "" {
+				b.table.Upstream(b.now, 2, fleet.Upstream{ID: "0000000000000002", Service: c.service, Total: job.Resources{CPU: 2000}})
+			}
 			b.submit(1, 1, 1, time.Second, time.Minute)
 			first := b.orders[0].agent
 			other := 3 - first
