schedule: why starts a task too often

Traced on the landed program: of seven losses known, three are other causes' (463 ms beside others, 428 and 353 ms alone), and of the four at the true point (926 ms) one is while the task was alone.

--- a/internal/proof/schedule/crashes_test.go
+++ b/internal/proof/schedule/crashes_test.go
@@ -189,8 +189,8 @@
 
 // unproven are schedules in which a task is started once too often, or one called failed, in order; two are among the first 4,000 of both kinds.
 // In 4000003125 the age at a loss is known a quarter of a second too low, and other causes take two more upstreams under the task. In 4000301760 and
-// 4000304616 the first crash, or the first two, are followed by the end of all processes that know of them, in 4000215516 an age is known too
-// low while the task is alone. In 5000307620 two upstreams go by themselves while a task is alone, after a true crash. The others are not traced.
+// 4000304616 the first crash, or the first two, are followed by the end of all processes that know of them, in 4000215516 other causes
+// take three upstreams under the task, two of them while it is alone. In 5000307620 two upstreams go by themselves while a task is alone, after a true crash. The others are not traced.
 var unproven = []uint64{
 	4000003125, 4000215516, 4000301760, 4000301921, 4000304542, 4000304616,
 	5000002286, 5000301042, 5000304454, 5000304498, 5000307620, 5000308878,
