crash, schedule: tests share what they repeated

From reading the change once more: four crash tests built the same account with upstreams lost to other causes (whileLost), and counting schedules had the loop over all processors that searching has (onAllProcessors). No assertion changed. chooseAlone's comment says that a suspect waits for another VM.

Seen: the tests of crash, dispatch, the traced schedules, TestSame and TestSchedulesRepeat pass; TestCount lists the same.

--- a/internal/core/crash/crash_test.go
+++ b/internal/core/crash/crash_test.go
@@ -44,6 +44,16 @@
 	return c
 }
 
+// whileLost returns an account of so many upstreams, others of which were lost to other causes.
+func whileLost(upstreams, others int) *crash.Account {
+	a := crash.New(nil)
+	a.SetUpstreams(upstreams)
+	for i := range others {
+		a.Add(start, fleet.Crash{Task: other, VM: "x", Life: ident.UpstreamLife{ID: ident.UpstreamID(fmt.Sprint("x", i))}, After: time.Second})
+	}
+	return a
+}
+
 const (
 	ms    = time.Millisecond
 	late  = 700 * ms
@@ -114,11 +124,7 @@
 
 // TestOtherCauses: while many upstreams are lost to other causes, it takes more to prove that a task does it; a while later it does not.
 func TestOtherCauses(t *testing.T) {
-	a := crash.New(nil)
-	a.SetUpstreams(4)
-	for _, life := range []string{"x1", "x2", "x3"} {
-		a.Add(start, fleet.Crash{Task: other, VM: "x", Life: ident.UpstreamLife{ID: ident.UpstreamID(life)}, After: time.Second})
-	}
+	a := whileLost(4, 3)
 	a.Add(start, alone("b", "b1", ms))
 	a.Add(start, alone("c", "c1", ms))
 	qt.Assert(t, a.Finding(task), qt.Equals, crash.Suspected)
@@ -186,11 +192,7 @@
 		{"on one VM", []fleet.Crash{beside("a", "a1", ms), alone("a", "a2", ms), alone("a", "a3", ms)}, crash.Suspected},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			a := crash.New(nil)
-			a.SetUpstreams(4)
-			for _, life := range []string{"x1", "x2", "x3", "x4", "x5"} {
-				a.Add(start, fleet.Crash{Task: other, VM: "x", Life: ident.UpstreamLife{ID: ident.UpstreamID(life)}, After: time.Second})
-			}
+			a := whileLost(4, 5)
 			for _, one := range c.own {
 				a.Add(start, one)
 			}
@@ -210,11 +212,7 @@
 		{50 * ms, crash.Proven},
 		{200 * ms, crash.Suspected},
 	} {
-		a := crash.New(nil)
-		a.SetUpstreams(4)
-		for _, life := range []string{"x1", "x2", "x3", "x4", "x5"} {
-			a.Add(start, fleet.Crash{Task: other, VM: "x", Life: ident.UpstreamLife{ID: ident.UpstreamID(life)}, After: time.Second})
-		}
+		a := whileLost(4, 5)
 		a.Add(start, beside("a", "a1", late-c.low))
 		a.Add(start, beside("b", "b1", late-c.low))
 		a.Add(start, alone("c", "c1", late))
@@ -265,11 +263,7 @@
 		{10, 6, []fleet.Crash{beside("a", "a1", ms), beside("b", "b1", 2*ms)}, crash.Suspected},
 		{10, 6, []fleet.Crash{beside("a", "a1", ms), beside("b", "b1", late)}, crash.Unsuspected},
 	} {
-		a := crash.New(nil)
-		a.SetUpstreams(c.upstreams)
-		for i := range c.others {
-			a.Add(start, fleet.Crash{Task: other, VM: "x", Life: ident.UpstreamLife{ID: ident.UpstreamID(fmt.Sprint("x", i))}, After: time.Second})
-		}
+		a := whileLost(c.upstreams, c.others)
 		for _, one := range c.own {
 			a.Add(start, one)
 		}
--- a/internal/entry/dispatch/crash.go
+++ b/internal/entry/dispatch/crash.go
@@ -148,7 +148,7 @@
 }
 
 // chooseAlone returns the agent for a task that must be alone, or nil while nothing fits: the emptiest, on a VM whose upstream was not
-// lost under the task, if one is ready.
+// lost under the task, if one is ready; one that it was alone at is not taken for a while, if there are others.
 func (t *Table) chooseAlone(now time.Time, k *task, among []*upstreamOf) *upstreamOf {
 	step := &k.job.spec.Steps[k.id.Step]
 	elsewhere := t.readyElsewhere(k)
--- a/internal/proof/schedule/count_test.go
+++ b/internal/proof/schedule/count_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"flag"
-	"runtime"
-	"sync"
 	"sync/atomic"
 	"testing"
 )
@@ -25,19 +23,14 @@
 
 // countFailed runs schedules on all processors, logs those that fail and returns how many did.
 func countFailed(t *testing.T, first uint64, n int) int64 {
-	var next, failed atomic.Int64
-	var group sync.WaitGroup
-	for range runtime.GOMAXPROCS(0) {
-		group.Go(func() {
-			for i := next.Add(1) - 1; i < int64(n); i = next.Add(1) - 1 {
-				s := first + uint64(i)
-				if w := schedule(s, nil, someFaults(s)); w.broken != "" {
-					failed.Add(1)
-					t.Logf("seed %d: %s", s, w.broken)
-				}
-			}
-		})
-	}
-	group.Wait()
+	var failed atomic.Int64
+	onAllProcessors(n, func(i uint64) (more bool) {
+		s := first + i
+		if w := schedule(s, nil, someFaults(s)); w.broken != "" {
+			failed.Add(1)
+			t.Logf("seed %d: %s", s, w.broken)
+		}
+		return true
+	})
 	return failed.Load()
 }
--- a/internal/proof/schedule/schedule_test.go
+++ b/internal/proof/schedule/schedule_test.go
@@ -149,34 +149,41 @@
 
 // search runs schedules on all processors and returns the first that fails, or nil.
 func search(first uint64, n int, without rule.Set, faults func(uint64) int) (failed *world, failedSeed uint64, ran int64) {
-	var next, count atomic.Uint64
+	var count atomic.Uint64
 	var mu sync.Mutex
+	onAllProcessors(n, func(i uint64) (more bool) {
+		mu.Lock()
+		stop := failed != nil && failedSeed < first+i
+		mu.Unlock()
+		if stop {
+			return false
+		}
+		w := schedule(first+i, without, faults(first+i))
+		count.Add(1)
+		if w.broken == "" {
+			return true
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if failed == nil || first+i < failedSeed {
+			failed, failedSeed = w, first+i
+		}
+		return true
+	})
+	return failed, failedSeed, int64(count.Load())
+}
+
+// onAllProcessors does something for each number below n, on all processors; each of them ends once it has nothing more to do.
+func onAllProcessors(n int, do func(i uint64) (more bool)) {
+	var next atomic.Uint64
 	var group sync.WaitGroup
 	for range runtime.GOMAXPROCS(0) {
 		group.Go(func() {
-			for {
-				i := next.Add(1) - 1
-				mu.Lock()
-				stop := failed != nil && failedSeed < first+i
-				mu.Unlock()
-				if i >= uint64(n) || stop {
-					return
-				}
-				w := schedule(first+i, without, faults(first+i))
-				count.Add(1)
-				if w.broken == "" {
-					continue
-				}
-				mu.Lock()
-				if failed == nil || first+i < failedSeed {
-					failed, failedSeed = w, first+i
-				}
-				mu.Unlock()
+			for i := next.Add(1) - 1; i < uint64(n) && do(i); i = next.Add(1) - 1 {
 			}
 		})
 	}
 	group.Wait()
-	return failed, failedSeed, int64(count.Load())
 }
 
 // someFaults is how many things go wrong in a schedule.
