soak: callers that send their jobs elsewhere after their own side of a connection broke

The soak's callers waited as long as the entry was told, so that no two entries could hold a job at once: the check was fitted to the promise. These wait 1.5 s for an answer, close the connection at their side, and send the job to another entry 1.3 s later, while their first entry is cut off (what was lost in the cut arrives when as much time again has passed), or stands still.

--- /dev/null
+++ b/internal/proof/soak/resend_test.go
@@ -0,0 +1,278 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var (
+	resendEntries = flag.Int("resend-entries", 0, "how many entries a set of TestResentJobsAtSize has")
+	resendAgents  = flag.Int("resend-agents", 16, "how many agents it has")
+	resendRate    = flag.Float64("resend-rate", 100, "how many jobs its callers send a second")
+	resendShare   = flag.Float64("resend-share", 1, "the share of a core that its agents get, entries twice that")
+)
+
+// kind is a kind of best-effort job.
+type kind struct {
+	tasks, runMs int
+	// odds are its share of all jobs.
+	odds float64
+}
+
+// kinds are wide and short, long, and narrow.
+var kinds = []kind{{8, 60, 0.24}, {4, 900, 0.05}, {2, 200, 0.71}}
+
+const (
+	// attemptWait is how long a caller waits for one answer; it tells entries how long it waits in all.
+	attemptWait = 1500 * time.Millisecond
+	// callerWait is how long it waits in all.
+	callerWait = 3300 * time.Millisecond
+	// entryFaultEvery is the mean pause between two faults of entries.
+	entryFaultEvery = 1200 * time.Millisecond
+	// slice is the time in which a process that is held back runs for its share.
+	slice = 100 * time.Millisecond
+)
+
+// drawKind draws a kind of job.
+func drawKind(rng *rand.Rand) kind {
+	x := rng.Float64()
+	for _, k := range kinds {
+		if x < k.odds {
+			return k
+		}
+		x -= k.odds
+	}
+	return kinds[len(kinds)-1]
+}
+
+// submitImpatient sends one best-effort job, and to another entry 1.3 s after a connection broke, or after an attempt that was
+// not answered in time, whose connection it closes at its own side: whether its entry hears of that is not its concern.
+func (c *callers) submitImpatient(rng *rand.Rand) {
+	k := drawKind(rng)
+	j := &job{id: fmt.Sprintf("%016x", rng.Uint64()), tasks: k.tasks, runMs: k.runMs}
+	first := rng.IntN(len(c.s.entries))
+	c.mu.Lock()
+	c.jobs = append(c.jobs, j)
+	c.mu.Unlock()
+	c.wait.Go(func() {
+		began := time.Now()
+		for attempt := 0; ; attempt++ {
+			left := callerWait - time.Since(began)
+			if left <= 0 {
+				return
+			}
+			status, state := c.send(j, c.s.entries[(first+attempt)%len(c.s.entries)], min(attemptWait, left), left)
+			c.mu.Lock()
+			j.answers = append(j.answers, status)
+			j.state = state
+			c.mu.Unlock()
+			if status == http.StatusOK || status == http.StatusServiceUnavailable {
+				return
+			}
+			time.Sleep(resend)
+		}
+	})
+}
+
+// holdBack lets a process run for a share of each slice, until ctx ends.
+func (s *set) holdBack(ctx context.Context, p *process, share float64) {
+	runs := time.Duration(share * float64(slice))
+	for ctx.Err() == nil {
+		time.Sleep(runs)
+		if p.frozen.Load() {
+			continue
+		}
+		s.signal(p, syscall.SIGSTOP)
+		time.Sleep(slice - runs)
+		if !p.frozen.Load() {
+			s.signal(p, syscall.SIGCONT)
+		}
+	}
+}
+
+// holdAllBack lets agents run for a share of each slice, and entries for twice that, until ctx ends.
+func (s *set) holdAllBack(ctx context.Context, share float64) {
+	for i, p := range s.processes() {
+		of := share
+		if p.role == "entry" {
+			of *= 2
+		}
+		if of < 1 {
+			time.AfterFunc(time.Duration(i)*slice/7, func() { s.holdBack(ctx, p, of) })
+		}
+	}
+}
+
+// freeze stops a process for a while.
+func (s *set) freeze(p *process, span time.Duration) {
+	p.frozen.Store(true)
+	s.signal(p, syscall.SIGSTOP)
+	time.AfterFunc(span, func() {
+		p.frozen.Store(false)
+		s.signal(p, syscall.SIGCONT)
+	})
+}
+
+// cutOff cuts an entry off from everything for a while. What is lost meanwhile, ends of streams among it, is sent again after pauses
+// that double, as a kernel does: it arrives when about as much time again has passed.
+func (s *set) cutOff(e *process, span time.Duration) {
+	for _, p := range []*proxy{e.link, e.store} {
+		p.set(0, true, true)
+	}
+	e.front.set(0, true, true)
+	time.AfterFunc(span, func() {
+		e.link.set(0, false, false)
+		e.store.set(0, false, false)
+		e.front.set(0, true, false)
+	})
+	time.AfterFunc(2*span, func() { e.front.set(0, false, false) })
+}
+
+// entryFault lets something happen to one entry, or to several agents.
+func (s *set) entryFault(rng *rand.Rand) string {
+	e, a := s.entries[rng.IntN(len(s.entries))], s.agents[rng.IntN(len(s.agents))]
+	span := time.Duration(300+rng.IntN(2700)) * time.Millisecond
+	switch rng.IntN(8) {
+	case 0, 1:
+		s.freeze(e, span)
+		return fmt.Sprintf("freeze %s %v", e.name, span)
+	case 2, 3:
+		s.cutOff(e, span)
+		return fmt.Sprintf("cut %s off %v", e.name, span)
+	case 4:
+		s.restart(e, syscall.SIGKILL, span)
+		return "kill " + e.name
+	case 5:
+		s.restart(e, syscall.SIGTERM, span)
+		return "term " + e.name
+	case 6:
+		s.freeze(a, span)
+		return fmt.Sprintf("freeze %s %v", a.name, span)
+	}
+	for i, p := range s.agents {
+		if i%4 == 0 {
+			time.AfterFunc(time.Duration(i)*span/4, func() { s.restart(p, syscall.SIGTERM, 200*time.Millisecond) })
+		}
+	}
+	return fmt.Sprintf("roll each fourth agent, %v apart", span)
+}
+
+// resendCases are schedules of one fault, one after the other, that each run plays.
+var resendCases = []struct {
+	name  string
+	fault func(s *set, rng *rand.Rand) string
+}{
+	{"cut_off", func(s *set, rng *rand.Rand) string {
+		e := s.entries[rng.IntN(len(s.entries))]
+		s.cutOff(e, 2600*time.Millisecond)
+		return "cut " + e.name + " off"
+	}},
+	{"frozen", func(s *set, rng *rand.Rand) string {
+		e := s.entries[rng.IntN(len(s.entries))]
+		s.freeze(e, 2600*time.Millisecond)
+		return "freeze " + e.name
+	}},
+}
+
+// caseEvery is the pause between two faults of a case.
+const caseEvery = 4 * time.Second
+
+// TestResentJobs guards against tasks that two entries run at once: callers that break off or lose their connections at their own
+// side send their jobs to other entries, while their first entries stand still or are cut off.
+func TestResentJobs(t *testing.T) {
+	binary := build(t)
+	for _, test := range resendCases {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			resends(t, binary, resendRun{
+				seed: *soakSeed, entries: 3, agents: 8, rate: 60, share: 1, length: 3 * caseEvery,
+				fault: test.fault, every: func(*rand.Rand) time.Duration { return caseEvery },
+			})
+		})
+	}
+}
+
+// TestResentJobsAtSize is TestResentJobs with sets of any size, under faults at random, by processes that may get little of a core. It is
+// started by hand.
+func TestResentJobsAtSize(t *testing.T) {
+	if *resendEntries == 0 {
+		t.Skip("started by hand, with -resend-entries")
+	}
+	binary := build(t)
+	for i := range *soakSeeds {
+		seed := *soakSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+			resends(t, binary, resendRun{
+				seed: seed, entries: *resendEntries, agents: *resendAgents, rate: *resendRate, share: *resendShare, length: *soakFor,
+				fault: (*set).entryFault, every: func(rng *rand.Rand) time.Duration { return time.Duration(rng.Int64N(int64(2 * entryFaultEvery))) },
+			})
+		})
+	}
+}
+
+// build builds the program under test.
+func build(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "hillreel")
+	out, err := exec.Command("go", "build", "-o", binary, "hillreel").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	return binary
+}
+
+// resendRun is one run of resent jobs.
+type resendRun struct {
+	seed            uint64
+	entries, agents int
+	// rate is how many jobs come a second, for length; share is the share of a core that agents get, entries twice that.
+	rate, share float64
+	length      time.Duration
+	fault       func(*set, *rand.Rand) string
+	// every draws the pause between two faults.
+	every func(*rand.Rand) time.Duration
+}
+
+// resends plays one run.
+func resends(t *testing.T, binary string, r resendRun) {
+	s := newSet(t, binary, r.seed, r.entries, r.agents)
+	defer s.stop()
+	until := time.Now().Add(30 * time.Second)
+	for why := calm(s, 1); why != ""; why = calm(s, 1) {
+		if time.Now().After(until) {
+			s.keep(r.seed)
+			t.Fatalf("seed %d: the set does not come up: %s", r.seed, why)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s.holdAllBack(ctx, r.share)
+	c := newCallers(s)
+	traffic, faults := rand.New(rand.NewPCG(r.seed, 9)), rand.New(rand.NewPCG(r.seed, 10))
+	end, nextFault := time.Now().Add(r.length), time.Now().Add(time.Second)
+	var log []string
+	pause := float64(time.Second) / r.rate
+	for next := time.Now(); next.Before(end); next = next.Add(time.Duration(pause * traffic.ExpFloat64())) {
+		time.Sleep(time.Until(next))
+		if time.Now().After(nextFault) {
+			log = append(log, time.Now().Format("15:04:05.000 ")+r.fault(s, faults))
+			nextFault = time.Now().Add(r.every(faults))
+		}
+		c.submitImpatient(traffic)
+	}
+	c.wait.Wait()
+	problems := append(s.ledger.Broken(), c.check()...)
+	t.Logf("seed %d: %d jobs, %v, faults: %s", r.seed, len(c.jobs), c.counts(), strings.Join(log, "; "))
+	if len(problems) > 0 {
+		s.keep(r.seed)
+		t.Errorf("seed %d: %d problems: %s", r.seed, len(problems), strings.Join(problems, "\n"))
+	}
+}
--- a/internal/proof/soak/set_test.go
+++ b/internal/proof/soak/set_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -44,6 +45,8 @@
 	// agents the last three.
 	link, front, store, calls, beats *proxy
 	upstream                         *standin.Upstream
+	// frozen is true while it is stopped by a signal for longer than it is held back.
+	frozen atomic.Bool
 }
 
 // paths are the kinds of connections.
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -13,8 +12,6 @@
 	"testing"
 	"time"
 
-	qt "github.com/frankban/quicktest"
-
 	"hillreel/platform/standin"
 )
 
@@ -41,9 +38,7 @@
 
 // TestSoak runs the regressions and then fresh seeds.
 func TestSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "hillreel")
-	out, err := exec.Command("go", "build", "-o", binary, "hillreel").CombinedOutput()
-	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	binary := build(t)
 	var seeds []uint64
 	for _, r := range regressions {
 		seeds = append(seeds, r.seed)
