dispatch: an entry that was out of touch gives up the callers that it can't hear

What callers saw: a task ran at two upstreams at once. Cause: a caller that loses its connection at its own side sends its job to another entry 1.3 s later, and its first entry takes it for present until it hears the end of the connection. An entry that was cut off does not: ends of streams are lost with the cut and sent again after pauses that double. Meanwhile its agents gave up its runs, and once back it placed the tasks anew ("agent_silent ... then again"), placed for the first time what had waited, or took a request that was held up on the way, and heard in the same millisecond that its caller had gone. Class: an absence of news taken for good news.

An entry that has heard nothing, of agents or callers, for as long as agents keep its runs (400 ms) now answers the best-effort jobs that it holds with 504 and stops what runs of them (rule callers_lost). For as long again after that, and likewise after a standstill, a request is taken 20 ms after it came, if the end of its connection does not follow (hear_ends); a process that stood still listens for 100 ms before it places anything. Single agents that are lost, and agents whose ends are heard, change nothing; kept jobs neither.

The digests of schedules change, since entries that are cut off or frozen decide otherwise.

--- a/internal/core/rule/rule.go
+++ b/internal/core/rule/rule.go
@@ -34,6 +34,12 @@
 	ConfirmLife Rule = "confirm_life"
 	// LifeBorn: an upstream that starts again under its id is another life, and the account of the former does not go on.
 	LifeBorn Rule = "life_born"
+	// CallersLost: an entry that has heard nothing for as long as agents keep its runs gives up the jobs that it held, whose callers may have
+	// gone elsewhere unheard.
+	CallersLost Rule = "callers_lost"
+	// HearEnds: soon after such a time a request is taken only if the end of its connection does not follow, and a process that stood still
+	// listens before it places anything.
+	HearEnds Rule = "hear_ends"
 	// CordonGate: an agent starts nothing while its zone is cordoned, whoever orders it.
 	CordonGate Rule = "cordon_gate"
 	// CordonKnown: an agent that starts takes no work before it has heard which zones are cordoned.
@@ -65,7 +71,7 @@
 // All lists the rules.
 var All = []Rule{
 	SettleWait, StopsFirst, RunIDs, EchoedClock, FreshSession, CountSuspensions, StopSilent, FenceUnsure, SameTaskWaits, LapseBudget, LookFirst,
-	ConfirmLife, LifeBorn, CordonGate, CordonKnown, CordonOrder, CountStopping, RoomHeard, CrashAlone, CrashTold, CrashStored, WithholdEnds, AckAfterLapse, OwnerLease, AskFirst, StoreFirst,
+	ConfirmLife, LifeBorn, CallersLost, HearEnds, CordonGate, CordonKnown, CordonOrder, CountStopping, RoomHeard, CrashAlone, CrashTold, CrashStored, WithholdEnds, AckAfterLapse, OwnerLease, AskFirst, StoreFirst,
 }
 
 // Set is a set of rules that are left out.
--- a/internal/core/verdict/verdict.go
+++ b/internal/core/verdict/verdict.go
@@ -60,13 +60,15 @@
 	LeaseLost        Reason = "lease_lost"
 	Leaving          Reason = "entry_leaving"
 	NotFound         Reason = "not_found"
-	Overloaded       Reason = "overloaded"
-	Superseded       Reason = "superseded"
-	TaskFailed       Reason = "task_failed"
-	TooLarge         Reason = "too_large"
-	Unauthorized     Reason = "unauthorized"
-	Unreachable      Reason = "unreachable"
-	Unsupported      Reason = "unsupported"
+	// OutOfTouch: the entry stood still or was cut off, and can't tell whether the caller is still there.
+	OutOfTouch   Reason = "out_of_touch"
+	Overloaded   Reason = "overloaded"
+	Superseded   Reason = "superseded"
+	TaskFailed   Reason = "task_failed"
+	TooLarge     Reason = "too_large"
+	Unauthorized Reason = "unauthorized"
+	Unreachable  Reason = "unreachable"
+	Unsupported  Reason = "unsupported"
 )
 
 // Error is an error with a verdict.
--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -46,16 +46,24 @@
 		t.crashes.SetUpstreams(len(t.order))
 	}
 	t.setLost(a, false)
+	t.touch.silenced = false
 	a.Link(name, zone)
 	t.countPace(a)
 }
 
+// fellSilent times the keep-alive interval is after how long without a word an agent has fallen silent, whose link would have been heard to end
+// otherwise.
+const fellSilent = 2
+
 // Unlinked handles the end of a session: what was placed there may still run for a while.
 func (t *Table) Unlinked(now time.Time, id ident.Incarnation) {
 	a := t.agents[id]
 	if a == nil || !a.Linked {
 		return
 	}
+	if now.Sub(a.Heard) > fellSilent*t.opts.Timing.KeepAlive {
+		t.touch.silenced = true
+	}
 	a.Unlink()
 	t.setLost(a, true)
 	t.countPace(a)
--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -17,6 +17,7 @@
 
 // Abandon handles a caller that has gone: with the last one, nobody wants the job any more.
 func (t *Table) Abandon(now time.Time, id job.ID, c CallerID) {
+	t.dropBelated(id, c)
 	j := t.jobs[id]
 	if j == nil || j.kept {
 		return
@@ -58,12 +59,9 @@
 // begun is stopped, so that it is gone when its caller sends the job again.
 func (t *Table) CloseAll(now time.Time) {
 	t.closing = true
-	for _, j := range slices.SortedFunc(maps.Values(t.jobs), before) {
-		again := j.again
-		j.again = nil
-		for _, r := range again {
-			t.callers.Answer(r.Caller, EntryLeaves)
-		}
+	t.refuseBelated()
+	for _, j := range t.sortedJobs() {
+		t.answerAgain(j, EntryLeaves)
 		switch {
 		case j.ending || j.kept:
 		case j.begun:
@@ -74,6 +72,18 @@
 	}
 }
 
+// sortedJobs lists the jobs as they wait for room, so that runs repeat.
+func (t *Table) sortedJobs() []*jobState { return slices.SortedFunc(maps.Values(t.jobs), before) }
+
+// answerAgain answers the callers who have sent a job again that was given up, and lets it not begin anew.
+func (t *Table) answerAgain(j *jobState, a Answer) {
+	again := j.again
+	j.again = nil
+	for _, r := range again {
+		t.callers.Answer(r.Caller, a)
+	}
+}
+
 // EntryLeaves is for callers of whose jobs nothing is certain when their entry ends.
 var EntryLeaves = Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Leaving}
 
@@ -191,6 +201,6 @@
 	again := j.again
 	j.again = nil
 	for _, r := range again {
-		t.Submit(now, r)
+		t.take(now, r)
 	}
 }
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -214,6 +214,9 @@
 	// for that reason.
 	cordoned []ident.Zone
 	gated    map[ident.Zone]int64
+	// touch says whether the entry is in touch, belated are requests that came soon after it was not.
+	touch   touch
+	belated []belatedRequest
 	// closing is true once the entry is about to end.
 	closing bool
 	// ordered is the id of the newest run.
@@ -256,7 +259,7 @@
 
 // Unanswered returns how many jobs have callers that wait.
 func (t *Table) Unanswered() int {
-	n := 0
+	n := len(t.belated)
 	for _, j := range t.jobs {
 		if j.awaited() {
 			n++
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -156,12 +156,15 @@
 func (t *Table) Tick(now time.Time) {
 	if !t.ticked.IsZero() && now.Sub(t.ticked) > t.opts.Timing.Silence {
 		t.stoodFrom, t.woke = t.ticked, now
+		t.touch.wake(now)
 	}
 	if t.began.IsZero() {
 		t.began = now
 	}
 	t.ticked = now
+	t.awaitTouch(now)
 	t.settleSilent(now)
+	t.takeBelated(now)
 	t.refuseNowhere(now)
 	for _, j := range t.dueJobs(now) {
 		t.giveUp(now, j)
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -49,6 +49,9 @@
 
 // place places what fits at some of the agents. What suspected tasks wait for is no room that other jobs could leave them.
 func (t *Table) place(now time.Time, among []*upstreamOf) {
+	if now.Before(t.touch.listening) && !t.opts.Without.Off(rule.HearEnds) {
+		return
+	}
 	for _, q := range t.queued {
 		q.Offer(func(j *jobState) bool { return t.placeJob(now, j, among) })
 	}
--- a/internal/entry/dispatch/submit.go
+++ b/internal/entry/dispatch/submit.go
@@ -11,6 +11,14 @@
 
 // Submit takes a job, or answers at once why not.
 func (t *Table) Submit(now time.Time, r Request) {
+	r.Deadline = t.deadline(now, r)
+	if !t.hold(now, r) {
+		t.take(now, r)
+	}
+}
+
+// take takes a job whose caller is taken for present, or answers at once why not.
+func (t *Table) take(now time.Time, r Request) {
 	if j := t.jobs[r.Job]; j != nil {
 		t.submitAgain(now, j, r)
 		return
@@ -50,7 +58,7 @@
 		return refused(verdict.Overloaded), true
 	case r.Kept == nil && t.nowhere(now, r.Route.Service):
 		return cordonedAnswer, true
-	case !r.Deadline.IsZero() && !now.Before(t.deadline(now, r)):
+	case !r.Deadline.IsZero() && !now.Before(r.Deadline):
 		return refused(verdict.Deadline), true
 	}
 	return Answer{}, false
@@ -78,8 +86,8 @@
 	default:
 		j.callers = append(j.callers, r.Caller)
 		j.sender = r.Sender
-		if deadline := t.deadline(now, r); deadline.After(j.deadline) {
-			j.deadline = deadline
+		if r.Deadline.After(j.deadline) {
+			j.deadline = r.Deadline
 		}
 	}
 }
@@ -87,16 +95,15 @@
 // begin makes a job's state and queues its first steps.
 func (t *Table) begin(now time.Time, r Request) {
 	chain := r.Spec.Chain()
-	deadline := t.deadline(now, r)
 	j := &jobState{
-		id: r.Job, spec: r.Spec, route: r.Route, kept: r.Kept != nil, sender: r.Sender, submitted: now, deadline: deadline,
+		id: r.Job, spec: r.Spec, route: r.Route, kept: r.Kept != nil, sender: r.Sender, submitted: now, deadline: r.Deadline,
 		objective: r.Route.Objective(chain), steps: make([]stepState, len(r.Spec.Steps)),
 	}
 	if !j.kept {
 		j.callers = []CallerID{r.Caller}
 	}
-	if !j.kept && !deadline.IsZero() {
-		j.late = t.patient.SentBefore(r.Route.Name, j.objective, deadline.Sub(now))
+	if !j.kept && !r.Deadline.IsZero() {
+		j.late = t.patient.SentBefore(r.Route.Name, j.objective, r.Deadline.Sub(now))
 	}
 	t.takeTurn(now, j, chain)
 	for i, step := range r.Spec.Steps {
--- /dev/null
+++ b/internal/entry/dispatch/touch.go
@@ -0,0 +1,134 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/rule"
+	"hillreel/internal/core/verdict"
+)
+
+// touch is what a table knows of whether the entry is in touch with others. Callers that lose their connection send their jobs to other
+// entries after a pause, and the end of the connection may be lost with it: while nothing comes at all, nobody can say which callers are
+// still there. A job that went on afterwards could run at two entries' wish. When a process has stood still, ends of connections wait to be
+// heard.
+type touch struct {
+	// heard is when something came last, of an agent or a caller; zero is never.
+	heard time.Time
+	// silenced: an agent fell silent, and none was linked since; it would say something if it could.
+	silenced bool
+	// listens is from when on something is listened for: when something was heard last, or the process woke.
+	listens time.Time
+	// lost is true while nothing is heard though something should be, asleep from a standstill on until something is heard. The last such time,
+	// or the last few that came close together, were from gone until back.
+	lost, asleep bool
+	gone, back   time.Time
+	// listening is until when nothing is placed, after a standstill.
+	listening time.Time
+}
+
+// listenFor is how long a request that may have been on its way for long waits for the end of its connection, which comes behind it: the
+// way there and back several times over.
+const listenFor = 20 * time.Millisecond
+
+// listenAwake is how long a process that stood still listens before it places anything: what has come meanwhile is read within it by one that
+// gets a quarter of a core in slices of 100 ms.
+const listenAwake = 100 * time.Millisecond
+
+// wake notes that the process has stood still.
+func (c *touch) wake(now time.Time) {
+	if !c.heard.IsZero() {
+		c.asleep, c.listens, c.listening = true, now, now.Add(listenAwake)
+	}
+}
+
+// Hear notes that something came, of an agent or a caller, before it is handled. While the process stood still nothing was heard: Tick comes
+// first.
+func (t *Table) Hear(now time.Time) {
+	c := &t.touch
+	if c.heard.IsZero() {
+		c.heard, c.asleep = t.began, true // it was not in touch before
+	}
+	if c.lost || c.asleep {
+		if !c.belated(c.heard) {
+			c.gone = c.heard // else what was lost before may have been lost again
+		}
+		c.lost, c.asleep, c.back = false, false, now
+	}
+	c.heard, c.listens = now, now
+}
+
+// belated tells whether what comes now may have been sent long ago. What was lost on the way is sent again after pauses that double, so
+// that it is there once as much time has passed as nothing came.
+func (c *touch) belated(now time.Time) bool {
+	return !c.back.IsZero() && now.Sub(c.back) <= c.back.Sub(c.gone)+listenFor
+}
+
+// awaitTouch gives up the callers of an entry that has heard nothing for as long as agents keep its runs. They are answered in case they are
+// still there; they can send their jobs again.
+func (t *Table) awaitTouch(now time.Time) {
+	c := &t.touch
+	expects := c.silenced || slices.ContainsFunc(t.order, func(a *upstreamOf) bool { return a.Linked })
+	if c.lost || !expects || c.heard.IsZero() || now.Sub(c.listens) <= t.opts.Timing.Silence {
+		return
+	}
+	c.lost = true
+	if t.opts.Without.Off(rule.CallersLost) {
+		return
+	}
+	for _, j := range t.sortedJobs() {
+		if j.kept {
+			continue
+		}
+		t.answerAgain(j, outOfTouch)
+		if !j.ending {
+			t.close(now, j, outOfTouch)
+		}
+	}
+}
+
+// outOfTouch is for callers of whom nobody can say whether they are still there.
+var outOfTouch = Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.OutOfTouch}
+
+// belatedRequest is a request that may have been on its way for long.
+type belatedRequest struct {
+	request Request
+	// due is when it is taken if its caller has not gone.
+	due time.Time
+}
+
+// hold lets a belated request wait until the end of its connection would have been heard, and tells whether it does.
+func (t *Table) hold(now time.Time, r Request) bool {
+	if r.Kept != nil || !t.touch.belated(now) || t.opts.Without.Off(rule.HearEnds) {
+		return false
+	}
+	t.belated = append(t.belated, belatedRequest{r, now.Add(listenFor)})
+	return true
+}
+
+// takeBelated takes the belated requests whose time has come.
+func (t *Table) takeBelated(now time.Time) {
+	waiting := t.belated
+	t.belated = nil
+	for _, b := range waiting {
+		if now.Before(b.due) {
+			t.belated = append(t.belated, b)
+			continue
+		}
+		t.take(now, b.request)
+	}
+}
+
+// dropBelated forgets a belated request whose caller has gone.
+func (t *Table) dropBelated(id job.ID, c CallerID) {
+	t.belated = slices.DeleteFunc(t.belated, func(b belatedRequest) bool { return b.request.Job == id && b.request.Caller == c })
+}
+
+// refuseBelated answers the belated requests of an entry that is about to end: nothing of them has run.
+func (t *Table) refuseBelated() {
+	for _, b := range t.belated {
+		t.callers.Answer(b.request.Caller, refused(verdict.Leaving))
+	}
+	t.belated = nil
+}
--- /dev/null
+++ b/internal/entry/dispatch/touch_test.go
@@ -0,0 +1,153 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/verdict"
+	"hillreel/internal/entry/dispatch"
+)
+
+// hearing lets time pass while some agents tell of their room.
+func (b *bench) hearing(d time.Duration, from ...ident.Incarnation) {
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.now = b.now.Add(20 * time.Millisecond)
+		for _, id := range from {
+			b.table.Hear(b.now)
+			b.room(id, fleet.Ready, 2000, uint64(len(b.orders)))
+		}
+		b.table.Tick(b.now)
+	}
+}
+
+// cutOff lets time pass in which nothing comes; links are given up after 250 ms.
+func (b *bench) cutOff(d time.Duration, agents ...ident.Incarnation) {
+	end := b.now.Add(d)
+	b.hearing(min(d, 250*time.Millisecond))
+	for _, id := range agents {
+		b.table.Unlinked(b.now, id)
+	}
+	b.hearing(max(0, end.Sub(b.now)))
+}
+
+// back links agents again, of which nothing is left at their upstreams.
+func (b *bench) back(agents ...ident.Incarnation) {
+	for _, id := range agents {
+		b.table.Hear(b.now)
+		b.link(id)
+		b.table.Settled(b.now, id)
+		b.room(id, fleet.Ready, 2000, 0)
+	}
+}
+
+// TestCallersUnheardAreGivenUp guards against tasks that two entries run at once: a job whose caller may have gone unheard, because the entry
+// stood still or was cut off, is not placed again; one whose agent alone was lost is.
+func TestCallersUnheardAreGivenUp(t *testing.T) {
+	all := []ident.Incarnation{1, 2}
+	for _, test := range []struct {
+		name    string
+		happens func(b *bench)
+		// placed is how often the job is placed in all.
+		placed int
+	}{
+		{"all agents are silent", func(b *bench) { b.cutOff(2*time.Second, all...); b.back(all...) }, 1},
+		{"all agents are silent for less than they keep runs", func(b *bench) {
+			b.cutOff(300*time.Millisecond, all...)
+			b.back(all...)
+		}, 2},
+		{"the process stands still, and its caller goes meanwhile", func(b *bench) {
+			b.now = b.now.Add(2 * time.Second)
+			b.table.Tick(b.now)
+			b.back(all...)
+			b.table.Abandon(b.now.Add(50*time.Millisecond), 7, 1)
+		}, 1},
+		{"the process stands still, and its caller waits", func(b *bench) {
+			b.now = b.now.Add(2 * time.Second)
+			b.table.Tick(b.now)
+			b.back(all...)
+		}, 2},
+		{"its agent is silent, others are heard", func(b *bench) {
+			lost := b.orders[0].agent
+			other := all[0] + all[1] - lost
+			b.hearing(250*time.Millisecond, other)
+			b.table.Unlinked(b.now, lost)
+			b.hearing(2*time.Second, other)
+		}, 2},
+		{"all agents are heard to end", func(b *bench) {
+			for _, id := range all {
+				b.table.Unlinked(b.now, id)
+			}
+			b.hearing(time.Second)
+			b.back(all...)
+		}, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, len(all))
+			b.hearing(100*time.Millisecond, all...)
+			b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+			qt.Assert(t, b.orders, qt.HasLen, 1)
+			test.happens(b)
+			b.hearing(200*time.Millisecond, all...)
+			qt.Assert(t, b.orders, qt.HasLen, test.placed)
+			if b.answers[1].Reason != "" {
+				qt.Assert(t, b.answers[1], qt.Equals, dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.OutOfTouch})
+			}
+		})
+	}
+}
+
+// TestBelatedRequests guards against tasks that two entries run at once: a request that was held up while its entry was out of touch begins
+// only if the end of its connection, which comes right behind it, does not come.
+func TestBelatedRequests(t *testing.T) {
+	all := []ident.Incarnation{1, 2}
+	for _, test := range []struct {
+		name string
+		// away is for how long nothing came, after how long after that the request comes.
+		away, after time.Duration
+		// gone: its caller has gone, which is heard at once behind it.
+		gone bool
+		// atOnce: it is placed as it comes; placed: it is placed in the end.
+		atOnce, placed bool
+	}{
+		{"its caller has gone", time.Second, 100 * time.Millisecond, true, false, false},
+		{"its caller is there", time.Second, 100 * time.Millisecond, false, false, true},
+		{"it was sent again late", time.Second, 900 * time.Millisecond, true, false, false},
+		{"as much time again has passed", time.Second, 1200 * time.Millisecond, false, true, true},
+		{"the entry was in touch", 100 * time.Millisecond, 0, false, true, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, len(all))
+			b.hearing(100*time.Millisecond, all...)
+			b.cutOff(test.away, all...)
+			b.back(all...)
+			b.hearing(test.after, all...)
+			b.table.Hear(b.now)
+			b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+			qt.Assert(t, len(b.orders) > 0, qt.Equals, test.atOnce)
+			if test.gone {
+				b.now = b.now.Add(2 * time.Millisecond)
+				b.table.Abandon(b.now, 7, 1)
+			}
+			b.hearing(100*time.Millisecond, all...)
+			qt.Assert(t, len(b.orders) > 0, qt.Equals, test.placed)
+		})
+	}
+}
+
+// TestBelatedRequestsOfALeavingEntry: a request that waits for the end of its connection is answered when its entry is about to end.
+func TestBelatedRequestsOfALeavingEntry(t *testing.T) {
+	b := newBench(t, 1)
+	b.hearing(100*time.Millisecond, 1)
+	b.cutOff(time.Second, 1)
+	b.back(1)
+	b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+	qt.Assert(t, b.table.Unanswered(), qt.Equals, 1)
+	b.table.CloseAll(b.now)
+	qt.Assert(t, b.answers[1].Verdict, qt.Equals, verdict.NotRun)
+	qt.Assert(t, b.table.Unanswered(), qt.Equals, 0)
+	qt.Assert(t, b.orders, qt.HasLen, 0)
+}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -181,6 +181,9 @@
 // handle handles one event on the control goroutine.
 func (n *Node) handle(e loop.Event) {
 	now := n.pulse.CatchUp(n.tick)
+	if comesFromOutside(e) {
+		n.table.Hear(now)
+	}
 	switch e := e.(type) {
 	case linkUp:
 		n.handleLinkUp(now, e.session)
@@ -205,6 +208,15 @@
 	}
 }
 
+// comesFromOutside tells whether an event shows that the entry can be reached by agents or callers. That a caller has gone may be the word of this VM alone.
+func comesFromOutside(e loop.Event) bool {
+	switch e.(type) {
+	case linkUp, received, submitted:
+		return true
+	}
+	return false
+}
+
 // tick does what time alone brings about.
 func (n *Node) tick() {
 	now := boottime.Now()
--- a/internal/proof/schedule/link_test.go
+++ b/internal/proof/schedule/link_test.go
@@ -38,6 +38,7 @@
 			o.owner.do(func() {
 				if o.open && o.owner.inc == o.inc {
 					o.heard = o.owner.now()
+					o.owner.hear()
 					f()
 				}
 			})
@@ -108,6 +109,7 @@
 		p.a.keeper.Gone(p.a.now(), p.last, "restarted")
 		p.last = p.e.inc
 	}
+	p.e.hear()
 	p.e.table.Linked(p.e.now(), p.a.inc, ident.UpstreamName(p.a.name), w.zoneOf(p.a))
 	p.a.greetCrashes(toEntry)
 	p.a.keeper.Linked(p.a.now(), p.e.inc)
--- a/internal/proof/schedule/schedule_test.go
+++ b/internal/proof/schedule/schedule_test.go
@@ -58,6 +58,7 @@
 		w.operators.act()
 		w.crashes.act()
 		w.hard.act()
+		w.cuts.act()
 	})
 	if faults > 0 {
 		w.removeSome(s)
@@ -230,6 +231,16 @@
 	t.Logf("%d schedules from seed %d, no violation", ran, cordonsFrom+*seed)
 }
 
+// TestCutOffEntries guards against tasks that two entries run at once: entries are cut off from everything, and callers that break off meanwhile
+// send their jobs to others.
+func TestCutOffEntries(t *testing.T) {
+	w, s, ran := search(cutsFrom+*seed, *schedules, nil, someFaults)
+	if w != nil {
+		t.Fatal(w.report(s))
+	}
+	t.Logf("%d schedules from seed %d, no violation", ran, cutsFrom+*seed)
+}
+
 // TestTracedSchedules runs schedules that have found a fault; docs/FINDINGS.md has the causes.
 func TestTracedSchedules(t *testing.T) {
 	for _, s := range []uint64{7019612, 7024031, 2000013041, 2000119632, 2000126139} {
--- a/internal/proof/soak/set_test.go
+++ b/internal/proof/soak/set_test.go
@@ -45,8 +45,10 @@
 	// agents the last three.
 	link, front, store, calls, beats *proxy
 	upstream                         *standin.Upstream
-	// frozen is true while it is stopped by a signal for longer than it is held back.
+	// frozen is true while it is stopped for longer than a slice.
 	frozen atomic.Bool
+	// cut is true while it is cut off, and until what callers have sent meanwhile has arrived.
+	cut atomic.Bool
 }
 
 // paths are the kinds of connections.
