agent: the end of a run tells why and when it was stopped, and by whom it was ordered

The line of a run's end had its reason and its entry's incarnation only. Whether a run that overlapped another one had been asked to stop in time, by whom, and whether the upstream had answered could not be told; a run that ended well after it was to be stopped had no line at all, nor had a run that nobody here had ordered.

run_ended now has the entry's name beside its incarnation, when the run began, what it was stopped for, and how long before the line that was asked for, first answered, and urgent; and which entry has ordered the task anew meanwhile. A run that ended well has a line if it was to be stopped. stray_found and stray_gone name runs that an earlier agent, or a late start, has left.

The account itself is unchanged: the moment of the first answer takes the place of the flag that there was one.

--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -197,6 +197,7 @@
 		return
 	}
 	l := n.links.Add(now, s)
+	n.observer.Linked(l.Peer, l.Name(), n.needsName)
 	if d := n.dialled[address]; d != nil {
 		if d.last != l.Peer {
 			n.keeper.Gone(now, d.last, "restarted")
@@ -209,6 +210,11 @@
 	l.TellCordons(n.cordons.All())
 }
 
+// needsName tells whether an entry is linked or has runs here.
+func (n *Node) needsName(entry ident.Incarnation) bool {
+	return n.links.Get(entry) != nil || n.keeper.Owns(entry)
+}
+
 // handleDialFailed handles an address that can't be reached. When it refuses, nobody listens there any more: the entry
 // that was there has ended.
 func (n *Node) handleDialFailed(now time.Time, address string, refused bool) {
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -42,7 +42,8 @@
 	cancel    context.CancelFunc
 
 	// The control goroutine owns what follows.
-	keeper *upstream.Keeper
+	keeper   *upstream.Keeper
+	observer *observer
 	// remembered is what was last given to the memory.
 	remembered noted
 	// toRemember is what waits to be written there, at most one.
@@ -82,7 +83,8 @@
 		patience:   patience.New(patienceFactor, leastPatience, set.Agent.CallTimeout),
 	}
 	n.pulse.Tick(boottime.Now())
-	n.keeper = upstream.New(set.Links.Timing(), nil, boottime.Now(), (*caller)(n), (*sender)(n), newObserver(log))
+	n.observer = newObserver(log)
+	n.keeper = upstream.New(set.Links.Timing(), nil, boottime.Now(), (*caller)(n), (*sender)(n), n.observer)
 	n.keeper.SetZone(upstream.ZoneUnknown)
 	return n
 }
--- a/internal/agent/node/observe.go
+++ b/internal/agent/node/observe.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -22,23 +23,51 @@
 	log      *logrus.Entry
 	counters *metrics.Counters
 	times    *metrics.Latencies
+	// names are those of the entries that are linked or have runs here.
+	names map[ident.Incarnation]string
 }
 
 func newObserver(log *logrus.Entry) *observer {
-	return &observer{log, metrics.NewCounters("agent"), metrics.NewLatencies("run_ms")}
+	return &observer{log, metrics.NewCounters("agent"), metrics.NewLatencies("run_ms"), make(map[ident.Incarnation]string)}
 }
 
-// Ended notes the end of a run.
-func (o *observer) Ended(owner ident.Incarnation, e fleet.End) {
+// Linked notes an entry's name, and forgets those of entries that are not needed any more.
+func (o *observer) Linked(entry ident.Incarnation, name string, needed func(ident.Incarnation) bool) {
+	maps.DeleteFunc(o.names, func(e ident.Incarnation, _ string) bool { return !needed(e) })
+	o.names[entry] = name
+}
+
+// Ended notes the end of a run. One that ended well has a line only if it was to be stopped.
+func (o *observer) Ended(e upstream.Ending) {
 	o.counters.Add("runs_"+string(e.Outcome), 1)
 	if e.Outcome == job.Done {
 		o.times.Record("done", e.Took)
-		return
+		if e.Stop == nil {
+			return
+		}
+	}
+	f := logrus.Fields{
+		"job": e.Task.Job, "task": e.Task, "run": e.Run, "outcome": e.Outcome, "reason": e.Reason, "took_ms": e.Took.Milliseconds(),
+		"begun_ms_ago": e.Begun.Milliseconds(), "entry": o.names[e.Owner], "entry_incarnation": e.Owner,
+	}
+	if e.Stop != nil {
+		addStop(f, e.Stop)
+	}
+	if e.Next != 0 {
+		f["ordered_anew_by"], f["ordered_anew_by_incarnation"] = o.names[e.Next], e.Next
+	}
+	o.log.WithFields(f).Info("run_ended")
+}
+
+// addStop adds how a run was stopped to the line of its end. Its times are counted back from the line's.
+func addStop(f logrus.Fields, s *upstream.Stop) {
+	f["stop_why"], f["stop_asked_ms_ago"], f["stop_answered"] = s.Cause, s.Asked.Milliseconds(), s.Acked
+	if s.Acked {
+		f["stop_answered_ms_ago"] = s.Answered.Milliseconds()
+	}
+	if s.Unwanted {
+		f["unwanted_ms"] = s.Pressing.Milliseconds()
 	}
-	o.log.WithFields(logrus.Fields{
-		"job": e.Task.Job, "task": e.Task, "run": e.Run, "outcome": e.Outcome, "reason": e.Reason,
-		"took_ms": e.Took.Milliseconds(), "entry_incarnation": owner,
-	}).Info("run_ended")
 }
 
 // State logs a change of what entries are told of the upstream.
@@ -98,6 +127,12 @@
 	}).Warn("upstream_lost")
 }
 
+// Stray logs a run that nobody here has ordered: one of an earlier agent, or a start that came late.
+func (o *observer) Stray(r fleet.RunRef, event upstream.StrayEvent) {
+	o.counters.Add(string(event), 1)
+	o.log.WithFields(logrus.Fields{"job": r.Task.Job, "task": r.Task, "run": r.Run}).Info(string(event))
+}
+
 // Overtaken counts a listing that is passed over: there can be one with each answer.
 func (o *observer) Overtaken() { o.counters.Add("listings_overtaken", 1) }
 
--- /dev/null
+++ b/internal/agent/node/observe_test.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/agent/upstream"
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/logs"
+)
+
+// TestEndedLine: the line of a run's end tells who had ordered it, why it was stopped and when, and who has ordered its task anew; a run that
+// ended well has one only if it was to be stopped.
+func TestEndedLine(t *testing.T) {
+	end := func(o job.Outcome) fleet.End {
+		return fleet.End{Task: job.TaskID{Job: 7, Index: 2}, Run: 3, Outcome: o, Took: 80 * time.Millisecond}
+	}
+	stop := &upstream.Stop{
+		Cause: upstream.SentAgain, Asked: 30 * time.Millisecond, Answered: 20 * time.Millisecond, Acked: true, Unwanted: true, Pressing: 10 * time.Millisecond,
+	}
+	for _, test := range []struct {
+		name      string
+		end       upstream.Ending
+		has, lack []string
+	}{
+		{"well", upstream.Ending{End: end(job.Done), Owner: 1}, nil, []string{"run_ended"}},
+		{"well after a stop", upstream.Ending{End: end(job.Done), Owner: 1, Stop: stop}, []string{
+			"msg=run_ended", "outcome=done", "entry=north", "run=3", "stop_why=sent_again", "stop_asked_ms_ago=30", "stop_answered=true", "stop_answered_ms_ago=20",
+			"unwanted_ms=10",
+		}, []string{"ordered_anew_by"}},
+		{"lost", upstream.Ending{End: end(job.Lost), Owner: 1, Begun: 90 * time.Millisecond}, []string{"outcome=lost", "begun_ms_ago=90"}, []string{"stop_"}},
+		{"stopped without an answer", upstream.Ending{End: end(job.Stopped), Owner: 1, Stop: &upstream.Stop{Cause: "silent"}}, []string{
+			"stop_why=silent", "stop_answered=false",
+		}, []string{"stop_answered_ms_ago", "unwanted_ms"}},
+		{"ordered anew", upstream.Ending{End: end(job.Stopped), Owner: 1, Stop: stop, Next: 2}, []string{
+			"ordered_anew_by=south", "ordered_anew_by_incarnation=" + ident.Incarnation(2).String(),
+		}, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var out bytes.Buffer
+			log := logs.Discard()
+			log.Logger.SetOutput(&out)
+			o := newObserver(log)
+			all := func(ident.Incarnation) bool { return true }
+			o.Linked(1, "north", all)
+			o.Linked(2, "south", all)
+			o.Ended(test.end)
+			for _, part := range test.has {
+				qt.Assert(t, out.String(), qt.Contains, part)
+			}
+			for _, part := range test.lack {
+				qt.Assert(t, out.String(), qt.Not(qt.Contains), part)
+			}
+		})
+	}
+}
+
+// TestEntryNamesAreForgotten: an agent keeps the names of the entries that it needs, however many come and go.
+func TestEntryNamesAreForgotten(t *testing.T) {
+	o := newObserver(logs.Discard())
+	for e := ident.Incarnation(1); e <= 100; e++ {
+		o.Linked(e, "north", func(old ident.Incarnation) bool { return old == e-1 })
+	}
+	qt.Assert(t, o.names, qt.HasLen, 2)
+}
--- a/internal/agent/upstream/bench_test.go
+++ b/internal/agent/upstream/bench_test.go
@@ -40,6 +40,10 @@
 	refuted []fleet.Refutation
 	// losses are the losses that were told.
 	losses []upstream.Loss
+	// endings are what observers heard of ends.
+	endings []upstream.Ending
+	// strays are what observers heard of strays.
+	strays []upstream.StrayEvent
 }
 
 func (b *bench) Start(c call.Start)                         { b.starts = append(b.starts, c) }
@@ -56,17 +60,18 @@
 func (b *bench) Resumed(_ ident.Incarnation, runs []fleet.OrderedRun) {
 	b.resumed = append(b.resumed, runs...)
 }
-func (b *bench) Ended(ident.Incarnation, fleet.End)      {}
-func (b *bench) State(_, _ fleet.State, _ string)        {}
-func (b *bench) Orphaned(ident.Incarnation, int, string) {}
-func (b *bench) Outlived(_, _ ident.UpstreamLife)        {}
-func (b *bench) Unsure(job.TaskID, job.Run)              {}
-func (b *bench) Begun(ident.UpstreamLife, string, bool)  {}
-func (b *bench) Dropped(lives.Beat, uint64)              {}
-func (b *bench) Gated(job.TaskID, ident.Incarnation)     {}
-func (b *bench) Overtaken()                              {}
-func (b *bench) Refuted(r fleet.Refutation)              { b.refuted = append(b.refuted, r) }
-func (b *bench) Lost(l upstream.Loss)                    { b.losses = append(b.losses, l) }
+func (b *bench) Ended(e upstream.Ending)                     { b.endings = append(b.endings, e) }
+func (b *bench) State(_, _ fleet.State, _ string)            {}
+func (b *bench) Orphaned(ident.Incarnation, int, string)     {}
+func (b *bench) Outlived(_, _ ident.UpstreamLife)            {}
+func (b *bench) Unsure(job.TaskID, job.Run)                  {}
+func (b *bench) Begun(ident.UpstreamLife, string, bool)      {}
+func (b *bench) Dropped(lives.Beat, uint64)                  {}
+func (b *bench) Gated(job.TaskID, ident.Incarnation)         {}
+func (b *bench) Overtaken()                                  {}
+func (b *bench) Stray(_ fleet.RunRef, e upstream.StrayEvent) { b.strays = append(b.strays, e) }
+func (b *bench) Refuted(r fleet.Refutation)                  { b.refuted = append(b.refuted, r) }
+func (b *bench) Lost(l upstream.Loss)                        { b.losses = append(b.losses, l) }
 
 // The entries and the job that the tests use.
 const (
@@ -132,3 +137,14 @@
 	})
 	b.keeper.Flush(b.now)
 }
+
+// end answers all holds that wait with the end of the first run.
+func (b *bench) end(how call.How) {
+	waiting := b.holds[b.answered:]
+	b.answered = len(b.holds)
+	for _, c := range waiting {
+		b.keeper.HoldDone(b.now, c, call.Held{
+			Answer: call.OK, Clock: b.clock(), Finished: []call.Finished{{N: 1, Task: task, Run: 1, How: how}},
+		})
+	}
+}
--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -98,7 +98,7 @@
 		return false
 	}
 	for _, r := range k.runs {
-		if r.stop != nil && r.stop.unwanted && !r.stop.acked && now.Sub(r.stop.since) >= k.timing.StopBudget {
+		if r.stop != nil && r.stop.unwanted && r.stop.acked.IsZero() && now.Sub(r.stop.since) >= k.timing.StopBudget {
 			return true
 		}
 	}
@@ -207,7 +207,7 @@
 // due tells whether a stop is to be sent again.
 func (s *stopping) due(now time.Time) bool {
 	pause := stopRetry
-	if s.acked {
+	if !s.acked.IsZero() {
 		pause = ackedRetry
 	}
 	return !s.calling && now.Sub(s.sent) >= pause
--- a/internal/agent/upstream/kept.go
+++ b/internal/agent/upstream/kept.go
@@ -42,7 +42,7 @@
 			r.next = nil
 		}
 		if r.owner != entry {
-			k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.Superseded, unwanted: true})
+			k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.Superseded, cause: TakenOver, unwanted: true})
 		}
 	}
 	k.questions = append(k.questions, q)
--- a/internal/agent/upstream/life.go
+++ b/internal/agent/upstream/life.go
@@ -203,7 +203,7 @@
 		}
 		r.phase, r.sure, r.carried = unsure, time.Time{}, true
 		if r.stop != nil {
-			r.stop.calling, r.stop.acked, r.stop.sent = false, false, time.Time{}
+			r.stop.calling, r.stop.acked, r.stop.sent = false, time.Time{}, time.Time{}
 		}
 	}
 }
--- a/internal/agent/upstream/listed.go
+++ b/internal/agent/upstream/listed.go
@@ -77,7 +77,7 @@
 	}
 	for key, at := range k.strays {
 		if !isListed(key) && !at.IsZero() && c.Sent.After(at) {
-			delete(k.strays, key)
+			k.strayGone(key)
 			k.touchAll()
 		}
 	}
@@ -100,7 +100,7 @@
 // ended handles one listed end.
 func (k *Keeper) ended(now time.Time, f call.Finished) {
 	key := fleet.RunRef{Task: f.Task, Run: f.Run}
-	delete(k.strays, key)
+	k.strayGone(key)
 	if k.given[key] {
 		delete(k.given, key)
 		k.endedLate(now, f)
@@ -156,7 +156,7 @@
 		k.advance(now, r, l.Percent)
 	}
 	if r.stop == nil && stalled(now, r) {
-		k.stopRun(now, r, stopping{outcome: job.Stalled, reason: fleet.NoProgress})
+		k.stopRun(now, r, stopping{outcome: job.Stalled, reason: fleet.NoProgress, cause: NoProgress})
 	}
 }
 
@@ -198,7 +198,11 @@
 // stray stops a run that nobody here has ordered: one of an earlier agent, or a start that came late.
 func (k *Keeper) stray(now time.Time, l call.Listed) {
 	key := fleet.RunRef{Task: l.Task, Run: l.Run}
-	if at, ok := k.strays[key]; ok && (at.IsZero() || now.Sub(at) < stopRetry) {
+	at, known := k.strays[key]
+	switch {
+	case !known:
+		k.observer.Stray(key, StrayFound)
+	case at.IsZero() || now.Sub(at) < stopRetry:
 		return
 	}
 	k.strays[key] = time.Time{}
@@ -206,6 +210,15 @@
 	k.touchAll()
 }
 
+// strayGone forgets a stray, if the run is one.
+func (k *Keeper) strayGone(key fleet.RunRef) {
+	if _, ok := k.strays[key]; !ok {
+		return
+	}
+	delete(k.strays, key)
+	k.observer.Stray(key, StrayGone)
+}
+
 // strayKeys lists the strays in a fixed order.
 func (k *Keeper) strayKeys() []fleet.RunRef {
 	return slices.SortedFunc(maps.Keys(k.strays), func(a, b fleet.RunRef) int {
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -51,7 +51,7 @@
 			k.refuse(*r.next, fleet.Superseded)
 		}
 		r.next = &w
-		k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.Superseded})
+		k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.Superseded, cause: SentAgain})
 		return
 	}
 	if w.order.Kept && k.hasEnded(w) {
@@ -124,7 +124,7 @@
 		k.tellNotStarted(entry, wanted, fleet.NotListed)
 		return
 	}
-	k.stopRun(now, r, stopping{outcome: job.Stopped, reason: why, unwanted: why != fleet.Moved})
+	k.stopRun(now, r, stopping{outcome: job.Stopped, reason: why, cause: StopCause(why), unwanted: why != fleet.Moved})
 }
 
 // stopRun begins to stop a run, or makes a stop under way more urgent.
@@ -135,7 +135,7 @@
 		}
 		return
 	}
-	why.since = now
+	why.asked, why.since = now, now
 	r.stop = &why
 	k.callStop(now, r)
 }
@@ -233,8 +233,8 @@
 	switch a {
 	case call.OK:
 		// Only the first answer counts: a hold is compared with it, and a later one would outdate every hold.
-		if !r.stop.acked {
-			r.stop.acked, r.phase, r.sure = true, running, now
+		if r.stop.acked.IsZero() {
+			r.stop.acked, r.phase, r.sure = now, running, now
 		}
 	case call.Fenced:
 		k.lease.Outbid(now, c.Token)
@@ -260,7 +260,7 @@
 		k.ends.Withhold(now, r.owner, e)
 	}
 	k.judge(now, r, e)
-	k.observer.Ended(r.owner, e)
+	k.observer.Ended(r.ending(now, e))
 	k.tellRun(now, r, e)
 	k.settle(r.owner)
 	k.touchAll()
--- a/internal/agent/upstream/sessions.go
+++ b/internal/agent/upstream/sessions.go
@@ -148,7 +148,7 @@
 			r.next = nil
 		}
 		if r.owner == entry && (r.stop == nil || !r.stop.unwanted) {
-			k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.OnRequest, unwanted: true})
+			k.stopRun(now, r, stopping{outcome: job.Stopped, reason: fleet.OnRequest, cause: StopCause(why), unwanted: true})
 			n++
 		}
 	}
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -41,7 +41,7 @@
 // Observer is told of what changes the agent's beliefs, for logs and metrics.
 type Observer interface {
 	// Ended is called once for each run that an entry has ordered.
-	Ended(owner ident.Incarnation, e fleet.End)
+	Ended(e Ending)
 	// State is called when the state told to entries changes, with what decided it.
 	State(from, to fleet.State, why string)
 	// Orphaned is called when the runs of a lost entry are stopped.
@@ -58,10 +58,21 @@
 	Gated(task job.TaskID, entry ident.Incarnation)
 	// Lost is called when an upstream is lost that runs were at.
 	Lost(l Loss)
+	// Stray is called when the upstream lists a run that nobody here has ordered, which is then stopped, and when that has gone.
+	Stray(r fleet.RunRef, event StrayEvent)
 	// Overtaken is called for a listing whose clock is older than that of one taken in before.
 	Overtaken()
 }
 
+// StrayEvent is what becomes of a run that nobody here has ordered.
+type StrayEvent string
+
+// The events of strays.
+const (
+	StrayFound StrayEvent = "stray_found"
+	StrayGone  StrayEvent = "stray_gone"
+)
+
 // Keeper is the account of one upstream.
 type Keeper struct {
 	timing   fleet.Timing
@@ -204,10 +215,13 @@
 type stopping struct {
 	outcome job.Outcome
 	reason  fleet.Reason
-	since   time.Time
-	sent    time.Time
-	// calling is true while a stop call is under way, acked once one was answered.
-	calling, acked bool
+	cause   StopCause
+	// asked is when the stop began, since when it became as urgent as it is, sent when a stop call was made last.
+	asked, since, sent time.Time
+	// calling is true while a stop call is under way.
+	calling bool
+	// acked is when one was answered first; zero is not yet.
+	acked time.Time
 	// unwanted is true when the caller may send the job elsewhere, because it or its entry has gone: then the run
 	// must end soon, whatever it takes.
 	unwanted bool
--- a/internal/proof/schedule/words_test.go
+++ b/internal/proof/schedule/words_test.go
@@ -201,7 +201,7 @@
 // agentNotes notes what an agent decides.
 type agentNotes struct{ a *agentProc }
 
-func (n agentNotes) Ended(_ ident.Incarnation, e fleet.End) {
+func (n agentNotes) Ended(e upstream.Ending) {
 	if e.Outcome != job.Done {
 		n.a.w.note("%s: run %d of %v is %s %s", n.a.name, e.Run, e.Task, e.Outcome, e.Reason)
 	}
@@ -232,6 +232,8 @@
 }
 func (n agentNotes) Overtaken() {}
 
+func (n agentNotes) Stray(fleet.RunRef, upstream.StrayEvent) {}
+
 func (n agentNotes) Lost(l upstream.Loss) {
 	n.a.w.note("%s: %v is lost (%s) with %v", n.a.name, l.Life, l.Why, l.Runs)
 }
