entry: lines for runs that are stopped, tasks placed again, and callers that go or come again

An entry's log told of a job when it was taken and answered. Which of its runs were asked to stop, where and for what, which tasks were placed again after what, and whether a caller came again for a job that was still held could be found for late jobs only, in their way; that a caller had gone was logged at debug level, without its request.

run_stop_asked and task_placed_again are one line a job or order, which names the runs with their agents, 24 at most; runs at agents out of hearing, to which no stop can be sent, stand apart. A task whose former run an agent has merely refused has no line: such refusals are common where entries race for room, and nothing was begun. caller_came_again has the request before and what the job still has at agents; caller_gone is at info level. A job that was sent before, or whose caller came again, has its way in its line also when it is in time, and a way names the runs that it places.

Counters: callers_came_again, callers_came_again_with_runs, tasks_placed_again, and runs by cause in stops_asked_*.

The decisions are as before: TestSame and TestTraced of the schedules find the digests unchanged, and the entry's, the platform's and the load's tests pass.

--- a/internal/entry/caller/caller.go
+++ b/internal/entry/caller/caller.go
@@ -110,7 +110,7 @@
 	a, err := h.jobs.Submit(r.Context(), request)
 	if err != nil {
 		// A caller that has closed only its sending side still reads, and must not take nothing for a result.
-		h.log.WithFields(logrus.Fields{"job": id, "error": err.Error()}).Debug("caller_gone")
+		h.log.WithFields(logrus.Fields{"job": id, "after_ms": boottime.Since(began).Milliseconds(), "error": err.Error()}).Info("caller_gone")
 		a = dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.CallerGone}
 	}
 	h.write(w, status(a), &api.Answer{
--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -180,6 +180,7 @@
 		k := a.runs[r.Task]
 		if k == nil || k.ordered() != r {
 			t.agentsIO.Stop(id, r, fleet.OnRequest) // it was given up meanwhile
+			t.observer.StopsAsked(Stops{Job: r.Task.Job, Why: NotKnown, Asked: []RunAt{{r.RunRef, a.Name}}})
 			continue
 		}
 		k.phase, k.moving = placed, false
@@ -187,6 +188,7 @@
 			// The wish to stop it may have been lost with the former session.
 			k.stopping = false
 			t.stop(k)
+			t.tellStops(k.job, AskedBefore, nil)
 		}
 	}
 	t.observer.AgentChanged(a.Name, len(runs), AgentResumed)
--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -115,6 +115,7 @@
 			t.drop(k)
 		}
 	}
+	t.tellStops(j, StopCause(a.Reason), j.unheard())
 	t.forget(now, j)
 }
 
@@ -177,6 +178,7 @@
 		return
 	}
 	k.stopping = true
+	t.stopped = append(t.stopped, k.at())
 	t.agentsIO.Stop(k.agent.ID, k.ordered(), fleet.OnRequest)
 }
 
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -105,6 +105,10 @@
 	Ended(agent ident.UpstreamName, e fleet.End, next string)
 	// Answered is called once for each job.
 	Answered(j job.ID, r *route.Route, a Answer, s Summary)
+	// StopsAsked is called when runs of a job are to be stopped.
+	StopsAsked(s Stops)
+	// CameAgain is called for a request of a job that is held.
+	CameAgain(r *Request, h Holding)
 	// AgentChanged is called when the session with an agent ends or goes on while runs of this entry are there, and when
 	// those runs are settled; runs is how many the event is about.
 	AgentChanged(agent ident.UpstreamName, runs int, event AgentEvent)
@@ -218,6 +222,8 @@
 	closing bool
 	// ordered is the id of the newest run.
 	ordered fleet.RunID
+	// stopped are the runs that stops were sent for, until the observer is told.
+	stopped []RunAt
 }
 
 // New returns an empty Table. The seed makes runs repeatable.
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -50,6 +50,9 @@
 	answers   map[dispatch.CallerID]dispatch.Answer
 	// summaries are what the answers rested on.
 	summaries map[job.ID]dispatch.Summary
+	// told and again are what observers heard of stops, and of callers that came again.
+	told  []dispatch.Stops
+	again []dispatch.Holding
 }
 
 func (b *bench) Order(a ident.Incarnation, o fleet.Order) {
@@ -69,6 +72,8 @@
 func (b *bench) Ended(ident.UpstreamName, fleet.End, string)                    {}
 func (b *bench) AgentChanged(ident.UpstreamName, int, dispatch.AgentEvent)      {}
 func (b *bench) Taken(*dispatch.Request)                                        {}
+func (b *bench) StopsAsked(s dispatch.Stops)                                    { b.told = append(b.told, s) }
+func (b *bench) CameAgain(_ *dispatch.Request, h dispatch.Holding)              { b.again = append(b.again, h) }
 
 // newBench returns a Table with agents 1 to n linked, each with an upstream of the same number and two cores.
 func newBench(t *testing.T, n int) *bench {
--- a/internal/entry/dispatch/move.go
+++ b/internal/entry/dispatch/move.go
@@ -48,4 +48,6 @@
 	k.moving = true
 	k.shun(k.agent.Up.ID)
 	t.agentsIO.Stop(k.agent.ID, k.ordered(), fleet.Moved)
+	t.stopped = append(t.stopped, k.at())
+	t.tellStops(k.job, Moving, nil)
 }
--- a/internal/entry/dispatch/submit.go
+++ b/internal/entry/dispatch/submit.go
@@ -64,6 +64,7 @@
 // submitAgain handles a job whose id is held already. Two requests are taken for the same job when their texts and their
 // numbers of tasks are: steps and queues are not compared, and those of the first request stay in force.
 func (t *Table) submitAgain(now time.Time, j *jobState, r Request) {
+	t.observer.CameAgain(&r, j.holding(now))
 	switch {
 	case r.Kept != nil && !j.kept:
 		// The caller has sent the id first as a job that need not be kept. The kept one begins once that has ended.
--- a/internal/entry/node/observe.go
+++ b/internal/entry/node/observe.go
@@ -1,8 +1,7 @@
 package node
 
 import (
-	"strconv"
-	"strings"
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -16,49 +15,51 @@
 	"hillreel/internal/entry/dispatch"
 )
 
-// maxTrace bounds the steps that are kept of one job's way; the end of a long way says the least.
-const maxTrace = 24
-
-// Observer logs and counts an entry's decisions. One line is written for each job, with the way it took if it
-// did not end well and in time; the ways of the others would say nothing and drown the rest.
+// Observer logs and counts an entry's decisions. One line is written for each job, with the way it took if it did not end well and in
+// time, or may have been begun elsewhere before; the ways of the others would say nothing and drown the rest.
 type Observer struct {
 	log      *logrus.Entry
 	counters *metrics.Counters
 	times    *metrics.Latencies
 	ended    func(r *route.Route, a dispatch.Answer, s dispatch.Summary)
-	// traces are the ways of the jobs that are not answered yet.
-	traces map[job.ID][]string
+	// ways are those of the jobs that are not answered yet.
+	ways map[job.ID]*way
 }
 
 // NewObserver returns an Observer. ended is called for each answer; it may be nil.
 func NewObserver(log *logrus.Entry, ended func(*route.Route, dispatch.Answer, dispatch.Summary)) *Observer {
 	return &Observer{
 		log: log, counters: metrics.NewCounters("entry"), times: metrics.NewLatencies("job_ms"), ended: ended,
-		traces: make(map[job.ID][]string),
+		ways: make(map[job.ID]*way),
 	}
 }
 
-// trace adds a step to a job's way.
-func (o *Observer) trace(id job.ID, parts ...string) {
-	if steps := o.traces[id]; len(steps) < maxTrace {
-		o.traces[id] = append(steps, strings.Join(parts, " "))
+// way returns what is kept of a job.
+func (o *Observer) way(id job.ID) *way {
+	if o.ways[id] == nil {
+		o.ways[id] = &way{}
 	}
+	return o.ways[id]
 }
 
-// ms writes a time in whole milliseconds.
-func ms(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
-
 // Taken logs a job, so that its request can be found also when this entry is lost before it answers.
 func (o *Observer) Taken(r *dispatch.Request) {
 	o.counters.Add("jobs_taken", 1)
+	o.way(r.Job).sender = r.Sender
 	o.log.WithFields(logrus.Fields{"job": r.Job, "request": r.Sender, "route": r.Route.Name, "tasks": r.Spec.Tasks()}).Info("job_taken")
 }
 
-// Placed notes an order.
+// Placed notes an order. One of tasks that may have run before has a line.
 func (o *Observer) Placed(id job.ID, agent ident.UpstreamName, order *fleet.Order, waited time.Duration) {
 	o.counters.Add("orders", 1)
 	o.counters.Add("tasks_ordered", int64(len(order.Tasks)))
-	o.trace(id, "+"+ms(waited)+"ms", "place", strconv.Itoa(len(order.Tasks)), "at", string(agent))
+	w := o.way(id)
+	again := w.placed(agent, order, waited)
+	if len(again) == 0 {
+		return
+	}
+	o.counters.Add("tasks_placed_again", int64(len(again)))
+	o.log.WithFields(logrus.Fields{"job": id, "request": w.sender, "agent": agent, "tasks": list(again, "; ")}).Info("task_placed_again")
 }
 
 // Ended counts the end of a run, and notes it in its job's way unless it went well.
@@ -67,11 +68,41 @@
 	if e.Outcome == job.Done {
 		return
 	}
-	o.trace(e.Task.Job, strconv.Itoa(int(e.Task.Step))+"."+strconv.Itoa(int(e.Task.Index)), "run", strconv.Itoa(int(e.Run)),
-		string(e.Outcome), string(e.Reason), "after", ms(e.Took)+"ms", "at", string(agent), "then", next)
 	if next == "given_up" {
-		delete(o.traces, e.Task.Job)
+		return // its job was answered
+	}
+	w := o.way(e.Task.Job)
+	w.ended(agent, e)
+	w.add(fmt.Sprintf("%s %s %s after %dms at %s then %s", name(fleet.RunRef{Task: e.Task, Run: e.Run}), e.Outcome, e.Reason, e.Took.Milliseconds(), agent, next))
+}
+
+// StopsAsked logs which runs of a job are to be stopped, and counts them.
+func (o *Observer) StopsAsked(s dispatch.Stops) {
+	runs := len(s.Asked) + len(s.Unheard)
+	o.counters.Add("stops_asked_"+string(s.Why), int64(runs))
+	f := logrus.Fields{"job": s.Job, "request": s.Sender, "why": s.Why, "runs": runs}
+	if len(s.Asked) > 0 {
+		f["asked"] = runsAt(s.Asked)
+	}
+	if len(s.Unheard) > 0 {
+		f["unheard"] = runsAt(s.Unheard)
+	}
+	o.log.WithFields(f).Info("run_stop_asked")
+}
+
+// CameAgain logs a request of a job that is held, and counts those whose job still had runs.
+func (o *Observer) CameAgain(r *dispatch.Request, h dispatch.Holding) {
+	o.counters.Add("callers_came_again", 1)
+	if h.Runs > 0 {
+		o.counters.Add("callers_came_again_with_runs", 1)
+	}
+	if w := o.ways[r.Job]; w != nil {
+		w.cameAgain = true
 	}
+	o.log.WithFields(logrus.Fields{
+		"job": r.Job, "request": r.Sender, "former_request": h.Former, "held_ms": h.Since.Milliseconds(), "runs": h.Runs, "callers": h.Callers,
+		"ending": h.Ending,
+	}).Info("caller_came_again")
 }
 
 // Answered logs a job's answer and counts it.
@@ -105,10 +136,11 @@
 		o.counters.Add("jobs_refused_while_closed", 1)
 		f["upstreams_closed"] = s.Room.Closed
 	}
-	if a.State != verdict.Complete || !inTime {
-		f["way"] = strings.Join(o.traces[id], "; ")
+	w := o.way(id)
+	if a.State != verdict.Complete || !inTime || s.SentBefore || w.cameAgain {
+		f["way"] = w.text()
 	}
-	delete(o.traces, id)
+	delete(o.ways, id)
 	o.log.WithFields(f).Info("job_answered")
 }
 
--- /dev/null
+++ b/internal/entry/node/observe_test.go
@@ -0,0 +1,142 @@
+package node_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/logs"
+	"hillreel/internal/core/route"
+	"hillreel/internal/core/verdict"
+	"hillreel/internal/entry/dispatch"
+	"hillreel/internal/entry/node"
+)
+
+// observed returns the lines that an entry writes.
+func observed(watch func(o *node.Observer)) []string {
+	var out bytes.Buffer
+	log := logs.Discard()
+	log.Logger.SetOutput(&out)
+	watch(node.NewObserver(log, nil))
+	return strings.Split(strings.TrimSpace(out.String()), "\n")
+}
+
+// taken takes the job that the tests observe.
+func taken(o *node.Observer) {
+	o.Taken(&dispatch.Request{Job: 7, Sender: "r-1", Spec: &job.Spec{Steps: []job.Step{{Count: 2}}}})
+}
+
+// place orders runs of a number for the job's tasks.
+func place(o *node.Observer, number job.Run, tasks int) {
+	order := &fleet.Order{Job: 7}
+	for i := range tasks {
+		order.Tasks = append(order.Tasks, fleet.TaskRun{Index: uint32(i), Run: number})
+	}
+	o.Placed(7, "here", order, 0)
+}
+
+// TestTaskPlacedAgainLine: a task that may have run before has a line with what became of that run; one that an agent has merely refused
+// has none.
+func TestTaskPlacedAgainLine(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		outcome job.Outcome
+		reason  fleet.Reason
+		line    bool
+	}{
+		{"lost", job.Lost, fleet.AgentSilent, true},
+		{"stopped", job.Stopped, fleet.Moved, true},
+		{"failed", job.Failed, "", true},
+		{"start without an answer", job.NotStarted, fleet.NeverArrived, true},
+		{"not listed", job.NotStarted, fleet.NotListed, true},
+		{"no room", job.NotStarted, fleet.NoRoom, false},
+		{"cordoned", job.NotStarted, fleet.ZoneCordoned, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			lines := observed(func(o *node.Observer) {
+				taken(o)
+				place(o, 1, 2)
+				for i := range uint32(2) {
+					o.Ended("there", fleet.End{Task: job.TaskID{Job: 7, Index: i}, Run: 1, Outcome: test.outcome, Reason: test.reason}, "again")
+				}
+				place(o, 2, 2)
+			})
+			if !test.line {
+				qt.Assert(t, lines, qt.HasLen, 1)
+				return
+			}
+			qt.Assert(t, lines, qt.HasLen, 2)
+			for _, part := range []string{
+				"msg=task_placed_again", "request=r-1", "agent=here", "0.0 run 2 after run 1 " + string(test.outcome), "0.1 run 2 after", "at there",
+			} {
+				qt.Assert(t, lines[1], qt.Contains, part)
+			}
+		})
+	}
+}
+
+// TestStopLine: one line names all runs of a job that are to be stopped; of many it names some.
+func TestStopLine(t *testing.T) {
+	runs := func(n int) (out []dispatch.RunAt) {
+		for i := range n {
+			out = append(out, dispatch.RunAt{RunRef: fleet.RunRef{Task: job.TaskID{Job: 7, Index: uint32(i)}, Run: 1}, Agent: "here"})
+		}
+		return out
+	}
+	for _, test := range []struct {
+		name  string
+		stops dispatch.Stops
+		has   []string
+	}{
+		{"asked", dispatch.Stops{Job: 7, Sender: "r-1", Why: "caller_gone", Asked: runs(2)}, []string{
+			"msg=run_stop_asked", "request=r-1", "why=caller_gone", "runs=2", `asked="0.0 run 1 at here; 0.1 run 1 at here"`,
+		}},
+		{"unheard", dispatch.Stops{Job: 7, Why: "deadline", Unheard: runs(1)}, []string{`unheard="0.0 run 1 at here"`}},
+		{"many", dispatch.Stops{Job: 7, Why: "deadline", Asked: runs(1000)}, []string{"runs=1000", "0.23 run 1 at here; 976 more"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			lines := observed(func(o *node.Observer) { o.StopsAsked(test.stops) })
+			qt.Assert(t, lines, qt.HasLen, 1)
+			for _, part := range test.has {
+				qt.Assert(t, lines[0], qt.Contains, part)
+			}
+		})
+	}
+}
+
+// TestWayOfJobsSentBefore: a job that may have been begun elsewhere before has its way in its line, and so the agents of its runs, even
+// if it is in time.
+func TestWayOfJobsSentBefore(t *testing.T) {
+	const way = "place 2 at here: 0.0 run 1, 0.1 run 1"
+	for _, test := range []struct {
+		name    string
+		again   bool
+		summary dispatch.Summary
+		want    bool
+	}{
+		{"new, in time", false, dispatch.Summary{}, false},
+		{"new, late", false, dispatch.Summary{Took: time.Second}, true},
+		{"sent before", false, dispatch.Summary{SentBefore: true}, true},
+		{"its caller came again", true, dispatch.Summary{}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			lines := observed(func(o *node.Observer) {
+				taken(o)
+				place(o, 1, 2)
+				if test.again {
+					o.CameAgain(&dispatch.Request{Job: 7, Sender: "r-2"}, dispatch.Holding{Former: "r-1", Runs: 2, Callers: 1})
+				}
+				o.Answered(7, &route.Route{}, dispatch.Answer{State: verdict.Complete}, test.summary)
+			})
+			qt.Assert(t, strings.Contains(lines[len(lines)-1], way), qt.Equals, test.want)
+			if test.again {
+				qt.Assert(t, lines[1], qt.Contains, "former_request=r-1")
+			}
+		})
+	}
+}
--- a/internal/load/world/entry.go
+++ b/internal/load/world/entry.go
@@ -184,5 +184,11 @@
 // Answered counts nothing: callers count what they hear.
 func (notes) Answered(job.ID, *route.Route, dispatch.Answer, dispatch.Summary) {}
 
+// StopsAsked counts nothing.
+func (notes) StopsAsked(dispatch.Stops) {}
+
+// CameAgain counts nothing: callers count what they send.
+func (notes) CameAgain(*dispatch.Request, dispatch.Holding) {}
+
 // AgentChanged counts nothing.
 func (notes) AgentChanged(ident.UpstreamName, int, dispatch.AgentEvent) {}
--- a/internal/proof/schedule/words_test.go
+++ b/internal/proof/schedule/words_test.go
@@ -197,6 +197,8 @@
 func (nobody) Answered(job.ID, *route.Route, dispatch.Answer, dispatch.Summary) {}
 func (nobody) AgentChanged(ident.UpstreamName, int, dispatch.AgentEvent)        {}
 func (nobody) Taken(*dispatch.Request)                                          {}
+func (nobody) StopsAsked(dispatch.Stops)                                        {}
+func (nobody) CameAgain(*dispatch.Request, dispatch.Holding)                    {}
 
 // agentNotes notes what an agent decides.
 type agentNotes struct{ a *agentProc }
