metrics: the worst lateness of what a promise rests on, beside the promise

That a run of a lost entry is gone after SettleAfter rests on stops that end in time and on timers that fire in time. Neither was measured: that a margin was used up showed only in what it was to prevent.

margins in the metrics has, for each of them, how often it was measured, the worst, what is promised, and how often that was exceeded: the ticks of an agent's and an entry's control goroutine, by how much runs of a silent entry were given up late, by how much a lapsed lease was noticed late, each beside the 50 ms that the settle margin has for late timers; and how long stops of unwanted runs took, beside stop budget, lease and settle margin. The settle margin is split by name, with the same sum. A run whose stop took longer has stop_overdue in its line and counts in stops_overdue, one whose task another entry has ordered meanwhile in runs_ordered_anew; runs_orphaned has late_ms and the entry's name.

Agent, entry, link, kept and load tests pass; TestSame and TestTraced of the schedules find the digests unchanged.

--- a/internal/agent/lease/lease.go
+++ b/internal/agent/lease/lease.go
@@ -78,7 +78,12 @@
 const Margin = 50 * time.Millisecond
 
 // Lapsed tells whether the latest lease has surely run out, so that nothing runs any more.
-func (l *Lease) Lapsed(now time.Time) bool { return l.Now(now) > l.until+call.Clock(Margin) }
+func (l *Lease) Lapsed(now time.Time) bool { return l.Overdue(now) > 0 }
+
+// Overdue is for how long the latest lease has surely run out; it is negative before.
+func (l *Lease) Overdue(now time.Time) time.Duration {
+	return time.Duration(l.Now(now) - l.until - call.Clock(Margin))
+}
 
 // Token is what calls carry.
 func (l *Lease) Token() call.Token { return l.token }
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -82,8 +82,9 @@
 		toRemember: make(chan lives.Known, 1),
 		patience:   patience.New(patienceFactor, leastPatience, set.Agent.CallTimeout),
 	}
+	n.observer = newObserver(set.Links.Timing(), log)
+	n.pulse.Every, n.pulse.Late = set.Links.Tick, n.observer.Ticked
 	n.pulse.Tick(boottime.Now())
-	n.observer = newObserver(log)
 	n.keeper = upstream.New(set.Links.Timing(), nil, boottime.Now(), (*caller)(n), (*sender)(n), n.observer)
 	n.keeper.SetZone(upstream.ZoneUnknown)
 	return n
--- a/internal/agent/node/observe.go
+++ b/internal/agent/node/observe.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -23,12 +24,18 @@
 	log      *logrus.Entry
 	counters *metrics.Counters
 	times    *metrics.Latencies
+	margins  *metrics.Margins
+	// stoppedWithin is how long the stop of an unwanted run may take.
+	stoppedWithin time.Duration
 	// names are those of the entries that are linked or have runs here.
 	names map[ident.Incarnation]string
 }
 
-func newObserver(log *logrus.Entry) *observer {
-	return &observer{log, metrics.NewCounters("agent"), metrics.NewLatencies("run_ms"), make(map[ident.Incarnation]string)}
+func newObserver(t fleet.Timing, log *logrus.Entry) *observer {
+	return &observer{
+		log: log, counters: metrics.NewCounters("agent"), times: metrics.NewLatencies("run_ms"), margins: metrics.NewMargins("margins"),
+		stoppedWithin: t.StoppedWithin(), names: make(map[ident.Incarnation]string),
+	}
 }
 
 // Linked notes an entry's name, and forgets those of entries that are not needed any more.
@@ -52,13 +59,27 @@
 	}
 	if e.Stop != nil {
 		addStop(f, e.Stop)
+		o.noteStop(f, e.Stop)
 	}
 	if e.Next != 0 {
+		o.counters.Add("runs_ordered_anew", 1)
 		f["ordered_anew_by"], f["ordered_anew_by_incarnation"] = o.names[e.Next], e.Next
 	}
 	o.log.WithFields(f).Info("run_ended")
 }
 
+// noteStop compares how long the stop of a run took with what is promised.
+func (o *observer) noteStop(f logrus.Fields, s *upstream.Stop) {
+	if !s.Unwanted {
+		return
+	}
+	o.margins.Record("stop", s.Pressing, o.stoppedWithin)
+	if s.Pressing > o.stoppedWithin {
+		o.counters.Add("stops_overdue", 1)
+		f["stop_overdue"] = true
+	}
+}
+
 // addStop adds how a run was stopped to the line of its end. Its times are counted back from the line's.
 func addStop(f logrus.Fields, s *upstream.Stop) {
 	f["stop_why"], f["stop_asked_ms_ago"], f["stop_answered"] = s.Cause, s.Asked.Milliseconds(), s.Acked
@@ -77,9 +98,20 @@
 }
 
 // Orphaned logs that the runs of a lost entry are stopped.
-func (o *observer) Orphaned(owner ident.Incarnation, runs int, why string) {
+func (o *observer) Orphaned(owner ident.Incarnation, runs int, why string, late time.Duration) {
 	o.counters.Add("runs_orphaned", int64(runs))
-	o.log.WithFields(logrus.Fields{"entry_incarnation": owner, "runs": runs, "why": why}).Warn("runs_orphaned")
+	o.margins.Record("orphaning", late, fleet.TimerMargin)
+	o.log.WithFields(logrus.Fields{
+		"entry": o.names[owner], "entry_incarnation": owner, "runs": runs, "why": why, "late_ms": late.Milliseconds(),
+	}).Warn("runs_orphaned")
+}
+
+// Lapsed notes that the lease of all runs has lapsed.
+func (o *observer) Lapsed(late time.Duration) { o.margins.Record("lapse", late, fleet.TimerMargin) }
+
+// Ticked notes by how much a tick of the control goroutine was late.
+func (o *observer) Ticked(late time.Duration) {
+	o.margins.Record("agent_tick", late, fleet.TimerMargin)
 }
 
 // Outlived logs a heartbeat of an earlier life that was held up on the way.
--- a/internal/agent/node/observe_test.go
+++ b/internal/agent/node/observe_test.go
@@ -14,6 +14,11 @@
 	"hillreel/internal/core/logs"
 )
 
+// timing is the usual one; stops may take 708 ms by it.
+var timing = fleet.Timing{
+	Silence: 400 * time.Millisecond, Lease: 400 * time.Millisecond, StopBudget: 200 * time.Millisecond, KeepAlive: 100 * time.Millisecond,
+}
+
 // TestEndedLine: the line of a run's end tells who had ordered it, why it was stopped and when, and who has ordered its task anew; a run that
 // ended well has one only if it was to be stopped.
 func TestEndedLine(t *testing.T) {
@@ -37,6 +42,12 @@
 		{"stopped without an answer", upstream.Ending{End: end(job.Stopped), Owner: 1, Stop: &upstream.Stop{Cause: "silent"}}, []string{
 			"stop_why=silent", "stop_answered=false",
 		}, []string{"stop_answered_ms_ago", "unwanted_ms"}},
+		{"stopped in time", upstream.Ending{End: end(job.Stopped), Owner: 1, Stop: &upstream.Stop{Unwanted: true, Pressing: 708 * time.Millisecond}}, []string{
+			"unwanted_ms=708",
+		}, []string{"stop_overdue"}},
+		{"stopped late", upstream.Ending{End: end(job.Stopped), Owner: 1, Stop: &upstream.Stop{Unwanted: true, Pressing: 709 * time.Millisecond}}, []string{
+			"unwanted_ms=709", "stop_overdue=true",
+		}, nil},
 		{"ordered anew", upstream.Ending{End: end(job.Stopped), Owner: 1, Stop: stop, Next: 2}, []string{
 			"ordered_anew_by=south", "ordered_anew_by_incarnation=" + ident.Incarnation(2).String(),
 		}, nil},
@@ -45,7 +56,7 @@
 			var out bytes.Buffer
 			log := logs.Discard()
 			log.Logger.SetOutput(&out)
-			o := newObserver(log)
+			o := newObserver(timing, log)
 			all := func(ident.Incarnation) bool { return true }
 			o.Linked(1, "north", all)
 			o.Linked(2, "south", all)
@@ -62,7 +73,7 @@
 
 // TestEntryNamesAreForgotten: an agent keeps the names of the entries that it needs, however many come and go.
 func TestEntryNamesAreForgotten(t *testing.T) {
-	o := newObserver(logs.Discard())
+	o := newObserver(timing, logs.Discard())
 	for e := ident.Incarnation(1); e <= 100; e++ {
 		o.Linked(e, "north", func(old ident.Incarnation) bool { return old == e-1 })
 	}
--- a/internal/agent/upstream/bench_test.go
+++ b/internal/agent/upstream/bench_test.go
@@ -42,6 +42,8 @@
 	losses []upstream.Loss
 	// endings are what observers heard of ends.
 	endings []upstream.Ending
+	// late are by how much orphanings and lapses were late.
+	late []time.Duration
 	// strays are what observers heard of strays.
 	strays []upstream.StrayEvent
 }
@@ -60,9 +62,12 @@
 func (b *bench) Resumed(_ ident.Incarnation, runs []fleet.OrderedRun) {
 	b.resumed = append(b.resumed, runs...)
 }
-func (b *bench) Ended(e upstream.Ending)                     { b.endings = append(b.endings, e) }
-func (b *bench) State(_, _ fleet.State, _ string)            {}
-func (b *bench) Orphaned(ident.Incarnation, int, string)     {}
+func (b *bench) Ended(e upstream.Ending)          { b.endings = append(b.endings, e) }
+func (b *bench) State(_, _ fleet.State, _ string) {}
+func (b *bench) Orphaned(_ ident.Incarnation, _ int, _ string, late time.Duration) {
+	b.late = append(b.late, late)
+}
+func (b *bench) Lapsed(late time.Duration)                   { b.late = append(b.late, late) }
 func (b *bench) Outlived(_, _ ident.UpstreamLife)            {}
 func (b *bench) Unsure(job.TaskID, job.Run)                  {}
 func (b *bench) Begun(ident.UpstreamLife, string, bool)      {}
--- a/internal/agent/upstream/ending_test.go
+++ b/internal/agent/upstream/ending_test.go
@@ -86,6 +86,45 @@
 	})
 }
 
+// TestLatenessIsTold: by how much the runs of a silent entry are given up late, and a lease is taken for lapsed.
+func TestLatenessIsTold(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		do   func(b *bench)
+		late []time.Duration
+	}{
+		{"silent, in time", func(b *bench) { b.pass(timing.Silence); b.keeper.Tick(b.now) }, []time.Duration{0}},
+		{"silent, late", func(b *bench) { b.pass(timing.Silence + 70*time.Millisecond); b.keeper.Tick(b.now) }, []time.Duration{70 * time.Millisecond}},
+		{"refused at once", func(b *bench) { b.keeper.Unlinked(b.now, one, "link_down"); b.keeper.Gone(b.now, one, "refused") }, []time.Duration{0}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.order(one, 1)
+			b.keeper.StartDone(b.now, b.starts[0], call.OK, b.clock())
+			test.do(b)
+			qt.Assert(t, b.late, qt.DeepEquals, test.late)
+		})
+	}
+}
+
+// TestLapseIsTold: with how late it was noticed.
+func TestLapseIsTold(t *testing.T) {
+	b := newBench(t, nil)
+	b.order(one, 1)
+	b.keeper.StartDone(b.now, b.starts[0], call.OK, b.clock())
+	for range 2 {
+		b.keeper.HoldDone(b.now, b.holds[len(b.holds)-1], call.Held{Answer: call.Unanswered})
+	}
+	b.pass(timing.Lease) // the lease, by a clock that may run slow, and the time to kill are not over
+	b.keeper.Tick(b.now)
+	qt.Assert(t, b.late, qt.DeepEquals, []time.Duration{0}) // its entry has fallen silent
+	b.pass(time.Second)
+	b.keeper.Tick(b.now)
+	qt.Assert(t, b.late, qt.HasLen, 2)
+	want := time.Duration(float64(timing.Lease+time.Second)/fleet.SlowClock) - timing.Lease - 50*time.Millisecond
+	qt.Assert(t, (b.late[1]-want).Abs() < 2*time.Millisecond, qt.IsTrue, qt.Commentf("%v, not %v", b.late[1], want))
+}
+
 // TestStraysAreTold: a run that nobody here has ordered is told once when it is found, and once when it has gone.
 func TestStraysAreTold(t *testing.T) {
 	b := newBench(t, nil)
--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -229,6 +229,7 @@
 		k.look(now)
 	}
 	if k.failures >= unreachableAfter && len(k.runs) > 0 && k.lease.Lapsed(now) {
+		k.observer.Lapsed(k.lease.Overdue(now))
 		k.lease.Raise(now)
 		k.loseAll(now, fleet.LeaseLapsed)
 	}
@@ -254,6 +255,7 @@
 		k.entries.End(to[i], w.End)
 	}
 	if k.ends.AnyVoid() && k.lease.Lapsed(now) {
+		k.observer.Lapsed(k.lease.Overdue(now))
 		k.ends.Lapsed()
 		k.touchAll()
 	}
--- a/internal/agent/upstream/sessions.go
+++ b/internal/agent/upstream/sessions.go
@@ -153,7 +153,7 @@
 		}
 	}
 	if n > 0 {
-		k.observer.Orphaned(entry, n, why)
+		k.observer.Orphaned(entry, n, why, k.overdue(now, k.sessions[entry]))
 	}
 }
 
@@ -176,6 +176,14 @@
 	return s.heard && k.uptime(now)-s.echoed < k.timing.Silence
 }
 
+// overdue is how long ago an entry should have been heard for its runs to be kept; zero is not yet.
+func (k *Keeper) overdue(now time.Time, s *session) time.Duration {
+	if s == nil || !s.heard {
+		return 0
+	}
+	return max(k.uptime(now)-s.echoed-k.timing.Silence, 0)
+}
+
 // fresh tells whether orders of an entry are taken.
 func (k *Keeper) fresh(now time.Time, s *session) bool {
 	return s != nil && s.linked && k.heardLately(now, s)
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -44,8 +44,11 @@
 	Ended(e Ending)
 	// State is called when the state told to entries changes, with what decided it.
 	State(from, to fleet.State, why string)
-	// Orphaned is called when the runs of a lost entry are stopped.
-	Orphaned(owner ident.Incarnation, runs int, why string)
+	// Orphaned is called when the runs of a lost entry are stopped; late is how long ago its silence had lasted for Timing.Silence, zero if
+	// it has not.
+	Orphaned(owner ident.Incarnation, runs int, why string, late time.Duration)
+	// Lapsed is called when the agent takes the lease of all runs for lapsed; late is for how long it surely was.
+	Lapsed(late time.Duration)
 	// Outlived is called when a heartbeat came of a life that another has followed.
 	Outlived(life, by ident.UpstreamLife)
 	// Unsure is called when a start got no answer.
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -182,13 +182,19 @@
 // SlowClock is how much longer a time lasts on an upstream's clock that runs slow: the platform allows 2%.
 const SlowClock = 1.02
 
-// settleMargin covers the upstream's own time to kill a lapsed run (stop_ms, 50 ms on all deployments seen)
-// and as much again for timers that fire late.
-const settleMargin = 100 * time.Millisecond
+const (
+	// killTime is the upstream's own time to kill a lapsed run: stop_ms on all deployments seen.
+	killTime = 50 * time.Millisecond
+	// TimerMargin is by how much all timers that SettleAfter rests on may fire late, together.
+	TimerMargin = 50 * time.Millisecond
+)
 
 // SettleAfter is how long after an entry last heard an agent's clock no run of that entry remains there.
-func (t Timing) SettleAfter() time.Duration {
-	return t.Silence + t.StopBudget + LeaseBound(t.Lease) + settleMargin
+func (t Timing) SettleAfter() time.Duration { return t.Silence + t.StoppedWithin() }
+
+// StoppedWithin is how long after an agent has begun to stop a run that nobody wants any more it is gone.
+func (t Timing) StoppedWithin() time.Duration {
+	return t.StopBudget + LeaseBound(t.Lease) + killTime + TimerMargin
 }
 
 // LeaseBound is how long a lease can last by a true clock.
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -86,7 +86,7 @@
 	n := &Node{
 		ctx: ctx, cancel: cancel, questions: questions, closeQuestions: closeQuestions, set: set, log: log, inc: ident.NewIncarnation(), loop: loop.New(), decode: d,
 		links:   links.New[keepAlive]("agent", cordon.NewPeer, log),
-		pulse:   links.Pulse{Limit: set.Links.Silence / 2, Pause: set.Links.Silence / 4, Log: log},
+		pulse:   links.Pulse{Limit: set.Links.Silence / 2, Pause: set.Links.Silence / 4, Every: set.Links.Tick, Late: ticked, Log: log},
 		callers: make(map[dispatch.CallerID]chan dispatch.Answer), cordons: cordon.NewSet(nil),
 		follows: func() bool { return false },
 	}
--- a/internal/entry/node/observe.go
+++ b/internal/entry/node/observe.go
@@ -34,6 +34,11 @@
 	}
 }
 
+// ticked notes by how much a tick of an entry's control goroutine was late.
+func ticked(late time.Duration) {
+	metrics.NewMargins("margins").Record("entry_tick", late, fleet.TimerMargin)
+}
+
 // way returns what is kept of a job.
 func (o *Observer) way(id job.ID) *way {
 	if o.ways[id] == nil {
--- a/internal/link/links/links.go
+++ b/internal/link/links/links.go
@@ -172,6 +172,9 @@
 	Limit time.Duration
 	// Pause is the longest one between two ticks during which the process counts as running.
 	Pause time.Duration
+	// Every is the pause between two ticks that are in time. Late is told by how much each tick was late; it may be nil.
+	Every time.Duration
+	Late  func(late time.Duration)
 	Log   *logrus.Entry
 	last  time.Time
 	// Running is since when no pause was longer.
@@ -184,6 +187,9 @@
 	if p.Missed(now) && !p.last.IsZero() {
 		p.Log.WithField("gap_ms", gap.Milliseconds()).Warn("process_stood_still")
 	}
+	if p.Late != nil && !p.last.IsZero() {
+		p.Late(max(gap-p.Every, 0))
+	}
 	if gap > p.Pause {
 		p.Running = now
 	}
--- a/internal/link/links/links_test.go
+++ b/internal/link/links/links_test.go
@@ -63,7 +63,11 @@
 	var out bytes.Buffer
 	log, err := logs.New(&out, "info", "entry", "e")
 	qt.Assert(t, err, qt.IsNil)
-	p := links.Pulse{Limit: 200 * time.Millisecond, Pause: 100 * time.Millisecond, Log: log}
+	var late []time.Duration
+	p := links.Pulse{
+		Limit: 200 * time.Millisecond, Pause: 100 * time.Millisecond, Every: 20 * time.Millisecond, Log: log,
+		Late: func(d time.Duration) { late = append(late, d) },
+	}
 	now := time.Now()
 	for _, test := range []struct {
 		gap    time.Duration
@@ -82,4 +86,5 @@
 		qt.Assert(t, p.Running, qt.Equals, want)
 	}
 	qt.Assert(t, strings.Count(out.String(), "process_stood_still"), qt.Equals, 1)
+	qt.Assert(t, late, qt.DeepEquals, []time.Duration{0, 80 * time.Millisecond, 81 * time.Millisecond, 0, 280 * time.Millisecond})
 }
--- a/internal/load/world/agent.go
+++ b/internal/load/world/agent.go
@@ -182,14 +182,15 @@
 // quiet observes nothing.
 type quiet struct{}
 
-func (quiet) Ended(upstream.Ending)                   {}
-func (quiet) State(fleet.State, fleet.State, string)  {}
-func (quiet) Orphaned(ident.Incarnation, int, string) {}
-func (quiet) Outlived(_, _ ident.UpstreamLife)        {}
-func (quiet) Gated(job.TaskID, ident.Incarnation)     {}
-func (quiet) Unsure(job.TaskID, job.Run)              {}
-func (quiet) Begun(ident.UpstreamLife, string, bool)  {}
-func (quiet) Dropped(lives.Beat, uint64)              {}
-func (quiet) Stray(fleet.RunRef, upstream.StrayEvent) {}
-func (quiet) Overtaken()                              {}
-func (quiet) Lost(upstream.Loss)                      {}
+func (quiet) Ended(upstream.Ending)                                  {}
+func (quiet) State(fleet.State, fleet.State, string)                 {}
+func (quiet) Orphaned(ident.Incarnation, int, string, time.Duration) {}
+func (quiet) Lapsed(time.Duration)                                   {}
+func (quiet) Outlived(_, _ ident.UpstreamLife)                       {}
+func (quiet) Gated(job.TaskID, ident.Incarnation)                    {}
+func (quiet) Unsure(job.TaskID, job.Run)                             {}
+func (quiet) Begun(ident.UpstreamLife, string, bool)                 {}
+func (quiet) Dropped(lives.Beat, uint64)                             {}
+func (quiet) Stray(fleet.RunRef, upstream.StrayEvent)                {}
+func (quiet) Overtaken()                                             {}
+func (quiet) Lost(upstream.Loss)                                     {}
--- a/internal/proof/schedule/words_test.go
+++ b/internal/proof/schedule/words_test.go
@@ -213,7 +213,9 @@
 	n.a.w.note("%s: %s after %s, %s", n.a.name, to, from, why)
 }
 
-func (n agentNotes) Orphaned(_ ident.Incarnation, runs int, why string) {
+func (n agentNotes) Lapsed(time.Duration) {}
+
+func (n agentNotes) Orphaned(_ ident.Incarnation, runs int, why string, _ time.Duration) {
 	n.a.w.note("%s: %d runs of an entry that is %s", n.a.name, runs, why)
 }
 
