entry: a job's lines tell how long its caller still waits, and the agents of its runs

Of two entries that took the same job, the logs did not tell which request the caller had sent first: one that has lain unread, or was held up in a cut, is taken last. And the agents of a job that went well and in time were named nowhere, so that the second of two runs at once could not be found where the first entry's job was the late one.

job_taken has patience_ms, which is shorter for each request that follows; job_answered has agents where it has no way. The number of lines is as before.

The ticks of both control goroutines have a test that finds them in the metrics.

--- a/internal/agent/node/life_test.go
+++ b/internal/agent/node/life_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"expvar"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -118,3 +120,17 @@
 		}
 	}
 }
+
+// TestTicksAreMeasured: how late the control goroutine's ticks are stands in the metrics, beside what is promised.
+func TestTicksAreMeasured(t *testing.T) {
+	set, err := settings.Load("")
+	qt.Assert(t, err, qt.IsNil)
+	n := node.New(set, &oneLife{}, &notebook{}, session.TCP, logs.Discard())
+	qt.Assert(t, n.Start(context.Background()), qt.IsNil)
+	defer n.Stop()
+	until := time.Now().Add(5 * time.Second)
+	for v := expvar.Get("margins"); !strings.Contains(v.String(), `"agent_tick"`); time.Sleep(time.Millisecond) {
+		qt.Assert(t, time.Now().Before(until), qt.IsTrue, qt.Commentf("%s", v))
+	}
+	qt.Assert(t, expvar.Get("margins").String(), qt.Contains, `"promised_ms":50`)
+}
--- a/internal/entry/node/close_test.go
+++ b/internal/entry/node/close_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"expvar"
+	"strings"
 	"testing"
 	"time"
 
@@ -81,3 +83,20 @@
 		}
 	}
 }
+
+// TestTicksAreMeasured: how late the control goroutine's ticks are stands in the metrics, beside what is promised.
+func TestTicksAreMeasured(t *testing.T) {
+	set, err := settings.Load("")
+	qt.Assert(t, err, qt.IsNil)
+	set.Node.Link = "127.0.0.1:0"
+	n := node.New(set, mute{}, nil, node.NewObserver(logs.Discard(), nil), logs.Discard())
+	qt.Assert(t, n.Start(context.Background()), qt.IsNil)
+	defer n.Stop()
+	measured := func() bool {
+		v := expvar.Get("margins")
+		return v != nil && strings.Contains(v.String(), `"entry_tick"`)
+	}
+	for until := time.Now().Add(5 * time.Second); !measured(); time.Sleep(time.Millisecond) {
+		qt.Assert(t, time.Now().Before(until), qt.IsTrue)
+	}
+}
--- a/internal/entry/node/observe.go
+++ b/internal/entry/node/observe.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hillreel/internal/core/boottime"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -16,7 +17,7 @@
 )
 
 // Observer logs and counts an entry's decisions. One line is written for each job, with the way it took if it did not end well and in
-// time, or may have been begun elsewhere before; the ways of the others would say nothing and drown the rest.
+// time, or may have been begun elsewhere before; the ways of the others would drown the rest, and their agents are named only.
 type Observer struct {
 	log      *logrus.Entry
 	counters *metrics.Counters
@@ -47,11 +48,16 @@
 	return o.ways[id]
 }
 
-// Taken logs a job, so that its request can be found also when this entry is lost before it answers.
+// Taken logs a job, so that its request can be found also when this entry is lost before it answers. How long its caller still waits tells
+// the first of several requests of a job from later ones.
 func (o *Observer) Taken(r *dispatch.Request) {
 	o.counters.Add("jobs_taken", 1)
 	o.way(r.Job).sender = r.Sender
-	o.log.WithFields(logrus.Fields{"job": r.Job, "request": r.Sender, "route": r.Route.Name, "tasks": r.Spec.Tasks()}).Info("job_taken")
+	f := logrus.Fields{"job": r.Job, "request": r.Sender, "route": r.Route.Name, "tasks": r.Spec.Tasks()}
+	if !r.Deadline.IsZero() {
+		f["patience_ms"] = -boottime.Since(r.Deadline).Milliseconds()
+	}
+	o.log.WithFields(f).Info("job_taken")
 }
 
 // Placed notes an order. One of tasks that may have run before has a line.
@@ -144,6 +150,8 @@
 	w := o.way(id)
 	if a.State != verdict.Complete || !inTime || s.SentBefore || w.cameAgain {
 		f["way"] = w.text()
+	} else {
+		f["agents"] = list(w.agents, " ")
 	}
 	delete(o.ways, id)
 	o.log.WithFields(f).Info("job_answered")
--- a/internal/entry/node/observe_test.go
+++ b/internal/entry/node/observe_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"hillreel/internal/core/boottime"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/logs"
@@ -40,6 +41,28 @@
 	o.Placed(7, "here", order, 0)
 }
 
+// TestTakenLine: a job's first line tells how long its caller still waits, if that is known.
+func TestTakenLine(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		deadline time.Time
+		want     string
+	}{
+		{"patient", boottime.Now().Add(time.Hour + time.Minute), "patience_ms=36"},
+		{"not told", time.Time{}, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			lines := observed(func(o *node.Observer) {
+				o.Taken(&dispatch.Request{Job: 7, Sender: "r-1", Deadline: test.deadline, Spec: &job.Spec{}})
+			})
+			qt.Assert(t, lines, qt.HasLen, 1)
+			qt.Assert(t, lines[0], qt.Contains, "msg=job_taken")
+			qt.Assert(t, strings.Contains(lines[0], "patience_ms"), qt.Equals, test.want != "")
+			qt.Assert(t, lines[0], qt.Contains, test.want)
+		})
+	}
+}
+
 // TestTaskPlacedAgainLine: a task that may have run before has a line with what became of that run; one that an agent has merely refused
 // has none.
 func TestTaskPlacedAgainLine(t *testing.T) {
@@ -133,7 +156,9 @@
 				}
 				o.Answered(7, &route.Route{}, dispatch.Answer{State: verdict.Complete}, test.summary)
 			})
-			qt.Assert(t, strings.Contains(lines[len(lines)-1], way), qt.Equals, test.want)
+			last := lines[len(lines)-1]
+			qt.Assert(t, strings.Contains(last, way), qt.Equals, test.want)
+			qt.Assert(t, strings.Contains(last, "agents=here"), qt.Equals, !test.want)
 			if test.again {
 				qt.Assert(t, lines[1], qt.Contains, "former_request=r-1")
 			}
--- a/internal/entry/node/way.go
+++ b/internal/entry/node/way.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -24,6 +25,8 @@
 	sender string
 	// steps are in the words of the log.
 	steps []string
+	// agents are those that were sent orders, each once.
+	agents []string
 	// former are the ends of runs whose tasks are to be placed again.
 	former map[job.TaskID]formerRun
 	// cameAgain: its caller came again while it was held.
@@ -72,6 +75,9 @@
 // placed notes an order, and returns those of its tasks that are placed again with what became of their former runs. Tasks whose former
 // runs have surely not begun are left out.
 func (w *way) placed(agent ident.UpstreamName, o *fleet.Order, waited time.Duration) (again []string) {
+	if !slices.Contains(w.agents, string(agent)) {
+		w.agents = append(w.agents, string(agent))
+	}
 	var tasks []string
 	for i, t := range o.Tasks {
 		id := o.Task(i)
