agent, entry: ends that an entry does not hear of, and tasks placed again after a refusal, have lines

And an end that came while its entry was not linked was told nowhere if it was a good one, though that entry then places the task again.

task_placed_again now comes with each order after a run that may have begun, and names that run; run_ended has a line with unheard=true for an end whose entry is not linked.

--- a/internal/agent/node/observe.go
+++ b/internal/agent/node/observe.go
@@ -44,12 +44,12 @@
 	o.names[entry] = name
 }
 
-// Ended notes the end of a run. One that ended well has a line only if it was to be stopped.
+// Ended notes the end of a run. One that ended well has a line only if it was to be stopped, or its entry does not hear of it.
 func (o *observer) Ended(e upstream.Ending) {
 	o.counters.Add("runs_"+string(e.Outcome), 1)
 	if e.Outcome == job.Done {
 		o.times.Record("done", e.Took)
-		if e.Stop == nil {
+		if e.Stop == nil && !e.Unheard {
 			return
 		}
 	}
@@ -57,6 +57,9 @@
 		"job": e.Task.Job, "task": e.Task, "run": e.Run, "outcome": e.Outcome, "reason": e.Reason, "took_ms": e.Took.Milliseconds(),
 		"begun_ms_ago": e.Begun.Milliseconds(), "entry": o.names[e.Owner], "entry_incarnation": e.Owner,
 	}
+	if e.Unheard {
+		f["unheard"] = true
+	}
 	if e.Stop != nil {
 		addStop(f, e.Stop)
 		o.noteStop(f, e.Stop)
--- a/internal/agent/node/observe_test.go
+++ b/internal/agent/node/observe_test.go
@@ -20,7 +20,7 @@
 }
 
 // TestEndedLine: the line of a run's end tells who had ordered it, why it was stopped and when, and who has ordered its task anew; a run that
-// ended well has one only if it was to be stopped.
+// ended well has one only if it was to be stopped, or if its entry does not hear of it.
 func TestEndedLine(t *testing.T) {
 	end := func(o job.Outcome) fleet.End {
 		return fleet.End{Task: job.TaskID{Job: 7, Index: 2}, Run: 3, Outcome: o, Took: 80 * time.Millisecond}
@@ -38,6 +38,7 @@
 			"msg=run_ended", "outcome=done", "entry=north", "run=3", "stop_why=sent_again", "stop_asked_ms_ago=30", "stop_answered=true", "stop_answered_ms_ago=20",
 			"unwanted_ms=10",
 		}, []string{"ordered_anew_by"}},
+		{"well, unheard", upstream.Ending{End: end(job.Done), Owner: 1, Unheard: true}, []string{"outcome=done", "unheard=true"}, []string{"stop_"}},
 		{"lost", upstream.Ending{End: end(job.Lost), Owner: 1, Begun: 90 * time.Millisecond}, []string{"outcome=lost", "begun_ms_ago=90"}, []string{"stop_"}},
 		{"stopped without an answer", upstream.Ending{End: end(job.Stopped), Owner: 1, Stop: &upstream.Stop{Cause: "silent"}}, []string{
 			"stop_why=silent", "stop_answered=false",
--- a/internal/agent/upstream/ending.go
+++ b/internal/agent/upstream/ending.go
@@ -31,6 +31,8 @@
 	Stop *Stop
 	// Next is the entry that has ordered the task anew meanwhile; zero is none.
 	Next ident.Incarnation
+	// Unheard: its owner is not linked, and hears of the end when it is back, if at all.
+	Unheard bool
 }
 
 // Stop is how a run was stopped.
@@ -47,8 +49,9 @@
 }
 
 // ending describes the end of a run.
-func (r *run) ending(now time.Time, e fleet.End) Ending {
-	out := Ending{End: e, Owner: r.owner, Begun: now.Sub(r.begun)}
+func (k *Keeper) ending(now time.Time, r *run, e fleet.End) Ending {
+	owner := k.sessions[r.owner]
+	out := Ending{End: e, Owner: r.owner, Begun: now.Sub(r.begun), Unheard: owner == nil || !owner.linked}
 	if r.next != nil {
 		out.Next = r.next.owner
 	}
--- a/internal/agent/upstream/ending_test.go
+++ b/internal/agent/upstream/ending_test.go
@@ -39,8 +39,9 @@
 			Stop: stopped("on_request", true),
 		}},
 		{"its entry has gone", func(b *bench) { b.keeper.Unlinked(b.now, one, "link_down"); b.keeper.Gone(b.now, one, "refused") }, call.HowStopped, upstream.Ending{
-			Stop: stopped("refused", true),
+			Stop: stopped("refused", true), Unheard: true,
 		}},
+		{"its entry is out of hearing", func(b *bench) { b.keeper.Unlinked(b.now, one, "link_down") }, call.HowDone, upstream.Ending{Unheard: true}},
 		{"another entry has taken its job over", func(b *bench) { b.keeper.Ask(b.now, two, 1, []job.ID{jobID}) }, call.HowStopped, upstream.Ending{
 			Stop: stopped(upstream.TakenOver, true),
 		}},
@@ -66,6 +67,7 @@
 			qt.Assert(t, got.Begun, qt.Equals, 80*time.Millisecond)
 			qt.Assert(t, got.Stop, qt.DeepEquals, test.want.Stop)
 			qt.Assert(t, got.Next, qt.Equals, test.want.Next)
+			qt.Assert(t, got.Unheard, qt.Equals, test.want.Unheard)
 		})
 	}
 }
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -260,7 +260,7 @@
 		k.ends.Withhold(now, r.owner, e)
 	}
 	k.judge(now, r, e)
-	k.observer.Ended(r.ending(now, e))
+	k.observer.Ended(k.ending(now, r, e))
 	k.tellRun(now, r, e)
 	k.settle(r.owner)
 	k.touchAll()
--- a/internal/entry/node/observe_test.go
+++ b/internal/entry/node/observe_test.go
@@ -103,6 +103,27 @@
 	}
 }
 
+// TestTaskPlacedAgainAfterRefusal: a task whose next run an agent has refused has another line where it goes then, with the run before
+// that may have begun; once its run has ended otherwise, that one.
+func TestTaskPlacedAgainAfterRefusal(t *testing.T) {
+	lines := observed(func(o *node.Observer) {
+		taken(o)
+		for i, outcome := range []job.Outcome{job.Lost, job.NotStarted, job.Stalled} {
+			place(o, job.Run(i+1), 1)
+			e := fleet.End{Task: job.TaskID{Job: 7}, Run: job.Run(i + 1), Outcome: outcome}
+			if outcome == job.NotStarted {
+				e.Reason = fleet.NoRoom
+			}
+			o.Ended("there", e, "again")
+		}
+		place(o, 4, 1)
+	})
+	qt.Assert(t, lines, qt.HasLen, 4)
+	for i, part := range []string{"0.0 run 2 after run 1 lost", "0.0 run 3 after run 1 lost", "0.0 run 4 after run 3 stalled"} {
+		qt.Assert(t, lines[i+1], qt.Contains, part)
+	}
+}
+
 // TestStopLine: one line names all runs of a job that are to be stopped; of many it names some.
 func TestStopLine(t *testing.T) {
 	runs := func(n int) (out []dispatch.RunAt) {
--- a/internal/entry/node/way.go
+++ b/internal/entry/node/way.go
@@ -27,7 +27,7 @@
 	steps []string
 	// agents are those that were sent orders, each once.
 	agents []string
-	// former are the ends of runs whose tasks are to be placed again.
+	// former are the ends of runs whose tasks were, or are to be, placed again.
 	former map[job.TaskID]formerRun
 	// cameAgain: its caller came again while it was held.
 	cameAgain bool
@@ -44,7 +44,10 @@
 // mayHaveBegun tells whether more than an agent's own refusal is known of a run: that one has begun nothing, and is common where entries
 // race for room.
 func (r *formerRun) mayHaveBegun() bool {
-	if r.outcome != job.NotStarted {
+	switch {
+	case r.run == 0:
+		return false // there was none
+	case r.outcome != job.NotStarted:
 		return true
 	}
 	switch r.reason {
@@ -64,12 +67,15 @@
 // text is the way in the words of the log.
 func (w *way) text() string { return strings.Join(w.steps, "; ") }
 
-// ended notes a run whose task may be placed again.
+// ended notes a run whose task may be placed again. One that may have begun is remembered until another may have.
 func (w *way) ended(agent ident.UpstreamName, e fleet.End) {
 	if w.former == nil {
 		w.former = make(map[job.TaskID]formerRun)
 	}
-	w.former[e.Task] = formerRun{e.Run, e.Outcome, e.Reason, agent}
+	now, before := formerRun{e.Run, e.Outcome, e.Reason, agent}, w.former[e.Task]
+	if now.mayHaveBegun() || !before.mayHaveBegun() {
+		w.former[e.Task] = now
+	}
 }
 
 // placed notes an order, and returns those of its tasks that are placed again with what became of their former runs. Tasks whose former
@@ -82,9 +88,7 @@
 	for i, t := range o.Tasks {
 		id := o.Task(i)
 		tasks = append(tasks, name(fleet.RunRef{Task: id, Run: t.Run}))
-		former, ok := w.former[id]
-		delete(w.former, id)
-		if ok && former.mayHaveBegun() {
+		if former := w.former[id]; former.mayHaveBegun() {
 			again = append(again, fmt.Sprintf("%s after run %d %s %s at %s", tasks[i], former.run, former.outcome, former.reason, former.agent))
 		}
 	}
