agent: the ends that a lost entry may not have heard of have a line

An entry returns readings of the agent's clock, and messages of a session keep their order, so that an end told before a reading that came back was heard. ends_unconfirmed names the others, one line when a link ends.

--- a/internal/agent/node/observe.go
+++ b/internal/agent/node/observe.go
@@ -109,6 +109,18 @@
 	}).Warn("runs_orphaned")
 }
 
+// Unconfirmed logs the ends that a lost entry may not have heard of: it places their tasks again.
+func (o *observer) Unconfirmed(owner ident.Incarnation, ends []fleet.End) {
+	o.counters.Add("ends_unconfirmed", int64(len(ends)))
+	var names []string
+	for _, e := range ends[max(len(ends)-maxNamed, 0):] {
+		names = append(names, fmt.Sprintf("%v/%d@%s", e.Task, e.Run, e.Outcome))
+	}
+	o.log.WithFields(logrus.Fields{
+		"entry": o.names[owner], "entry_incarnation": owner, "runs": len(ends), "newest": strings.Join(names, " "),
+	}).Info("ends_unconfirmed")
+}
+
 // Lapsed notes that the lease of all runs has lapsed.
 func (o *observer) Lapsed(late time.Duration) { o.margins.Record("lapse", late, fleet.TimerMargin) }
 
@@ -145,7 +157,7 @@
 	}).Info("order_refused")
 }
 
-// maxNamed bounds the runs that are named in one line, the youngest first.
+// maxNamed bounds the runs that are named in one line.
 const maxNamed = 12
 
 // Lost logs the loss of an upstream and the youngest of the runs that were there, each with its age when the upstream last answered.
--- a/internal/agent/node/observe_test.go
+++ b/internal/agent/node/observe_test.go
@@ -72,6 +72,23 @@
 	}
 }
 
+// TestUnconfirmedLine: one line names the newest of the ends that an entry may not have heard of.
+func TestUnconfirmedLine(t *testing.T) {
+	var out bytes.Buffer
+	log := logs.Discard()
+	log.Logger.SetOutput(&out)
+	o := newObserver(timing, log)
+	o.Linked(1, "north", func(ident.Incarnation) bool { return true })
+	var ends []fleet.End
+	for i := range uint32(20) {
+		ends = append(ends, fleet.End{Task: job.TaskID{Job: 7, Index: i}, Run: 2, Outcome: job.Done})
+	}
+	o.Unconfirmed(1, ends)
+	for _, part := range []string{"msg=ends_unconfirmed", "entry=north", "runs=20", `newest="0000000000000007.0.8/2@done`, `0000000000000007.0.19/2@done"`} {
+		qt.Assert(t, out.String(), qt.Contains, part)
+	}
+}
+
 // TestEntryNamesAreForgotten: an agent keeps the names of the entries that it needs, however many come and go.
 func TestEntryNamesAreForgotten(t *testing.T) {
 	o := newObserver(timing, logs.Discard())
--- a/internal/agent/upstream/bench_test.go
+++ b/internal/agent/upstream/bench_test.go
@@ -44,6 +44,8 @@
 	endings []upstream.Ending
 	// late are by how much orphanings and lapses were late.
 	late []time.Duration
+	// unconfirmed are the ends that entries may not have heard of.
+	unconfirmed []fleet.End
 	// strays are what observers heard of strays.
 	strays []upstream.StrayEvent
 }
@@ -67,7 +69,10 @@
 func (b *bench) Orphaned(_ ident.Incarnation, _ int, _ string, late time.Duration) {
 	b.late = append(b.late, late)
 }
-func (b *bench) Lapsed(late time.Duration)                   { b.late = append(b.late, late) }
+func (b *bench) Lapsed(late time.Duration) { b.late = append(b.late, late) }
+func (b *bench) Unconfirmed(_ ident.Incarnation, ends []fleet.End) {
+	b.unconfirmed = append(b.unconfirmed, ends...)
+}
 func (b *bench) Outlived(_, _ ident.UpstreamLife)            {}
 func (b *bench) Unsure(job.TaskID, job.Run)                  {}
 func (b *bench) Begun(ident.UpstreamLife, string, bool)      {}
--- a/internal/agent/upstream/ending_test.go
+++ b/internal/agent/upstream/ending_test.go
@@ -88,6 +88,43 @@
 	})
 }
 
+// TestUnconfirmedEnds: when a link ends, those ends are told that the entry may not have heard of: it has returned no reading of the agent's
+// clock that was sent after them.
+func TestUnconfirmedEnds(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// echoes: the entry returns the newest reading after the end.
+		echoes bool
+		start  call.Answer
+		want   []job.Outcome
+	}{
+		{"confirmed", true, call.OK, nil},
+		{"not confirmed", false, call.OK, []job.Outcome{job.Done}},
+		{"not started", false, call.Full, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.order(one, 1)
+			b.keeper.StartDone(b.now, b.starts[0], test.start, b.clock())
+			b.pass(50 * time.Millisecond)
+			b.end(call.HowDone)
+			b.keeper.Flush(b.now)
+			b.pass(10 * time.Millisecond)
+			if test.echoes {
+				b.keeper.Ping(b.now, one, b.rooms[one].Clock, 0)
+			}
+			for range 2 {
+				b.keeper.Unlinked(b.now, one, "link_down")
+			}
+			var got []job.Outcome
+			for _, e := range b.unconfirmed {
+				got = append(got, e.Outcome)
+			}
+			qt.Assert(t, got, qt.DeepEquals, test.want)
+		})
+	}
+}
+
 // TestLatenessIsTold: by how much the runs of a silent entry are given up late, and a lease is taken for lapsed.
 func TestLatenessIsTold(t *testing.T) {
 	for _, test := range []struct {
--- a/internal/agent/upstream/sessions.go
+++ b/internal/agent/upstream/sessions.go
@@ -31,6 +31,40 @@
 	unsent []late
 	// ended is when the link ended.
 	ended time.Time
+	// unconfirmed are the ends that were told since the newest reading that the entry has returned, the newest of many.
+	unconfirmed []toldEnd
+}
+
+// toldEnd is an end with the agent's clock when it was told.
+type toldEnd struct {
+	end fleet.End
+	at  time.Duration
+}
+
+// noteTold notes that the entry is told of an end. Of a run that was not started none is noted: nothing depends on it.
+func (s *session) noteTold(at time.Duration, e fleet.End) {
+	if e.Outcome == job.NotStarted || e.Outcome == job.Used {
+		return
+	}
+	s.unconfirmed = append(s.unconfirmed, toldEnd{e, at})
+	if len(s.unconfirmed) > maxUnsent {
+		s.unconfirmed = s.unconfirmed[1:]
+	}
+}
+
+// confirm forgets the ends that were told before the newest reading that has come back: messages of a session keep their order.
+func (s *session) confirm() {
+	s.unconfirmed = slices.DeleteFunc(s.unconfirmed, func(t toldEnd) bool { return t.at <= s.echoed })
+}
+
+// takeUnconfirmed returns the ends of which it isn't known whether the entry has heard, and forgets them.
+func (s *session) takeUnconfirmed() []fleet.End {
+	var out []fleet.End
+	for _, t := range s.unconfirmed {
+		out = append(out, t.end)
+	}
+	s.unconfirmed = nil
+	return out
 }
 
 // late is an end that could not be told yet.
@@ -102,6 +136,9 @@
 		return
 	}
 	s.linked, s.ended = false, now
+	if ends := s.takeUnconfirmed(); len(ends) > 0 {
+		k.observer.Unconfirmed(entry, ends)
+	}
 	if !k.heardLately(now, s) {
 		k.orphan(now, entry, why)
 	}
@@ -167,6 +204,7 @@
 	}
 	if s := k.sessions[entry]; s != nil && s.linked && echoed > s.echoed {
 		s.echoed, s.heard = echoed, true
+		s.confirm()
 	}
 }
 
@@ -205,6 +243,7 @@
 		}
 		return
 	}
+	s.noteTold(k.uptime(now), e)
 	k.tell(r.owner, e)
 }
 
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -47,6 +47,8 @@
 	// Orphaned is called when the runs of a lost entry are stopped; late is how long ago its silence had lasted for Timing.Silence, zero if
 	// it has not.
 	Orphaned(owner ident.Incarnation, runs int, why string, late time.Duration)
+	// Unconfirmed is called when a link with an entry has ended, with the ends of which it isn't known whether the entry has heard.
+	Unconfirmed(owner ident.Incarnation, ends []fleet.End)
 	// Lapsed is called when the agent takes the lease of all runs for lapsed; late is for how long it surely was.
 	Lapsed(late time.Duration)
 	// Outlived is called when a heartbeat came of a life that another has followed.
--- a/internal/load/world/agent.go
+++ b/internal/load/world/agent.go
@@ -186,6 +186,7 @@
 func (quiet) State(fleet.State, fleet.State, string)                 {}
 func (quiet) Orphaned(ident.Incarnation, int, string, time.Duration) {}
 func (quiet) Lapsed(time.Duration)                                   {}
+func (quiet) Unconfirmed(ident.Incarnation, []fleet.End)             {}
 func (quiet) Outlived(_, _ ident.UpstreamLife)                       {}
 func (quiet) Gated(job.TaskID, ident.Incarnation)                    {}
 func (quiet) Unsure(job.TaskID, job.Run)                             {}
--- a/internal/proof/schedule/words_test.go
+++ b/internal/proof/schedule/words_test.go
@@ -215,6 +215,8 @@
 
 func (n agentNotes) Lapsed(time.Duration) {}
 
+func (n agentNotes) Unconfirmed(ident.Incarnation, []fleet.End) {}
+
 func (n agentNotes) Orphaned(_ ident.Incarnation, runs int, why string, _ time.Duration) {
 	n.a.w.note("%s: %d runs of an entry that is %s", n.a.name, runs, why)
 }
