--- a/internal/agent/node/observe.go
+++ b/internal/agent/node/observe.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -22,23 +24,74 @@
 	log      *logrus.Entry
 	counters *metrics.Counters
 	times    *metrics.Latencies
+	margins  *metrics.Margins
+	// stoppedWithin is how long the stop of an unwanted run may take.
+	stoppedWithin time.Duration
+	// names are those of the entries that are linked or have runs here.
+	names map[ident.Incarnation]string
 }
 
-func newObserver(log *logrus.Entry) *observer {
-	return &observer{log, metrics.NewCounters("agent"), metrics.NewLatencies("run_ms")}
+func newObserver(t fleet.Timing, log *logrus.Entry) *observer {
+	return &observer{
+		log: log, counters: metrics.NewCounters("agent"), times: metrics.NewLatencies("run_ms"), margins: metrics.NewMargins("margins"),
+		stoppedWithin: t.StoppedWithin(), names: make(map[ident.Incarnation]string),
+	}
+}
+
+// Linked notes an entry's name, and forgets those of entries that are not needed any more.
+func (o *observer) Linked(entry ident.Incarnation, name string, needed func(ident.Incarnation) bool) {
+	maps.DeleteFunc(o.names, func(e ident.Incarnation, _ string) bool { return !needed(e) })
+	o.names[entry] = name
 }
 
-// Ended notes the end of a run.
-func (o *observer) Ended(owner ident.Incarnation, e fleet.End) {
+// Ended notes the end of a run. One that ended well has a line only if it was to be stopped, or its entry does not hear of it.
+func (o *observer) Ended(e upstream.Ending) {
 	o.counters.Add("runs_"+string(e.Outcome), 1)
 	if e.Outcome == job.Done {
 		o.times.Record("done", e.Took)
+		if e.Stop == nil && !e.Unheard {
+			return
+		}
+	}
+	f := logrus.Fields{
+		"job": e.Task.Job, "task": e.Task, "run": e.Run, "outcome": e.Outcome, "reason": e.Reason, "took_ms": e.Took.Milliseconds(),
+		"begun_ms_ago": e.Begun.Milliseconds(), "entry": o.names[e.Owner], "entry_incarnation": e.Owner,
+	}
+	if e.Unheard {
+		f["unheard"] = true
+	}
+	if e.Stop != nil {
+		addStop(f, e.Stop)
+		o.noteStop(f, e.Stop)
+	}
+	if e.Next != 0 {
+		o.counters.Add("runs_ordered_anew", 1)
+		f["ordered_anew_by"], f["ordered_anew_by_incarnation"] = o.names[e.Next], e.Next
+	}
+	o.log.WithFields(f).Info("run_ended")
+}
+
+// noteStop compares how long the stop of a run took with what is promised.
+func (o *observer) noteStop(f logrus.Fields, s *upstream.Stop) {
+	if !s.Unwanted {
 		return
 	}
-	o.log.WithFields(logrus.Fields{
-		"job": e.Task.Job, "task": e.Task, "run": e.Run, "outcome": e.Outcome, "reason": e.Reason,
-		"took_ms": e.Took.Milliseconds(), "entry_incarnation": owner,
-	}).Info("run_ended")
+	o.margins.Record("stop", s.Pressing, o.stoppedWithin)
+	if s.Pressing > o.stoppedWithin {
+		o.counters.Add("stops_overdue", 1)
+		f["stop_overdue"] = true
+	}
+}
+
+// addStop adds how a run was stopped to the line of its end. Its times are counted back from the line's.
+func addStop(f logrus.Fields, s *upstream.Stop) {
+	f["stop_why"], f["stop_asked_ms_ago"], f["stop_answered"] = s.Cause, s.Asked.Milliseconds(), s.Acked
+	if s.Acked {
+		f["stop_answered_ms_ago"] = s.Answered.Milliseconds()
+	}
+	if s.Unwanted {
+		f["unwanted_ms"] = s.Pressing.Milliseconds()
+	}
 }
 
 // State logs a change of what entries are told of the upstream.
@@ -48,9 +101,32 @@
 }
 
 // Orphaned logs that the runs of a lost entry are stopped.
-func (o *observer) Orphaned(owner ident.Incarnation, runs int, why string) {
+func (o *observer) Orphaned(owner ident.Incarnation, runs int, why string, late time.Duration) {
 	o.counters.Add("runs_orphaned", int64(runs))
-	o.log.WithFields(logrus.Fields{"entry_incarnation": owner, "runs": runs, "why": why}).Warn("runs_orphaned")
+	o.margins.Record("orphaning", late, fleet.TimerMargin)
+	o.log.WithFields(logrus.Fields{
+		"entry": o.names[owner], "entry_incarnation": owner, "runs": runs, "why": why, "late_ms": late.Milliseconds(),
+	}).Warn("runs_orphaned")
+}
+
+// Unconfirmed logs the ends that a lost entry may not have heard of: it places their tasks again.
+func (o *observer) Unconfirmed(owner ident.Incarnation, ends []fleet.End) {
+	o.counters.Add("ends_unconfirmed", int64(len(ends)))
+	var names []string
+	for _, e := range ends[max(len(ends)-maxNamed, 0):] {
+		names = append(names, fmt.Sprintf("%v/%d@%s", e.Task, e.Run, e.Outcome))
+	}
+	o.log.WithFields(logrus.Fields{
+		"entry": o.names[owner], "entry_incarnation": owner, "runs": len(ends), "newest": strings.Join(names, " "),
+	}).Info("ends_unconfirmed")
+}
+
+// Lapsed notes that the lease of all runs has lapsed.
+func (o *observer) Lapsed(late time.Duration) { o.margins.Record("lapse", late, fleet.TimerMargin) }
+
+// Ticked notes by how much a tick of the control goroutine was late.
+func (o *observer) Ticked(late time.Duration) {
+	o.margins.Record("agent_tick", late, fleet.TimerMargin)
 }
 
 // Outlived logs a heartbeat of an earlier life that was held up on the way.
@@ -81,7 +157,7 @@
 	}).Info("order_refused")
 }
 
-// maxNamed bounds the runs that are named in one line, the youngest first.
+// maxNamed bounds the runs that are named in one line.
 const maxNamed = 12
 
 // Lost logs the loss of an upstream and the youngest of the runs that were there, each with its age when the upstream last answered.
@@ -98,6 +174,12 @@
 	}).Warn("upstream_lost")
 }
 
+// Stray logs a run that nobody here has ordered: one of an earlier agent, or a start that came late.
+func (o *observer) Stray(r fleet.RunRef, event upstream.StrayEvent) {
+	o.counters.Add(string(event), 1)
+	o.log.WithFields(logrus.Fields{"job": r.Task.Job, "task": r.Task, "run": r.Run}).Info(string(event))
+}
+
 // Overtaken counts a listing that is passed over: there can be one with each answer.
 func (o *observer) Overtaken() { o.counters.Add("listings_overtaken", 1) }
 
--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -98,7 +98,7 @@
 		return false
 	}
 	for _, r := range k.runs {
-		if r.stop != nil && r.stop.unwanted && !r.stop.acked && now.Sub(r.stop.since) >= k.timing.StopBudget {
+		if r.stop != nil && r.stop.unwanted && r.stop.acked.IsZero() && now.Sub(r.stop.since) >= k.timing.StopBudget {
 			return true
 		}
 	}
@@ -207,7 +207,7 @@
 // due tells whether a stop is to be sent again.
 func (s *stopping) due(now time.Time) bool {
 	pause := stopRetry
-	if s.acked {
+	if !s.acked.IsZero() {
 		pause = ackedRetry
 	}
 	return !s.calling && now.Sub(s.sent) >= pause
@@ -229,6 +229,7 @@
 		k.look(now)
 	}
 	if k.failures >= unreachableAfter && len(k.runs) > 0 && k.lease.Lapsed(now) {
+		k.observer.Lapsed(k.lease.Overdue(now))
 		k.lease.Raise(now)
 		k.loseAll(now, fleet.LeaseLapsed)
 	}
@@ -254,6 +255,7 @@
 		k.entries.End(to[i], w.End)
 	}
 	if k.ends.AnyVoid() && k.lease.Lapsed(now) {
+		k.observer.Lapsed(k.lease.Overdue(now))
 		k.ends.Lapsed()
 		k.touchAll()
 	}
--- a/internal/proof/schedule/words_test.go
+++ b/internal/proof/schedule/words_test.go
@@ -197,11 +197,13 @@
 func (nobody) Answered(job.ID, *route.Route, dispatch.Answer, dispatch.Summary) {}
 func (nobody) AgentChanged(ident.UpstreamName, int, dispatch.AgentEvent)        {}
 func (nobody) Taken(*dispatch.Request)                                          {}
+func (nobody) StopsAsked(dispatch.Stops)                                        {}
+func (nobody) CameAgain(*dispatch.Request, dispatch.Holding)                    {}
 
 // agentNotes notes what an agent decides.
 type agentNotes struct{ a *agentProc }
 
-func (n agentNotes) Ended(_ ident.Incarnation, e fleet.End) {
+func (n agentNotes) Ended(e upstream.Ending) {
 	if e.Outcome != job.Done {
 		n.a.w.note("%s: run %d of %v is %s %s", n.a.name, e.Run, e.Task, e.Outcome, e.Reason)
 	}
@@ -211,7 +213,11 @@
 	n.a.w.note("%s: %s after %s, %s", n.a.name, to, from, why)
 }
 
-func (n agentNotes) Orphaned(_ ident.Incarnation, runs int, why string) {
+func (n agentNotes) Lapsed(time.Duration) {}
+
+func (n agentNotes) Unconfirmed(ident.Incarnation, []fleet.End) {}
+
+func (n agentNotes) Orphaned(_ ident.Incarnation, runs int, why string, _ time.Duration) {
 	n.a.w.note("%s: %d runs of an entry that is %s", n.a.name, runs, why)
 }
 
@@ -232,6 +238,8 @@
 }
 func (n agentNotes) Overtaken() {}
 
+func (n agentNotes) Stray(fleet.RunRef, upstream.StrayEvent) {}
+
 func (n agentNotes) Lost(l upstream.Loss) {
 	n.a.w.note("%s: %v is lost (%s) with %v", n.a.name, l.Life, l.Why, l.Runs)
 }
