platform, agent: only answers that say so mean that a start was not carried out

The agent told the run as not started, its entry placed the task elsewhere at once, and it ran at two upstreams.

It still counts against the upstream's health, as the refusal did.

--- a/internal/agent/call/call.go
+++ b/internal/agent/call/call.go
@@ -73,12 +73,14 @@
 	Used Answer = "used"
 	// Full: the upstream guards its own room and has none.
 	Full Answer = "full"
-	// Declined: the upstream did nothing, for another reason.
+	// Declined: the upstream did nothing, for another reason that it has told.
 	Declined Answer = "declined"
 	// WrongInstance: another life of the upstream answered.
 	WrongInstance Answer = "wrong_instance"
 	// Unanswered: nothing is known.
 	Unanswered Answer = "unanswered"
+	// Unclear: the upstream has answered, but not with what it has done, as by a server's error.
+	Unclear Answer = "unclear"
 )
 
 // Listed is a run that the upstream lists as running.
--- a/internal/agent/node/calls.go
+++ b/internal/agent/node/calls.go
@@ -10,7 +10,7 @@
 	"hillreel/internal/core/boottime"
 )
 
-// Upstream makes calls to the upstream beside this agent. An error goes with an answer of Unanswered.
+// Upstream makes calls to the upstream beside this agent. An error goes with an answer of Unanswered or Unclear.
 type Upstream interface {
 	Start(ctx context.Context, c call.Start) (call.Answer, call.Clock, error)
 	Stop(ctx context.Context, c call.Stop) (call.Answer, call.Clock, error)
@@ -40,7 +40,7 @@
 		if err != nil {
 			c.log.WithFields(fields).WithFields(logrus.Fields{"limit_ms": limit.Milliseconds(), "error": err.Error()}).Info(what)
 		}
-		c.loop.Post(orderDone{took, limit, err == nil, done(a, clock)})
+		c.loop.Post(orderDone{took, limit, a != call.Unanswered, done(a, clock)})
 	}()
 }
 
--- a/internal/agent/upstream/health_test.go
+++ b/internal/agent/upstream/health_test.go
@@ -185,3 +185,33 @@
 	qt.Assert(t, b.keeper.Runs(), qt.Equals, 0)
 	qt.Assert(t, b.ends[one][0].Outcome, qt.Equals, job.NotStarted)
 }
+
+// TestRefusingUpstreamIsLeftAlone: an upstream that refuses starts, or answers them with errors, gets nothing but probes; answers that
+// are lost say nothing of it.
+func TestRefusingUpstreamIsLeftAlone(t *testing.T) {
+	for _, test := range []struct {
+		answer call.Answer
+		want   fleet.State
+	}{
+		{call.Declined, fleet.Suspect},
+		{call.Unclear, fleet.Suspect},
+		{call.Unanswered, fleet.Ready},
+	} {
+		t.Run(string(test.answer), func(t *testing.T) {
+			b := newBench(t, nil)
+			for i := range 3 {
+				b.orderOther(job.ID(300 + i))
+				b.keeper.StartDone(b.now, b.starts[len(b.starts)-1], test.answer, 0)
+				b.pass(time.Millisecond)
+				b.look()
+				b.look()
+			}
+			b.pass(100 * time.Millisecond)
+			b.keeper.Ping(b.now, one, b.rooms[one].Clock, 0)
+			b.look()
+			b.keeper.Flush(b.now)
+			qt.Assert(t, b.starts, qt.HasLen, 3)
+			qt.Assert(t, b.rooms[one].State, qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -178,14 +178,10 @@
 	case call.OK:
 		r.phase, r.sure, r.advanced = running, now, now
 	case call.Unanswered:
-		k.observer.Unsure(r.task, r.number)
-		if k.without.Off(rule.FenceUnsure) {
-			k.finish(now, r, job.NotStarted, fleet.NeverArrived, "")
-			return
-		}
-		k.lease.Raise(now)
-		r.phase, r.sure = unsure, now
-		k.look(now)
+		k.startUnsure(now, r)
+	case call.Unclear:
+		k.health.Bad(now)
+		k.startUnsure(now, r)
 	case call.Fenced:
 		k.fenced(now, r, c)
 	case call.Used:
@@ -198,6 +194,19 @@
 	}
 }
 
+// startUnsure handles that a start may have been carried out, or may be later: only what the upstream lists after a call under a newer
+// token tells.
+func (k *Keeper) startUnsure(now time.Time, r *run) {
+	k.observer.Unsure(r.task, r.number)
+	if k.without.Off(rule.FenceUnsure) {
+		k.finish(now, r, job.NotStarted, fleet.NeverArrived, "")
+		return
+	}
+	k.lease.Raise(now)
+	r.phase, r.sure = unsure, now
+	k.look(now)
+}
+
 // fenced sends a start again that a newer token of this agent has overtaken: the upstream has done nothing.
 func (k *Keeper) fenced(now time.Time, r *run, c call.Start) {
 	if r.stop != nil {
--- a/internal/agent/upstream/upstream_test.go
+++ b/internal/agent/upstream/upstream_test.go
@@ -130,22 +130,27 @@
 	}
 }
 
-// TestUnansweredStartIsLookedInto: a start without an answer is settled by a look at once, under a higher token, though
-// a hold that waits for an end is under way; a look that answers after a newer one does not bring ended runs back.
+// TestUnansweredStartIsLookedInto: a start without an answer, or with one that says nothing of what was done, is settled by a look at
+// once, under a higher token, though a hold that waits for an end is under way; a look that answers after a newer one does not bring
+// ended runs back.
 func TestUnansweredStartIsLookedInto(t *testing.T) {
 	for _, test := range []struct {
 		name    string
+		answer  call.Answer
 		running bool
 		ends    int
 	}{
-		{"it never arrived", false, 1},
-		{"it runs", true, 0},
+		{"it never arrived", call.Unanswered, false, 1},
+		{"it runs", call.Unanswered, true, 0},
+		{"an error, and it did not arrive", call.Unclear, false, 1},
+		{"an error, and it runs", call.Unclear, true, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			b := newBench(t, nil)
 			b.order(one, 1)
 			before := b.starts[0].Token
-			b.keeper.StartDone(b.now, b.starts[0], call.Unanswered, 0)
+			b.keeper.StartDone(b.now, b.starts[0], test.answer, 0)
+			qt.Assert(t, b.ends[one], qt.HasLen, 0)
 			look := b.holds[len(b.holds)-1]
 			qt.Assert(t, look.Look, qt.IsTrue)
 			qt.Assert(t, look.Token > before, qt.IsTrue)
