agent: an upstream's word that it has ended ends none of its runs

Cause: where heartbeats tell no born, the agent took the word (deregister) for the end of all runs there and told its entries, which placed the tasks elsewhere at once. A start that was on its way could still be carried out as well. Where born is told, the word has only stopped new work since lives share ids.

Now it does so everywhere: the runs that are there go on until they end, their lease has lapsed, or another life answers. With no run there the life is forgotten at once, as before. Price: what still runs at an upstream that ends is placed elsewhere half a second later.

Evidence: TestWordOfEndLosesNoRun failed before in all three cases (the run was given up at once).

--- a/internal/agent/upstream/life.go
+++ b/internal/agent/upstream/life.go
@@ -245,14 +245,14 @@
 	}
 }
 
-// Left handles an upstream's word that it has ended. It does not say which life: where lives share an id, it may be a former one's
-// that was held up on the way, so the present one takes no more work until it is heard again, and its runs are lost only once
-// their lease has lapsed.
+// Left handles an upstream's word that it has ended, which it sends shortly before: where the acknowledgement is lost, seconds before. Nor
+// does it say which life: where lives share an id, it may be a former one's that was held up on the way. So the present one
+// takes no more work until it is heard again, and its runs are lost only once their lease has lapsed, or another answers.
 func (k *Keeper) Left(now time.Time, id ident.UpstreamID) {
 	switch {
 	case !k.known || k.life.ID != id:
 		k.lives.End(ident.UpstreamLife{ID: id})
-	case k.life.Born == 0:
+	case k.life.Born == 0 && len(k.runs) == 0:
 		k.end(now)
 	default:
 		k.departed = true
--- a/internal/agent/upstream/life_test.go
+++ b/internal/agent/upstream/life_test.go
@@ -361,3 +361,49 @@
 		qt.Assert(t, next.rooms[one].State, qt.Equals, fleet.Leaving)
 	}
 }
+
+// TestWordOfEndLosesNoRun guards against tasks that run at two upstreams because the word that an upstream has ended was taken for the
+// end of its runs: it is sent before the end, which comes seconds later where its acknowledgement is lost.
+func TestWordOfEndLosesNoRun(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// answers are what the holds that follow bring.
+		answer call.Answer
+		// lost is when the run is given up, at the least and at the most; zero is not at all.
+		least, most time.Duration
+		reason      fleet.Reason
+	}{
+		{"it runs on", call.OK, 0, 0, ""},
+		{"it ends", call.Unanswered, timing.Lease, 2 * timing.Lease, fleet.LeaseLapsed},
+		{"another one stands there", call.WrongInstance, 0, 20 * time.Millisecond, fleet.UpstreamGone},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.order(one, 1)
+			b.keeper.StartDone(b.now, b.starts[0], call.OK, b.clock())
+			b.look(call.Listed{Task: task, Run: 1, Percent: 1})
+			b.keeper.Left(b.now, "u-1")
+			b.keeper.Flush(b.now)
+			qt.Assert(t, b.rooms[one].State, qt.Equals, fleet.Leaving)
+			qt.Assert(t, b.ends[one], qt.HasLen, 0)
+			var took time.Duration
+			for ; took < time.Second && len(b.ends[one]) == 0; took += 10 * time.Millisecond {
+				b.pass(10 * time.Millisecond)
+				b.keeper.Ping(b.now, one, b.rooms[one].Clock, 0)
+				if test.answer == call.OK {
+					b.look(call.Listed{Task: task, Run: 1, Percent: int(took / (10 * time.Millisecond))})
+				} else {
+					b.answer("u-1", test.answer)
+				}
+				b.keeper.Tick(b.now)
+				b.keeper.Flush(b.now)
+			}
+			if test.reason == "" {
+				qt.Assert(t, b.ends[one], qt.HasLen, 0)
+				return
+			}
+			qt.Assert(t, b.ends[one][0].Reason, qt.Equals, test.reason)
+			qt.Assert(t, took > test.least && took <= test.most, qt.IsTrue, qt.Commentf("%v", took))
+		})
+	}
+}
