agent: a start that was fenced extends no lease that must lapse

Cause: when the stop of an unwanted run (its entry lost, its caller gone) has gone unanswered for the stop budget, holds extend the lease no longer and no order is taken. A start that was under way then and came back as fenced was sent again all the same, with a new lease, which is that of all that runs: by up to the wait for one order, 150 ms, and again for each such start. The margin of the bound after which callers may come back is 100 ms.

Such a start is not sent again; it was not carried out, and its entry places the task elsewhere.

--- a/internal/agent/upstream/lease_test.go
+++ b/internal/agent/upstream/lease_test.go
@@ -120,3 +120,35 @@
 		})
 	}
 }
+
+// TestFencedStartExtendsNoLeaseThatMustLapse guards against runs of a lost entry or a gone caller that outlive their bound: a start that a
+// newer token has overtaken is not sent again, with a longer lease for all, once the stop of an unwanted run has failed.
+func TestFencedStartExtendsNoLeaseThatMustLapse(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		waited time.Duration
+		starts int
+	}{
+		{"the stop may still be answered", timing.StopBudget / 2, 3},
+		{"the lease must lapse", timing.StopBudget, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.order(one, 1)
+			b.keeper.StartDone(b.now, b.starts[0], call.OK, 0)
+			b.keeper.StopTask(b.now, one, ordered(1), fleet.OnRequest)
+			b.pass(timing.StopBudget/2 - time.Millisecond)
+			b.look(call.Listed{Task: task, Run: 1, Percent: 50})
+			b.orderBeside(two, 1)
+			qt.Assert(t, b.starts, qt.HasLen, 2)
+			b.pass(test.waited - timing.StopBudget/2 + time.Millisecond)
+			b.keeper.StartDone(b.now, b.starts[1], call.Fenced, 0)
+			qt.Assert(t, b.starts, qt.HasLen, test.starts)
+			if test.starts == 2 {
+				qt.Assert(t, b.ends[two], qt.HasLen, 1)
+				qt.Assert(t, b.ends[two][0].Outcome, qt.Equals, job.NotStarted)
+				qt.Assert(t, b.ends[two][0].Reason, qt.Equals, fleet.NotAccepting)
+			}
+		})
+	}
+}
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -214,12 +214,15 @@
 		return
 	}
 	k.lease.Outbid(now, c.Token)
-	if k.cordoned() {
+	switch {
+	case k.cordoned():
 		k.observer.Gated(r.task, r.owner)
 		k.finish(now, r, job.NotStarted, fleet.ZoneCordoned, "")
-		return
+	case k.mustLapse(now):
+		k.finish(now, r, job.NotStarted, fleet.NotAccepting, "") // it would extend the lease
+	default:
+		k.callStart(now, r)
 	}
-	k.callStart(now, r)
 }
 
 // StopDone handles the answer to a Stop.
