soak: calls that upstreams read late, in any order, or answer with errors

The soak's upstreams answered each call at once or not at all. These read starts and stops up to 2 s late, after the agent has given up and closed the connection, while newer calls overtake them; calls and answers are held up on the way, also while their agent is killed and started again; and orders are carried out and answered with 502. Agents run for half of each tenth of a second, entries for all of it.

--- a/internal/proof/soak/resend_test.go
+++ b/internal/proof/soak/resend_test.go
@@ -14,12 +14,16 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"hillreel/platform/standin"
 )
 
 var (
 	resendEntries = flag.Int("resend-entries", 0, "how many entries a set of TestResentJobsAtSize has")
 	resendAgents  = flag.Int("resend-agents", 16, "how many agents it has")
 	resendRate    = flag.Float64("resend-rate", 100, "how many jobs its callers send a second")
+	callsShare    = flag.Float64("calls-share", 0.5, "the share of a core that agents of TestLateCalls get, entries twice that")
+	callsFor      = flag.Duration("calls-for", 8*time.Second, "how long jobs come in TestLateCalls")
 	resendShare   = flag.Float64("resend-share", 1, "the share of a core that its agents get, entries twice that")
 )
 
@@ -168,6 +172,38 @@
 	return fmt.Sprintf("roll each fourth agent, %v apart", span)
 }
 
+// callFault lets an upstream read calls late, after their senders have given up and closed the connections, while newer ones overtake
+// them, and its agent stand still or start again beside them.
+func (s *set) callFault(rng *rand.Rand) string {
+	a := s.agents[rng.IntN(len(s.agents))]
+	span := time.Duration(100+rng.IntN(1900)) * time.Millisecond
+	switch rng.IntN(8) {
+	case 0, 1:
+		a.upstream.Break(standin.UpstreamFault{Late: span})
+		time.AfterFunc(span, func() { a.upstream.Break(standin.UpstreamFault{}) })
+		return fmt.Sprintf("orders of %s are taken up %v late", a.name, span)
+	case 2, 3:
+		a.calls.set(span, false, false)
+		time.AfterFunc(span, func() { a.calls.set(0, false, false) })
+		return fmt.Sprintf("calls of %s and their answers are %v late", a.name, span)
+	case 4:
+		a.calls.set(0, false, true)
+		time.AfterFunc(span, func() { a.calls.set(0, false, false) })
+		return fmt.Sprintf("answers to %s are held up for %v", a.name, span)
+	case 5:
+		a.calls.set(span, false, false)
+		time.AfterFunc(span/4, func() { s.restart(a, syscall.SIGKILL, span/4) })
+		time.AfterFunc(span/2, func() { a.calls.set(0, false, false) })
+		return fmt.Sprintf("%s is killed while its calls are %v late", a.name, span)
+	case 6:
+		s.freeze(a, span)
+		return fmt.Sprintf("freeze %s %v", a.name, span)
+	}
+	a.upstream.Break(standin.UpstreamFault{Status: http.StatusBadGateway})
+	time.AfterFunc(span, func() { a.upstream.Break(standin.UpstreamFault{}) })
+	return fmt.Sprintf("orders of %s are carried out and answered with errors for %v", a.name, span)
+}
+
 // resendCases are schedules of one fault, one after the other, that each run plays.
 var resendCases = []struct {
 	name  string
@@ -221,6 +257,24 @@
 	}
 }
 
+// callFaultEvery is the mean pause between two faults of calls.
+const callFaultEvery = 250 * time.Millisecond
+
+// TestLateCalls guards against tasks that run at two upstreams because a run was told as not there while a call that starts it was still
+// on its way: calls are read late and in any order, by agents that get a part of a core.
+func TestLateCalls(t *testing.T) {
+	binary := build(t)
+	for i := range *soakSeeds {
+		seed := *soakSeed + uint64(i)
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+			resends(t, binary, resendRun{
+				seed: seed, entries: 2, agents: 8, rate: 60, share: *callsShare, length: *callsFor,
+				fault: (*set).callFault, every: func(rng *rand.Rand) time.Duration { return time.Duration(rng.Int64N(int64(2 * callFaultEvery))) },
+			})
+		})
+	}
+}
+
 // build builds the program under test.
 func build(t *testing.T) string {
 	binary := filepath.Join(t.TempDir(), "hillreel")
