schedule: worlds in which calls are read late and in any order

An order was carried out within 2 ms or after 2 s at least, and holds were never late. In these worlds calls of all kinds and their answers are on their way for anything up to 3 s, newer ones overtake older ones, agents end meanwhile and start again beside calls of their former lives, stand still for 75 of 100 ms, and take answers that came meanwhile for lost. An order counts as carried out late once nobody waits for its answer, which no other world has between 2 ms and 2 s: digests of the others are as before.

--- a/internal/proof/schedule/upstream_test.go
+++ b/internal/proof/schedule/upstream_test.go
@@ -66,6 +66,8 @@
 	loses, late float64
 	// vanish: the others of those are not carried out at all.
 	vanish bool
+	// lag is up to how long calls and answers are on their way; zero is as usual.
+	lag time.Duration
 	// slow stretches the work of what starts; zero does not.
 	slow float64
 	// fails and hangs are how often runs do so.
@@ -384,17 +386,23 @@
 	if lost && u.w.chance(u.late) {
 		delay, vanish = u.w.between(2*time.Second, 12*time.Second), false
 	}
+	delay = u.w.calls.way(u, delay)
 	// An order that is carried out seconds late waits at the upstream, and is gone with its life; one on its way is not.
 	waits, life := delay >= 2*time.Second && u.w.odds.restarts, u.life
 	u.w.After(delay, func() {
 		if !u.up || u.cut || vanish || waits && u.life != life {
 			return
 		}
-		u.carriesLate = delay >= 2*time.Second
+		u.carriesLate = delay >= callTimeout // nobody waits for its answer any more
 		a, c := do(), u.clock()
 		u.carriesLate = false
 		if !lost {
-			u.w.After(u.w.between(100*time.Microsecond, 2*time.Millisecond), func() { reply(a, c) })
+			back := u.w.calls.way(u, u.w.between(100*time.Microsecond, 2*time.Millisecond))
+			u.w.After(back, func() {
+				if !u.w.calls.misses(u.agent) {
+					reply(a, c)
+				}
+			})
 		}
 	})
 }
--- a/internal/proof/schedule/words_test.go
+++ b/internal/proof/schedule/words_test.go
@@ -115,14 +115,20 @@
 	}
 	w.After(c.Wait+callTimeout, func() { reply(call.Held{Answer: call.Unanswered}) })
 	lost := w.chance(u.loses / 4)
-	w.After(w.between(100*time.Microsecond, 2*time.Millisecond), func() {
+	w.After(w.calls.way(u, w.between(100*time.Microsecond, 2*time.Millisecond)), func() {
 		if !u.up || u.cut {
 			return
 		}
 		u.hold(c, func(h call.Held) {
-			if !lost && !u.cut {
-				w.After(w.between(100*time.Microsecond, 2*time.Millisecond), func() { reply(h) })
+			if lost || u.cut {
+				return
 			}
+			back := w.calls.way(u, w.between(100*time.Microsecond, 2*time.Millisecond))
+			w.After(back, func() {
+				if !w.calls.misses(x.a) {
+					reply(h)
+				}
+			})
 		})
 	})
 }
