--- a/internal/standin/embedded/embedded.go
+++ b/internal/standin/embedded/embedded.go
@@ -38,6 +38,8 @@
 	Log   *logrus.Entry
 	// FixedPorts puts the first entry's APIs at the ports of hillreel.ini's examples: 7600 and 7500.
 	FixedPorts bool
+	// Unborn: upstreams do not tell when their lives began.
+	Unborn bool
 	// Adjust changes the settings of a process before it starts; it may be nil.
 	Adjust func(role string, s *settings.Settings)
 	// Through returns the address under which others reach an address of the set: that of a proxy. It may be nil.
@@ -206,7 +208,7 @@
 	u := standin.NewUpstream(standin.UpstreamOptions{
 		Name: fmt.Sprintf("upstream-%d", i), Service: string(s.o.Service), Agent: string(s.through(PathBeats, set.Agent.Control)),
 		CPU: s.o.Cores * 1000, MemMB: 64 << 10, Labels: []string{fmt.Sprintf("rack-%d", i/3)}, Beat: 200 * time.Millisecond,
-		Ledger: s.Ledger,
+		Ledger: s.Ledger, Unborn: s.o.Unborn,
 	})
 	s.stops = append(s.stops, u.Close)
 	s.Upstreams = append(s.Upstreams, u)
--- a/internal/standin/embedded/restart_test.go
+++ b/internal/standin/embedded/restart_test.go
@@ -7,7 +7,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"hillreel/api"
 	"hillreel/client"
+	"hillreel/internal/core/logs"
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/standin/embedded"
 	"hillreel/platform/standin"
@@ -108,3 +110,30 @@
 		})
 	}
 }
+
+// TestUpstreamEndsLate guards against tasks that run at two upstreams because the word that an upstream has ended was taken for its end:
+// it runs on for a while where that word is not acknowledged.
+func TestUpstreamEndsLate(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		unborn bool
+	}{
+		{"it tells when its life began", false},
+		{"it does not", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			set, err := embedded.Start(embedded.Options{
+				Entries: 2, Agents: 4, Cores: 8, Service: "publish", Log: logs.Discard(), Adjust: unhurried, Unborn: test.unborn,
+			})
+			qt.Assert(t, err, qt.IsNil)
+			t.Cleanup(set.Stop)
+			done := make(chan map[api.State]int, 1)
+			go func() { done <- submitAll(t, newClient(t, set), 6, job(600, `{"run_ms":600}`)) }()
+			time.Sleep(200 * time.Millisecond)
+			set.Upstreams[0].End(400 * time.Millisecond)
+			qt.Assert(t, <-done, qt.DeepEquals, map[api.State]int{verdict.Complete: 6})
+			qt.Assert(t, set.Ledger.Broken(), qt.HasLen, 0)
+		})
+	}
+}
