agent: tests of listings that come out of order

A listing that is older than one taken in before (TestOvertakenListing), and one whose hold was sent before the stop of a run without an answer to its start was answered (TestListingBeforeTheStop). Each test fails without its condition. The code is unchanged.

--- a/internal/agent/upstream/upstream_test.go
+++ b/internal/agent/upstream/upstream_test.go
@@ -301,3 +301,62 @@
 		})
 	}
 }
+
+// TestOvertakenListing: a listing that comes after a newer one brings no run back that has ended since, and what it doesn't list yet is
+// not taken for gone.
+func TestOvertakenListing(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		listing []call.Listed
+	}{
+		{"it lists a run that has ended since", []call.Listed{{Task: task, Run: 1, Percent: 50}}},
+		{"it doesn't list a run that has started since", nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.order(one, 1)
+			b.keeper.StartDone(b.now, b.starts[0], call.OK, 0)
+			b.pass(time.Millisecond)
+			late := call.Hold{Header: b.holds[len(b.holds)-1].Header, Look: true}
+			late.Sent = b.now
+			earlier := b.clock()
+			b.pass(time.Millisecond)
+			b.answered = len(b.holds)
+			b.keeper.HoldDone(b.now, b.holds[len(b.holds)-1], call.Held{
+				Answer: call.OK, Clock: b.clock(), Finished: []call.Finished{{N: 1, Task: task, Run: 1, How: call.HowDone}},
+			})
+			b.orderBeside(two, 1)
+			b.keeper.StartDone(b.now, b.starts[1], call.OK, 0)
+			b.pass(time.Millisecond)
+			b.keeper.HoldDone(b.now, late, call.Held{Answer: call.OK, Clock: earlier, Running: test.listing})
+			b.pass(10 * time.Millisecond)
+			b.keeper.Flush(b.now)
+			qt.Assert(t, b.stops, qt.HasLen, 0)
+			qt.Assert(t, b.ends[two], qt.HasLen, 0)
+			qt.Assert(t, b.rooms[one].State, qt.Equals, fleet.Ready)
+		})
+	}
+}
+
+// TestListingBeforeTheStop: a run whose start has no answer yet is gone once its stop was answered and a hold that was sent after that
+// doesn't list it. One that was sent before may have been listed before the start came, and the run takes a while to stop.
+func TestListingBeforeTheStop(t *testing.T) {
+	b := newBench(t, nil)
+	b.order(one, 1)
+	b.keeper.StopTask(b.now, one, ordered(1), fleet.OnRequest)
+	b.pass(time.Millisecond)
+	early := call.Hold{Header: b.holds[len(b.holds)-1].Header, Look: true}
+	early.Sent = b.now
+	b.pass(time.Millisecond)
+	b.keeper.StopDone(b.now, b.stops[0], call.OK, 0)
+	b.pass(time.Millisecond)
+	b.keeper.HoldDone(b.now, early, call.Held{Answer: call.OK, Clock: b.clock()})
+	qt.Assert(t, b.ends[one], qt.HasLen, 0)
+	qt.Assert(t, b.keeper.Runs(), qt.Equals, 1)
+	b.pass(time.Millisecond)
+	b.look() // the hold that waits was sent before all
+	b.pass(time.Millisecond)
+	b.look()
+	qt.Assert(t, b.ends[one], qt.HasLen, 1)
+	qt.Assert(t, b.ends[one][0].Outcome, qt.Equals, job.Stopped)
+}
