--- a/internal/proof/schedule/schedule_test.go
+++ b/internal/proof/schedule/schedule_test.go
@@ -59,6 +59,7 @@
 		w.crashes.act()
 		w.hard.act()
 		w.cuts.act()
+		w.calls.act()
 	})
 	if faults > 0 {
 		w.removeSome(s)
--- a/internal/proof/schedule/world_test.go
+++ b/internal/proof/schedule/world_test.go
@@ -50,6 +50,8 @@
 	hard *hard
 	// cuts cut entries off from everything in worlds that have it.
 	cuts *cuts
+	// calls lets upstreams read calls late in worlds that have it.
+	calls *calls
 	// broken is the first violation.
 	broken string
 	// log holds what happened, for a schedule that fails.
@@ -79,6 +81,8 @@
 	// cutOff: entries are cut off from everything, callers break off before the time that they have told is over, and what callers send meanwhile
 	// arrives late.
 	cutOff bool
+	// calls: upstreams read calls late, and in any order.
+	calls bool
 }
 
 // impatientFrom is the first seed of the worlds in which many callers give up early and send again at once, over slow links.
@@ -91,6 +95,9 @@
 const cordonsFrom = 3_000_000_000
 
 func oddsOf(seed uint64) odds {
+	if seed >= callsFrom {
+		return odds{leaves: 0.05, again: 0.2, moreJobs: 1, calls: true}
+	}
 	if seed >= cutsFrom {
 		return odds{leaves: 0.05, again: 0.2, moreJobs: 2, cutOff: true}
 	}
@@ -122,6 +129,7 @@
 	w.crashes = newCrashes(w)
 	w.hard = newHard(w)
 	w.cuts = newCuts(w)
+	w.calls = newCalls(w)
 	return w
 }
 
