upstream: a start that is sent again extends no lease that has to lapse

A run that nobody wants, and whose stop gets no answer within the budget, ends with the lease: the agent extends it no more and takes no orders. A start under way that the upstream refuses for an older token (a newer call has overtaken it) was sent again all the same, with a new lease, which counts for all that runs there. The unwanted run lived on by that much, while the caller's next entry or the agent's own takes it for gone by time.

Such a start now ends as not begun (not_accepting), as an order that comes then does; its entry places the task elsewhere at once.

TestFencedStartLeavesTheLease failed before in the case after the budget (two starts, one wanted).

--- a/internal/agent/upstream/lease_test.go
+++ b/internal/agent/upstream/lease_test.go
@@ -140,6 +140,45 @@
 	}
 }
 
+// TestFencedStartLeavesTheLease guards against runs that outlive the time after which an entry takes them for gone: a start of another
+// entry's task, which a newer token had overtaken, was sent again, and extended the lease of all while it had to lapse.
+func TestFencedStartLeavesTheLease(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// passed is how long after the stop of the other run the start is refused.
+		passed time.Duration
+		// answered: the stop was.
+		answered bool
+		starts   int
+	}{
+		{"within the budget", timing.StopBudget - 10*time.Millisecond, false, 2},
+		{"after it", timing.StopBudget + 10*time.Millisecond, false, 1},
+		{"after it, and the stop was answered", timing.StopBudget + 10*time.Millisecond, true, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, nil)
+			b.order(one, 1)
+			b.keeper.StartDone(b.now, b.starts[0], call.OK, b.clock())
+			b.starts = nil
+			b.keeper.StopTask(b.now, one, ordered(1), fleet.OnRequest)
+			b.orderBeside(two, 1)
+			qt.Assert(t, b.starts, qt.HasLen, 1)
+			if test.answered {
+				b.keeper.StopDone(b.now, b.stops[0], call.OK, b.clock())
+			}
+			b.pass(test.passed)
+			b.keeper.StartDone(b.now, b.starts[0], call.Fenced, 0)
+			qt.Assert(t, b.starts, qt.HasLen, test.starts)
+			if test.starts > 1 {
+				return
+			}
+			qt.Assert(t, b.ends[two], qt.HasLen, 1)
+			qt.Assert(t, b.ends[two][0].Outcome, qt.Equals, job.NotStarted)
+			qt.Assert(t, b.ends[two][0].Reason, qt.Equals, fleet.NotAccepting)
+		})
+	}
+}
+
 // TestLinkThatIsResetCostsNoRun: an entry that is back within the silence goes on with its runs; one that is not, or
 // that has surely ended, has them stopped. Incident inc-941c: links that were reset cost all runs on them.
 func TestLinkThatIsResetCostsNoRun(t *testing.T) {
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -212,6 +212,10 @@
 		k.finish(now, r, job.NotStarted, fleet.ZoneCordoned, "")
 		return
 	}
+	if k.mustLapse(now) {
+		k.finish(now, r, job.NotStarted, fleet.NotAccepting, "") // a start extends the lease of all
+		return
+	}
 	k.callStart(now, r)
 }
 
