--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -221,7 +221,7 @@
 	outcome job.Outcome
 	reason  fleet.Reason
 	cause   StopCause
-	// asked is when the stop began, since when it became as urgent as it is, sent when a stop call was made last.
+	// asked is when the stop began, since from when on the run was to be stopped as urgently as it is, sent when a stop call was made last.
 	asked, since, sent time.Time
 	// calling is true while a stop call is under way.
 	calling bool
