soak: what the processes know is kept with the logs of a seed that failed

A seed that failed kept its logs alone, and only the first time: copying into the directory of an earlier failure of the same seed was an error. "Nothing starts in a zone" can't be traced from them, since agents and entries log no pace, and upstreams that are passed over have no line. No check changes.

--- a/internal/proof/soak/resend_test.go
+++ b/internal/proof/soak/resend_test.go
@@ -248,7 +248,7 @@
 	until := time.Now().Add(30 * time.Second)
 	for why := calm(s, 1); why != ""; why = calm(s, 1) {
 		if time.Now().After(until) {
-			s.keep(r.seed)
+			s.keep(r.seed, why)
 			t.Fatalf("seed %d: the set does not come up: %s", r.seed, why)
 		}
 	}
@@ -272,7 +272,7 @@
 	problems := append(s.ledger.Broken(), c.check()...)
 	t.Logf("seed %d: %d jobs, %v, faults: %s", r.seed, len(c.jobs), c.counts(), strings.Join(log, "; "))
 	if len(problems) > 0 {
-		s.keep(r.seed)
+		s.keep(r.seed, problems...)
 		t.Errorf("seed %d: %d problems: %s", r.seed, len(problems), strings.Join(problems, "\n"))
 	}
 }
--- a/internal/proof/soak/set_test.go
+++ b/internal/proof/soak/set_test.go
@@ -37,8 +37,10 @@
 	name, role string
 	// zone is the availability zone.
 	zone string
-	args []string
-	cmd  *exec.Cmd
+	// metrics is the address of its metrics.
+	metrics string
+	args    []string
+	cmd     *exec.Cmd
 	// done is closed when cmd has ended.
 	done chan struct{}
 	// link, front and store are proxies, and so are calls and beats, to the upstream and from it. Entries have the first three,
@@ -147,19 +149,19 @@
 
 func (s *set) addEntry(i int) {
 	ip := s.ip(1, i)
-	p := &process{name: fmt.Sprintf("entry-%d", i), role: "entry", zone: zoneOf(i), args: []string{"entry"}}
+	p := &process{name: fmt.Sprintf("entry-%d", i), role: "entry", zone: zoneOf(i), metrics: at(ip, portMetrics), args: []string{"entry"}}
 	p.store = s.proxy(at(s.ip(3, i), portStore), at(s.ip(0, 0), portStore))
 	p.link = s.proxy(at(ip, portLinkProxy), at(ip, portLink))
 	p.front = s.proxy(at(s.ip(5, i), portFront), at(ip, portFront))
-	s.write(p, fmt.Sprintf("[node]\nname = %s\nzone = %s\nlink = %s\nadvertise = %s\nmetrics = %s\n[entry]\nfront = %s\nunready = 300ms\n[platform]\nstore = %s\n",
-		p.name, p.zone, at(ip, portLink), p.link.address(), at(ip, portMetrics), at(ip, portFront), p.store.address()))
+	s.write(p, fmt.Sprintf("[node]\nname = %s\nzone = %s\nlink = %s\nadvertise = %s\nmetrics = %s\n[entry]\nfront = %s\nunready = 300ms\noperator_tokens = soak/read/%s\n[platform]\nstore = %s\n",
+		p.name, p.zone, at(ip, portLink), p.link.address(), at(ip, portMetrics), at(ip, portFront), readToken, p.store.address()))
 	s.entries = append(s.entries, p)
 	s.start(p)
 }
 
 func (s *set) addAgent(i int) {
 	ip := s.ip(2, i)
-	p := &process{name: fmt.Sprintf("agent-%d", i), role: "agent", zone: zoneOf(i), args: []string{"agent"}}
+	p := &process{name: fmt.Sprintf("agent-%d", i), role: "agent", zone: zoneOf(i), metrics: at(ip, portMetrics), args: []string{"agent"}}
 	p.store = s.proxy(at(s.ip(4, i), portStore), at(s.ip(0, 0), portStore))
 	p.calls = s.proxy(at(s.ip(6, i), portUpstream), at(ip, portUpstream))
 	p.beats = s.proxy(at(s.ip(7, i), portControl), at(ip, portControl))
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -4,8 +4,6 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -82,7 +80,7 @@
 	until := time.Now().Add(20 * time.Second)
 	for calm(s, 1) != "" {
 		if time.Now().After(until) {
-			s.keep(seed)
+			s.keep(seed, "the set does not come up")
 			t.Fatalf("seed %d: the set does not come up: %s", seed, calm(s, 1))
 		}
 	}
@@ -139,7 +137,7 @@
 	}
 	t.Logf("seed %d: %v, faults: %s", seed, c.counts(), strings.Join(log, "; "))
 	if len(problems) > 0 {
-		s.keep(seed)
+		s.keep(seed, problems...)
 		t.Errorf("seed %d: %s", seed, strings.Join(problems, "\n"))
 	}
 }
@@ -162,17 +160,6 @@
 	return ""
 }
 
-// keep copies the logs of a seed that failed.
-func (s *set) keep(seed uint64) {
-	if *soakKeepIn == "" {
-		return
-	}
-	into := filepath.Join(*soakKeepIn, fmt.Sprintf("seed-%d", seed))
-	if err := os.CopyFS(into, os.DirFS(s.dir)); err != nil {
-		s.t.Logf("logs not kept: %v", err)
-	}
-}
-
 // silence makes open connections silent for good: those of one kind or of all, of one process or of all. Or it lets heartbeats
 // arrive late.
 func (s *set) silence(rng *rand.Rand) string {
