--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -109,6 +109,10 @@
 	StopsAsked(s Stops)
 	// CameAgain is called for a request of a job that is held.
 	CameAgain(r *Request, h Holding)
+	// OutOfTouch is called when the entry has heard nothing for so long that its callers may have gone unheard, with how many jobs are given up.
+	OutOfTouch(silent time.Duration, jobs int)
+	// Belated is called for a request that waits for the end of its connection, which may come right behind it.
+	Belated(r *Request)
 	// AgentChanged is called when the session with an agent ends or goes on while runs of this entry are there, and when
 	// those runs are settled; runs is how many the event is about.
 	AgentChanged(agent ident.UpstreamName, runs int, event AgentEvent)
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -74,6 +74,8 @@
 func (b *bench) Taken(*dispatch.Request)                                        {}
 func (b *bench) StopsAsked(s dispatch.Stops)                                    { b.told = append(b.told, s) }
 func (b *bench) CameAgain(_ *dispatch.Request, h dispatch.Holding)              { b.again = append(b.again, h) }
+func (b *bench) OutOfTouch(time.Duration, int)                                  {}
+func (b *bench) Belated(*dispatch.Request)                                      {}
 
 // newBench returns a Table with agents 1 to n linked, each with an upstream of the same number and two cores.
 func newBench(t *testing.T, n int) *bench {
--- a/internal/entry/dispatch/touch.go
+++ b/internal/entry/dispatch/touch.go
@@ -77,6 +77,7 @@
 	if t.opts.Without.Off(rule.CallersLost) {
 		return
 	}
+	given := 0
 	for _, j := range t.sortedJobs() {
 		if j.kept {
 			continue
@@ -84,8 +85,10 @@
 		t.answerAgain(j, outOfTouch)
 		if !j.ending {
 			t.close(now, j, outOfTouch)
+			given++
 		}
 	}
+	t.observer.OutOfTouch(now.Sub(c.heard), given)
 }
 
 // outOfTouch is for callers of whom nobody can say whether they are still there.
@@ -103,6 +106,7 @@
 	if r.Kept != nil || !t.touch.belated(now) || t.opts.Without.Off(rule.HearEnds) {
 		return false
 	}
+	t.observer.Belated(&r)
 	t.belated = append(t.belated, belatedRequest{r, now.Add(listenFor)})
 	return true
 }
--- a/internal/entry/node/observe.go
+++ b/internal/entry/node/observe.go
@@ -101,6 +101,15 @@
 	o.log.WithFields(f).Info("run_stop_asked")
 }
 
+// OutOfTouch logs that nothing was heard for so long that callers may have gone unheard.
+func (o *Observer) OutOfTouch(silent time.Duration, jobs int) {
+	o.counters.Add("out_of_touch", 1)
+	o.log.WithFields(logrus.Fields{"silent_ms": silent.Milliseconds(), "jobs_given_up": jobs}).Warn("out_of_touch")
+}
+
+// Belated counts the requests that wait for the end of their connections.
+func (o *Observer) Belated(*dispatch.Request) { o.counters.Add("requests_belated", 1) }
+
 // CameAgain logs a request of a job that is held, and counts those whose job still had runs.
 func (o *Observer) CameAgain(r *dispatch.Request, h dispatch.Holding) {
 	o.counters.Add("callers_came_again", 1)
--- a/internal/load/world/entry.go
+++ b/internal/load/world/entry.go
@@ -190,5 +190,11 @@
 // CameAgain counts nothing: callers count what they send.
 func (notes) CameAgain(*dispatch.Request, dispatch.Holding) {}
 
+// OutOfTouch and Belated count nothing: entries are never cut off here.
+func (notes) OutOfTouch(time.Duration, int) {}
+
+// Belated: see OutOfTouch.
+func (notes) Belated(*dispatch.Request) {}
+
 // AgentChanged counts nothing.
 func (notes) AgentChanged(ident.UpstreamName, int, dispatch.AgentEvent) {}
--- a/internal/proof/schedule/words_test.go
+++ b/internal/proof/schedule/words_test.go
@@ -205,6 +205,8 @@
 func (nobody) Taken(*dispatch.Request)                                          {}
 func (nobody) StopsAsked(dispatch.Stops)                                        {}
 func (nobody) CameAgain(*dispatch.Request, dispatch.Holding)                    {}
+func (nobody) OutOfTouch(time.Duration, int)                                    {}
+func (nobody) Belated(*dispatch.Request)                                        {}
 
 // agentNotes notes what an agent decides.
 type agentNotes struct{ a *agentProc }
