entry/node, dispatch: a request whose caller is known to have gone is not taken

Cause: the end of a caller is posted behind its request, so that the request is taken and placed first.

The control goroutine asks before it takes a best-effort request. The time in which requests count as belated has half a second more, for the first pause of retransmissions and for slow reading. TestRequestsOfCallersWhoHaveGone failed before (taken once, want 0).

--- a/internal/entry/dispatch/touch.go
+++ b/internal/entry/dispatch/touch.go
@@ -43,6 +43,10 @@
 	}
 }
 
+// readLate is by how much what comes may be read later than that, by the first pause of retransmissions and by a process that gets a
+// quarter of a core.
+const readLate = 500 * time.Millisecond
+
 // Hear notes that something came, of an agent or a caller, before it is handled. While the process stood still nothing was heard: Tick comes
 // first.
 func (t *Table) Hear(now time.Time) {
@@ -62,7 +66,7 @@
 // belated tells whether what comes now may have been sent long ago. What was lost on the way is sent again after pauses that double, so
 // that it is there once as much time has passed as nothing came.
 func (c *touch) belated(now time.Time) bool {
-	return !c.back.IsZero() && now.Sub(c.back) <= c.back.Sub(c.gone)+listenFor
+	return !c.back.IsZero() && now.Sub(c.back) <= c.back.Sub(c.gone)+readLate
 }
 
 // awaitTouch gives up the callers of an entry that has heard nothing for as long as agents keep its runs. They are answered in case they are
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -149,6 +149,8 @@
 	submitted struct {
 		request dispatch.Request
 		answer  chan dispatch.Answer
+		// gone is closed once the caller is known to have gone.
+		gone <-chan struct{}
 	}
 	abandoned struct {
 		job    job.ID
@@ -164,8 +166,22 @@
 	cordonsRead struct{ snapshot cordon.Snapshot }
 )
 
+// callerGone tells whether the caller is known to have gone since it sent the request.
+func (e *submitted) callerGone() bool {
+	select {
+	case <-e.gone:
+		return true
+	default:
+		return false
+	}
+}
+
 // submit hands a job in, to the book if it is to be kept.
 func (n *Node) submit(now time.Time, e submitted) {
+	if e.request.Spec.BestEffort && e.callerGone() {
+		n.log.WithFields(logrus.Fields{"job": e.request.Job, "request": e.request.Sender}).Info("request_dropped")
+		return // its caller may have sent it elsewhere since
+	}
 	n.callers[e.request.Caller] = e.answer
 	switch {
 	case !n.keeps(&e.request):
@@ -239,7 +255,7 @@
 func (n *Node) Submit(ctx context.Context, r dispatch.Request) (dispatch.Answer, error) {
 	answer, caller := n.newCaller()
 	r.Caller = caller
-	if !n.loop.Post(submitted{r, answer}) {
+	if !n.loop.Post(submitted{r, answer, ctx.Done()}) {
 		return dispatch.Answer{}, errors.New("entry: stopped")
 	}
 	return n.await(ctx, r.Job, caller, answer)
