schedule: agents start again after their VM's clock was set back

Tokens are readings of that clock, so that a start of an agent's former process which is still on its way may have a higher one than the upstream has seen, and than the present process gets by outbidding what it has seen. By reading, such a start is carried out if it is read before the lease in it is over, 400 ms after it was sent. In the worlds of late calls every second agent that ends there starts again with its clock set back by up to 2 s.

--- a/internal/proof/schedule/calls_test.go
+++ b/internal/proof/schedule/calls_test.go
@@ -44,7 +44,7 @@
 			c.w.window("upstream "+a.upstream.name+" reads calls late", d, func() { a.upstream.lag = lag }, func() { a.upstream.lag = 0 })
 		})
 		if c.rng.IntN(3) == 0 {
-			c.w.After(from+c.between(0, d), func() { c.w.endAgent(a, c.rng.IntN(2) == 0, c.between(10*time.Millisecond, time.Second)) })
+			c.w.After(from+c.between(0, d), func() { c.restart(a) })
 		}
 	}
 	for range c.rng.IntN(3) {
@@ -53,6 +53,22 @@
 	}
 }
 
+// mostBack is by how much a VM's clock may be set back.
+const mostBack = 2 * time.Second
+
+// restart ends an agent, which starts again, as often as not after its VM's clock was set back.
+func (c *calls) restart(a *agentProc) {
+	power, down, back := c.rng.IntN(2) == 0, c.between(10*time.Millisecond, time.Second), c.between(0, mostBack)
+	if !a.alive {
+		return
+	}
+	c.w.endAgent(a, power, down)
+	if c.rng.IntN(2) == 0 {
+		c.w.note("the clock of %s is set back by %v", a.name, back)
+		a.back += back // no process goes by it now
+	}
+}
+
 // slices lets an agent run for a part of each slice until a moment.
 func (c *calls) slices(a *agentProc, until time.Duration) {
 	if c.w.Since() > time.Second+until {
--- a/internal/proof/schedule/process_test.go
+++ b/internal/proof/schedule/process_test.go
@@ -28,14 +28,17 @@
 	links   map[*proc]*linkSide
 	// asleep is for how long the VM was suspended during this life of the process.
 	asleep time.Duration
+	// back is by how much the VM's clock was set back before this life of the process.
+	back time.Duration
 }
 
 // now is the process's clock.
 func (p *proc) now() time.Time {
+	now := p.w.Now().Add(-p.back)
 	if p.w.without.Off(rule.CountSuspensions) {
-		return p.w.Now().Add(-p.asleep)
+		return now.Add(-p.asleep)
 	}
-	return p.w.Now()
+	return now
 }
 
 // do handles an event now, or once the process wakes.
@@ -200,7 +203,7 @@
 func (e *entryProc) sendPing(s *linkSide, a *agentProc) {
 	s.ping = e.now()
 	echo, pace, inc := s.clock, e.table.Pace(), e.inc
-	s.send(func() { a.keeper.Ping(e.now(), inc, echo, pace); a.flush() })
+	s.send(func() { a.keeper.Ping(a.now(), inc, echo, pace); a.flush() })
 }
 
 func (w *world) startAgent(a *agentProc) {
--- a/internal/proof/schedule/upstream_test.go
+++ b/internal/proof/schedule/upstream_test.go
@@ -122,7 +122,7 @@
 	life := u.life
 	arrive := func() {
 		u.agent.do(func() {
-			u.agent.keeper.Beat(u.w.Now(), b)
+			u.agent.keeper.Beat(u.agent.now(), b)
 			if u.w.odds.restarts {
 				u.agent.flush()
 			}
@@ -160,7 +160,7 @@
 		if u.life != life || !u.up {
 			return
 		}
-		u.w.After(u.w.between(0, 2*down), func() { u.agent.do(func() { u.agent.keeper.Left(u.w.Now(), id) }) })
+		u.w.After(u.w.between(0, 2*down), func() { u.agent.do(func() { u.agent.keeper.Left(u.agent.now(), id) }) })
 		u.crash(down)
 	})
 }
