schedule: worlds in which processes get little of a core

Schedules let processes stand still for 0.2 s and more, which they notice, and let calls and messages leave at once; real processes with a quarter of a core stand still for most of each tenth of a second, several times in a row, unnoticed, and what one goroutine has decided is sent by another when it comes to run.

The digest of schedules has a line for them; the other kinds decide what they did.

--- a/internal/proof/schedule/link_test.go
+++ b/internal/proof/schedule/link_test.go
@@ -52,7 +52,7 @@
 
 func (s *linkSide) carry(deliver func()) {
 	w := s.owner.w
-	at := w.Now().Add(w.between(100*time.Microsecond, 3*time.Millisecond+*s.slow))
+	at := w.Now().Add(w.between(100*time.Microsecond, 3*time.Millisecond+*s.slow) + w.sliced.delay())
 	if !at.After(s.next) {
 		at = s.next.Add(time.Microsecond)
 	}
--- a/internal/proof/schedule/process_test.go
+++ b/internal/proof/schedule/process_test.go
@@ -91,13 +91,21 @@
 		return
 	}
 	p.w.note("%s %s for %v", p.name, how, d)
+	p.stand(d, suspended, func() { p.w.note("%s wakes", p.name) })
+}
+
+// stand lets the process stand still for a while, unless it does or has ended, and tells when it wakes.
+func (p *proc) stand(d, suspended time.Duration, woken func()) {
+	if !p.alive || p.frozen {
+		return
+	}
 	p.frozen = true
 	inc := p.inc
 	p.w.After(d, func() {
 		if p.inc != inc {
 			return
 		}
-		p.w.note("%s wakes", p.name)
+		woken()
 		p.frozen = false
 		p.asleep += suspended
 		held := p.held
--- a/internal/proof/schedule/same_test.go
+++ b/internal/proof/schedule/same_test.go
@@ -20,7 +20,7 @@
 // changes what is decided writes it anew (make same).
 func TestSame(t *testing.T) {
 	var b strings.Builder
-	for _, from := range []uint64{1, impatientFrom, restartsFrom, cordonsFrom, crashesFrom, hardFrom} {
+	for _, from := range []uint64{1, impatientFrom, restartsFrom, cordonsFrom, crashesFrom, hardFrom, slicedFrom} {
 		all := sha256.New()
 		for s := range uint64(12) {
 			w := schedule(from+s, nil, someFaults(from+s))
--- a/internal/proof/schedule/schedule_test.go
+++ b/internal/proof/schedule/schedule_test.go
@@ -58,6 +58,7 @@
 		w.operators.act()
 		w.crashes.act()
 		w.hard.act()
+		w.sliced.act()
 	})
 	if faults > 0 {
 		w.removeSome(s)
--- /dev/null
+++ b/internal/proof/schedule/sliced_test.go
@@ -0,0 +1,130 @@
+package schedule
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// slicedFrom is the first seed of the worlds in which processes get little of a core: for seconds on end they run for a part of each slice
+// only, and what they have decided leaves them late.
+const slicedFrom = 6_000_000_000
+
+const (
+	// The parts of a slice for which a process stands still and runs. The longest standstill is not noticed as one.
+	leastStill, mostStill = 50 * time.Millisecond, 195 * time.Millisecond
+	leastRun, mostRun     = 3 * time.Millisecond, 30 * time.Millisecond
+	// A call or a message that leaves late does so by up to lateMost, one in ten of them by up to lateLongest.
+	lateMost, lateLongest = 200 * time.Millisecond, 3 * time.Second
+)
+
+// sliced lets processes get little of a core. It draws by itself, like hard.
+type sliced struct {
+	w   *world
+	rng *rand.Rand
+	// late is how often something leaves late.
+	late float64
+}
+
+func newSliced(w *world) *sliced {
+	return &sliced{w: w, rng: rand.New(rand.NewPCG(w.seed, 7))}
+}
+
+// between draws a time.
+func (s *sliced) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(s.rng.Int64N(int64(most-least)+1))
+}
+
+// act plans when which processes get little of a core and lose touch, and how often what is decided leaves late.
+func (s *sliced) act() {
+	if !s.w.odds.sliced {
+		return
+	}
+	w := s.w
+	s.late = []float64{0, 0.02, 0.3}[s.rng.IntN(3)]
+	w.After(calm, func() { s.late = 0 })
+	var procs []*proc
+	for _, e := range w.entries {
+		procs = append(procs, &e.proc)
+	}
+	for _, a := range w.agents {
+		procs = append(procs, &a.proc)
+	}
+	for _, p := range procs {
+		for range s.rng.IntN(4) {
+			d := s.between(500*time.Millisecond, 3*time.Second)
+			w.After(s.between(0, busy), func() { s.squeeze(p, d) })
+		}
+	}
+	for range 1 + s.rng.IntN(4) {
+		p := w.pairs[s.rng.IntN(len(w.pairs))]
+		w.After(s.between(0, busy), func() { s.loseTouch(p) })
+	}
+}
+
+// loseTouch cuts an agent off from an entry while it gets little of a core and its upstream loses orders: where none is lost, runs end as
+// soon as they are to be stopped.
+func (s *sliced) loseTouch(p *pair) {
+	d, u := s.between(1500*time.Millisecond, 3*time.Second), p.a.upstream
+	s.squeeze(&p.a.proc, d)
+	loses, vanish := 0.5+0.5*s.rng.Float64(), s.rng.IntN(2) == 0
+	s.w.window("upstream "+u.name+" loses orders", d, func() { u.loses, u.late, u.vanish = loses, 0, vanish }, func() { u.loses = 0 })
+	s.w.After(s.between(0, 500*time.Millisecond), func() { s.w.cut(p, d) })
+}
+
+// squeeze lets a process run for a part of each slice only, for a while.
+func (s *sliced) squeeze(p *proc, d time.Duration) {
+	s.w.note("%s gets little of a core for %v", p.name, d)
+	for _, a := range s.w.agents {
+		if &a.proc == p {
+			a.disturb(d)
+		}
+	}
+	s.slice(p, s.w.Now().Add(d))
+}
+
+// slice plays one slice, and the next, until a moment.
+func (s *sliced) slice(p *proc, until time.Time) {
+	if s.w.Now().After(until) {
+		return
+	}
+	still := s.between(leastStill, mostStill)
+	p.stand(still, 0, func() {})
+	s.w.After(still+s.between(leastRun, mostRun), func() { s.slice(p, until) })
+}
+
+// delay draws how late something leaves that was decided now.
+func (s *sliced) delay() time.Duration {
+	switch {
+	case !s.w.odds.sliced || s.rng.Float64() >= s.late:
+		return 0
+	case s.rng.IntN(10) == 0:
+		return s.between(0, lateLongest)
+	}
+	return s.between(0, lateMost)
+}
+
+// leave lets a call of a process leave, perhaps late; it does not leave if the process has ended by then.
+func (s *sliced) leave(p *proc, call func()) {
+	d := s.delay()
+	if d == 0 {
+		call()
+		return
+	}
+	inc := p.inc
+	s.w.After(d, func() {
+		if p.inc == inc {
+			call()
+		}
+	})
+}
+
+// TestSlicedProcesses guards against promises that rest on a timer which fires in time, or on a call that leaves at once: it runs random
+// schedules in which processes get little of a core.
+func TestSlicedProcesses(t *testing.T) {
+	w, s, ran := search(slicedFrom+*seed, *schedules, nil, someFaults)
+	if w != nil {
+		t.Fatal(w.report(s))
+	}
+	t.Logf("%d schedules from seed %d, no violation", ran, slicedFrom+*seed)
+}
--- a/internal/proof/schedule/words_test.go
+++ b/internal/proof/schedule/words_test.go
@@ -92,19 +92,25 @@
 
 func (x agentIO) Start(c call.Start) {
 	u := x.a.upstream
-	u.order(func() call.Answer { return u.start(c) }, func(a call.Answer, clock call.Clock) {
-		x.back(func() { x.a.keeper.StartDone(x.a.now(), c, a, clock) })
+	x.a.w.sliced.leave(&x.a.proc, func() {
+		u.order(func() call.Answer { return u.start(c) }, func(a call.Answer, clock call.Clock) {
+			x.back(func() { x.a.keeper.StartDone(x.a.now(), c, a, clock) })
+		})
 	})
 }
 
 func (x agentIO) Stop(c call.Stop) {
 	u := x.a.upstream
-	u.order(func() call.Answer { return u.stop(c) }, func(a call.Answer, clock call.Clock) {
-		x.back(func() { x.a.keeper.StopDone(x.a.now(), c, a, clock) })
+	x.a.w.sliced.leave(&x.a.proc, func() {
+		u.order(func() call.Answer { return u.stop(c) }, func(a call.Answer, clock call.Clock) {
+			x.back(func() { x.a.keeper.StopDone(x.a.now(), c, a, clock) })
+		})
 	})
 }
 
-func (x agentIO) Hold(c call.Hold) {
+func (x agentIO) Hold(c call.Hold) { x.a.w.sliced.leave(&x.a.proc, func() { x.hold(c) }) }
+
+func (x agentIO) hold(c call.Hold) {
 	u, w := x.a.upstream, x.a.w
 	answered := false
 	reply := func(h call.Held) {
--- a/internal/proof/schedule/world_test.go
+++ b/internal/proof/schedule/world_test.go
@@ -48,6 +48,8 @@
 	crashes *crashes
 	// hard suspends VMs and lets rooms shrink in worlds that have it.
 	hard *hard
+	// sliced lets processes get little of a core in worlds that have it.
+	sliced *sliced
 	// broken is the first violation.
 	broken string
 	// log holds what happened, for a schedule that fails.
@@ -74,6 +76,8 @@
 	cordons bool
 	// crashes: some tasks crash the upstreams that start them, and more upstreams crash for other causes.
 	crashes bool
+	// sliced: processes get little of a core.
+	sliced bool
 }
 
 // impatientFrom is the first seed of the worlds in which many callers give up early and send again at once, over slow links.
@@ -86,6 +90,9 @@
 const cordonsFrom = 3_000_000_000
 
 func oddsOf(seed uint64) odds {
+	if seed >= slicedFrom {
+		return odds{leaves: 0.05, again: 0.2, moreJobs: 1, sliced: true}
+	}
 	if seed >= hardFrom {
 		return odds{leaves: 0.05, again: 0.2, moreJobs: 1, moreAgents: 1, crashes: seed%2 == 0, suspends: true, shrinks: true, recalls: true}
 	}
@@ -113,6 +120,7 @@
 	w.operators = newOperators(w)
 	w.crashes = newCrashes(w)
 	w.hard = newHard(w)
+	w.sliced = newSliced(w)
 	return w
 }
 
