--- a/internal/proof/schedule/schedule_test.go
+++ b/internal/proof/schedule/schedule_test.go
@@ -60,6 +60,7 @@
 		w.hard.act()
 		w.cuts.act()
 		w.calls.act()
+		w.sliced.act()
 	})
 	if faults > 0 {
 		w.removeSome(s)
--- a/internal/proof/schedule/world_test.go
+++ b/internal/proof/schedule/world_test.go
@@ -52,6 +52,8 @@
 	cuts *cuts
 	// calls lets upstreams read calls late in worlds that have it.
 	calls *calls
+	// sliced lets processes get little of a core in worlds that have it.
+	sliced *sliced
 	// broken is the first violation.
 	broken string
 	// log holds what happened, for a schedule that fails.
@@ -83,6 +85,8 @@
 	cutOff bool
 	// calls: upstreams read calls late, and in any order.
 	calls bool
+	// sliced: processes get little of a core.
+	sliced bool
 }
 
 // impatientFrom is the first seed of the worlds in which many callers give up early and send again at once, over slow links.
@@ -95,6 +99,9 @@
 const cordonsFrom = 3_000_000_000
 
 func oddsOf(seed uint64) odds {
+	if seed >= slicedFrom {
+		return odds{leaves: 0.05, again: 0.2, moreJobs: 1, sliced: true}
+	}
 	if seed >= callsFrom {
 		return odds{leaves: 0.05, again: 0.2, moreJobs: 1, calls: true}
 	}
@@ -130,6 +137,7 @@
 	w.hard = newHard(w)
 	w.cuts = newCuts(w)
 	w.calls = newCalls(w)
+	w.sliced = newSliced(w)
 	return w
 }
 
