upstream: the pace of an idle upstream is forgotten

Callers' jobs went to other upstreams for ever, once one had been slow at the end of its last run: a fifth above the median is enough where room is free, since the cheapest of a few idle upstreams is taken, and a pace changed with runs only. It was slow, or its agent had stood still, which is taken for slowness; so 11 times the median was kept by an upstream whose agent was frozen for 1.1 s. In the soak: "nothing starts in zone-2 after it was taken back", where zone-2 has one upstream and jobs come one at a time.

Now an agent forgets the pace when nothing has run for 5 s. Entries rate an upstream of unknown pace like most others, and its next run tells. One that is still slow costs a few runs each 5 s, where there is room elsewhere.

--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -221,6 +221,7 @@
 		}
 	}
 	k.noteCold(now)
+	k.reviewPace(now)
 	k.watchAlone(now)
 	if k.known && !k.holding && !now.Before(k.holdAt) {
 		k.hold(now)
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -245,6 +245,7 @@
 // finish takes a run out of the account, tells its entry, and lets the task's next run begin.
 func (k *Keeper) finish(now time.Time, r *run, o job.Outcome, why fleet.Reason, checkpoint string) {
 	delete(k.runs, r.task)
+	k.idleSince = now
 	if k.aloneRun == r {
 		k.aloneRun = nil
 	}
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -136,6 +136,8 @@
 	// coldUntil is until when the upstream is slow from its start, as it has said; cold is whether it was when time passed last.
 	coldUntil time.Time
 	cold      bool
+	// idleSince is when a run ended last.
+	idleSince time.Time
 	// median is the median of all upstreams' paces, as an entry told it last; slowTold is when entries were told last
 	// how runs get on while this one is slow.
 	median   float64
