soak: a set passes over nets in which processes of an earlier run are left

A run of the soak that was ended by its time-out left 12 processes behind, and its store's address was free. The next set took that net: its own processes could not listen, and it played with those that were left, which went by the cordons of the former store. It reported "12 starts in zone-2, which is evacuated", of a zone whose cordon they could not hear of, and passed all checks before that. So a false alarm, or a false pass, can come from a run that was ended before it.

A set now takes a net only if nothing listens at the metrics address of each of its processes to be. The test failed before: the net that still had a process was taken (11, for each of the three cases).

--- /dev/null
+++ b/internal/proof/soak/claim_test.go
@@ -0,0 +1,31 @@
+package soak
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestLeftProcessesKeepTheirNet guards against sets whose processes are those of an earlier run, which go by another store.
+func TestLeftProcessesKeepTheirNet(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// kind and n name the process that is left.
+		kind, n int
+	}{
+		{"an entry", 1, 0},
+		{"an agent", 2, 0},
+		{"the last agent", 2, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			former, next := &set{t: t}, &set{t: t}
+			store := former.claim(1, 2)
+			left := former.listen(at(former.ip(test.kind, test.n), portMetrics))
+			defer left.Close()
+			store.Close()
+			claimed := next.claim(1, 2)
+			defer claimed.Close()
+			qt.Assert(t, next.net, qt.Not(qt.Equals), former.net)
+		})
+	}
+}
--- a/internal/proof/soak/set_test.go
+++ b/internal/proof/soak/set_test.go
@@ -89,12 +89,16 @@
 // firstNet and lastNet bound the second part of a set's IP numbers.
 const firstNet, lastNet = 10, 250
 
-// claim takes the first net that no set has, of this run or another: a set holds its store's address to its end.
-func (s *set) claim() net.Listener {
+// claim takes the first net that no set has, of this run or another: a set holds its store's address to its end. Processes may be left
+// of a run that ended without stopping them; they would take the place of the set's own, so their net is passed over.
+func (s *set) claim(entries, agents int) net.Listener {
 	for s.net = firstNet; s.net <= lastNet; s.net++ {
 		ln, err := net.Listen("tcp", at(s.ip(0, 0), portStore))
 		if err == nil {
-			return ln
+			if err = s.vacant(entries, agents); err == nil {
+				return ln
+			}
+			ln.Close()
 		}
 		s.t.Logf("net %d is taken: %v", s.net, err)
 	}
@@ -102,6 +106,25 @@
 	return nil
 }
 
+// vacant returns an error if a process has the address of one of the set's.
+func (s *set) vacant(entries, agents int) error {
+	var ips []string
+	for i := range entries {
+		ips = append(ips, s.ip(1, i))
+	}
+	for i := range agents {
+		ips = append(ips, s.ip(2, i))
+	}
+	for _, ip := range ips {
+		ln, err := net.Listen("tcp", at(ip, portMetrics))
+		if err != nil {
+			return err
+		}
+		ln.Close()
+	}
+	return nil
+}
+
 // listen opens an address of the set's net.
 func (s *set) listen(address string) net.Listener {
 	ln, err := net.Listen("tcp", address)
@@ -128,7 +151,7 @@
 		t: t, dir: t.TempDir(), binary: binary, rng: rand.New(rand.NewPCG(seed, 2)),
 		store: standin.NewStore(), ledger: standin.NewLedger(),
 	}
-	s.serve(s.claim(), s.store.Handler())
+	s.serve(s.claim(entries, agents), s.store.Handler())
 	s.configure()
 	for i := range entries {
 		s.addEntry(i)
