dispatch: what listens for ends of connections counts only the time in which it listened

What callers saw: nothing yet; found by review. A process that stood still listens for 100 ms before it places anything, and a belated request waits for 20 ms. Both were counted by the clock: one that stands still again meanwhile, too briefly to be a standstill (under 400 ms), placed at its first tick, before it read that the caller had gone. Now a tick counts 15 ms at most, so that at least one more follows.

Evidence: TestShortStandstills fails before in both cases (2 orders and 1 in place of 1 and none), and passes. Ticks that are in time count as before.

--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -154,6 +154,7 @@
 
 // Tick does what time alone brings about.
 func (t *Table) Tick(now time.Time) {
+	t.touch.tick(now)
 	if !t.ticked.IsZero() && now.Sub(t.ticked) > t.opts.Timing.Silence {
 		t.stoodFrom, t.woke = t.ticked, now
 		t.touch.wake(now)
--- a/internal/entry/dispatch/touch.go
+++ b/internal/entry/dispatch/touch.go
@@ -24,25 +24,38 @@
 	// or the last few that came close together, were from gone until back.
 	lost, asleep bool
 	gone, back   time.Time
-	// listening is until when nothing is placed, after a standstill.
-	listening time.Time
+	// listening is for how long nothing is placed yet, after a standstill; ticked is up to when that is counted.
+	listening time.Duration
+	ticked    time.Time
 }
 
 // listenFor is how long a request that may have been on its way for long waits for the end of its connection, which comes behind it: the
 // way there and back several times over.
 const listenFor = 20 * time.Millisecond
 
-// listenAwake is how long a process that stood still listens before it places anything: what has come meanwhile is read within it by one that
-// gets a quarter of a core in slices of 100 ms.
-const listenAwake = 100 * time.Millisecond
+// listenStep is the most of the time between two ticks in which a process is taken to have listened: it may have stood still for the rest, as one
+// does that gets a part of a core. It is less than listenFor, so that nothing is over with the first tick after a standstill.
+const listenStep = 15 * time.Millisecond
+
+// listenAwake is how long a process that stood still listens before it places anything: five ticks, 100 ms if they are in time.
+const listenAwake = 5 * listenStep
 
 // wake notes that the process has stood still.
 func (c *touch) wake(now time.Time) {
 	if !c.heard.IsZero() {
-		c.asleep, c.listens, c.listening = true, now, now.Add(listenAwake)
+		c.asleep, c.listens, c.listening = true, now, listenAwake
 	}
 }
 
+// tick counts the time in which the process has listened since the last tick.
+func (c *touch) tick(now time.Time) {
+	c.listening -= listened(c.ticked, now)
+	c.ticked = now
+}
+
+// listened is for how long the process has listened surely, or nearly so, between two moments without a tick between them.
+func listened(from, to time.Time) time.Duration { return min(to.Sub(from), listenStep) }
+
 // Hear notes that something came, of an agent or a caller, before it is handled. While the process stood still nothing was heard: Tick comes
 // first.
 func (t *Table) Hear(now time.Time) {
@@ -94,8 +107,9 @@
 // belatedRequest is a request that may have been on its way for long.
 type belatedRequest struct {
 	request Request
-	// due is when it is taken if its caller has not gone.
-	due time.Time
+	// listens is for how long the process has to listen still before it is taken, if its caller has not gone; it is counted up to ticked.
+	listens time.Duration
+	ticked  time.Time
 }
 
 // hold lets a belated request wait until the end of its connection would have been heard, and tells whether it does.
@@ -103,7 +117,7 @@
 	if r.Kept != nil || !t.touch.belated(now) || t.opts.Without.Off(rule.HearEnds) {
 		return false
 	}
-	t.belated = append(t.belated, belatedRequest{r, now.Add(listenFor)})
+	t.belated = append(t.belated, belatedRequest{r, listenFor, now})
 	return true
 }
 
@@ -112,7 +126,9 @@
 	waiting := t.belated
 	t.belated = nil
 	for _, b := range waiting {
-		if now.Before(b.due) {
+		b.listens -= listened(b.ticked, now)
+		b.ticked = now
+		if b.listens > 0 {
 			t.belated = append(t.belated, b)
 			continue
 		}
--- a/internal/entry/dispatch/touch_test.go
+++ b/internal/entry/dispatch/touch_test.go
@@ -34,6 +34,12 @@
 	b.hearing(max(0, end.Sub(b.now)))
 }
 
+// standStill lets time pass in which the process does nothing.
+func (b *bench) standStill(d time.Duration) {
+	b.now = b.now.Add(d)
+	b.table.Tick(b.now)
+}
+
 // back links agents again, of which nothing is left at their upstreams.
 func (b *bench) back(agents ...ident.Incarnation) {
 	for _, id := range agents {
@@ -138,6 +144,40 @@
 	}
 }
 
+// TestShortStandstills guards against tasks that two entries run at once: a process that stands still once more, for less than agents keep its runs,
+// while it listens for the ends of connections, has not listened meanwhile.
+func TestShortStandstills(t *testing.T) {
+	all := []ident.Incarnation{1, 2}
+	for _, test := range []struct {
+		name string
+		// happens ends at a tick behind a short standstill; the end of the caller's connection is read behind it.
+		happens func(b *bench)
+		placed  int
+	}{
+		{"after a long one", func(b *bench) {
+			b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+			b.standStill(2 * time.Second)
+			b.back(all...)
+			b.standStill(350 * time.Millisecond)
+		}, 1},
+		{"while a request is held", func(b *bench) {
+			b.cutOff(time.Second, all...)
+			b.back(all...)
+			b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+			b.standStill(350 * time.Millisecond)
+		}, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, len(all))
+			b.hearing(100*time.Millisecond, all...)
+			test.happens(b)
+			b.table.Abandon(b.now, 7, 1)
+			b.hearing(200*time.Millisecond, all...)
+			qt.Assert(t, b.orders, qt.HasLen, test.placed)
+		})
+	}
+}
+
 // TestBelatedRequestsOfALeavingEntry: a request that waits for the end of its connection is answered when its entry is about to end.
 func TestBelatedRequestsOfALeavingEntry(t *testing.T) {
 	b := newBench(t, 1)
