dispatch: what was lost on the way may come a first pause later than it was taken for

What callers saw: nothing yet; found by review. After a pause without news requests are held for as long again, since what was lost is sent again after pauses that double. But the pauses before the last one and the first one together make the last: sent at 0, 200, 600 and 1,400 ms, a request that was lost in a cut of 620 ms arrives 780 ms after its end, 1.4 s old, when its caller may have sent it elsewhere. The first pause, at least 200 ms in kernels, is added. A start counts as such a pause only if it took as long as others: a process has nothing on the way that is older than itself.

Evidence: the new case of TestBelatedRequests fails before (placed at once), and passes. The case of a request that is placed at once comes 1.3 s after the pause in place of 1.2 s, which is behind the longer time by as much as before.

--- a/internal/entry/dispatch/touch.go
+++ b/internal/entry/dispatch/touch.go
@@ -62,7 +62,10 @@
 func (t *Table) Hear(now time.Time) {
 	c := &t.touch
 	if c.heard.IsZero() {
-		c.heard, c.asleep = t.began, true // it was not in touch before
+		c.heard = now
+		if !t.began.IsZero() {
+			c.heard = t.began // it has listened since
+		}
 	}
 	if c.asleep || now.Sub(c.heard) > fellSilent*t.opts.Timing.KeepAlive {
 		if !c.belated(c.heard) {
@@ -73,10 +76,13 @@
 	c.heard, c.listens = now, now
 }
 
-// belated tells whether what comes now may have been sent long ago. What was lost on the way is sent again after pauses that double, so
-// that it is there once as much time has passed as nothing came.
+// firstResend is after how long a kernel sends again what was lost on the way: at least 200 ms after it was sent, and a little more on slow ways.
+const firstResend = 250 * time.Millisecond
+
+// belated tells whether what comes now may have been sent long ago. What was lost on the way is sent again after pauses that double: the last
+// one before it gets through began while nothing did, and is as long as all before it and the first one.
 func (c *touch) belated(now time.Time) bool {
-	return !c.back.IsZero() && now.Sub(c.back) <= c.back.Sub(c.gone)+listenFor
+	return !c.back.IsZero() && now.Sub(c.back) <= c.back.Sub(c.gone)+firstResend+listenFor
 }
 
 // awaitTouch gives up the callers of an entry that has heard nothing for as long as agents keep its runs. They are answered in case they are
--- a/internal/entry/dispatch/touch_test.go
+++ b/internal/entry/dispatch/touch_test.go
@@ -122,7 +122,8 @@
 		{"its caller has gone", time.Second, 100 * time.Millisecond, true, false, false},
 		{"its caller is there", time.Second, 100 * time.Millisecond, false, false, true},
 		{"it was sent again late", time.Second, 900 * time.Millisecond, true, false, false},
-		{"as much time again has passed", time.Second, 1200 * time.Millisecond, false, true, true},
+		{"it was sent 200, 600 and 1,400 ms after the first time", 620 * time.Millisecond, 780 * time.Millisecond, true, false, false},
+		{"as much time again has passed", time.Second, 1300 * time.Millisecond, false, true, true},
 		{"the entry was in touch", 100 * time.Millisecond, 0, false, true, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
