dispatch: a job whose request is held can be cancelled

What callers saw: nothing yet; found by review. For the 20 ms in which a belated request waits for the end of its connection its job was not known: DELETE was answered as for a job that does not exist, and the job ran after it.

Evidence: TestCancelledBelatedRequests fails before (not held) and passes.

--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -46,9 +46,10 @@
 
 // Cancel ends a job at its caller's wish, and tells whether there was one that is not kept.
 func (t *Table) Cancel(now time.Time, id job.ID) bool {
+	belated := t.cancelBelated(id)
 	j := t.jobs[id]
 	if j == nil || j.ending || j.kept {
-		return false
+		return belated
 	}
 	t.close(now, j, Answer{State: verdict.Unresolved, Verdict: runVerdict(j), Reason: verdict.ByCaller})
 	t.pump(now)
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -257,7 +257,7 @@
 // Held tells whether a job waits for its answer.
 func (t *Table) Held(id job.ID) bool {
 	j := t.jobs[id]
-	return j != nil && j.awaited()
+	return j != nil && j.awaited() || t.isBelated(id)
 }
 
 // awaited tells whether callers wait for the job's answer, or for that of its successor.
--- a/internal/entry/dispatch/touch.go
+++ b/internal/entry/dispatch/touch.go
@@ -148,6 +148,25 @@
 	t.belated = slices.DeleteFunc(t.belated, func(b belatedRequest) bool { return b.request.Job == id && b.request.Caller == c })
 }
 
+// isBelated tells whether a request of a job is held.
+func (t *Table) isBelated(id job.ID) bool {
+	return slices.ContainsFunc(t.belated, func(b belatedRequest) bool { return b.request.Job == id })
+}
+
+// cancelBelated answers the belated requests of a job that is cancelled, and tells whether there were some.
+func (t *Table) cancelBelated(id job.ID) bool {
+	if !t.isBelated(id) {
+		return false
+	}
+	t.belated = slices.DeleteFunc(t.belated, func(b belatedRequest) bool {
+		if b.request.Job == id {
+			t.callers.Answer(b.request.Caller, Answer{State: verdict.Unresolved, Verdict: verdict.NotRun, Reason: verdict.ByCaller})
+		}
+		return b.request.Job == id
+	})
+	return true
+}
+
 // refuseBelated answers the belated requests of an entry that is about to end: nothing of them has run.
 func (t *Table) refuseBelated() {
 	for _, b := range t.belated {
--- a/internal/entry/dispatch/touch_test.go
+++ b/internal/entry/dispatch/touch_test.go
@@ -222,6 +222,21 @@
 	}
 }
 
+// TestCancelledBelatedRequests guards against jobs that run after they were cancelled: a job whose request is held is known, and can be cancelled.
+func TestCancelledBelatedRequests(t *testing.T) {
+	b := newBench(t, 1)
+	b.hearing(100*time.Millisecond, 1)
+	b.cutOff(time.Second, 1)
+	b.back(1)
+	b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+	qt.Assert(t, b.table.Held(7), qt.IsTrue)
+	qt.Assert(t, b.table.Cancel(b.now, 7), qt.IsTrue)
+	b.hearing(100*time.Millisecond, 1)
+	qt.Assert(t, b.orders, qt.HasLen, 0)
+	qt.Assert(t, b.answers[1], qt.Equals, dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.NotRun, Reason: verdict.ByCaller})
+	qt.Assert(t, b.table.Cancel(b.now, 7), qt.IsFalse)
+}
+
 // TestBelatedRequestsOfALeavingEntry: a request that waits for the end of its connection is answered when its entry is about to end.
 func TestBelatedRequestsOfALeavingEntry(t *testing.T) {
 	b := newBench(t, 1)
