dispatch: an entry that is about to end holds no request

What callers saw: nothing yet; found by review. A request that came after CloseAll, soon after a pause without news, was held for 20 to 40 ms in place of being refused at once; its process may have ended by then, and the caller would have had no answer.

Evidence: TestBelatedRequestsOfALeavingEntry, with a request that comes then, fails before (no verdict) and passes.

--- a/internal/entry/dispatch/touch.go
+++ b/internal/entry/dispatch/touch.go
@@ -121,7 +121,7 @@
 
 // hold lets a belated request wait until the end of its connection would have been heard, and tells whether it does.
 func (t *Table) hold(now time.Time, r Request) bool {
-	if r.Kept != nil || !t.touch.belated(now) || t.opts.Without.Off(rule.HearEnds) {
+	if t.closing || r.Kept != nil || !t.touch.belated(now) || t.opts.Without.Off(rule.HearEnds) {
 		return false
 	}
 	t.belated = append(t.belated, belatedRequest{r, listenFor, now})
--- a/internal/entry/dispatch/touch_test.go
+++ b/internal/entry/dispatch/touch_test.go
@@ -248,5 +248,7 @@
 	b.table.CloseAll(b.now)
 	qt.Assert(t, b.answers[1].Verdict, qt.Equals, verdict.NotRun)
 	qt.Assert(t, b.table.Unanswered(), qt.Equals, 0)
+	b.submit(8, 2, 1, 200*time.Millisecond, 5*time.Second)
+	qt.Assert(t, b.answers[2].Verdict, qt.Equals, verdict.NotRun, qt.Commentf("one that comes then is answered at once"))
 	qt.Assert(t, b.orders, qt.HasLen, 0)
 }
