node: a job whose caller has gone before its turn is not taken

The control goroutine took a request and placed its tasks though the caller had gone while it waited in the queue of events: its end waits behind it. A process that is slow without standing still, so that no tick notes it, may read both late, when the job is with another entry. Now the end of the caller is looked at when the request's turn comes.

Evidence: TestCallerGoneBeforeItsTurn fails before (the job is taken) and passes.

--- a/internal/entry/node/close_test.go
+++ b/internal/entry/node/close_test.go
@@ -84,6 +84,43 @@
 	}
 }
 
+// takes is an observer that notes which jobs are taken.
+type takes struct {
+	dispatch.Observer
+	jobs chan job.ID
+}
+
+func (o *takes) Taken(r *dispatch.Request) {
+	o.Observer.Taken(r)
+	o.jobs <- r.Job
+}
+
+// TestCallerGoneBeforeItsTurn guards against tasks that two entries run at once: a job whose caller has gone while its request waited for the control
+// goroutine is not taken.
+func TestCallerGoneBeforeItsTurn(t *testing.T) {
+	set, err := settings.Load("")
+	qt.Assert(t, err, qt.IsNil)
+	set.Node.Link = "127.0.0.1:0"
+	o := &takes{node.NewObserver(logs.Discard(), nil), make(chan job.ID, 2)}
+	n := node.New(set, mute{}, nil, o, logs.Discard())
+	qt.Assert(t, n.Start(context.Background()), qt.IsNil)
+	defer n.Stop()
+	submit := func(ctx context.Context, id job.ID) {
+		_, err := n.Submit(ctx, dispatch.Request{
+			Job: id, Route: route.Route{Service: "publish", Attempts: 2, Target: time.Minute}, Deadline: boottime.Now().Add(time.Minute),
+			Spec: &job.Spec{Text: "x", BestEffort: true, Steps: []job.Step{{Count: 1, Each: job.Resources{CPU: 1000}, Estimate: time.Second}}},
+		})
+		qt.Assert(t, err, qt.IsNotNil)
+	}
+	gone, cancel := context.WithCancel(context.Background())
+	cancel()
+	submit(gone, 1)
+	waits, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	submit(waits, 2)
+	qt.Assert(t, <-o.jobs, qt.Equals, job.ID(2))
+}
+
 // TestTicksAreMeasured: how late the control goroutine's ticks are stands in the metrics, beside what is promised.
 func TestTicksAreMeasured(t *testing.T) {
 	set, err := settings.Load("")
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -149,6 +149,8 @@
 	submitted struct {
 		request dispatch.Request
 		answer  chan dispatch.Answer
+		// gone is closed once the caller has gone.
+		gone <-chan struct{}
 	}
 	abandoned struct {
 		job    job.ID
@@ -164,8 +166,21 @@
 	cordonsRead struct{ snapshot cordon.Snapshot }
 )
 
-// submit hands a job in, to the book if it is to be kept.
+// hasGone tells whether the caller has gone, while its request waited for the control goroutine.
+func (e *submitted) hasGone() bool {
+	select {
+	case <-e.gone:
+		return true
+	default:
+		return false
+	}
+}
+
+// submit hands a job in, to the book if it is to be kept. One whose caller has gone already begins nothing: it may be with another entry by now.
 func (n *Node) submit(now time.Time, e submitted) {
+	if e.hasGone() {
+		return
+	}
 	n.callers[e.request.Caller] = e.answer
 	switch {
 	case !n.keeps(&e.request):
@@ -239,7 +254,7 @@
 func (n *Node) Submit(ctx context.Context, r dispatch.Request) (dispatch.Answer, error) {
 	answer, caller := n.newCaller()
 	r.Caller = caller
-	if !n.loop.Post(submitted{r, answer}) {
+	if !n.loop.Post(submitted{r, answer, ctx.Done()}) {
 		return dispatch.Answer{}, errors.New("entry: stopped")
 	}
 	return n.await(ctx, r.Job, caller, answer)
