--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -46,7 +46,7 @@
 		t.crashes.SetUpstreams(len(t.order))
 	}
 	t.setLost(a, false)
-	t.touch.silenced = false
+	t.touch.agentSilent = false
 	a.Link(name, zone)
 	t.countPace(a)
 }
@@ -62,7 +62,7 @@
 		return
 	}
 	if now.Sub(a.Heard) > fellSilent*t.opts.Timing.KeepAlive {
-		t.touch.silenced = true
+		t.touch.agentSilent = true
 	}
 	a.Unlink()
 	t.setLost(a, true)
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -49,7 +49,7 @@
 
 // place places what fits at some of the agents. What suspected tasks wait for is no room that other jobs could leave them.
 func (t *Table) place(now time.Time, among []*upstreamOf) {
-	if t.touch.listening > 0 && !t.opts.Without.Off(rule.HearEnds) {
+	if t.touch.listenLeft > 0 && !t.opts.Without.Off(rule.HearEnds) {
 		return
 	}
 	for _, q := range t.queued {
