--- a/internal/entry/dispatch/touch_test.go
+++ b/internal/entry/dispatch/touch_test.go
@@ -12,9 +12,6 @@
 	"hillreel/internal/entry/dispatch"
 )
 
-// settled is after how long an entry that has just started takes what comes for sent just before.
-const settled = 700 * time.Millisecond
-
 // hearing lets time pass while some agents tell of their room.
 func (b *bench) hearing(d time.Duration, from ...ident.Incarnation) {
 	for end := b.now.Add(d); b.now.Before(end); {
@@ -37,6 +34,12 @@
 	b.hearing(max(0, end.Sub(b.now)))
 }
 
+// standStill lets time pass in which the process does nothing.
+func (b *bench) standStill(d time.Duration) {
+	b.now = b.now.Add(d)
+	b.table.Tick(b.now)
+}
+
 // back links agents again, of which nothing is left at their upstreams.
 func (b *bench) back(agents ...ident.Incarnation) {
 	for _, id := range agents {
@@ -90,7 +93,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			b := newBench(t, len(all))
-			b.hearing(settled, all...)
+			b.hearing(100*time.Millisecond, all...)
 			b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
 			qt.Assert(t, b.orders, qt.HasLen, 1)
 			test.happens(b)
@@ -119,12 +122,13 @@
 		{"its caller has gone", time.Second, 100 * time.Millisecond, true, false, false},
 		{"its caller is there", time.Second, 100 * time.Millisecond, false, false, true},
 		{"it was sent again late", time.Second, 900 * time.Millisecond, true, false, false},
-		{"as much time again has passed", time.Second, 1700 * time.Millisecond, false, true, true},
+		{"it was sent 200, 600 and 1,400 ms after the first time", 620 * time.Millisecond, 780 * time.Millisecond, true, false, false},
+		{"as much time again has passed", time.Second, 1300 * time.Millisecond, false, true, true},
 		{"the entry was in touch", 100 * time.Millisecond, 0, false, true, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			b := newBench(t, len(all))
-			b.hearing(settled, all...)
+			b.hearing(100*time.Millisecond, all...)
 			b.cutOff(test.away, all...)
 			b.back(all...)
 			b.hearing(test.after, all...)
@@ -141,10 +145,102 @@
 	}
 }
 
+// TestShortStandstills guards against tasks that two entries run at once: a process that stands still once more, for less than agents keep its runs,
+// while it listens for the ends of connections, has not listened meanwhile.
+func TestShortStandstills(t *testing.T) {
+	all := []ident.Incarnation{1, 2}
+	for _, test := range []struct {
+		name string
+		// happens ends at a tick behind a short standstill; the end of the caller's connection is read behind it.
+		happens func(b *bench)
+		placed  int
+	}{
+		{"after a long one", func(b *bench) {
+			b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+			b.standStill(2 * time.Second)
+			b.back(all...)
+			b.standStill(350 * time.Millisecond)
+		}, 1},
+		{"while a request is held", func(b *bench) {
+			b.cutOff(time.Second, all...)
+			b.back(all...)
+			b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+			b.standStill(350 * time.Millisecond)
+		}, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, len(all))
+			b.hearing(100*time.Millisecond, all...)
+			test.happens(b)
+			b.table.Abandon(b.now, 7, 1)
+			b.hearing(200*time.Millisecond, all...)
+			qt.Assert(t, b.orders, qt.HasLen, test.placed)
+		})
+	}
+}
+
+// TestPausesWithoutNews guards against tasks that two entries run at once: a request is held also after pauses without news in which no caller was
+// given up.
+func TestPausesWithoutNews(t *testing.T) {
+	all := []ident.Incarnation{1, 2}
+	for _, test := range []struct {
+		name    string
+		happens func(b *bench)
+	}{
+		{"short ones, close together", func(b *bench) {
+			for range 4 {
+				b.cutOff(380*time.Millisecond, all...)
+				b.back(all...)
+				b.hearing(20*time.Millisecond, all...)
+			}
+		}},
+		{"of an entry that has heard no agent yet", func(b *bench) {
+			b.table = dispatch.New(dispatch.Options{Timing: timing, Zone: "z", MaxQueue: 10, MaxTasks: 20}, b, b, b, 1)
+			b.hearing(20 * time.Millisecond)
+			b.table.Hear(b.now)
+			b.hearing(2 * time.Second)
+			b.back(all...)
+		}},
+		{"after all agents were heard to end", func(b *bench) {
+			for _, id := range all {
+				b.table.Unlinked(b.now, id)
+			}
+			b.hearing(2 * time.Second)
+			b.back(all...)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, len(all))
+			b.hearing(100*time.Millisecond, all...)
+			test.happens(b)
+			b.table.Hear(b.now)
+			b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+			b.table.Abandon(b.now, 7, 1)
+			b.hearing(100*time.Millisecond, all...)
+			qt.Assert(t, b.orders, qt.HasLen, 0)
+		})
+	}
+}
+
+// TestCancelledBelatedRequests guards against jobs that run after they were cancelled: a job whose request is held is known, and can be cancelled.
+func TestCancelledBelatedRequests(t *testing.T) {
+	b := newBench(t, 1)
+	b.hearing(100*time.Millisecond, 1)
+	b.cutOff(time.Second, 1)
+	b.back(1)
+	b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+	qt.Assert(t, b.table.Held(7), qt.IsTrue)
+	qt.Assert(t, b.table.Cancel(b.now, 7), qt.IsTrue)
+	b.hearing(100*time.Millisecond, 1)
+	qt.Assert(t, b.orders, qt.HasLen, 0)
+	qt.Assert(t, b.answers[1], qt.Equals, dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.NotRun, Reason: verdict.ByCaller})
+	qt.Assert(t, b.table.Cancel(b.now, 7), qt.IsFalse)
+}
+
 // TestBelatedRequestsOfALeavingEntry: a request that waits for the end of its connection is answered when its entry is about to end.
 func TestBelatedRequestsOfALeavingEntry(t *testing.T) {
 	b := newBench(t, 1)
-	b.hearing(settled, 1)
+	b.hearing(100*time.Millisecond, 1)
 	b.cutOff(time.Second, 1)
 	b.back(1)
 	b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
@@ -152,5 +248,7 @@
 	b.table.CloseAll(b.now)
 	qt.Assert(t, b.answers[1].Verdict, qt.Equals, verdict.NotRun)
 	qt.Assert(t, b.table.Unanswered(), qt.Equals, 0)
+	b.submit(8, 2, 1, 200*time.Millisecond, 5*time.Second)
+	qt.Assert(t, b.answers[2].Verdict, qt.Equals, verdict.NotRun, qt.Commentf("one that comes then is answered at once"))
 	qt.Assert(t, b.orders, qt.HasLen, 0)
 }
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -166,8 +166,8 @@
 	cordonsRead struct{ snapshot cordon.Snapshot }
 )
 
-// callerGone tells whether the caller is known to have gone since it sent the request.
-func (e *submitted) callerGone() bool {
+// hasGone tells whether the caller has gone, while its request waited for the control goroutine.
+func (e *submitted) hasGone() bool {
 	select {
 	case <-e.gone:
 		return true
@@ -176,11 +176,11 @@
 	}
 }
 
-// submit hands a job in, to the book if it is to be kept.
+// submit hands a job in, to the book if it is to be kept. One whose caller has gone already begins nothing: it may be with another entry by now.
 func (n *Node) submit(now time.Time, e submitted) {
-	if e.request.Spec.BestEffort && e.callerGone() {
+	if e.hasGone() {
 		n.log.WithFields(logrus.Fields{"job": e.request.Job, "request": e.request.Sender}).Info("request_dropped")
-		return // its caller may have sent it elsewhere since
+		return
 	}
 	n.callers[e.request.Caller] = e.answer
 	switch {
