schedule, soak: entries that are cut off from callers alone

What callers see: a task at two upstreams at once. Cause: the same as of entries that are cut off from everything, an absence of news taken for good news. An entry that hears agents counts as in touch, though nothing came from callers; a request that was lost in the cut arrives 1.5 s and more later, when its caller has closed the connection and sent the job to another entry, and it is placed in the moment before that end is read.

--- a/internal/proof/schedule/cuts_test.go
+++ b/internal/proof/schedule/cuts_test.go
@@ -8,6 +8,9 @@
 // cutsFrom is the first seed of the worlds in which entries are cut off from everything.
 const cutsFrom = 6_000_000_000
 
+// callersFrom is the first seed of the worlds in which entries are cut off from callers and the store, and hear agents all the time.
+const callersFrom = 7_000_000_000
+
 // cuts does so. It draws by itself, like operators.
 type cuts struct {
 	w   *world
@@ -32,7 +35,7 @@
 	}
 }
 
-// off cuts an entry off from agents, callers and the store for a while.
+// off cuts an entry off from agents, callers and the store for a while; from agents not in worlds in which they are always heard.
 func (c *cuts) off(e *entryProc, d time.Duration) {
 	w := c.w
 	if e.clientCut {
@@ -42,7 +45,7 @@
 	w.disturbAll(d)
 	w.window(e.name+" is cut off from everything", d, func() { e.clientCut, e.storeCut = true, true }, func() { e.clientCut, e.storeCut = false, false })
 	for _, p := range w.pairs {
-		if p.e == e {
+		if p.e == e && !w.odds.agentsHeard {
 			p.toAgent, p.toEnt = true, true
 			w.After(d, p.heal)
 		}
--- a/internal/proof/schedule/faults_test.go
+++ b/internal/proof/schedule/faults_test.go
@@ -71,7 +71,7 @@
 
 // heal ends the cuts of a pair, unless its entry is cut off from everything for longer.
 func (p *pair) heal() {
-	if p.e.w.Now().Before(p.e.cutUntil) {
+	if w := p.e.w; !w.odds.agentsHeard && w.Now().Before(p.e.cutUntil) {
 		return
 	}
 	p.toAgent, p.toEnt = false, false
--- a/internal/proof/schedule/schedule_test.go
+++ b/internal/proof/schedule/schedule_test.go
@@ -241,6 +241,15 @@
 	t.Logf("%d schedules from seed %d, no violation", ran, cutsFrom+*seed)
 }
 
+// TestCutOffCallers guards against tasks that two entries run at once: entries are cut off from callers alone, and go on to hear agents.
+func TestCutOffCallers(t *testing.T) {
+	w, s, ran := search(callersFrom+*seed, *schedules, nil, someFaults)
+	if w != nil {
+		t.Fatal(w.report(s))
+	}
+	t.Logf("%d schedules from seed %d, no violation", ran, callersFrom+*seed)
+}
+
 // TestTracedSchedules runs schedules that have found a fault; docs/FINDINGS.md has the causes.
 func TestTracedSchedules(t *testing.T) {
 	for _, s := range []uint64{7019612, 7024031, 2000013041, 2000119632, 2000126139, 6000305343} {
--- a/internal/proof/schedule/world_test.go
+++ b/internal/proof/schedule/world_test.go
@@ -79,6 +79,8 @@
 	// cutOff: entries are cut off from everything, callers break off before the time that they have told is over, and what callers send meanwhile
 	// arrives late.
 	cutOff bool
+	// agentsHeard: such cuts leave out agents.
+	agentsHeard bool
 }
 
 // impatientFrom is the first seed of the worlds in which many callers give up early and send again at once, over slow links.
@@ -91,6 +93,9 @@
 const cordonsFrom = 3_000_000_000
 
 func oddsOf(seed uint64) odds {
+	if seed >= callersFrom {
+		return odds{leaves: 0.05, again: 0.2, moreJobs: 2, cutOff: true, agentsHeard: true}
+	}
 	if seed >= cutsFrom {
 		return odds{leaves: 0.05, again: 0.2, moreJobs: 2, cutOff: true}
 	}
--- a/internal/proof/soak/resend_test.go
+++ b/internal/proof/soak/resend_test.go
@@ -145,6 +145,13 @@
 	})
 }
 
+// cutCallersOff cuts an entry off from callers alone for a while; what they send meanwhile arrives as after cutOff.
+func (s *set) cutCallersOff(e *process, span time.Duration) {
+	e.front.set(0, true, true)
+	time.AfterFunc(span, func() { e.front.set(0, true, false) })
+	time.AfterFunc(2*span, func() { e.front.set(0, false, false) })
+}
+
 // entryFault lets something happen to one entry, or to several agents.
 func (s *set) entryFault(rng *rand.Rand) string {
 	e, a := s.entries[rng.IntN(len(s.entries))], s.agents[rng.IntN(len(s.agents))]
@@ -189,6 +196,11 @@
 		s.freeze(e, 2600*time.Millisecond)
 		return "freeze " + e.name
 	}},
+	{"callers_cut_off", func(s *set, rng *rand.Rand) string {
+		e := s.entries[rng.IntN(len(s.entries))]
+		s.cutCallersOff(e, 1600*time.Millisecond)
+		return "cut " + e.name + " off from callers"
+	}},
 	{"callers_cut_one_way", func(s *set, rng *rand.Rand) string {
 		e := s.entries[rng.IntN(len(s.entries))]
 		e.front.set(0, true, false)
