--- a/internal/proof/schedule/calls_test.go
+++ b/internal/proof/schedule/calls_test.go
@@ -8,7 +8,7 @@
 
 // callsFrom is the first seed of the worlds in which upstreams read calls late, newer ones before older ones, also when their senders have
 // given up or have ended; answers overtake each other, and agents get a part of a core.
-const callsFrom = 7_000_000_000
+const callsFrom = 9_000_000_000
 
 // calls does so. It draws by itself, like operators.
 type calls struct {
--- a/internal/proof/schedule/world_test.go
+++ b/internal/proof/schedule/world_test.go
@@ -87,6 +87,8 @@
 	calls bool
 	// sliced: processes get little of a core.
 	sliced bool
+	// agentsHeard: such cuts leave out agents.
+	agentsHeard bool
 }
 
 // impatientFrom is the first seed of the worlds in which many callers give up early and send again at once, over slow links.
@@ -99,11 +101,14 @@
 const cordonsFrom = 3_000_000_000
 
 func oddsOf(seed uint64) odds {
+	if seed >= callsFrom {
+		return odds{leaves: 0.05, again: 0.2, moreJobs: 1, calls: true}
+	}
 	if seed >= slicedFrom {
 		return odds{leaves: 0.05, again: 0.2, moreJobs: 1, sliced: true}
 	}
-	if seed >= callsFrom {
-		return odds{leaves: 0.05, again: 0.2, moreJobs: 1, calls: true}
+	if seed >= callersFrom {
+		return odds{leaves: 0.05, again: 0.2, moreJobs: 2, cutOff: true, agentsHeard: true}
 	}
 	if seed >= cutsFrom {
 		return odds{leaves: 0.05, again: 0.2, moreJobs: 2, cutOff: true}
