--- a/internal/proof/schedule/calls_test.go
+++ b/internal/proof/schedule/calls_test.go
@@ -93,9 +93,5 @@
 
 // TestLateCalls runs random schedules in which calls are read late and in any order.
 func TestLateCalls(t *testing.T) {
-	w, s, ran := search(callsFrom+*seed, longSchedules(), nil, someFaults)
-	if w != nil {
-		t.Fatal(w.report(s))
-	}
-	t.Logf("%d schedules from seed %d, no violation", ran, callsFrom+*seed)
+	noViolation(t, callsFrom+*seed, longSchedules())
 }
--- a/internal/proof/schedule/schedule_test.go
+++ b/internal/proof/schedule/schedule_test.go
@@ -203,64 +203,50 @@
 // someFaults is how many things go wrong in a schedule.
 func someFaults(s uint64) int { return int(s % 9) }
 
-// TestSchedules runs random schedules with up to eight faults that overlap.
-func TestSchedules(t *testing.T) {
-	before := invariant.Violations()
-	w, s, ran := search(*seed, *schedules, nil, someFaults)
+// noViolation runs random schedules of one kind, and fails with the first that violates something.
+func noViolation(t *testing.T, first uint64, n int) {
+	t.Helper()
+	w, s, ran := search(first, n, nil, someFaults)
 	if w != nil {
 		t.Fatal(w.report(s))
 	}
+	t.Logf("%d schedules from seed %d, no violation", ran, first)
+}
+
+// TestSchedules runs random schedules with up to eight faults that overlap.
+func TestSchedules(t *testing.T) {
+	before := invariant.Violations()
+	noViolation(t, *seed, *schedules)
 	qt.Assert(t, invariant.Violations(), qt.Equals, before)
-	t.Logf("%d schedules from seed %d, no violation", ran, *seed)
 }
 
 // TestImpatientCallers runs random schedules in which jobs are often given up and sent again at once, over slow links: what
 // was said of the former runs arrives while the new ones are under way.
 func TestImpatientCallers(t *testing.T) {
-	w, s, ran := search(impatientFrom+*seed, *schedules, nil, someFaults)
-	if w != nil {
-		t.Fatal(w.report(s))
-	}
-	t.Logf("%d schedules from seed %d, no violation", ran, impatientFrom+*seed)
+	noViolation(t, impatientFrom+*seed, *schedules)
 }
 
 // TestRestartedUpstreams runs random schedules in which upstreams start again under the ids that they had, also at once, and leave
 // and come back.
 func TestRestartedUpstreams(t *testing.T) {
-	w, s, ran := search(restartsFrom+*seed, *schedules, nil, someFaults)
-	if w != nil {
-		t.Fatal(w.report(s))
-	}
-	t.Logf("%d schedules from seed %d, no violation", ran, restartsFrom+*seed)
+	noViolation(t, restartsFrom+*seed, *schedules)
 }
 
 // TestCordonedZones runs random schedules in which operators cordon zones and lift the cordons, while the store turns processes away,
 // is silent, or is read late.
 func TestCordonedZones(t *testing.T) {
-	w, s, ran := search(cordonsFrom+*seed, *schedules, nil, someFaults)
-	if w != nil {
-		t.Fatal(w.report(s))
-	}
-	t.Logf("%d schedules from seed %d, no violation", ran, cordonsFrom+*seed)
+	noViolation(t, cordonsFrom+*seed, *schedules)
 }
 
 // TestCutOffEntries guards against tasks that two entries run at once: entries are cut off from everything, and callers that break off meanwhile
 // send their jobs to others.
 func TestCutOffEntries(t *testing.T) {
-	w, s, ran := search(cutsFrom+*seed, longSchedules(), nil, someFaults)
-	if w != nil {
-		t.Fatal(w.report(s))
-	}
-	t.Logf("%d schedules from seed %d, no violation", ran, cutsFrom+*seed)
+	noViolation(t, cutsFrom+*seed, longSchedules())
 }
 
 // TestCutOffCallers guards against tasks that two entries run at once: entries are cut off from callers alone, and go on to hear agents.
 func TestCutOffCallers(t *testing.T) {
-	w, s, ran := search(callersFrom+*seed, *schedules, nil, someFaults)
-	if w != nil {
-		t.Fatal(w.report(s))
-	}
-	t.Logf("%d schedules from seed %d, no violation", ran, callersFrom+*seed)
+	noViolation(t, callersFrom+*seed, *schedules)
 }
 
 // TestTracedSchedules runs schedules that have found a fault; docs/FINDINGS.md has the causes.
--- a/internal/proof/schedule/sliced_test.go
+++ b/internal/proof/schedule/sliced_test.go
@@ -122,9 +122,5 @@
 // TestSlicedProcesses guards against promises that rest on a timer which fires in time, or on a call that leaves at once: it runs random
 // schedules in which processes get little of a core.
 func TestSlicedProcesses(t *testing.T) {
-	w, s, ran := search(slicedFrom+*seed, longSchedules(), nil, someFaults)
-	if w != nil {
-		t.Fatal(w.report(s))
-	}
-	t.Logf("%d schedules from seed %d, no violation", ran, slicedFrom+*seed)
+	noViolation(t, slicedFrom+*seed, longSchedules())
 }
