--- a/internal/proof/schedule/crashes_test.go
+++ b/internal/proof/schedule/crashes_test.go
@@ -193,7 +193,7 @@
 // take three upstreams under the task, two of them while it is alone. In 5000307620 two upstreams go by themselves while a task is alone, after a true crash. The others are not traced.
 var unproven = []uint64{
 	4000003125, 4000215516, 4000301760, 4000301921, 4000304542, 4000304616,
-	5000002286, 5000301042, 5000304454, 5000304498, 5000307620, 5000308878,
+	5000002286, 5000006004, 5000301042, 5000304454, 5000304498, 5000307620, 5000308878,
 }
 
 // onceForgotten are schedules in which such a task was started too often, another was called failed, or a job was held for ever, before the
@@ -209,6 +209,23 @@
 	4000010010, 4000010299, 4000010601, 4000010750, 4000010766, 5000000095, 5000000496, 5000000866, 5000001784, 5000002258,
 }
 
+// forgotten are schedules in which a crash was not counted, since its agent did not live to tell of it or all processes forgot it at once.
+var forgotten = []uint64{
+	4000001062, 4000001132, 4000001161, 4000001399, 4000001407, 4000002952, 4000003069, 4000003266, 4000005529, 4000006750, 4000007066, 4000007155,
+	4000009633, 4000010010, 4000010299, 4000010601, 4000010750, 4000010766, 5000001784, 5000002064, 5000002412, 5000002430, 5000002894, 5000003070,
+}
+
+// TestForgottenCrashes guards against tasks that are started once too often, since crashes under them were forgotten.
+func TestForgottenCrashes(t *testing.T) {
+	for _, s := range forgotten {
+		t.Run(fmt.Sprintf("seed_%d", s), func(t *testing.T) {
+			if w, _, _ := search(s, 1, nil, someFaults); w != nil {
+				t.Fatal(w.report(s))
+			}
+		})
+	}
+}
+
 // TestTracedCrashes runs those.
 func TestTracedCrashes(t *testing.T) {
 	for _, s := range onceForgotten {
