dispatch: requests are held after a pause without callers too, though agents were heard

Seen by callers: a job ran at two upstreams at once and is billed twice. Its caller had been cut off from its entry, had gone to another one after 1.3 s, and the request that was lost in the cut came to the first entry late. Cause: a request that was held up is taken only if the end of its connection does not come right behind it, but whether it may have been held up was judged by what came from anybody; agents were heard all the time. Class: the absence of news of one peer covered by the news of another. Change: pauses without callers count by themselves (outage). After one of more than 500 ms, until as much time again and a first pause of retransmission has passed, requests wait 20 ms for the end of their connection. Half a second, since a request that matters was on its way for 1.3 s, and the last pause before it got through is as long as all before it. Why it holds: what was lost in one cut is sent again together, the end of the connection behind the request. Test: TestCallersCutOffAlone; without the mend three of its five cases fail.

--- a/internal/entry/dispatch/touch.go
+++ b/internal/entry/dispatch/touch.go
@@ -15,20 +15,17 @@
 //
 //   - Nothing comes from anybody while the process runs: awaitTouch gives the callers up.
 //   - The process stood still, and ends of connections wait to be read: place waits for listenLeft.
-//   - A request was lost on the way, and is sent again late: hold lets it wait for the end of its connection, see belated.go.
-//
-// What it can't tell: callers that are cut off alone, while agents are heard.
+//   - A request was lost on the way, and is sent again late: hold lets it wait for the end of its connection, see belated.go. Callers may be cut
+//     off alone, while agents are heard, so that what comes of callers counts by itself as well.
 type touch struct {
-	// lastHeard is when something came last, of an agent or a caller; zero is never. silentSince is the same, or when the process last woke if that
-	// was later: what came before is then still to be read.
-	lastHeard, silentSince time.Time
+	// any is about agents and callers, callers about callers alone.
+	any, callers outage
+	// silentSince is when something came last of anybody, or when the process last woke if that was later: what came before is then still to be read.
+	silentSince time.Time
 	// agentSilent: an agent fell silent, and none was linked since; it would say something if it could.
 	agentSilent bool
 	// gaveUp: callers were given up, and nothing was heard since. stoodStill: the process did, and nothing was heard since.
 	gaveUp, stoodStill bool
-	// outageFrom and outageTo are the last pause without news, or the last few that came close together, whether news were expected or not; zero is
-	// none.
-	outageFrom, outageTo time.Time
 	// listenLeft is for how long nothing is placed yet after a standstill; it is counted up to countedTo.
 	listenLeft time.Duration
 	countedTo  time.Time
@@ -43,7 +40,7 @@
 
 // wake notes that the process has stood still.
 func (c *touch) wake(now time.Time) {
-	if !c.lastHeard.IsZero() {
+	if !c.any.heard.IsZero() {
 		c.stoodStill, c.silentSince, c.listenLeft = true, now, listenAwake
 	}
 }
@@ -61,36 +58,39 @@
 // first.
 func (t *Table) Hear(now time.Time) {
 	c := &t.touch
-	if c.lastHeard.IsZero() {
-		c.lastHeard = now
-		if !t.began.IsZero() {
-			c.lastHeard = t.began // it has listened since
-		}
-	}
-	if c.stoodStill || now.Sub(c.lastHeard) > fellSilent*t.opts.Timing.KeepAlive {
-		if !c.mayBeOld(c.lastHeard) {
-			c.outageFrom = c.lastHeard // else what was lost before may have been lost again
-		}
-		c.gaveUp, c.stoodStill, c.outageTo = false, false, now
-	}
-	c.lastHeard, c.silentSince = now, now
+	c.any.begin(t.listensSince(now))
+	c.any.hear(now, c.stoodStill || c.any.silent(now) > fellSilent*t.opts.Timing.KeepAlive)
+	c.gaveUp, c.stoodStill, c.silentSince = false, false, now
 }
 
-// firstResend is after how long a kernel sends again what was lost on the way: at least 200 ms after it was sent, and a little more on slow ways.
-const firstResend = 250 * time.Millisecond
+// callersFellSilent is after how long without a caller their ways may have failed alone. A request matters whose caller has gone to another entry
+// meanwhile: it was under way for longer than callers pause (1.3 s), and the entry was cut off for nearly half of that at least.
+const callersFellSilent = 500 * time.Millisecond
 
-// mayBeOld tells whether what comes now may have been sent long ago. What was lost on the way is sent again after pauses that double: the last
-// one before it gets through began while nothing did, and is as long as all before it and the first one.
-func (c *touch) mayBeOld(now time.Time) bool {
-	return !c.outageTo.IsZero() && now.Sub(c.outageTo) <= c.outageTo.Sub(c.outageFrom)+firstResend+listenFor
+// HearCaller notes that a request came, beside Hear and before it is handled.
+func (t *Table) HearCaller(now time.Time) {
+	c := &t.touch.callers
+	c.begin(t.listensSince(now))
+	c.hear(now, c.silent(now) > callersFellSilent)
 }
 
+// listensSince is when the entry began to listen.
+func (t *Table) listensSince(now time.Time) time.Time {
+	if t.began.IsZero() {
+		return now
+	}
+	return t.began
+}
+
+// mayBeOld tells whether a request that comes now may have been sent long ago.
+func (c *touch) mayBeOld(now time.Time) bool { return c.any.mayBeOld(now) || c.callers.mayBeOld(now) }
+
 // awaitTouch gives up the callers of an entry that has heard nothing for as long as agents keep its runs. They are answered in case they are
 // still there; they can send their jobs again.
 func (t *Table) awaitTouch(now time.Time) {
 	c := &t.touch
 	expects := c.agentSilent || slices.ContainsFunc(t.order, func(a *upstreamOf) bool { return a.Linked })
-	if c.gaveUp || !expects || c.lastHeard.IsZero() || now.Sub(c.silentSince) <= t.opts.Timing.Silence {
+	if c.gaveUp || !expects || c.any.heard.IsZero() || now.Sub(c.silentSince) <= t.opts.Timing.Silence {
 		return
 	}
 	c.gaveUp = true
@@ -108,7 +108,7 @@
 			given++
 		}
 	}
-	t.observer.OutOfTouch(now.Sub(c.lastHeard), given)
+	t.observer.OutOfTouch(c.any.silent(now), given)
 }
 
 // outOfTouch is for callers of whom nobody can say whether they are still there.
--- a/internal/entry/dispatch/touch_test.go
+++ b/internal/entry/dispatch/touch_test.go
@@ -145,6 +145,46 @@
 	}
 }
 
+// TestCallersCutOffAlone guards against tasks that two entries run at once: a request that was held up begins only if the end of its connection
+// does not come, also where callers alone were cut off while agents were heard.
+func TestCallersCutOffAlone(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// away is for how long no caller was heard, after how long after the first one that was the request comes.
+		away, after time.Duration
+		// gone: its caller has gone, which is heard at once behind it.
+		gone bool
+		// atOnce: it is placed as it comes; placed: it is placed in the end.
+		atOnce, placed bool
+	}{
+		{"its caller has gone", time.Second, 0, true, false, false},
+		{"its caller is there", time.Second, 0, false, false, true},
+		{"it was sent again late", time.Second, 900 * time.Millisecond, true, false, false},
+		{"as much time again has passed", time.Second, 1300 * time.Millisecond, false, true, true},
+		{"callers were heard", 400 * time.Millisecond, 0, false, true, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, 2)
+			b.hearing(100*time.Millisecond, 1, 2)
+			b.table.HearCaller(b.now)
+			b.hearing(test.away, 1, 2)
+			for first := b.now; b.now.Before(first.Add(test.after)); {
+				b.table.HearCaller(b.now)
+				b.hearing(100*time.Millisecond, 1, 2)
+			}
+			b.table.HearCaller(b.now)
+			b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+			qt.Assert(t, len(b.orders) > 0, qt.Equals, test.atOnce)
+			if test.gone {
+				b.now = b.now.Add(2 * time.Millisecond)
+				b.table.Abandon(b.now, 7, 1)
+			}
+			b.hearing(100*time.Millisecond, 1, 2)
+			qt.Assert(t, len(b.orders) > 0, qt.Equals, test.placed)
+		})
+	}
+}
+
 // TestShortStandstills guards against tasks that two entries run at once: a process that stands still once more, for less than agents keep its runs,
 // while it listens for the ends of connections, has not listened meanwhile.
 func TestShortStandstills(t *testing.T) {
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -208,6 +208,7 @@
 	case received:
 		n.links.Receive(now, e.session, e.msgs, func(l *link, m *wire.Msg) { n.handleMessage(now, l, m) })
 	case submitted:
+		n.table.HearCaller(now)
 		n.submit(now, e)
 	case abandoned:
 		delete(n.callers, e.caller)
--- a/internal/proof/schedule/callers_test.go
+++ b/internal/proof/schedule/callers_test.go
@@ -116,7 +116,7 @@
 			s.broken(a)
 			return
 		}
-		e.doIn(inc, func() { e.hear(); e.take(s, a, caller) })
+		e.doIn(inc, func() { e.hear(); e.table.HearCaller(e.now()); e.take(s, a, caller) })
 	})
 	leave := w.cuts.waits(s.patience)
 	if w.chance(w.odds.leaves) {
