dispatch, upstream: a job that another entry holds begins only once that one has given it up

Seen by callers: a job ran at two upstreams at once and is billed twice. Its caller was cut off from its entry alone and went to another after 1.3 s; the first entry heard agents all the time, took the caller for present, and went on. Cause: nobody but the connection tells an entry that a caller has gone, and an entry that is sent a job can't know that another has it. Class: two holders of one thing who never hear of each other. Change: an entry tells the others, through four agents, which best-effort jobs it has held for 0.8 s, and again each 2 s; agents remember it for entries that link later. One that is sent such a job waits 20 ms for the end of the connection (it may be an old request), asks for the job through agents, and begins it once the holder says that nothing of it remains, or every agent that the holder isn't linked to it and nothing is left there, or after 1.11 s without a word. Agents take no orders of the job from the former holder for 10 s. Who is asked gives the job up (504, superseded). Why it holds: a caller comes 1.3 s after it has left, so that what it left was told half a second before; the answer comes only once the runs have ended. First attempts wait for nothing and send nothing. Not covered: an entry that shares no agent in touch with the other; a request that was on its way for over 1.3 s where neither its caller's end follows it nor callers had fallen silent. Rule release_first.

--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -265,6 +265,13 @@
 	case *wire.Msg_Ask:
 		number, jobs := codec.ReadAsk(m.Ask)
 		n.keeper.Ask(now, l.Peer, number, jobs)
+	case *wire.Msg_Holding:
+		_, jobs := codec.ReadHolding(m.Holding)
+		n.keeper.Holding(now, l.Peer, jobs)
+	case *wire.Msg_Release:
+		n.keeper.Release(now, codec.ReadRelease(m.Release, l.Peer))
+	case *wire.Msg_Released:
+		n.keeper.Released(codec.ReadReleased(m.Released))
 	case *wire.Msg_Config:
 		n.handleConfig(now, l, m.Config)
 	case *wire.Msg_Cordons:
--- a/internal/agent/upstream/bench_test.go
+++ b/internal/agent/upstream/bench_test.go
@@ -48,6 +48,7 @@
 	unconfirmed []fleet.End
 	// strays are what observers heard of strays.
 	strays []upstream.StrayEvent
+	takeovers
 }
 
 func (b *bench) Start(c call.Start)                         { b.starts = append(b.starts, c) }
--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -274,4 +274,5 @@
 		k.touchAll()
 	}
 	k.forgetSessions(now)
+	k.owners.Forget(now)
 }
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -41,6 +41,10 @@
 		k.refuse(w, fleet.StaleSession)
 		return
 	}
+	if !w.order.Kept && k.owners.Refuses(now, w.order.Job, w.owner) {
+		k.refuse(w, fleet.Superseded)
+		return
+	}
 	k.dropAlone(fleet.Superseded, func(have *waiting) bool { return have.order.Task(have.index) == task })
 	if r := k.runs[task]; r != nil && !k.without.Off(rule.SameTaskWaits) {
 		if r.owner == w.owner && r.ordered() == w.ordered() && r.epoch == w.epoch {
--- a/internal/agent/upstream/sessions.go
+++ b/internal/agent/upstream/sessions.go
@@ -110,6 +110,7 @@
 		}
 	}
 	s.unsent = nil
+	k.greetHolding(now, entry)
 	k.settle(entry)
 }
 
--- /dev/null
+++ b/internal/agent/upstream/takeover.go
@@ -0,0 +1,56 @@
+package upstream
+
+import (
+	"time"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+)
+
+// Holding passes on to all other entries which jobs one has held for long, later also to those that link.
+func (k *Keeper) Holding(now time.Time, holder ident.Incarnation, jobs []job.ID) {
+	k.owners.Holds(now, holder, jobs)
+	for _, s := range k.order {
+		if s.linked && s.entry != holder {
+			k.entries.Holding(s.entry, holder, jobs)
+		}
+	}
+}
+
+// greetHolding tells an entry that has linked which jobs others hold.
+func (k *Keeper) greetHolding(now time.Time, entry ident.Incarnation) {
+	for _, h := range k.owners.Others(now, entry) {
+		k.entries.Holding(entry, h.Entry, h.Jobs)
+	}
+}
+
+// Release handles an entry's wish to take a job over. Nobody else may order its tasks from now on; the holder is asked to give it up or, if
+// it isn't linked, the entry is told once nothing of the job is left here. Until then it asks again.
+func (k *Keeper) Release(now time.Time, t fleet.Takeover) {
+	k.owners.TakenOver(now, t)
+	switch s := k.sessions[t.Holder]; {
+	case s != nil && s.linked:
+		k.entries.Release(t)
+	case k.looked && !k.has(t.Job, t.Holder):
+		k.entries.Released(fleet.Released{Takeover: t})
+	}
+}
+
+// Released passes on that the holder of a job has given it up.
+func (k *Keeper) Released(r fleet.Released) { k.entries.Released(r) }
+
+// has tells whether a run of a job is, or may be, here for an entry, or for nobody that is known.
+func (k *Keeper) has(id job.ID, entry ident.Incarnation) bool {
+	for _, r := range k.runs {
+		if r.task.Job == id && r.owner == entry {
+			return true
+		}
+	}
+	for key := range k.strays {
+		if key.Task.Job == id {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -14,6 +14,7 @@
 	"hillreel/internal/agent/health"
 	"hillreel/internal/agent/lease"
 	"hillreel/internal/agent/lives"
+	"hillreel/internal/agent/owners"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -32,6 +33,12 @@
 	// Asked tells that all ends which a question is about have been told.
 	Asked(to ident.Incarnation, number uint64)
 	Settled(to ident.Incarnation)
+	// Holding tells which jobs another entry has held for long.
+	Holding(to, holder ident.Incarnation, jobs []job.ID)
+	// Release asks the holder of a job to give it up.
+	Release(t fleet.Takeover)
+	// Released tells the entry that takes a job over that nothing of it remains.
+	Released(r fleet.Released)
 	// Lost tells all entries that an upstream was lost that runs were at, ahead of their ends.
 	Lost(l Loss)
 	// Refuted tells all entries that a life has answered which was told as lost.
@@ -109,6 +116,8 @@
 
 	// zone says whether operators have cordoned the VM's availability zone.
 	zone ZoneState
+	// owners says which entry may order the tasks of a job that was taken over.
+	owners *owners.Account
 
 	lease lease.Lease
 	// shared: the life before had the same id, so that calls to it may have reached this one.
@@ -267,6 +276,7 @@
 		sessions: make(map[ident.Incarnation]*session),
 		told:     fleet.Clearing,
 		zone:     ZoneOpen,
+		owners:   owners.New(),
 	}
 }
 
--- a/internal/core/rule/rule.go
+++ b/internal/core/rule/rule.go
@@ -40,6 +40,8 @@
 	// HearEnds: soon after such a time a request is taken only if the end of its connection does not follow, and a process that stood still
 	// listens before it places anything.
 	HearEnds Rule = "hear_ends"
+	// ReleaseFirst: an entry that is sent a job which another is known to hold begins it only once that one has given it up.
+	ReleaseFirst Rule = "release_first"
 	// CordonGate: an agent starts nothing while its zone is cordoned, whoever orders it.
 	CordonGate Rule = "cordon_gate"
 	// CordonKnown: an agent that starts takes no work before it has heard which zones are cordoned.
@@ -71,7 +73,7 @@
 // All lists the rules.
 var All = []Rule{
 	SettleWait, StopsFirst, RunIDs, EchoedClock, FreshSession, CountSuspensions, StopSilent, FenceUnsure, SameTaskWaits, LapseBudget, LookFirst,
-	ConfirmLife, LifeBorn, CallersLost, HearEnds, CordonGate, CordonKnown, CordonOrder, CountStopping, RoomHeard, CrashAlone, CrashTold, CrashStored, WithholdEnds, AckAfterLapse, OwnerLease, AskFirst, StoreFirst,
+	ConfirmLife, LifeBorn, CallersLost, HearEnds, ReleaseFirst, CordonGate, CordonKnown, CordonOrder, CountStopping, RoomHeard, CrashAlone, CrashTold, CrashStored, WithholdEnds, AckAfterLapse, OwnerLease, AskFirst, StoreFirst,
 }
 
 // Set is a set of rules that are left out.
--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -49,6 +49,7 @@
 	t.touch.agentSilent = false
 	a.Link(name, zone)
 	t.countPace(a)
+	t.linkedAnew(now, id)
 }
 
 // fellSilent times the keep-alive interval is after how long without a word an agent has fallen silent, whose link would have been heard to end
--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -60,7 +60,7 @@
 // begun is stopped, so that it is gone when its caller sends the job again.
 func (t *Table) CloseAll(now time.Time) {
 	t.closing = true
-	t.refuseBelated()
+	t.answerAllBelated(refused(verdict.Leaving)) // nothing of them has run here
 	for _, j := range t.sortedJobs() {
 		t.answerAgain(j, EntryLeaves)
 		switch {
@@ -200,6 +200,7 @@
 	}
 	if t.jobs[j.id] == j {
 		delete(t.jobs, j.id)
+		t.payOwed(j.id)
 	}
 	again := j.again
 	j.again = nil
--- a/internal/entry/dispatch/belated.go
+++ b/internal/entry/dispatch/belated.go
@@ -13,21 +13,25 @@
 // way there and back several times over.
 const listenFor = 20 * time.Millisecond
 
-// belatedRequest is a request that may have been on its way for long.
+// belatedRequest is a request that may have been on its way for long, or whose job another entry holds.
 type belatedRequest struct {
 	request Request
 	// listenLeft is for how long the process has still to listen before it is taken, if its caller has not gone; it is counted up to countedTo.
 	listenLeft time.Duration
 	countedTo  time.Time
+	// takenOver: another entry has held its job, and has given it up.
+	takenOver bool
 }
 
-// hold lets a belated request wait until the end of its connection would have been heard, and tells whether it does.
+// hold lets a belated request wait until the end of its connection would have been heard, and tells whether it does. One whose job another entry
+// holds waits as well: the caller may have gone there.
 func (t *Table) hold(now time.Time, r Request) bool {
-	if t.closing || r.Kept != nil || !t.touch.mayBeOld(now) || t.opts.Without.Off(rule.HearEnds) {
+	old := t.touch.mayBeOld(now) && !t.opts.Without.Off(rule.HearEnds)
+	if t.closing || r.Kept != nil || !old && !t.heldElsewhere(now, r.Job) {
 		return false
 	}
 	t.observer.Belated(&r)
-	t.belated = append(t.belated, belatedRequest{r, listenFor, now})
+	t.belated = append(t.belated, belatedRequest{request: r, listenLeft: listenFor, countedTo: now})
 	return true
 }
 
@@ -38,12 +42,21 @@
 	for _, b := range waiting {
 		b.listenLeft -= listened(b.countedTo, now)
 		b.countedTo = now
-		if b.listenLeft > 0 {
+		switch r := &b.request; {
+		case b.listenLeft > 0:
 			t.belated = append(t.belated, b)
-			continue
+		case t.awaitRelease(now, r.Job) && !r.Deadline.IsZero() && !now.Before(r.Deadline):
+			t.callers.Answer(r.Caller, Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Deadline})
+		case t.releases[r.Job] != nil:
+			t.belated = append(t.belated, b)
+		default:
+			t.take(now, *r)
+			if j := t.jobs[r.Job]; j != nil && b.takenOver {
+				j.tellAt = now // its caller may go to a third entry
+			}
 		}
-		t.take(now, b.request)
 	}
+	t.forgetReleases()
 }
 
 // dropBelated forgets a belated request whose caller has gone.
@@ -61,19 +74,24 @@
 	if !t.isBelated(id) {
 		return false
 	}
+	t.answerBelated(id, Answer{State: verdict.Unresolved, Verdict: verdict.NotRun, Reason: verdict.ByCaller})
+	return true
+}
+
+// answerBelated answers the belated requests of a job, and forgets them.
+func (t *Table) answerBelated(id job.ID, a Answer) {
 	t.belated = slices.DeleteFunc(t.belated, func(b belatedRequest) bool {
 		if b.request.Job == id {
-			t.callers.Answer(b.request.Caller, Answer{State: verdict.Unresolved, Verdict: verdict.NotRun, Reason: verdict.ByCaller})
+			t.callers.Answer(b.request.Caller, a)
 		}
 		return b.request.Job == id
 	})
-	return true
 }
 
-// refuseBelated answers the belated requests of an entry that is about to end: nothing of them has run.
-func (t *Table) refuseBelated() {
+// answerAllBelated answers all belated requests, and forgets them.
+func (t *Table) answerAllBelated(a Answer) {
 	for _, b := range t.belated {
-		t.callers.Answer(b.request.Caller, refused(verdict.Leaving))
+		t.callers.Answer(b.request.Caller, a)
 	}
 	t.belated = nil
 }
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/demand"
 	"hillreel/internal/entry/doubt"
+	"hillreel/internal/entry/holders"
 	"hillreel/internal/entry/queue"
 )
 
@@ -88,6 +89,12 @@
 	Stop(agent ident.Incarnation, r fleet.OrderedRun, why fleet.Reason)
 	// Crashes tells all agents of tasks that upstreams were lost under.
 	Crashes(all []fleet.Crash)
+	// Holding tells an agent, for its other entries, which jobs this entry has held for long.
+	Holding(agent ident.Incarnation, jobs []job.ID)
+	// Release asks for a job that another entry holds, which the agent passes on if that is linked.
+	Release(agent ident.Incarnation, id job.ID, holder ident.Incarnation)
+	// Released tells an agent, for the entry that takes a job over, that nothing of it remains.
+	Released(agent ident.Incarnation, r fleet.Released)
 }
 
 // Callers answers callers.
@@ -113,6 +120,8 @@
 	OutOfTouch(silent time.Duration, jobs int)
 	// Belated is called for a request that waits for the end of its connection, which may come right behind it.
 	Belated(r *Request)
+	// TakenOver is called when a job is asked for that another entry holds, or is given up to one that asks.
+	TakenOver(id job.ID, other ident.Incarnation, waited time.Duration, event TakeoverEvent)
 	// AgentChanged is called when the session with an agent ends or goes on while runs of this entry are there, and when
 	// those runs are settled; runs is how many the event is about.
 	AgentChanged(agent ident.UpstreamName, runs int, event AgentEvent)
@@ -176,6 +185,8 @@
 	MaxQueue int
 	// MaxTasks bounds one job.
 	MaxTasks int
+	// AgentLinks is to how many entries an agent links at most; zero is all.
+	AgentLinks int
 	// Without leaves out safety rules, for experiments only.
 	Without rule.Set
 }
@@ -225,6 +236,13 @@
 	// touch says whether the entry is in touch, belated are requests that came soon after it was not.
 	touch   touch
 	belated []belatedRequest
+	// elsewhere is which jobs other entries hold; releases are the jobs that they were asked to give up, owed the answers to such questions
+	// of others that wait for the end of runs.
+	elsewhere *holders.Account
+	releases  map[job.ID]*release
+	owed      map[job.ID][]owed
+	// relay counts the messages that agents were asked to pass on.
+	relay int
 	// closing is true once the entry is about to end.
 	closing bool
 	// ordered is the id of the newest run.
@@ -239,6 +257,7 @@
 		opts: o, agentsIO: a, callers: c, observer: ob, rng: rand.New(rand.NewPCG(seed, 0)),
 		jobs: make(map[job.ID]*jobState), queues: make(map[ident.Service]*queue.Queue[*jobState]),
 		agents: make(map[ident.Incarnation]*upstreamOf), pace: 1, entries: 1, patient: demand.NewCallers(), crashes: crash.New(o.Without), gated: make(map[ident.Zone]int64),
+		elsewhere: holders.New(), releases: make(map[job.ID]*release), owed: make(map[job.ID][]owed),
 		allowed: func(ident.UpstreamName, ident.Zone, ident.Service) bool { return true },
 	}
 }
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -53,6 +53,7 @@
 	// told and again are what observers heard of stops, and of callers that came again.
 	told  []dispatch.Stops
 	again []dispatch.Holding
+	takeovers
 }
 
 func (b *bench) Order(a ident.Incarnation, o fleet.Order) {
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -70,7 +70,7 @@
 		// The caller has sent the job to another entry; two entries that kept at it would stop each other's runs.
 		t.observer.Ended(a.Name, e, "job_superseded")
 		k.phase = over
-		t.close(now, j, Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Superseded})
+		t.close(now, j, superseded)
 	default:
 		if e.Reason == fleet.ZoneCordoned {
 			t.gatedAt(a)
@@ -166,6 +166,7 @@
 	t.awaitTouch(now)
 	t.settleSilent(now)
 	t.takeBelated(now)
+	t.tellHeld(now)
 	t.refuseNowhere(now)
 	for _, j := range t.dueJobs(now) {
 		t.giveUp(now, j)
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -73,6 +73,8 @@
 	sender    string
 	submitted time.Time
 	deadline  time.Time
+	// tellAt is when other entries are told next that this one holds the job.
+	tellAt    time.Time
 	objective time.Duration
 	// startBy is until when the job waits for room, goesBy orders those that wait: it is earlier for wide ones.
 	startBy, goesBy time.Time
--- a/internal/entry/dispatch/submit.go
+++ b/internal/entry/dispatch/submit.go
@@ -7,6 +7,7 @@
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/admission"
+	"hillreel/internal/entry/holders"
 )
 
 // Submit takes a job, or answers at once why not.
@@ -101,7 +102,7 @@
 		objective: r.Route.Objective(chain), steps: make([]stepState, len(r.Spec.Steps)),
 	}
 	if !j.kept {
-		j.callers = []CallerID{r.Caller}
+		j.callers, j.tellAt = []CallerID{r.Caller}, now.Add(holders.TellAfter)
 	}
 	if !j.kept && !r.Deadline.IsZero() {
 		j.late = t.patient.SentBefore(r.Route.Name, j.objective, r.Deadline.Sub(now))
--- /dev/null
+++ b/internal/entry/dispatch/takeover_test.go
@@ -0,0 +1,148 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/verdict"
+	"hillreel/internal/entry/dispatch"
+)
+
+// otherEntry and thirdEntry are other entries, which the benches' tables know by what agents pass on.
+const otherEntry, thirdEntry ident.Incarnation = 91, 92
+
+// takeovers are the messages of a Table about jobs that other entries hold, or take over.
+type takeovers struct {
+	held     [][]job.ID
+	asked    []ident.Incarnation
+	released []fleet.Released
+	steps    []dispatch.TakeoverEvent
+}
+
+func (x *takeovers) Holding(_ ident.Incarnation, jobs []job.ID) { x.held = append(x.held, jobs) }
+func (x *takeovers) Release(agent ident.Incarnation, _ job.ID, _ ident.Incarnation) {
+	x.asked = append(x.asked, agent)
+}
+func (x *takeovers) Released(_ ident.Incarnation, r fleet.Released) {
+	x.released = append(x.released, r)
+}
+func (x *takeovers) TakenOver(_ job.ID, _ ident.Incarnation, _ time.Duration, e dispatch.TakeoverEvent) {
+	x.steps = append(x.steps, e)
+}
+
+// TestHeldElsewhere guards against tasks that two entries run at once: a job that another entry has told of begins only once that one has given it
+// up, or nothing can be left of it.
+func TestHeldElsewhere(t *testing.T) {
+	byHolder := fleet.Released{Takeover: fleet.Takeover{Job: 7, Holder: otherEntry}, ByHolder: true}
+	byAgent := fleet.Released{Takeover: fleet.Takeover{Job: 7, Holder: otherEntry}}
+	for _, test := range []struct {
+		name    string
+		happens func(b *bench)
+		placed  bool
+		last    dispatch.TakeoverEvent
+	}{
+		{"nobody answers yet", func(b *bench) { b.hearing(900*time.Millisecond, 1, 2) }, false, dispatch.TakeoverAsked},
+		{"nobody answers for so long that nothing can be left", func(b *bench) { b.hearing(1200*time.Millisecond, 1, 2) }, true, dispatch.TakeoverLapsed},
+		{"its holder has given it up", func(b *bench) { b.table.Released(b.now, 1, byHolder) }, true, dispatch.TakeoverConfirmed},
+		{"its holder is not linked to one agent", func(b *bench) { b.table.Released(b.now, 1, byAgent) }, false, dispatch.TakeoverAsked},
+		{"its holder is not linked to any", func(b *bench) {
+			b.table.Released(b.now, 1, byAgent)
+			b.table.Released(b.now, 2, byAgent)
+		}, true, dispatch.TakeoverSettled},
+		{"an agent links meanwhile", func(b *bench) {
+			b.table.Released(b.now, 1, byAgent)
+			b.link(3)
+			b.room(3, fleet.Ready, 2000, 0)
+			b.table.Released(b.now, 2, byAgent)
+		}, false, dispatch.TakeoverAsked},
+		{"an earlier holder has given it up", func(b *bench) {
+			b.table.Released(b.now, 1, fleet.Released{Takeover: fleet.Takeover{Job: 7, Holder: thirdEntry}, ByHolder: true})
+		}, false, dispatch.TakeoverAsked},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t, 2)
+			b.hearing(100*time.Millisecond, 1, 2)
+			b.table.Holding(b.now, otherEntry, []job.ID{7})
+			b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+			b.hearing(60*time.Millisecond, 1, 2)
+			qt.Assert(t, b.asked, qt.DeepEquals, []ident.Incarnation{1, 2})
+			qt.Assert(t, b.orders, qt.HasLen, 0)
+			test.happens(b)
+			qt.Assert(t, len(b.orders) > 0, qt.Equals, test.placed)
+			qt.Assert(t, b.steps[len(b.steps)-1], qt.Equals, test.last)
+		})
+	}
+}
+
+// TestCallerOfHeldJobGoes: a request of a job that another entry holds is forgotten with its caller, and the other entry keeps the job.
+func TestCallerOfHeldJobGoes(t *testing.T) {
+	b := newBench(t, 2)
+	b.hearing(100*time.Millisecond, 1, 2)
+	b.table.Holding(b.now, otherEntry, []job.ID{7})
+	b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+	b.table.Abandon(b.now.Add(3*time.Millisecond), 7, 1)
+	b.hearing(2*time.Second, 1, 2)
+	qt.Assert(t, b.asked, qt.HasLen, 0)
+	qt.Assert(t, b.orders, qt.HasLen, 0)
+}
+
+// TestHeldElsewhereTooLong: a caller that waits for less long than the release takes is told that its job may have run.
+func TestHeldElsewhereTooLong(t *testing.T) {
+	b := newBench(t, 2)
+	b.hearing(100*time.Millisecond, 1, 2)
+	b.table.Holding(b.now, otherEntry, []job.ID{7})
+	b.submit(7, 1, 1, 200*time.Millisecond, 500*time.Millisecond)
+	b.hearing(600*time.Millisecond, 1, 2)
+	qt.Assert(t, b.answers[1], qt.Equals, dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Deadline})
+	qt.Assert(t, b.orders, qt.HasLen, 0)
+}
+
+// TestGiveUp: a job that another entry takes over is stopped, its caller is told, and the other entry hears once nothing of it remains.
+func TestGiveUp(t *testing.T) {
+	b := newBench(t, 2)
+	b.hearing(100*time.Millisecond, 1, 2)
+	b.submit(7, 1, 1, 2*time.Second, 5*time.Second)
+	to := fleet.Takeover{Job: 7, Holder: 1, By: otherEntry}
+	b.table.GiveUp(b.now, 2, to)
+	qt.Assert(t, b.answers[1], qt.Equals, dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Superseded})
+	qt.Assert(t, b.stops, qt.HasLen, 1)
+	qt.Assert(t, b.released, qt.HasLen, 0)
+	b.end(b.orders[0], 0, job.Stopped, fleet.OnRequest)
+	qt.Assert(t, b.released, qt.DeepEquals, []fleet.Released{{Takeover: to, ByHolder: true}})
+	b.table.GiveUp(b.now, 1, to)
+	qt.Assert(t, b.released, qt.HasLen, 2, qt.Commentf("what is not held is answered at once"))
+
+	b.submit(7, 2, 1, 2*time.Second, 5*time.Second)
+	b.hearing(60*time.Millisecond, 1, 2)
+	qt.Assert(t, b.orders, qt.HasLen, 1, qt.Commentf("a request that comes late does not begin beside the other entry's runs"))
+	qt.Assert(t, b.asked, qt.DeepEquals, []ident.Incarnation{1, 2})
+}
+
+// TestLongHeldJobsAreTold: other entries are told of a job once its caller may come to them soon, now and then for as long as it is held, and of
+// one that was taken over at once; of jobs that are held for less long nobody is told.
+func TestLongHeldJobsAreTold(t *testing.T) {
+	b := newBench(t, 1)
+	b.hearing(100*time.Millisecond, 1)
+	b.submit(7, 1, 1, 10*time.Second, 20*time.Second)
+	b.hearing(760*time.Millisecond, 1)
+	qt.Assert(t, b.held, qt.HasLen, 0)
+	b.hearing(60*time.Millisecond, 1)
+	qt.Assert(t, b.held, qt.DeepEquals, [][]job.ID{{7}})
+	b.hearing(2*time.Second, 1)
+	qt.Assert(t, b.held, qt.HasLen, 2)
+	b.end(b.orders[0], 0, job.Done, "")
+	b.hearing(3*time.Second, 1)
+	qt.Assert(t, b.held, qt.HasLen, 2)
+
+	b.table.Holding(b.now, otherEntry, []job.ID{8})
+	b.submit(8, 2, 1, 10*time.Second, 20*time.Second)
+	b.hearing(40*time.Millisecond, 1)
+	b.table.Released(b.now, 1, fleet.Released{Takeover: fleet.Takeover{Job: 8, Holder: otherEntry}, ByHolder: true})
+	b.hearing(20*time.Millisecond, 1)
+	qt.Assert(t, b.held[2:], qt.DeepEquals, [][]job.ID{{8}})
+}
--- a/internal/entry/dispatch/touch.go
+++ b/internal/entry/dispatch/touch.go
@@ -108,6 +108,7 @@
 			given++
 		}
 	}
+	t.answerAllBelated(outOfTouch)
 	t.observer.OutOfTouch(c.any.silent(now), given)
 }
 
--- /dev/null
+++ b/internal/entry/holders/holders.go
@@ -0,0 +1,57 @@
+// Package holders answers which other entry holds a job that need not be kept, from what entries tell each other of the jobs that they have
+// held for long. It knows nothing of this entry's own jobs, and must not be taken for complete: what was told may be lost.
+package holders
+
+import (
+	"maps"
+	"time"
+
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+)
+
+const (
+	// TellAfter is after how long a held job is told of: callers come to another entry 1.3 s after they have left this one at the earliest, and the
+	// message may take as long as a slow link's.
+	TellAfter = 800 * time.Millisecond
+	// TellEvery is after how long it is told of again, for entries that have not heard or were not there.
+	TellEvery = 2 * time.Second
+	// remember is for how long it counts as held without being told of again: one message may be lost.
+	remember = 2*TellEvery + time.Second
+)
+
+// holder is an entry that holds a job.
+type holder struct {
+	entry ident.Incarnation
+	until time.Time
+}
+
+// Account is what other entries have told.
+type Account struct {
+	by map[job.ID]holder
+	// swept is when what is over was forgotten last.
+	swept time.Time
+}
+
+// New returns an Account that knows of no job.
+func New() *Account { return &Account{by: make(map[job.ID]holder)} }
+
+// Told notes that an entry holds jobs.
+func (a *Account) Told(now time.Time, entry ident.Incarnation, jobs ...job.ID) {
+	for _, id := range jobs {
+		a.by[id] = holder{entry, now.Add(remember)}
+	}
+	if now.Sub(a.swept) > remember {
+		a.swept = now
+		maps.DeleteFunc(a.by, func(_ job.ID, h holder) bool { return !now.Before(h.until) })
+	}
+}
+
+// Of returns the entry that holds a job, as far as it is known.
+func (a *Account) Of(now time.Time, id job.ID) (entry ident.Incarnation, known bool) {
+	h, known := a.by[id]
+	return h.entry, known && now.Before(h.until)
+}
+
+// Forget forgets who holds a job.
+func (a *Account) Forget(id job.ID) { delete(a.by, id) }
--- a/internal/entry/node/links.go
+++ b/internal/entry/node/links.go
@@ -126,6 +126,13 @@
 	case *wire.Msg_Crashes:
 		crashes, refuted := codec.ReadCrashes(m.Crashes)
 		n.adoptCrashes(now, l, crashes, refuted)
+	case *wire.Msg_Holding:
+		holder, jobs := codec.ReadHolding(m.Holding)
+		n.table.Holding(now, holder, jobs)
+	case *wire.Msg_Release:
+		n.table.GiveUp(now, l.Peer, codec.ReadRelease(m.Release, 0))
+	case *wire.Msg_Released:
+		n.table.Released(now, l.Peer, codec.ReadReleased(m.Released))
 	case *wire.Msg_Config:
 		n.handleRelayed(l, m.Config)
 	default:
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -92,6 +92,7 @@
 	}
 	options := dispatch.Options{
 		Timing: set.Links.Timing(), Zone: ident.Zone(set.Node.Zone), MaxQueue: set.Entry.QueueLimit, MaxTasks: set.Entry.MaxTasks,
+		AgentLinks: set.Links.Entries,
 	}
 	n.table = dispatch.New(options, (*sender)(n), (*answerer)(n), observer, rand.Uint64())
 	n.book = n.newBook(store)
--- a/internal/entry/node/observe.go
+++ b/internal/entry/node/observe.go
@@ -110,6 +110,12 @@
 // Belated counts the requests that wait for the end of their connections.
 func (o *Observer) Belated(*dispatch.Request) { o.counters.Add("requests_belated", 1) }
 
+// TakenOver logs and counts the steps of a takeover of a job by another entry, or from one.
+func (o *Observer) TakenOver(id job.ID, other ident.Incarnation, waited time.Duration, event dispatch.TakeoverEvent) {
+	o.counters.Add("takeovers_"+string(event), 1)
+	o.log.WithFields(logrus.Fields{"job": id, "other_entry": other, "waited_ms": waited.Milliseconds(), "step": event}).Info("job_takeover")
+}
+
 // CameAgain logs a request of a job that is held, and counts those whose job still had runs.
 func (o *Observer) CameAgain(r *dispatch.Request, h dispatch.Holding) {
 	o.counters.Add("callers_came_again", 1)
--- /dev/null
+++ b/internal/link/codec/takeover.go
@@ -0,0 +1,58 @@
+package codec
+
+import (
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+	"hillreel/internal/link/wire"
+)
+
+// Holding encodes which jobs an entry has held for long; zero is the sender.
+func Holding(entry ident.Incarnation, jobs []job.ID) *wire.Msg {
+	m := &wire.Holding{Entry: uint64(entry)}
+	for _, id := range jobs {
+		m.Jobs = append(m.Jobs, uint64(id))
+	}
+	return &wire.Msg{Kind: &wire.Msg_Holding{Holding: m}}
+}
+
+// ReadHolding decodes which jobs an entry has held for long.
+func ReadHolding(m *wire.Holding) (entry ident.Incarnation, jobs []job.ID) {
+	for _, id := range m.GetJobs() {
+		jobs = append(jobs, job.ID(id))
+	}
+	return ident.Incarnation(m.GetEntry()), jobs
+}
+
+func takeover(t fleet.Takeover) *wire.Takeover {
+	return &wire.Takeover{Job: uint64(t.Job), Holder: uint64(t.Holder), By: uint64(t.By)}
+}
+
+// readTakeover decodes a takeover; by is the entry that takes the job over where the message doesn't say.
+func readTakeover(m *wire.Takeover, by ident.Incarnation) fleet.Takeover {
+	t := fleet.Takeover{Job: job.ID(m.GetJob()), Holder: ident.Incarnation(m.GetHolder()), By: ident.Incarnation(m.GetBy())}
+	if t.By == 0 {
+		t.By = by
+	}
+	return t
+}
+
+// Release encodes the wish to take a job over.
+func Release(t fleet.Takeover) *wire.Msg {
+	return &wire.Msg{Kind: &wire.Msg_Release{Release: &wire.Release{Takeover: takeover(t)}}}
+}
+
+// ReadRelease decodes the wish to take a job over; from is the sender.
+func ReadRelease(m *wire.Release, from ident.Incarnation) fleet.Takeover {
+	return readTakeover(m.GetTakeover(), from)
+}
+
+// Released encodes that nothing of a job remains.
+func Released(r fleet.Released) *wire.Msg {
+	return &wire.Msg{Kind: &wire.Msg_Released{Released: &wire.Released{Takeover: takeover(r.Takeover), ByHolder: r.ByHolder}}}
+}
+
+// ReadReleased decodes that nothing of a job remains.
+func ReadReleased(m *wire.Released) fleet.Released {
+	return fleet.Released{Takeover: readTakeover(m.GetTakeover(), 0), ByHolder: m.GetByHolder()}
+}
--- a/internal/load/report/table.go
+++ b/internal/load/report/table.go
@@ -34,9 +34,9 @@
 	seconds := p.Length.Seconds()
 	m := r.Messages
 	_, err := fmt.Fprintf(out, "\nroom used %.3f, of that wasted %.3f; runs begun %d, refused for want of room %d\n"+
-		"messages a second: orders %.0f, stops %.0f, room %.0f, ends %.0f\n",
+		"messages a second: orders %.0f, stops %.0f, room %.0f, ends %.0f, takeovers %.0f\n",
 		r.Used/(r.Cores*seconds), part(r.Wasted, r.Used), r.Runs, r.Raced,
-		float64(m.Orders)/seconds, float64(m.Stops)/seconds, float64(m.Rooms)/seconds, float64(m.Ends)/seconds)
+		float64(m.Orders)/seconds, float64(m.Stops)/seconds, float64(m.Rooms)/seconds, float64(m.Ends)/seconds, float64(m.Takeovers)/seconds)
 	return err
 }
 
--- a/internal/load/world/agent.go
+++ b/internal/load/world/agent.go
@@ -160,6 +160,24 @@
 // Asked is for kept jobs, of which there are none.
 func (words) Asked(ident.Incarnation, uint64) {}
 
+// Holding tells which jobs another entry has held for long.
+func (x words) Holding(to, holder ident.Incarnation, jobs []job.ID) {
+	x.a.w.result.Messages.Takeovers++
+	x.tell(to, func(e *entry, _ *link) { e.table.Holding(e.w.Now(), holder, jobs) })
+}
+
+// Release asks the holder of a job to give it up.
+func (x words) Release(t fleet.Takeover) {
+	x.a.w.result.Messages.Takeovers++
+	x.tell(t.Holder, func(e *entry, _ *link) { e.table.GiveUp(e.w.Now(), x.a.inc, t) })
+}
+
+// Released tells the entry that takes a job over that nothing of it remains.
+func (x words) Released(r fleet.Released) {
+	x.a.w.result.Messages.Takeovers++
+	x.tell(r.By, func(e *entry, _ *link) { e.table.Released(e.w.Now(), x.a.inc, r) })
+}
+
 // Settled tells that nothing of earlier sessions remains.
 func (x words) Settled(to ident.Incarnation) {
 	x.tell(to, func(e *entry, _ *link) { e.table.Settled(e.w.Now(), x.a.inc) })
--- a/internal/load/world/entry.go
+++ b/internal/load/world/entry.go
@@ -137,6 +137,30 @@
 	}
 }
 
+// Holding tells an agent, for its other entries, which jobs this entry has held for long.
+func (o orders) Holding(to ident.Incarnation, jobs []job.ID) {
+	if l := o.e.linkTo(to); l != nil {
+		o.e.w.result.Messages.Takeovers++
+		l.toAgent(headers+proto.Size(codec.Holding(0, jobs)), func() { l.a.keeper.Holding(o.e.w.Now(), l.e.inc, jobs) })
+	}
+}
+
+// Release asks for a job that another entry holds.
+func (o orders) Release(to ident.Incarnation, id job.ID, holder ident.Incarnation) {
+	if l := o.e.linkTo(to); l != nil {
+		o.e.w.result.Messages.Takeovers++
+		l.toAgent(shortMessage, func() { l.a.keeper.Release(o.e.w.Now(), fleet.Takeover{Job: id, Holder: holder, By: l.e.inc}) })
+	}
+}
+
+// Released tells that nothing of a job remains.
+func (o orders) Released(to ident.Incarnation, r fleet.Released) {
+	if l := o.e.linkTo(to); l != nil {
+		o.e.w.result.Messages.Takeovers++
+		l.toAgent(shortMessage, func() { l.a.keeper.Released(r) })
+	}
+}
+
 // Crashes tells nobody: VMs lose power with both, their agent and their upstream.
 func (orders) Crashes([]fleet.Crash) {}
 
@@ -196,5 +220,8 @@
 // Belated: see OutOfTouch.
 func (notes) Belated(*dispatch.Request) {}
 
+// TakenOver counts nothing: the entries' logs have it.
+func (notes) TakenOver(job.ID, ident.Incarnation, time.Duration, dispatch.TakeoverEvent) {}
+
 // AgentChanged counts nothing.
 func (notes) AgentChanged(ident.UpstreamName, int, dispatch.AgentEvent) {}
--- a/internal/load/world/result.go
+++ b/internal/load/world/result.go
@@ -40,7 +40,7 @@
 }
 
 // Messages counts what entries and agents sent each other.
-type Messages struct{ Orders, Stops, Rooms, Ends int }
+type Messages struct{ Orders, Stops, Rooms, Ends, Takeovers int }
 
 // Result is what an experiment has shown.
 type Result struct {
--- a/internal/proof/schedule/words_test.go
+++ b/internal/proof/schedule/words_test.go
@@ -39,6 +39,26 @@
 	}
 }
 
+func (x entryIO) Holding(agent ident.Incarnation, jobs []job.ID) {
+	if s, a := x.linkTo(agent); s != nil {
+		inc := x.e.inc
+		s.send(func() { a.keeper.Holding(a.now(), inc, jobs) })
+	}
+}
+
+func (x entryIO) Release(agent ident.Incarnation, id job.ID, holder ident.Incarnation) {
+	if s, a := x.linkTo(agent); s != nil {
+		t := fleet.Takeover{Job: id, Holder: holder, By: x.e.inc}
+		s.send(func() { a.keeper.Release(a.now(), t); a.flush() })
+	}
+}
+
+func (x entryIO) Released(agent ident.Incarnation, r fleet.Released) {
+	if s, a := x.linkTo(agent); s != nil {
+		s.send(func() { a.keeper.Released(r) })
+	}
+}
+
 func (x entryIO) Crashes(all []fleet.Crash) {
 	for _, a := range x.e.w.agents {
 		if side := x.e.links[&a.proc]; side != nil {
@@ -189,6 +209,18 @@
 	x.tell(to, func(p *entryProc, _ *linkSide) { p.book.Asked(p.now(), x.inc, number) })
 }
 
+func (x agentIO) Holding(to, holder ident.Incarnation, jobs []job.ID) {
+	x.tell(to, func(e *entryProc, _ *linkSide) { e.table.Holding(e.now(), holder, jobs) })
+}
+
+func (x agentIO) Release(t fleet.Takeover) {
+	x.tell(t.Holder, func(e *entryProc, _ *linkSide) { e.table.GiveUp(e.now(), x.inc, t) })
+}
+
+func (x agentIO) Released(r fleet.Released) {
+	x.tell(r.By, func(e *entryProc, _ *linkSide) { e.table.Released(e.now(), x.inc, r) })
+}
+
 func (x agentIO) Settled(to ident.Incarnation) {
 	x.tell(to, func(e *entryProc, _ *linkSide) { e.table.Settled(e.now(), x.inc) })
 }
@@ -204,15 +236,16 @@
 // nobody observes nothing.
 type nobody struct{}
 
-func (nobody) Placed(job.ID, ident.UpstreamName, *fleet.Order, time.Duration)   {}
-func (nobody) Ended(ident.UpstreamName, fleet.End, string)                      {}
-func (nobody) Answered(job.ID, *route.Route, dispatch.Answer, dispatch.Summary) {}
-func (nobody) AgentChanged(ident.UpstreamName, int, dispatch.AgentEvent)        {}
-func (nobody) Taken(*dispatch.Request)                                          {}
-func (nobody) StopsAsked(dispatch.Stops)                                        {}
-func (nobody) CameAgain(*dispatch.Request, dispatch.Holding)                    {}
-func (nobody) OutOfTouch(time.Duration, int)                                    {}
-func (nobody) Belated(*dispatch.Request)                                        {}
+func (nobody) Placed(job.ID, ident.UpstreamName, *fleet.Order, time.Duration)             {}
+func (nobody) Ended(ident.UpstreamName, fleet.End, string)                                {}
+func (nobody) Answered(job.ID, *route.Route, dispatch.Answer, dispatch.Summary)           {}
+func (nobody) AgentChanged(ident.UpstreamName, int, dispatch.AgentEvent)                  {}
+func (nobody) Taken(*dispatch.Request)                                                    {}
+func (nobody) StopsAsked(dispatch.Stops)                                                  {}
+func (nobody) CameAgain(*dispatch.Request, dispatch.Holding)                              {}
+func (nobody) OutOfTouch(time.Duration, int)                                              {}
+func (nobody) Belated(*dispatch.Request)                                                  {}
+func (nobody) TakenOver(job.ID, ident.Incarnation, time.Duration, dispatch.TakeoverEvent) {}
 
 // agentNotes notes what an agent decides.
 type agentNotes struct{ a *agentProc }
