dispatch: three agents pass on what entries hold

One may be lost and one out of the other entry's hearing, as before; what is told again each 2 s covers the rest.

--- a/internal/entry/dispatch/takeover.go
+++ b/internal/entry/dispatch/takeover.go
@@ -54,7 +54,7 @@
 var superseded = Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Superseded}
 
 // relays is how many agents pass a message on: one may be lost with it, and one may be out of the other entry's hearing.
-const relays = 4
+const relays = 3
 
 // relayAgents returns some agents that pass messages on to other entries. Where agents link to a part of the entries only, no few of them
 // reach every one.
