upstream, crash: an answer that waited while its agent stood still doesn't say that the upstream lived until then

Seen by callers: a task that crashes upstreams is started once too often, and takes a sixth upstream with all that runs there. Cause: the age of a run at a loss counts until the agent heard the upstream last, and an answer that lay unread while the agent stood still counted as heard when the agent woke. The age was known seconds too high; a run that is taken to have outlived the point of an earlier crash clears its task. Class: what came during a standstill taken for fresh. Change: such an answer proves that the upstream lived when it was asked. The loss tells both, how old the run was at least and at most, and counts for no task that was alone. Why it holds: an age at a loss is never too high again, so that nothing is outlived that was not. Tests: TestAgeAfterStandstill (without the mend 2.02 s instead of 20 ms), TestAgesAcrossStandstills.

--- a/internal/agent/upstream/alone_test.go
+++ b/internal/agent/upstream/alone_test.go
@@ -222,3 +222,30 @@
 		b.keeper.Flush(b.now)
 	}
 }
+
+// TestAgeAfterStandstill guards against crashes that count for nothing: an answer that came while the agent stood still does not say that its
+// upstream lived until the agent woke, so that a run's age at a loss is not known too high.
+func TestAgeAfterStandstill(t *testing.T) {
+	b := newBench(t, nil)
+	b.order(one, 1)
+	b.keeper.StartDone(b.now, b.starts[0], call.OK, b.clock())
+	runs := call.Listed{Task: task, Run: 1}
+	b.pass(20 * time.Millisecond)
+	b.look(runs)
+	b.pass(2 * time.Second) // the upstream answers the hold that is under way, and is lost
+	b.look(runs)
+	for range 20 {
+		b.pass(100 * time.Millisecond)
+		waiting := b.holds[b.answered:]
+		b.answered = len(b.holds)
+		for _, c := range waiting {
+			b.keeper.HoldDone(b.now, c, call.Held{Answer: call.Unanswered})
+		}
+		b.keeper.Tick(b.now)
+	}
+	qt.Assert(t, b.losses, qt.HasLen, 2) // by the observer and by the entries
+	run := b.losses[0].Runs[0]
+	qt.Assert(t, run.Age, qt.Equals, 20*time.Millisecond)
+	qt.Assert(t, run.Until, qt.Equals, 2020*time.Millisecond)
+	qt.Assert(t, run.Alone, qt.IsFalse)
+}
--- a/internal/agent/upstream/hold.go
+++ b/internal/agent/upstream/hold.go
@@ -132,7 +132,7 @@
 		return
 	}
 	if h.Answer == call.OK {
-		k.heard(now)
+		k.heard(now, c.Sent, c.Wait)
 	}
 	if c.Look {
 		k.lookDone(now, c, h)
--- a/internal/agent/upstream/life.go
+++ b/internal/agent/upstream/life.go
@@ -167,7 +167,7 @@
 		k.noteLoss(now, k.life, fleet.UpstreamGone)
 	}
 	k.lives.Begin(life)
-	k.known, k.life, k.began, k.heardAt = true, life, now, now
+	k.known, k.life, k.began, k.heardAt, k.livedAt = true, life, now, now, now
 	k.described, k.roomHeard = first != nil, false
 	k.looked, k.failures, k.draining, k.departed = false, 0, false, false
 	k.holdAt, k.lookAt = time.Time{}, time.Time{}
--- a/internal/agent/upstream/loss.go
+++ b/internal/agent/upstream/loss.go
@@ -12,7 +12,9 @@
 	fleet.RunRef
 	// Age is how long the run had been there when the upstream last answered; zero if it has not answered since.
 	Age time.Duration
-	// Alone: nothing had been started shortly before it or since.
+	// Until is how long it had been there at most, where the agent stood still since; zero otherwise.
+	Until time.Duration
+	// Alone: nothing had been started shortly before it or since, as far as that can be told.
 	Alone bool
 }
 
@@ -38,21 +40,30 @@
 	}
 	out := make([]fleet.Crash, 0, len(l.Runs))
 	for _, a := range l.Runs {
-		out = append(out, fleet.Crash{Task: a.Task, VM: vm, Life: l.Life, Loss: l.Number, After: a.Age, Alone: a.Alone, Sole: a.Alone && len(l.Runs) == 1})
+		out = append(out, fleet.Crash{Task: a.Task, VM: vm, Life: l.Life, Loss: l.Number, After: a.Age, Until: a.Until, Alone: a.Alone, Sole: a.Alone && len(l.Runs) == 1})
 	}
 	return out
 }
 
 // heard notes that the present life has answered a call. If it was taken for lost, it was merely out of reach, and has crashed under
 // nothing.
-func (k *Keeper) heard(now time.Time) {
+func (k *Keeper) heard(now, sent time.Time, wait time.Duration) {
 	k.heardAt = now
+	switch {
+	case now.Sub(sent) <= wait+lateAnswer:
+		k.livedAt = now
+	case sent.After(k.livedAt):
+		k.livedAt = sent // its answer may have waited here since
+	}
 	if k.lost.Life == k.life {
 		k.entries.Refuted(k.lost)
 		k.lost = fleet.Refutation{}
 	}
 }
 
+// lateAnswer is by how much later than it should an answer may come before this process may have stood still meanwhile.
+const lateAnswer = 100 * time.Millisecond
+
 // slowAnswer is how much later than it should an answer of an upstream that lives may come.
 const slowAnswer = 30 * time.Millisecond
 
@@ -70,10 +81,19 @@
 		if r.begun.Sub(k.heardAt) > k.answerOverdue() {
 			continue
 		}
-		age := max(k.heardAt.Sub(r.begun), 0)
-		l.Runs = append(l.Runs, LostRun{r.ref(), age, r.wasAlone(age)})
+		l.Runs = append(l.Runs, k.lostRun(r))
 	}
 	k.lost = fleet.Refutation{Life: life, UpTo: l.Number}
 	k.observer.Lost(l)
 	k.entries.Lost(l)
 }
+
+// lostRun tells how old a run was when the upstream is known to have lived last. An answer that came while this process stood still says only that it
+// lived after the question.
+func (k *Keeper) lostRun(r *run) LostRun {
+	age, until := max(k.livedAt.Sub(r.begun), 0), max(k.heardAt.Sub(r.begun), 0)
+	if until == age {
+		return LostRun{r.ref(), age, 0, r.wasAlone(age)}
+	}
+	return LostRun{r.ref(), age, until, false}
+}
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -169,7 +169,7 @@
 		return
 	}
 	if a == call.OK {
-		k.heard(now)
+		k.heard(now, c.Sent, 0)
 		k.lease.Read(now, clock)
 	}
 	r := k.runs[c.Task]
@@ -238,7 +238,7 @@
 		return
 	}
 	if a == call.OK {
-		k.heard(now)
+		k.heard(now, c.Sent, 0)
 		k.lease.Read(now, clock)
 	}
 	if at, ok := k.strays[fleet.RunRef{Task: c.Task, Run: c.Run}]; ok && a == call.OK && at.IsZero() {
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -142,6 +142,8 @@
 	answered time.Time
 	// heardAt is when the present life has answered last, whatever it was asked.
 	heardAt time.Time
+	// livedAt is when it surely lived last: earlier, where its answer may have waited while this process stood still.
+	livedAt time.Time
 	// questions are those of entries that wait until nothing of the jobs in question runs here.
 	questions []question
 	// strays are runs at the upstream that nobody here ordered, with when a stop of each was answered; zero is not yet.
--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -284,9 +284,9 @@
 
 func latest(c fleet.Crash) time.Duration {
 	if c.Alone {
-		return c.After + aloneError
+		return max(c.After, c.Until) + aloneError
 	}
-	return c.After + aloneError + ageError
+	return max(c.After, c.Until) + aloneError + ageError
 }
 
 // samePointOf tells whether two crashes may have been at the same point of a task's run.
@@ -294,7 +294,7 @@
 
 // outlived tells whether a task has run on past the point of a crash in one of the runs that were lost later.
 func outlived(c fleet.Crash, later []fleet.Crash) bool {
-	return !anyPoint(c) && slices.ContainsFunc(later, func(l fleet.Crash) bool { return earliest(l) > c.After+ageError+aloneError })
+	return !anyPoint(c) && slices.ContainsFunc(later, func(l fleet.Crash) bool { return earliest(l) > max(c.After, c.Until)+ageError+aloneError })
 }
 
 // repeated tells whether another crash may have been at the same point of a task's run.
--- a/internal/core/crash/crash_test.go
+++ b/internal/core/crash/crash_test.go
@@ -347,3 +347,23 @@
 		qt.Assert(t, a.Alone(task) >= after+crash.Prompt, qt.IsTrue, qt.Commentf("after %v: %v", after, a.Alone(task)))
 	}
 }
+
+// TestAgesAcrossStandstills guards against crashes that count for nothing: a run whose age at a loss is known to within seconds only, since its agent
+// stood still, has not outlived the point of an earlier loss, and agrees with it.
+func TestAgesAcrossStandstills(t *testing.T) {
+	a := crash.New(nil)
+	a.SetUpstreams(10)
+	unsure := beside("c", "c1", 100*ms)
+	unsure.Until = 2400 * ms
+	for _, c := range []fleet.Crash{beside("a", "a1", 280*ms), unsure} {
+		a.Add(start, c)
+	}
+	qt.Assert(t, a.Finding(task), qt.Equals, crash.Suspected)
+	unsure.After, unsure.Until = 2400*ms, 0
+	b := crash.New(nil)
+	b.SetUpstreams(10)
+	for _, c := range []fleet.Crash{beside("a", "a1", 280*ms), unsure} {
+		b.Add(start, c)
+	}
+	qt.Assert(t, b.Finding(task), qt.Equals, crash.Unsuspected, qt.Commentf("an age that is known"))
+}
--- a/internal/core/crash/row.go
+++ b/internal/core/crash/row.go
@@ -19,6 +19,8 @@
 	Loss fleet.LossNumber `json:"loss,omitempty"`
 	// AfterMs is how old the run was when the upstream was last heard.
 	AfterMs int64 `json:"after_ms"`
+	// UntilMs is how old it was at most, zero if not much older.
+	UntilMs int64 `json:"until_ms,omitempty"`
 	Alone   bool  `json:"alone,omitempty"`
 	Sole    bool  `json:"sole,omitempty"`
 }
@@ -27,7 +29,7 @@
 func RowOf(c fleet.Crash) Row {
 	return Row{
 		Step: c.Task.Step, Index: c.Task.Index, VM: c.VM, ID: c.Life.ID, Born: c.Life.Born, Loss: c.Loss,
-		AfterMs: c.After.Milliseconds(), Alone: c.Alone, Sole: c.Sole,
+		AfterMs: c.After.Milliseconds(), UntilMs: c.Until.Milliseconds(), Alone: c.Alone, Sole: c.Sole,
 	}
 }
 
@@ -35,6 +37,6 @@
 func (r Row) Of(id job.ID) fleet.Crash {
 	return fleet.Crash{
 		Task: job.TaskID{Job: id, Step: r.Step, Index: r.Index}, VM: r.VM, Life: ident.UpstreamLife{ID: r.ID, Born: r.Born},
-		Loss: r.Loss, After: time.Duration(r.AfterMs) * time.Millisecond, Alone: r.Alone, Sole: r.Sole,
+		Loss: r.Loss, After: time.Duration(r.AfterMs) * time.Millisecond, Until: time.Duration(r.UntilMs) * time.Millisecond, Alone: r.Alone, Sole: r.Sole,
 	}
 }
--- a/internal/core/fleet/crash.go
+++ b/internal/core/fleet/crash.go
@@ -17,6 +17,8 @@
 	Loss LossNumber
 	// After is how old the task's run was when the upstream was last heard.
 	After time.Duration
+	// Until is how old it was at most, where its agent stood still between; zero is as old as questions and answers that are in time leave open.
+	Until time.Duration
 	// Alone: nothing had been started at the upstream shortly before the task or since.
 	Alone bool
 	// Sole: it was alone, and nothing else was left there.
--- a/internal/kept/record/record_test.go
+++ b/internal/kept/record/record_test.go
@@ -21,7 +21,7 @@
 		Owner: "a-0", Generation: 2, Sequence: 9, Void: []record.TaskRun{{Step: 1, Index: 2, Run: 3}},
 		Ends:        record.Ends{{Step: 0, Index: 7, Run: 1}, {Step: 1, Index: 0, Run: 1025, Failed: true}},
 		Checkpoints: []record.Checkpoint{{Index: 4, Text: "saved"}},
-		Crashes:     []crash.Row{{Step: 1, Index: 2, VM: "vm", ID: "i-1", Born: 7, Loss: 8, AfterMs: 9, Alone: true, Sole: true}},
+		Crashes:     []crash.Row{{Step: 1, Index: 2, VM: "vm", ID: "i-1", Born: 7, Loss: 8, AfterMs: 9, UntilMs: 10, Alone: true, Sole: true}},
 	}
 	raw, err := record.Value(open)
 	qt.Assert(t, err, qt.IsNil)
@@ -45,7 +45,7 @@
 		open.Ends = append(open.Ends, record.End{Step: i % 30, Index: i, Run: 1025})
 		open.AddCrash(fleet.Crash{
 			Task: job.TaskID{Step: i % 30, Index: i}, VM: "a-vm-with-quite-a-long-name-of-50-bytes-in-zone-abc", Life: ident.UpstreamLife{ID: "i-0123456789", Born: 1 << 41},
-			Loss: 1 << 41, After: time.Hour, Alone: true, Sole: true,
+			Loss: 1 << 41, After: time.Hour, Until: time.Hour, Alone: true, Sole: true,
 		})
 	}
 	raw, err := record.Value(open)
@@ -104,7 +104,7 @@
 func TestCrashes(t *testing.T) {
 	var open record.Open
 	lost := fleet.Crash{
-		Task: job.TaskID{Job: 7, Step: 1, Index: 2}, VM: "vm", Life: ident.UpstreamLife{ID: "i-1", Born: 5}, Loss: 9, After: 10 * time.Millisecond, Alone: true, Sole: true,
+		Task: job.TaskID{Job: 7, Step: 1, Index: 2}, VM: "vm", Life: ident.UpstreamLife{ID: "i-1", Born: 5}, Loss: 9, After: 10 * time.Millisecond, Until: 20 * time.Millisecond, Alone: true, Sole: true,
 	}
 	again := lost
 	again.Loss = 10
--- a/internal/link/codec/codec_test.go
+++ b/internal/link/codec/codec_test.go
@@ -54,7 +54,7 @@
 	}
 	life := ident.UpstreamLife{ID: "i-1", Born: 1234}
 	crashes := []fleet.Crash{
-		{Task: task, VM: "vm", Life: life, Loss: 99, After: 10 * time.Millisecond, Alone: true, Sole: true}, {Task: task, VM: "vm-2", Life: ident.UpstreamLife{ID: "i-2"}},
+		{Task: task, VM: "vm", Life: life, Loss: 99, After: 10 * time.Millisecond, Until: 20 * time.Millisecond, Alone: true, Sole: true}, {Task: task, VM: "vm-2", Life: ident.UpstreamLife{ID: "i-2"}},
 	}
 	refuted := []fleet.Refutation{{Life: life, UpTo: 98}}
 	gotCrashes, gotRefuted := codec.ReadCrashes(codec.Crashes(crashes, refuted).GetCrashes())
