agent: only the former holder of a job that was taken over is refused, and only if it wasn't there to give it up

Found by reading: after a takeover agents refused the orders of everybody but the entry that had taken the job over, for 10 s. They are told of a takeover a few at a time, so that a third entry, or the first one to which the caller came back, could meet an agent that had heard of the former one only: its job was answered 504 for nothing. Class: a fence that outlives its reason. Change: where the holder is linked its own word is enough and nothing is refused; else its orders alone are, until it takes the job over itself. Tests: TestRefuses, TestOthers.

--- a/internal/agent/owners/owners.go
+++ b/internal/agent/owners/owners.go
@@ -1,5 +1,5 @@
-// Package owners answers which entry holds a job that need not be kept, and which one may order its tasks: after a takeover only the one that has
-// taken it over. It must not be asked about kept jobs, whose owners the store tells.
+// Package owners answers which entries hold jobs that need not be kept, and which may not order their tasks any more, since another entry has taken the
+// job over. It must not be asked about kept jobs, whose owners the store tells.
 package owners
 
 import (
@@ -17,38 +17,42 @@
 // known as long: they tell it again sooner.
 const Remember = 10 * time.Second
 
-// owner is an entry that has told that it holds a job, or has taken it over.
-type owner struct {
+// claim is an entry's on a job.
+type claim struct {
+	job   job.ID
 	entry ident.Incarnation
-	// alone: it has taken the job over, and nobody else may order its tasks.
-	alone bool
-	until time.Time
 }
 
 // Account is what is known of the owners of jobs.
-type Account struct{ by map[job.ID]owner }
+type Account struct {
+	// held is until when an entry counts as one that holds a job, lost until when its orders of the job are refused.
+	held, lost map[claim]time.Time
+}
 
 // New returns an Account that knows of none.
-func New() *Account { return &Account{make(map[job.ID]owner)} }
+func New() *Account { return &Account{make(map[claim]time.Time), make(map[claim]time.Time)} }
 
-// Holds notes that an entry holds jobs; that one has taken a job over weighs more.
+// Holds notes that an entry holds jobs.
 func (a *Account) Holds(now time.Time, entry ident.Incarnation, jobs []job.ID) {
 	for _, id := range jobs {
-		if o := a.by[id]; !o.alone || o.entry == entry || !now.Before(o.until) {
-			a.by[id] = owner{entry, o.alone && o.entry == entry, now.Add(Remember)}
-		}
+		a.held[claim{id, entry}] = now.Add(Remember)
 	}
 }
 
-// TakenOver notes a takeover, in place of an earlier one of the job.
-func (a *Account) TakenOver(now time.Time, t fleet.Takeover) {
-	a.by[t.Job] = owner{t.By, true, now.Add(Remember)}
+// Asked notes that an entry takes a job over: it may order its tasks, and the former holder holds it no more.
+func (a *Account) Asked(t fleet.Takeover) {
+	delete(a.held, claim{t.Job, t.Holder})
+	delete(a.lost, claim{t.Job, t.By})
+}
+
+// Refuse notes that orders of a job by its former holder are refused from now on.
+func (a *Account) Refuse(now time.Time, t fleet.Takeover) {
+	a.lost[claim{t.Job, t.Holder}] = now.Add(Remember)
 }
 
-// Refuses tells whether an entry may not order a job's tasks, since another has taken it over.
+// Refuses tells whether an entry's orders of a job are refused.
 func (a *Account) Refuses(now time.Time, id job.ID, entry ident.Incarnation) bool {
-	o := a.by[id]
-	return o.alone && o.entry != entry && now.Before(o.until)
+	return now.Before(a.lost[claim{id, entry}])
 }
 
 // Held are the jobs that an entry holds.
@@ -60,9 +64,9 @@
 // Others lists what entries but one hold, in an order that repeats.
 func (a *Account) Others(now time.Time, but ident.Incarnation) []Held {
 	by := make(map[ident.Incarnation][]job.ID)
-	for id, o := range a.by {
-		if o.entry != but && now.Before(o.until) {
-			by[o.entry] = append(by[o.entry], id)
+	for c, until := range a.held {
+		if c.entry != but && now.Before(until) {
+			by[c.entry] = append(by[c.entry], c.job)
 		}
 	}
 	out := make([]Held, 0, len(by))
@@ -76,5 +80,7 @@
 
 // Forget forgets what is over.
 func (a *Account) Forget(now time.Time) {
-	maps.DeleteFunc(a.by, func(_ job.ID, o owner) bool { return !now.Before(o.until) })
+	over := func(_ claim, until time.Time) bool { return !now.Before(until) }
+	maps.DeleteFunc(a.held, over)
+	maps.DeleteFunc(a.lost, over)
 }
--- /dev/null
+++ b/internal/agent/owners/owners_test.go
@@ -0,0 +1,54 @@
+package owners_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/agent/owners"
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+)
+
+// TestRefuses: only an entry that a job was taken over from is refused, until it takes the job back or that is long past.
+func TestRefuses(t *testing.T) {
+	const id job.ID = 7
+	now := time.Unix(1000, 0)
+	taken := fleet.Takeover{Job: id, Holder: 1, By: 2}
+	for _, test := range []struct {
+		name    string
+		happens func(a *owners.Account)
+		after   time.Duration
+		entry   ident.Incarnation
+		want    bool
+	}{
+		{"its former holder", func(*owners.Account) {}, time.Second, 1, true},
+		{"the one that has taken it over", func(*owners.Account) {}, time.Second, 2, false},
+		{"a third one", func(*owners.Account) {}, time.Second, 3, false},
+		{"its former holder, long after", func(*owners.Account) {}, owners.Remember, 1, false},
+		{"its former holder, which takes it back", func(a *owners.Account) { a.Asked(fleet.Takeover{Job: id, Holder: 2, By: 1}) }, time.Second, 1, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			a := owners.New()
+			a.Refuse(now, taken)
+			test.happens(a)
+			qt.Assert(t, a.Refuses(now.Add(test.after), id, test.entry), qt.Equals, test.want)
+			qt.Assert(t, a.Refuses(now.Add(test.after), id+1, test.entry), qt.IsFalse)
+		})
+	}
+}
+
+// TestOthers: what an entry holds is told until it is given up or was not told of again.
+func TestOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := owners.New()
+	a.Holds(now, 1, []job.ID{9, 7, 8})
+	a.Holds(now, 2, []job.ID{6})
+	a.Asked(fleet.Takeover{Job: 8, Holder: 1, By: 2})
+	qt.Assert(t, a.Others(now, 3), qt.DeepEquals, []owners.Held{{Entry: 1, Jobs: []job.ID{7, 9}}, {Entry: 2, Jobs: []job.ID{6}}})
+	qt.Assert(t, a.Others(now, 1), qt.DeepEquals, []owners.Held{{Entry: 2, Jobs: []job.ID{6}}})
+	a.Forget(now.Add(owners.Remember))
+	qt.Assert(t, a.Others(now, 3), qt.HasLen, 0)
+}
--- a/internal/agent/upstream/takeover.go
+++ b/internal/agent/upstream/takeover.go
@@ -25,14 +25,16 @@
 	}
 }
 
-// Release handles an entry's wish to take a job over. Nobody else may order its tasks from now on; the holder is asked to give it up or, if
-// it isn't linked, the entry is told once nothing of the job is left here. Until then it asks again.
+// Release handles an entry's wish to take a job over. Its holder is asked to give it up. One that isn't linked may not order its tasks any more,
+// and the entry is told once nothing of the job is left here; until then it asks again.
 func (k *Keeper) Release(now time.Time, t fleet.Takeover) {
-	k.owners.TakenOver(now, t)
-	switch s := k.sessions[t.Holder]; {
-	case s != nil && s.linked:
+	k.owners.Asked(t)
+	if s := k.sessions[t.Holder]; s != nil && s.linked {
 		k.entries.Release(t)
-	case k.looked && !k.has(t.Job, t.Holder):
+		return
+	}
+	k.owners.Refuse(now, t)
+	if k.looked && !k.has(t.Job, t.Holder) {
 		k.entries.Released(fleet.Released{Takeover: t})
 	}
 }
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -116,7 +116,7 @@
 
 	// zone says whether operators have cordoned the VM's availability zone.
 	zone ZoneState
-	// owners says which entry may order the tasks of a job that was taken over.
+	// owners says which entries hold jobs, and which may not order their tasks any more.
 	owners *owners.Account
 
 	lease lease.Lease
