dispatch: a job may have several holders, and a request that was held is told of at once

Cause: its entry had stood still, took the request 1.7 s late and 40 ms before the caller's next entry did, in a cut that swallowed the end of the connection; that a job is held was told after 0.8 s only. Class: the age of a request taken for the time since it was read. Change: what had to be held, since it may be old, is told of as it begins. Found by reading beside it: an entry that had linked late could ask the former of two holders, be released, and begin while the later one still held the job. Each holder is asked now, one after the other. Tests: TestHolders, TestHeldElsewhere (two holders).

--- a/internal/entry/dispatch/belated.go
+++ b/internal/entry/dispatch/belated.go
@@ -19,8 +19,6 @@
 	// listenLeft is for how long the process has still to listen before it is taken, if its caller has not gone; it is counted up to countedTo.
 	listenLeft time.Duration
 	countedTo  time.Time
-	// takenOver: another entry has held its job, and has given it up.
-	takenOver bool
 }
 
 // hold lets a belated request wait until the end of its connection would have been heard, and tells whether it does. One whose job another entry
@@ -51,8 +49,8 @@
 			t.belated = append(t.belated, b)
 		default:
 			t.take(now, *r)
-			if j := t.jobs[r.Job]; j != nil && b.takenOver {
-				j.tellAt = now // its caller may go to a third entry
+			if j := t.jobs[r.Job]; j != nil {
+				j.tellAt = now // its caller may have gone all the same, unheard, and be about to come to another entry
 			}
 		}
 	}
--- a/internal/entry/dispatch/takeover.go
+++ b/internal/entry/dispatch/takeover.go
@@ -75,14 +75,9 @@
 
 // tellHeld tells other entries which jobs this one has held for long.
 func (t *Table) tellHeld(now time.Time) {
-	agents := t.relayAgents()
-	if len(agents) == 0 {
-		return
-	}
 	var held []job.ID
 	for _, j := range t.jobs {
 		if !j.kept && !now.Before(j.tellAt) {
-			j.tellAt = now.Add(holders.TellEvery)
 			held = append(held, j.id)
 		}
 	}
@@ -90,6 +85,12 @@
 		return
 	}
 	slices.Sort(held)
+	agents := t.relayAgents()
+	for _, id := range held {
+		if len(agents) > 0 {
+			t.jobs[id].tellAt = now.Add(holders.TellEvery)
+		}
+	}
 	for _, a := range agents {
 		t.agentsIO.Holding(a, held)
 	}
@@ -125,7 +126,7 @@
 	switch {
 	case now.Sub(r.began) >= t.opts.Timing.SettleAfter():
 		t.released(now, id, r, TakeoverLapsed)
-		return false
+		return t.awaitRelease(now, id) // another may hold it too
 	case now.Sub(r.asked) >= t.opts.Timing.KeepAlive:
 		t.askAll(now, id, r)
 	}
@@ -180,13 +181,8 @@
 // released ends the wait for a job's release.
 func (t *Table) released(now time.Time, id job.ID, r *release, how TakeoverEvent) {
 	delete(t.releases, id)
-	t.elsewhere.Forget(id)
+	t.elsewhere.Forget(id, r.holder)
 	t.observer.TakenOver(id, r.holder, now.Sub(r.began), how)
-	for i := range t.belated {
-		if t.belated[i].request.Job == id {
-			t.belated[i].takenOver = true
-		}
-	}
 }
 
 // forgetReleases forgets the questions for jobs that nobody waits for any more.
--- a/internal/entry/dispatch/takeover_test.go
+++ b/internal/entry/dispatch/takeover_test.go
@@ -49,6 +49,15 @@
 		{"nobody answers yet", func(b *bench) { b.hearing(900*time.Millisecond, 1, 2) }, false, dispatch.TakeoverAsked},
 		{"nobody answers for so long that nothing can be left", func(b *bench) { b.hearing(1200*time.Millisecond, 1, 2) }, true, dispatch.TakeoverLapsed},
 		{"its holder has given it up", func(b *bench) { b.table.Released(b.now, 1, byHolder) }, true, dispatch.TakeoverConfirmed},
+		{"one of two holders has given it up", func(b *bench) {
+			b.table.Holding(b.now, thirdEntry, []job.ID{7})
+			b.table.Released(b.now, 1, byHolder)
+		}, false, dispatch.TakeoverAsked},
+		{"both holders have", func(b *bench) {
+			b.table.Holding(b.now, thirdEntry, []job.ID{7})
+			b.table.Released(b.now, 1, byHolder)
+			b.table.Released(b.now, 1, fleet.Released{Takeover: fleet.Takeover{Job: 7, Holder: thirdEntry}, ByHolder: true})
+		}, true, dispatch.TakeoverConfirmed},
 		{"its holder is not linked to one agent", func(b *bench) { b.table.Released(b.now, 1, byAgent) }, false, dispatch.TakeoverAsked},
 		{"its holder is not linked to any", func(b *bench) {
 			b.table.Released(b.now, 1, byAgent)
--- a/internal/entry/holders/holders.go
+++ b/internal/entry/holders/holders.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"hillreel/internal/core/ident"
@@ -28,30 +29,45 @@
 
 // Account is what other entries have told.
 type Account struct {
-	by map[job.ID]holder
+	// by has several entries for a job whose caller has gone from one to the next.
+	by map[job.ID][]holder
 	// swept is when what is over was forgotten last.
 	swept time.Time
 }
 
 // New returns an Account that knows of no job.
-func New() *Account { return &Account{by: make(map[job.ID]holder)} }
+func New() *Account { return &Account{by: make(map[job.ID][]holder)} }
 
 // Told notes that an entry holds jobs.
 func (a *Account) Told(now time.Time, entry ident.Incarnation, jobs ...job.ID) {
 	for _, id := range jobs {
-		a.by[id] = holder{entry, now.Add(remember)}
+		a.Forget(id, entry)
+		a.by[id] = append(a.by[id], holder{entry, now.Add(remember)})
 	}
 	if now.Sub(a.swept) > remember {
 		a.swept = now
-		maps.DeleteFunc(a.by, func(_ job.ID, h holder) bool { return !now.Before(h.until) })
+		maps.DeleteFunc(a.by, func(_ job.ID, all []holder) bool {
+			return !slices.ContainsFunc(all, func(h holder) bool { return now.Before(h.until) })
+		})
 	}
 }
 
-// Of returns the entry that holds a job, as far as it is known.
+// Of returns an entry that holds a job, as far as it is known.
 func (a *Account) Of(now time.Time, id job.ID) (entry ident.Incarnation, known bool) {
-	h, known := a.by[id]
-	return h.entry, known && now.Before(h.until)
+	for _, h := range a.by[id] {
+		if now.Before(h.until) {
+			return h.entry, true
+		}
+	}
+	return 0, false
 }
 
-// Forget forgets who holds a job.
-func (a *Account) Forget(id job.ID) { delete(a.by, id) }
+// Forget forgets that an entry holds a job.
+func (a *Account) Forget(id job.ID, entry ident.Incarnation) {
+	left := slices.DeleteFunc(a.by[id], func(h holder) bool { return h.entry == entry })
+	if len(left) == 0 {
+		delete(a.by, id)
+		return
+	}
+	a.by[id] = left
+}
