schedule: scripts, schedules that are written down instead of drawn

A script says what happens when, one event a line, in a world in which nothing is drawn, names the rule that its fault needs, and says with lines of expect what it is about: it fails if that does not come. What remains: a room of its own beside the schedules, shrinking of failing seeds to scripts, the soak's faults in the same form.

--- /dev/null
+++ b/internal/proof/schedule/script_test.go
@@ -0,0 +1,179 @@
+package schedule
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/rule"
+	"hillreel/internal/entry/dispatch"
+)
+
+// A script is a schedule that is written down instead of drawn: what happens when, one event a line, so that it stays the same case whatever the
+// code draws or decides later. Its first line, without RULE, names the rule that its fault needs: with that left out it must fail. Lines of
+// expect say what the script is about; one that doesn't hold fails the script.
+
+// script is one.
+type script struct {
+	without rule.Rule
+	events  []scriptEvent
+}
+
+// scriptEvent is one line.
+type scriptEvent struct {
+	at   time.Duration
+	text string
+}
+
+// readScript reads a script from a file.
+func readScript(t *testing.T, path string) script {
+	f, err := os.Open(path)
+	qt.Assert(t, err, qt.IsNil)
+	defer f.Close() //nolint:errcheck // it is only read
+	var s script
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		line := strings.TrimSpace(lines.Text())
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		first, rest, _ := strings.Cut(line, " ")
+		if first == "without" {
+			s.without = rule.Rule(rest)
+			continue
+		}
+		at, err := time.ParseDuration(first)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", line))
+		s.events = append(s.events, scriptEvent{at, rest})
+	}
+	return s
+}
+
+// scripted is a world in which a script is played.
+type scripted struct {
+	*world
+	sent map[string]*scriptedRequest
+	// missed is the first expectation that did not hold.
+	missed string
+}
+
+// scriptedRequest is a job at an entry as its caller has sent it.
+type scriptedRequest struct {
+	s      *submission
+	e      *entryProc
+	a      *attempt
+	caller dispatch.CallerID
+}
+
+// play plays a script with two entries and two agents, and returns its world.
+func (s *script) play(without rule.Set) *scripted {
+	w := newWorld(callersFrom, without)
+	w.fixed = true
+	w.build(2, 2)
+	x := &scripted{world: w, sent: make(map[string]*scriptedRequest)}
+	for _, e := range s.events {
+		w.After(e.at, func() { x.do(e) })
+	}
+	w.run(quiet)
+	return x
+}
+
+// do plays one line.
+func (x *scripted) do(v scriptEvent) {
+	var id, entry int
+	var span string
+	is := func(pattern string, to ...any) bool {
+		n, err := fmt.Sscanf(v.text+" .", pattern+" .", to...)
+		return err == nil && n == len(to)
+	}
+	switch {
+	case is("send job %d to entry %d, lost", &id, &entry):
+		x.send(id, entry)
+	case is("send job %d to entry %d", &id, &entry):
+		x.send(id, entry)
+		x.arrive(id, entry)
+	case is("request of job %d arrives at entry %d", &id, &entry):
+		x.arrive(id, entry)
+	case is("caller of job %d leaves entry %d", &id, &entry):
+		x.sent[sentTo(id, entry)].a.answered = true
+	case is("end of job %d arrives at entry %d", &id, &entry):
+		r := x.sent[sentTo(id, entry)]
+		r.e.do(func() { delete(r.e.waiting, r.caller); r.e.table.Abandon(r.e.now(), r.s.id, r.caller) })
+	case is("entry %d stands still for %s", &entry, &span):
+		d, _ := time.ParseDuration(span)
+		x.entries[entry].freeze(d)
+	case is("expect job %d at entry %d", &id, &entry):
+		x.expect(v, x.entries[entry].table.Held(job.ID(id)))
+	case is("expect job %d runs", &id):
+		x.expect(v, x.runs(job.ID(id)))
+	case is("expect job %d does not run", &id):
+		x.expect(v, !x.runs(job.ID(id)))
+	default:
+		x.expect(scriptEvent{v.at, "no event: " + v.text}, false)
+	}
+}
+
+func sentTo(id, entry int) string { return fmt.Sprint(id, " ", entry) }
+
+// send lets a caller send a job of one task, which takes 4 s and all the room of an upstream.
+func (x *scripted) send(id, entry int) {
+	w := x.world
+	s := w.jobs[job.ID(id)]
+	if s == nil {
+		s = &submission{w: w, id: job.ID(id), first: w.Now(), patience: 10 * time.Second, tasks: []simTask{{work: 4 * time.Second}}}
+		s.spec = &job.Spec{Text: s.id.String(), BestEffort: true, Steps: []job.Step{{Count: 1, Each: capacity, Estimate: 4 * time.Second}}}
+		w.jobs[s.id] = s
+		w.order = append(w.order, s)
+	}
+	a := &attempt{}
+	s.attempts = append(s.attempts, a)
+	caller := dispatch.CallerID(uint64(id)<<8 | uint64(len(s.attempts)))
+	x.sent[sentTo(id, entry)] = &scriptedRequest{s, w.entries[entry], a, caller}
+}
+
+// arrive lets a request reach its entry.
+func (x *scripted) arrive(id, entry int) {
+	r := x.sent[sentTo(id, entry)]
+	r.e.do(func() { r.e.hear(); r.e.table.HearCaller(r.e.now()); r.e.take(r.s, r.a, r.caller) })
+}
+
+// runs tells whether a run of a job is at some upstream.
+func (x *scripted) runs(id job.ID) bool {
+	for _, a := range x.agents {
+		for t := range a.upstream.runs {
+			if t.Job == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// expect notes an expectation that does not hold.
+func (x *scripted) expect(v scriptEvent, holds bool) {
+	if !holds && x.missed == "" {
+		x.missed = fmt.Sprintf("%v %s", v.at, v.text)
+	}
+}
+
+// TestScripts plays the scripts: each holds, does what it says, and fails without the rule that it names.
+func TestScripts(t *testing.T) {
+	paths, err := filepath.Glob("testdata/scripts/*.txt")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(paths) > 0, qt.IsTrue)
+	for _, path := range paths {
+		t.Run(strings.TrimSuffix(filepath.Base(path), ".txt"), func(t *testing.T) {
+			s := readScript(t, path)
+			x := s.play(nil)
+			qt.Assert(t, x.broken, qt.Equals, "", qt.Commentf("%s", x.report(0)))
+			qt.Assert(t, x.missed, qt.Equals, "", qt.Commentf("%s", x.report(0)))
+			qt.Assert(t, s.play(rule.Without(s.without)).broken, qt.Not(qt.Equals), "")
+		})
+	}
+}
--- a/internal/proof/schedule/world_test.go
+++ b/internal/proof/schedule/world_test.go
@@ -54,6 +54,8 @@
 	calls *calls
 	// sliced lets processes get little of a core in worlds that have it.
 	sliced *sliced
+	// fixed: nothing is drawn; times are in the middle, and what is not sure does not happen.
+	fixed bool
 	// broken is the first violation.
 	broken string
 	// log holds what happened, for a schedule that fails.
@@ -150,10 +152,18 @@
 
 // between draws a time.
 func (w *world) between(least, most time.Duration) time.Duration {
+	if w.fixed {
+		return (least + most) / 2
+	}
 	return least + time.Duration(w.rng.Int64N(int64(most-least)+1))
 }
 
-func (w *world) chance(p float64) bool { return w.rng.Float64() < p }
+func (w *world) chance(p float64) bool {
+	if w.fixed {
+		return p >= 1
+	}
+	return w.rng.Float64() < p
+}
 
 // run lets time pass until a moment after the start, or until something is broken.
 func (w *world) run(until time.Duration) {
