settings, fleet, wire: claims for room, demand by route, remote factors

Agreed before the parts of the issue on hard load are built, so that they fit together. claim (entry to agent) asks for room that comes free, Room tells what is reserved for it; demand (relayed as unconfirmed is) tells what callers have asked; Start tells by how much remoteness slows its runs. The settings claim_from and remote_factor switch them; the platform names the factor. Nothing acts on claim and demand yet.

A setting that is a float with bounds panicked (checkRange); the first one is remote_factor.

--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -270,6 +270,10 @@
 		n.controller.QueryEnds(now, l.Peer, number, jobs)
 	case *wire.Msg_Unconfirmed:
 		n.relayUnconfirmed(now, l, codec.ReadUnconfirmed(m.Unconfirmed))
+	case *wire.Msg_Claim:
+		n.controller.Claim(now, l.Peer, codec.ReadClaim(m.Claim))
+	case *wire.Msg_Demand:
+		n.links.Broadcast(codec.Demand(codec.ReadDemand(m.Demand, l.Peer)), l)
 	case *wire.Msg_Holding:
 		_, jobs := codec.ReadHolding(m.Holding)
 		n.controller.Holding(now, l.Peer, jobs)
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -66,6 +66,8 @@
 	Pace float64
 	// Suspects are the receiver's runs of tasks that were started alone because they may crash upstreams.
 	Suspects []SuspectRun
+	// Reserved is the part of Free that the agent reserves for the receiver's claim for a short time. Nobody else can take it meanwhile.
+	Reserved job.Resources
 }
 
 // SuspectRun tells how far the run of a task has come that may crash its upstream. The entry needs it if the agent does not live to report
@@ -96,8 +98,10 @@
 	Each     job.Resources
 	Estimate time.Duration
 	// Kept: the ends of the runs must be stored before the upstream may forget them.
-	Kept  bool
-	Tasks []TaskRun
+	Kept bool
+	// RemoteFactor is how many times as long the runs take at this upstream as near the step's data; zero means 1.
+	RemoteFactor float64
+	Tasks        []TaskRun
 }
 
 // TaskRun is one task in an Order.
--- a/internal/core/settings/options.go
+++ b/internal/core/settings/options.go
@@ -51,6 +51,8 @@
 	QueueLimit     int           `ini:"queue_limit" default:"2000" min:"1" max:"10000000" doc:"Highest number of jobs that wait for room; further ones are refused as not_run."`
 	Grace          time.Duration `ini:"grace" default:"6s" min:"100ms" max:"10m" doc:"How long the process may take to leave."`
 	Unready        time.Duration `ini:"unready" default:"2500ms" min:"0s" max:"1m" doc:"How long a leaving entry still accepts requests, so that the load balancer can notice: two checks one second apart, and a margin."`
+	ClaimFrom      int           `ini:"claim_from" default:"0" min:"0" max:"10000" doc:"Number of entries in the region from which on an entry claims room for jobs that wait, so that agents offer room in one order to all entries; 0 is never."`
+	RemoteFactor   float64       `ini:"remote_factor" default:"1.5" min:"1" max:"100" doc:"How many times as long a task takes on an upstream away from its data as near it."`
 	OperatorToken  Secret        `ini:"operator_token" default:"" doc:"Bearer token for the operators' API, with all rights. Without any token, the API is not served. Secret."`
 	OperatorTokens Secrets       `ini:"operator_tokens" default:"" doc:"Further tokens, separated by commas, each as name/role/token; the role is read or all. Secret."`
 }
--- a/internal/core/settings/settings.go
+++ b/internal/core/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"cmp"
 	"net"
 	"os"
 	"reflect"
@@ -287,15 +288,23 @@
 // checkRange compares the value with the bounds in its tags and returns the reason if it is outside, or "".
 func (o option) checkRange() string {
 	limit := reflect.New(o.value.Type()).Elem()
-	if o.min != "" && parseInto(limit, o.min) == "" && o.value.Int() < limit.Int() {
+	if o.min != "" && parseInto(limit, o.min) == "" && compareNumbers(o.value, limit) < 0 {
 		return "must be at least " + o.min
 	}
-	if o.max != "" && parseInto(limit, o.max) == "" && o.value.Int() > limit.Int() {
+	if o.max != "" && parseInto(limit, o.max) == "" && compareNumbers(o.value, limit) > 0 {
 		return "must be at most " + o.max
 	}
 	return ""
 }
 
+// compareNumbers compares two numbers of the same type. A float that is not a number is below all others.
+func compareNumbers(a, b reflect.Value) int {
+	if a.CanFloat() {
+		return cmp.Compare(a.Float(), b.Float())
+	}
+	return cmp.Compare(a.Int(), b.Int())
+}
+
 // Document returns the text of hillreel.ini: every option with its description and default.
 func Document() string {
 	var b strings.Builder
--- a/internal/entry/dispatch/bench_test.go
+++ b/internal/entry/dispatch/bench_test.go
@@ -36,7 +36,7 @@
 
 // newPeak returns a Table that holds many two-step jobs, as many of which run as fit.
 func newPeak(b *testing.B, agents int) *harness {
-	p := &harness{now: time.Unix(1000, 0), answers: make(map[dispatch.CallerID]dispatch.Answer)}
+	p := &harness{now: time.Unix(1000, 0), answers: make(map[dispatch.CallerID]dispatch.Answer), claims: make(map[ident.Incarnation]fleet.Claim)}
 	jobs := manyJobs + agents*12
 	p.table = dispatch.New(dispatch.Options{Timing: timing, Zone: "z", MaxQueue: jobs, MaxTasks: 20}, p, p, p, 1)
 	p.table.Tick(p.now)
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -110,6 +110,10 @@
 	// SendReleased tells an agent that nothing remains of a job here. The agent forwards this to the entry that takes the
 	// job over.
 	SendReleased(agent ident.Incarnation, r fleet.Released)
+	// Claim asks an agent to reserve room for this entry. It replaces the entry's former claim there.
+	Claim(agent ident.Incarnation, c fleet.Claim)
+	// SendDemand tells an agent what callers have asked of this entry. The agent tells its other entries.
+	SendDemand(agent ident.Incarnation, d fleet.Demand)
 }
 
 // Callers delivers answers to callers.
@@ -206,6 +210,10 @@
 	MaxTasks int
 	// AgentLinks is the number of entries that an agent links to at most; zero means all.
 	AgentLinks int
+	// ClaimFrom is the number of entries from which on this entry claims room for jobs that wait; zero means never.
+	ClaimFrom int
+	// RemoteFactor is how many times as long a task takes away from its data; zero means 1.
+	RemoteFactor float64
 	// Without disables safety rules, for experiments only.
 	Without rule.Set
 }
--- a/internal/entry/node/links.go
+++ b/internal/entry/node/links.go
@@ -135,6 +135,8 @@
 		n.table.HandleTakeover(now, l.Peer, codec.ReadRelease(m.Release, 0))
 	case *wire.Msg_Released:
 		n.table.HandleReleased(now, l.Peer, codec.ReadReleased(m.Released))
+	case *wire.Msg_Demand:
+		n.table.HandleDemand(now, codec.ReadDemand(m.Demand, 0))
 	case *wire.Msg_Config:
 		n.handleRelayedConfig(l, m.Config)
 	default:
--- a/internal/link/codec/codec.go
+++ b/internal/link/codec/codec.go
@@ -27,7 +27,7 @@
 func Order(o fleet.Order) *wire.Msg {
 	m := &wire.Start{
 		Seq: o.Seq, Job: uint64(o.Job), Step: o.Step, Each: resources(o.Each),
-		EstimateUs: o.Estimate.Microseconds(), Kept: o.Kept,
+		EstimateUs: o.Estimate.Microseconds(), Kept: o.Kept, RemoteFactor: o.RemoteFactor,
 	}
 	if m.DeflatedSpec = deflate.Compress(o.Spec); m.DeflatedSpec == nil {
 		m.Spec = o.Spec
@@ -51,7 +51,7 @@
 	}
 	o := fleet.Order{
 		Seq: m.GetSeq(), Job: job.ID(m.GetJob()), Step: m.GetStep(), Spec: spec, Each: readResources(m.GetEach()),
-		Estimate: microseconds(m.GetEstimateUs()), Kept: m.GetKept(),
+		Estimate: microseconds(m.GetEstimateUs()), Kept: m.GetKept(), RemoteFactor: m.GetRemoteFactor(),
 	}
 	for _, t := range m.GetTasks() {
 		o.Tasks = append(o.Tasks, fleet.TaskRun{
@@ -117,6 +117,9 @@
 	m := &wire.Room{
 		Free: resources(r.Free), Seq: r.Seq, ClockUs: r.Clock.Microseconds(), State: string(r.State), Pace: r.Pace,
 	}
+	if r.Reserved != (job.Resources{}) {
+		m.Reserved = resources(r.Reserved)
+	}
 	for _, s := range r.Suspects {
 		m.Suspects = append(m.Suspects, &wire.SuspectRun{Run: runRef(s.RunRef), AfterUs: s.Age.Microseconds(), Alone: s.Alone, Sole: s.OnlyRun})
 	}
@@ -127,7 +130,7 @@
 func ReadRoom(m *wire.Room) fleet.Room {
 	r := fleet.Room{
 		Free: readResources(m.GetFree()), Seq: m.GetSeq(), Clock: microseconds(m.GetClockUs()),
-		State: fleet.State(m.GetState()), Pace: m.GetPace(),
+		State: fleet.State(m.GetState()), Pace: m.GetPace(), Reserved: readResources(m.GetReserved()),
 	}
 	for _, s := range m.GetSuspects() {
 		r.Suspects = append(r.Suspects, fleet.SuspectRun{
--- a/internal/link/codec/codec_test.go
+++ b/internal/link/codec/codec_test.go
@@ -18,7 +18,7 @@
 	task := job.TaskID{Job: 0x5c0e7a21d94b36f8, Step: 1, Index: 17}
 	for _, o := range []fleet.Order{
 		{},
-		{Seq: 7, Job: task.Job, Step: 1, Spec: "text", Each: job.Resources{CPU: 1600, Mem: 64, GPU: 1}, Estimate: 60 * time.Millisecond,
+		{Seq: 7, Job: task.Job, Step: 1, Spec: "text", Each: job.Resources{CPU: 1600, Mem: 64, GPU: 1}, Estimate: 60 * time.Millisecond, RemoteFactor: 1.5,
 			Tasks: []fleet.TaskRun{{Index: 3, Run: 2, Failures: 1, Checkpoint: "saved"}, {Index: 4, Run: 1, AloneFor: 200 * time.Millisecond}}},
 	} {
 		got, err := codec.ReadOrder(codec.Order(o).GetStart())
@@ -34,6 +34,7 @@
 	for _, r := range []fleet.Room{
 		{},
 		{Free: job.Resources{CPU: -5, Mem: 7}, Seq: 9, Clock: 3 * time.Second, State: fleet.Probing, Pace: 1.25},
+		{Free: job.Resources{CPU: 3000}, Reserved: job.Resources{CPU: 1200, Mem: 64}},
 		{Suspects: []fleet.SuspectRun{{RunRef: fleet.RunRef{Task: task, Run: 4}, Age: 30 * time.Millisecond, Alone: true, OnlyRun: true}, {}}},
 	} {
 		qt.Assert(t, codec.ReadRoom(codec.Room(r).GetRoom()), qt.DeepEquals, r)
@@ -64,6 +65,15 @@
 	qt.Assert(t, gotRefuted, qt.DeepEquals, refuted)
 	keepAlive := fleet.KeepAlive{Echo: 1500 * time.Microsecond, Config: 12, Pace: 1.5, Follows: true}
 	qt.Assert(t, codec.ReadPing(codec.Ping(keepAlive).GetPing()), qt.DeepEquals, keepAlive)
+	for _, c := range []fleet.Claim{
+		{},
+		{Tasks: 3, Each: job.Resources{CPU: 1200, Mem: 64}, Begun: true, Late: true, DueIn: -7 * time.Millisecond, ValidFor: 60 * time.Millisecond},
+	} {
+		qt.Assert(t, codec.ReadClaim(codec.Claim(c).GetClaim()), qt.DeepEquals, c)
+	}
+	d := fleet.Demand{Entry: 7, Routes: []fleet.RouteDemand{{Route: "a", Asked: 12.5, Refused: 0.5}, {Route: "b"}}}
+	qt.Assert(t, codec.ReadDemand(codec.Demand(d).GetDemand(), 8), qt.DeepEquals, d)
+	qt.Assert(t, codec.ReadDemand(codec.Demand(fleet.Demand{}).GetDemand(), 8), qt.DeepEquals, fleet.Demand{Entry: 8})
 	entries := []fleet.Entry{{Address: "10.0.0.1:7720"}, {Address: "10.0.0.2:7720", Wants: []ident.Service{"a", "b"}}}
 	qt.Assert(t, codec.ReadPeers(codec.Peers(entries).GetPeers()), qt.DeepEquals, entries)
 }
--- a/internal/load/world/agent.go
+++ b/internal/load/world/agent.go
@@ -197,6 +197,15 @@
 	}
 }
 
+// relayDemand passes what callers have asked of an entry to the other entries.
+func (a *agent) relayDemand(from *entry, d fleet.Demand) {
+	for _, e := range a.linkOrder {
+		if e != from {
+			a.links[e].sendToEntry(func() { e.table.HandleDemand(e.w.Now(), d) })
+		}
+	}
+}
+
 // discardObserver is an upstream.Observer that ignores all events.
 type discardObserver struct{}
 
--- a/internal/load/world/entry.go
+++ b/internal/load/world/entry.go
@@ -171,6 +171,25 @@
 // crashes its upstream.
 func (agentMessages) SendUnconfirmed(ident.Incarnation, []fleet.Crash) {}
 
+// Claim asks an agent to reserve room.
+func (o agentMessages) Claim(to ident.Incarnation, c fleet.Claim) {
+	if l := o.e.linkTo(to); l != nil {
+		o.e.w.result.Messages.Claims++
+		l.sendToAgent(headers+proto.Size(codec.Claim(c)), func() { l.a.controller.Claim(o.e.w.Now(), l.e.inc, c) })
+	}
+}
+
+// SendDemand tells an agent what callers have asked of this entry. The agent tells its other entries.
+func (o agentMessages) SendDemand(to ident.Incarnation, d fleet.Demand) {
+	l := o.e.linkTo(to)
+	if l == nil {
+		return
+	}
+	o.e.w.result.Messages.Demands++
+	d.Entry = o.e.inc
+	l.sendToAgent(headers+proto.Size(codec.Demand(d)), func() { l.a.relayDemand(o.e, d) })
+}
+
 func (e *entry) linkTo(inc ident.Incarnation) *link {
 	for _, a := range e.linkOrder {
 		if a.inc == inc {
--- a/internal/load/world/result.go
+++ b/internal/load/world/result.go
@@ -40,7 +40,7 @@
 }
 
 // Messages counts messages between entries and agents by type.
-type Messages struct{ Orders, Stops, Rooms, Ends, Takeovers int }
+type Messages struct{ Orders, Stops, Rooms, Ends, Takeovers, Claims, Demands int }
 
 // Result holds the outcome of a simulation.
 type Result struct {
--- a/internal/proof/schedule/crashes_test.go
+++ b/internal/proof/schedule/crashes_test.go
@@ -445,6 +445,15 @@
 	}
 }
 
+// relayDemand passes what callers have asked of an entry to the other entries.
+func (a *agentProc) relayDemand(from *entryProc, d fleet.Demand) {
+	for _, e := range a.w.entries {
+		if side := a.links[&e.proc]; side != nil && e != from {
+			side.send(func() { e.table.HandleDemand(e.now(), d) })
+		}
+	}
+}
+
 // sendKnownCrashes sends all crashes that the agent knows to an entry that has linked.
 func (a *agentProc) sendKnownCrashes(side *linkSide) {
 	if all := a.unconfirmed.Recent(a.now()); len(all) > 0 {
--- a/internal/proof/schedule/io_test.go
+++ b/internal/proof/schedule/io_test.go
@@ -73,6 +73,20 @@
 	}
 }
 
+func (x entryIO) Claim(agent ident.Incarnation, c fleet.Claim) {
+	if s, a := x.linkTo(agent); s != nil {
+		inc := x.e.inc
+		s.send(func() { a.controller.Claim(a.now(), inc, c); a.flush() })
+	}
+}
+
+func (x entryIO) SendDemand(agent ident.Incarnation, d fleet.Demand) {
+	if s, a := x.linkTo(agent); s != nil {
+		d.Entry = x.e.inc
+		s.send(func() { a.relayDemand(x.e, d) })
+	}
+}
+
 func (x entryIO) Linked() []ident.Incarnation {
 	var out []ident.Incarnation
 	for _, a := range x.e.w.agents {
