shares: who goes without is set by operators and decided alike at all entries

Under shortage each entry refused what it could not place, so who went without followed from the entry that was asked and from whose jobs may wait longest.

Objects of kind share give a team of routes a weight, a floor and a limit. Entries count demand by route, tell each other four times a second through three agents, divide each service's capacity by weighted max-min, and refuse the jobs of a team that asks for more than its part by the same fraction, before they are taken (over_share). Kept jobs are stored by then: they are never refused, but use up their team's part.

--- a/internal/config/object/object.go
+++ b/internal/config/object/object.go
@@ -21,10 +21,11 @@
 	KindUpstream  Kind = "upstream"
 	KindObjective Kind = "objective"
 	KindZone      Kind = "zone"
+	KindShare     Kind = "share"
 )
 
 // Kinds lists all kinds in the order in which a configuration file should create them.
-var Kinds = []Kind{KindService, KindPool, KindUpstream, KindObjective, KindZone}
+var Kinds = []Kind{KindService, KindPool, KindUpstream, KindObjective, KindZone, KindShare}
 
 // Name is an object's name, which is unique within its kind.
 type Name string
@@ -118,6 +119,9 @@
 	case KindZone:
 		var s Zone
 		return decode(spec, &s)
+	case KindShare:
+		var s Share
+		return firstError(decode(spec, &s), func() error { return s.check() })
 	case KindObjective:
 		var s Objective
 		return firstError(decode(spec, &s), checkName("service", &s.Service), checkAtLeastOne("within_ideal", &s.WithinIdeal),
--- a/internal/core/verdict/verdict.go
+++ b/internal/core/verdict/verdict.go
@@ -61,8 +61,10 @@
 	Leaving          Reason = "entry_leaving"
 	NotFound         Reason = "not_found"
 	// OutOfTouch: the entry was paused or cut off, and does not know whether the caller is still there.
-	OutOfTouch   Reason = "out_of_touch"
-	Overloaded   Reason = "overloaded"
+	OutOfTouch Reason = "out_of_touch"
+	Overloaded Reason = "overloaded"
+	// OverShare: the job's team asks for more than its share.
+	OverShare    Reason = "over_share"
 	Superseded   Reason = "superseded"
 	TaskFailed   Reason = "task_failed"
 	TooLarge     Reason = "too_large"
--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -113,6 +113,7 @@
 	})
 	j.ending = true
 	t.recordPressure(now, j, a)
+	t.countRefused(now, &j.route, j.spec, a)
 	s := t.summary(now, j)
 	if a.Verdict == verdict.NotRun {
 		s.Room = t.roomLeft(now, j)
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	"hillreel/internal/entry/demand"
 	"hillreel/internal/entry/holders"
 	"hillreel/internal/entry/queue"
+	"hillreel/internal/entry/shares"
 )
 
 // CallerID identifies one request whose caller waits for an answer.
@@ -146,6 +147,10 @@
 	// AgentChanged is called when the session with an agent ends or resumes while runs of this entry are there, and when
 	// those runs are settled. runs is the number of runs concerned.
 	AgentChanged(agent ident.UpstreamName, runs int, event AgentEvent)
+	// CutChanged is called when jobs beyond a team's part begin or cease to be refused, at most once a second for each team.
+	CutChanged(s shares.Status)
+	// DemandDropped is called for a report of an entry's demand that can't be true.
+	DemandDropped(now time.Time, entry ident.Incarnation, why error)
 }
 
 // AgentEvent tells what happens to the runs at an agent whose session has ended.
@@ -273,6 +278,9 @@
 	replies  map[job.ID][]releaseReply
 	// nextRelay selects the first of the agents that are asked to forward the next message.
 	nextRelay int
+	// shares refuses what exceeds the teams' parts. nextDemandRelay selects the first of the agents that pass on the next report of demand.
+	shares          *shares.Cut
+	nextDemandRelay int
 	// closing is set once the entry is about to shut down.
 	closing bool
 	// lastRunID is the id of the newest run.
@@ -287,7 +295,7 @@
 		opts: o, agentsIO: a, callers: c, observer: ob, rng: rand.New(rand.NewPCG(seed, 0)),
 		jobs: make(map[job.ID]*jobState), queues: make(map[ident.Service]*queue.Queue[*jobState]),
 		agents: make(map[ident.Incarnation]*agentState), pace: 1, entries: 1, resends: demand.NewResendDetector(),
-		crashes: crash.New(o.Without), cordonRefusals: make(map[ident.Zone]int64),
+		crashes: crash.New(o.Without), shares: shares.New(), cordonRefusals: make(map[ident.Zone]int64),
 		holders: holders.New(), releases: make(map[job.ID]*releaseRequest), replies: make(map[job.ID][]releaseReply),
 		allowed: func(ident.UpstreamName, ident.Zone, ident.Service) bool { return true },
 	}
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -12,6 +12,7 @@
 	"hillreel/internal/core/route"
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/dispatch"
+	"hillreel/internal/entry/shares"
 )
 
 var timing = fleet.Timing{
@@ -58,6 +59,9 @@
 	// claims holds the newest claim sent to each agent, demands what other entries were told of this entry's demand.
 	claims  map[ident.Incarnation]fleet.Claim
 	demands []fleet.Demand
+	// cuts holds the reported changes of cuts; dropped counts the reports of demand that were dropped.
+	cuts    []shares.Status
+	dropped int
 	takeovers
 }
 
@@ -92,6 +96,10 @@
 }
 func (b *harness) OutOfTouch(time.Duration, int) {}
 func (b *harness) Belated(*dispatch.Request)     {}
+func (b *harness) CutChanged(s shares.Status)    { b.cuts = append(b.cuts, s) }
+func (b *harness) DemandDropped(time.Time, ident.Incarnation, error) {
+	b.dropped++
+}
 
 // newHarness returns a Table with agents 1 to n linked, each with an upstream of the same number and two cores.
 func newHarness(t *testing.T, n int) *harness {
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -173,6 +173,7 @@
 	t.submitBelated(now)
 	t.announceHeld(now)
 	t.tellUnconfirmed()
+	t.updateShares(now)
 	t.countClosed(now)
 	t.refuseAllCordoned(now)
 	for _, j := range t.dueJobs(now) {
--- a/internal/entry/dispatch/submit.go
+++ b/internal/entry/dispatch/submit.go
@@ -24,7 +24,9 @@
 		t.resubmit(now, j, r)
 		return
 	}
+	t.countDemand(now, &r)
 	if a, ok := t.refusal(now, r); ok {
+		t.countRefused(now, &r.Route, r.Spec, a)
 		t.callers.Answer(r.Caller, a)
 		t.observer.Answered(r.Job, &r.Route, a, Summary{RequestID: r.RequestID, Tasks: r.Spec.TaskCount(), Queued: t.waitingJobs()})
 		return
@@ -63,7 +65,7 @@
 	case !r.Deadline.IsZero() && !now.Before(r.Deadline):
 		return refused(verdict.Deadline), true
 	}
-	return Answer{}, false
+	return t.overShare(now, &r)
 }
 
 // refused is the answer to a job of which nothing has run and nothing will run.
--- a/internal/entry/node/config.go
+++ b/internal/entry/node/config.go
@@ -43,6 +43,7 @@
 	invariant.Check(old == nil || old.Version < t.Version, invariant.ConfigOnlyGrows, func() logrus.Fields {
 		return logrus.Fields{"version": t.Version}
 	})
+	n.table.SetRoutes(servicesOf(t))
 	source := "store"
 	if from != 0 {
 		source = "relay"
--- a/internal/entry/node/observe.go
+++ b/internal/entry/node/observe.go
@@ -27,6 +27,8 @@
 	ended func(r *route.Route, a dispatch.Answer, s dispatch.Summary)
 	// histories holds the histories of the jobs that are not answered yet.
 	histories map[job.ID]*jobHistory
+	// droppedLoggedAt is when a dropped report of demand was last logged.
+	droppedLoggedAt time.Time
 }
 
 // NewObserver returns an Observer. ended is called for each answer; it may be nil.
--- a/internal/entry/operator/change.go
+++ b/internal/entry/operator/change.go
@@ -135,7 +135,13 @@
 	if c.Spec == nil {
 		return nil
 	}
-	return object.Check(c.Ref, c.Spec)
+	if err := object.Check(c.Ref, c.Spec); err != nil {
+		return err
+	}
+	if c.Ref.Kind == object.KindShare {
+		return checkShare(c, s.objects.View(), s.upstreams.Routes())
+	}
+	return nil
 }
 
 // mergePatch applies a JSON merge patch (RFC 7396) to a spec.
--- a/internal/entry/operator/dryrun.go
+++ b/internal/entry/operator/dryrun.go
@@ -6,6 +6,7 @@
 	"hillreel/internal/config/view"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/entry/dispatch"
+	"hillreel/internal/entry/shares"
 )
 
 // ServiceImpact describes the effect that a change would have on one service.
@@ -30,6 +31,8 @@
 	Impacts []ServiceImpact `json:"moves"`
 	// Matches names the linked upstreams that the object selects. It is set only if the change creates or replaces a pool.
 	Matches []string `json:"matches,omitempty"`
+	// Shares tells what each team would get now. It is set only if the change is that of a share.
+	Shares []shares.Status `json:"shares,omitempty"`
 	// DryRun is always true, which tells the body from that of a change.
 	DryRun bool `json:"dry_run"`
 }
@@ -52,6 +55,9 @@
 	if c.Ref.Kind == object.KindPool && c.Spec != nil {
 		out.Matches = s.matchingUpstreams(c, after)
 	}
+	if c.Ref.Kind == object.KindShare {
+		out.Shares = s.upstreams.PreviewShares(shares.FromView(after))
+	}
 	return out
 }
 
--- a/internal/entry/operator/operator.go
+++ b/internal/entry/operator/operator.go
@@ -14,10 +14,12 @@
 	"hillreel/internal/config/store"
 	"hillreel/internal/config/view"
 	"hillreel/internal/core/ident"
+	"hillreel/internal/core/route"
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/core/web"
 	"hillreel/internal/entry/burn"
 	"hillreel/internal/entry/dispatch"
+	"hillreel/internal/entry/shares"
 )
 
 // Store stores configuration objects and their audit trail.
@@ -29,10 +31,15 @@
 // Objects is the entry's local copy of the configuration.
 type Objects interface{ View() *view.View }
 
-// Upstreams lists the upstreams whose agents are linked, and the state of each availability zone.
+// Upstreams lists the upstreams whose agents are linked, and the state of each availability zone. It also knows the routes and who asks
+// for what.
 type Upstreams interface {
 	Upstreams() []dispatch.Upstream
 	Zones() []dispatch.ZoneStatus
+	// Routes returns the routes in force, or nil before there are any.
+	Routes() *route.Table
+	// PreviewShares returns what each team would get now if other shares were in force.
+	PreviewShares(all []shares.Share) []shares.Status
 }
 
 // BurnReporter reports how fast services use up their error budgets.
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -30,6 +30,7 @@
 	"hillreel/internal/entry/dispatch"
 	"hillreel/internal/entry/node"
 	"hillreel/internal/entry/operator"
+	"hillreel/internal/entry/shares"
 	"hillreel/internal/kept/jobstore"
 	"hillreel/internal/kept/record"
 	"hillreel/internal/link/members"
@@ -88,7 +89,10 @@
 // New builds and registers an entry's services.
 func New(set *settings.Settings, d Deps) (*Process, error) {
 	p := &Process{set: set, log: d.Log, kernel: kernel.New(d.Log), bus: bus.New()}
-	objects := store.NewReplica(func(v *view.View) { p.Node.SetAllowed(v.Serves) }, d.Log)
+	objects := store.NewReplica(func(v *view.View) {
+		p.Node.SetAllowed(v.Serves)
+		p.Node.SetShares(shares.FromView(v))
+	}, d.Log)
 	recorder := burn.New(time.Now, func() []object.Objective { return objects.View().Objectives() })
 	p.Node = node.New(set, d.Store, d.Decode, node.NewObserver(d.Log, recordBurn(recorder)), d.Log)
 	changes := store.New(d.Store, time.Now)
@@ -101,6 +105,7 @@
 	p.Callers = web.New("callers", set.Entry.Callers, caller.New(p.Node, servicesInForce, int64(set.Entry.MaxBody), d.Log), callerLimits(set))
 	p.Metrics = web.New("metrics", set.Node.Metrics, ops.Handler(ops.Tokens(set.Entry), p.Node.Ready, api.Routes), web.Operators)
 	metrics.Report("zones", func() any { return p.Node.Zones() })
+	metrics.Report("shares", func() any { return p.Node.Shares() })
 	configFollower := follow.New(d.Store, d.Config.Table, follow.SinglePart, set.Platform.ConfigWait, p.configReader(d), d.Log).With(follow.Options{
 		WatchTimeout: func() time.Duration { return configWait(set, dir.Len()) },
 	})
--- a/internal/load/world/entry.go
+++ b/internal/load/world/entry.go
@@ -11,6 +11,7 @@
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/route"
 	"hillreel/internal/entry/dispatch"
+	"hillreel/internal/entry/shares"
 	"hillreel/internal/link/codec"
 	"hillreel/internal/load/plan"
 )
@@ -252,3 +253,9 @@
 
 // AgentChanged does nothing.
 func (countingObserver) AgentChanged(ident.UpstreamName, int, dispatch.AgentEvent) {}
+
+// CutChanged does nothing: refusals are counted when their callers receive them.
+func (countingObserver) CutChanged(shares.Status) {}
+
+// DemandDropped does nothing: simulated entries send no absurd demand.
+func (countingObserver) DemandDropped(time.Time, ident.Incarnation, error) {}
--- a/internal/proof/schedule/io_test.go
+++ b/internal/proof/schedule/io_test.go
@@ -11,6 +11,7 @@
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/route"
 	"hillreel/internal/entry/dispatch"
+	"hillreel/internal/entry/shares"
 )
 
 // entryIO carries an entry's messages.
@@ -265,6 +266,8 @@
 func (nopObserver) Resubmitted(*dispatch.Request, dispatch.HeldJob)                  {}
 func (nopObserver) OutOfTouch(time.Duration, int)                                    {}
 func (nopObserver) Belated(*dispatch.Request)                                        {}
+func (nopObserver) CutChanged(shares.Status)                                         {}
+func (nopObserver) DemandDropped(time.Time, ident.Incarnation, error)                {}
 func (nopObserver) TakeoverChanged(job.ID, ident.Incarnation, time.Duration, dispatch.TakeoverEvent) {
 }
 
