shares, load, schedule: shares in plays and schedules, and a round trip through the operators' API

Schedules with a share in force: what is refused for it never starts. Capacity and demand are both counted by callers' estimates, so that they compare where run times differ from estimates: the play cut the greedy team to 1.1 times what there was, since demand was scaled by the median of the paces.

--- a/internal/entry/dispatch/demand.go
+++ b/internal/entry/dispatch/demand.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"time"
 
 	"hillreel/internal/core/fleet"
@@ -74,16 +75,16 @@
 // milli is the number of thousandths in a core.
 const milli = 1000
 
-// capacity returns the cores of the upstreams that accept work of a service. If agents link to only some of the entries, it is extrapolated
+// capacity returns how many core seconds of work, by callers' estimates, the upstreams that accept work of a service do in a second: their
+// cores, divided by the ratio of run times to estimates. If agents link to only some of the entries, it is extrapolated
 // from the upstreams that are linked to this one.
 func (t *Table) capacity(s ident.Service) float64 {
-	var millis int64
+	var cores float64
 	for _, a := range t.agentList {
 		if a.Serves(s, fleet.Ready) && t.permits(a, s) {
-			millis += a.Upstream.Total.CPU
+			cores += float64(a.Upstream.Total.CPU) / milli / cmp.Or(a.Room().Pace, t.pace)
 		}
 	}
-	cores := float64(millis) / milli
 	if links := t.opts.AgentLinks; links > 0 && t.entries > links {
 		cores *= float64(t.entries) / float64(links)
 	}
@@ -93,7 +94,7 @@
 // defaultEstimate is the run time of a task that is assumed if its job names none: an ordinary one for tasks of less than a second.
 const defaultEstimate = 100 * time.Millisecond
 
-// work estimates the core seconds that a job needs.
+// work returns the core seconds that a job needs by its caller's estimates.
 func (t *Table) work(s *job.Spec) float64 {
 	var sum float64
 	for _, step := range s.Steps {
@@ -103,7 +104,7 @@
 		}
 		sum += float64(step.Count) * float64(step.Each.CPU) / milli * estimate.Seconds()
 	}
-	return sum * t.pace
+	return sum
 }
 
 // countDemand counts a new job as asked for.
--- a/internal/entry/operator/share.go
+++ b/internal/entry/operator/share.go
@@ -52,6 +52,9 @@
 		services[string(r.Name)] = r.Service
 	}
 	for _, name := range s.Routes {
+		if name == string(s.Service) {
+			continue // that of the callers' own API
+		}
 		service, known := services[name]
 		if !known {
 			return &object.FieldError{Field: "routes", Reason: fmt.Sprintf("no route is named %q", name)}
--- a/internal/entry/operator/share_test.go
+++ b/internal/entry/operator/share_test.go
@@ -37,6 +37,7 @@
 		{"floors of another service do not count", "talk", `{"service":"publish","routes":["c"],"floor":0.2}`, "", routes},
 		{"a route of another team", "talk", `{"service":"publish","routes":["c","b"]}`, "routes", routes},
 		{"its own routes", "music", `{"service":"publish","routes":["c","b"]}`, "", routes},
+		{"the route of the callers' own API", "talk", `{"service":"publish","routes":["publish"]}`, "", routes},
 		{"an unknown route", "talk", `{"service":"publish","routes":["nobody"]}`, "routes", routes},
 		{"a route of another service", "talk", `{"service":"encode","routes":["c"]}`, "routes", routes},
 		{"no routes known yet", "talk", `{"service":"publish","routes":["nobody"]}`, "", nil},
--- a/internal/entry/shares/cut.go
+++ b/internal/entry/shares/cut.go
@@ -288,12 +288,15 @@
 	return demand, use
 }
 
-// keyOf returns the team of a route. The service is empty for a route that is not in force.
+// keyOf returns the team of a route. A route that is not in force is taken for one of the callers' own API, which has the service's name.
 func (c *Cut) keyOf(r route.Name) key {
 	if k, listed := c.teamOf[r]; listed {
 		return k
 	}
-	return key{c.services[r], ""}
+	if s, known := c.services[r]; known {
+		return key{s, ""}
+	}
+	return key{ident.Service(r), ""}
 }
 
 // ownFraction returns the part of a team's demand that this entry has.
--- a/internal/entry/shares/cut_test.go
+++ b/internal/entry/shares/cut_test.go
@@ -17,11 +17,12 @@
 
 const service = ident.Service("s")
 
-// The routes of the tests: those of teams a and b, and one that no share lists.
+// The routes of the tests: those of teams a and b, and those that no share lists.
 var (
 	routeA    = &route.Route{Name: "ra", Service: service}
 	routeB    = &route.Route{Name: "rb", Service: service}
 	routeRest = &route.Route{Name: "other", Service: service}
+	routeAPI  = &route.Route{Name: route.Name(service), Service: service}
 )
 
 // teams returns shares of equal weight for a and b.
@@ -145,6 +146,9 @@
 		{"routes that nobody lists", teams(), [][]*load{
 			{{route: routeRest, cores: 80, work: 0.1}, {route: routeA, cores: 20, work: 0.1}}, {{route: routeRest, cores: 80, work: 0.1}},
 		}, [][]float64{{0.5, 0}, {0.5}}},
+		{"the route of the callers' own API", teams(), [][]*load{
+			{{route: routeAPI, cores: 80, work: 0.1}, {route: routeA, cores: 20, work: 0.1}}, {{route: routeAPI, cores: 80, work: 0.1}},
+		}, [][]float64{{0.5, 0}, {0.5}}},
 		{"a limit without shortage", limited, [][]*load{{{route: routeA, cores: 60, work: 0.1}, {route: routeB, cores: 20, work: 0.1}}}, [][]float64{{0.5, 0}}},
 		{"a floor", floor, [][]*load{{{route: routeA, cores: 80, work: 0.1}, {route: routeB, cores: 40, work: 0.1}}}, [][]float64{{0, 0.5}}},
 		{"jobs larger than the burst", teams(), [][]*load{
--- a/internal/load/plan/plan.go
+++ b/internal/load/plan/plan.go
@@ -21,7 +21,18 @@
 	Zones     []Zone
 	Upstreams []Upstream
 	Jobs      []Job
-	Faults    []Fault
+	// Shares holds the parts of the capacity that operators give to teams. Without any, nobody's jobs are refused for their share.
+	Shares []Share
+	Faults []Fault
+}
+
+// Share describes a team and the part of the capacity that it gets.
+type Share struct {
+	Team string
+	// Routes names the kinds of jobs that are the team's.
+	Routes []string
+	// Weight says by how much more the team gets than others. Floor and Limit are parts of the capacity; a Limit of zero means none.
+	Weight, Floor, Limit float64
 }
 
 // Delays holds the one-way delays of messages.
--- a/internal/load/plan/plan_test.go
+++ b/internal/load/plan/plan_test.go
@@ -32,7 +32,7 @@
 	for _, test := range []struct{ name, text, want string }{
 		{"unknown field", small + "[run]\nlenght = 3s\n", `plan: f: [run] lenght: no such field`},
 		{"unknown section", small + "[runs]\n", `plan: f: [runs] : the section needs a name, as in [zone a]`},
-		{"unknown named section", small + "[zones b]\n", `plan: f: [zones b] : no such section; the sections are run, delays, zone, upstream, job and fault`},
+		{"unknown named section", small + "[zones b]\n", `plan: f: [zones b] : no such section; the sections are run, delays, zone, upstream, job, share and fault`},
 		{"no number", small + "[zone b]\nshare = much\n", `plan: f: [zone b] share: "much" is not a number`},
 		{"out of bounds", small + "[zone b]\nshare = -1\n", `plan: f: [zone b] share: -1 is not between 0 and 1000`},
 		{"no whole number", small + "[zone b]\nentries = 1.5\n", `plan: f: [zone b] entries: "1.5" is not a whole number`},
@@ -45,6 +45,11 @@
 		{"no upstreams", "[zone a]\n[job j]\nrate = 10\ntime = 50ms\n", `plan: f: [upstream] : at least one [upstream NAME] section is needed`},
 		{"no VMs", "[zone a]\nupstreams = 0\n[upstream u]\n[job j]\nrate = 10\ntime = 50ms\n", `plan: f: [zone] entries, upstreams: at least one entry and one upstream are needed`},
 		{"a burst beyond bounds", small + "[fault f]\nkind = burst\nfactor = 5\n", `plan: f: [fault f] factor: one zone would send more than 4 times the usual jobs of all zones`},
+		{"no weight", small + "[share s]\nroutes = j\nweight = 0\n", `plan: f: [share s] weight: 0 is not between 0.001 and 1e+06`},
+		{"no routes", small + "[share s]\n", `plan: f: [share s] routes: a job's name is missing`},
+		{"no route of that name", small + "[share s]\nroutes = j, k\n", `plan: f: [share s] routes: no job is named k`},
+		{"a route of two teams", small + "[share s]\nroutes = j\n[share t]\nroutes = j\n", `plan: f: [share t] routes: j belongs to s`},
+		{"a floor above the limit", small + "[share s]\nroutes = j\nfloor = 0.6\nlimit = 0.5\n", `plan: f: [share s] floor: must be at most the limit`},
 		{"all warmup", small + "[run]\nlength = 2s\nwarmup = 2s\n", `plan: f: [run] warmup: must be shorter than the length`},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/load/plan/read.go
+++ b/internal/load/plan/read.go
@@ -94,10 +94,12 @@
 		f.readUpstream(p, name)
 	case "job":
 		f.readJob(p, name)
+	case "share":
+		f.readShare(p, name)
 	case "fault":
 		f.readFault(p, name)
 	default:
-		r.addProblem(s.Name(), "", "no such section; the sections are run, delays, zone, upstream, job and fault")
+		r.addProblem(s.Name(), "", "no such section; the sections are run, delays, zone, upstream, job, share and fault")
 		return
 	}
 	for _, k := range s.KeyStrings() {
@@ -165,6 +167,16 @@
 	})
 }
 
+func (f *fields) readShare(p *Plan, name string) {
+	s := Share{
+		Team: name, Weight: f.number("weight", 1, 0.001, 1e6), Floor: f.number("floor", 0, 0, 1), Limit: f.number("limit", 0, 0, 1),
+	}
+	for _, r := range strings.Split(f.text("routes"), ",") {
+		s.Routes = append(s.Routes, strings.TrimSpace(r))
+	}
+	p.Shares = append(p.Shares, s)
+}
+
 func (f *fields) text(key string) string {
 	f.used = append(f.used, key)
 	return f.s.Key(key).String()
@@ -261,6 +273,7 @@
 			r.addProblem("fault "+f.Name, "factor", fmt.Sprintf("one zone would send more than %v times the usual jobs of all zones", MaxBurst))
 		}
 	}
+	r.checkShares(p, jobs)
 	for _, f := range p.Faults {
 		if !zones[f.Zone] {
 			r.addProblem("fault "+f.Name, "zone", "no zone is named "+f.Zone)
@@ -273,3 +286,30 @@
 		}
 	}
 }
+
+// checkShares reports the problems of shares. jobs holds the names of all jobs, and the empty one.
+func (r *reader) checkShares(p *Plan, jobs map[string]bool) {
+	var floors float64
+	teamOf := make(map[string]string)
+	for _, s := range p.Shares {
+		section := "share " + s.Team
+		for _, name := range s.Routes {
+			switch {
+			case name == "":
+				r.addProblem(section, "routes", "a job's name is missing")
+			case !jobs[name]:
+				r.addProblem(section, "routes", "no job is named "+name)
+			case teamOf[name] != "":
+				r.addProblem(section, "routes", name+" belongs to "+teamOf[name])
+			}
+			teamOf[name] = s.Team
+		}
+		if s.Limit > 0 && s.Floor > s.Limit {
+			r.addProblem(section, "floor", "must be at most the limit")
+		}
+		floors += s.Floor
+	}
+	if floors > 1 {
+		r.addProblem("share", "floor", "the floors add up to more than 1")
+	}
+}
--- a/internal/load/world/entry.go
+++ b/internal/load/world/entry.go
@@ -51,6 +51,7 @@
 	o := dispatch.Options{Timing: e.w.timing, Zone: ident.Zone(e.zone), MaxQueue: maxQueue, MaxTasks: maxTasks}
 	e.table = dispatch.New(o, agentMessages{e}, answers{e}, countingObserver{e.w}, e.w.rng.Uint64())
 	e.applyCordons()
+	e.applyShares()
 	e.tick(e.inc)
 }
 
--- a/internal/load/world/result.go
+++ b/internal/load/world/result.go
@@ -48,7 +48,9 @@
 	// Kinds and Zones are in the order of the plan. Seconds has one element per second since the start of the load. Largest
 	// has the tenth of each kind's jobs that need the most core-seconds.
 	Kinds, Zones, Seconds, Largest []*Tally
-	Messages                       Messages
+	// ZoneKinds has, for each zone, the jobs of each kind.
+	ZoneKinds [][]*Tally
+	Messages  Messages
 	// NoRoomRefusals counts orders that agents refused because the upstream had no room; Runs counts runs that started.
 	NoRoomRefusals, Runs int
 	// Used and Wasted are core-seconds: of all runs, and of runs that did not complete their task.
@@ -67,6 +69,11 @@
 	}
 	for range p.Zones {
 		r.Zones = append(r.Zones, newTally())
+		kinds := make([]*Tally, len(p.Jobs))
+		for i := range kinds {
+			kinds[i] = newTally()
+		}
+		r.ZoneKinds = append(r.ZoneKinds, kinds)
 	}
 	for range int(p.Length/time.Second) + 1 {
 		r.Seconds = append(r.Seconds, newTally())
@@ -121,7 +128,7 @@
 	}
 	for i := range r.plan.Zones {
 		if &r.plan.Zones[i] == s.zone {
-			s.tallies = append(s.tallies, r.Zones[i])
+			s.tallies = append(s.tallies, r.Zones[i], r.ZoneKinds[i][r.kindIndex(s.kind)])
 		}
 	}
 	for _, t := range s.tallies {
@@ -129,6 +136,11 @@
 	}
 }
 
+// kindIndex returns the index of a kind of job in the plan.
+func (r *Result) kindIndex(kind *plan.Job) int {
+	return slices.IndexFunc(r.plan.Jobs, func(j plan.Job) bool { return j.Name == kind.Name })
+}
+
 // finish records the outcome of a job. Only the first call for a job has an effect.
 func (s *submission) finish(o outcome) {
 	if s.done {
--- a/internal/proof/schedule/process_test.go
+++ b/internal/proof/schedule/process_test.go
@@ -185,6 +185,7 @@
 		SettleTime: timing.SettleAfter(), Without: w.without, MaxRow: 1 << 16, Count: func(string) {}, Log: w.newLog(e.name),
 	}, storeIO{e, e.inc}, e.table, entryIO{e}, entryIO{e}, e.now())
 	e.table.SetKeeper(e.keptJobs)
+	w.applyShares(e)
 	e.cordons = cordon.NewSet(w.without)
 	w.operators.pollCordons(&e.proc, func() bool { return e.storeCut }, e.adoptCordons)
 	e.tickNow, e.recordContact = e.onTick, func() { e.table.RecordContact(e.now()) }
--- a/internal/proof/schedule/world_test.go
+++ b/internal/proof/schedule/world_test.go
@@ -102,6 +102,8 @@
 	cpuStarvation bool
 	// agentsReachable: partitions do not cut entries off from agents.
 	agentsReachable bool
+	// shares: the team that all jobs belong to may use only a part of the capacity.
+	shares bool
 }
 
 // impatientFrom is the first seed of the worlds in which many callers give up early and send again at once, over slow
@@ -115,6 +117,9 @@
 const cordonsFrom = 3_000_000_000
 
 func profileOf(seed uint64) profile {
+	if seed >= sharesFrom {
+		return profile{abandonRate: 0.2, resubmitRate: 0.5, jobFactor: 2, partitions: seed%2 == 0, shares: true}
+	}
 	if seed >= vmCrashesFrom {
 		return profile{abandonRate: 0.05, resubmitRate: 0.2, jobFactor: 1, crashes: true, extraAgents: 1}
 	}
