--- a/internal/entry/node/observe_test.go
+++ b/internal/entry/node/observe_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"hillreel/internal/core/boottime"
 	"hillreel/internal/core/fleet"
@@ -16,6 +17,7 @@
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/dispatch"
 	"hillreel/internal/entry/node"
+	"hillreel/internal/entry/shares"
 )
 
 // logLines returns the log lines that an Observer writes while watch runs.
@@ -186,3 +188,29 @@
 		})
 	}
 }
+
+// TestCutLines checks the log lines of a cut that begins and ends.
+func TestCutLines(t *testing.T) {
+	lines := logLines(func(o *node.Observer) {
+		o.CutChanged(shares.Status{Service: "publish", Team: "news", Demand: 31.234, Part: 10, Capacity: 40, Cut: true})
+		o.CutChanged(shares.Status{Service: "publish", Team: "news"})
+	})
+	qt.Assert(t, lines, qt.HasLen, 2)
+	for _, part := range []string{"msg=share_cut_began", "service=publish", "team=news", "demand_cores=31.23", "part_cores=10", "capacity_cores=40"} {
+		qt.Assert(t, lines[0], qt.Contains, part)
+	}
+	qt.Assert(t, lines[1], qt.Contains, "msg=share_cut_ended")
+}
+
+// TestDroppedDemandIsLoggedOnceASecond guards against a log that an entry fills with reports of demand that can't be true.
+func TestDroppedDemandIsLoggedOnceASecond(t *testing.T) {
+	from := time.Unix(1000, 0)
+	lines := logLines(func(o *node.Observer) {
+		for _, after := range []time.Duration{0, 1, 999 * time.Millisecond, time.Second, 1500 * time.Millisecond} {
+			o.DemandDropped(from.Add(after), 7, errors.New("absurd"))
+		}
+	})
+	qt.Assert(t, lines, qt.HasLen, 2)
+	qt.Assert(t, lines[0], qt.Contains, "msg=demand_dropped")
+	qt.Assert(t, lines[0], qt.Contains, "error=absurd")
+}
--- a/internal/entry/shares/cut.go
+++ b/internal/entry/shares/cut.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// decideInterval is the pause between two divisions of the capacity, a fraction of the time over which demand is averaged.
-	decideInterval = 100 * time.Millisecond
+	// decideInterval is the pause between two divisions of the capacity, a fraction of the time over which demand is averaged. Each division
+	// looks at all upstreams.
+	decideInterval = 200 * time.Millisecond
 	// sendInterval is the pause between two reports to the other entries.
 	sendInterval = 250 * time.Millisecond
 	// burst is the time for which an unused part of a team may be used later.
@@ -200,10 +201,11 @@
 	}
 	c.decidedAt = now
 	c.book.expire(now)
+	own := c.ownDemand(now)
 	var changed []Status
 	for i, status := range c.statuses(now, site, c.order) {
 		t := c.teams[c.order[i]]
-		t.apply(now, status, c.ownFraction(now, c.order[i]))
+		t.apply(now, status, own[c.order[i]])
 		if t.now.Cut != t.reportedCut && (t.reportedAt.IsZero() || now.Sub(t.reportedAt) >= changeInterval) {
 			t.reportedCut, t.reportedAt = t.now.Cut, now
 			changed = append(changed, t.now)
@@ -212,14 +214,14 @@
 	return changed
 }
 
-// apply puts a decision in force. own is the part of the team's demand that this entry has.
+// apply puts a decision in force. own is the demand of the team on this entry.
 func (t *team) apply(now time.Time, s Status, own float64) {
 	if s.Cut && !t.now.Cut {
 		t.tokens, t.rate, t.filledAt = 0, 0, now
 	}
 	if s.Cut {
 		t.fill(now)
-		t.rate = s.Part * own
+		t.rate = s.Part * own / s.Demand
 	}
 	t.now = s
 }
@@ -299,20 +301,13 @@
 	return key{ident.Service(r), ""}
 }
 
-// ownFraction returns the part of a team's demand that this entry has.
-func (c *Cut) ownFraction(now time.Time, k key) float64 {
-	var own, total float64
+// ownDemand returns the demand on this entry by team.
+func (c *Cut) ownDemand(now time.Time) map[key]float64 {
+	out := make(map[key]float64)
 	for _, r := range c.book.ownDemand(now) {
-		if c.keyOf(r.Route) == k {
-			own += r.Asked
-		}
-	}
-	demand, _ := c.totals(now)
-	total = demand[k]
-	if total == 0 {
-		return 0
+		out[c.keyOf(r.Route)] += r.Asked
 	}
-	return own / total
+	return out
 }
 
 // Statuses returns the state of each team as of the newest decision.
--- a/internal/load/world/shares_test.go
+++ b/internal/load/world/shares_test.go
@@ -42,8 +42,11 @@
 			refusedPart(r.ZoneKinds[i][1]), refusedPart(before.ZoneKinds[i][1]), refusedPart(r.ZoneKinds[i][2]), refusedPart(before.ZoneKinds[i][2]))
 		least, most = min(least, part), max(most, part)
 	}
-	t.Logf("served: narrow %.3f (without shares %.3f), wide %.3f (%.3f), long %.3f (%.3f), all %.3f (%.3f); demands %d", r.Kinds[0].ServedShare(), before.Kinds[0].ServedShare(),
-		r.Kinds[1].ServedShare(), before.Kinds[1].ServedShare(), r.Kinds[2].ServedShare(), before.Kinds[2].ServedShare(), r.All.ServedShare(), before.All.ServedShare(), r.Messages.Demands)
+	for k, kind := range r.Kinds {
+		t.Logf("kind %d: refused %.3f (without shares %.3f), served %.3f (%.3f)", k, refusedPart(kind), refusedPart(before.Kinds[k]),
+			kind.ServedShare(), before.Kinds[k].ServedShare())
+	}
+	t.Logf("all: served %.3f (without shares %.3f), %d messages of demand", r.All.ServedShare(), before.All.ServedShare(), r.Messages.Demands)
 	qt.Check(t, most <= 1.5*least, qt.IsTrue)
 	for k := 1; k < len(r.Kinds); k++ {
 		qt.Check(t, refusedPart(r.Kinds[k]) < refusedPart(before.Kinds[k]), qt.IsTrue, qt.Commentf("kind %d", k))
