shares: a dry run of the first share tells of the whole capacity

It divided only the part of one entry, since no entry has told its demand before a share is in force. TestPreview and TestShareRoundTrip failed with half of the cores at two entries.

--- a/internal/entry/shares/cut.go
+++ b/internal/entry/shares/cut.go
@@ -330,5 +330,8 @@
 	next.SetShares(all)
 	next.SetRoutes(c.services)
 	next.book = c.book
+	if !c.Active() {
+		site.Entries = 1 // nobody reports demand yet, so there is none to wait for
+	}
 	return next.statuses(now, site, next.order)
 }
--- a/internal/entry/shares/cut_test.go
+++ b/internal/entry/shares/cut_test.go
@@ -260,3 +260,35 @@
 		})
 	}
 }
+
+// TestPreview checks what a dry run tells, before the first share is in force and later, and that it changes nothing.
+func TestPreview(t *testing.T) {
+	next := []shares.Share{
+		{Team: "a", Service: service, Routes: []route.Name{"ra"}, Weight: 3}, {Team: "b", Service: service, Routes: []route.Name{"rb"}, Weight: 1},
+	}
+	for _, test := range []struct {
+		name    string
+		present []shares.Share
+		// parts and assured are those of the teams a and b.
+		parts, assured [2]float64
+	}{
+		{"no share yet", nil, [2]float64{0, 0}, [2]float64{75, 25}},
+		{"other shares", teams(), [2]float64{75, 25}, [2]float64{75, 25}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSim(100, test.present, []*load{{route: routeA, cores: 80, work: 0.1}}, []*load{{route: routeB, cores: 80, work: 0.1}})
+			if test.present != nil {
+				s.run(settling)
+			}
+			cut := s.entries[0].cut
+			before := cut.Statuses()
+			got := cut.Preview(s.now, next, shares.Site{Entries: 2, Capacity: func(ident.Service) float64 { return 100 }})
+			qt.Assert(t, got, qt.HasLen, 3)
+			for i, team := range got[1:] {
+				qt.Check(t, math.Abs(team.Part-test.parts[i]) < 0.01, qt.IsTrue, qt.Commentf("%+v", team))
+				qt.Check(t, math.Abs(team.Assured-test.assured[i]) < 0.01, qt.IsTrue, qt.Commentf("%+v", team))
+			}
+			qt.Assert(t, cut.Statuses(), qt.DeepEquals, before)
+		})
+	}
+}
--- a/internal/standin/embedded/shares_test.go
+++ b/internal/standin/embedded/shares_test.go
@@ -59,7 +59,7 @@
 	qt.Assert(t, teams, qt.HasLen, 2)
 	news := teams[1].(map[string]any)
 	qt.Assert(t, news["team"], qt.Equals, "news")
-	qt.Assert(t, news["capacity_cores"].(float64) > 0, qt.IsTrue)
+	qt.Assert(t, news["capacity_cores"], qt.Equals, 8.0)
 	qt.Assert(t, news["assured_cores"].(float64), qt.Equals, 0.001*news["capacity_cores"].(float64))
 	qt.Assert(t, countObjects(t, cluster, 0), qt.Equals, 0)
 
