--- a/internal/entry/shares/cut_test.go
+++ b/internal/entry/shares/cut_test.go
@@ -207,6 +207,7 @@
 	s.run(2 * time.Second)
 	e := s.entries[0]
 	qt.Assert(t, e.loads[0].refused > 0, qt.IsTrue)
+	e.cut.Receive(s.now, fleet.Demand{Entry: 8, Routes: []fleet.RouteDemand{{Route: "ra", Asked: 1000}}})
 	e.cut.SetShares(nil)
 	s.reset()
 	s.run(time.Second)
