load: kinds of entries with links and threads of their own

Cause: all entries of the experiment were alike, so it could not show that weak entries refuse more often than strong ones.

Done: [entry NAME] sections describe kinds of entries, dealt out in turn or by zone (entry_kind). link_mbits bounds the VM's link in each direction for messages to and from agents and callers; handling is what the entry's one thread takes for each message that it receives. The table gets a line for each kind, by the entry that a job's caller asked first, and how often the worst kind and the worst entry refused relative to all jobs. Plans without kinds behave as before: entry_link_mbits bounds messages to agents only.

--- a/internal/load/plan/plan.go
+++ b/internal/load/plan/plan.go
@@ -19,6 +19,7 @@
 	Central   bool
 	Delays    Delays
 	Zones     []Zone
+	Entries   []Entry
 	Upstreams []Upstream
 	Jobs      []Job
 	Faults    []Fault
@@ -30,7 +31,8 @@
 	Near, Far, Callers time.Duration
 	// Handling is the longest time that a process takes to handle a message; the time is drawn for each message.
 	Handling time.Duration
-	// EntryLinkMbits is the bandwidth at which an entry's VM sends, in Mbit/s; zero means unlimited.
+	// EntryLinkMbits is the bandwidth at which an entry's VM sends to agents, in Mbit/s, unless its kind has a link of its own; zero
+	// means unlimited.
 	EntryLinkMbits float64
 }
 
@@ -41,6 +43,20 @@
 	Entries, Upstreams int
 	// Share is the zone's weight in the distribution of jobs: its callers send Share divided by the sum of all shares.
 	Share float64
+	// EntryKind is the kind of all entries of the zone; empty means that they get the kinds in turn.
+	EntryKind string
+}
+
+// Entry describes a kind of entry. Entries get the kinds in turn, each kind Weight times per round.
+type Entry struct {
+	Name   string
+	Weight int
+	// LinkMbits is the bandwidth of the VM's link in each direction, in Mbit/s; zero means unlimited. All messages to and from agents
+	// and callers wait for it.
+	LinkMbits float64
+	// Handling is how long the entry's only thread works on each message that it receives. Messages wait for it in the order of
+	// their arrival.
+	Handling time.Duration
 }
 
 // Upstream describes a kind of upstream. Upstreams get the kinds in turn, each kind Weight times per round.
@@ -173,20 +189,39 @@
 	return sum
 }
 
+// EntryKind returns the kind of the entry with index n, in zone z. Plans without kinds of entries, and central ones, have entries that
+// handle any number of messages.
+func (p *Plan) EntryKind(z *Zone, n int) *Entry {
+	if p.Central || len(p.Entries) == 0 {
+		return &Entry{}
+	}
+	for i := range p.Entries {
+		if p.Entries[i].Name == z.EntryKind {
+			return &p.Entries[i]
+		}
+	}
+	return deal(p.Entries, n, func(e *Entry) int { return e.Weight })
+}
+
 // UpstreamKind returns the kind of the upstream with index n.
 func (p *Plan) UpstreamKind(n int) *Upstream {
-	weights := 0
-	for i := range p.Upstreams {
-		weights += p.Upstreams[i].Weight
+	return deal(p.Upstreams, n, func(u *Upstream) int { return u.Weight })
+}
+
+// deal returns the kind that the VM with index n gets, if VMs get the kinds in turn, each as often per round as its weight.
+func deal[K any](kinds []K, n int, weight func(*K) int) *K {
+	round := 0
+	for i := range kinds {
+		round += weight(&kinds[i])
 	}
-	n %= weights
-	for i := range p.Upstreams {
-		if n < p.Upstreams[i].Weight {
-			return &p.Upstreams[i]
+	n %= round
+	for i := range kinds {
+		if n < weight(&kinds[i]) {
+			return &kinds[i]
 		}
-		n -= p.Upstreams[i].Weight
+		n -= weight(&kinds[i])
 	}
-	panic("plan: upstream index exceeds the sum of the weights")
+	panic("plan: index exceeds the sum of the weights")
 }
 
 // RequestedCores returns how many cores the jobs keep busy on average, if each task runs once on an upstream of Slowness 1.
--- a/internal/load/plan/plan_test.go
+++ b/internal/load/plan/plan_test.go
@@ -32,7 +32,7 @@
 	for _, test := range []struct{ name, text, want string }{
 		{"unknown field", small + "[run]\nlenght = 3s\n", `plan: f: [run] lenght: no such field`},
 		{"unknown section", small + "[runs]\n", `plan: f: [runs] : the section needs a name, as in [zone a]`},
-		{"unknown named section", small + "[zones b]\n", `plan: f: [zones b] : no such section; the sections are run, delays, zone, upstream, job and fault`},
+		{"unknown named section", small + "[zones b]\n", `plan: f: [zones b] : no such section; the sections are run, delays, zone, entry, upstream, job and fault`},
 		{"no number", small + "[zone b]\nshare = much\n", `plan: f: [zone b] share: "much" is not a number`},
 		{"out of bounds", small + "[zone b]\nshare = -1\n", `plan: f: [zone b] share: -1 is not between 0 and 1000`},
 		{"no whole number", small + "[zone b]\nentries = 1.5\n", `plan: f: [zone b] entries: "1.5" is not a whole number`},
@@ -41,6 +41,10 @@
 		{"no zone of that name", small + "[fault f]\nkind = burst\nzone = z\n", `plan: f: [fault f] zone: no zone is named z`},
 		{"no job of that name", small + "[fault f]\nkind = burst\njob = x\n", `plan: f: [fault f] job: no job is named x`},
 		{"no time of a job", "[zone a]\n[upstream u]\n[job j]\nrate = 10\n", `plan: f: [job j] time: 0s is not between 1ms and 1h0m0s`},
+		{"no kind of entry of that name", small + "[zone b]\nentry_kind = x\n", `plan: f: [zone b] entry_kind: no kind of entry is named x`},
+		{"an entry without a name", small + "[entry]\nweight = 1\n", `plan: f: [entry] : the section needs a name, as in [zone a]`},
+		{"an entry's link", small + "[entry e]\nlink_mbits = -1\n", `plan: f: [entry e] link_mbits: -1 is not between 0 and 1e+06`},
+		{"an entry's handling", small + "[entry e]\nhandling = 2s\n", `plan: f: [entry e] handling: 2s is not between 0s and 1s`},
 		{"no jobs", "[zone a]\n[upstream u]\n", `plan: f: [job] rate: the rates of all jobs are 0`},
 		{"no upstreams", "[zone a]\n[job j]\nrate = 10\ntime = 50ms\n", `plan: f: [upstream] : at least one [upstream NAME] section is needed`},
 		{"no VMs", "[zone a]\nupstreams = 0\n[upstream u]\n[job j]\nrate = 10\ntime = 50ms\n", `plan: f: [zone] entries, upstreams: at least one entry and one upstream are needed`},
@@ -71,3 +75,22 @@
 		qt.Assert(t, p.Rate(&p.Zones[test.zone], &p.Jobs[test.job], test.at), qt.Equals, test.want)
 	}
 }
+
+// TestEntryKinds guards against entries that get another kind than that of their zone or of their turn.
+func TestEntryKinds(t *testing.T) {
+	const kinds = "[entry strong]\nlink_mbits = 200\nweight = 2\n[entry weak]\nlink_mbits = 25\nhandling = 4ms\n[zone b]\nentry_kind = weak\n"
+	p, err := plan.Parse("f", []byte(small+kinds))
+	qt.Assert(t, err, qt.IsNil)
+	strong := plan.Entry{Name: "strong", Weight: 2, LinkMbits: 200}
+	weak := plan.Entry{Name: "weak", Weight: 1, LinkMbits: 25, Handling: 4 * time.Millisecond}
+	for _, test := range []struct {
+		zone, n int
+		want    plan.Entry
+	}{{0, 0, strong}, {0, 1, strong}, {0, 2, weak}, {0, 3, strong}, {1, 0, weak}, {1, 1, weak}} {
+		qt.Assert(t, *p.EntryKind(&p.Zones[test.zone], test.n), qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+	p.Central = true
+	qt.Assert(t, *p.EntryKind(&p.Zones[1], 0), qt.Equals, plan.Entry{})
+	p.Central, p.Entries = false, nil
+	qt.Assert(t, *p.EntryKind(&p.Zones[0], 0), qt.Equals, plan.Entry{})
+}
--- a/internal/load/plan/read.go
+++ b/internal/load/plan/read.go
@@ -72,8 +72,8 @@
 	used []string
 }
 
-// readSection reads one section. The first word of its title is the type, the rest is the name of the zone, upstream, job or
-// fault that it describes.
+// readSection reads one section. The first word of its title is the type, the rest is the name of the zone, kind of entry
+// or upstream, job or fault that it describes.
 func (r *reader) readSection(p *Plan, s *ini.Section) {
 	f := &fields{r: r, s: s}
 	what, name, named := strings.Cut(s.Name(), " ")
@@ -90,6 +90,8 @@
 		f.readDelays(p)
 	case "zone":
 		f.readZone(p, name)
+	case "entry":
+		f.readEntry(p, name)
 	case "upstream":
 		f.readUpstream(p, name)
 	case "job":
@@ -97,7 +99,7 @@
 	case "fault":
 		f.readFault(p, name)
 	default:
-		r.addProblem(s.Name(), "", "no such section; the sections are run, delays, zone, upstream, job and fault")
+		r.addProblem(s.Name(), "", "no such section; the sections are run, delays, zone, entry, upstream, job and fault")
 		return
 	}
 	for _, k := range s.KeyStrings() {
@@ -134,7 +136,14 @@
 func (f *fields) readZone(p *Plan, name string) {
 	p.Zones = append(p.Zones, Zone{
 		Name: name, Entries: f.count("entries", 1, 0, maxVMs), Upstreams: f.count("upstreams", 1, 0, maxVMs),
-		Share: f.number("share", 1, 0, 1000),
+		Share: f.number("share", 1, 0, 1000), EntryKind: f.text("entry_kind"),
+	})
+}
+
+func (f *fields) readEntry(p *Plan, name string) {
+	p.Entries = append(p.Entries, Entry{
+		Name: name, Weight: f.count("weight", 1, 1, 1000), LinkMbits: f.number("link_mbits", 0, 0, 1e6),
+		Handling: f.time("handling", 0, 0, time.Second),
 	})
 }
 
@@ -256,6 +265,7 @@
 	case p.Warmup >= p.Length:
 		r.addProblem("run", "warmup", "must be shorter than the length")
 	}
+	r.checkEntryKinds(p)
 	for i := range p.Faults {
 		if f := &p.Faults[i]; f.Kind == Burst && p.exceedsMaxBurst(f.At) {
 			r.addProblem("fault "+f.Name, "factor", fmt.Sprintf("one zone would send more than %v times the usual jobs of all zones", MaxBurst))
@@ -273,3 +283,16 @@
 		}
 	}
 }
+
+// checkEntryKinds reports zones whose entries are of a kind that the plan does not have.
+func (r *reader) checkEntryKinds(p *Plan) {
+	kinds := map[string]bool{"": true}
+	for _, e := range p.Entries {
+		kinds[e.Name] = true
+	}
+	for _, z := range p.Zones {
+		if !kinds[z.EntryKind] {
+			r.addProblem("zone "+z.Name, "entry_kind", "no kind of entry is named "+z.EntryKind)
+		}
+	}
+}
--- a/internal/load/report/table.go
+++ b/internal/load/report/table.go
@@ -10,8 +10,8 @@
 	"hillreel/internal/load/world"
 )
 
-// Table writes the figures of a simulation: for all jobs, for each kind, for the largest tenth of each kind, and for the callers of
-// each availability zone.
+// Table writes the figures of a simulation: for all jobs, for each kind, for the largest tenth of each kind, for the callers of
+// each availability zone, and for each kind of entry.
 func Table(out io.Writer, p *plan.Plan, r *world.Result) error {
 	requested := p.RequestedCores() / r.Cores
 	if _, err := fmt.Fprintf(out, "asked for %.2f of the room of %.0f cores, faults and bursts aside\n\n", requested, r.Cores); err != nil {
@@ -29,9 +29,15 @@
 	for i := range p.Zones {
 		writeLine(w, "callers of "+p.Zones[i].Name, r.Zones[i])
 	}
+	for i := range r.EntryKinds {
+		writeLine(w, "asked of "+p.Entries[i].Name+" entries", r.EntryKinds[i])
+	}
 	if err := w.Flush(); err != nil {
 		return err
 	}
+	if err := writeEntries(out, r); err != nil {
+		return err
+	}
 	seconds := p.Length.Seconds()
 	m := r.Messages
 	_, err := fmt.Fprintf(out, "\nroom used %.3f, of that wasted %.3f; runs begun %d, refused for want of room %d\n"+
@@ -41,6 +47,16 @@
 	return err
 }
 
+// writeEntries writes how unevenly entries refuse, if the plan has kinds of entries.
+func writeEntries(out io.Writer, r *world.Result) error {
+	if len(r.EntryKinds) == 0 {
+		return nil
+	}
+	_, err := fmt.Fprintf(out, "\nrefused, relative to all jobs: worst kind of entry %.2f, worst entry %.2f\n",
+		r.WorstRefused(r.EntryKinds), r.WorstRefused(r.Entries))
+	return err
+}
+
 // writeLine writes one line of the table. Write errors are returned by the later Flush of the tabwriter.
 func writeLine(w io.Writer, name string, t *world.Tally) {
 	sent := float64(t.Sent)
--- a/internal/load/world/callers.go
+++ b/internal/load/world/callers.go
@@ -37,6 +37,8 @@
 	outcome outcome
 	took    time.Duration
 	tallies []*Tally
+	// asked is true once an entry was chosen; the first one counts the job.
+	asked bool
 }
 
 // request is one attempt of a caller to submit a job to an entry.
@@ -128,6 +130,7 @@
 	w.nextJob++
 	r := &request{s: s, e: e, caller: dispatch.CallerID(w.nextJob)}
 	remaining := s.giveUpAfter - w.Now().Sub(s.firstSent)
+	s.countAt(e)
 	inc := e.inc
 	w.After(w.callerDelay(), func() {
 		if !e.alive || e.inc != inc {
@@ -135,14 +138,24 @@
 			return
 		}
 		e.waiting[r.caller] = r
-		e.table.RecordCallerContact(w.Now())
-		e.table.Submit(w.Now(), dispatch.Request{
-			Job: s.id, Spec: s.spec, Route: w.routes[s.kind.Name], Caller: r.caller, Deadline: w.Now().Add(remaining),
-		})
+		e.receive(headers+len(s.spec.Text), func() { r.submit(remaining) })
 	})
 	w.After(remaining, r.giveUp)
 }
 
+// submit hands the request to the entry, unless its caller has given up while the message waited there. remaining is how long the
+// caller waited for an answer when it sent the request.
+func (r *request) submit(remaining time.Duration) {
+	w, s, e := r.s.w, r.s, r.e
+	if e.waiting[r.caller] != r {
+		return
+	}
+	e.table.RecordCallerContact(w.Now())
+	e.table.Submit(w.Now(), dispatch.Request{
+		Job: s.id, Spec: s.spec, Route: w.routes[s.kind.Name], Caller: r.caller, Deadline: w.Now().Add(remaining),
+	})
+}
+
 // giveUp ends the caller's wait for an answer and abandons the job at the entry.
 func (r *request) giveUp() {
 	if r.s.done || r.lost {
--- a/internal/load/world/entry.go
+++ b/internal/load/world/entry.go
@@ -17,17 +17,21 @@
 
 // entry is the VM that an entry runs on.
 type entry struct {
-	w     *World
-	zone  string
-	inc   ident.Incarnation
-	alive bool
-	table *dispatch.Table
-	links map[*agent]*link
+	w    *World
+	zone string
+	kind *plan.Entry
+	// tallies count the jobs whose callers asked this entry first.
+	tallies []*Tally
+	inc     ident.Incarnation
+	alive   bool
+	table   *dispatch.Table
+	links   map[*agent]*link
 	// linkOrder lists the agents in the order in which they were linked; iterating over it keeps simulations deterministic.
 	linkOrder []*agent
 	waiting   map[dispatch.CallerID]*request
-	// linkFreeAt is when the VM's network link has transmitted all messages sent so far.
-	linkFreeAt time.Time
+	// sentAt and receivedAt are when the VM's network link has transmitted all messages so far, in each direction. handledAt is
+	// when the entry's thread has handled all messages received so far.
+	sentAt, receivedAt, handledAt time.Time
 }
 
 // Bounds of an entry's table, of the same order of magnitude as the defaults of the settings.
@@ -37,7 +41,8 @@
 )
 
 func (w *World) addEntry(z *plan.Zone) {
-	e := &entry{w: w, zone: z.Name}
+	e := &entry{w: w, zone: z.Name, kind: w.plan.EntryKind(z, len(w.entries))}
+	e.tallies = w.result.addEntry(e.kind)
 	w.entries = append(w.entries, e)
 	e.start()
 }
@@ -47,6 +52,7 @@
 	e.inc, e.alive = ident.Incarnation(e.w.rng.Uint64()|1), true
 	e.links, e.linkOrder = make(map[*agent]*link), nil
 	e.waiting = make(map[dispatch.CallerID]*request)
+	e.sentAt, e.receivedAt, e.handledAt = time.Time{}, time.Time{}, time.Time{}
 	o := dispatch.Options{Timing: e.w.timing, Zone: ident.Zone(e.zone), MaxQueue: maxQueue, MaxTasks: maxTasks}
 	e.table = dispatch.New(o, agentMessages{e}, answers{e}, countingObserver{e.w}, e.w.rng.Uint64())
 	e.applyCordons()
@@ -81,19 +87,57 @@
 	shortMessage = headers + 20
 )
 
-// transmitTime adds a message of size bytes to the VM's network link and returns the time until the link has transmitted it,
-// which includes the transmission of all earlier messages.
-func (e *entry) transmitTime(size int) time.Duration {
-	mbits := e.w.plan.Delays.EntryLinkMbits
+// transmitToAgent adds a message of size bytes to those that the VM's network link sends, and returns the time until the link has
+// transmitted it, which includes the transmission of all earlier messages.
+func (e *entry) transmitToAgent(size int) time.Duration {
+	mbits := e.kind.LinkMbits
 	if mbits == 0 {
+		mbits = e.w.plan.Delays.EntryLinkMbits
+	}
+	return e.occupy(&e.sentAt, e.w.Now(), linkTime(size, mbits))
+}
+
+// transmitToCaller does the same for a message to a caller.
+func (e *entry) transmitToCaller(size int) time.Duration {
+	return e.occupy(&e.sentAt, e.w.Now(), linkTime(size, e.kind.LinkMbits))
+}
+
+// receive lets f handle a message of size bytes once the VM's network link has received it and the entry's thread has handled all
+// earlier ones. The message is lost if the entry loses power before.
+func (e *entry) receive(size int, f func()) {
+	if e.kind.LinkMbits == 0 && e.kind.Handling == 0 {
+		f()
+		return
+	}
+	inc, now := e.inc, e.w.Now()
+	received := e.occupy(&e.receivedAt, now, linkTime(size, e.kind.LinkMbits))
+	handled := e.occupy(&e.handledAt, now.Add(received), e.kind.Handling)
+	e.w.After(received+handled, func() {
+		if e.alive && e.inc == inc {
+			f()
+		}
+	})
+}
+
+// occupy reserves a part of the VM, which is busy until *freeAt, for a time of length d that begins at from at the earliest. It
+// returns the time from from until the end of d.
+func (e *entry) occupy(freeAt *time.Time, from time.Time, d time.Duration) time.Duration {
+	if d == 0 {
 		return 0
 	}
-	now := e.w.Now()
-	if e.linkFreeAt.Before(now) {
-		e.linkFreeAt = now
+	if freeAt.Before(from) {
+		*freeAt = from
+	}
+	*freeAt = freeAt.Add(d)
+	return freeAt.Sub(from)
+}
+
+// linkTime returns how long a link of mbits Mbit/s transmits a message of size bytes; a link of zero takes no time.
+func linkTime(size int, mbits float64) time.Duration {
+	if mbits == 0 {
+		return 0
 	}
-	e.linkFreeAt = e.linkFreeAt.Add(time.Duration(float64(8*size) / mbits * float64(time.Microsecond)))
-	return e.linkFreeAt.Sub(now)
+	return time.Duration(float64(8*size) / mbits * float64(time.Microsecond))
 }
 
 // losePower lets the VM lose power, and starts it again after down.
@@ -209,7 +253,7 @@
 		return
 	}
 	delete(x.e.waiting, c)
-	x.e.w.After(x.e.w.callerDelay(), func() { r.handleAnswer(a) })
+	x.e.w.After(x.e.transmitToCaller(shortMessage)+x.e.w.callerDelay(), func() { r.handleAnswer(a) })
 }
 
 // countingObserver counts the runs of the simulation.
--- a/internal/load/world/link.go
+++ b/internal/load/world/link.go
@@ -51,11 +51,14 @@
 
 // sendToAgent delivers a message of size bytes to the agent; f handles it there.
 func (l *link) sendToAgent(size int, f func()) {
-	l.deliver(&l.nextAtAgent, l.e.transmitTime(size), func() { f(); l.a.controller.Flush(l.w.Now()) })
+	l.deliver(&l.nextAtAgent, l.e.transmitToAgent(size), func() { f(); l.a.controller.Flush(l.w.Now()) })
 }
 
-// sendToEntry delivers a message to the entry; f handles it there.
-func (l *link) sendToEntry(f func()) { l.deliver(&l.nextAtEntry, 0, f) }
+// sendToEntry delivers a message to the entry; f handles it there. Messages from agents hold a few numbers each, and agents' links
+// are not limited.
+func (l *link) sendToEntry(f func()) {
+	l.deliver(&l.nextAtEntry, 0, func() { l.e.receive(shortMessage, func() { l.ifOpen(f) }) })
+}
 
 // deliver schedules the arrival of a message whose transmission takes sent. It updates next, the arrival time of the latest
 // message in this direction. The message is lost if the link breaks before it arrives.
@@ -65,9 +68,12 @@
 		at = *next
 	}
 	*next = at
-	l.w.After(at.Sub(l.w.Now()), func() {
-		if l.open {
-			f()
-		}
-	})
+	l.w.After(at.Sub(l.w.Now()), func() { l.ifOpen(f) })
+}
+
+// ifOpen calls f unless the link is broken.
+func (l *link) ifOpen(f func()) {
+	if l.open {
+		f()
+	}
 }
--- a/internal/load/world/result.go
+++ b/internal/load/world/result.go
@@ -48,7 +48,10 @@
 	// Kinds and Zones are in the order of the plan. Seconds has one element per second since the start of the load. Largest
 	// has the tenth of each kind's jobs that need the most core-seconds.
 	Kinds, Zones, Seconds, Largest []*Tally
-	Messages                       Messages
+	// Entries has one element per entry, EntryKinds one per kind of entry in the order of the plan. A job counts at the entry that
+	// its caller asked first.
+	Entries, EntryKinds []*Tally
+	Messages            Messages
 	// NoRoomRefusals counts orders that agents refused because the upstream had no room; Runs counts runs that started.
 	NoRoomRefusals, Runs int
 	// Used and Wasted are core-seconds: of all runs, and of runs that did not complete their task.
@@ -68,6 +71,9 @@
 	for range p.Zones {
 		r.Zones = append(r.Zones, newTally())
 	}
+	for range p.Entries {
+		r.EntryKinds = append(r.EntryKinds, newTally())
+	}
 	for range int(p.Length/time.Second) + 1 {
 		r.Seconds = append(r.Seconds, newTally())
 	}
@@ -129,6 +135,55 @@
 	}
 }
 
+// addEntry adds an entry of a kind. It returns the tallies of the jobs whose callers ask it first.
+func (r *Result) addEntry(kind *plan.Entry) []*Tally {
+	own := newTally()
+	r.Entries = append(r.Entries, own)
+	for i := range r.plan.Entries {
+		if &r.plan.Entries[i] == kind {
+			return []*Tally{own, r.EntryKinds[i]}
+		}
+	}
+	return []*Tally{own}
+}
+
+// countAt counts the job at the entry that its caller asks first.
+func (s *submission) countAt(e *entry) {
+	if s.asked {
+		return
+	}
+	s.asked = true
+	if !s.counted {
+		return
+	}
+	for _, t := range e.tallies {
+		t.Sent++
+	}
+	s.tallies = append(s.tallies, e.tallies...)
+}
+
+// RefusedShare returns the share of all jobs that were refused.
+func (t *Tally) RefusedShare() float64 {
+	if t.Sent == 0 {
+		return 0
+	}
+	return float64(t.Refused) / float64(t.Sent)
+}
+
+// WorstRefused returns how often the tally with the largest share of refused jobs refused, relative to all jobs. It returns 1 if no
+// job was refused.
+func (r *Result) WorstRefused(of []*Tally) float64 {
+	all := r.All.RefusedShare()
+	if all == 0 {
+		return 1
+	}
+	var worst float64
+	for _, t := range of {
+		worst = max(worst, t.RefusedShare())
+	}
+	return worst / all
+}
+
 // finish records the outcome of a job. Only the first call for a job has an effect.
 func (s *submission) finish(o outcome) {
 	if s.done {
--- a/internal/load/world/world.go
+++ b/internal/load/world/world.go
@@ -1,7 +1,8 @@
 // Package world simulates a plan in virtual time, without a network. It uses the dispatch tables of entries and the upstream
 // controllers of agents from the running processes, drives them by one virtual clock, and delays the messages between them.
 //
-// It does not model processor time (a process handles any number of messages), the store, kept jobs, and leases that lapse
+// It does not model processor time (a process handles any number of messages, except for the kinds of entries that have a Handling),
+// the store, kept jobs, and leases that lapse
 // while the upstream stays up.
 package world
 
