load: racks, data in one rack, and hot racks

Cause: no job of the experiment named a rack, so what a remote factor costs and where work goes could not be ranked there.

Done: zones have racks (rack = upstreams in each), jobs data in one of them (near, drawn for each job), [run] remote_factor says how many times as long a task takes elsewhere and is handed to the dispatch tables, and the fault hot_rack lets a part of the jobs want one rack for a while. The table says how many runs were away from their data. Plans without racks draw the same numbers as before.

Shown: TestData and TestHotRack fail without the factor, without the upstreams' labels, with faults that don't end and with faults that affect every kind of job (each alone tried). TestSame passes with its file unchanged.

--- a/internal/load/plan/plan.go
+++ b/internal/load/plan/plan.go
@@ -14,6 +14,9 @@
 	Load float64
 	// MaxReturns is how often a caller sends a refused job again, each time after the delay that the refusal gives.
 	MaxReturns int
+	// RemoteFactor is how many times as long a task takes away from its data, that is on an upstream outside the rack that its step
+	// prefers.
+	RemoteFactor float64
 	// Central replaces all entries by one dispatcher without message delays. The share of jobs that this dispatcher serves is
 	// the upper bound for its policies.
 	Central   bool
@@ -45,6 +48,16 @@
 	Share float64
 	// EntryKind is the kind of all entries of the zone; empty means that they get the kinds in turn.
 	EntryKind string
+	// Rack is the number of upstreams per rack; zero means that they are in no racks.
+	Rack int
+}
+
+// Racks returns the number of racks of the zone.
+func (z *Zone) Racks() int {
+	if z.Rack == 0 {
+		return 0
+	}
+	return (z.Upstreams + z.Rack - 1) / z.Rack
 }
 
 // Entry describes a kind of entry. Entries get the kinds in turn, each kind Weight times per round.
@@ -86,6 +99,8 @@
 	// Stretch and Target define a job's objective: Target plus Stretch times the run time of its longest task. Callers give up after Deadline.
 	Stretch          float64
 	Target, Deadline time.Duration
+	// Near is the share of the jobs whose data are in one rack, which is drawn for each job.
+	Near float64
 	// TextBytes is the length of the job's text, which is sent to each agent that gets one of the job's tasks.
 	TextBytes int
 	// Priority 0 is the highest. A job fails once one of its tasks has failed Attempts times.
@@ -113,12 +128,14 @@
 	EntriesLost Kind = "entries_lost"
 	// ZoneCordoned cordons an availability zone; processes learn of the cordon at different times.
 	ZoneCordoned Kind = "zone_cordoned"
+	// HotRack makes the share Factor of the jobs, of one kind or all kinds, want the same rack, which is drawn.
+	HotRack Kind = "hot_rack"
 	// CallersLeave makes the share Factor of the callers give up at half of their objective.
 	CallersLeave Kind = "callers_leave"
 )
 
 // Kinds lists all kinds of faults.
-var Kinds = []Kind{Burst, UpstreamsLost, UpstreamsRestart, UpstreamsSlow, UpstreamsHang, UpstreamsFail, EntriesLost, ZoneCordoned, CallersLeave}
+var Kinds = []Kind{Burst, UpstreamsLost, UpstreamsRestart, UpstreamsSlow, UpstreamsHang, UpstreamsFail, EntriesLost, ZoneCordoned, HotRack, CallersLeave}
 
 // Fault describes a fault that lasts for a limited time.
 type Fault struct {
--- a/internal/load/plan/read.go
+++ b/internal/load/plan/read.go
@@ -114,6 +114,7 @@
 	p.Length = f.time("length", 20*time.Second, time.Second, time.Hour)
 	p.Warmup = f.time("warmup", 2*time.Second, 0, time.Hour)
 	p.Load = f.number("load", 1, 0.01, 100)
+	p.RemoteFactor = f.number("remote_factor", 1, 1, 100)
 	p.MaxReturns = f.count("returns", 0, 0, 100)
 }
 
@@ -137,6 +138,7 @@
 	p.Zones = append(p.Zones, Zone{
 		Name: name, Entries: f.count("entries", 1, 0, maxVMs), Upstreams: f.count("upstreams", 1, 0, maxVMs),
 		Share: f.number("share", 1, 0, 1000), EntryKind: f.text("entry_kind"),
+		Rack: f.count("rack", 0, 0, maxVMs),
 	})
 }
 
@@ -162,6 +164,7 @@
 		Uneven: f.number("uneven", 0.15, 0, 3), EstimateError: f.number("estimate_off", 0.4, 0, 0.99),
 		Cores: f.number("cores", 1, 0.001, 10_000), Stretch: f.number("stretch", 1.6, 0, 100),
 		Target: f.time("target", 60*time.Millisecond, 0, time.Hour), Deadline: f.time("deadline", 4*time.Second, time.Millisecond, time.Hour),
+		Near:      f.number("near", 0, 0, 1),
 		TextBytes: f.count("text_bytes", 0, 0, maxTextBytes),
 		Priority:  f.count("priority", 0, 0, 100), Attempts: f.count("attempts", 2, 1, 100),
 	})
@@ -266,6 +269,7 @@
 		r.addProblem("run", "warmup", "must be shorter than the length")
 	}
 	r.checkEntryKinds(p)
+	r.checkRacks(p)
 	for i := range p.Faults {
 		if f := &p.Faults[i]; f.Kind == Burst && p.exceedsMaxBurst(f.At) {
 			r.addProblem("fault "+f.Name, "factor", fmt.Sprintf("one zone would send more than %v times the usual jobs of all zones", MaxBurst))
@@ -296,3 +300,26 @@
 		}
 	}
 }
+
+// checkRacks reports jobs and faults that need racks, if the plan has none.
+func (r *reader) checkRacks(p *Plan) {
+	racks := map[string]int{}
+	for i := range p.Zones {
+		racks[p.Zones[i].Name] = p.Zones[i].Racks()
+		racks[""] += p.Zones[i].Racks()
+	}
+	for _, j := range p.Jobs {
+		if j.Near > 0 && racks[""] == 0 {
+			r.addProblem("job "+j.Name, "near", "no zone has racks")
+		}
+	}
+	for _, f := range p.Faults {
+		switch {
+		case f.Kind != HotRack:
+		case f.Factor > 1:
+			r.addProblem("fault "+f.Name, "factor", fmt.Sprintf("%v is not between 0 and 1", f.Factor))
+		case racks[f.Zone] == 0:
+			r.addProblem("fault "+f.Name, "zone", "has no racks")
+		}
+	}
+}
--- a/internal/load/report/table.go
+++ b/internal/load/report/table.go
@@ -38,6 +38,9 @@
 	if err := writeEntries(out, r); err != nil {
 		return err
 	}
+	if err := writeRacks(out, r); err != nil {
+		return err
+	}
 	seconds := p.Length.Seconds()
 	m := r.Messages
 	_, err := fmt.Fprintf(out, "\nroom used %.3f, of that wasted %.3f; runs begun %d, refused for want of room %d\n"+
@@ -57,6 +60,15 @@
 	return err
 }
 
+// writeRacks writes how many runs were away from their data, if any had data in one rack.
+func writeRacks(out io.Writer, r *world.Result) error {
+	if r.RunsWithData == 0 {
+		return nil
+	}
+	_, err := fmt.Fprintf(out, "\nruns of tasks with data in one rack %d, away from it %.3f\n", r.RunsWithData, fraction(float64(r.RunsAway), float64(r.RunsWithData)))
+	return err
+}
+
 // writeLine writes one line of the table. Write errors are returned by the later Flush of the tabwriter.
 func writeLine(w io.Writer, name string, t *world.Tally) {
 	sent := float64(t.Sent)
--- a/internal/load/world/agent.go
+++ b/internal/load/world/agent.go
@@ -26,10 +26,10 @@
 	linkOrder  []*entry
 }
 
-func (w *World) addAgent(z *plan.Zone) {
+func (w *World) addAgent(z *plan.Zone, rack job.Label) {
 	n := len(w.agents)
 	a := &agent{w: w, name: ident.UpstreamName(fmt.Sprintf("%s-%d", z.Name, n)), zone: z.Name}
-	a.up = &simUpstream{a: a, w: w, kind: w.plan.UpstreamKind(n), slowFactor: 1}
+	a.up = &simUpstream{a: a, w: w, kind: w.plan.UpstreamKind(n), rack: rack, slowFactor: 1}
 	w.agents = append(w.agents, a)
 	a.start()
 }
--- a/internal/load/world/callers.go
+++ b/internal/load/world/callers.go
@@ -92,7 +92,7 @@
 	s.cores = j.Cores * w.drawFactor(coresSpread)
 	estimate := time.Duration(base * (1 + j.EstimateError*(2*w.loadRNG.Float64()-1)))
 	each := job.Resources{CPU: int64(s.cores * milli), Mem: 64}
-	s.spec = &job.Spec{Text: w.drawText(s.id, j.TextBytes), BestEffort: true, Steps: []job.Step{{Count: uint32(n), Each: each, Estimate: estimate}}}
+	s.spec = &job.Spec{Text: w.drawText(s.id, j.TextBytes), BestEffort: true, Steps: []job.Step{{Count: uint32(n), Each: each, Estimate: estimate, Prefers: w.drawData(j)}}}
 	s.objective = j.Target + time.Duration(j.Stretch*float64(longest))
 	s.giveUpAfter = j.Deadline
 	if w.loadRNG.Float64() < w.plan.LeavingShare(w.elapsed()) {
--- a/internal/load/world/entry.go
+++ b/internal/load/world/entry.go
@@ -53,7 +53,7 @@
 	e.links, e.linkOrder = make(map[*agent]*link), nil
 	e.waiting = make(map[dispatch.CallerID]*request)
 	e.sentAt, e.receivedAt, e.handledAt = time.Time{}, time.Time{}, time.Time{}
-	o := dispatch.Options{Timing: e.w.timing, Zone: ident.Zone(e.zone), MaxQueue: maxQueue, MaxTasks: maxTasks}
+	o := dispatch.Options{Timing: e.w.timing, Zone: ident.Zone(e.zone), MaxQueue: maxQueue, MaxTasks: maxTasks, RemoteFactor: e.w.plan.RemoteFactor}
 	e.table = dispatch.New(o, agentMessages{e}, answers{e}, countingObserver{e.w}, e.w.rng.Uint64())
 	e.applyCordons()
 	e.tick(e.inc)
--- a/internal/load/world/result.go
+++ b/internal/load/world/result.go
@@ -54,6 +54,8 @@
 	Messages            Messages
 	// NoRoomRefusals counts orders that agents refused because the upstream had no room; Runs counts runs that started.
 	NoRoomRefusals, Runs int
+	// RunsWithData counts runs of tasks whose data are in one rack, RunsAway those of them that started outside it.
+	RunsWithData, RunsAway int
 	// Used and Wasted are core-seconds: of all runs, and of runs that did not complete their task.
 	Used, Wasted float64
 	// Cores is the total number of cores of all upstreams.
--- a/internal/load/world/upstream.go
+++ b/internal/load/world/upstream.go
@@ -19,6 +19,8 @@
 	a    *agent
 	w    *World
 	kind *plan.Upstream
+	// rack is the label of the upstream's rack; it is empty if there are no racks.
+	rack job.Label
 	up   bool
 	life int
 	// idCount is the number of ids that the upstream has had; it is part of the id.
@@ -94,9 +96,13 @@
 		return
 	}
 	u.heartbeatSeq++
+	var labels []job.Label
+	if u.rack != "" {
+		labels = []job.Label{u.rack}
+	}
 	total := job.Resources{CPU: int64(u.kind.Cores * milli), Mem: 1 << 30}
 	u.a.controller.Heartbeat(u.w.Now(), lives.Heartbeat{
-		Upstream: fleet.Upstream{ID: u.id, Service: service, Total: total}, Born: u.bornMillis(), Sequence: u.heartbeatSeq, Clock: u.clock(),
+		Upstream: fleet.Upstream{ID: u.id, Service: service, Labels: labels, Total: total}, Born: u.bornMillis(), Sequence: u.heartbeatSeq, Clock: u.clock(),
 	})
 	u.w.After(heartbeatInterval, func() { u.sendHeartbeats(life) })
 }
@@ -107,9 +113,10 @@
 		return a
 	}
 	s := u.w.result.jobs[c.Task.Job]
+	away := u.remoteFactor(s.spec.Steps[c.Task.Step].Prefers)
 	r := &simRun{
 		task: c.Task, run: c.Run, startedAt: u.w.Now(), result: call.ResultDone, cores: s.cores,
-		duration: time.Duration(float64(s.taskTimes[c.Task.Index]) * u.kind.Slowness * u.slowFactor),
+		duration: time.Duration(float64(s.taskTimes[c.Task.Index]) * u.kind.Slowness * u.slowFactor * away),
 	}
 	switch {
 	case u.fail:
--- a/internal/load/world/world.go
+++ b/internal/load/world/world.go
@@ -41,6 +41,9 @@
 	rng, loadRNG, faultRNG *rand.Rand
 	// cordoned lists the cordoned availability zones.
 	cordoned []ident.Zone
+	// racks lists the racks of all zones, hotRacks those that many jobs want now.
+	racks    []rack
+	hotRacks []hotRack
 	entries  []*entry
 	agents   []*agent
 	routes   map[string]route.Route
@@ -79,8 +82,8 @@
 	}
 	for i := range w.plan.Zones {
 		z := &w.plan.Zones[i]
-		for range z.Upstreams {
-			w.addAgent(z)
+		for n := range z.Upstreams {
+			w.addAgent(z, w.rackLabel(z, n))
 		}
 		for range z.Entries {
 			if !w.plan.Central || len(w.entries) == 0 {
@@ -161,6 +164,8 @@
 		w.loseEntries(f)
 	case plan.ZoneCordoned:
 		w.cordon(f)
+	case plan.HotRack:
+		w.heatRack(f)
 	case plan.Burst, plan.CallersLeave:
 	}
 }
