load: waves of load by zone, and a loss of all VMs

Cause: the experiment's load was even but for bursts, and no fault took all VMs down: entries_lost leaves one entry, and upstreams_lost draws its own VMs, so the two together are not a whole loss.

Done: zones have swing, period and phase; bursts are bounded on the crest of a wave.

--- a/internal/load/plan/plan.go
+++ b/internal/load/plan/plan.go
@@ -2,7 +2,10 @@
 // that occur.
 package plan
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Plan describes one simulation.
 type Plan struct {
@@ -50,6 +53,19 @@
 	EntryKind string
 	// Rack is the number of upstreams per rack; zero means that they are in no racks.
 	Rack int
+	// Swing, Period and Phase let the zone's load rise and fall as a wave: by the share Swing of its mean, once per Period. Phase is the
+	// part of a period by which the wave is ahead.
+	Swing  float64
+	Period time.Duration
+	Phase  float64
+}
+
+// wave returns the factor of the zone's load at the time at after the start; its mean over a period is 1.
+func (z *Zone) wave(at time.Duration) float64 {
+	if z.Swing == 0 {
+		return 1
+	}
+	return 1 + z.Swing*math.Sin(2*math.Pi*(at.Seconds()/z.Period.Seconds()+z.Phase))
 }
 
 // Racks returns the number of racks of the zone.
@@ -126,6 +142,8 @@
 	UpstreamsFail Kind = "upstreams_fail"
 	// EntriesLost cuts the power of VMs of entries; their callers send the unanswered jobs again.
 	EntriesLost Kind = "entries_lost"
+	// AllLost cuts the power of all VMs of entries and of upstreams at once. They start again at slightly different times.
+	AllLost Kind = "all_lost"
 	// ZoneCordoned cordons an availability zone; processes learn of the cordon at different times.
 	ZoneCordoned Kind = "zone_cordoned"
 	// HotRack makes the share Factor of the jobs, of one kind or all kinds, want the same rack, which is drawn.
@@ -135,7 +153,7 @@
 )
 
 // Kinds lists all kinds of faults.
-var Kinds = []Kind{Burst, UpstreamsLost, UpstreamsRestart, UpstreamsSlow, UpstreamsHang, UpstreamsFail, EntriesLost, ZoneCordoned, HotRack, CallersLeave}
+var Kinds = []Kind{Burst, UpstreamsLost, UpstreamsRestart, UpstreamsSlow, UpstreamsHang, UpstreamsFail, EntriesLost, AllLost, ZoneCordoned, HotRack, CallersLeave}
 
 // Fault describes a fault that lasts for a limited time.
 type Fault struct {
@@ -152,6 +170,11 @@
 
 // Rate returns the number of jobs of kind j that callers of zone z send per second, at the time at after the start.
 func (p *Plan) Rate(z *Zone, j *Job, at time.Duration) float64 {
+	return p.burstRate(z, j, at) * z.wave(at)
+}
+
+// burstRate returns the rate without the zone's wave.
+func (p *Plan) burstRate(z *Zone, j *Job, at time.Duration) float64 {
 	var shares float64
 	for i := range p.Zones {
 		shares += p.Zones[i].Share
@@ -169,11 +192,12 @@
 // MaxBurst bounds the rate of one kind of job from one zone, as a multiple of the usual rate of this kind from all zones.
 const MaxBurst = 4
 
-// exceedsMaxBurst reports whether the callers of any zone exceed MaxBurst at the time at after the start.
+// exceedsMaxBurst reports whether the callers of any zone exceed MaxBurst at the time at after the start, if the crest of its wave comes
+// then.
 func (p *Plan) exceedsMaxBurst(at time.Duration) bool {
 	for i := range p.Zones {
 		for k := range p.Jobs {
-			if j := &p.Jobs[k]; p.Rate(&p.Zones[i], j, at) > MaxBurst*p.Load*j.Rate {
+			if j := &p.Jobs[k]; p.burstRate(&p.Zones[i], j, at)*(1+p.Zones[i].Swing) > MaxBurst*p.Load*j.Rate {
 				return true
 			}
 		}
--- a/internal/load/plan/plan_test.go
+++ b/internal/load/plan/plan_test.go
@@ -1,6 +1,7 @@
 package plan_test
 
 import (
+	"math"
 	"os"
 	"strings"
 	"testing"
@@ -45,6 +46,10 @@
 		{"no racks", small + "[job k]\nrate = 1\ntime = 1s\nnear = 0.5\n", `plan: f: [job k] near: no zone has racks`},
 		{"more than all jobs", small + "[zone b]\nrack = 1\n[fault f]\nkind = hot_rack\nfactor = 1.5\n", `plan: f: [fault f] factor: 1.5 is not between 0 and 1`},
 		{"no racks in the zone", small + "[zone b]\nrack = 1\n[fault f]\nkind = hot_rack\nzone = a\n", `plan: f: [fault f] zone: has no racks`},
+		{"a wave below nothing", small + "[zone b]\nswing = 1.1\n", `plan: f: [zone b] swing: 1.1 is not between 0 and 1`},
+		{"no period", small + "[zone b]\nperiod = 0s\n", `plan: f: [zone b] period: 0s is not between 100ms and 1h0m0s`},
+		{"a burst on a crest beyond bounds", "[zone a]\nswing = 0.5\n[upstream u]\n[job j]\nrate = 10\ntime = 50ms\n[fault f]\nkind = burst\nfactor = 3\n",
+			`plan: f: [fault f] factor: one zone would send more than 4 times the usual jobs of all zones`},
 		{"no kind of entry of that name", small + "[zone b]\nentry_kind = x\n", `plan: f: [zone b] entry_kind: no kind of entry is named x`},
 		{"an entry without a name", small + "[entry]\nweight = 1\n", `plan: f: [entry] : the section needs a name, as in [zone a]`},
 		{"an entry's link", small + "[entry e]\nlink_mbits = -1\n", `plan: f: [entry e] link_mbits: -1 is not between 0 and 1e+06`},
@@ -98,3 +103,20 @@
 	p.Central, p.Entries = false, nil
 	qt.Assert(t, *p.EntryKind(&p.Zones[0], 0), qt.Equals, plan.Entry{})
 }
+
+// TestWaves guards against waves with another height, length or beginning than their zone says, and against waves in other zones.
+func TestWaves(t *testing.T) {
+	p, err := plan.Parse("f", []byte("[zone a]\nswing = 0.5\nperiod = 8s\nphase = 0.25\n[zone b]\nswing = 1\n[zone c]\nshare = 2\n[upstream u]\n[job j]\nrate = 40\ntime = 50ms\n"))
+	qt.Assert(t, err, qt.IsNil)
+	for _, test := range []struct {
+		zone int
+		at   time.Duration
+		want float64
+	}{
+		{0, 0, 15}, {0, 2 * time.Second, 10}, {0, 4 * time.Second, 5}, {0, 8 * time.Second, 15},
+		{1, 0, 10}, {1, 5 * time.Second, 20}, {1, 15 * time.Second, 0}, {2, 5 * time.Second, 20},
+	} {
+		got := p.Rate(&p.Zones[test.zone], &p.Jobs[0], test.at)
+		qt.Check(t, math.Abs(got-test.want) < 1e-9, qt.IsTrue, qt.Commentf("%+v: %v", test, got))
+	}
+}
--- a/internal/load/plan/read.go
+++ b/internal/load/plan/read.go
@@ -138,7 +138,8 @@
 	p.Zones = append(p.Zones, Zone{
 		Name: name, Entries: f.count("entries", 1, 0, maxVMs), Upstreams: f.count("upstreams", 1, 0, maxVMs),
 		Share: f.number("share", 1, 0, 1000), EntryKind: f.text("entry_kind"),
-		Rack: f.count("rack", 0, 0, maxVMs),
+		Rack: f.count("rack", 0, 0, maxVMs), Swing: f.number("swing", 0, 0, 1),
+		Period: f.time("period", 20*time.Second, 100*time.Millisecond, time.Hour), Phase: f.number("phase", 0, 0, 1),
 	})
 }
 
--- a/internal/load/world/world.go
+++ b/internal/load/world/world.go
@@ -53,6 +53,24 @@
 
 // Run simulates a plan and returns its result.
 func Run(p *plan.Plan) (*Result, error) {
+	w, err := newWorld(p)
+	if err != nil {
+		return nil, err
+	}
+	w.runUntil(loadStart + p.Length + drainTime)
+	w.result.Cores = p.Cores()
+	w.result.tallyLargest()
+	return &w.result, nil
+}
+
+// runUntil runs all events until a time since the start of the simulation.
+func (w *World) runUntil(end time.Duration) {
+	for w.RunNext(end) {
+	}
+}
+
+// newWorld creates the VMs of a plan and schedules its load.
+func newWorld(p *plan.Plan) (*World, error) {
 	set, err := settings.Load("")
 	if err != nil {
 		return nil, err
@@ -64,12 +82,7 @@
 	w.result = newResult(p)
 	w.build()
 	w.After(loadStart, w.startLoad)
-	end := loadStart + p.Length + drainTime
-	for w.RunNext(end) {
-	}
-	w.result.Cores = p.Cores()
-	w.result.tallyLargest()
-	return &w.result, nil
+	return w, nil
 }
 
 // build creates the VMs and links every entry with every agent.
@@ -162,6 +175,8 @@
 		}
 	case plan.EntriesLost:
 		w.loseEntries(f)
+	case plan.AllLost:
+		w.loseAll(f)
 	case plan.ZoneCordoned:
 		w.cordon(f)
 	case plan.HotRack:
@@ -194,6 +209,24 @@
 	}
 }
 
+// maxStartSpread is the longest time by which VMs that lost power together start later than the first of them.
+const maxStartSpread = 400 * time.Millisecond
+
+// loseAll lets all VMs lose power.
+func (w *World) loseAll(f *plan.Fault) {
+	down := func() time.Duration { return f.For + time.Duration(w.faultRNG.Int64N(int64(maxStartSpread))) }
+	for _, e := range w.entries {
+		if e.alive {
+			e.losePower(down())
+		}
+	}
+	for _, a := range w.agents {
+		if a.alive {
+			a.losePower(down())
+		}
+	}
+}
+
 func (w *World) countLiving() int {
 	n := 0
 	for _, e := range w.entries {
