--- a/internal/load/plan/read.go
+++ b/internal/load/plan/read.go
@@ -20,21 +20,29 @@
 	return "plan: " + e.File + ": [" + e.Section + "] " + e.Key + ": " + e.Reason
 }
 
-// Read reads a plan file. Its error has one line per problem, each of which names the section and the field.
-func Read(file string) (*Plan, error) {
+// Override replaces the value of one field of a plan file.
+type Override struct{ Section, Key, Value string }
+
+// Read reads a plan file, with some of its fields replaced. Its error has one line per problem, each of which names the section and the
+// field.
+func Read(file string, overrides ...Override) (*Plan, error) {
 	raw, err := os.ReadFile(file)
 	if err != nil {
 		return nil, errors.Wrap(err, "plan")
 	}
-	return Parse(file, raw)
+	return Parse(file, raw, overrides...)
 }
 
 // Parse reads the text of a plan file. Errors give name as the file.
-func Parse(name string, text []byte) (*Plan, error) {
+func Parse(name string, text []byte, overrides ...Override) (*Plan, error) {
 	f, err := ini.LoadSources(ini.LoadOptions{AllowNonUniqueSections: false, AllowShadows: true}, text)
 	if err != nil {
 		return nil, errors.Wrap(err, "plan: "+name)
 	}
+	for _, o := range overrides {
+		f.Section(o.Section).DeleteKey(o.Key)
+		f.Section(o.Section).Key(o.Key).SetValue(o.Value)
+	}
 	r := &reader{file: name}
 	p := &Plan{}
 	f.Section("run") // creates a missing section, so that its fields get their defaults
