load: how much room stood idle while jobs were refused

Cause: a table told how many jobs were refused, but not whether there was room for them.

Done: the table tells, if jobs were refused, how many of the refusals were given while the upstreams had room for all tasks of the job, and which share of the room stood idle in the seconds whose jobs were refused (samples of 10 ms). Comparisons have both figures.

Shown: TestUsedRoom fails if runs that end or are lost with their upstream keep their room, TestIdle with samples of all seconds, TestRefusedBesideRoom if room for one task is enough (each alone tried). TestSame passes with its file unchanged.

--- a/internal/load/compare/compare.go
+++ b/internal/load/compare/compare.go
@@ -97,12 +97,15 @@
 	if len(r.EntryKinds) > 0 {
 		out = append(out, figure{"refused, worst kind of entry over all", r.WorstRefused(r.EntryKinds)})
 	}
+	_, idle := r.IdleWhileRefusing()
 	m := r.Messages
 	messages := m.Orders + m.Stops + m.Rooms + m.Ends + m.Takeovers + m.Claims + m.Demands
 	return append(out,
 		figure{"refused, worst entry over all", r.WorstRefused(r.Entries)},
 		figure{"refused, worst zone over all", r.WorstRefused(r.Zones)},
 		figure{"refused, worst kind of job over all", r.WorstRefused(r.Kinds)},
+		figure{"refusals beside room for all tasks, of all", fraction(float64(r.RefusedBesideRoom), float64(r.Refusals))},
+		figure{"room idle in seconds with refused jobs", idle},
 		figure{"orders refused for want of room, per run", fraction(float64(r.NoRoomRefusals), float64(r.Runs))},
 		figure{"messages a second", float64(messages) / p.Length.Seconds()},
 	)
--- a/internal/load/report/table.go
+++ b/internal/load/report/table.go
@@ -41,6 +41,9 @@
 	if err := writeRacks(out, r); err != nil {
 		return err
 	}
+	if err := writeIdle(out, r); err != nil {
+		return err
+	}
 	seconds := p.Length.Seconds()
 	m := r.Messages
 	_, err := fmt.Fprintf(out, "\nroom used %.3f, of that wasted %.3f; runs begun %d, refused for want of room %d\n"+
@@ -69,6 +72,17 @@
 	return err
 }
 
+// writeIdle writes how much room there was when jobs were refused, if any were.
+func writeIdle(out io.Writer, r *world.Result) error {
+	if r.Refusals == 0 {
+		return nil
+	}
+	seconds, idle := r.IdleWhileRefusing()
+	_, err := fmt.Fprintf(out, "\nrefusals %d, of them beside room for all tasks of the job %d; room idle in the %d seconds with refused jobs %.3f\n",
+		r.Refusals, r.RefusedBesideRoom, seconds, idle)
+	return err
+}
+
 // writeLine writes one line of the table. Write errors are returned by the later Flush of the tabwriter.
 func writeLine(w io.Writer, name string, t *world.Tally) {
 	sent := float64(t.Sent)
--- a/internal/load/world/entry.go
+++ b/internal/load/world/entry.go
@@ -10,6 +10,7 @@
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/route"
+	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/dispatch"
 	"hillreel/internal/link/codec"
 	"hillreel/internal/load/plan"
@@ -253,6 +254,9 @@
 		return
 	}
 	delete(x.e.waiting, c)
+	if a.State == verdict.Refused {
+		x.e.w.countRefused(r.s)
+	}
 	x.e.w.After(x.e.transmitToCaller(shortMessage)+x.e.w.callerDelay(), func() { r.handleAnswer(a) })
 }
 
--- a/internal/load/world/result.go
+++ b/internal/load/world/result.go
@@ -56,6 +56,11 @@
 	NoRoomRefusals, Runs int
 	// RunsWithData counts runs of tasks whose data are in one rack, RunsAway those of them that started outside it.
 	RunsWithData, RunsAway int
+	// IdleSeconds has one element per second since the start of the load.
+	IdleSeconds []Idle
+	// Refusals counts the answers by which entries refused jobs, RefusedBesideRoom those of them that were given while the upstreams
+	// had room for all tasks of the job.
+	Refusals, RefusedBesideRoom int
 	// Used and Wasted are core-seconds: of all runs, and of runs that did not complete their task.
 	Used, Wasted float64
 	// Cores is the total number of cores of all upstreams.
@@ -78,6 +83,7 @@
 	}
 	for range int(p.Length/time.Second) + 1 {
 		r.Seconds = append(r.Seconds, newTally())
+		r.IdleSeconds = append(r.IdleSeconds, Idle{})
 	}
 	return r
 }
--- a/internal/load/world/upstream.go
+++ b/internal/load/world/upstream.go
@@ -24,11 +24,13 @@
 	up   bool
 	life int
 	// idCount is the number of ids that the upstream has had; it is part of the id.
-	idCount      int
-	id           ident.UpstreamID
-	born         time.Time
-	token        call.Token
-	runs         map[job.TaskID]*simRun
+	idCount int
+	id      ident.UpstreamID
+	born    time.Time
+	token   call.Token
+	runs    map[job.TaskID]*simRun
+	// usedCPU is what runs use, in thousandths of a core.
+	usedCPU      int64
 	ends         []call.Finished
 	lastEnd      uint64
 	heartbeatSeq uint64
@@ -49,6 +51,7 @@
 	duration time.Duration
 	result   call.Result
 	cores    float64
+	cpu      int64
 	stopping bool
 }
 
@@ -72,7 +75,7 @@
 	for _, r := range u.runs {
 		u.w.result.Wasted += r.cores * u.w.Now().Sub(r.startedAt).Seconds()
 	}
-	u.runs = nil
+	u.runs, u.usedCPU = nil, 0
 }
 
 // restart crashes the upstream, and starts it again under the same id after down.
@@ -115,7 +118,7 @@
 	s := u.w.result.jobs[c.Task.Job]
 	away := u.remoteFactor(s.spec.Steps[c.Task.Step].Prefers)
 	r := &simRun{
-		task: c.Task, run: c.Run, startedAt: u.w.Now(), result: call.ResultDone, cores: s.cores,
+		task: c.Task, run: c.Run, startedAt: u.w.Now(), result: call.ResultDone, cores: s.cores, cpu: s.spec.Steps[c.Task.Step].Each.CPU,
 		duration: time.Duration(float64(s.taskTimes[c.Task.Index]) * u.kind.Slowness * u.slowFactor * away),
 	}
 	switch {
@@ -124,7 +127,11 @@
 	case u.hang:
 		r.duration = 0
 	}
+	if replaced := u.runs[c.Task]; replaced != nil {
+		u.usedCPU -= replaced.cpu
+	}
 	u.runs[c.Task] = r
+	u.usedCPU += r.cpu
 	if r.duration > 0 {
 		u.w.After(r.duration, func() { u.finish(r, r.result) })
 	}
@@ -163,6 +170,7 @@
 		return
 	}
 	delete(u.runs, r.task)
+	u.usedCPU -= r.cpu
 	work := r.cores * u.w.Now().Sub(r.startedAt).Seconds()
 	u.w.result.Used += work
 	if result != call.ResultDone {
--- a/internal/load/world/world.go
+++ b/internal/load/world/world.go
@@ -113,6 +113,7 @@
 
 // startLoad starts the callers and schedules the faults.
 func (w *World) startLoad() {
+	w.sampleIdle()
 	for i := range w.plan.Zones {
 		for k := range w.plan.Jobs {
 			w.scheduleArrivals(&w.plan.Zones[i], &w.plan.Jobs[k])
