--- a/internal/load/plan/plan.go
+++ b/internal/load/plan/plan.go
@@ -2,7 +2,10 @@
 // that occur.
 package plan
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Plan describes one simulation.
 type Plan struct {
@@ -14,11 +17,15 @@
 	Load float64
 	// MaxReturns is how often a caller sends a refused job again, each time after the delay that the refusal gives.
 	MaxReturns int
+	// RemoteFactor is how many times as long a task takes away from its data, that is on an upstream outside the rack that its step
+	// prefers.
+	RemoteFactor float64
 	// Central replaces all entries by one dispatcher without message delays. The share of jobs that this dispatcher serves is
 	// the upper bound for its policies.
 	Central   bool
 	Delays    Delays
 	Zones     []Zone
+	Entries   []Entry
 	Upstreams []Upstream
 	Jobs      []Job
 	// Shares holds the parts of the capacity that operators give to teams. Without any, nobody's jobs are refused for their share.
@@ -41,7 +48,8 @@
 	Near, Far, Callers time.Duration
 	// Handling is the longest time that a process takes to handle a message; the time is drawn for each message.
 	Handling time.Duration
-	// EntryLinkMbits is the bandwidth at which an entry's VM sends, in Mbit/s; zero means unlimited.
+	// EntryLinkMbits is the bandwidth at which an entry's VM sends to agents, in Mbit/s, unless its kind has a link of its own; zero
+	// means unlimited.
 	EntryLinkMbits float64
 }
 
@@ -52,6 +60,43 @@
 	Entries, Upstreams int
 	// Share is the zone's weight in the distribution of jobs: its callers send Share divided by the sum of all shares.
 	Share float64
+	// EntryKind is the kind of all entries of the zone; empty means that they get the kinds in turn.
+	EntryKind string
+	// Rack is the number of upstreams per rack; zero means that they are in no racks.
+	Rack int
+	// Swing, Period and Phase let the zone's load rise and fall as a wave: by the share Swing of its mean, once per Period. Phase is the
+	// part of a period by which the wave is ahead.
+	Swing  float64
+	Period time.Duration
+	Phase  float64
+}
+
+// wave returns the factor of the zone's load at the time at after the start; its mean over a period is 1.
+func (z *Zone) wave(at time.Duration) float64 {
+	if z.Swing == 0 {
+		return 1
+	}
+	return 1 + z.Swing*math.Sin(2*math.Pi*(at.Seconds()/z.Period.Seconds()+z.Phase))
+}
+
+// Racks returns the number of racks of the zone.
+func (z *Zone) Racks() int {
+	if z.Rack == 0 {
+		return 0
+	}
+	return (z.Upstreams + z.Rack - 1) / z.Rack
+}
+
+// Entry describes a kind of entry. Entries get the kinds in turn, each kind Weight times per round.
+type Entry struct {
+	Name   string
+	Weight int
+	// LinkMbits is the bandwidth of the VM's link in each direction, in Mbit/s; zero means unlimited. All messages to and from agents
+	// and callers wait for it.
+	LinkMbits float64
+	// Handling is how long the entry's only thread works on each message that it receives. Messages wait for it in the order of
+	// their arrival.
+	Handling time.Duration
 }
 
 // Upstream describes a kind of upstream. Upstreams get the kinds in turn, each kind Weight times per round.
@@ -81,6 +126,8 @@
 	// Stretch and Target define a job's objective: Target plus Stretch times the run time of its longest task. Callers give up after Deadline.
 	Stretch          float64
 	Target, Deadline time.Duration
+	// Near is the share of the jobs whose data are in one rack, which is drawn for each job.
+	Near float64
 	// TextBytes is the length of the job's text, which is sent to each agent that gets one of the job's tasks.
 	TextBytes int
 	// Priority 0 is the highest. A job fails once one of its tasks has failed Attempts times.
@@ -106,14 +153,18 @@
 	UpstreamsFail Kind = "upstreams_fail"
 	// EntriesLost cuts the power of VMs of entries; their callers send the unanswered jobs again.
 	EntriesLost Kind = "entries_lost"
+	// AllLost cuts the power of all VMs of entries and of upstreams at once. They start again at slightly different times.
+	AllLost Kind = "all_lost"
 	// ZoneCordoned cordons an availability zone; processes learn of the cordon at different times.
 	ZoneCordoned Kind = "zone_cordoned"
+	// HotRack makes the share Factor of the jobs, of one kind or all kinds, want the same rack, which is drawn.
+	HotRack Kind = "hot_rack"
 	// CallersLeave makes the share Factor of the callers give up at half of their objective.
 	CallersLeave Kind = "callers_leave"
 )
 
 // Kinds lists all kinds of faults.
-var Kinds = []Kind{Burst, UpstreamsLost, UpstreamsRestart, UpstreamsSlow, UpstreamsHang, UpstreamsFail, EntriesLost, ZoneCordoned, CallersLeave}
+var Kinds = []Kind{Burst, UpstreamsLost, UpstreamsRestart, UpstreamsSlow, UpstreamsHang, UpstreamsFail, EntriesLost, AllLost, ZoneCordoned, HotRack, CallersLeave}
 
 // Fault describes a fault that lasts for a limited time.
 type Fault struct {
@@ -130,6 +181,11 @@
 
 // Rate returns the number of jobs of kind j that callers of zone z send per second, at the time at after the start.
 func (p *Plan) Rate(z *Zone, j *Job, at time.Duration) float64 {
+	return p.burstRate(z, j, at) * z.wave(at)
+}
+
+// burstRate returns the rate without the zone's wave.
+func (p *Plan) burstRate(z *Zone, j *Job, at time.Duration) float64 {
 	var shares float64
 	for i := range p.Zones {
 		shares += p.Zones[i].Share
@@ -147,11 +203,12 @@
 // MaxBurst bounds the rate of one kind of job from one zone, as a multiple of the usual rate of this kind from all zones.
 const MaxBurst = 4
 
-// exceedsMaxBurst reports whether the callers of any zone exceed MaxBurst at the time at after the start.
+// exceedsMaxBurst reports whether the callers of any zone exceed MaxBurst at the time at after the start, if the crest of its wave comes
+// then.
 func (p *Plan) exceedsMaxBurst(at time.Duration) bool {
 	for i := range p.Zones {
 		for k := range p.Jobs {
-			if j := &p.Jobs[k]; p.Rate(&p.Zones[i], j, at) > MaxBurst*p.Load*j.Rate {
+			if j := &p.Jobs[k]; p.burstRate(&p.Zones[i], j, at)*(1+p.Zones[i].Swing) > MaxBurst*p.Load*j.Rate {
 				return true
 			}
 		}
@@ -184,20 +241,39 @@
 	return sum
 }
 
+// EntryKind returns the kind of the entry with index n, in zone z. Plans without kinds of entries, and central ones, have entries that
+// handle any number of messages.
+func (p *Plan) EntryKind(z *Zone, n int) *Entry {
+	if p.Central || len(p.Entries) == 0 {
+		return &Entry{}
+	}
+	for i := range p.Entries {
+		if p.Entries[i].Name == z.EntryKind {
+			return &p.Entries[i]
+		}
+	}
+	return deal(p.Entries, n, func(e *Entry) int { return e.Weight })
+}
+
 // UpstreamKind returns the kind of the upstream with index n.
 func (p *Plan) UpstreamKind(n int) *Upstream {
-	weights := 0
-	for i := range p.Upstreams {
-		weights += p.Upstreams[i].Weight
+	return deal(p.Upstreams, n, func(u *Upstream) int { return u.Weight })
+}
+
+// deal returns the kind that the VM with index n gets, if VMs get the kinds in turn, each as often per round as its weight.
+func deal[K any](kinds []K, n int, weight func(*K) int) *K {
+	round := 0
+	for i := range kinds {
+		round += weight(&kinds[i])
 	}
-	n %= weights
-	for i := range p.Upstreams {
-		if n < p.Upstreams[i].Weight {
-			return &p.Upstreams[i]
+	n %= round
+	for i := range kinds {
+		if n < weight(&kinds[i]) {
+			return &kinds[i]
 		}
-		n -= p.Upstreams[i].Weight
+		n -= weight(&kinds[i])
 	}
-	panic("plan: upstream index exceeds the sum of the weights")
+	panic("plan: index exceeds the sum of the weights")
 }
 
 // RequestedCores returns how many cores the jobs keep busy on average, if each task runs once on an upstream of Slowness 1.
--- a/internal/load/plan/read.go
+++ b/internal/load/plan/read.go
@@ -20,21 +20,29 @@
 	return "plan: " + e.File + ": [" + e.Section + "] " + e.Key + ": " + e.Reason
 }
 
-// Read reads a plan file. Its error has one line per problem, each of which names the section and the field.
-func Read(file string) (*Plan, error) {
+// Override replaces the value of one field of a plan file.
+type Override struct{ Section, Key, Value string }
+
+// Read reads a plan file, with some of its fields replaced. Its error has one line per problem, each of which names the section and the
+// field.
+func Read(file string, overrides ...Override) (*Plan, error) {
 	raw, err := os.ReadFile(file)
 	if err != nil {
 		return nil, errors.Wrap(err, "plan")
 	}
-	return Parse(file, raw)
+	return Parse(file, raw, overrides...)
 }
 
 // Parse reads the text of a plan file. Errors give name as the file.
-func Parse(name string, text []byte) (*Plan, error) {
+func Parse(name string, text []byte, overrides ...Override) (*Plan, error) {
 	f, err := ini.LoadSources(ini.LoadOptions{AllowNonUniqueSections: false, AllowShadows: true}, text)
 	if err != nil {
 		return nil, errors.Wrap(err, "plan: "+name)
 	}
+	for _, o := range overrides {
+		f.Section(o.Section).DeleteKey(o.Key)
+		f.Section(o.Section).Key(o.Key).SetValue(o.Value)
+	}
 	r := &reader{file: name}
 	p := &Plan{}
 	f.Section("run") // creates a missing section, so that its fields get their defaults
@@ -72,8 +80,8 @@
 	used []string
 }
 
-// readSection reads one section. The first word of its title is the type, the rest is the name of the zone, upstream, job or
-// fault that it describes.
+// readSection reads one section. The first word of its title is the type, the rest is the name of the zone, kind of entry
+// or upstream, job or fault that it describes.
 func (r *reader) readSection(p *Plan, s *ini.Section) {
 	f := &fields{r: r, s: s}
 	what, name, named := strings.Cut(s.Name(), " ")
@@ -90,6 +98,8 @@
 		f.readDelays(p)
 	case "zone":
 		f.readZone(p, name)
+	case "entry":
+		f.readEntry(p, name)
 	case "upstream":
 		f.readUpstream(p, name)
 	case "job":
@@ -99,7 +109,7 @@
 	case "fault":
 		f.readFault(p, name)
 	default:
-		r.addProblem(s.Name(), "", "no such section; the sections are run, delays, zone, upstream, job, share and fault")
+		r.addProblem(s.Name(), "", "no such section; the sections are run, delays, zone, entry, upstream, job, share and fault")
 		return
 	}
 	for _, k := range s.KeyStrings() {
@@ -114,6 +124,7 @@
 	p.Length = f.time("length", 20*time.Second, time.Second, time.Hour)
 	p.Warmup = f.time("warmup", 2*time.Second, 0, time.Hour)
 	p.Load = f.number("load", 1, 0.01, 100)
+	p.RemoteFactor = f.number("remote_factor", 1, 1, 100)
 	p.MaxReturns = f.count("returns", 0, 0, 100)
 }
 
@@ -136,7 +147,16 @@
 func (f *fields) readZone(p *Plan, name string) {
 	p.Zones = append(p.Zones, Zone{
 		Name: name, Entries: f.count("entries", 1, 0, maxVMs), Upstreams: f.count("upstreams", 1, 0, maxVMs),
-		Share: f.number("share", 1, 0, 1000),
+		Share: f.number("share", 1, 0, 1000), EntryKind: f.text("entry_kind"),
+		Rack: f.count("rack", 0, 0, maxVMs), Swing: f.number("swing", 0, 0, 1),
+		Period: f.time("period", 20*time.Second, 100*time.Millisecond, time.Hour), Phase: f.number("phase", 0, 0, 1),
+	})
+}
+
+func (f *fields) readEntry(p *Plan, name string) {
+	p.Entries = append(p.Entries, Entry{
+		Name: name, Weight: f.count("weight", 1, 1, 1000), LinkMbits: f.number("link_mbits", 0, 0, 1e6),
+		Handling: f.time("handling", 0, 0, time.Second),
 	})
 }
 
@@ -155,6 +175,7 @@
 		Uneven: f.number("uneven", 0.15, 0, 3), EstimateError: f.number("estimate_off", 0.4, 0, 0.99),
 		Cores: f.number("cores", 1, 0.001, 10_000), Stretch: f.number("stretch", 1.6, 0, 100),
 		Target: f.time("target", 60*time.Millisecond, 0, time.Hour), Deadline: f.time("deadline", 4*time.Second, time.Millisecond, time.Hour),
+		Near:      f.number("near", 0, 0, 1),
 		TextBytes: f.count("text_bytes", 0, 0, maxTextBytes),
 		Priority:  f.count("priority", 0, 0, 100), Attempts: f.count("attempts", 2, 1, 100),
 	})
@@ -268,6 +289,8 @@
 	case p.Warmup >= p.Length:
 		r.addProblem("run", "warmup", "must be shorter than the length")
 	}
+	r.checkEntryKinds(p)
+	r.checkRacks(p)
 	for i := range p.Faults {
 		if f := &p.Faults[i]; f.Kind == Burst && p.exceedsMaxBurst(f.At) {
 			r.addProblem("fault "+f.Name, "factor", fmt.Sprintf("one zone would send more than %v times the usual jobs of all zones", MaxBurst))
@@ -313,3 +336,39 @@
 		r.addProblem("share", "floor", "the floors add up to more than 1")
 	}
 }
+
+// checkEntryKinds reports zones whose entries are of a kind that the plan does not have.
+func (r *reader) checkEntryKinds(p *Plan) {
+	kinds := map[string]bool{"": true}
+	for _, e := range p.Entries {
+		kinds[e.Name] = true
+	}
+	for _, z := range p.Zones {
+		if !kinds[z.EntryKind] {
+			r.addProblem("zone "+z.Name, "entry_kind", "no kind of entry is named "+z.EntryKind)
+		}
+	}
+}
+
+// checkRacks reports jobs and faults that need racks, if the plan has none.
+func (r *reader) checkRacks(p *Plan) {
+	racks := map[string]int{}
+	for i := range p.Zones {
+		racks[p.Zones[i].Name] = p.Zones[i].Racks()
+		racks[""] += p.Zones[i].Racks()
+	}
+	for _, j := range p.Jobs {
+		if j.Near > 0 && racks[""] == 0 {
+			r.addProblem("job "+j.Name, "near", "no zone has racks")
+		}
+	}
+	for _, f := range p.Faults {
+		switch {
+		case f.Kind != HotRack:
+		case f.Factor > 1:
+			r.addProblem("fault "+f.Name, "factor", fmt.Sprintf("%v is not between 0 and 1", f.Factor))
+		case racks[f.Zone] == 0:
+			r.addProblem("fault "+f.Name, "zone", "has no racks")
+		}
+	}
+}
--- a/internal/load/world/world.go
+++ b/internal/load/world/world.go
@@ -1,7 +1,8 @@
 // Package world simulates a plan in virtual time, without a network. It uses the dispatch tables of entries and the upstream
 // controllers of agents from the running processes, drives them by one virtual clock, and delays the messages between them.
 //
-// It does not model processor time (a process handles any number of messages), the store, kept jobs, and leases that lapse
+// It does not model processor time (a process handles any number of messages, except for the kinds of entries that have a Handling),
+// the store, kept jobs, and leases that lapse
 // while the upstream stays up.
 package world
 
@@ -40,6 +41,9 @@
 	rng, loadRNG, faultRNG *rand.Rand
 	// cordoned lists the cordoned availability zones.
 	cordoned []ident.Zone
+	// racks lists the racks of all zones, hotRacks those that many jobs want now.
+	racks    []rack
+	hotRacks []hotRack
 	entries  []*entry
 	agents   []*agent
 	routes   map[string]route.Route
@@ -49,6 +53,24 @@
 
 // Run simulates a plan and returns its result.
 func Run(p *plan.Plan) (*Result, error) {
+	w, err := newWorld(p)
+	if err != nil {
+		return nil, err
+	}
+	w.runUntil(loadStart + p.Length + drainTime)
+	w.result.Cores = p.Cores()
+	w.result.tallyLargest()
+	return &w.result, nil
+}
+
+// runUntil runs all events until a time since the start of the simulation.
+func (w *World) runUntil(end time.Duration) {
+	for w.RunNext(end) {
+	}
+}
+
+// newWorld creates the VMs of a plan and schedules its load.
+func newWorld(p *plan.Plan) (*World, error) {
 	set, err := settings.Load("")
 	if err != nil {
 		return nil, err
@@ -60,12 +82,7 @@
 	w.result = newResult(p)
 	w.build()
 	w.After(loadStart, w.startLoad)
-	end := loadStart + p.Length + drainTime
-	for w.RunNext(end) {
-	}
-	w.result.Cores = p.Cores()
-	w.result.tallyLargest()
-	return &w.result, nil
+	return w, nil
 }
 
 // build creates the VMs and links every entry with every agent.
@@ -78,8 +95,8 @@
 	}
 	for i := range w.plan.Zones {
 		z := &w.plan.Zones[i]
-		for range z.Upstreams {
-			w.addAgent(z)
+		for n := range z.Upstreams {
+			w.addAgent(z, w.rackLabel(z, n))
 		}
 		for range z.Entries {
 			if !w.plan.Central || len(w.entries) == 0 {
@@ -96,6 +113,7 @@
 
 // startLoad starts the callers and schedules the faults.
 func (w *World) startLoad() {
+	w.sampleIdle()
 	for i := range w.plan.Zones {
 		for k := range w.plan.Jobs {
 			w.scheduleArrivals(&w.plan.Zones[i], &w.plan.Jobs[k])
@@ -158,8 +176,12 @@
 		}
 	case plan.EntriesLost:
 		w.loseEntries(f)
+	case plan.AllLost:
+		w.loseAll(f)
 	case plan.ZoneCordoned:
 		w.cordon(f)
+	case plan.HotRack:
+		w.heatRack(f)
 	case plan.Burst, plan.CallersLeave:
 	}
 }
@@ -188,6 +210,24 @@
 	}
 }
 
+// maxStartSpread is the longest time by which VMs that lost power together start later than the first of them.
+const maxStartSpread = 400 * time.Millisecond
+
+// loseAll lets all VMs lose power.
+func (w *World) loseAll(f *plan.Fault) {
+	down := func() time.Duration { return f.For + time.Duration(w.faultRNG.Int64N(int64(maxStartSpread))) }
+	for _, e := range w.entries {
+		if e.alive {
+			e.losePower(down())
+		}
+	}
+	for _, a := range w.agents {
+		if a.alive {
+			a.losePower(down())
+		}
+	}
+}
+
 func (w *World) countLiving() int {
 	n := 0
 	for _, e := range w.entries {
