load: tests that the plans of the repository and the example's commented fields can be read

Cause: hot_rack.ini was read by no test, nor were the fields of kinds of entries in load.ini, which stand in comments there.

Shown: TestPlans and TestExampleOfEntries fail with a misspelt field (each alone tried).

--- a/internal/load/plan/plan_test.go
+++ b/internal/load/plan/plan_test.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -120,3 +122,25 @@
 		qt.Check(t, math.Abs(got-test.want) < 1e-9, qt.IsTrue, qt.Commentf("%+v: %v", test, got))
 	}
 }
+
+// TestPlans guards against plans of deploy/plans that can't be read.
+func TestPlans(t *testing.T) {
+	files, err := filepath.Glob("../../../deploy/plans/*.ini")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(files) >= 3, qt.IsTrue)
+	for _, file := range files {
+		_, err := plan.Read(file)
+		qt.Check(t, err, qt.IsNil, qt.Commentf(file))
+	}
+}
+
+// TestExampleOfEntries guards against a commented kind of entry in the example plan that can't be read.
+func TestExampleOfEntries(t *testing.T) {
+	raw, err := os.ReadFile("../../../deploy/load.ini")
+	qt.Assert(t, err, qt.IsNil)
+	uncommented := regexp.MustCompile(`(?m)^# (\[entry weak\]|[a-z_]+ = .*)$`).ReplaceAll(raw, []byte("$1"))
+	p, err := plan.Parse("load.ini", uncommented)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, p.Entries, qt.DeepEquals, []plan.Entry{{Name: "weak", Weight: 1}})
+	qt.Assert(t, p.Zones[3].EntryKind, qt.Equals, "weak")
+}
