upstream: show and reserve room by the entries' claims

An entry is shown what is not reserved for others, and its order is refused for want of room if it would take that. Room that is reserved is told at once.

--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -69,7 +69,7 @@
 		u.refuse(p, fleet.NotAccepting)
 		return
 	}
-	if u.isReservedForAlone() || !p.order.Each.Fits(u.free()) {
+	if !p.order.Each.Fits(u.availableTo(p.owner)) {
 		u.refuse(p, fleet.NoRoom)
 		return
 	}
@@ -97,6 +97,7 @@
 		phase: starting, startedAt: now, progressAt: now, aloneFor: min(t.AloneFor, maxAlone),
 	}
 	u.runs[r.task] = r
+	u.claims.Use(r.owner)
 	if r.aloneFor > 0 {
 		u.aloneRun = r
 		u.suspects++
--- a/internal/agent/upstream/room.go
+++ b/internal/agent/upstream/room.go
@@ -111,6 +111,7 @@
 		}
 	}
 	u.answerEndsQueries()
+	u.updateReservations(now, state)
 	for _, s := range u.sessionOrder {
 		if s.linked && (now.Sub(s.roomSentAt) >= u.timing.KeepAlive || s.dirty && s.urgent) {
 			u.sendRoom(now, s, state)
@@ -140,11 +141,7 @@
 // sendRoom reports the room to an entry, while the upstream is in state.
 func (u *Controller) sendRoom(now time.Time, s *session, state fleet.State) {
 	s.dirty, s.urgent, s.roomSentAt = false, false, now
-	free := u.free()
-	if u.isReservedForAlone() {
-		free = job.Resources{}
-	}
 	u.entries.Room(s.entry, fleet.Room{
-		Free: free, Seq: s.seq, Clock: u.uptime(now), State: u.stateShownTo(now, state, s.entry), Pace: u.pace(), Suspects: u.suspectsOf(s.entry),
+		Free: u.availableTo(s.entry), Reserved: u.claims.ReservedFor(s.entry), Seq: s.seq, Clock: u.uptime(now), State: u.stateShownTo(now, state, s.entry), Pace: u.pace(), Suspects: u.suspectsOf(s.entry),
 	})
 }
--- a/internal/agent/upstream/sessions.go
+++ b/internal/agent/upstream/sessions.go
@@ -137,6 +137,7 @@
 		return
 	}
 	s.linked, s.unlinkedAt = false, now
+	u.claims.Drop(entry)
 	if ends := s.takeUnconfirmed(); len(ends) > 0 {
 		u.observer.EndsUnconfirmed(entry, ends)
 	}
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -14,6 +14,7 @@
 	"hillreel/internal/agent/lease"
 	"hillreel/internal/agent/lives"
 	"hillreel/internal/agent/owners"
+	"hillreel/internal/agent/reservation"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -165,6 +166,8 @@
 	// lastLoss identifies the last reported loss, to be refuted if the life answers.
 	lastLoss fleet.Refutation
 
+	// claims holds the claims of linked entries, and the room that is reserved for them.
+	claims   *reservation.Book
 	sessions map[ident.Incarnation]*session
 	// sessionOrder lists the sessions from the oldest to the newest, so that the state machine is deterministic.
 	sessionOrder []*session
@@ -292,6 +295,7 @@
 		announcedState:   fleet.Clearing,
 		zone:             ZoneOpen,
 		owners:           owners.New(),
+		claims:           reservation.New(),
 	}
 }
 
