dispatch, entry/claim: claim room for jobs that wait

An entry whose jobs found no room claims some at up to two agents for each task that waits (three at least), tells them again when its first job ranks differently, every 100 ms at the least, and withdraws once nothing waits. Room that is reserved for it is used as any other, so that the first job by then gets it. Only with claim_from set and as many entries; tasks to be started alone don't claim. Reports claims (entry) and reservations (agent) in the metrics.

--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -11,6 +11,7 @@
 
 	"hillreel/internal/agent/call"
 	"hillreel/internal/agent/lives"
+	"hillreel/internal/agent/reservation"
 	"hillreel/internal/agent/upstream"
 	"hillreel/internal/config/cordon"
 	"hillreel/internal/core/boottime"
@@ -129,6 +130,12 @@
 	return count
 }
 
+// Reservations returns what has become of the entries' claims for room.
+func (n *Node) Reservations() (out reservation.Counts) {
+	n.loop.Call(func() { out = n.controller.ClaimCounts() })
+	return out
+}
+
 // Ready reports whether the agent knows its upstream and is linked to an entry, and why.
 func (n *Node) Ready() (ok bool, why string) {
 	ok, why = false, "stopped"
--- a/internal/agent/process/process.go
+++ b/internal/agent/process/process.go
@@ -69,6 +69,7 @@
 	}
 	p := &Process{settings: set, log: d.Log, kernel: kernel.New(d.Log), bus: bus.New()}
 	p.Node = node.New(set, d.Upstream, snapshot.New(d.Store, set.Node.Name), d.Dial, d.Log)
+	metrics.Report("reservations", func() any { return p.Node.Reservations() })
 	metrics.Report("runs", func() any { return p.Node.Runs() })
 	dir := members.NewDirectory(func(entries []fleet.Entry) {
 		if err := p.bus.Publish(bus.Entries, entries); err != nil {
--- a/internal/agent/reservation/reservation.go
+++ b/internal/agent/reservation/reservation.go
@@ -31,7 +31,10 @@
 type Counts struct {
 	// Received counts claims. Reserved, Used and Lapsed count tasks for which room was reserved, was used by an order, and was not used
 	// in time.
-	Received, Reserved, Used, Lapsed int64
+	Received int64 `json:"received"`
+	Reserved int64 `json:"reserved"`
+	Used     int64 `json:"used"`
+	Lapsed   int64 `json:"lapsed"`
 }
 
 // Book holds at most one claim of each entry, and the room that is reserved for it.
--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -67,6 +67,7 @@
 		t.contact.agentSilent = true
 	}
 	a.Unlink()
+	t.forgetClaims(id)
 	t.setLost(a, true)
 	t.updatePace(a)
 	for _, k := range a.runs {
@@ -149,7 +150,7 @@
 	t.updatePace(a)
 	t.resolveUnconfirmed(now, a)
 	t.settleReplaced(now, a)
-	t.placeAt(now, a)
+	t.placeReserved(now, a)
 }
 
 // settleReplaced settles the runs of an upstream's earlier agents. The upstream's new agent, the successor, reports a state
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -18,6 +18,7 @@
 	"hillreel/internal/core/rule"
 	"hillreel/internal/core/unconfirmed"
 	"hillreel/internal/core/verdict"
+	"hillreel/internal/entry/claim"
 	"hillreel/internal/entry/demand"
 	"hillreel/internal/entry/holders"
 	"hillreel/internal/entry/queue"
@@ -273,6 +274,8 @@
 	replies  map[job.ID][]releaseReply
 	// nextRelay selects the first of the agents that are asked to forward the next message.
 	nextRelay int
+	// claims holds the claims for room for waiting tasks.
+	claims claimState
 	// closing is set once the entry is about to shut down.
 	closing bool
 	// lastRunID is the id of the newest run.
@@ -289,6 +292,7 @@
 		agents: make(map[ident.Incarnation]*agentState), pace: 1, entries: 1, resends: demand.NewResendDetector(),
 		crashes: crash.New(o.Without), cordonRefusals: make(map[ident.Zone]int64),
 		holders: holders.New(), releases: make(map[job.ID]*releaseRequest), replies: make(map[job.ID][]releaseReply),
+		claims:  claimState{sets: make(map[ident.Service]*claim.Set)},
 		allowed: func(ident.UpstreamName, ident.Zone, ident.Service) bool { return true },
 	}
 }
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -36,6 +36,7 @@
 func (t *Table) placeAll(now time.Time) {
 	t.unplaced = false
 	t.placeAmong(now, t.agentList)
+	t.updateClaims(now)
 }
 
 // placeAt places as many waiting tasks as fit at one agent that has reported its free capacity. Tasks that found no
@@ -44,6 +45,7 @@
 func (t *Table) placeAt(now time.Time, a *agentState) {
 	if a.AcceptsWork() {
 		t.placeAmong(now, []*agentState{a})
+		t.updateClaims(now)
 	}
 }
 
@@ -133,6 +135,7 @@
 // send numbers an order and sends it to its agent.
 func (t *Table) send(now time.Time, a *agentState, o *fleet.Order) {
 	a.AssignSeq(o)
+	t.useClaim(a, o)
 	t.observer.Placed(o.Job, a.Name, o, now.Sub(t.jobs[o.Job].submitted))
 	t.agentsIO.Order(a.ID, *o)
 }
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -313,6 +313,12 @@
 	return out
 }
 
+// Claims returns what was sent and received about claims for room.
+func (n *Node) Claims() (out dispatch.ClaimCounts) {
+	n.loop.Call(func() { out = n.table.ClaimCounts() })
+	return out
+}
+
 // SetAllowed replaces the function that decides which services an upstream may serve.
 func (n *Node) SetAllowed(f dispatch.Allowed) { n.loop.Post(func() { n.table.SetAllowed(f) }) }
 
