--- a/internal/load/plan/plan.go
+++ b/internal/load/plan/plan.go
@@ -16,7 +16,9 @@
 	MaxReturns int
 	// Central replaces all entries by one dispatcher without message delays. The share of jobs that this dispatcher serves is
 	// the upper bound for its policies.
-	Central   bool
+	Central bool
+	// ClaimFrom is the number of entries from which on entries claim room for jobs that wait; zero means never.
+	ClaimFrom int
 	Delays    Delays
 	Zones     []Zone
 	Upstreams []Upstream
@@ -160,6 +162,18 @@
 
 func (f *Fault) isActive(at time.Duration) bool { return at >= f.At && at < f.At+f.For }
 
+// EntryCount returns the number of entries.
+func (p *Plan) EntryCount() int {
+	if p.Central {
+		return 1
+	}
+	n := 0
+	for i := range p.Zones {
+		n += p.Zones[i].Entries
+	}
+	return n
+}
+
 // Cores returns the total number of cores of all upstreams.
 func (p *Plan) Cores() float64 {
 	var sum float64
--- a/internal/load/plan/read.go
+++ b/internal/load/plan/read.go
@@ -113,6 +113,7 @@
 	p.Warmup = f.time("warmup", 2*time.Second, 0, time.Hour)
 	p.Load = f.number("load", 1, 0.01, 100)
 	p.MaxReturns = f.count("returns", 0, 0, 100)
+	p.ClaimFrom = f.count("claim_from", 0, 0, maxVMs)
 }
 
 func (f *fields) readDelays(p *Plan) {
--- a/internal/load/report/table.go
+++ b/internal/load/report/table.go
@@ -35,9 +35,22 @@
 	seconds := p.Length.Seconds()
 	m := r.Messages
 	_, err := fmt.Fprintf(out, "\nroom used %.3f, of that wasted %.3f; runs begun %d, refused for want of room %d\n"+
-		"messages a second: orders %.0f, stops %.0f, room %.0f, ends %.0f, takeovers %.0f\n",
+		"messages a second: orders %.0f, stops %.0f, room %.0f, ends %.0f, takeovers %.0f",
 		r.Used/(r.Cores*seconds), fraction(r.Wasted, r.Used), r.Runs, r.NoRoomRefusals,
 		float64(m.Orders)/seconds, float64(m.Stops)/seconds, float64(m.Rooms)/seconds, float64(m.Ends)/seconds, float64(m.Takeovers)/seconds)
+	if err != nil {
+		return err
+	}
+	return writeClaims(out, p, m)
+}
+
+// writeClaims ends the line of messages, with the claims if entries make any.
+func writeClaims(out io.Writer, p *plan.Plan, m world.Messages) error {
+	var claims string
+	if p.ClaimFrom > 0 {
+		claims = fmt.Sprintf(", claims %.0f", float64(m.Claims)/p.Length.Seconds())
+	}
+	_, err := fmt.Fprintln(out, claims)
 	return err
 }
 
--- a/internal/load/world/entry.go
+++ b/internal/load/world/entry.go
@@ -47,8 +47,9 @@
 	e.inc, e.alive = ident.Incarnation(e.w.rng.Uint64()|1), true
 	e.links, e.linkOrder = make(map[*agent]*link), nil
 	e.waiting = make(map[dispatch.CallerID]*request)
-	o := dispatch.Options{Timing: e.w.timing, Zone: ident.Zone(e.zone), MaxQueue: maxQueue, MaxTasks: maxTasks}
+	o := dispatch.Options{Timing: e.w.timing, Zone: ident.Zone(e.zone), MaxQueue: maxQueue, MaxTasks: maxTasks, ClaimFrom: e.w.plan.ClaimFrom}
 	e.table = dispatch.New(o, agentMessages{e}, answers{e}, countingObserver{e.w}, e.w.rng.Uint64())
+	e.table.SetEntries(e.w.plan.EntryCount())
 	e.applyCordons()
 	e.tick(e.inc)
 }
