--- a/internal/proof/schedule/process_test.go
+++ b/internal/proof/schedule/process_test.go
@@ -179,7 +179,13 @@
 	e.links = make(map[*proc]*linkSide)
 	e.waiting, e.storeSilentSince = make(map[dispatch.CallerID]func(dispatch.Answer)), time.Time{}
 	o := dispatch.Options{Timing: timing, Zone: "z", MaxQueue: 100, MaxTasks: 100, Without: w.without}
+	if w.profile.claims {
+		o.ClaimFrom = claimingEntries
+	}
 	e.table = dispatch.New(o, entryIO{e}, entryIO{e}, nopObserver{}, w.rng.Uint64())
+	if w.profile.claims {
+		e.table.SetEntries(claimingEntries)
+	}
 	e.keptJobs = owner.New(owner.Options{
 		Node: e.name, Incarnation: e.inc, Layout: layout, LeaseDuration: keptLease, RenewInterval: keptRenew, Retention: time.Hour,
 		SettleTime: timing.SettleAfter(), Without: w.without, MaxRow: 1 << 16, Count: func(string) {}, Log: w.newLog(e.name),
--- a/internal/proof/schedule/schedule_test.go
+++ b/internal/proof/schedule/schedule_test.go
@@ -147,6 +147,7 @@
 			w.violate("%s still runs %d tasks", a.upstream.id, n)
 		}
 	}
+	w.checkNothingReserved()
 	w.checkKept()
 	w.checkCordons()
 	for _, s := range w.order {
--- a/internal/proof/schedule/vm_crashes_test.go
+++ b/internal/proof/schedule/vm_crashes_test.go
@@ -64,7 +64,7 @@
 
 func newVMCrashes(w *world) *vmCrashes {
 	v := &vmCrashes{w: w, rng: rand.New(rand.NewPCG(w.seed, 10))}
-	if w.seed >= vmCrashesFrom {
+	if w.seed >= vmCrashesFrom && w.seed < claimsFrom {
 		v.kind = vmCrashKinds[(w.seed-vmCrashesFrom)/vmCrashSeeds]
 	}
 	return v
--- a/internal/proof/schedule/world_test.go
+++ b/internal/proof/schedule/world_test.go
@@ -100,6 +100,8 @@
 	lateCalls bool
 	// cpuStarvation: processes get little CPU time.
 	cpuStarvation bool
+	// claims: entries claim room for jobs that wait.
+	claims bool
 	// agentsReachable: partitions do not cut entries off from agents.
 	agentsReachable bool
 }
@@ -115,6 +117,9 @@
 const cordonsFrom = 3_000_000_000
 
 func profileOf(seed uint64) profile {
+	if seed >= claimsFrom {
+		return claimsProfile(seed - claimsFrom)
+	}
 	if seed >= vmCrashesFrom {
 		return profile{abandonRate: 0.05, resubmitRate: 0.2, jobFactor: 1, crashes: true, extraAgents: 1}
 	}
