--- a/internal/proof/soak/cluster_test.go
+++ b/internal/proof/soak/cluster_test.go
@@ -72,9 +72,11 @@
 	// subnet is the second octet of the cluster's IP addresses. It differs between clusters that run at the same time, also of other
 	// test runs.
 	subnet int
-	rng    *rand.Rand
-	store  *standin.Store
-	ledger *standin.Ledger
+	// claimFrom is the setting claim_from of the entries.
+	claimFrom int
+	rng       *rand.Rand
+	store     *standin.Store
+	ledger    *standin.Ledger
 
 	mu            sync.Mutex
 	entries       []*process
@@ -156,7 +158,7 @@
 func newCluster(t *testing.T, binary string, seed uint64, entries, agents int) *cluster {
 	cl := &cluster{
 		t: t, dir: t.TempDir(), binary: binary, rng: rand.New(rand.NewPCG(seed, 2)),
-		store: standin.NewStore(), ledger: standin.NewLedger(),
+		store: standin.NewStore(), ledger: standin.NewLedger(), claimFrom: claimFrom(seed),
 	}
 	cl.serve(cl.reserveSubnet(entries, agents), cl.store.Handler())
 	cl.configure()
@@ -169,6 +171,9 @@
 	return cl
 }
 
+// claimFrom returns the setting of clusters of a seed: entries claim room, however few there are, in one of two.
+func claimFrom(seed uint64) int { return int(seed % 2) }
+
 // configure writes a new version of the routing configuration to the store.
 func (cl *cluster) configure() {
 	cl.configVersion++
@@ -183,8 +188,8 @@
 	p.store = cl.addProxy(hostPort(cl.ip(3, i), portStore), hostPort(cl.ip(0, 0), portStore))
 	p.link = cl.addProxy(hostPort(ip, portLinkProxy), hostPort(ip, portLink))
 	p.front = cl.addProxy(hostPort(cl.ip(5, i), portFront), hostPort(ip, portFront))
-	cl.writeSettings(p, fmt.Sprintf("[node]\nname = %s\nzone = %s\nlink = %s\nadvertise = %s\nmetrics = %s\n[entry]\nfront = %s\nunready = 300ms\noperator_tokens = soak/read/%s\n[platform]\nstore = %s\n",
-		p.name, p.zone, hostPort(ip, portLink), p.link.address(), hostPort(ip, portMetrics), hostPort(ip, portFront), readToken, p.store.address()))
+	cl.writeSettings(p, fmt.Sprintf("[node]\nname = %s\nzone = %s\nlink = %s\nadvertise = %s\nmetrics = %s\n[entry]\nfront = %s\nunready = 300ms\nclaim_from = %d\noperator_tokens = soak/read/%s\n[platform]\nstore = %s\n",
+		p.name, p.zone, hostPort(ip, portLink), p.link.address(), hostPort(ip, portMetrics), hostPort(ip, portFront), cl.claimFrom, readToken, p.store.address()))
 	cl.entries = append(cl.entries, p)
 	cl.start(p)
 }
