dispatch: doubt old news of little room while entries claim

Room for fewer than four tasks beside other work, told over 15 ms ago, is claimed instead of ordered; a job that would be refused otherwise tries it. With claim_from off nothing changes.

--- a/internal/entry/dispatch/claims.go
+++ b/internal/entry/dispatch/claims.go
@@ -159,6 +159,25 @@
 	}
 }
 
+const (
+	// staleRoom is the age from which on a report of room is doubted: an agent with news reports them to an entry after 10 ms at the
+	// soonest, and a message takes a few.
+	staleRoom = 15 * time.Millisecond
+	// fewTasks: less room than for so many tasks is probably taken by another entry before this one's order arrives.
+	fewTasks = 4
+)
+
+// isProbablyTaken reports whether another entry has probably taken the room at an agent, so that it is better to claim room there: little
+// was left beside other work, some time ago. A job that would otherwise be refused tries it. So does every job while entries don't claim.
+func (t *Table) isProbablyTaken(now time.Time, a *agentState, k *task) bool {
+	if !t.claimsRoom() || now.Sub(a.ClockReadAt) <= staleRoom || a.Room().Reserved != (job.Resources{}) {
+		return false
+	}
+	free := a.Free().CPU
+	hasOtherWork := free < a.Upstream.Total.CPU
+	return hasOtherWork && free < fewTasks*t.step(k).Each.CPU && now.Before(k.job.waitUntil.Add(-lastResortMargin))
+}
+
 // placeReserved places waiting tasks in the room that an agent has reported. It counts those that use room that was reserved for this
 // entry.
 func (t *Table) placeReserved(now time.Time, a *agentState) {
--- a/internal/entry/dispatch/claims_test.go
+++ b/internal/entry/dispatch/claims_test.go
@@ -159,3 +159,45 @@
 	b.pass(200 * time.Millisecond)
 	qt.Assert(t, b.standing(), qt.Equals, 2)
 }
+
+// TestOldNewsOfLittleRoom checks when a job goes to room that was reported some time ago, and when room is claimed instead.
+func TestOldNewsOfLittleRoom(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		entries  int
+		age      time.Duration
+		cpu      int64
+		reserved int64
+		want     int
+	}{
+		{"new", 2, 15 * time.Millisecond, 1000, 0, 1},
+		{"old", 2, 16 * time.Millisecond, 1000, 0, 0},
+		{"old, but reserved", 2, 16 * time.Millisecond, 1000, 1000, 1},
+		{"old, but nothing else runs there", 2, 16 * time.Millisecond, 2000, 0, 1},
+		{"old, but entries don't claim", 1, 16 * time.Millisecond, 1000, 0, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newClaimHarness(t, 1)
+			b.table.SetEntries(test.entries)
+			b.table.HandleRoom(b.now, 1, fleet.Room{Free: job.Resources{CPU: test.cpu}, Reserved: job.Resources{CPU: test.reserved}, State: fleet.Ready})
+			b.now = b.now.Add(test.age)
+			b.submit(7, 1, 1, time.Second, time.Minute)
+			qt.Assert(t, b.orders, qt.HasLen, test.want)
+			qt.Assert(t, b.standing(), qt.Equals, 1-test.want)
+		})
+	}
+}
+
+// TestOldNewsAreUsedAtLast checks that a job takes room of which it has old news before it is refused: an agent of an older version
+// answers no claim.
+func TestOldNewsAreUsedAtLast(t *testing.T) {
+	b := newClaimHarness(t, 1)
+	b.room(1, fleet.Ready, 1000, 0)
+	b.now = b.now.Add(16 * time.Millisecond)
+	b.submit(7, 1, 1, time.Second, time.Minute)
+	b.pass(100 * time.Millisecond)
+	qt.Assert(t, b.orders, qt.HasLen, 0)
+	b.pass(time.Second)
+	qt.Assert(t, b.orders, qt.HasLen, 1)
+	qt.Assert(t, b.answers, qt.HasLen, 0)
+}
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -146,7 +146,7 @@
 func (t *Table) choose(now time.Time, k *task, among []*agentState) *agentState {
 	step := &k.job.spec.Steps[k.id.Step]
 	mayTake := func(a *agentState) bool {
-		return t.eligible(a, k, step) && !t.tooSlow(now, a, k) && !t.reservedForOthers(now, a, k)
+		return t.eligible(a, k, step) && !t.tooSlow(now, a, k) && !t.reservedForOthers(now, a, k) && !t.isProbablyTaken(now, a, k)
 	}
 	cost := func(a *agentState) float64 { return a.Cost(step, t.opts.Zone, t.pace, t.rng) }
 	if step.Prefers != "" {
