upstream: claims never let more start than there is room for

While room gathered for another entry, an order was checked against what had been reserved for its entry, and not against what its own tasks had since taken: three tasks of a core started on two cores after claims for tasks of half a core. A claim for a negative size made room look larger. What starts is checked against free room first, and claims of such sizes are dropped; the test fails for either without.

--- a/internal/agent/reservation/reservation.go
+++ b/internal/agent/reservation/reservation.go
@@ -92,7 +92,7 @@
 	b.counts.Received++
 	former := b.find(entry)
 	b.Drop(entry)
-	if c.Tasks == 0 || c.ValidFor <= 0 || c.Each == (job.Resources{}) {
+	if c.Tasks == 0 || c.ValidFor <= 0 || !isSize(c.Each) {
 		return
 	}
 	n := &claim{
@@ -110,6 +110,11 @@
 	slices.SortFunc(b.claims, compare)
 }
 
+// isSize reports whether a task can need so much: something, and nothing negative.
+func isSize(each job.Resources) bool {
+	return each != (job.Resources{}) && (job.Resources{}).Fits(each)
+}
+
 // maxValid bounds how long a claim stands, whatever its entry asks for.
 const maxValid = time.Second
 
--- a/internal/agent/reservation/reservation_test.go
+++ b/internal/agent/reservation/reservation_test.go
@@ -58,6 +58,7 @@
 		{"never for what the upstream can't hold", []fleet.Claim{of(1, 9000, -ms), of(1, 1000, 20*ms)}, 1000, []ident.Incarnation{2}, 0},
 		{"none: no task", []fleet.Claim{of(0, 1000, 0)}, 1000, nil, 1000},
 		{"none: no size", []fleet.Claim{of(1, 0, 0)}, 1000, nil, 1000},
+		{"none: less than nothing", []fleet.Claim{of(1, -1000, 0)}, 1000, nil, 1000},
 		{"none: not valid", []fleet.Claim{{Tasks: 1, Each: cpu(1000)}}, 1000, nil, 1000},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/agent/upstream/claims_test.go
+++ b/internal/agent/upstream/claims_test.go
@@ -166,3 +166,34 @@
 		})
 	}
 }
+
+// TestClaimsKeepWithinRoom guards against an upstream that gets more than its room: an order for larger tasks than the entry had claimed
+// uses up more room than was reserved, and claims may be of any size.
+func TestClaimsKeepWithinRoom(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// one and two are what the tasks of the entries' claims need.
+		one, two int64
+	}{
+		{"larger tasks than claimed, while room gathers for another", 500, 1500},
+		{"a claim for less than nothing", -1000, 500},
+		{"another's claim for less than nothing", 500, -1000},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, nil)
+			for i, each := range []int64{test.one, test.two} {
+				h.controller.Claim(h.now, ident.Incarnation(i+1), fleet.Claim{
+					Tasks: 4, Each: job.Resources{CPU: each}, Begun: i == 0, DueIn: -time.Second, ValidFor: time.Second,
+				})
+				h.controller.Flush(h.now)
+			}
+			h.seq++
+			h.controller.Order(h.now, one, fleet.Order{
+				Seq: h.seq, Job: jobID, Each: job.Resources{CPU: 1000}, Tasks: []fleet.TaskRun{{Index: 0, Run: 1}, {Index: 1, Run: 1}, {Index: 2, Run: 1}},
+			})
+			h.controller.Flush(h.now)
+			qt.Assert(t, len(h.starts) <= 2, qt.IsTrue, qt.Commentf("%d tasks of a core on two cores", len(h.starts)))
+			qt.Assert(t, job.Resources{}.Fits(h.rooms[one].Free), qt.IsTrue)
+		})
+	}
+}
--- a/internal/agent/upstream/order.go
+++ b/internal/agent/upstream/order.go
@@ -69,7 +69,7 @@
 		u.refuse(p, fleet.NotAccepting)
 		return
 	}
-	if !p.order.Each.Fits(u.availableTo(p.owner)) {
+	if !p.order.Each.Fits(u.free()) || !p.order.Each.Fits(u.availableTo(p.owner)) {
 		u.refuse(p, fleet.NoRoom)
 		return
 	}
