--- a/internal/load/plan/plan_test.go
+++ b/internal/load/plan/plan_test.go
@@ -139,13 +139,14 @@
 	}
 }
 
-// TestExampleOfEntries guards against a commented kind of entry in the example plan that can't be read.
-func TestExampleOfEntries(t *testing.T) {
+// TestExampleOfComments guards against a commented kind of entry or share in the example plan that can't be read.
+func TestExampleOfComments(t *testing.T) {
 	raw, err := os.ReadFile("../../../deploy/load.ini")
 	qt.Assert(t, err, qt.IsNil)
-	uncommented := regexp.MustCompile(`(?m)^# (\[entry weak\]|[a-z_]+ = .*)$`).ReplaceAll(raw, []byte("$1"))
+	uncommented := regexp.MustCompile(`(?m)^# (\[entry weak\]|\[share producers\]|[a-z_]+ = .*)$`).ReplaceAll(raw, []byte("$1"))
 	p, err := plan.Parse("load.ini", uncommented)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, p.Entries, qt.DeepEquals, []plan.Entry{{Name: "weak", Weight: 1}})
+	qt.Assert(t, p.Shares, qt.DeepEquals, []plan.Share{{Team: "producers", Routes: []string{"narrow", "long"}, Weight: 1}})
 	qt.Assert(t, p.Zones[3].EntryKind, qt.Equals, "weak")
 }
--- a/internal/load/plan/read.go
+++ b/internal/load/plan/read.go
@@ -126,6 +126,7 @@
 	p.Load = f.number("load", 1, 0.01, 100)
 	p.RemoteFactor = f.number("remote_factor", 1, 1, 100)
 	p.MaxReturns = f.count("returns", 0, 0, 100)
+	p.ClaimFrom = f.count("claim_from", 0, 0, maxVMs)
 }
 
 func (f *fields) readDelays(p *Plan) {
--- a/internal/load/world/entry.go
+++ b/internal/load/world/entry.go
@@ -55,8 +55,12 @@
 	e.links, e.linkOrder = make(map[*agent]*link), nil
 	e.waiting = make(map[dispatch.CallerID]*request)
 	e.sentAt, e.receivedAt, e.handledAt = time.Time{}, time.Time{}, time.Time{}
-	o := dispatch.Options{Timing: e.w.timing, Zone: ident.Zone(e.zone), MaxQueue: maxQueue, MaxTasks: maxTasks, RemoteFactor: e.w.plan.RemoteFactor}
+	o := dispatch.Options{
+		Timing: e.w.timing, Zone: ident.Zone(e.zone), MaxQueue: maxQueue, MaxTasks: maxTasks,
+		ClaimFrom: e.w.plan.ClaimFrom, RemoteFactor: e.w.plan.RemoteFactor,
+	}
 	e.table = dispatch.New(o, agentMessages{e}, answers{e}, countingObserver{e.w}, e.w.rng.Uint64())
+	e.table.SetEntries(e.w.plan.EntryCount())
 	e.applyCordons()
 	e.applyShares()
 	e.tick(e.inc)
--- a/internal/load/world/shares.go
+++ b/internal/load/world/shares.go
@@ -17,7 +17,6 @@
 	for i := range p.Jobs {
 		services[route.Name(p.Jobs[i].Name)] = service
 	}
-	e.table.SetEntries(e.w.entryCount())
 	e.table.SetRoutes(services)
 	e.table.SetShares(sharesOf(p))
 }
@@ -34,15 +33,3 @@
 	}
 	return out
 }
-
-// entryCount returns the number of entries of the plan.
-func (w *World) entryCount() int {
-	if w.plan.Central {
-		return 1
-	}
-	n := 0
-	for i := range w.plan.Zones {
-		n += w.plan.Zones[i].Entries
-	}
-	return n
-}
--- a/internal/proof/schedule/world_test.go
+++ b/internal/proof/schedule/world_test.go
@@ -100,6 +100,8 @@
 	lateCalls bool
 	// cpuStarvation: processes get little CPU time.
 	cpuStarvation bool
+	// claims: entries claim room for jobs that wait.
+	claims bool
 	// agentsReachable: partitions do not cut entries off from agents.
 	agentsReachable bool
 	// shares: the team that all jobs belong to may use only a part of the capacity.
@@ -117,6 +119,9 @@
 const cordonsFrom = 3_000_000_000
 
 func profileOf(seed uint64) profile {
+	if seed >= claimsFrom {
+		return claimsProfile(seed - claimsFrom)
+	}
 	if seed >= sharesFrom {
 		return profile{abandonRate: 0.2, resubmitRate: 0.5, jobFactor: 2, partitions: seed%2 == 0, shares: true}
 	}
