dispatch: jobs that are sent again are not refused beside room

They left half of each busy upstream to others for all but the last 20 ms of their wait, whether others wanted that room or not, and Tick gives jobs up before it places: with ticks 30 ms apart those 20 ms fall between two ticks.

--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -239,6 +239,8 @@
 	firstTick, lastTick, pausedFrom, pausedUntil time.Time
 	// pressure estimates how much recent demand has exceeded capacity.
 	pressure demand.Pressure
+	// shortAt is when a job of a service that could still be in time last found too little capacity.
+	shortAt map[ident.Service]time.Time
 	// resends detects callers that have submitted their job before.
 	resends *demand.ResendDetector
 	// crashes holds the recorded upstream losses and the tasks that were running then.
@@ -287,7 +289,7 @@
 		opts: o, agentsIO: a, callers: c, observer: ob, rng: rand.New(rand.NewPCG(seed, 0)),
 		jobs: make(map[job.ID]*jobState), queues: make(map[ident.Service]*queue.Queue[*jobState]),
 		agents: make(map[ident.Incarnation]*agentState), pace: 1, entries: 1, resends: demand.NewResendDetector(),
-		crashes: crash.New(o.Without), cordonRefusals: make(map[ident.Zone]int64),
+		shortAt: make(map[ident.Service]time.Time), crashes: crash.New(o.Without), cordonRefusals: make(map[ident.Zone]int64),
 		holders: holders.New(), releases: make(map[job.ID]*releaseRequest), replies: make(map[job.ID][]releaseReply),
 		allowed: func(ident.UpstreamName, ident.Zone, ident.Service) bool { return true },
 	}
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -200,11 +200,19 @@
 		return
 	case j.kept:
 		t.demote(j)
-	default:
+	case t.isListening():
+		return // it may find room once the entry places again
+	case !t.placeAtLast(now, j):
 		t.close(now, j, refused(verdict.Overloaded))
 	}
 }
 
+// placeAtLast offers all free capacity to a job that would otherwise be refused. It reports whether the job has begun.
+func (t *Table) placeAtLast(now time.Time, j *jobState) bool {
+	t.placeJob(now, j, t.agentList)
+	return j.begun
+}
+
 // demote moves a kept job that can no longer meet its objective behind those that can.
 func (t *Table) demote(j *jobState) {
 	if j.late {
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -50,14 +50,25 @@
 // placeAmong places as many waiting tasks as fit at some of the agents. Suspected tasks that still wait do not count as
 // waiting for capacity, because they need an upstream of their own and capacity left by other jobs does not help them.
 func (t *Table) placeAmong(now time.Time, among []*agentState) {
-	if t.contact.listenRemaining > 0 && !t.opts.Without.Has(rule.HearEnds) {
+	if t.isListening() {
 		return
 	}
 	for _, q := range t.queueList {
-		q.Offer(func(j *jobState) bool { return t.placeJob(now, j, among) })
+		q.Offer(func(j *jobState) bool {
+			waits := t.placeJob(now, j, among)
+			if waits && !j.late {
+				t.shortAt[q.Service] = now
+			}
+			return waits
+		})
 	}
 }
 
+// isListening reports whether the process was paused and places nothing until it has heard which callers are gone.
+func (t *Table) isListening() bool {
+	return t.contact.listenRemaining > 0 && !t.opts.Without.Has(rule.HearEnds)
+}
+
 // placeJob places as many tasks of a job as fit. It reports whether tasks that are not suspected still wait.
 func (t *Table) placeJob(now time.Time, j *jobState, among []*agentState) (waits bool) {
 	for s := range j.steps {
