queue: small jobs pass wide ones, with a bound in time

Offer ended its search after four jobs that didn't fit, so that jobs behind them were refused beside free room.

Cost: room is offered only if the smallest waiting task fits (queue.Sizes), and a size that fits nowhere is not tried again.

--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -254,6 +254,8 @@
 	// paces holds the paces of the linked agents, sorted. pace is their median, or 1 if none is known.
 	paces []float64
 	pace  float64
+	// noRoom tells, while capacity is offered to the jobs of one queue, which tasks have no room.
+	noRoom noRoom
 	// unplaced is set while there are waiting tasks that have not been checked against all agents yet.
 	unplaced bool
 	// lostAgents counts the agents whose session has ended but which are not forgotten yet.
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -209,6 +209,7 @@
 
 // placeAtLast offers all free capacity to a job that would otherwise be refused. It reports whether the job has begun.
 func (t *Table) placeAtLast(now time.Time, j *jobState) bool {
+	t.noRoom = noRoom{}
 	t.placeJob(now, j, t.agentList)
 	return j.begun
 }
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -56,6 +56,9 @@
 	}
 }
 
+// cpu returns the CPU that the task requires, in thousandths of a core.
+func (k *task) cpu() int64 { return k.job.spec.Steps[k.id.Step].Each.CPU }
+
 // runRef identifies the newest run.
 func (k *task) runRef() fleet.RunRef { return fleet.RunRef{Task: k.id, Run: k.run} }
 
@@ -143,8 +146,10 @@
 	step.waiting = append(step.waiting, k)
 	t.unplaced = true
 	j.waiting++
+	q := t.queue(j.route.Service)
+	q.Sizes.Add(k.cpu())
 	if j.waiting == 1 {
-		t.queue(j.route.Service).Add(j)
+		q.Add(j)
 	}
 }
 
@@ -156,7 +161,9 @@
 		step.waiting = slices.Delete(step.waiting, i, i+1)
 	}
 	j.waiting--
+	q := t.queue(j.route.Service)
+	q.Sizes.Remove(k.cpu())
 	if j.waiting == 0 {
-		t.queue(j.route.Service).Remove(j)
+		q.Remove(j)
 	}
 }
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -26,7 +26,7 @@
 
 // Rank returns the job's sort key among waiting jobs.
 func (j *jobState) Rank() queue.Rank {
-	return queue.Rank{Begun: j.begun, Late: j.late, PlaceBy: j.placeBy, Priority: j.route.Priority, Job: j.id}
+	return queue.Rank{Begun: j.begun, Late: j.late, PlaceBy: j.placeBy, WaitUntil: j.waitUntil, Priority: j.route.Priority, Job: j.id}
 }
 
 // compareJobs orders jobs by their rank in the queue.
@@ -54,13 +54,12 @@
 		return
 	}
 	for _, q := range t.queueList {
-		q.Offer(func(j *jobState) bool {
-			waits := t.placeJob(now, j, among)
-			if waits && !j.late {
-				t.shortAt[q.Service] = now
-			}
-			return waits
-		})
+		if anyRoom(q, among) {
+			t.offer(now, q, among)
+		}
+		if q.HasInTime() {
+			t.shortAt[q.Service] = now
+		}
 	}
 }
 
@@ -82,6 +81,9 @@
 // placeStep places as many tasks of a step as fit, with one order per agent and an order of its own for each suspected
 // task. It reports whether tasks that are not suspected still wait.
 func (t *Table) placeStep(now time.Time, j *jobState, s int, among []*agentState) (waits bool) {
+	if t.noRoom.covers(j.spec.Steps[s].Each) {
+		return true
+	}
 	suspects, others := t.splitSuspects(now, j.steps[s].waiting)
 	t.placeSuspects(now, suspects, among)
 	orders := make(map[*agentState]*fleet.Order)
@@ -153,14 +155,23 @@
 // avoiding races between entries.
 func (t *Table) choose(now time.Time, k *task, among []*agentState) *agentState {
 	step := &k.job.spec.Steps[k.id.Step]
+	foundRoom := false
 	mayTake := func(a *agentState) bool {
+		if !a.CanTake(k.job.route.Service, step) {
+			return false
+		}
+		foundRoom = true
 		return t.eligible(a, k, step) && !t.tooSlow(now, a, k) && !t.reservedForOthers(now, a, k)
 	}
 	cost := func(a *agentState) float64 { return a.Cost(step, t.opts.Zone, t.pace, t.rng) }
 	if step.Prefers != "" {
 		return placement.Cheapest(among, mayTake, cost)
 	}
-	return placement.CheapestOfSample(t.rng, among, mayTake, cost)
+	chosen := placement.CheapestOfSample(t.rng, among, mayTake, cost)
+	if !foundRoom && step.Requires == "" {
+		t.noRoom.add(step.Each)
+	}
+	return chosen
 }
 
 // lastResortMargin is how long before a job's wait ends it accepts a slow upstream at which it will be late: the duration
--- a/internal/entry/dispatch/resent.go
+++ b/internal/entry/dispatch/resent.go
@@ -28,10 +28,10 @@
 	return free < total && float64(left) < reservedShare*float64(total) && t.othersLackRoom(now, j.route.Service)
 }
 
-// othersLackRoom reports whether a job of a service that can still be in time has found too little capacity lately.
+// othersLackRoom reports whether a job of a service that can still be in time finds too little capacity, or did so lately.
 func (t *Table) othersLackRoom(now time.Time, s ident.Service) bool {
 	at, ok := t.shortAt[s]
-	return ok && now.Sub(at) < shortageMemory
+	return t.queue(s).HasInTime() || ok && now.Sub(at) < shortageMemory
 }
 
 // resent reports whether the job's caller has probably submitted it before.
--- a/internal/entry/queue/queue.go
+++ b/internal/entry/queue/queue.go
@@ -19,8 +19,9 @@
 	Begun bool
 	// Late is set if the job can no longer be in time.
 	Late bool
-	// PlaceBy is the time by which the job should be placed.
-	PlaceBy time.Time
+	// PlaceBy is the time by which the job should be placed. WaitUntil is the time until which it waits for capacity; it is
+	// not earlier.
+	PlaceBy, WaitUntil time.Time
 	// Priority is the priority of the job's route; zero is placed first.
 	Priority int
 	Job      job.ID
@@ -56,7 +57,9 @@
 // Queue holds the jobs of one service that have tasks to place, in order of rank.
 type Queue[J Job] struct {
 	Service ident.Service
-	jobs    []J
+	// Sizes counts the waiting tasks of the jobs by size.
+	Sizes Sizes
+	jobs  []J
 }
 
 // New returns an empty Queue.
@@ -81,27 +84,39 @@
 // Len returns the number of waiting jobs.
 func (q *Queue[J]) Len() int { return len(q.jobs) }
 
+// HasInTime reports whether a job waits that can still be in time.
+func (q *Queue[J]) HasInTime() bool {
+	for _, j := range q.jobs {
+		switch rank := j.Rank(); {
+		case !rank.Late:
+			return true
+		case !rank.Begun:
+			return false // late jobs that have not begun are last
+		}
+	}
+	return false
+}
+
 // All returns the jobs in queue order.
 func (q *Queue[J]) All() []J { return slices.Clone(q.jobs) }
 
-// maxSkipped is how many jobs that do not fit are skipped in favor of later jobs that do. Skipping more would let small
-// tasks hold up large ones.
-const maxSkipped = 4
+// Holds reports whether a job that waits for capacity may not be passed any more: later jobs leave it the capacity that
+// comes free. A job holds capacity from the time by which it should be placed until its wait ends, and never once it can't
+// be in time.
+func (r Rank) Holds(now time.Time) bool {
+	return !r.Late && !now.Before(r.PlaceBy) && now.Before(r.WaitUntil)
+}
 
 // Offer offers capacity to the jobs in queue order. It calls place for each job. place places as many of the job's tasks as
-// fit, may remove the job from the queue, and reports whether the job still waits for capacity that other jobs could leave
-// to it. Jobs that do not wait for such capacity are skipped without limit.
-func (q *Queue[J]) Offer(place func(J) (waitsForRoom bool)) {
-	skipped := 0
-	for i := 0; i < len(q.jobs) && skipped < maxSkipped; {
+// fit, may remove the job from the queue, and reports whether later jobs may use the capacity that is left.
+func (q *Queue[J]) Offer(place func(J) (goOn bool)) {
+	for i := 0; i < len(q.jobs); {
 		j := q.jobs[i]
-		waits := place(j)
-		if i >= len(q.jobs) || q.jobs[i] != j {
-			continue
+		if !place(j) {
+			return
 		}
-		i++
-		if waits {
-			skipped++
+		if i < len(q.jobs) && q.jobs[i] == j {
+			i++
 		}
 	}
 }
