--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -114,6 +114,7 @@
 	j.ending = true
 	t.recordPressure(now, j, a)
 	s := t.summary(now, j)
+	s.RefusedBy = refusalCause(a, true)
 	if a.Verdict == verdict.NotRun {
 		s.Room = t.roomLeft(now, j)
 	}
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -182,6 +182,8 @@
 	Resent bool
 	// Queued is the number of jobs that were waiting for capacity when the answer was given.
 	Queued int
+	// RefusedBy tells what decided that the job is refused for lack of capacity; it is empty for other answers.
+	RefusedBy RefusalCause
 	// Room is the capacity that was known when the job was refused. It is empty for other answers.
 	Room RoomLeft
 }
--- a/internal/entry/dispatch/observe.go
+++ b/internal/entry/dispatch/observe.go
@@ -6,6 +6,7 @@
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
+	"hillreel/internal/core/verdict"
 )
 
 // RunAt identifies a run and the agent that has it or may have it.
@@ -39,6 +40,29 @@
 	StopUnknownRun StopCause = "not_known"
 )
 
+// RefusalCause tells what decided that a job is refused for lack of capacity.
+type RefusalCause string
+
+// The causes.
+const (
+	// RefusedAfterWait: no capacity came for as long as the job may wait.
+	RefusedAfterWait RefusalCause = "waited"
+	// RefusedQueueFull: too many jobs were waiting when it came.
+	RefusedQueueFull RefusalCause = "queue_full"
+)
+
+// refusalCause tells what decided an answer; waited is set if the job was taken before. It is empty for answers that are no
+// refusals for lack of capacity.
+func refusalCause(a Answer, waited bool) RefusalCause {
+	switch {
+	case a.Verdict != verdict.NotRun || a.Reason != verdict.Overloaded:
+		return ""
+	case waited:
+		return RefusedAfterWait
+	}
+	return RefusedQueueFull
+}
+
 // HeldJob is the state of a job that this entry holds when its caller submits it again.
 type HeldJob struct {
 	// FormerRequestID is the caller's own id of its previous request.
--- a/internal/entry/dispatch/submit.go
+++ b/internal/entry/dispatch/submit.go
@@ -26,7 +26,9 @@
 	}
 	if a, ok := t.refusal(now, r); ok {
 		t.callers.Answer(r.Caller, a)
-		t.observer.Answered(r.Job, &r.Route, a, Summary{RequestID: r.RequestID, Tasks: r.Spec.TaskCount(), Queued: t.waitingJobs()})
+		t.observer.Answered(r.Job, &r.Route, a, Summary{
+			RequestID: r.RequestID, Tasks: r.Spec.TaskCount(), Queued: t.waitingJobs(), RefusedBy: refusalCause(a, false),
+		})
 		return
 	}
 	t.observer.Taken(&r)
--- a/internal/entry/dispatch/wait_test.go
+++ b/internal/entry/dispatch/wait_test.go
@@ -115,9 +115,25 @@
 	b.submit(1, 1, 2, 200*time.Millisecond, time.Minute)
 	b.pass(200 * time.Millisecond)
 	qt.Assert(t, b.answers[1].Reason, qt.Equals, verdict.Overloaded)
+	qt.Assert(t, b.summaries[1].RefusedBy, qt.Equals, dispatch.RefusedAfterWait)
 	qt.Assert(t, b.summaries[1].Room, qt.Equals, dispatch.RoomLeft{TaskCPU: 1000, Tasks: 2, Ready: 2, Fits: 0})
 }
 
+// TestRefusedBy: a job that comes while too many wait is refused at once, and the summaries tell this from a wait in vain.
+func TestRefusedBy(t *testing.T) {
+	const maxQueue = 10
+	b := newHarness(t, 1)
+	b.room(1, fleet.Ready, 0, 0)
+	for i := range job.ID(maxQueue + 1) {
+		b.submit(i+1, dispatch.CallerID(i+1), 1, 200*time.Millisecond, time.Minute)
+	}
+	qt.Assert(t, b.answers, qt.HasLen, 1)
+	qt.Assert(t, b.summaries[maxQueue+1].RefusedBy, qt.Equals, dispatch.RefusedQueueFull)
+	b.pass(140 * time.Millisecond)
+	qt.Assert(t, b.answers, qt.HasLen, maxQueue+1)
+	qt.Assert(t, b.summaries[1].RefusedBy, qt.Equals, dispatch.RefusedAfterWait)
+}
+
 // Answered records the summary of an answer.
 func (b *harness) Answered(id job.ID, _ *route.Route, _ dispatch.Answer, s dispatch.Summary) {
 	if b.summaries == nil {
--- a/internal/entry/node/observe.go
+++ b/internal/entry/node/observe.go
@@ -160,6 +160,10 @@
 	if a.Verdict == verdict.NotRun {
 		f["tasks_waiting"], f["task_cpu_millis"], f["upstreams_ready"], f["tasks_fit"] = s.Room.Tasks, s.Room.TaskCPU, s.Room.Ready, s.Room.Fits
 	}
+	if s.RefusedBy != "" {
+		o.counters.Add("jobs_refused_by_"+string(s.RefusedBy), 1)
+		f["refused_by"] = s.RefusedBy
+	}
 	if s.Room.Closed > 0 {
 		o.counters.Add("jobs_refused_while_closed", 1)
 		f["upstreams_closed"] = s.Room.Closed
