--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -115,6 +115,7 @@
 	t.recordPressure(now, j, a)
 	t.countRefused(now, &j.route, j.spec, a)
 	s := t.summary(now, j)
+	s.RefusedBy = refusalCause(a, true)
 	if a.Verdict == verdict.NotRun {
 		s.Room = t.roomLeft(now, j)
 	}
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -188,6 +188,8 @@
 	Resent bool
 	// Queued is the number of jobs that were waiting for capacity when the answer was given.
 	Queued int
+	// RefusedBy tells what decided that the job is refused for lack of capacity; it is empty for other answers.
+	RefusedBy RefusalCause
 	// Room is the capacity that was known when the job was refused. It is empty for other answers.
 	Room RoomLeft
 }
@@ -245,6 +247,8 @@
 	firstTick, lastTick, pausedFrom, pausedUntil time.Time
 	// pressure estimates how much recent demand has exceeded capacity.
 	pressure demand.Pressure
+	// shortAt is when a job of a service that could still be in time last found too little capacity.
+	shortAt map[ident.Service]time.Time
 	// resends detects callers that have submitted their job before.
 	resends *demand.ResendDetector
 	// crashes holds the recorded upstream losses and the tasks that were running then.
@@ -258,6 +262,8 @@
 	// paces holds the paces of the linked agents, sorted. pace is their median, or 1 if none is known.
 	paces []float64
 	pace  float64
+	// noRoom tells, while capacity is offered to the jobs of one queue, which tasks have no room.
+	noRoom noRoom
 	// unplaced is set while there are waiting tasks that have not been checked against all agents yet.
 	unplaced bool
 	// lostAgents counts the agents whose session has ended but which are not forgotten yet.
@@ -298,7 +304,7 @@
 		opts: o, agentsIO: a, callers: c, observer: ob, rng: rand.New(rand.NewPCG(seed, 0)),
 		jobs: make(map[job.ID]*jobState), queues: make(map[ident.Service]*queue.Queue[*jobState]),
 		agents: make(map[ident.Incarnation]*agentState), pace: 1, entries: 1, resends: demand.NewResendDetector(),
-		crashes: crash.New(o.Without), shares: shares.New(), cordonRefusals: make(map[ident.Zone]int64),
+		shortAt: make(map[ident.Service]time.Time), crashes: crash.New(o.Without), shares: shares.New(), cordonRefusals: make(map[ident.Zone]int64),
 		holders: holders.New(), releases: make(map[job.ID]*releaseRequest), replies: make(map[job.ID][]releaseReply),
 		claims:  claimState{sets: make(map[ident.Service]*claim.Set)},
 		allowed: func(ident.UpstreamName, ident.Zone, ident.Service) bool { return true },
