placement, upstream: remote runs are rated by the factor of the settings

An upstream away from a step's data cost half a median run more, which is right for a factor of 1.5 only; with 3, tasks were sent away from their data where they took longer than near it. The cost is now when the task would end: pace times factor, plus the small terms. Without a preferred rack, or with the factor 1.5 at the median pace, costs stay what they were.

An entry counts the factor where it judges whether a task would be late on a slow upstream, whether a move gains anything where there is room, and how long a task is to be alone.

Counter tasks_ordered_remote.

--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -207,7 +207,9 @@
 	epoch     uint64
 	spec      string
 	resources job.Resources
-	estimate  time.Duration
+	// estimate is how long the run should take at this upstream. It includes the slowdown of a run away from its data, so that such runs
+	// don't count in the upstream's pace.
+	estimate time.Duration
 	// priorFailures counts the failures of the job before this run.
 	priorFailures uint32
 	checkpoint    string
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -119,6 +119,18 @@
 	AloneFor time.Duration
 }
 
+// maxRemoteFactor is the highest factor that an order may state; the settings allow no higher one.
+const maxRemoteFactor = 100
+
+// RunTime returns how long a run of the order should take on an upstream of pace 1: the estimate, times the RemoteFactor. A factor below
+// 1, which is none, counts as 1.
+func (o *Order) RunTime() time.Duration {
+	if !(o.RemoteFactor > 1) { // also if it is not a number
+		return o.Estimate
+	}
+	return time.Duration(min(o.RemoteFactor, maxRemoteFactor) * float64(o.Estimate))
+}
+
 // Task returns the ID of the order's task at index i.
 func (o *Order) Task(i int) job.TaskID {
 	return job.TaskID{Job: o.Job, Step: o.Step, Index: o.Tasks[i].Index}
--- a/internal/entry/agent/agent.go
+++ b/internal/entry/agent/agent.go
@@ -136,25 +136,33 @@
 	loadCost = 0.5
 	// zoneCost is the cost of placing a task in another availability zone: 1 ms for a task of 50 ms.
 	zoneCost = 0.02
-	// rackCost is the cost of running a task away from its data. It corresponds to the platform's remote_factor of 1.5.
-	rackCost = 0.5
 	// costJitter keeps entries that see the same room from choosing the same upstream.
 	costJitter = 0.2
 )
 
-// Cost returns the cost of running a task of a step at the upstream, for an entry in the zone from. The upstream with the lowest cost
-// is chosen. median is the median pace of all upstreams.
-func (a *Record) Cost(step *job.Step, from ident.Zone, median float64, rng *rand.Rand) float64 {
-	c := a.relativePace(median) * (1 + loadCost*a.Utilization() + costJitter*rng.Float64())
+// Cost returns the cost of running a task at the upstream, for an entry in the zone from: when the task would end there, in multiples of
+// the median run time, plus the small terms above. The upstream with the lowest cost is chosen. remote is the factor by which the
+// upstream's distance from the task's data slows the task (RemoteFactor), and median the median pace of all upstreams.
+func (a *Record) Cost(remote float64, from ident.Zone, median float64, rng *rand.Rand) float64 {
+	c := a.relativePace(median) * (remote + loadCost*a.Utilization() + costJitter*rng.Float64())
 	if a.Zone != from {
 		c += zoneCost
 	}
-	if step.Prefers != "" && !a.Upstream.HasLabel(step.Prefers) {
-		c += rackCost
-	}
 	return c
 }
 
+// IsRemote reports whether the upstream is away from the data of a step.
+func (a *Record) IsRemote(step *job.Step) bool { return !a.Upstream.HasLabel(step.Prefers) }
+
+// RemoteFactor returns how many times as long a task of a step takes at the upstream as near its data, if it takes factor times as long
+// on any upstream that is away from it.
+func (a *Record) RemoteFactor(step *job.Step, factor float64) float64 {
+	if a.IsRemote(step) {
+		return factor
+	}
+	return 1
+}
+
 // Utilization returns the share of the upstream's CPU that is used, from 0 to 1.
 func (a *Record) Utilization() float64 {
 	if a.Upstream.Total.CPU == 0 {
--- a/internal/entry/dispatch/crash.go
+++ b/internal/entry/dispatch/crash.go
@@ -195,7 +195,7 @@
 			return
 		}
 		if a := t.chooseAlone(now, k, among); a != nil {
-			o := t.newOrder(k.job, int(k.id.Step))
+			o := t.newOrder(a, k.job, int(k.id.Step))
 			a.ReserveAll()
 			t.assign(now, k, a, o)
 			alone := t.aloneFor(now, k)
@@ -208,13 +208,13 @@
 	}
 }
 
-// aloneFor returns how long after its start a task is to be alone. If no crash tells when the task may crash its upstream,
+// aloneFor returns how long after its start a placed task is to be alone. If no crash tells when the task may crash its upstream,
 // it is for as long as the task should take.
 func (t *Table) aloneFor(now time.Time, k *task) time.Duration {
 	unconfirmed, _ := t.unconfirmed.Of(now, k.id)
 	alone := t.crashes.AloneFor(k.id, unconfirmed)
 	if len(t.crashes.Crashes(k.id))+len(unconfirmed) == 0 {
-		alone += k.job.spec.Steps[k.id.Step].Estimate
+		alone += t.runTime(k.agent, &k.job.spec.Steps[k.id.Step], 1)
 	}
 	return alone
 }
@@ -255,7 +255,7 @@
 		return t.eligible(a, k, step) && !t.tooSlow(now, a, k)
 	}
 	return placement.Cheapest(among, mayTake, func(a *agentState) float64 {
-		return a.Cost(step, t.opts.Zone, t.pace, t.rng) + usedRoomCost*a.Utilization()
+		return t.cost(a, step) + usedRoomCost*a.Utilization()
 	})
 }
 
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -283,6 +283,7 @@
 
 // New returns an empty Table. The seed makes runs reproducible.
 func New(o Options, a Agents, c Callers, ob Observer, seed uint64) *Table {
+	o.RemoteFactor = max(1, o.RemoteFactor)
 	return &Table{
 		opts: o, agentsIO: a, callers: c, observer: ob, rng: rand.New(rand.NewPCG(seed, 0)),
 		jobs: make(map[job.ID]*jobState), queues: make(map[ident.Service]*queue.Queue[*jobState]),
--- a/internal/entry/dispatch/move.go
+++ b/internal/entry/dispatch/move.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"hillreel/internal/core/fleet"
@@ -26,21 +27,15 @@
 	}
 }
 
-// shouldMove reports whether a task would finish enough earlier elsewhere that its job's result gains value.
+// shouldMove reports whether a running task could be placed at another upstream now and would finish enough earlier there that its
+// job's result gains value.
 func (t *Table) shouldMove(now time.Time, k *task, left time.Duration) bool {
-	restarted := time.Duration(t.pace * float64(k.job.spec.Steps[k.id.Step].Estimate))
-	return retry.ShouldMove(now.Sub(k.job.submitted), k.job.objective, left, restarted) && t.hasRoomElsewhere(k)
-}
-
-// hasRoomElsewhere reports whether a running task could be placed at another upstream now.
-func (t *Table) hasRoomElsewhere(k *task) bool {
+	took := now.Sub(k.job.submitted)
 	step := &k.job.spec.Steps[k.id.Step]
-	for _, a := range t.agentList {
-		if a != k.agent && !a.IsSlow(t.pace) && t.eligible(a, k, step) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(t.agentList, func(a *agentState) bool {
+		return a != k.agent && retry.ShouldMove(took, k.job.objective, left, t.runTime(a, step, t.pace)) &&
+			!a.IsSlow(t.pace) && t.eligible(a, k, step)
+	})
 }
 
 // move stops a task's run. The task is placed elsewhere once the run has ended.
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -83,7 +83,7 @@
 		}
 		o := orders[a]
 		if o == nil {
-			o = t.newOrder(j, s)
+			o = t.newOrder(a, j, s)
 			orders[a] = o
 			agents = append(agents, a)
 		}
@@ -95,10 +95,14 @@
 	return waits
 }
 
-// newOrder returns an order for one step that has no tasks yet.
-func (t *Table) newOrder(j *jobState, s int) *fleet.Order {
+// newOrder returns an order to an agent for one step that has no tasks yet.
+func (t *Table) newOrder(a *agentState, j *jobState, s int) *fleet.Order {
 	step := &j.spec.Steps[s]
-	return &fleet.Order{Job: j.id, Step: uint32(s), Spec: j.spec.Text, Each: step.Each, Estimate: step.Estimate, Kept: j.kept}
+	o := &fleet.Order{Job: j.id, Step: uint32(s), Spec: j.spec.Text, Each: step.Each, Estimate: step.Estimate, Kept: j.kept}
+	if a.IsRemote(step) {
+		o.RemoteFactor = t.opts.RemoteFactor
+	}
+	return o
 }
 
 // assign records that a task goes to an agent and adds it to the order.
@@ -145,13 +149,23 @@
 	mayTake := func(a *agentState) bool {
 		return t.eligible(a, k, step) && !t.tooSlow(now, a, k) && !t.reservedForOthers(now, a, k)
 	}
-	cost := func(a *agentState) float64 { return a.Cost(step, t.opts.Zone, t.pace, t.rng) }
+	cost := func(a *agentState) float64 { return t.cost(a, step) }
 	if step.Prefers != "" {
 		return placement.Cheapest(among, mayTake, cost)
 	}
 	return placement.CheapestOfSample(t.rng, among, mayTake, cost)
 }
 
+// cost rates an upstream for a task of a step; lower is better.
+func (t *Table) cost(a *agentState, step *job.Step) float64 {
+	return a.Cost(a.RemoteFactor(step, t.opts.RemoteFactor), t.opts.Zone, t.pace, t.rng)
+}
+
+// runTime returns how long a task of a step should take on an upstream that has a pace.
+func (t *Table) runTime(a *agentState, step *job.Step, pace float64) time.Duration {
+	return time.Duration(pace * a.RemoteFactor(step, t.opts.RemoteFactor) * float64(step.Estimate))
+}
+
 // lastResortMargin is how long before a job's wait ends it accepts a slow upstream at which it will be late: the duration
 // of one tick.
 const lastResortMargin = 20 * time.Millisecond
@@ -161,8 +175,7 @@
 	if !a.IsSlow(t.pace) || !now.Before(k.job.waitUntil.Add(-lastResortMargin)) {
 		return false
 	}
-	estimate := k.job.spec.Steps[k.id.Step].Estimate
-	end := now.Add(time.Duration(a.Room().Pace * float64(estimate)))
+	end := now.Add(t.runTime(a, &k.job.spec.Steps[k.id.Step], a.Room().Pace))
 	return retry.Rate(end.Sub(k.job.submitted), k.job.objective) < retry.InTime
 }
 
--- a/internal/entry/node/observe.go
+++ b/internal/entry/node/observe.go
@@ -66,6 +66,9 @@
 func (o *Observer) Placed(id job.ID, agent ident.UpstreamName, order *fleet.Order, waited time.Duration) {
 	o.counters.Add("orders", 1)
 	o.counters.Add("tasks_ordered", int64(len(order.Tasks)))
+	if order.RemoteFactor > 1 {
+		o.counters.Add("tasks_ordered_remote", int64(len(order.Tasks)))
+	}
 	h := o.history(id)
 	again := h.notePlacement(agent, order, waited)
 	if len(again) == 0 {
--- a/internal/entry/node/observe_test.go
+++ b/internal/entry/node/observe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"expvar"
 	"strings"
 	"testing"
 	"time"
@@ -41,6 +42,24 @@
 	o.Placed(7, "here", order, 0)
 }
 
+// TestRemoteTasksAreCounted checks that operators can see how many tasks are ordered away from their data.
+func TestRemoteTasksAreCounted(t *testing.T) {
+	count := func() int64 {
+		if v, ok := expvar.Get("entry").(*expvar.Map).Get("tasks_ordered_remote").(*expvar.Int); ok {
+			return v.Value()
+		}
+		return 0
+	}
+	logLines(func(o *node.Observer) {
+		takeJob(o)
+		before := count()
+		for _, factor := range []float64{0, 1, 1.5} {
+			o.Placed(7, "here", &fleet.Order{Job: 7, RemoteFactor: factor, Tasks: make([]fleet.TaskRun, 2)}, 0)
+		}
+		qt.Assert(t, count()-before, qt.Equals, int64(2))
+	})
+}
+
 // TestTakenLine checks that a job's first log line states how long its caller still waits, if that is known.
 func TestTakenLine(t *testing.T) {
 	for _, test := range []struct {
