pace, dispatch: upstreams without a pace have that of their kind

An upstream that is new, or was idle for 5 s, has no pace and was rated by the median of all: one of a slow kind of VM got tasks that end late there, one of a fast kind too few. Labels tell the kind, but not which of them does. It is taken to be the label that most upstreams share, of those that not all share and that are not the rack the step prefers, if at least two upstreams with it have a pace; else the median of all stands in as before.

Paces by label are kept sorted, as those of all were.

GET /v1/upstreams shows the pace that is used, and pace_source: own, kind, all.

Tests fail with the kinds, each condition on labels, or the update after a new description taken out.

--- a/internal/entry/agent/agent.go
+++ b/internal/entry/agent/agent.go
@@ -141,10 +141,10 @@
 )
 
 // Cost returns the cost of running a task at the upstream, for an entry in the zone from: when the task would end there, in multiples of
-// the median run time, plus the small terms above. The upstream with the lowest cost is chosen. remote is the factor by which the
-// upstream's distance from the task's data slows the task (RemoteFactor), and median the median pace of all upstreams.
-func (a *Record) Cost(remote float64, from ident.Zone, median float64, rng *rand.Rand) float64 {
-	c := a.relativePace(median) * (remote + loadCost*a.Utilization() + costJitter*rng.Float64())
+// the median run time, plus the small terms above. The upstream with the lowest cost is chosen. pace is the upstream's pace divided by the
+// median of all, and remote the factor by which the upstream's distance from the task's data slows the task (RemoteFactor).
+func (a *Record) Cost(pace, remote float64, from ident.Zone, rng *rand.Rand) float64 {
+	c := pace * (remote + loadCost*a.Utilization() + costJitter*rng.Float64())
 	if a.Zone != from {
 		c += zoneCost
 	}
@@ -170,14 +170,3 @@
 	}
 	return 1 - float64(a.Free().CPU)/float64(a.Upstream.Total.CPU)
 }
-
-// IsSlow reports whether the upstream is slow compared to the others. median is the median pace of all upstreams.
-func (a *Record) IsSlow(median float64) bool { return fleet.Slow(a.room.Pace, median) }
-
-// relativePace returns the upstream's pace divided by the median, or 1 if either is unknown.
-func (a *Record) relativePace(median float64) float64 {
-	if a.room.Pace == 0 || median == 0 {
-		return 1
-	}
-	return a.room.Pace / median
-}
--- a/internal/entry/agent/agent_test.go
+++ b/internal/entry/agent/agent_test.go
@@ -13,10 +13,10 @@
 )
 
 // newRecord returns an empty upstream in rack r-1 of zone z.
-func newRecord(pace float64) *agent.Record {
+func newRecord() *agent.Record {
 	a := &agent.Record{Upstream: fleet.Upstream{ID: "u-1", Labels: []job.Label{"a", "r-1"}, Total: job.Resources{CPU: 1000}}}
 	a.Link("vm-1", "z")
-	a.UpdateRoom(time.Unix(1000, 0), fleet.Room{Free: job.Resources{CPU: 1000}, State: fleet.Ready, Pace: pace})
+	a.UpdateRoom(time.Unix(1000, 0), fleet.Room{Free: job.Resources{CPU: 1000}, State: fleet.Ready})
 	return a
 }
 
@@ -38,13 +38,13 @@
 		{"no factor", 1, 1.25, 1, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			near, remote := newRecord(c.near), newRecord(c.remote)
+			near, remote := newRecord(), newRecord()
 			step := &job.Step{Prefers: "r-1"}
 			remote.Upstream.Labels = []job.Label{"a", "r-2"}
 			for seed := range uint64(20) {
 				rng := rand.New(rand.NewPCG(seed, 0))
-				nearCost := near.Cost(near.RemoteFactor(step, c.factor), "z", 1, rng)
-				remoteCost := remote.Cost(remote.RemoteFactor(step, c.factor), "z", 1, rng)
+				nearCost := near.Cost(c.near, near.RemoteFactor(step, c.factor), "z", rng)
+				remoteCost := remote.Cost(c.remote, remote.RemoteFactor(step, c.factor), "z", rng)
 				qt.Assert(t, nearCost < remoteCost, qt.Equals, c.wantNear, qt.Commentf("near %v, remote %v", nearCost, remoteCost))
 			}
 		})
--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -10,14 +10,13 @@
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/rule"
 	"hillreel/internal/entry/agent"
+	"hillreel/internal/entry/pace"
 )
 
 // agentState is an agent together with the tasks that are, or may be, at its upstream.
 type agentState struct {
 	agent.Record
 	runs map[job.TaskID]*task
-	// countedPace is the value with which the agent is included in the median pace; zero means not included.
-	countedPace float64
 	// lost is set while the agent was linked before and is not now.
 	lost bool
 }
@@ -91,8 +90,9 @@
 	// FreeCPU and TotalCPU are in thousandths of a core.
 	FreeCPU  int64 `json:"free_cpu_millis"`
 	TotalCPU int64 `json:"total_cpu_millis"`
-	// Pace is the ratio of the upstream's recent run times to their estimates.
-	Pace float64 `json:"pace"`
+	// Pace is the ratio of the upstream's recent run times to their estimates, or what is taken for it; PaceSource says which.
+	Pace       float64     `json:"pace"`
+	PaceSource pace.Source `json:"pace_source"`
 	// Runs counts only the runs of this entry.
 	Runs int `json:"runs"`
 	// Cordoned is set if operators have cordoned the upstream, its zone, or a selector that matches it.
@@ -104,9 +104,10 @@
 	out := []Upstream{}
 	for _, a := range t.agentList {
 		if a.Known() {
+			p, source := t.paces.Of(a.ID, "")
 			out = append(out, Upstream{
 				a.Name, a.Upstream.ID, a.Zone, a.Upstream.Service, a.Room().State, a.Room().Free.CPU, a.Upstream.Total.CPU,
-				a.Room().Pace, len(a.runs), !t.permits(a, a.Upstream.Service),
+				p, source, len(a.runs), !t.permits(a, a.Upstream.Service),
 			})
 		}
 	}
@@ -135,6 +136,7 @@
 func (t *Table) HandleUpstream(now time.Time, id ident.Incarnation, u fleet.Upstream) {
 	if a := t.agents[id]; a != nil {
 		a.Upstream = u
+		t.updatePace(a)
 		t.resolveUnconfirmed(now, a)
 	}
 }
@@ -251,27 +253,19 @@
 	t.crashes.SetUpstreamCount(len(t.agentList))
 }
 
-// updatePace updates the median of all paces with an agent's pace. The median is the reference for rating upstreams and for
-// estimating how long a job will take. The paces are kept sorted because an entry of a large site receives up to 2,000
-// reports of free capacity a second under load.
+// updatePace updates the paces of the upstreams, and their median, with an agent's pace. The median is the reference for rating upstreams
+// and for estimating how long a job will take.
 func (t *Table) updatePace(a *agentState) {
-	pace := a.Room().Pace
-	if !a.Linked {
-		pace = 0
-	}
-	if pace == a.countedPace {
-		return
-	}
-	if i, found := slices.BinarySearch(t.paces, a.countedPace); found {
-		t.paces = slices.Delete(t.paces, i, i+1)
-	}
-	if pace > 0 {
-		i, _ := slices.BinarySearch(t.paces, pace)
-		t.paces = slices.Insert(t.paces, i, pace)
-	}
-	a.countedPace = pace
-	t.pace = 1
-	if len(t.paces) > 0 {
-		t.pace = t.paces[len(t.paces)/2]
+	if a.Linked {
+		t.paces.Set(a.ID, a.Upstream.Labels, a.Room().Pace)
+	} else {
+		t.paces.Remove(a.ID)
 	}
+	t.pace = t.paces.Median()
+}
+
+// paceFor returns the pace that an upstream is taken to have for a task of a step.
+func (t *Table) paceFor(a *agentState, step *job.Step) float64 {
+	p, _ := t.paces.Of(a.ID, step.Prefers)
+	return p
 }
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/demand"
 	"hillreel/internal/entry/holders"
+	"hillreel/internal/entry/pace"
 	"hillreel/internal/entry/queue"
 )
 
@@ -249,8 +250,8 @@
 	entries   int
 	// unconfirmed holds runs that were lost together with their agents.
 	unconfirmed unconfirmed.Crashes
-	// paces holds the paces of the linked agents, sorted. pace is their median, or 1 if none is known.
-	paces []float64
+	// paces holds the paces of the linked agents' upstreams. pace is their median, or 1 if none is known.
+	paces *pace.Paces
 	pace  float64
 	// unplaced is set while there are waiting tasks that have not been checked against all agents yet.
 	unplaced bool
@@ -287,7 +288,7 @@
 	return &Table{
 		opts: o, agentsIO: a, callers: c, observer: ob, rng: rand.New(rand.NewPCG(seed, 0)),
 		jobs: make(map[job.ID]*jobState), queues: make(map[ident.Service]*queue.Queue[*jobState]),
-		agents: make(map[ident.Incarnation]*agentState), pace: 1, entries: 1, resends: demand.NewResendDetector(),
+		agents: make(map[ident.Incarnation]*agentState), paces: pace.New(), pace: 1, entries: 1, resends: demand.NewResendDetector(),
 		crashes: crash.New(o.Without), cordonRefusals: make(map[ident.Zone]int64),
 		holders: holders.New(), releases: make(map[job.ID]*releaseRequest), replies: make(map[job.ID][]releaseReply),
 		allowed: func(ident.UpstreamName, ident.Zone, ident.Service) bool { return true },
--- a/internal/entry/dispatch/move.go
+++ b/internal/entry/dispatch/move.go
@@ -34,7 +34,7 @@
 	step := &k.job.spec.Steps[k.id.Step]
 	return slices.ContainsFunc(t.agentList, func(a *agentState) bool {
 		return a != k.agent && retry.ShouldMove(took, k.job.objective, left, t.runTime(a, step, t.pace)) &&
-			!a.IsSlow(t.pace) && t.eligible(a, k, step)
+			!fleet.Slow(t.paceFor(a, step), t.pace) && t.eligible(a, k, step)
 	})
 }
 
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -158,7 +158,7 @@
 
 // cost rates an upstream for a task of a step; lower is better.
 func (t *Table) cost(a *agentState, step *job.Step) float64 {
-	return a.Cost(a.RemoteFactor(step, t.opts.RemoteFactor), t.opts.Zone, t.pace, t.rng)
+	return a.Cost(t.paceFor(a, step)/t.pace, a.RemoteFactor(step, t.opts.RemoteFactor), t.opts.Zone, t.rng)
 }
 
 // runTime returns how long a task of a step should take on an upstream that has a pace.
@@ -172,10 +172,12 @@
 
 // tooSlow reports whether a slow upstream would make a task's job late while the job can still wait for another upstream.
 func (t *Table) tooSlow(now time.Time, a *agentState, k *task) bool {
-	if !a.IsSlow(t.pace) || !now.Before(k.job.waitUntil.Add(-lastResortMargin)) {
+	step := &k.job.spec.Steps[k.id.Step]
+	pace := t.paceFor(a, step)
+	if !fleet.Slow(pace, t.pace) || !now.Before(k.job.waitUntil.Add(-lastResortMargin)) {
 		return false
 	}
-	end := now.Add(t.runTime(a, &k.job.spec.Steps[k.id.Step], a.Room().Pace))
+	end := now.Add(t.runTime(a, step, pace))
 	return retry.Rate(end.Sub(k.job.submitted), k.job.objective) < retry.InTime
 }
 
