placement, dispatch: no upstream alone makes a job late

Only upstreams slower than 1.7 times the median were avoided by tasks that would be late there. At speeds of 0.6, 1 and 1.6 a long job that has waited is late at the slowest, and one of a factor of 3 is late away from its data, but neither upstream was slow, and the cheapest may have been one at which the job is late. Now a task goes first to upstreams with room that end it in time. If only others have room it waits while its job would be in time at one of the usual pace and may still wait; the last resort stays as it was. A job that is late anyway takes the room at once; so far it waited for the last resort at a slow upstream.

--- a/internal/entry/dispatch/crash.go
+++ b/internal/entry/dispatch/crash.go
@@ -252,7 +252,8 @@
 		case elsewhere && t.crashes.HasCrashOn(k.id, a.Name), others && t.crashes.HasAloneCrashOn(now, k.id, a.Name, otherVMWait):
 			return false
 		}
-		return t.eligible(a, k, step) && !t.tooSlow(now, a, k)
+		offer := t.offer(now, a, k)
+		return t.eligible(a, k, step) && (offer.InTime() || offer.Take())
 	}
 	return placement.Cheapest(among, mayTake, func(a *agentState) float64 {
 		return t.cost(a, step) + usedRoomCost*a.Utilization()
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -10,7 +10,6 @@
 	"hillreel/internal/core/rule"
 	"hillreel/internal/entry/placement"
 	"hillreel/internal/entry/queue"
-	"hillreel/internal/entry/retry"
 )
 
 // queue returns the queue of a service and creates it if necessary.
@@ -142,13 +141,35 @@
 }
 
 // choose returns the agent among some for a task, or nil if none fits: the cheapest of a small sample of those that could
-// take it. A task that prefers a rack is rated against all agents, because being close to its data matters more to it than
+// take it and end it in time, else of those at which it should rather be late than wait. A task that prefers a rack is rated against all agents, because being close to its data matters more to it than
 // avoiding races between entries.
 func (t *Table) choose(now time.Time, k *task, among []*agentState) *agentState {
 	step := &k.job.spec.Steps[k.id.Step]
-	mayTake := func(a *agentState) bool {
-		return t.eligible(a, k, step) && !t.tooSlow(now, a, k) && !t.reservedForOthers(now, a, k)
+	hasRoom := func(a *agentState) bool { return t.eligible(a, k, step) && !t.reservedForOthers(now, a, k) }
+	mayTake := false
+	inTime := func(a *agentState) bool {
+		if !hasRoom(a) {
+			return false
+		}
+		offer := t.offer(now, a, k)
+		if offer.InTime() {
+			return true
+		}
+		mayTake = mayTake || offer.Take()
+		return false
+	}
+	if a := t.cheapest(step, among, inTime); a != nil || !mayTake {
+		return a
+	}
+	late := func(a *agentState) bool {
+		offer := t.offer(now, a, k)
+		return offer.Take() && hasRoom(a)
 	}
+	return t.cheapest(step, among, late)
+}
+
+// cheapest returns the cheapest of the agents that may take a task of a step.
+func (t *Table) cheapest(step *job.Step, among []*agentState, mayTake func(*agentState) bool) *agentState {
 	cost := func(a *agentState) float64 { return t.cost(a, step) }
 	if step.Prefers != "" {
 		return placement.Cheapest(among, mayTake, cost)
@@ -170,15 +191,15 @@
 // of one tick.
 const lastResortMargin = 20 * time.Millisecond
 
-// tooSlow reports whether a slow upstream would make a task's job late while the job can still wait for another upstream.
-func (t *Table) tooSlow(now time.Time, a *agentState, k *task) bool {
-	step := &k.job.spec.Steps[k.id.Step]
-	pace := t.paceFor(a, step)
-	if !fleet.Slow(pace, t.pace) || !now.Before(k.job.waitUntil.Add(-lastResortMargin)) {
-		return false
+// offer rates the room at an agent's upstream for a task by when the task would end.
+func (t *Table) offer(now time.Time, a *agentState, k *task) placement.Offer {
+	j := k.job
+	step := &j.spec.Steps[k.id.Step]
+	took := now.Sub(j.submitted)
+	return placement.Offer{
+		Here: took + t.runTime(a, step, t.paceFor(a, step)), Elsewhere: took + time.Duration(t.pace*float64(step.Estimate)),
+		Objective: j.objective, LastResort: !now.Before(j.waitUntil.Add(-lastResortMargin)),
 	}
-	end := now.Add(t.runTime(a, step, pace))
-	return retry.Rate(end.Sub(k.job.submitted), k.job.objective) < retry.InTime
 }
 
 // eligible reports whether a task may go to an agent now.
