--- a/internal/entry/dispatch/claims.go
+++ b/internal/entry/dispatch/claims.go
@@ -137,7 +137,9 @@
 		if !a.Serves(service, fleet.Ready) || !a.Upstream.HasLabel(step.Requires) || !step.Each.Fits(a.Upstream.Total) {
 			continue
 		}
-		if !t.permits(a, service) || t.tooSlow(now, a, k) || slices.Contains(k.avoid, a.Upstream.ID) {
+		offer := t.offer(now, a, k)
+		suits := offer.InTime() || offer.Take()
+		if !suits || !t.permits(a, service) || slices.Contains(k.avoid, a.Upstream.ID) {
 			continue
 		}
 		out = append(out, a.ID)
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	"hillreel/internal/entry/claim"
 	"hillreel/internal/entry/demand"
 	"hillreel/internal/entry/holders"
+	"hillreel/internal/entry/pace"
 	"hillreel/internal/entry/queue"
 	"hillreel/internal/entry/shares"
 )
@@ -259,8 +260,8 @@
 	entries   int
 	// unconfirmed holds runs that were lost together with their agents.
 	unconfirmed unconfirmed.Crashes
-	// paces holds the paces of the linked agents, sorted. pace is their median, or 1 if none is known.
-	paces []float64
+	// paces holds the paces of the linked agents' upstreams. pace is their median, or 1 if none is known.
+	paces *pace.Paces
 	pace  float64
 	// noRoom tells, while capacity is offered to the jobs of one queue, which tasks have no room.
 	noRoom noRoom
@@ -300,10 +301,11 @@
 
 // New returns an empty Table. The seed makes runs reproducible.
 func New(o Options, a Agents, c Callers, ob Observer, seed uint64) *Table {
+	o.RemoteFactor = max(1, o.RemoteFactor)
 	return &Table{
 		opts: o, agentsIO: a, callers: c, observer: ob, rng: rand.New(rand.NewPCG(seed, 0)),
 		jobs: make(map[job.ID]*jobState), queues: make(map[ident.Service]*queue.Queue[*jobState]),
-		agents: make(map[ident.Incarnation]*agentState), pace: 1, entries: 1, resends: demand.NewResendDetector(),
+		agents: make(map[ident.Incarnation]*agentState), paces: pace.New(), pace: 1, entries: 1, resends: demand.NewResendDetector(),
 		shortAt: make(map[ident.Service]time.Time), crashes: crash.New(o.Without), shares: shares.New(), cordonRefusals: make(map[ident.Zone]int64),
 		holders: holders.New(), releases: make(map[job.ID]*releaseRequest), replies: make(map[job.ID][]releaseReply),
 		claims:  claimState{sets: make(map[ident.Service]*claim.Set)},
--- a/internal/entry/dispatch/offer.go
+++ b/internal/entry/dispatch/offer.go
@@ -25,9 +25,9 @@
 // covers reports whether a task is at least as large as one that fits nowhere.
 func (n *noRoom) covers(each job.Resources) bool { return n.set && n.each.Fits(each) }
 
-// offer offers the free capacity of some agents to the jobs of one queue, until none has room for the smallest task or a
+// offerRoom offers the free capacity of some agents to the jobs of one queue, until none has room for the smallest task or a
 // job comes that may not be passed.
-func (t *Table) offer(now time.Time, q *queue.Queue[*jobState], among []*agentState) {
+func (t *Table) offerRoom(now time.Time, q *queue.Queue[*jobState], among []*agentState) {
 	t.noRoom = noRoom{}
 	q.Offer(func(j *jobState) bool {
 		waits := t.placeJob(now, j, among)
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -10,7 +10,6 @@
 	"hillreel/internal/core/rule"
 	"hillreel/internal/entry/placement"
 	"hillreel/internal/entry/queue"
-	"hillreel/internal/entry/retry"
 )
 
 // queue returns the queue of a service and creates it if necessary.
@@ -57,7 +56,7 @@
 	}
 	for _, q := range t.queueList {
 		if anyRoom(q, among) {
-			t.offer(now, q, among)
+			t.offerRoom(now, q, among)
 		}
 		if q.HasInTime() {
 			t.shortAt[q.Service] = now
@@ -98,7 +97,7 @@
 		}
 		o := orders[a]
 		if o == nil {
-			o = t.newOrder(j, s)
+			o = t.newOrder(a, j, s)
 			orders[a] = o
 			agents = append(agents, a)
 		}
@@ -110,10 +109,14 @@
 	return waits
 }
 
-// newOrder returns an order for one step that has no tasks yet.
-func (t *Table) newOrder(j *jobState, s int) *fleet.Order {
+// newOrder returns an order to an agent for one step that has no tasks yet.
+func (t *Table) newOrder(a *agentState, j *jobState, s int) *fleet.Order {
 	step := &j.spec.Steps[s]
-	return &fleet.Order{Job: j.id, Step: uint32(s), Spec: j.spec.Text, Each: step.Each, Estimate: step.Estimate, Kept: j.kept}
+	o := &fleet.Order{Job: j.id, Step: uint32(s), Spec: j.spec.Text, Each: step.Each, Estimate: step.Estimate, Kept: j.kept}
+	if a.IsRemote(step) {
+		o.RemoteFactor = t.opts.RemoteFactor
+	}
+	return o
 }
 
 // assign records that a task goes to an agent and adds it to the order.
@@ -154,41 +157,76 @@
 }
 
 // choose returns the agent among some for a task, or nil if none fits: the cheapest of a small sample of those that could
-// take it. A task that prefers a rack is rated against all agents, because being close to its data matters more to it than
-// avoiding races between entries.
+// take it and end it in time, else of those at which it should rather be late than wait. A task that prefers a rack is rated
+// against all agents, because being close to its data matters more to it than avoiding races between entries.
 func (t *Table) choose(now time.Time, k *task, among []*agentState) *agentState {
 	step := &k.job.spec.Steps[k.id.Step]
 	foundRoom := false
-	mayTake := func(a *agentState) bool {
+	hasRoom := func(a *agentState) bool {
 		if !a.CanTake(k.job.route.Service, step) {
 			return false
 		}
 		foundRoom = true
-		return t.eligible(a, k, step) && !t.tooSlow(now, a, k) && !t.reservedForOthers(now, a, k) && !t.isProbablyTaken(now, a, k)
+		return t.eligible(a, k, step) && !t.reservedForOthers(now, a, k) && !t.isProbablyTaken(now, a, k)
 	}
-	cost := func(a *agentState) float64 { return a.Cost(step, t.opts.Zone, t.pace, t.rng) }
-	if step.Prefers != "" {
-		return placement.Cheapest(among, mayTake, cost)
+	mayTake := false
+	inTime := func(a *agentState) bool {
+		if !hasRoom(a) {
+			return false
+		}
+		offer := t.offer(now, a, k)
+		if offer.InTime() {
+			return true
+		}
+		mayTake = mayTake || offer.Take()
+		return false
 	}
-	chosen := placement.CheapestOfSample(t.rng, among, mayTake, cost)
+	best := t.cheapest(step, among, inTime)
 	if !foundRoom && step.Requires == "" {
 		t.noRoom.add(step.Each)
 	}
-	return chosen
+	if best != nil || !mayTake {
+		return best
+	}
+	late := func(a *agentState) bool {
+		offer := t.offer(now, a, k)
+		return offer.Take() && hasRoom(a)
+	}
+	return t.cheapest(step, among, late)
+}
+
+// cheapest returns the cheapest of the agents that may take a task of a step.
+func (t *Table) cheapest(step *job.Step, among []*agentState, mayTake func(*agentState) bool) *agentState {
+	cost := func(a *agentState) float64 { return t.cost(a, step) }
+	if step.Prefers != "" {
+		return placement.Cheapest(among, mayTake, cost)
+	}
+	return placement.CheapestOfSample(t.rng, among, mayTake, cost)
+}
+
+// cost rates an upstream for a task of a step; lower is better.
+func (t *Table) cost(a *agentState, step *job.Step) float64 {
+	return a.Cost(t.paceFor(a, step)/t.pace, a.RemoteFactor(step, t.opts.RemoteFactor), t.opts.Zone, t.rng)
+}
+
+// runTime returns how long a task of a step should take on an upstream that has a pace.
+func (t *Table) runTime(a *agentState, step *job.Step, pace float64) time.Duration {
+	return time.Duration(pace * a.RemoteFactor(step, t.opts.RemoteFactor) * float64(step.Estimate))
 }
 
 // lastResortMargin is how long before a job's wait ends it accepts a slow upstream at which it will be late: the duration
 // of one tick.
 const lastResortMargin = 20 * time.Millisecond
 
-// tooSlow reports whether a slow upstream would make a task's job late while the job can still wait for another upstream.
-func (t *Table) tooSlow(now time.Time, a *agentState, k *task) bool {
-	if !a.IsSlow(t.pace) || !now.Before(k.job.waitUntil.Add(-lastResortMargin)) {
-		return false
+// offer rates the room at an agent's upstream for a task by when the task would end.
+func (t *Table) offer(now time.Time, a *agentState, k *task) placement.Offer {
+	j := k.job
+	step := &j.spec.Steps[k.id.Step]
+	took := now.Sub(j.submitted)
+	return placement.Offer{
+		Here: took + t.runTime(a, step, t.paceFor(a, step)), Elsewhere: took + time.Duration(t.pace*float64(step.Estimate)),
+		Objective: j.objective, LastResort: !now.Before(j.waitUntil.Add(-lastResortMargin)),
 	}
-	estimate := k.job.spec.Steps[k.id.Step].Estimate
-	end := now.Add(time.Duration(a.Room().Pace * float64(estimate)))
-	return retry.Rate(end.Sub(k.job.submitted), k.job.objective) < retry.InTime
 }
 
 // eligible reports whether a task may go to an agent now.
