placement, dispatch: tasks wait for room near their data while they gain by it

A task whose preferred rack was full went elsewhere at once, where it takes remote_factor times as long, while room in the rack came free a moment later. It now declines such room while it should end sooner by that (delay scheduling): by the time in which the rack's room comes free, divided among all entries, and by how many tasks of this entry wait for the rack already. It declines for no longer than it could gain in all, and not past the moment from which its job is late elsewhere or may be refused. Upstreams near the data that take no work, that the task avoids, or that have as many of its step's tasks as they may, are not waited for. Other tasks take the room that it declines: a waiting task does not count among those that are passed.

Metric near_waits.

--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -253,6 +253,10 @@
 	// paces holds the paces of the linked agents' upstreams. pace is their median, or 1 if none is known.
 	paces *pace.Paces
 	pace  float64
+	// waitingNear counts, by rack, the tasks that have declined room elsewhere and wait for room near their data. nearWaits counts all such
+	// tasks so far.
+	waitingNear map[job.Label]int
+	nearWaits   int64
 	// unplaced is set while there are waiting tasks that have not been checked against all agents yet.
 	unplaced bool
 	// lostAgents counts the agents whose session has ended but which are not forgotten yet.
@@ -288,7 +292,7 @@
 	return &Table{
 		opts: o, agentsIO: a, callers: c, observer: ob, rng: rand.New(rand.NewPCG(seed, 0)),
 		jobs: make(map[job.ID]*jobState), queues: make(map[ident.Service]*queue.Queue[*jobState]),
-		agents: make(map[ident.Incarnation]*agentState), paces: pace.New(), pace: 1, entries: 1, resends: demand.NewResendDetector(),
+		agents: make(map[ident.Incarnation]*agentState), paces: pace.New(), pace: 1, waitingNear: make(map[job.Label]int), entries: 1, resends: demand.NewResendDetector(),
 		crashes: crash.New(o.Without), cordonRefusals: make(map[ident.Zone]int64),
 		holders: holders.New(), releases: make(map[job.ID]*releaseRequest), replies: make(map[job.ID][]releaseReply),
 		allowed: func(ident.UpstreamName, ident.Zone, ident.Service) bool { return true },
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -39,7 +39,9 @@
 	agent *agentState
 	// placedAt is when the newest run was ordered.
 	placedAt time.Time
-	failures int
+	// declinedAt is when the task first declined room away from its data since it began to wait; zero if it has not.
+	declinedAt time.Time
+	failures   int
 	// checkpoint is the newest checkpoint that a run of the task has saved, or empty.
 	checkpoint string
 	// avoid lists the upstreams at which the task failed or stalled, or from which it was moved away.
@@ -152,6 +154,7 @@
 func (t *Table) dequeue(k *task) {
 	j := k.job
 	step := &j.steps[k.id.Step]
+	t.clearDeclined(k)
 	if i := slices.Index(step.waiting, k); i >= 0 {
 		step.waiting = slices.Delete(step.waiting, i, i+1)
 	}
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -75,9 +75,9 @@
 	orders := make(map[*agentState]*fleet.Order)
 	var agents []*agentState
 	for _, k := range others {
-		a := t.choose(now, k, among)
+		a, declined := t.choose(now, k, among)
 		if a == nil {
-			waits = true
+			waits = !declined
 			break
 		}
 		o := orders[a]
@@ -142,10 +142,20 @@
 
 // choose returns the agent among some for a task, or nil if none fits: the cheapest of a small sample of those that could
 // take it and end it in time, else of those at which it should rather be late than wait. A task that prefers a rack is rated against all agents, because being close to its data matters more to it than
-// avoiding races between entries.
-func (t *Table) choose(now time.Time, k *task, among []*agentState) *agentState {
+// avoiding races between entries. declined is set if the task has left room to others in order to wait for room near its data.
+func (t *Table) choose(now time.Time, k *task, among []*agentState) (best *agentState, declined bool) {
 	step := &k.job.spec.Steps[k.id.Step]
-	hasRoom := func(a *agentState) bool { return t.eligible(a, k, step) && !t.reservedForOthers(now, a, k) }
+	near := t.near(k)
+	hasRoom := func(a *agentState) bool {
+		if !t.eligible(a, k, step) || t.reservedForOthers(now, a, k) {
+			return false
+		}
+		if !t.declines(now, a, k, near) {
+			return true
+		}
+		declined = true
+		return false
+	}
 	mayTake := false
 	inTime := func(a *agentState) bool {
 		if !hasRoom(a) {
@@ -159,13 +169,16 @@
 		return false
 	}
 	if a := t.cheapest(step, among, inTime); a != nil || !mayTake {
-		return a
+		if a == nil && declined {
+			t.setDeclined(now, k)
+		}
+		return a, declined
 	}
 	late := func(a *agentState) bool {
 		offer := t.offer(now, a, k)
 		return offer.Take() && hasRoom(a)
 	}
-	return t.cheapest(step, among, late)
+	return t.cheapest(step, among, late), declined
 }
 
 // cheapest returns the cheapest of the agents that may take a task of a step.
@@ -212,7 +225,13 @@
 	if unwanted && t.anyReady(service, k.avoid) {
 		return false
 	}
-	return step.MaxPerUpstream == 0 || t.countTasksAt(a, k) < int(step.MaxPerUpstream)
+	return !t.hasMaxTasks(a, k)
+}
+
+// hasMaxTasks reports whether an agent has as many tasks of a task's step as may share an upstream.
+func (t *Table) hasMaxTasks(a *agentState, k *task) bool {
+	limit := int(k.job.spec.Steps[k.id.Step].MaxPerUpstream)
+	return limit > 0 && t.countTasksAt(a, k) >= limit
 }
 
 // countTasksAt counts the tasks of the same step that an agent has.
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -313,6 +313,12 @@
 	return out
 }
 
+// NearWaits counts the tasks that have waited for room near their data although there was room elsewhere.
+func (n *Node) NearWaits() (count int64) {
+	n.loop.Call(func() { count = n.table.NearWaits() })
+	return count
+}
+
 // SetAllowed replaces the function that decides which services an upstream may serve.
 func (n *Node) SetAllowed(f dispatch.Allowed) { n.loop.Post(func() { n.table.SetAllowed(f) }) }
 
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -101,6 +101,7 @@
 	p.Callers = web.New("callers", set.Entry.Callers, caller.New(p.Node, servicesInForce, int64(set.Entry.MaxBody), d.Log), callerLimits(set))
 	p.Metrics = web.New("metrics", set.Node.Metrics, ops.Handler(ops.Tokens(set.Entry), p.Node.Ready, api.Routes), web.Operators)
 	metrics.Report("zones", func() any { return p.Node.Zones() })
+	metrics.Report("near_waits", func() any { return p.Node.NearWaits() })
 	configFollower := follow.New(d.Store, d.Config.Table, follow.SinglePart, set.Platform.ConfigWait, p.configReader(d), d.Log).With(follow.Options{
 		WatchTimeout: func() time.Duration { return configWait(set, dir.Len()) },
 	})
