--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -265,6 +265,10 @@
 	pace  float64
 	// noRoom tells, while capacity is offered to the jobs of one queue, which tasks have no room.
 	noRoom noRoom
+	// waitingNear counts, by rack, the tasks that have declined room elsewhere and wait for room near their data. nearWaits counts all such
+	// tasks so far.
+	waitingNear map[job.Label]int
+	nearWaits   int64
 	// unplaced is set while there are waiting tasks that have not been checked against all agents yet.
 	unplaced bool
 	// lostAgents counts the agents whose session has ended but which are not forgotten yet.
@@ -305,8 +309,9 @@
 	return &Table{
 		opts: o, agentsIO: a, callers: c, observer: ob, rng: rand.New(rand.NewPCG(seed, 0)),
 		jobs: make(map[job.ID]*jobState), queues: make(map[ident.Service]*queue.Queue[*jobState]),
-		agents: make(map[ident.Incarnation]*agentState), paces: pace.New(), pace: 1, entries: 1, resends: demand.NewResendDetector(),
-		shortAt: make(map[ident.Service]time.Time), crashes: crash.New(o.Without), shares: shares.New(), cordonRefusals: make(map[ident.Zone]int64),
+		agents: make(map[ident.Incarnation]*agentState), paces: pace.New(), pace: 1, waitingNear: make(map[job.Label]int), entries: 1,
+		resends: demand.NewResendDetector(), shortAt: make(map[ident.Service]time.Time), crashes: crash.New(o.Without),
+		shares: shares.New(), cordonRefusals: make(map[ident.Zone]int64),
 		holders: holders.New(), releases: make(map[job.ID]*releaseRequest), replies: make(map[job.ID][]releaseReply),
 		claims:  claimState{sets: make(map[ident.Service]*claim.Set)},
 		allowed: func(ident.UpstreamName, ident.Zone, ident.Service) bool { return true },
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -107,6 +107,7 @@
 	metrics.Report("claims", func() any { return p.Node.Claims() })
 	metrics.Report("zones", func() any { return p.Node.Zones() })
 	metrics.Report("shares", func() any { return p.Node.Shares() })
+	metrics.Report("near_waits", func() any { return p.Node.NearWaits() })
 	configFollower := follow.New(d.Store, d.Config.Table, follow.SinglePart, set.Platform.ConfigWait, p.configReader(d), d.Log).With(follow.Options{
 		WatchTimeout: func() time.Duration { return configWait(set, dir.Len()) },
 	})
