load: a test of how evenly kinds of entries refuse, which fails

Cause: under shortage, weak entries are refused room more often than strong ones.

Done: TestShortageIsEvenAcrossEntries plays deploy/plans/unequal_entries.ini. Its bound is the target: no kind of entry is refused more than 1.5 times as often as all, nor as the other kind.

--- a/internal/load/world/shortage_test.go
+++ b/internal/load/world/shortage_test.go
@@ -41,3 +41,19 @@
 	t.Logf("%s: refused %.4f, %.2f times as often as all", name, part.RefusedShare(), ratio)
 	qt.Check(t, ratio <= maxUnfairness, qt.IsTrue, qt.Commentf("%s: %.2f", name, ratio))
 }
+
+// TestShortageIsEvenAcrossEntries guards against entries that get less room than others because their link or their thread is slower: no
+// kind of entry may be refused more often than that, neither relative to all jobs nor relative to the other kind.
+func TestShortageIsEvenAcrossEntries(t *testing.T) {
+	t.Parallel()
+	r, p := playUnequal(t)
+	for i := range p.Entries {
+		checkRefused(t, "asked of "+p.Entries[i].Name+" entries", r.EntryKinds[i], r.All)
+		for k := range p.Entries {
+			if k == i {
+				continue
+			}
+			checkRefused(t, p.Entries[i].Name+" entries, relative to "+p.Entries[k].Name, r.EntryKinds[i], r.EntryKinds[k])
+		}
+	}
+}
