dispatch: a job whose wait ended while the process stood still is refused again

Cause: since no wait ended while the entry listens after a pause, so that a job was offered room once more, 100 ms after the pause. Its caller may have sent it to another entry meanwhile, and the end of its connection be lost: two entries run it. Before, it was refused at the first tick. Found by reading the change after TestResentJobs had failed once (frozen: two tasks twice, 3.2 s after a suspension began); not shown to be that failure.

Done: such a job is refused at once, as before. TestWaitEndedInPause fails without it (one order).

--- a/internal/entry/dispatch/contact_test.go
+++ b/internal/entry/dispatch/contact_test.go
@@ -296,3 +296,17 @@
 	qt.Assert(t, b.answers[2].Verdict, qt.Equals, verdict.NotRun, qt.Commentf("a later request is answered at once"))
 	qt.Assert(t, b.orders, qt.HasLen, 0)
 }
+
+// TestWaitEndedInPause guards against tasks that two entries run at once. A job that has found no room waits while its entry's process is
+// paused for longer than the job may wait. Its caller may have submitted it elsewhere since, and the end of the connection may be lost: the
+// job is refused, and not placed once the process has listened.
+func TestWaitEndedInPause(t *testing.T) {
+	b := newHarness(t, 1)
+	b.hearing(100*time.Millisecond, 1)
+	b.room(1, fleet.Ready, 0, 0)
+	b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+	b.pauseProcess(2 * time.Second)
+	b.hearing(400*time.Millisecond, 1)
+	qt.Assert(t, b.orders, qt.HasLen, 0)
+	qt.Assert(t, b.answers[1].Verdict, qt.Equals, verdict.NotRun)
+}
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -201,9 +201,7 @@
 		return
 	case j.kept:
 		t.demote(j)
-	case t.isListening():
-		return // it may find room once the entry places again
-	case !t.placeAtLast(now, j):
+	case t.isListening() || !t.placeAtLast(now, j): // after a pause, the job's caller may have submitted it elsewhere
 		t.close(now, j, refused(verdict.Overloaded))
 	}
 }
