witness: agents on other VMs know how far suspects have come

What callers saw: a task that takes its agent and its entry down with each upstream was started without end, each time taking whatever ran there.

Cause: the age is known to the agent and to the entry that ordered the run, and dies with them. Agents on other VMs live on and know nothing.

Change: an entry tells two of them at each tick of its suspects that run alone. Cost: nothing without a suspect; else 2 x 50 messages of about 60 bytes a second for each entry, while a suspect is alone (100 ms for one that crashes at once). Removed by the next report, an empty one, or the end of the link. Lost or late: the former report stands, an age some ticks too low. Of a former life: the crash names the life, which is compared as before.

TestSame's digests move, as messages draw.

--- a/internal/agent/node/config_test.go
+++ b/internal/agent/node/config_test.go
@@ -29,8 +29,9 @@
 	mu sync.Mutex
 	// alive is the content of its keep-alives.
 	alive fleet.KeepAlive
-	// got counts the configurations that arrived.
-	got int
+	// got counts the configurations that arrived. unconfirmed holds the unconfirmed crashes that did.
+	got         int
+	unconfirmed []fleet.Crash
 }
 
 // listen starts the entry with the given number, which sets its loopback address. All entries have the same port.
@@ -64,6 +65,9 @@
 			if m.GetConfig() != nil {
 				e.set(func() { e.got++; e.alive.Config = ident.ConfigVersion(m.GetConfig().GetVersion()) })
 			}
+			if m.GetUnconfirmed() != nil {
+				e.set(func() { e.unconfirmed = append(e.unconfirmed, codec.ReadUnconfirmed(m.GetUnconfirmed())...) })
+			}
 		}
 	})
 }
@@ -93,6 +97,13 @@
 	return e.got
 }
 
+// told returns the unconfirmed crashes that arrived.
+func (e *fakeEntry) told() []fleet.Crash {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.unconfirmed
+}
+
 // keepAlive sends a keep-alive every 20 ms until the test ends.
 func (e *fakeEntry) keepAlive(t *testing.T, s *session.Session) {
 	for t.Context().Err() == nil {
--- a/internal/agent/node/crashes.go
+++ b/internal/agent/node/crashes.go
@@ -70,6 +70,17 @@
 	n.links.Broadcast(codec.Unconfirmed(all), from)
 }
 
+// reportWitnessed tells the other entries of the suspects that ran for an entry whose link has ended. If the entry still is there, or the
+// upstreams have not crashed, the entries find that out by themselves.
+func (n *Node) reportWitnessed(now time.Time, from *link) {
+	running := n.witness.Take(from.Peer)
+	if len(running) == 0 {
+		return
+	}
+	n.log.WithFields(logrus.Fields{"entry": from.Name(), "runs": len(running)}).Info("suspects_witnessed")
+	n.relayUnconfirmed(now, from, running)
+}
+
 // broadcastCrashes sends crashes and refutations to all entries except one. It sends to all if except is nil.
 func (n *Node) broadcastCrashes(except *link, crashes []fleet.Crash, refuted []fleet.Refutation) {
 	if len(crashes)+len(refuted) > 0 {
--- a/internal/agent/node/links.go
+++ b/internal/agent/node/links.go
@@ -239,6 +239,7 @@
 func (n *Node) handleLinkDown(now time.Time, s *session.Session, err error) {
 	if l := n.links.RemoveEnded(s, err); l != nil {
 		n.controller.EntryUnlinked(now, l.Peer, "link_down")
+		n.reportWitnessed(now, l)
 	}
 }
 
@@ -270,6 +271,8 @@
 		n.controller.QueryEnds(now, l.Peer, number, jobs)
 	case *wire.Msg_Unconfirmed:
 		n.relayUnconfirmed(now, l, codec.ReadUnconfirmed(m.Unconfirmed))
+	case *wire.Msg_Suspects:
+		n.witness.Replace(l.Peer, codec.ReadSuspects(m.Suspects))
 	case *wire.Msg_Claim:
 		n.controller.Claim(now, l.Peer, codec.ReadClaim(m.Claim))
 	case *wire.Msg_Demand:
--- a/internal/agent/node/node.go
+++ b/internal/agent/node/node.go
@@ -13,6 +13,7 @@
 	"hillreel/internal/agent/lives"
 	"hillreel/internal/agent/reservation"
 	"hillreel/internal/agent/upstream"
+	"hillreel/internal/agent/witness"
 	"hillreel/internal/config/cordon"
 	"hillreel/internal/core/boottime"
 	"hillreel/internal/core/crash"
@@ -66,6 +67,8 @@
 	crashes *crash.Tracker
 	// unconfirmed holds the crashes that entries have told of and could not confirm yet.
 	unconfirmed unconfirmed.Crashes
+	// witness holds the runs of suspected tasks on other VMs that entries have reported.
+	witness witness.Book
 	// localCrashes holds the crashes of this VM's upstreams, which are saved in the memory.
 	localCrashes []fleet.Crash
 	pulse        links.PauseDetector
--- a/internal/core/rule/rule.go
+++ b/internal/core/rule/rule.go
@@ -60,6 +60,9 @@
 	CrashStored Rule = "crash_stored"
 	// SuspectsTold: agents tell entries how far the runs of suspected tasks have come, in case that they are lost with their upstreams.
 	SuspectsTold Rule = "suspects_told"
+	// SuspectsWitnessed: entries tell agents on other VMs how far the runs of suspected tasks have come, in case that they are lost with
+	// their upstreams and agents.
+	SuspectsWitnessed Rule = "suspects_witnessed"
 	// CrashUnconfirmed: a task is started with the caution that its unconfirmed crashes ask for.
 	CrashUnconfirmed Rule = "crash_unconfirmed"
 	// UnconfirmedTold: entries tell each other about unconfirmed crashes.
@@ -80,7 +83,7 @@
 var All = []Rule{
 	SettleWait, StopsFirst, RunIDs, EchoedClock, FreshSession, CountSuspensions, StopSilent, FenceUnsure, SameTaskWaits, LapseBudget, LookFirst,
 	ConfirmLife, LifeBorn, CallersLost, HearEnds, ReleaseFirst, CordonGate, CordonKnown, CordonOrder, CountStopping, RoomHeard,
-	CrashAlone, CrashTold, CrashStored, SuspectsTold, CrashUnconfirmed, UnconfirmedTold, WithholdEnds, AckAfterLapse, OwnerLease, AskFirst, StoreFirst,
+	CrashAlone, CrashTold, CrashStored, SuspectsTold, SuspectsWitnessed, CrashUnconfirmed, UnconfirmedTold, WithholdEnds, AckAfterLapse, OwnerLease, AskFirst, StoreFirst,
 }
 
 // Set is a set of rules that are left out.
--- a/internal/core/unconfirmed/unconfirmed.go
+++ b/internal/core/unconfirmed/unconfirmed.go
@@ -56,11 +56,14 @@
 	told bool
 }
 
-// Add records an unconfirmed crash, unless it is recorded already. If there are maxCrashes, it drops the oldest one.
+// Add records an unconfirmed crash. If it is recorded already, the report counts that has heard of the run last. If there are
+// maxCrashes, it drops the oldest one.
 func (cs *Crashes) Add(now time.Time, c fleet.Crash, from Origin) {
 	cs.removeExpired(now)
-	known := func(e entry) bool { return e.crash.Task == c.Task && e.crash.Life.MayBe(c.Life) }
-	if cs.byTask[c.Task] > 0 && slices.ContainsFunc(cs.all, known) {
+	if i := cs.find(c); i >= 0 {
+		if have := &cs.all[i].crash; c.Loss != 0 && (have.Loss == 0 || c.Age > have.Age) {
+			*have = c
+		}
 		return
 	}
 	if len(cs.all) >= maxCrashes {
@@ -75,6 +78,14 @@
 	cs.byVM[c.VM]++
 }
 
+// find returns the index of the recorded crash of the same task and life; -1 if there is none.
+func (cs *Crashes) find(c fleet.Crash) int {
+	if cs.byTask[c.Task] == 0 {
+		return -1
+	}
+	return slices.IndexFunc(cs.all, func(e entry) bool { return e.crash.Task == c.Task && e.crash.Life.MayBe(c.Life) })
+}
+
 // remove removes the crashes for which drop returns true.
 func (cs *Crashes) remove(drop func(e *entry) bool) {
 	cs.all = slices.DeleteFunc(cs.all, func(e entry) bool {
--- a/internal/core/unconfirmed/unconfirmed_test.go
+++ b/internal/core/unconfirmed/unconfirmed_test.go
@@ -52,6 +52,32 @@
 	}
 }
 
+// TestLastHeardCounts: of several reports of one crash, the one that has heard of the run last counts.
+func TestLastHeardCounts(t *testing.T) {
+	unknown, early, late := lost(1), lost(1), lost(1)
+	early.Loss, early.Age = 7, 10*time.Millisecond
+	late.Loss, late.Age = 8, 30*time.Millisecond
+	for _, c := range []struct {
+		name    string
+		reports []fleet.Crash
+		want    fleet.Crash
+	}{
+		{"the age becomes known", []fleet.Crash{unknown, early}, early},
+		{"the age stays known", []fleet.Crash{early, unknown}, early},
+		{"later", []fleet.Crash{early, late}, late},
+		{"earlier", []fleet.Crash{late, early}, late},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var l unconfirmed.Crashes
+			for _, r := range c.reports {
+				l.Add(start, r, unconfirmed.Relayed)
+			}
+			all, _ := l.Of(start, unknown.Task)
+			qt.Assert(t, all, qt.DeepEquals, []fleet.Crash{c.want})
+		})
+	}
+}
+
 // TestBound: the number of unconfirmed crashes is limited.
 func TestBound(t *testing.T) {
 	var l unconfirmed.Crashes
--- a/internal/entry/dispatch/crash.go
+++ b/internal/entry/dispatch/crash.go
@@ -228,8 +228,13 @@
 	if !k.job.kept || len(all)+len(t.crashes.Crashes(k.id)) == 0 || t.opts.Without.Has(rule.CrashStored) {
 		return
 	}
-	c := fleet.Crash{Task: k.id, VM: k.agent.Name, Life: k.agent.Upstream.Life(), MaxAge: r.alone, Alone: isAlone, WithAgent: true}
-	t.keeper.KeepUnconfirmed(now, k.id, append(all, c))
+	t.keeper.KeepUnconfirmed(now, k.id, append(all, r.crash(isAlone)))
+}
+
+// crash returns the crash of the run's upstream, at an unknown age of the run.
+func (r *exclusiveRun) crash(isAlone bool) fleet.Crash {
+	k := r.task
+	return fleet.Crash{Task: k.id, VM: k.agent.Name, Life: k.agent.Upstream.Life(), MaxAge: r.alone, Alone: isAlone, WithAgent: true}
 }
 
 // forgetStart has the start of a suspected task of a kept job forgotten once its run has ended without a loss.
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -105,6 +105,9 @@
 	SendCrashes(all []fleet.Crash)
 	// SendUnconfirmed tells an agent of crashes that are not confirmed yet. The agent tells its other entries.
 	SendUnconfirmed(agent ident.Incarnation, all []fleet.Crash)
+	// SendSuspects reports the runs of suspected tasks that are alone to an agent on another VM. It replaces the former
+	// report. The agent tells its other entries of them if the link with this entry ends.
+	SendSuspects(agent ident.Incarnation, running []fleet.Crash)
 	// AnnounceHeld asks an agent to tell its other entries which jobs this entry has held for a long time.
 	AnnounceHeld(agent ident.Incarnation, jobs []job.ID)
 	// RequestRelease asks for the release of a job that another entry holds. The agent forwards the request if it is linked
@@ -258,6 +261,8 @@
 	// the upstreams, at least one.
 	exclusive []exclusiveRun
 	entries   int
+	// witnesses are the agents that were last told of the suspects that run alone.
+	witnesses []ident.Incarnation
 	// unconfirmed holds runs that were lost together with their agents.
 	unconfirmed unconfirmed.Crashes
 	// paces holds the paces of the linked agents' upstreams. pace is their median, or 1 if none is known.
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -56,6 +56,8 @@
 	resubmissions []dispatch.HeldJob
 	// unconfirmed holds the unconfirmed crashes that other entries were told of, by message.
 	unconfirmed [][]fleet.Crash
+	// suspects holds the newest report to each agent of the suspects that run alone.
+	suspects map[ident.Incarnation][]fleet.Crash
 	// claims holds the newest claim sent to each agent, demands what other entries were told of this entry's demand.
 	claims  map[ident.Incarnation]fleet.Claim
 	demands []fleet.Demand
@@ -78,6 +80,10 @@
 
 func (b *harness) SendDemand(_ ident.Incarnation, d fleet.Demand) { b.demands = append(b.demands, d) }
 
+func (b *harness) SendSuspects(agent ident.Incarnation, running []fleet.Crash) {
+	b.suspects[agent] = running
+}
+
 func (b *harness) SendUnconfirmed(_ ident.Incarnation, all []fleet.Crash) {
 	b.unconfirmed = append(b.unconfirmed, all)
 }
@@ -103,7 +109,7 @@
 
 // newHarness returns a Table with agents 1 to n linked, each with an upstream of the same number and two cores.
 func newHarness(t *testing.T, n int) *harness {
-	b := &harness{t: t, now: time.Unix(1000, 0), answers: make(map[dispatch.CallerID]dispatch.Answer), claims: make(map[ident.Incarnation]fleet.Claim)}
+	b := &harness{t: t, now: time.Unix(1000, 0), answers: make(map[dispatch.CallerID]dispatch.Answer), claims: make(map[ident.Incarnation]fleet.Claim), suspects: make(map[ident.Incarnation][]fleet.Crash)}
 	b.table = dispatch.New(dispatch.Options{Timing: timing, Zone: "z", MaxQueue: 10, MaxTasks: 20}, b, b, b, 1)
 	b.table.Tick(b.now)
 	for i := 1; i <= n; i++ {
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -175,6 +175,7 @@
 	t.tellUnconfirmed()
 	t.updateShares(now)
 	t.countClosed(now)
+	t.reportSuspects(now)
 	t.refuseAllCordoned(now)
 	for _, j := range t.dueJobs(now) {
 		t.giveUpIfDue(now, j)
--- a/internal/entry/dispatch/unconfirmed.go
+++ b/internal/entry/dispatch/unconfirmed.go
@@ -65,10 +65,12 @@
 // HandleUnconfirmed records unconfirmed crashes that another entry has told of. Each may have come through several agents.
 func (t *Table) HandleUnconfirmed(now time.Time, all []fleet.Crash) {
 	for _, c := range all {
-		if !t.crashes.Has(c.Task, c.Life) {
-			t.unconfirmed.Add(now, c, unconfirmed.Relayed)
-			t.resolveOn(now, c.VM)
+		if t.crashes.Has(c.Task, c.Life) {
+			t.HandleCrashes(now, []fleet.Crash{c}) // it may tell the age
+			continue
 		}
+		t.unconfirmed.Add(now, c, unconfirmed.Relayed)
+		t.resolveOn(now, c.VM)
 	}
 }
 
--- a/internal/entry/node/crashes.go
+++ b/internal/entry/node/crashes.go
@@ -41,6 +41,11 @@
 	s.links.Send(agent, codec.Unconfirmed(all))
 }
 
+// SendSuspects reports the runs of suspected tasks that are alone to an agent on another VM.
+func (s *sender) SendSuspects(agent ident.Incarnation, running []fleet.Crash) {
+	s.links.Send(agent, codec.Suspects(running))
+}
+
 // logProvenTasks logs each new crash whose task is now proven to crash upstreams, with the number of the task's crashes.
 func (n *Node) logProvenTasks(added []fleet.Crash) {
 	for _, c := range added {
--- a/internal/link/codec/codec_test.go
+++ b/internal/link/codec/codec_test.go
@@ -59,6 +59,7 @@
 		{Task: task, VM: "vm", Life: life, Loss: 99, Age: 10 * time.Millisecond, MaxAge: 20 * time.Millisecond, Alone: true, OnlyTask: true}, {Task: task, VM: "vm-2", Life: ident.UpstreamLife{ID: "i-2"}, WithAgent: true},
 	}
 	qt.Assert(t, codec.ReadUnconfirmed(codec.Unconfirmed(crashes).GetUnconfirmed()), qt.DeepEquals, crashes)
+	qt.Assert(t, codec.ReadSuspects(codec.Suspects(crashes).GetSuspects()), qt.DeepEquals, crashes)
 	refuted := []fleet.Refutation{{Life: life, UpTo: 98}}
 	gotCrashes, gotRefuted := codec.ReadCrashes(codec.Crashes(crashes, refuted).GetCrashes())
 	qt.Assert(t, gotCrashes, qt.DeepEquals, crashes)
--- a/internal/link/codec/crash.go
+++ b/internal/link/codec/crash.go
@@ -35,30 +35,43 @@
 	}
 }
 
-// Unconfirmed encodes crashes that are not confirmed yet.
-func Unconfirmed(all []fleet.Crash) *wire.Msg {
-	m := &wire.Unconfirmed{}
+// encodeCrashes encodes a list of crashes.
+func encodeCrashes(all []fleet.Crash) []*wire.Crash {
+	var out []*wire.Crash
 	for _, c := range all {
-		m.Crashes = append(m.Crashes, encodeCrash(c))
+		out = append(out, encodeCrash(c))
 	}
-	return &wire.Msg{Kind: &wire.Msg_Unconfirmed{Unconfirmed: m}}
+	return out
 }
 
-// ReadUnconfirmed decodes crashes that are not confirmed yet.
-func ReadUnconfirmed(m *wire.Unconfirmed) []fleet.Crash {
+// readCrashes decodes a list of crashes.
+func readCrashes(all []*wire.Crash) []fleet.Crash {
 	var out []fleet.Crash
-	for _, c := range m.GetCrashes() {
+	for _, c := range all {
 		out = append(out, readCrash(c))
 	}
 	return out
 }
 
+// Unconfirmed encodes crashes that are not confirmed yet.
+func Unconfirmed(all []fleet.Crash) *wire.Msg {
+	return &wire.Msg{Kind: &wire.Msg_Unconfirmed{Unconfirmed: &wire.Unconfirmed{Crashes: encodeCrashes(all)}}}
+}
+
+// ReadUnconfirmed decodes crashes that are not confirmed yet.
+func ReadUnconfirmed(m *wire.Unconfirmed) []fleet.Crash { return readCrashes(m.GetCrashes()) }
+
+// Suspects encodes the runs of suspected tasks that an entry has started alone.
+func Suspects(running []fleet.Crash) *wire.Msg {
+	return &wire.Msg{Kind: &wire.Msg_Suspects{Suspects: &wire.Suspects{Crashes: encodeCrashes(running)}}}
+}
+
+// ReadSuspects decodes the runs of suspected tasks that an entry has started alone.
+func ReadSuspects(m *wire.Suspects) []fleet.Crash { return readCrashes(m.GetCrashes()) }
+
 // Crashes encodes crashes of upstreams during tasks, and refutations of earlier crash reports.
 func Crashes(crashes []fleet.Crash, refuted []fleet.Refutation) *wire.Msg {
-	m := &wire.Crashes{}
-	for _, c := range crashes {
-		m.Crashes = append(m.Crashes, encodeCrash(c))
-	}
+	m := &wire.Crashes{Crashes: encodeCrashes(crashes)}
 	for _, r := range refuted {
 		m.Refuted = append(m.Refuted, &wire.Refutation{Life: life(r.Life), UpTo: int64(r.UpTo)})
 	}
@@ -67,9 +80,7 @@
 
 // ReadCrashes decodes crashes and refutations.
 func ReadCrashes(m *wire.Crashes) (crashes []fleet.Crash, refuted []fleet.Refutation) {
-	for _, c := range m.GetCrashes() {
-		crashes = append(crashes, readCrash(c))
-	}
+	crashes = readCrashes(m.GetCrashes())
 	for _, r := range m.GetRefuted() {
 		refuted = append(refuted, fleet.Refutation{Life: readLife(r.GetLife()), UpTo: fleet.LossNumber(r.GetUpTo())})
 	}
--- a/internal/load/world/entry.go
+++ b/internal/load/world/entry.go
@@ -222,6 +222,9 @@
 // crashes its upstream.
 func (agentMessages) SendUnconfirmed(ident.Incarnation, []fleet.Crash) {}
 
+// SendSuspects reports the runs of suspected tasks to an agent, of which there are none.
+func (agentMessages) SendSuspects(ident.Incarnation, []fleet.Crash) {}
+
 // Claim asks an agent to reserve room.
 func (o agentMessages) Claim(to ident.Incarnation, c fleet.Claim) {
 	if l := o.e.linkTo(to); l != nil {
--- a/internal/proof/schedule/io_test.go
+++ b/internal/proof/schedule/io_test.go
@@ -74,6 +74,13 @@
 	}
 }
 
+func (x entryIO) SendSuspects(agent ident.Incarnation, running []fleet.Crash) {
+	if s, a := x.linkTo(agent); s != nil {
+		inc := x.e.inc
+		s.send(func() { a.witness.Replace(inc, running) })
+	}
+}
+
 func (x entryIO) Claim(agent ident.Incarnation, c fleet.Claim) {
 	if s, a := x.linkTo(agent); s != nil {
 		inc := x.e.inc
--- a/internal/proof/schedule/link_test.go
+++ b/internal/proof/schedule/link_test.go
@@ -148,7 +148,7 @@
 		}
 		if s.owner == &p.a.proc && p.a.links[&p.e.proc] == s {
 			delete(p.a.links, &p.e.proc)
-			p.a.controller.EntryUnlinked(p.a.now(), s.other.inc, "broken")
+			p.a.unlinked(p.e, s.other.inc, "broken")
 			p.a.flush()
 		}
 	})
--- a/internal/proof/schedule/process_test.go
+++ b/internal/proof/schedule/process_test.go
@@ -5,6 +5,7 @@
 
 	"hillreel/internal/agent/lives"
 	"hillreel/internal/agent/upstream"
+	"hillreel/internal/agent/witness"
 	"hillreel/internal/config/cordon"
 	"hillreel/internal/core/crash"
 	"hillreel/internal/core/fleet"
@@ -159,6 +160,8 @@
 	crashes *crash.Tracker
 	// unconfirmed is what this incarnation knows of crashes that are not confirmed yet.
 	unconfirmed unconfirmed.Crashes
+	// witness holds the runs of suspected tasks that entries have reported to this incarnation.
+	witness witness.Book
 	// disturbedUntil is the end of the time in which the agent may be out of contact.
 	disturbedUntil time.Time
 	// storedState outlives the process, as its row in the store does.
@@ -236,6 +239,7 @@
 	a.links = make(map[*proc]*linkSide)
 	a.controller = upstream.New(timing, w.without, a.now(), agentIO{a, a.inc}, agentIO{a, a.inc}, agentObserver{a})
 	a.crashes, a.unconfirmed = crash.New(w.without), unconfirmed.Crashes{}
+	a.witness = witness.Book{}
 	a.cordons, a.cordonedAt, a.begunAt = cordon.NewSet(w.without), time.Time{}, w.Now()
 	if w.profile.cordons {
 		a.controller.SetZone(upstream.ZoneUnknown)
@@ -250,6 +254,15 @@
 	}
 }
 
+// unlinked handles the end of a link.
+func (a *agentProc) unlinked(e *entryProc, inc ident.Incarnation, why string) {
+	a.controller.EntryUnlinked(a.now(), inc, why)
+	if running := a.witness.Take(inc); len(running) > 0 {
+		a.w.logf("%s tells of suspects of %s: %v", a.name, e.name, describe(running))
+		a.relayUnconfirmed(e, running)
+	}
+}
+
 func (a *agentProc) flush() {
 	a.controller.Flush(a.now())
 	if u, known := a.controller.Snapshot(); known {
@@ -264,7 +277,7 @@
 		if s != nil && a.now().Sub(s.lastHeard) > timing.Silence {
 			s.open = false
 			delete(a.links, &e.proc)
-			a.controller.EntryUnlinked(a.now(), s.other.inc, "silent")
+			a.unlinked(e, s.other.inc, "silent")
 		}
 	}
 	a.flush()
--- a/internal/proof/schedule/rules_test.go
+++ b/internal/proof/schedule/rules_test.go
@@ -30,7 +30,7 @@
 	rule.CordonGate: cordonsFrom + 1992, rule.CordonKnown: cordonsFrom + 1, rule.CordonOrder: cordonsFrom + 1,
 	rule.CallersLost: partitionsFrom + 1, rule.HearEnds: partitionsFrom + 1, rule.ReleaseFirst: callerPartitionsFrom + 40,
 	rule.RoomHeard: vmFaultsFrom + 7859, rule.CountSuspensions: vmFaultsFrom + 121, rule.CrashAlone: crashesFrom + 60, rule.CrashTold: crashesFrom + 27, rule.CrashStored: vmCrashesFrom + 7*vmCrashSeeds + 51,
-	rule.SuspectsTold: vmCrashesFrom + 1, rule.CrashUnconfirmed: vmCrashesFrom + 1, rule.UnconfirmedTold: vmCrashesFrom + 1687,
+	rule.SuspectsTold: vmCrashesFrom + 1, rule.SuspectsWitnessed: vmCrashesFrom + 6*vmCrashSeeds + 1, rule.CrashUnconfirmed: vmCrashesFrom + 1, rule.UnconfirmedTold: vmCrashesFrom + 1687,
 }
 
 // maxTries is how many schedules the search runs at most before it must have found one that fails without the rule.
