dispatch: a suspect outlives its time alone only once its agent says so

What callers saw: as before; a kept job's crasher starts once more.

Hypotheses: the stored start says "not alone" (1) since its run really had been joined by others, (2) since the entry's own clock ran out. A trace (schedule, logs of what each process and the row know at each start) decides for 2: run 1026 starts at 7.763, crashes its upstream at 7.768; its agent can't know that before the lease has lapsed, 400 ms, and all processes end at 7.853. By then the entry had written "no longer alone", since it counts from the order, which waits up to 100 ms at the agent.

Cause: an answer that never came is taken for the news that the run went on.

Change: the second write waits for a report of the run as no longer alone, or without it. No new message; the wait ends with the run, its loss, or the agent's silence.

Tests: TestOutlivesOnceHeard fails without the mend in the case "alone when heard last".

--- a/internal/entry/dispatch/crash.go
+++ b/internal/entry/dispatch/crash.go
@@ -149,13 +149,14 @@
 func (t *Table) maxClosed() int { return max(1, len(t.agentList)/(upstreamsPerClosed*t.entries)) }
 
 // countClosed returns the number of upstreams that are closed for suspected tasks of this entry. It has the starts of kept
-// jobs' tasks stored again that have outlived their time alone.
+// jobs' tasks stored again that have outlived their time alone: a run that was alone when its agent was heard last may have
+// crashed its upstream since.
 func (t *Table) countClosed(now time.Time) int {
 	t.exclusive = slices.DeleteFunc(t.exclusive, func(r exclusiveRun) bool {
 		if r.task.runID != r.id || r.task.phase != placed {
 			return true
 		}
-		outlived := !now.Before(r.until)
+		outlived := !now.Before(r.until) && !r.isReportedAlone()
 		if outlived {
 			t.storeStart(now, r, false)
 		}
@@ -164,6 +165,13 @@
 	return len(t.exclusive)
 }
 
+// isReportedAlone reports whether the run was alone when the agent reported it last.
+func (r *exclusiveRun) isReportedAlone() bool {
+	return slices.ContainsFunc(r.task.agent.Room().Suspects, func(s fleet.SuspectRun) bool {
+		return s.RunRef == r.task.runRef() && s.Alone
+	})
+}
+
 // splitSuspects separates waiting tasks that must run alone from the others. It leaves out the tasks that crash upstreams if
 // their unconfirmed crashes are confirmed: these wait until that is known.
 func (t *Table) splitSuspects(now time.Time, waiting []*task) (suspects, others []*task) {
--- a/internal/entry/dispatch/unconfirmed_test.go
+++ b/internal/entry/dispatch/unconfirmed_test.go
@@ -186,6 +186,34 @@
 	qt.Assert(t, k.starts[1][2].Alone, qt.IsFalse)
 }
 
+// TestOutlivesOnceHeard guards against stored starts that no longer count as alone though the run has crashed its upstream: its
+// agent, which doesn't know that yet, reports it as alone until all processes end.
+func TestOutlivesOnceHeard(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		heard fleet.SuspectRun
+		want  bool
+	}{
+		{"alone when heard last", fleet.SuspectRun{Age: 3 * time.Millisecond, Alone: true}, true},
+		{"heard since", fleet.SuspectRun{Age: 300 * time.Millisecond}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b, k := newVMs(t, 4), &startsKeeper{}
+			b.table.SetKeeper(k)
+			b.keep(1, dispatch.KeptState{})
+			b.loseUpstream(b.orders[0], 5*time.Millisecond)
+			b.table.PlaceAgain(b.now, job.TaskID{Job: 1})
+			qt.Assert(t, b.orders, qt.HasLen, 2)
+			o := b.orders[1]
+			c.heard.RunRef = o.run(0).RunRef
+			b.table.HandleRoom(b.now, o.agent, fleet.Room{Seq: o.Seq, State: fleet.Ready, Suspects: []fleet.SuspectRun{c.heard}})
+			b.pass(o.Tasks[0].AloneFor + 200*time.Millisecond)
+			last := k.starts[len(k.starts)-1]
+			qt.Assert(t, last[len(last)-1].Alone, qt.Equals, c.want)
+		})
+	}
+}
+
 // TestStoredStartsAreConfirmed: stored starts of a job that was taken over count as crashes once another upstream runs on their VMs.
 func TestStoredStartsAreConfirmed(t *testing.T) {
 	for _, c := range []struct {
