dispatch: starts of kept jobs' tasks are stored from the second generation on

What callers saw: a kept job whose task ends its upstream, agent and all entries was started once too often for each end that came before the task was suspected.

Hypotheses: (1) crashes of tasks that nobody suspects yet are forgotten with all processes; (2) they are known, and don't count. With the witness in place, what the entry knew was printed at each start too many: in most, one or two crashes of the first three are missing. Schedule shows how: three tasks that crash upstreams take all processes by turns, and the second start of each, beside others, is known to nobody.

Cause: only suspects' starts are stored. That a job has been taken over says that its entry ended, and is reason enough.

Change: each start of a kept job's task from generation 2 on is in the job's row. So the row also names up to three other upstreams of the zone that were up; if none is up when the job is taken over, the starts count as not alone, which proves nothing.

Cost: one write, sometimes two, for each placement of a job that was taken over, none for others; up to 150 bytes more in the row. The run doesn't wait. Removed by the end of the run (next write) or of the job. Lost: as before. Late: it names a life, found alive it is dropped. Rows of older versions have no bystanders and count as before; older entries ignore the field.

Tests: TestStartsOfLateGenerations, TestStartsBesideAnOutage, TestSoundTaskAloneThroughOutages and the script sound_task_through_whole_outages_early_kept; the last three fail if only the starts are stored (case "none is up", three and six outages).

--- a/internal/core/fleet/crash.go
+++ b/internal/core/fleet/crash.go
@@ -29,6 +29,13 @@
 	OnlyTask bool
 }
 
+// Bystander is an upstream that was up when a task was started on another one. If it is gone too when the start is found without an end,
+// something has taken more than the task's upstream.
+type Bystander struct {
+	VM   ident.UpstreamName
+	Life ident.UpstreamLife
+}
+
 // LossNumber rises with each loss of a life: a life that was merely unreachable may be lost again. It is the time of the loss in Unix
 // milliseconds.
 type LossNumber int64
--- a/internal/entry/dispatch/crash.go
+++ b/internal/entry/dispatch/crash.go
@@ -48,9 +48,13 @@
 	}
 }
 
-// restoreUnconfirmed records the stored unconfirmed crashes of a kept job's tasks.
-func (t *Table) restoreUnconfirmed(now time.Time, all []fleet.Crash) {
+// restoreUnconfirmed records the stored unconfirmed crashes of a kept job's tasks. If the upstreams that were up at the last
+// start are all gone, something else may have taken the task's upstream with them: the crashes then count as if the task had
+// not been alone, which asks for caution and proves nothing.
+func (t *Table) restoreUnconfirmed(now time.Time, all []fleet.Crash, beside []fleet.Bystander) {
+	outage := len(beside) > 0 && !slices.ContainsFunc(beside, t.isUp)
 	for _, c := range all {
+		c.Alone = c.Alone && !outage
 		if !t.crashes.Has(c.Task, c.Life) {
 			t.unconfirmed.Add(now, c, unconfirmed.Own)
 			t.resolveOn(now, c.VM)
@@ -58,6 +62,36 @@
 	}
 }
 
+// isUp reports whether an upstream is known to be up still.
+func (t *Table) isUp(b fleet.Bystander) bool {
+	return slices.ContainsFunc(t.agentList, func(a *agentState) bool {
+		return a.Known() && a.Name == b.VM && a.Upstream.Life() == b.Life
+	})
+}
+
+// maxBystanders is how many upstreams are stored with a start.
+const maxBystanders = 3
+
+// bystanders returns upstreams on other VMs that are up, those in the agent's own availability zone first: most outages take
+// upstreams of one zone.
+func (t *Table) bystanders(of *agentState) []fleet.Bystander {
+	var near, far []fleet.Bystander
+	for _, a := range t.agentList {
+		b := fleet.Bystander{VM: a.Name, Life: a.Upstream.Life()}
+		switch {
+		case !a.Known() || a.Name == of.Name || len(near) == maxBystanders:
+		case a.Zone == of.Zone:
+			near = append(near, b)
+		case len(far) < maxBystanders:
+			far = append(far, b)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	return far
+}
+
 // HandleRefutations records that upstream lives that were considered lost have answered after all.
 func (t *Table) HandleRefutations(now time.Time, all []fleet.Refutation) {
 	for _, r := range all {
@@ -227,16 +261,37 @@
 	return alone
 }
 
-// storeStart has the start of a suspected task of a kept job stored, in case that this entry and the agent end with the
-// upstream. All that the store then tells is that the run was there, and whether it was alone. A task that is started alone
-// for its job's generation is no suspect.
+// storedGeneration is the generation from which the starts of all tasks of a kept job are stored. The entry that held the job
+// before may have ended with an upstream that a task has crashed. To know of a first start too, each would have to be stored.
+const storedGeneration = 2
+
+// storesStarts reports whether the starts of a task are stored, in case that this entry and the agent end with the upstream:
+// those of kept jobs' suspects, and of all tasks of late generations.
+func (t *Table) storesStarts(now time.Time, k *task) bool {
+	if !k.job.kept || t.opts.Without.Has(rule.CrashStored) {
+		return false
+	}
+	all, _ := t.unconfirmed.Of(now, k.id)
+	return k.job.generation >= storedGeneration || len(all)+len(t.crashes.Crashes(k.id)) > 0
+}
+
+// storeStart has the start of a task stored. All that the store then tells is that the run was there, whether it was alone,
+// and what was up beside it.
 func (t *Table) storeStart(now time.Time, r exclusiveRun, isAlone bool) {
 	k := r.task
-	all, _ := t.unconfirmed.Of(now, k.id)
-	if !k.job.kept || len(all)+len(t.crashes.Crashes(k.id)) == 0 || t.opts.Without.Has(rule.CrashStored) {
+	if !t.storesStarts(now, k) {
 		return
 	}
-	t.keeper.KeepUnconfirmed(now, k.id, append(all, r.crash(isAlone)))
+	all, _ := t.unconfirmed.Of(now, k.id)
+	t.keeper.KeepUnconfirmed(now, k.id, append(all, r.crash(isAlone)), t.bystanders(k.agent))
+}
+
+// storeSharedStart has the start of a task of a late generation stored that is not alone.
+func (t *Table) storeSharedStart(now time.Time, k *task) {
+	if k.job.generation >= storedGeneration {
+		took := t.runTime(k.agent, &k.job.spec.Steps[k.id.Step], 1)
+		t.storeStart(now, exclusiveRun{task: k, id: k.runID, alone: took}, false)
+	}
 }
 
 // crash returns the crash of the run's upstream, at an unknown age of the run.
@@ -245,11 +300,11 @@
 	return fleet.Crash{Task: k.id, VM: k.agent.Name, Life: k.agent.Upstream.Life(), MaxAge: r.alone, Alone: isAlone, WithAgent: true}
 }
 
-// forgetStart has the start of a suspected task of a kept job forgotten once its run has ended without a loss.
+// forgetStart has the stored start of a task forgotten once its run has ended without a loss.
 func (t *Table) forgetStart(now time.Time, k *task, o job.Outcome) {
-	all, _ := t.unconfirmed.Of(now, k.id)
-	if k.job.kept && o != job.Lost && len(all)+len(t.crashes.Crashes(k.id)) > 0 {
-		t.keeper.KeepUnconfirmed(now, k.id, all)
+	if o != job.Lost && t.storesStarts(now, k) {
+		all, _ := t.unconfirmed.Of(now, k.id)
+		t.keeper.KeepUnconfirmed(now, k.id, all, nil)
 	}
 }
 
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -52,8 +52,10 @@
 	Failures map[job.TaskID]int
 	// Crashes lists the recorded upstream losses during runs of the job's tasks.
 	Crashes []fleet.Crash
-	// Unconfirmed lists runs of the job's tasks that an earlier entry started alone and whose ends are not known.
+	// Unconfirmed lists runs of the job's tasks that an earlier entry started and whose ends are not known. Beside lists
+	// upstreams that were up when the last of them was started.
 	Unconfirmed []fleet.Crash
+	Beside      []fleet.Bystander
 	// Generation counts the entries that have held the job, this one included.
 	Generation uint32
 	// Checkpoints holds the newest checkpoint saved for each task.
@@ -75,9 +77,9 @@
 	// Crashed is called when an upstream was lost while it ran a task of a kept job that this entry holds. The call
 	// precedes the one for the end of the run.
 	Crashed(now time.Time, c fleet.Crash)
-	// KeepUnconfirmed is called when the crashes of a suspected task of a kept job that are not confirmed yet have changed.
-	// Among them is the one that its present run may cause.
-	KeepUnconfirmed(now time.Time, task job.TaskID, unconfirmed []fleet.Crash)
+	// KeepUnconfirmed is called when the crashes of a kept job's task that are not confirmed yet have changed. Among them is
+	// the one that its present run may cause. beside are upstreams that were up when that run was ordered.
+	KeepUnconfirmed(now time.Time, task job.TaskID, unconfirmed []fleet.Crash, beside []fleet.Bystander)
 	// Refuted is called when an upstream life that was considered lost has answered after all.
 	Refuted(now time.Time, r fleet.Refutation)
 	// JobEnded is called once a job has ended.
--- a/internal/entry/dispatch/lost_agents_test.go
+++ b/internal/entry/dispatch/lost_agents_test.go
@@ -57,8 +57,8 @@
 	state map[job.TaskID]*dispatch.KeptState
 }
 
-func (k *outageKeeper) KeepUnconfirmed(_ time.Time, id job.TaskID, all []fleet.Crash) {
-	k.state[id].Unconfirmed = all
+func (k *outageKeeper) KeepUnconfirmed(_ time.Time, id job.TaskID, all []fleet.Crash, beside []fleet.Bystander) {
+	k.state[id].Unconfirmed, k.state[id].Beside = all, beside
 }
 
 func (k *outageKeeper) Crashed(_ time.Time, c fleet.Crash) {
@@ -102,6 +102,16 @@
 	}
 }
 
+// TestSoundTaskAloneThroughOutages: a sound task of a kept job that was alone each time when an outage took all processes and all upstreams
+// hasn't crashed any of them.
+func TestSoundTaskAloneThroughOutages(t *testing.T) {
+	for _, n := range []int{1, 3, 6} {
+		t.Run(fmt.Sprint(n, " outages"), func(t *testing.T) {
+			qt.Assert(t, outages(t, n, 20*time.Millisecond), qt.Not(qt.Equals), crash.Proven)
+		})
+	}
+}
+
 // endKeeper records the ends of jobs.
 type endKeeper struct {
 	noKeeper
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -102,6 +102,7 @@
 			agents = append(agents, a)
 		}
 		t.assign(now, k, a, o)
+		t.storeSharedStart(now, k)
 	}
 	for _, a := range agents {
 		t.send(now, a, orders[a])
--- a/internal/entry/dispatch/submit.go
+++ b/internal/entry/dispatch/submit.go
@@ -125,7 +125,7 @@
 	if r.Kept != nil {
 		j.restore(r.Kept)
 		t.restoreCrashes(now, j, r.Kept.Crashes)
-		t.restoreUnconfirmed(now, r.Kept.Unconfirmed)
+		t.restoreUnconfirmed(now, r.Kept.Unconfirmed, r.Kept.Beside)
 	}
 	if !t.finishIfDone(now, j) {
 		t.unblock(j)
--- a/internal/entry/dispatch/unconfirmed_test.go
+++ b/internal/entry/dispatch/unconfirmed_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -149,10 +150,12 @@
 type startsKeeper struct {
 	noKeeper
 	starts [][]fleet.Crash
+	// beside holds the upstreams that were up at each start.
+	beside [][]fleet.Bystander
 }
 
-func (k *startsKeeper) KeepUnconfirmed(_ time.Time, _ job.TaskID, all []fleet.Crash) {
-	k.starts = append(k.starts, all)
+func (k *startsKeeper) KeepUnconfirmed(_ time.Time, _ job.TaskID, all []fleet.Crash, beside []fleet.Bystander) {
+	k.starts, k.beside = append(k.starts, all), append(k.beside, beside)
 }
 
 // keep submits a kept job of one task.
@@ -241,6 +244,63 @@
 	}
 }
 
+// TestStartsOfLateGenerations guards against crashes that are forgotten because the agent and the entry end with the upstream while
+// the task is not suspected yet: from the second generation on, the store knows of each start of a kept job's task, and which upstreams
+// were up beside it, those in the same availability zone first.
+func TestStartsOfLateGenerations(t *testing.T) {
+	for _, c := range []struct {
+		generation uint32
+		stored     int
+		alone      bool
+	}{{1, 0, false}, {2, 1, false}, {3, 1, true}} {
+		t.Run(fmt.Sprint("generation ", c.generation), func(t *testing.T) {
+			b, k := newVMs(t, 6), &startsKeeper{}
+			b.table.SetKeeper(k)
+			b.keep(1, dispatch.KeptState{Generation: c.generation})
+			qt.Assert(t, k.starts, qt.HasLen, c.stored)
+			if c.stored == 0 {
+				return
+			}
+			qt.Assert(t, k.starts[0], qt.HasLen, 1)
+			qt.Assert(t, k.starts[0][0].Alone, qt.Equals, c.alone)
+			qt.Assert(t, k.beside[0], qt.HasLen, 3)
+			for _, o := range k.beside[0] {
+				qt.Assert(t, o.VM, qt.Not(qt.Equals), k.starts[0][0].VM)
+			}
+			b.end(b.orders[0], 0, job.Failed, "")
+			qt.Assert(t, k.starts[1], qt.HasLen, 0)
+		})
+	}
+}
+
+// TestStartsBesideAnOutage: stored starts prove nothing if the upstreams that were up beside them are gone too.
+func TestStartsBesideAnOutage(t *testing.T) {
+	up := fleet.Bystander{VM: ident.UpstreamName(ident.Incarnation(4).String()), Life: ident.UpstreamLife{ID: ident.UpstreamID(ident.Incarnation(4).String())}}
+	gone := fleet.Bystander{VM: up.VM, Life: ident.UpstreamLife{ID: "former"}}
+	away := fleet.Bystander{VM: "away", Life: up.Life}
+	for _, c := range []struct {
+		name   string
+		beside []fleet.Bystander
+		want   crash.Finding
+	}{
+		{"not known", nil, crash.Proven},
+		{"one is up", []fleet.Bystander{gone, away, up}, crash.Proven},
+		{"none is up", []fleet.Bystander{gone, away}, crash.Suspected},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newVMs(t, 4)
+			b.table.SetKeeper(&startsKeeper{})
+			var stored []fleet.Crash
+			for i, id := range []ident.UpstreamID{"gone", "gone-2", "gone-3"} {
+				vm := ident.UpstreamName(ident.Incarnation(i + 1).String())
+				stored = append(stored, fleet.Crash{Task: job.TaskID{Job: 1}, VM: vm, Life: ident.UpstreamLife{ID: id}, Alone: true, WithAgent: true})
+			}
+			b.keep(1, dispatch.KeptState{Unconfirmed: stored, Beside: c.beside, Generation: 2})
+			qt.Assert(t, b.table.Crashes().Finding(job.TaskID{Job: 1}), qt.Equals, c.want)
+		})
+	}
+}
+
 // TestTasksOfLateGenerations: a task of a kept job that two entries have held before is started alone for as long as it should take, but
 // doesn't wait for an upstream that can be closed.
 func TestTasksOfLateGenerations(t *testing.T) {
--- a/internal/entry/dispatch/wait_test.go
+++ b/internal/entry/dispatch/wait_test.go
@@ -145,10 +145,10 @@
 // noKeeper is a Keeper that does nothing.
 type noKeeper struct{}
 
-func (noKeeper) RunEnded(time.Time, ident.Incarnation, fleet.End)     {}
-func (noKeeper) Crashed(time.Time, fleet.Crash)                       {}
-func (noKeeper) Refuted(time.Time, fleet.Refutation)                  {}
-func (noKeeper) KeepUnconfirmed(time.Time, job.TaskID, []fleet.Crash) {}
-func (noKeeper) RunLost(time.Time, fleet.RunRef)                      {}
-func (noKeeper) JobEnded(time.Time, job.ID, dispatch.Answer)          {}
-func (noKeeper) Superseded(time.Time, job.ID)                         {}
+func (noKeeper) RunEnded(time.Time, ident.Incarnation, fleet.End)                        {}
+func (noKeeper) Crashed(time.Time, fleet.Crash)                                          {}
+func (noKeeper) Refuted(time.Time, fleet.Refutation)                                     {}
+func (noKeeper) KeepUnconfirmed(time.Time, job.TaskID, []fleet.Crash, []fleet.Bystander) {}
+func (noKeeper) RunLost(time.Time, fleet.RunRef)                                         {}
+func (noKeeper) JobEnded(time.Time, job.ID, dispatch.Answer)                             {}
+func (noKeeper) Superseded(time.Time, job.ID)                                            {}
--- a/internal/kept/owner/crash.go
+++ b/internal/kept/owner/crash.go
@@ -16,9 +16,9 @@
 }
 
 // KeepUnconfirmed stores the crashes of a task that are not confirmed yet, among them the one that its present run may cause. An entry
-// that takes the job over then knows of them. The run doesn't wait for the write: it takes longer to start. If there are none, the next
-// write of the job says so.
-func (o *Owner) KeepUnconfirmed(_ time.Time, task job.TaskID, unconfirmed []fleet.Crash) {
+// that takes the job over then knows of them, and of the upstreams that were up beside the run. The run doesn't wait for the write: it takes
+// longer to start. If there are none, the next write of the job says so.
+func (o *Owner) KeepUnconfirmed(_ time.Time, task job.TaskID, unconfirmed []fleet.Crash, beside []fleet.Bystander) {
 	k := o.jobs[task.Job]
 	if k == nil || k.phase != running || k.finalState != "" {
 		return
@@ -27,6 +27,9 @@
 	if len(unconfirmed) == 0 {
 		return
 	}
+	if len(beside) > 0 {
+		k.open.SetBeside(beside)
+	}
 	k.mustWrite = true
 	if !k.writing {
 		o.writeProgress(k)
--- a/internal/kept/owner/crash_test.go
+++ b/internal/kept/owner/crash_test.go
@@ -37,7 +37,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			h := newHarnessWithJob(t, nil)
 			for _, all := range c.starts {
-				h.owner.KeepUnconfirmed(h.now, job.TaskID{Job: jobID}, all)
+				h.owner.KeepUnconfirmed(h.now, job.TaskID{Job: jobID}, all, nil)
 			}
 			h.completeWrites()
 			if c.then != nil {
@@ -55,7 +55,8 @@
 // TestTakenOverWithUnconfirmedCrashes: the dispatch table gets the unconfirmed crashes and the generation of a job that is taken over.
 func TestTakenOverWithUnconfirmedCrashes(t *testing.T) {
 	h := newHarnessWithJob(t, nil)
-	h.owner.KeepUnconfirmed(h.now, job.TaskID{Job: jobID}, []fleet.Crash{mayCrash("u-1")})
+	beside := []fleet.Bystander{{VM: "vm-b", Life: ident.UpstreamLife{ID: "u-9", Born: 7}}}
+	h.owner.KeepUnconfirmed(h.now, job.TaskID{Job: jobID}, []fleet.Crash{mayCrash("u-1")}, beside)
 	h.completeWrites()
 	h.owner.Superseded(h.now, jobID)
 	h.completeWrites()
@@ -63,13 +64,14 @@
 	last := h.submitted[len(h.submitted)-1]
 	qt.Assert(t, h.submitted, qt.HasLen, 2)
 	qt.Assert(t, last.Kept.Unconfirmed, qt.DeepEquals, []fleet.Crash{mayCrash("u-1")})
+	qt.Assert(t, last.Kept.Beside, qt.DeepEquals, beside)
 	qt.Assert(t, last.Kept.Generation, qt.Equals, uint32(2))
 }
 
 // TestUnconfirmedCrashesOfALifeThatAnswered: a start at a life that has answered since is no crash, also after a takeover.
 func TestUnconfirmedCrashesOfALifeThatAnswered(t *testing.T) {
 	h := newHarnessWithJob(t, nil)
-	h.owner.KeepUnconfirmed(h.now, job.TaskID{Job: jobID}, []fleet.Crash{mayCrash("u-1")})
+	h.owner.KeepUnconfirmed(h.now, job.TaskID{Job: jobID}, []fleet.Crash{mayCrash("u-1")}, nil)
 	h.completeWrites()
 	h.owner.Refuted(h.now, fleet.Refutation{Life: ident.UpstreamLife{ID: "u-1"}, UpTo: 1 << 40})
 	h.owner.RunLost(h.now, fleet.RunRef{Task: job.TaskID{Job: jobID, Index: 1}, Run: 1})
@@ -85,7 +87,7 @@
 	for i := range uint32(1000) {
 		c := mayCrash("0123456789abcdef")
 		c.Task.Index = i
-		h.owner.KeepUnconfirmed(h.now, c.Task, []fleet.Crash{c})
+		h.owner.KeepUnconfirmed(h.now, c.Task, []fleet.Crash{c}, nil)
 		h.completeWrites()
 	}
 	n := len(h.Rows[layout.OpenKey(jobID)].Value)
--- a/internal/kept/owner/submit.go
+++ b/internal/kept/owner/submit.go
@@ -124,7 +124,7 @@
 	known := &dispatch.KeptState{
 		Done: make(map[job.TaskID]bool), Failures: make(map[job.TaskID]int), Checkpoints: make(map[job.TaskID]string),
 		LastRun: record.LastRunBefore(k.open.Generation), Late: k.open.Generation > 1,
-		Crashes: k.open.CrashesOf(k.id), Unconfirmed: k.open.UnconfirmedOf(k.id), Generation: k.open.Generation,
+		Crashes: k.open.CrashesOf(k.id), Unconfirmed: k.open.UnconfirmedOf(k.id), Beside: k.open.Bystanders(), Generation: k.open.Generation,
 	}
 	for _, e := range k.open.Ends {
 		task := job.TaskID{Job: k.id, Step: e.Step, Index: e.Index}
--- a/internal/kept/record/crash.go
+++ b/internal/kept/record/crash.go
@@ -5,6 +5,7 @@
 
 	"hillreel/internal/core/crash"
 	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 )
 
@@ -34,6 +35,23 @@
 	o.Unconfirmed = o.Unconfirmed[max(len(o.Unconfirmed)-maxUnconfirmed, 0):]
 }
 
+// SetBeside replaces the upstreams that were up when the last unconfirmed run was ordered.
+func (o *OpenJob) SetBeside(all []fleet.Bystander) {
+	o.Beside = nil
+	for _, b := range all {
+		o.Beside = append(o.Beside, Upstream{VM: b.VM, ID: b.Life.ID, Born: b.Life.Born})
+	}
+}
+
+// Bystanders lists the upstreams that were up when the last unconfirmed run was ordered.
+func (o *OpenJob) Bystanders() []fleet.Bystander {
+	var out []fleet.Bystander
+	for _, u := range o.Beside {
+		out = append(out, fleet.Bystander{VM: u.VM, Life: ident.UpstreamLife{ID: u.ID, Born: u.Born}})
+	}
+	return out
+}
+
 // dropUnconfirmed removes the unconfirmed crashes for which drop returns true. It leaves the present list as it is, which a write in
 // progress may hold.
 func (o *OpenJob) dropUnconfirmed(drop func(crash.Row) bool) {
--- a/internal/kept/record/record.go
+++ b/internal/kept/record/record.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"hillreel/internal/core/crash"
+	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/route"
 	"hillreel/internal/core/rows"
@@ -145,6 +146,13 @@
 	Text  string `json:"text"`
 }
 
+// Upstream identifies the life of the upstream on a VM.
+type Upstream struct {
+	VM   ident.UpstreamName `json:"vm"`
+	ID   ident.UpstreamID   `json:"id"`
+	Born ident.Born         `json:"born_ms,omitempty"`
+}
+
 // OpenJob is the state of a job that has not ended.
 type OpenJob struct {
 	Owner LeaseID `json:"owner"`
@@ -158,9 +166,12 @@
 	Checkpoints []Checkpoint `json:"checkpoints,omitempty"`
 	// Crashes are the losses of upstreams that were running tasks of the job.
 	Crashes []crash.Row `json:"crashes,omitempty"`
-	// Unconfirmed are the runs of suspected tasks that were started alone and whose ends are not known. Each is a crash if another upstream
-	// runs on its VM after its entry and its agent have ended.
+	// Unconfirmed are the runs of suspected tasks, and of tasks of late generations, whose ends are not known. Each is a crash if another
+	// upstream runs on its VM after its entry and its agent have ended.
 	Unconfirmed []crash.Row `json:"unconfirmed,omitempty"`
+	// Beside are upstreams on other VMs that were up when the last of the unconfirmed runs was ordered. If none of them is up when the job
+	// is taken over, an outage may have taken the runs' upstreams too.
+	Beside []Upstream `json:"beside,omitempty"`
 }
 
 // EndedJob is the state of a job that has ended.
--- a/internal/proof/schedule/crash_scripts_test.go
+++ b/internal/proof/schedule/crash_scripts_test.go
@@ -110,6 +110,8 @@
 		x.crashEnds(job.ID(id), n, duration(), x.noEntry)
 	case is("crash %d under job %d ends its agent and its entry %s later", &n, &id, &span):
 		x.crashEnds(job.ID(id), n, duration(), x.holds)
+	case is("each of the first %d starts of job %d is followed by a whole outage %s later", &n, &id, &span):
+		x.outages(job.ID(id), n, duration())
 	case is("start %d of job %d loses its VM %s later", &n, &id, &span):
 		x.startLoses(job.ID(id), n, duration(), true)
 	case is("start %d of job %d loses its upstream %s later", &n, &id, &span):
@@ -194,6 +196,24 @@
 	})
 }
 
+// outages ends all upstreams, agents and entries a while after each of the first starts of a job's task.
+func (x *scriptWorld) outages(id job.ID, first int, later time.Duration) {
+	x.atStart = append(x.atStart, func(_ *simUpstream, started job.ID, n int) {
+		if started != id || n > first {
+			return
+		}
+		x.After(later, func() {
+			for _, a := range x.agents {
+				a.upstream.crashFor(x.downtime, "for another cause")
+				x.endAgent(a, true, x.downtime)
+			}
+			for _, e := range x.entries {
+				x.endEntry(e, true, x.downtime)
+			}
+		})
+	})
+}
+
 // lastState returns the last state that a job's caller was told, or that is stored of a kept job.
 func (x *scriptWorld) lastState(id int) verdict.State {
 	s := x.jobs[job.ID(id)]
