crash: the age of a run that was lost with a silent agent has true bounds

What callers saw: a kept job whose task crashes upstreams late was started once more for each crash before which its agent had fallen silent.

Hypotheses: (1) the next start is alone for too short a time, since the age is too low; (2) the crashes do not agree with others, since the age is told as known within 20 ms; (3) the agent's own account comes too late and is dropped.

Cause: when the agent was heard last is taken for when the upstream was. A silent agent's run may go on for SettleAfter (1.11 s).

Change: the upper bound is that. The narrow reading stays what makes crashes agree, as before. A crash that fits a point only by the wide bound counts among all, and proves by a rule of its own: five at the point, three of them alone, one of these at a known age. No message, write or wait is added.

Tests: TestSilentAgents (its case "two" fails before), TestOnlySilentAgents; the script agents_silent_before_late_crashes_kept is started a sixth time before, five times now.

What is left was not all read: mostly runs that are stopped because the agent fell silent before the crash, so that no evidence comes.

--- a/internal/core/crash/crash.go
+++ b/internal/core/crash/crash.go
@@ -47,6 +47,9 @@
 	// maxAloneAgeError is maxAgeError while a task is alone: its upstream is polled about every 10 ms, 20 ms at worst, and answers may be
 	// slow.
 	maxAloneAgeError = 25 * time.Millisecond
+	// maxLostReportDelay is the longest time between an answer of an upstream and the report of the age of a run there that was lost with its
+	// agent: 20 ms until the entry has the agent's report, and as much until a witness has the entry's.
+	maxLostReportDelay = 40 * time.Millisecond
 	// maxStartDelay is the most by which the recorded age may be above the true age: the start was still on its way to the upstream.
 	maxStartDelay = 5 * time.Millisecond
 	// minCrashes is the number of upstreams, on at least two VMs, that must be lost at one point of a task's run while the task is alone.
@@ -60,6 +63,10 @@
 	// minTotalCrashes is the number of crashes that suffice even while many upstreams are lost to other causes: the task must have been alone
 	// at minCrashes of them and may have run beside others at the other crashes.
 	minTotalCrashes = 4
+	// minBoundedCrashes replaces minTotalCrashes if the ages of some crashes are unknown, or known within wide bounds only: the task must have
+	// been alone at minBoundedAlone of them, at one of these at a known age.
+	minBoundedCrashes = 5
+	minBoundedAlone   = 3
 	// minCloseCrashes is the number of crashes within closeDistance of one of them that are a proof however many upstreams are lost to other
 	// causes, if the task was alone at two of them. Other causes hit one point of a task's run that often for less than one suspect in
 	// 10,000, even if they hit each upstream every two seconds.
@@ -332,25 +339,45 @@
 	return out
 }
 
-// earliestAge and latestAge are the bounds of the true age of a task's run at a crash.
+// earliestAge, latestAge and greatestAge are the bounds of the true age of a task's run at a crash. If its agent was lost too, the run most
+// likely ended when the agent was heard last, up to latestAge. If the agent had fallen silent before, the run may have gone on up to
+// greatestAge.
 func earliestAge(c fleet.Crash) time.Duration { return c.Age - maxStartDelay }
 
-func latestAge(c fleet.Crash) time.Duration {
+func latestAge(c fleet.Crash) time.Duration { return likelyMaxAge(c) + ageError(c) }
+
+func greatestAge(c fleet.Crash) time.Duration { return max(c.Age, c.MaxAge) + ageError(c) }
+
+// likelyMaxAge returns the highest recorded age, unless the agent was silent before the crash.
+func likelyMaxAge(c fleet.Crash) time.Duration {
+	if c.WithAgent && !isAgeUnknown(c) {
+		return max(c.Age, min(c.MaxAge, c.Age+maxLostReportDelay))
+	}
+	return max(c.Age, c.MaxAge)
+}
+
+// ageError returns the most by which the recorded age may be below the true age.
+func ageError(c fleet.Crash) time.Duration {
 	if c.Alone {
-		return max(c.Age, c.MaxAge) + maxAloneAgeError
+		return maxAloneAgeError
 	}
-	return max(c.Age, c.MaxAge) + maxAloneAgeError + maxAgeError
+	return maxAloneAgeError + maxAgeError
 }
 
-// mayBeSamePoint reports whether two crashes may have been at the same point of a task's run.
+// mayBeSamePoint reports whether two crashes may have been at the same point of a task's run, unless agents were silent before them.
 func mayBeSamePoint(a, b fleet.Crash) bool {
 	return earliestAge(a) <= latestAge(b) && earliestAge(b) <= latestAge(a)
 }
 
+// isPossiblyAt reports whether a crash may have been at the point of another one if its agent had fallen silent before.
+func isPossiblyAt(c, at fleet.Crash) bool {
+	return earliestAge(c) <= latestAge(at) && earliestAge(at) <= greatestAge(c)
+}
+
 // isOutlived reports whether one of the runs that were lost later ran past the point of a crash.
 func isOutlived(c fleet.Crash, later []fleet.Crash) bool {
 	return !isAgeUnknown(c) && slices.ContainsFunc(later, func(l fleet.Crash) bool {
-		return earliestAge(l) > max(c.Age, c.MaxAge)+maxAgeError+maxAloneAgeError
+		return earliestAge(l) > likelyMaxAge(c)+maxAgeError+maxAloneAgeError
 	})
 }
 
@@ -391,9 +418,9 @@
 // they were on.
 type tally struct {
 	all, onlyTask, vms int
-	// alone counts the crashes at which the task was alone. anyAlone adds those at an unknown age; toldAlone leaves out those at which the
-	// agent was lost too.
-	alone, anyAlone, toldAlone int
+	// alone counts the crashes at which the task was alone. anyAlone adds those at an unknown age, and possiblyAlone those whose agents may
+	// have been silent before them; toldAlone leaves out those at which the agent was lost too.
+	alone, anyAlone, possiblyAlone, toldAlone int
 	// close counts the crashes within closeDistance of the point. closeAlone counts those of them that are in toldAlone.
 	close, closeAlone int
 	// besideOlder are the crashes at which the task was alone but older tasks remained on the upstream.
@@ -412,6 +439,8 @@
 			return true
 		case s.alone >= minCrashes && s.all >= minTotalCrashes:
 			return true
+		case s.alone > 0 && s.possiblyAlone >= minBoundedAlone && s.all >= minBoundedCrashes:
+			return true
 		case s.closeAlone >= minCrashes && s.close >= minCloseCrashes && s.rulesOutOthers():
 			return true
 		}
@@ -466,12 +495,16 @@
 	var s tally
 	vms := make(map[ident.UpstreamName]bool)
 	for _, c := range all {
-		if !isAgeUnknown(c) && (isAgeUnknown(at) || !mayBeSamePoint(c, at)) {
+		if !isAgeUnknown(c) && (isAgeUnknown(at) || !isPossiblyAt(c, at)) {
 			continue
 		}
 		s.all++
 		vms[c.VM] = true
 		alone := tr.countsAsAlone(c)
+		s.possiblyAlone += count(alone)
+		if !isAgeUnknown(c) && !mayBeSamePoint(c, at) {
+			continue
+		}
 		s.anyAlone += count(alone)
 		if isAgeUnknown(c) {
 			continue
--- a/internal/entry/dispatch/unconfirmed.go
+++ b/internal/entry/dispatch/unconfirmed.go
@@ -10,10 +10,6 @@
 	"hillreel/internal/core/unconfirmed"
 )
 
-// suspectReportDelay is the longest time between an answer of an upstream and the arrival of the report that tells how old
-// the runs of suspected tasks were then.
-const suspectReportDelay = 20 * time.Millisecond
-
 // addUnconfirmed records that a run was lost together with its agent. Whether its upstream has crashed is not known yet. An
 // upstream that leaves has not crashed.
 func (t *Table) addUnconfirmed(now time.Time, a *agentState, k *task) {
@@ -25,14 +21,14 @@
 }
 
 // lostCrash returns the crash of the upstream at which a run was lost with its agent. The age of the run is known if it was
-// started alone; the agent has then reported how far it came. Otherwise it may have just started, or be as old as it was
-// when the agent was last heard.
+// started alone; the agent has then reported how far it came, and the run may have gone on for as long as runs of a silent
+// agent do. Otherwise it may have just started, or be as old as it was when the agent was last heard.
 func (t *Table) lostCrash(now time.Time, a *agentState, k *task) fleet.Crash {
 	c := fleet.Crash{Task: k.id, VM: a.Name, Life: a.Upstream.Life(), WithAgent: true}
 	c.MaxAge = max(a.ClockReadAt.Sub(k.placedAt), 0) + t.opts.Timing.KeepAlive
 	for _, s := range a.Room().Suspects {
 		if s.RunRef == k.runRef() && !t.opts.Without.Has(rule.SuspectsTold) {
-			c.Loss, c.Age, c.MaxAge = fleet.LossNumber(now.UnixMilli()), s.Age, s.Age+suspectReportDelay
+			c.Loss, c.Age, c.MaxAge = fleet.LossNumber(now.UnixMilli()), s.Age, s.Age+t.opts.Timing.SettleAfter()
 			c.Alone, c.OnlyTask = s.Alone, s.OnlyRun
 		}
 	}
--- a/internal/entry/dispatch/witness.go
+++ b/internal/entry/dispatch/witness.go
@@ -17,9 +17,6 @@
 // job next.
 const witnessCount = 2
 
-// reportInterval is the time between two reports to witnesses: a tick.
-const reportInterval = 20 * time.Millisecond
-
 // reportSuspects reports the suspects that run alone to the witnesses. An empty report withdraws the former one.
 func (t *Table) reportSuspects(now time.Time) {
 	if len(t.exclusive)+len(t.witnesses)+t.lostAgents == 0 || t.opts.Without.Has(rule.SuspectsWitnessed) {
@@ -53,8 +50,6 @@
 		c := t.lostCrash(now, k.agent, k)
 		if c.Loss == 0 {
 			c = r.crash(true) // it has not begun, as far as its agent has reported
-		} else {
-			c.MaxAge += reportInterval
 		}
 		out = append(out, c)
 	}
