unconfirmed: an agent that has lived confirms no crash of a run that it had

Hypotheses: its losses were by chance at one point, told by living agents (1), or one of them was no loss (2). The proof's crashes were printed: the last, at 129 ms, is a witness's; the log shows that its agent was not lost: it outlived all entries, stopped the run, and the upstream went by another cause before they were back.

Cause: a life that has changed confirms a crash, whoever has seen what between. The agent that had the run knows, and tells each loss to those that link.

Change: unconfirmed crashes, stored starts and reports to witnesses name the agent that had the run; that very agent confirms none. Rows and peers of older versions name none: as before.

Tests: TestAgentThatLived (two packages) fails without the one line.

--- a/internal/core/crash/row.go
+++ b/internal/core/crash/row.go
@@ -23,8 +23,10 @@
 	MaxAgeMs int64 `json:"until_ms,omitempty"`
 	// WithAgent: the agent was lost too.
 	WithAgent bool `json:"with_agent,omitempty"`
-	Alone     bool `json:"alone,omitempty"`
-	Sole      bool `json:"sole,omitempty"`
+	// Agent is the agent that had the run.
+	Agent ident.Incarnation `json:"agent,omitempty"`
+	Alone bool              `json:"alone,omitempty"`
+	Sole  bool              `json:"sole,omitempty"`
 }
 
 // NewRow encodes a crash, without the job of its task.
@@ -32,7 +34,7 @@
 	return Row{
 		Step: c.Task.Step, Index: c.Task.Index, VM: c.VM, ID: c.Life.ID, Born: c.Life.Born, Loss: c.Loss,
 		AgeMs: c.Age.Milliseconds(), MaxAgeMs: c.MaxAge.Milliseconds(), Alone: c.Alone, Sole: c.OnlyTask,
-		WithAgent: c.WithAgent,
+		WithAgent: c.WithAgent, Agent: c.Agent,
 	}
 }
 
@@ -41,6 +43,6 @@
 	return fleet.Crash{
 		Task: job.TaskID{Job: id, Step: r.Step, Index: r.Index}, VM: r.VM, Life: ident.UpstreamLife{ID: r.ID, Born: r.Born},
 		Loss: r.Loss, Age: time.Duration(r.AgeMs) * time.Millisecond, MaxAge: time.Duration(r.MaxAgeMs) * time.Millisecond,
-		Alone: r.Alone, OnlyTask: r.Sole, WithAgent: r.WithAgent,
+		Alone: r.Alone, OnlyTask: r.Sole, WithAgent: r.WithAgent, Agent: r.Agent,
 	}
 }
--- a/internal/core/fleet/crash.go
+++ b/internal/core/fleet/crash.go
@@ -23,6 +23,9 @@
 	MaxAge time.Duration
 	// WithAgent: the agent was lost too, and an entry tells of the crash. Whole VMs are lost for more causes than upstreams are.
 	WithAgent bool
+	// Agent is the agent that had the run, if an entry tells of the crash; zero otherwise. While that agent lives, it tells of its upstream's
+	// losses itself.
+	Agent ident.Incarnation
 	// Alone: nothing else was started on the upstream shortly before the task or since.
 	Alone bool
 	// OnlyTask: the task was alone, and no older task remained on the upstream.
--- a/internal/core/unconfirmed/unconfirmed.go
+++ b/internal/core/unconfirmed/unconfirmed.go
@@ -156,10 +156,10 @@
 // Confirmed are crashes that a report has confirmed, by their origin.
 type Confirmed struct{ Own, Relayed []fleet.Crash }
 
-// Resolve takes an agent's report of the life of the upstream that runs on a VM, and returns the crashes that the report
+// Resolve takes an agent's report of the life of the upstream that runs on its VM, and returns the crashes that the report
 // confirms. A starting agent first reports the life that its previous incarnation knew. settled tells whether the agent knows
-// that this life goes on.
-func (cs *Crashes) Resolve(now time.Time, vm ident.UpstreamName, life ident.UpstreamLife, settled bool) Confirmed {
+// that this life goes on. An agent that had the run itself confirms nothing: it has lived, and tells what was lost.
+func (cs *Crashes) Resolve(now time.Time, agent ident.Incarnation, vm ident.UpstreamName, life ident.UpstreamLife, settled bool) Confirmed {
 	var out Confirmed
 	if cs.byVM[vm] == 0 {
 		return out
@@ -171,6 +171,7 @@
 			return false
 		case e.crash.Life.MayBe(life):
 			return settled
+		case e.crash.Agent == agent && agent != 0:
 		case e.origin == Own:
 			out.Own = append(out.Own, e.crash)
 		default:
--- a/internal/core/unconfirmed/unconfirmed_test.go
+++ b/internal/core/unconfirmed/unconfirmed_test.go
@@ -45,13 +45,36 @@
 			l.Add(start, lost(1), unconfirmed.Own)
 			got := 0
 			for _, r := range c.reports {
-				got += len(l.Resolve(start.Add(r.after), r.vm, ident.UpstreamLife{ID: r.up}, r.settled).Own)
+				got += len(l.Resolve(start.Add(r.after), 2, r.vm, ident.UpstreamLife{ID: r.up}, r.settled).Own)
 			}
 			qt.Assert(t, got, qt.Equals, c.want)
 		})
 	}
 }
 
+// TestAgentThatLived: the agent that had the run confirms nothing, another one on the VM does.
+func TestAgentThatLived(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		had, says ident.Incarnation
+		want      int
+	}{
+		{"the same agent", 7, 7, 0},
+		{"another agent", 7, 8, 1},
+		{"not known which", 0, 8, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var l unconfirmed.Crashes
+			lost := lost(1)
+			lost.Agent = c.had
+			l.Add(start, lost, unconfirmed.Relayed)
+			next := ident.UpstreamLife{ID: "u-2"}
+			qt.Assert(t, l.Resolve(start, c.says, "vm", next, true).Relayed, qt.HasLen, c.want)
+			qt.Assert(t, l.Resolve(start, 9, "vm", next, true).Relayed, qt.HasLen, 0)
+		})
+	}
+}
+
 // TestLastHeardCounts: of several reports of one crash, the one that has heard of the run last counts.
 func TestLastHeardCounts(t *testing.T) {
 	unknown, early, late := lost(1), lost(1), lost(1)
@@ -84,5 +107,5 @@
 	for i := range 5000 {
 		l.Add(start, lost(job.ID(i)), unconfirmed.Own)
 	}
-	qt.Assert(t, len(l.Resolve(start, "vm", ident.UpstreamLife{ID: "u-2"}, true).Own) <= 1024, qt.IsTrue)
+	qt.Assert(t, len(l.Resolve(start, 2, "vm", ident.UpstreamLife{ID: "u-2"}, true).Own) <= 1024, qt.IsTrue)
 }
--- a/internal/entry/dispatch/crash.go
+++ b/internal/entry/dispatch/crash.go
@@ -297,7 +297,7 @@
 // crash returns the crash of the run's upstream, at an unknown age of the run.
 func (r *exclusiveRun) crash(isAlone bool) fleet.Crash {
 	k := r.task
-	return fleet.Crash{Task: k.id, VM: k.agent.Name, Life: k.agent.Upstream.Life(), MaxAge: r.alone, Alone: isAlone, WithAgent: true}
+	return fleet.Crash{Task: k.id, VM: k.agent.Name, Life: k.agent.Upstream.Life(), Agent: k.agent.ID, MaxAge: r.alone, Alone: isAlone, WithAgent: true}
 }
 
 // forgetStart has the stored start of a task forgotten once its run has ended without a loss.
--- a/internal/entry/dispatch/unconfirmed.go
+++ b/internal/entry/dispatch/unconfirmed.go
@@ -24,7 +24,7 @@
 // started alone; the agent has then reported how far it came, and the run may have gone on for as long as runs of a silent
 // agent do. Otherwise it may have just started, or be as old as it was when the agent was last heard.
 func (t *Table) lostCrash(now time.Time, a *agentState, k *task) fleet.Crash {
-	c := fleet.Crash{Task: k.id, VM: a.Name, Life: a.Upstream.Life(), WithAgent: true}
+	c := fleet.Crash{Task: k.id, VM: a.Name, Life: a.Upstream.Life(), Agent: a.ID, WithAgent: true}
 	c.MaxAge = max(a.ClockReadAt.Sub(k.placedAt), 0) + t.opts.Timing.KeepAlive
 	for _, s := range a.Room().Suspects {
 		if s.RunRef == k.runRef() && !t.opts.Without.Has(rule.SuspectsTold) {
@@ -50,7 +50,7 @@
 	if a.Upstream.ID == "" {
 		return
 	}
-	lost := t.unconfirmed.Resolve(now, a.Name, a.Upstream.Life(), a.Known() && a.Room().State.RunsKnown())
+	lost := t.unconfirmed.Resolve(now, a.ID, a.Name, a.Upstream.Life(), a.Known() && a.Room().State.RunsKnown())
 	own := t.HandleCrashes(now, lost.Own)
 	relayed := t.crashes.SelectRepeated(t.HandleCrashes(now, lost.Relayed))
 	if newCrashes := slices.Concat(own, relayed); len(newCrashes) > 0 {
--- a/internal/entry/dispatch/witness_test.go
+++ b/internal/entry/dispatch/witness_test.go
@@ -74,6 +74,27 @@
 	}
 }
 
+// TestAgentThatLived guards against sound tasks that are called crashing: their entry ended, their agent lived and stopped the run, and the
+// upstream was lost to another cause before the next entry came. The agent would have told if the run had been lost.
+func TestAgentThatLived(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		agent ident.Incarnation
+		want  int
+	}{{"the same agent", 1, 0}, {"another agent", 99, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newVMs(t, 4)
+			run := fleet.Crash{
+				Task: job.TaskID{Job: 1}, VM: ident.UpstreamName(ident.Incarnation(1).String()), Life: ident.UpstreamLife{ID: "former"},
+				Loss: 9, Age: 4 * time.Millisecond, Agent: c.agent, Alone: true, WithAgent: true,
+			}
+			b.table.HandleUnconfirmed(b.now, []fleet.Crash{run})
+			b.room(1, fleet.Ready, 2000, 0)
+			qt.Assert(t, b.table.Crashes().Crashes(run.Task), qt.HasLen, c.want)
+		})
+	}
+}
+
 // TestWitnessTellsTheAge: a stored start whose crash is recorded at an unknown age gets its age from a witness.
 func TestWitnessTellsTheAge(t *testing.T) {
 	b := newVMs(t, 4)
--- a/internal/link/codec/codec_test.go
+++ b/internal/link/codec/codec_test.go
@@ -56,7 +56,7 @@
 	}
 	life := ident.UpstreamLife{ID: "i-1", Born: 1234}
 	crashes := []fleet.Crash{
-		{Task: task, VM: "vm", Life: life, Loss: 99, Age: 10 * time.Millisecond, MaxAge: 20 * time.Millisecond, Alone: true, OnlyTask: true}, {Task: task, VM: "vm-2", Life: ident.UpstreamLife{ID: "i-2"}, WithAgent: true},
+		{Task: task, VM: "vm", Life: life, Loss: 99, Age: 10 * time.Millisecond, MaxAge: 20 * time.Millisecond, Alone: true, OnlyTask: true}, {Task: task, VM: "vm-2", Life: ident.UpstreamLife{ID: "i-2"}, WithAgent: true, Agent: 8},
 	}
 	qt.Assert(t, codec.ReadUnconfirmed(codec.Unconfirmed(crashes).GetUnconfirmed()), qt.DeepEquals, crashes)
 	qt.Assert(t, codec.ReadSuspects(codec.Suspects(crashes).GetSuspects()), qt.DeepEquals, crashes)
--- a/internal/link/codec/crash.go
+++ b/internal/link/codec/crash.go
@@ -22,7 +22,7 @@
 	return &wire.Crash{
 		Job: uint64(c.Task.Job), Step: c.Task.Step, Index: c.Task.Index, Vm: string(c.VM), Life: life(c.Life),
 		Loss: int64(c.Loss), AfterUs: c.Age.Microseconds(), Alone: c.Alone, Sole: c.OnlyTask, UntilUs: c.MaxAge.Microseconds(),
-		WithAgent: c.WithAgent,
+		WithAgent: c.WithAgent, Agent: uint64(c.Agent),
 	}
 }
 
@@ -31,7 +31,7 @@
 	return fleet.Crash{
 		Task: job.TaskID{Job: job.ID(c.GetJob()), Step: c.GetStep(), Index: c.GetIndex()}, VM: ident.UpstreamName(c.GetVm()),
 		Life: readLife(c.GetLife()), Loss: fleet.LossNumber(c.GetLoss()), Age: microseconds(c.GetAfterUs()), Alone: c.GetAlone(), OnlyTask: c.GetSole(),
-		MaxAge: microseconds(c.GetUntilUs()), WithAgent: c.GetWithAgent(),
+		MaxAge: microseconds(c.GetUntilUs()), WithAgent: c.GetWithAgent(), Agent: ident.Incarnation(c.GetAgent()),
 	}
 }
 
