dispatch: witnesses are not told of runs whose upstream leaves

Found in the last reading, no caller has seen it: an entry that loses an agent records no crash if the upstream had said that it leaves; its report to witnesses did not ask. In a release that takes upstream, agent and entry one after the other, the witness's word would have counted a planned end as a crash of a task that was alone.

One question for both now (mayCrash). Test: the case "its upstream leaves" of TestSuspectsAreReported fails without it.

--- a/internal/entry/dispatch/unconfirmed.go
+++ b/internal/entry/dispatch/unconfirmed.go
@@ -13,13 +13,19 @@
 // addUnconfirmed records that a run was lost together with its agent. Whether its upstream has crashed is not known yet. An
 // upstream that leaves has not crashed.
 func (t *Table) addUnconfirmed(now time.Time, a *agentState, k *task) {
-	if a.Upstream.ID == "" || a.Room().State == fleet.Leaving {
+	if !a.mayCrash() {
 		return
 	}
 	t.unconfirmed.Add(now, t.lostCrash(now, a, k), unconfirmed.Own)
 	t.resolveOn(now, a.Name)
 }
 
+// mayCrash reports whether the loss of the agent's upstream would be a crash: the upstream is known, and has not said that it
+// leaves.
+func (a *agentState) mayCrash() bool {
+	return a.Upstream.ID != "" && a.Room().State != fleet.Leaving
+}
+
 // lostCrash returns the crash of the upstream at which a run was lost with its agent. The age of the run is known if it was
 // started alone; the agent has then reported how far it came, and the run may have gone on for as long as runs of a silent
 // agent do. Otherwise it may have just started, or be as old as it was when the agent was last heard.
--- a/internal/entry/dispatch/witness.go
+++ b/internal/entry/dispatch/witness.go
@@ -44,7 +44,7 @@
 	var out []fleet.Crash
 	for _, r := range t.exclusive {
 		k := r.task
-		if k.phase != placed || k.runID != r.id || k.agent.Upstream.ID == "" {
+		if k.phase != placed || k.runID != r.id || !k.agent.mayCrash() {
 			continue
 		}
 		c := t.lostCrash(now, k.agent, k)
@@ -54,7 +54,7 @@
 		out = append(out, c)
 	}
 	for _, a := range t.agentList {
-		if a.lost {
+		if a.lost && a.mayCrash() {
 			out = append(out, t.lostSuspects(now, a)...)
 		}
 	}
--- a/internal/entry/dispatch/witness_test.go
+++ b/internal/entry/dispatch/witness_test.go
@@ -52,6 +52,9 @@
 			delete(b.suspects, agents[0])
 		}, 2},
 		{"its agent was lost lately", func(b *harness, o order) { b.table.HandleUnlinked(b.now, o.agent) }, 2},
+		{"its upstream leaves", func(b *harness, o order) {
+			b.table.HandleRoom(b.now, o.agent, fleet.Room{Seq: o.Seq, State: fleet.Leaving, Suspects: []fleet.SuspectRun{{RunRef: o.run(0).RunRef, Age: age, Alone: true}}})
+		}, 0},
 		{"it has ended", func(b *harness, o order) { b.end(o, 0, job.Done, "") }, 0},
 		{"it was lost", func(b *harness, o order) { b.table.HandleUnlinked(b.now, o.agent); b.pass(timing.SettleAfter()) }, 0},
 		{"it has outlived its time alone", func(b *harness, o order) {
