--- /dev/null
+++ b/review/stand/cancel.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Bounds of a small deployment that the cases check.
+const (
+	cancelBound  = 3 * time.Second
+	ackBound     = 4 * time.Second
+	visibleBound = 3 * time.Second
+	finishBound  = 14 * time.Second
+)
+
+// playCancel: clients hand in best-effort jobs of two steps and cancel them while the first step works. With the disruption, the clients
+// have moved to another zone meanwhile: the connections on which their jobs wait stay, new ones go to the entry of the new zone.
+func playCancel(l *lab, trouble bool) (string, error) {
+	const clients, stepTime = 5, 4500 * time.Millisecond
+	job := jobBody{Spec: work(stepTime), BestEffort: true, Phases: []step{
+		{Count: 2, CPU: 1600, MemMB: 64, EstimateMs: stepTime.Milliseconds()},
+		{Count: 2, CPU: 1600, MemMB: 64, EstimateMs: stepTime.Milliseconds(), After: []int{0}},
+	}}
+	home, away := l.edges[0], l.edges[1]
+	var group sync.WaitGroup
+	ids, cancels := make([]string, clients), make([]answer, clients)
+	for i := range clients {
+		ids[i] = newID()
+		c := &client{fmt.Sprintf("client-%d", i+1), l.rec}
+		group.Go(func() { c.submit(home, ids[i], job, 15*time.Second) })
+		group.Go(func() {
+			time.Sleep(time.Second)
+			to := home
+			if trouble {
+				l.rec.add(c.name, "shift: moves from the zone of %s to that of %s", home.name, away.name)
+				to = away
+			}
+			cancels[i] = c.cancel(to, ids[i], ackBound)
+		})
+	}
+	time.Sleep(900 * time.Millisecond)
+	if n := len(l.ledger.runs("")); n != 2*clients {
+		return "", fmt.Errorf("%d tasks of the first steps have started, want %d", n, 2*clients)
+	}
+	time.Sleep(10 * time.Second)
+	group.Wait()
+	for i, a := range cancels {
+		if !a.is(http.StatusOK) && !a.is(http.StatusGone) {
+			return "", fmt.Errorf("the cancel of %s was answered with %d", ids[i], a.status)
+		}
+		for _, r := range l.ledger.runs(ids[i]) {
+			if late := r.begun.Sub(a.at); late > cancelBound {
+				return fmt.Sprintf("UNASKED: %s starts %v after the cancel of its job was acknowledged with %d", r.task, late.Round(time.Millisecond), a.status), nil
+			}
+		}
+	}
+	return "", nil
+}
