review: cases 1 and 3 wait for their moment, so that a slow machine can play them

Case 1 cancels once the large job's tasks have ended, case 3 once the first steps run; the checks and their bounds are the same.

--- a/review/stand/cancel.go
+++ b/review/stand/cancel.go
@@ -23,29 +23,25 @@
 		{Count: 2, CPU: 1600, MemMB: 64, EstimateMs: stepTime.Milliseconds()},
 		{Count: 2, CPU: 1600, MemMB: 64, EstimateMs: stepTime.Milliseconds(), After: []int{0}},
 	}}
-	home, away := l.edges[0], l.edges[1]
-	var group sync.WaitGroup
-	ids, cancels := make([]string, clients), make([]answer, clients)
+	home, to := l.edges[0], l.edges[0]
+	var posts sync.WaitGroup
+	ids := make([]string, clients)
 	for i := range clients {
 		ids[i] = newID()
 		c := &client{fmt.Sprintf("client-%d", i+1), l.rec}
-		group.Go(func() { c.submit(home, ids[i], job, 15*time.Second) })
-		group.Go(func() {
-			time.Sleep(time.Second)
-			to := home
-			if trouble {
-				l.rec.add(c.name, "shift: moves from the zone of %s to that of %s", home.name, away.name)
-				to = away
-			}
-			cancels[i] = c.cancel(to, ids[i], ackBound)
-		})
+		posts.Go(func() { c.submit(home, ids[i], job, 15*time.Second) })
+	}
+	if !l.awaitRunning(2*clients, 5*time.Second) {
+		return "", fmt.Errorf("%d tasks of the first steps run, want %d", l.countRunning(), 2*clients)
 	}
-	time.Sleep(900 * time.Millisecond)
-	if n := len(l.ledger.runs("")); n != 2*clients {
-		return "", fmt.Errorf("%d tasks of the first steps have started, want %d", n, 2*clients)
+	if trouble {
+		to = l.edges[1]
+		l.rec.add("clients", "shift: they move from the zone of %s to that of %s; open connections stay", home.name, to.name)
 	}
-	time.Sleep(10 * time.Second)
-	group.Wait()
+	time.Sleep(500 * time.Millisecond)
+	cancels := cancelAll(l, to, ids, ackBound)
+	posts.Wait()
+	time.Sleep(time.Second)
 	for i, a := range cancels {
 		if !a.is(http.StatusOK) && !a.is(http.StatusGone) {
 			return "", fmt.Errorf("the cancel of %s was answered with %d", ids[i], a.status)
@@ -58,3 +54,13 @@
 	}
 	return "", nil
 }
+
+// awaitRunning waits until a number of tasks run, for at most a time, and reports whether they do.
+func (l *lab) awaitRunning(tasks int, patience time.Duration) bool {
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if l.countRunning() >= tasks {
+			return true
+		}
+	}
+	return false
+}
--- a/review/stand/large.go
+++ b/review/stand/large.go
@@ -35,8 +35,14 @@
 		}
 	}
 	time.Sleep(22 * time.Second)
+	for range 20 {
+		if !trouble || l.countDone(large) == largeTasks {
+			break
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
 	sent := time.Now()
-	acks := cancelAll(l, home, ids)
+	acks := cancelAll(l, home, ids, cancelPatience)
 	if trouble {
 		c.state(home, large, 2*time.Second)
 		l.rec.add("case", "of the large job's tasks, %d have ended done", l.countDone(large))
@@ -44,12 +50,15 @@
 	return judgeCancels(l, ids, sent, acks), nil
 }
 
-// handInLarge hands in a job of 1,500 tasks that checkpoint their progress.
+// largeTasks is the number of tasks of the large job: the largest that the users' first letter names.
+const largeTasks = 1500
+
+// handInLarge hands in a job of largeTasks tasks that checkpoint their progress.
 func handInLarge(l *lab, c *client, id string) error {
-	const tasks, taskTime = 1500, 1500 * time.Millisecond
+	const taskTime = 1500 * time.Millisecond
 	body := jobBody{
 		Spec:   fmt.Sprintf(`{"ms":[%d],"checkpoint":true}`, taskTime.Milliseconds()),
-		Phases: []step{{Count: tasks, CPU: 800, MemMB: 64, EstimateMs: taskTime.Milliseconds(), Checkpoint: true}},
+		Phases: []step{{Count: largeTasks, CPU: 800, MemMB: 64, EstimateMs: taskTime.Milliseconds(), Checkpoint: true}},
 	}
 	l.rec.add("clients", "burst: a large job comes")
 	if a := c.submit(l.edges[0], id, body, ackBound); !a.is(http.StatusOK) {
@@ -61,14 +70,14 @@
 // cancelPatience is how long clients wait for the acknowledgement of a cancel: longer than both bounds together.
 const cancelPatience = ackBound + cancelBound + 6*time.Second
 
-// cancelAll cancels jobs at one entry, each on a connection of its own, and returns the answers once all have come or cancelPatience has
-// passed.
-func cancelAll(l *lab, at *machine, ids []string) []answer {
+// cancelAll cancels jobs at one entry, each on a connection of its own, and returns the answers once all have come or the clients' patience is
+// over.
+func cancelAll(l *lab, at *machine, ids []string, patience time.Duration) []answer {
 	answers := make([]answer, len(ids))
 	var group sync.WaitGroup
 	for i, id := range ids {
 		c := &client{fmt.Sprintf("client-%d", i+1), l.rec}
-		group.Go(func() { answers[i] = c.cancel(at, id, cancelPatience) })
+		group.Go(func() { answers[i] = c.cancel(at, id, patience) })
 	}
 	group.Wait()
 	return answers
