node: log what an entry finds of a job that is to be cancelled

Nothing logged which of the parts that answer had been asked, so that three hypotheses could not be told apart: (1) the entry asks only itself and the store; (2) the cancel reaches the holder, which doesn't find the job (ending, held back); (3) the entry knows of the holder by its announcement and ignores it.

Change: a line for what the entry itself has, with whether another entry has announced the job, and one for what the store says.

--- a/internal/entry/node/state.go
+++ b/internal/entry/node/state.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"hillreel/internal/core/boottime"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/verdict"
@@ -80,9 +82,10 @@
 func (n *Node) Cancel(ctx context.Context, id job.ID) (verdict.State, error) {
 	ctx, done := n.storeContext(ctx)
 	defer done()
-	found, own := false, false
+	found, own, announced := false, false, false
 	answer, caller := n.newCaller()
 	n.call(func(now time.Time) {
+		announced = n.table.HeldElsewhere(now, id)
 		if found = n.table.Cancel(now, id); found {
 			return
 		}
@@ -91,11 +94,14 @@
 			delete(n.callers, caller)
 		}
 	})
+	n.log.WithFields(logrus.Fields{"job": id, "held": found, "kept": own, "announced_by_other": announced}).Info("job_cancel_asked")
 	switch {
 	case found:
 		return verdict.Cancelled, nil
 	case !own:
-		return n.reader.Cancel(ctx, id)
+		state, err := n.reader.Cancel(ctx, id)
+		n.log.WithFields(logrus.Fields{"job": id, "state": state, "error": err}).Info("job_cancel_stored")
+		return state, err
 	}
 	a, err := n.await(ctx, id, caller, answer)
 	return a.State, err
