jobstore: a cancellation is never answered with the state of an open job

What callers saw: 200 with "pending" to a DELETE of a kept job at another entry, which they take for an acknowledgement, and the job ran.

Cause: Reader.Cancel read the open row, found none, and called State, which read the open row again. A job that was stored between the two reads was not cancelled, and its state was passed on as that of the cancellation. Change: without an open row, only the ended row is read. One read less for a job that nobody has (3 -> 2).

--- a/internal/kept/jobstore/read.go
+++ b/internal/kept/jobstore/read.go
@@ -70,13 +70,19 @@
 
 // State reads the state of a job. It is verdict.Unknown if there is no such job.
 func (r *Reader) State(ctx context.Context, id job.ID) (verdict.State, error) {
-	open, row, err := r.LookUp(ctx, id)
+	open, ended, err := r.LookUp(ctx, id)
 	switch {
 	case err != nil:
 		return "", err
 	case open.Version != 0:
 		return openState(open)
-	case row.Version == 0:
+	}
+	return endedState(ended)
+}
+
+// endedState returns the state in which a job has ended. It is verdict.Unknown if there is no such row.
+func endedState(row rows.Row) (verdict.State, error) {
+	if row.Version == 0 {
 		return verdict.Unknown, nil
 	}
 	ended, err := record.Decode[record.EndedJob](row)
@@ -99,7 +105,7 @@
 const maxCancelTries = 20
 
 // Cancel cancels a job that another entry owns, and returns the state in which the job has ended. It is verdict.Unknown if
-// there is no such job. The owner learns of the cancellation because it follows the table of cancellations.
+// there was no such job when the first of its rows was read. The owner learns of the cancellation because it follows the table of cancellations.
 func (r *Reader) Cancel(ctx context.Context, id job.ID) (verdict.State, error) {
 	for range maxCancelTries {
 		open, err := r.store.Read(ctx, r.layout.OpenKey(id))
@@ -107,7 +113,11 @@
 			return "", err
 		}
 		if open.Version == 0 {
-			return r.State(ctx, id)
+			ended, err := r.store.Read(ctx, r.layout.EndedKey(id))
+			if err != nil {
+				return "", err
+			}
+			return endedState(ended)
 		}
 		t, err := r.cancelTxn(ctx, id, open)
 		if err != nil {
