peer, node: a job that another entry holds is cancelled, not said not to exist

Cause: Node.Cancel asked its own dispatch table, its own kept jobs and the rows of kept jobs. A best-effort job is in the memory of one entry only, and nobody asked that entry. The announcement of held jobs is not the cause either: 410 came 552 ms after the job, before any announcement, as well as after one. So all entries have to be asked.

Change: a job that neither the entry nor the store has is asked for at all other entries that are registered in the store at that time, over sessions that entry/peer opens to their link addresses. A holder ends it and its reply settles the query; "does not exist" needs a reply, or a refused connection, from every entry, and a second look at the store. With an entry that may have it silent the answer is 503. An entry that is asked remembers the id for ten seconds and takes no request for it: one under way, or one that moves on between two entries that are asked. A request that is held back, since another entry may hold the job, no longer counts as the job (CancelledPart).

A job that the entry itself or the store has costs what it did before.

Lost: a query without a reply goes out again on a new session, for up to a second, or half of the client's time; after that the entry is tried once a query until it replies. Late or of a former life: a reply is matched by session and number; a late query ends a job that its caller did ask to cancel; an entry that has started anew has nothing, as is true. Removed: sessions after 10 s, on the other side after 20, remembered ids after 10 s or beyond 50,000.

TestCancelledBelatedRequests wants the new result for the same states.

--- a/internal/core/settings/options.go
+++ b/internal/core/settings/options.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
 )
 
 // Settings holds the options of all roles.
@@ -31,6 +32,14 @@
 	Metrics   Address  `ini:"metrics" default:"127.0.0.1:7500" doc:"Address that serves metrics, health and, with a token, the operators' API."`
 }
 
+// AdvertisedLink returns the address at which other processes find an entry.
+func (n *Node) AdvertisedLink() ident.Address {
+	if n.Advertise != "" {
+		return ident.Address(n.Advertise)
+	}
+	return ident.Address(n.Link)
+}
+
 // Log controls logging.
 type Log struct {
 	Level string `ini:"level" default:"info" doc:"Lowest level that is logged: debug, info, warning or error."`
--- a/internal/entry/dispatch/answers.go
+++ b/internal/entry/dispatch/answers.go
@@ -45,18 +45,6 @@
 	t.placeAll(now)
 }
 
-// Cancel ends a job that is not kept at its caller's request. It reports whether this entry held such a job.
-func (t *Table) Cancel(now time.Time, id job.ID) bool {
-	belated := t.cancelBelated(id)
-	j := t.jobs[id]
-	if j == nil || j.ending || j.kept {
-		return belated
-	}
-	t.close(now, j, Answer{State: verdict.Unresolved, Verdict: unfinishedVerdict(j), Reason: verdict.ByCaller})
-	t.placeAll(now)
-	return true
-}
-
 // CloseAll prepares the entry's shutdown. It answers all jobs that are not kept, and from then on every new submission is
 // refused. Runs that have started are stopped, so that they are gone when their caller submits the job again.
 func (t *Table) CloseAll(now time.Time) {
--- a/internal/entry/dispatch/belated.go
+++ b/internal/entry/dispatch/belated.go
@@ -27,7 +27,7 @@
 // request whose job another entry holds is held back as well, since its caller may have gone there.
 func (t *Table) holdBelated(now time.Time, r Request) bool {
 	delayed := t.contact.mayBeDelayed(now) && !t.opts.Without.Has(rule.HearEnds)
-	if t.closing || r.Kept != nil || !delayed && !t.HeldElsewhere(now, r.Job) {
+	if t.closing || r.Kept != nil || !delayed && !t.heldElsewhere(now, r.Job) {
 		return false
 	}
 	t.observer.Belated(&r)
--- /dev/null
+++ b/internal/entry/dispatch/cancel.go
@@ -0,0 +1,40 @@
+package dispatch
+
+import (
+	"time"
+
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/verdict"
+)
+
+// CancelResult tells what a cancellation has found at this entry.
+type CancelResult string
+
+// The results of a cancellation.
+const (
+	// CancelledNothing: this entry has nothing of the job, or only runs that are being stopped.
+	CancelledNothing CancelResult = "nothing"
+	// CancelledPart: what this entry had of the job has ended, and another entry may hold the job as well.
+	CancelledPart CancelResult = "part"
+	// CancelledJob: this entry held the job, which has ended.
+	CancelledJob CancelResult = "job"
+)
+
+// Cancel ends a job that is not kept at its caller's request.
+func (t *Table) Cancel(now time.Time, id job.ID) CancelResult {
+	elsewhere := t.heldElsewhere(now, id)
+	belated := t.cancelBelated(id)
+	j := t.jobs[id]
+	if j == nil || j.ending || j.kept {
+		if belated {
+			return CancelledPart // the request was held back because its caller may have sent the job to another entry before
+		}
+		return CancelledNothing
+	}
+	t.close(now, j, Answer{State: verdict.Unresolved, Verdict: unfinishedVerdict(j), Reason: verdict.ByCaller})
+	t.placeAll(now)
+	if elsewhere {
+		return CancelledPart
+	}
+	return CancelledJob
+}
--- /dev/null
+++ b/internal/entry/dispatch/cancel_test.go
@@ -0,0 +1,68 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/job"
+	"hillreel/internal/entry/dispatch"
+)
+
+// TestCancel guards against a cancellation whose result claims more than this entry knows: only the end of a job that no other entry can
+// hold is the end of the job.
+func TestCancel(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// happens brings job 7 into its state. Agent 1 has room for one task.
+		happens func(b *harness)
+		want    dispatch.CancelResult
+		// stops is the number of runs that the cancellation stops.
+		stops int
+	}{
+		{"not here", func(*harness) {}, dispatch.CancelledNothing, 0},
+		{"runs", func(b *harness) { b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second) }, dispatch.CancelledJob, 1},
+		{"waits for room", func(b *harness) {
+			b.submit(8, 1, 2, 200*time.Millisecond, 5*time.Second)
+			b.submit(7, 2, 2, 200*time.Millisecond, 5*time.Second)
+		}, dispatch.CancelledJob, 0},
+		{"has ended", func(b *harness) {
+			b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+			b.end(b.orders[0], 0, job.Done, "")
+		}, dispatch.CancelledNothing, 0},
+		{"was cancelled, its run is being stopped", func(b *harness) {
+			b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+			b.table.Cancel(b.now, 7)
+			b.stops = nil
+		}, dispatch.CancelledNothing, 0},
+		{"is held back, since another entry has announced it", func(b *harness) {
+			b.table.HandleHeld(b.now, otherEntry, []job.ID{7})
+			b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+			b.hearing(60*time.Millisecond, 1)
+		}, dispatch.CancelledPart, 0},
+		{"runs, and another entry has announced it since", func(b *harness) {
+			b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+			b.table.HandleHeld(b.now, otherEntry, []job.ID{7})
+		}, dispatch.CancelledPart, 1},
+		{"runs, after another entry has released it", func(b *harness) {
+			b.table.HandleHeld(b.now, otherEntry, []job.ID{7})
+			b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+			b.hearing(60*time.Millisecond, 1)
+			b.table.HandleReleased(b.now, 1, fleet.Released{Takeover: fleet.Takeover{Job: 7, Holder: otherEntry}, ByHolder: true})
+		}, dispatch.CancelledJob, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newHarness(t, 1)
+			b.hearing(100*time.Millisecond, 1)
+			test.happens(b)
+			orders := len(b.orders)
+			qt.Check(t, b.table.Cancel(b.now, 7), qt.Equals, test.want)
+			qt.Check(t, b.stops, qt.HasLen, test.stops)
+			b.hearing(200*time.Millisecond, 1)
+			qt.Check(t, b.orders, qt.HasLen, orders)
+			qt.Check(t, b.table.Held(7), qt.IsFalse)
+		})
+	}
+}
--- a/internal/entry/dispatch/contact_test.go
+++ b/internal/entry/dispatch/contact_test.go
@@ -274,11 +274,11 @@
 	b.relink(1)
 	b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
 	qt.Assert(t, b.table.Held(7), qt.IsTrue)
-	qt.Assert(t, b.table.Cancel(b.now, 7), qt.IsTrue)
+	qt.Assert(t, b.table.Cancel(b.now, 7), qt.Equals, dispatch.CancelledPart)
 	b.hearing(100*time.Millisecond, 1)
 	qt.Assert(t, b.orders, qt.HasLen, 0)
 	qt.Assert(t, b.answers[1], qt.Equals, dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.NotRun, Reason: verdict.ByCaller})
-	qt.Assert(t, b.table.Cancel(b.now, 7), qt.IsFalse)
+	qt.Assert(t, b.table.Cancel(b.now, 7), qt.Equals, dispatch.CancelledNothing)
 }
 
 // TestBelatedRequestsOfALeavingEntry: a request that is held back is answered when its entry shuts down.
--- a/internal/entry/dispatch/takeover.go
+++ b/internal/entry/dispatch/takeover.go
@@ -105,8 +105,8 @@
 	t.holders.Record(now, holder, jobs...)
 }
 
-// HeldElsewhere reports whether another entry is known to hold a job.
-func (t *Table) HeldElsewhere(now time.Time, id job.ID) bool {
+// heldElsewhere reports whether another entry is known to hold a job.
+func (t *Table) heldElsewhere(now time.Time, id job.ID) bool {
 	if t.opts.Without.Has(rule.ReleaseFirst) {
 		return false
 	}
@@ -116,7 +116,7 @@
 
 // awaitRelease reports whether a job must wait until another entry has released it, and sends the requests for that.
 func (t *Table) awaitRelease(now time.Time, id job.ID) bool {
-	if j := t.jobs[id]; j != nil && !j.ending || !t.HeldElsewhere(now, id) {
+	if j := t.jobs[id]; j != nil && !j.ending || !t.heldElsewhere(now, id) {
 		return false
 	}
 	r := t.releases[id]
--- /dev/null
+++ b/internal/entry/node/cancel.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/verdict"
+	"hillreel/internal/entry/dispatch"
+)
+
+// cancelledBefore is the answer to a request for a job that was cancelled a short time ago.
+var cancelledBefore = dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.ByCaller}
+
+// Cancel cancels a job and returns the state in which the job has ended, or verdict.Unknown if the job does not exist. If neither this entry
+// nor the store has the job, Cancel asks the other entries. It returns an error if one of them may have the job and does not reply.
+func (n *Node) Cancel(ctx context.Context, id job.ID) (verdict.State, error) {
+	ctx, done := n.storeContext(ctx)
+	defer done()
+	q := fleet.JobQuery{Job: id, Cancel: true}
+	own, err := n.cancelOwn(ctx, id, false)
+	if err != nil || q.SettledBy(own) {
+		return own.State, err
+	}
+	state, err := n.reader.Cancel(ctx, id)
+	if err != nil || state != verdict.Unknown {
+		return state, err
+	}
+	state, err = n.cancelElsewhere(ctx, q)
+	if err == nil && state == verdict.Unknown && own.State != verdict.Unknown {
+		return own.State, nil
+	}
+	return state, err
+}
+
+// cancelElsewhere cancels a job that the store did not have, at this entry and all others.
+func (n *Node) cancelElsewhere(ctx context.Context, q fleet.JobQuery) (verdict.State, error) {
+	// This entry must not take the job any more once the others are asked.
+	own, err := n.cancelOwn(ctx, q.Job, true)
+	if err != nil || q.SettledBy(own) {
+		return own.State, err
+	}
+	state, err := n.askOthers(ctx, q)
+	if err != nil || state != verdict.Unknown {
+		return state, err
+	}
+	// A job to be kept may have been stored since by an entry that has ended or lost its lease.
+	state, err = n.reader.Cancel(ctx, q.Job)
+	if err == nil && state == verdict.Unknown {
+		return own.State, nil
+	}
+	return state, err
+}
+
+// cancelOwn ends what this entry has of a job. If remember is set, or if the entry has something of the job, the entry does not take the
+// job for a while.
+func (n *Node) cancelOwn(ctx context.Context, id job.ID, remember bool) (fleet.JobReply, error) {
+	var found dispatch.CancelResult
+	kept := false
+	answer, caller := n.newCaller()
+	n.call(func(now time.Time) {
+		found = n.table.Cancel(now, id)
+		if remember || found != dispatch.CancelledNothing {
+			n.cancels.Add(now, id)
+		}
+		n.callers[caller] = answer
+		if kept = n.keptJobs.Cancel(now, id, caller); !kept {
+			delete(n.callers, caller)
+		}
+	})
+	if found == "" {
+		return fleet.JobReply{}, errStopped
+	}
+	if found != dispatch.CancelledNothing || kept {
+		n.log.WithFields(logrus.Fields{"job": id, "found": found, "kept": kept}).Info("job_cancelled")
+	}
+	if kept {
+		a, err := n.await(ctx, id, caller, answer)
+		return fleet.JobReply{State: a.State}, err
+	}
+	switch found {
+	case dispatch.CancelledJob:
+		return fleet.JobReply{State: verdict.Cancelled}, nil
+	case dispatch.CancelledPart:
+		return fleet.JobReply{State: verdict.Cancelled, Shared: true}, nil
+	}
+	return fleet.JobReply{State: verdict.Unknown}, nil
+}
+
+// errStopped is the error of calls after the node has stopped.
+var errStopped = errors.New("entry: stopped")
--- a/internal/entry/node/links.go
+++ b/internal/entry/node/links.go
@@ -28,7 +28,7 @@
 	return h
 }
 
-// accept accepts the connections that agents open, until the listener is closed.
+// accept accepts the connections that agents and other entries open, until the listener is closed.
 func (n *Node) accept() {
 	for {
 		conn, err := n.ln.Accept()
@@ -44,13 +44,18 @@
 	}
 }
 
-// serve exchanges hellos with the agent and receives its messages until the link ends.
+// serve exchanges hellos with the agent and receives its messages until the link ends. Another entry that connects is served apart: its
+// session is no link.
 func (n *Node) serve(conn net.Conn) {
 	s, err := session.Accept(conn, n.hello())
 	if err != nil {
 		n.log.WithField("error", err.Error()).Info("link_greeting_failed")
 		return
 	}
+	if s.Remote.GetRole() == roleEntry {
+		n.serveEntry(s)
+		return
+	}
 	if !n.loop.Post(linkUp{s}) {
 		s.Close()
 		return
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -20,7 +20,9 @@
 	"hillreel/internal/core/loop"
 	"hillreel/internal/core/route"
 	"hillreel/internal/core/settings"
+	"hillreel/internal/entry/cancels"
 	"hillreel/internal/entry/dispatch"
+	"hillreel/internal/entry/peer"
 	"hillreel/internal/kept/jobstore"
 	"hillreel/internal/kept/owner"
 	"hillreel/internal/link/links"
@@ -41,8 +43,11 @@
 	// storeCtx ends when the entry stops waiting for the answers to State and Cancel calls that read the store.
 	storeCtx       context.Context
 	cancelStoreCtx context.CancelFunc
+	store          jobstore.Store
 	jobWriter      *jobstore.Writer
 	reader         *jobstore.Reader
+	// peerClient asks the other entries.
+	peerClient *peer.Client
 
 	// Only the control goroutine uses the fields from here to pulse.
 	table    *dispatch.Table
@@ -50,6 +55,8 @@
 	links    *links.Set[linkState]
 	// callers holds, for each caller that still waits, the channel for its answer.
 	callers map[dispatch.CallerID]chan dispatch.Answer
+	// cancels remembers the jobs that were cancelled a short time ago.
+	cancels *cancels.Jobs
 	// closing is true once CloseAll has answered all waiting callers.
 	closing bool
 	// peers lists all entries; peersVersion is incremented when the list changes.
@@ -85,10 +92,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	storeCtx, cancelStoreCtx := context.WithCancel(ctx)
 	n := &Node{
-		ctx: ctx, cancel: cancel, storeCtx: storeCtx, cancelStoreCtx: cancelStoreCtx, set: set, log: log, inc: ident.NewIncarnation(), loop: loop.New(), decode: d,
+		ctx: ctx, cancel: cancel, storeCtx: storeCtx, cancelStoreCtx: cancelStoreCtx, store: store, set: set, log: log, inc: ident.NewIncarnation(), loop: loop.New(), decode: d,
 		links:   links.New[linkState]("agent", cordon.NewPeer, log),
 		pulse:   links.PauseDetector{MaxGap: set.Links.Silence / 2, MaxRunningGap: set.Links.Silence / 4, Interval: set.Links.Tick, OnTick: recordTickDelay, Log: log},
-		callers: make(map[dispatch.CallerID]chan dispatch.Answer), cordons: cordon.NewSet(nil),
+		callers: make(map[dispatch.CallerID]chan dispatch.Answer), cancels: cancels.New(), cordons: cordon.NewSet(nil),
 		follows: func() bool { return false },
 	}
 	options := dispatch.Options{
@@ -97,6 +104,7 @@
 	}
 	n.table = dispatch.New(options, (*sender)(n), (*answerer)(n), observer, rand.Uint64())
 	n.keptJobs = n.newKeptJobs(store)
+	n.peerClient = newPeerClient(set, n)
 	n.table.SetKeeper(n.keptJobs)
 	return n
 }
@@ -131,6 +139,7 @@
 		n.ln.Close() //nolint:errcheck // the listener is closed only here
 	}
 	n.cancel()
+	n.peerClient.Close()
 	n.jobWriter.Stop()
 	n.loop.Call(n.links.Close)
 	n.loop.Stop()
@@ -183,7 +192,8 @@
 }
 
 // submit submits a job to keptJobs if it must be kept, else to the dispatch table. A request whose caller has gone is dropped:
-// the caller may have sent the job to another entry, and two entries must not run it at the same time.
+// the caller may have sent the job to another entry, and two entries must not run it at the same time. A request for a job that
+// was cancelled a short time ago is answered at once.
 func (n *Node) submit(now time.Time, e submitted) {
 	if e.callerGone() {
 		n.log.WithFields(logrus.Fields{"job": e.request.Job, "request": e.request.RequestID}).Info("request_dropped")
@@ -191,6 +201,9 @@
 	}
 	n.callers[e.request.Caller] = e.answer
 	switch {
+	case n.cancels.Has(now, e.request.Job):
+		n.log.WithFields(logrus.Fields{"job": e.request.Job, "request": e.request.RequestID}).Info("request_cancelled_before")
+		(*answerer)(n).Answer(e.request.Caller, cancelledBefore)
 	case !n.mustKeep(&e.request):
 		n.table.Submit(now, e.request)
 	case n.closing:
@@ -265,7 +278,7 @@
 	answer, caller := n.newCaller()
 	r.Caller = caller
 	if !n.loop.Post(submitted{r, answer, ctx.Done()}) {
-		return dispatch.Answer{}, errors.New("entry: stopped")
+		return dispatch.Answer{}, errStopped
 	}
 	return n.await(ctx, r.Job, caller, answer)
 }
@@ -284,7 +297,7 @@
 		n.loop.Post(abandoned{id, c})
 		return dispatch.Answer{}, ctx.Err()
 	case <-n.ctx.Done():
-		return dispatch.Answer{}, errors.New("entry: stopped")
+		return dispatch.Answer{}, errStopped
 	}
 }
 
--- a/internal/entry/node/state.go
+++ b/internal/entry/node/state.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"hillreel/internal/core/boottime"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/verdict"
@@ -77,32 +75,3 @@
 		}
 	}
 }
-
-// Cancel cancels a job and returns the state in which the job has ended, or verdict.Unknown if the job does not exist.
-func (n *Node) Cancel(ctx context.Context, id job.ID) (verdict.State, error) {
-	ctx, done := n.storeContext(ctx)
-	defer done()
-	found, own, announced := false, false, false
-	answer, caller := n.newCaller()
-	n.call(func(now time.Time) {
-		announced = n.table.HeldElsewhere(now, id)
-		if found = n.table.Cancel(now, id); found {
-			return
-		}
-		n.callers[caller] = answer
-		if own = n.keptJobs.Cancel(now, id, caller); !own {
-			delete(n.callers, caller)
-		}
-	})
-	n.log.WithFields(logrus.Fields{"job": id, "held": found, "kept": own, "announced_by_other": announced}).Info("job_cancel_asked")
-	switch {
-	case found:
-		return verdict.Cancelled, nil
-	case !own:
-		state, err := n.reader.Cancel(ctx, id)
-		n.log.WithFields(logrus.Fields{"job": id, "state": state, "error": err}).Info("job_cancel_stored")
-		return state, err
-	}
-	a, err := n.await(ctx, id, caller, answer)
-	return a.State, err
-}
--- a/internal/entry/process/process.go
+++ b/internal/entry/process/process.go
@@ -99,7 +99,7 @@
 	api := operator.New(changes, objects, p.Node, recorder, d.Log)
 	dir := members.NewDirectory(func(entries []fleet.Entry) { p.publish(bus.Entries, entries) }, d.Log)
 	entry := members.Entry{Name: set.Node.Name, Incarnation: p.Node.Incarnation().String(), Zone: ident.Zone(set.Node.Zone)}
-	register := members.NewRegistrar(d.Store, advertisedAddress(set), entry, dir.Len, d.Log)
+	register := members.NewRegistrar(d.Store, set.Node.AdvertisedLink(), entry, dir.Len, d.Log)
 	p.Front = web.New("clients", set.Entry.Front, d.Front(p.Node), callerLimits(set))
 	servicesInForce := func() caller.Services { return objects.View() }
 	p.Callers = web.New("callers", set.Entry.Callers, caller.New(p.Node, servicesInForce, int64(set.Entry.MaxBody), d.Log), callerLimits(set))
@@ -174,14 +174,6 @@
 	service kernel.Service
 }
 
-// advertisedAddress returns the address at which agents find the entry.
-func advertisedAddress(set *settings.Settings) ident.Address {
-	if set.Node.Advertise != "" {
-		return ident.Address(set.Node.Advertise)
-	}
-	return ident.Address(set.Node.Link)
-}
-
 // callerLimits returns the limits of the servers for clients and callers.
 func callerLimits(set *settings.Settings) web.Options {
 	return web.Options{
--- a/internal/link/codec/codec_test.go
+++ b/internal/link/codec/codec_test.go
@@ -10,6 +10,7 @@
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
+	"hillreel/internal/core/verdict"
 	"hillreel/internal/link/codec"
 )
 
@@ -66,6 +67,14 @@
 	qt.Assert(t, gotRefuted, qt.DeepEquals, refuted)
 	keepAlive := fleet.KeepAlive{Echo: 1500 * time.Microsecond, Config: 12, Pace: 1.5, Follows: true}
 	qt.Assert(t, codec.ReadPing(codec.Ping(keepAlive).GetPing()), qt.DeepEquals, keepAlive)
+	query := fleet.JobQuery{Job: 9, Cancel: true}
+	number, gotQuery := codec.ReadJobQuery(codec.JobQuery(5, query).GetJobQuery())
+	qt.Assert(t, number, qt.Equals, uint64(5))
+	qt.Assert(t, gotQuery, qt.Equals, query)
+	reply := fleet.JobReply{State: verdict.Cancelled, Shared: true}
+	number, gotReply := codec.ReadJobReply(codec.JobReply(6, reply).GetJobReply())
+	qt.Assert(t, number, qt.Equals, uint64(6))
+	qt.Assert(t, gotReply, qt.Equals, reply)
 	for _, c := range []fleet.Claim{
 		{},
 		{Tasks: 3, Each: job.Resources{CPU: 1200, Mem: 64}, Begun: true, Late: true, DueIn: -7 * time.Millisecond, ValidFor: 60 * time.Millisecond},
--- a/internal/link/members/members.go
+++ b/internal/link/members/members.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"maps"
 	"net/netip"
@@ -14,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"hillreel/internal/core/fleet"
@@ -86,7 +88,7 @@
 			delete(d.all, address)
 			continue
 		}
-		if _, err := netip.ParseAddrPort(string(address)); err != nil {
+		if err := checkAddress(address); err != nil {
 			d.log.WithFields(logrus.Fields{"link": address, "error": err.Error()}).Warn("member_unreadable")
 			continue // not an entry's row
 		}
@@ -101,3 +103,31 @@
 	d.mu.Unlock()
 	d.onChange(entries)
 }
+
+// checkAddress returns an error if the name of a row is not an entry's address.
+func checkAddress(a ident.Address) error {
+	_, err := netip.ParseAddrPort(string(a))
+	return err
+}
+
+// Reader reads ranges of rows.
+type Reader interface {
+	Range(ctx context.Context, r rows.Range) (rows.Page, error)
+}
+
+// Addresses reads the link addresses of all entries, sorted. It sees each entry that has registered before the call, which a Directory may
+// not have been told of yet.
+func Addresses(ctx context.Context, store Reader) ([]ident.Address, error) {
+	page, err := store.Range(ctx, rows.Range{Table: Table})
+	if err != nil {
+		return nil, errors.Wrap(err, "members: read the entries")
+	}
+	var out []ident.Address
+	for _, r := range page.Rows {
+		if a := ident.Address(r.Key.Name); checkAddress(a) == nil {
+			out = append(out, a)
+		}
+	}
+	slices.Sort(out)
+	return out, nil
+}
