node: the state of a job that another entry holds is told

What callers saw: a GET of a best-effort job at another entry than its holder is answered 410 (404 in our own API) while the job runs.

Change: State asks the other entries as Cancel does, without the part that ends anything. Any entry that has the job settles it; "does not exist" needs a reply, or a refused connection, from every entry, else 503. Cost: as a cancel's, only for an id that neither the entry nor the store has.

Test: TestStateAtAnotherEntry, on the code before: got 404, want 202; got "unknown", want "running". TestUnknownJob and TestPausedEntry ask for the state as well. All pass now, with the race detector.

--- a/internal/entry/node/cancel_test.go
+++ b/internal/entry/node/cancel_test.go
@@ -198,6 +198,8 @@
 	for range 2 {
 		_, err = n.Cancel(context.Background(), 7)
 		qt.Check(t, err, qt.ErrorMatches, "entry: 1 of 3 other entries do not reply.*")
+		_, err = n.State(context.Background(), 7)
+		qt.Check(t, err, qt.ErrorMatches, "entry: 1 of 3 other entries do not reply.*")
 	}
 	ln.Close() //nolint:errcheck // the process ends
 	state, err = n.Cancel(context.Background(), 7)
--- a/internal/entry/node/state.go
+++ b/internal/entry/node/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hillreel/internal/core/boottime"
+	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/verdict"
 )
@@ -13,8 +14,9 @@
 // of a second later or more, when it asks again.
 const maxStateWait = 400 * time.Millisecond
 
-// State returns a job's state, or verdict.Unknown if the job does not exist. While the job runs, State waits for its end, at most
-// maxStateWait and half the time that ctx has left.
+// State returns a job's state, or verdict.Unknown if the job does not exist. If neither this entry nor the store has the job, State asks
+// the other entries. It returns an error if one of them may have the job and does not reply. While the job runs, State waits for its end, at
+// most maxStateWait and half the time that ctx has left.
 func (n *Node) State(ctx context.Context, id job.ID) (verdict.State, error) {
 	ctx, done := n.storeContext(ctx)
 	defer done()
@@ -45,7 +47,21 @@
 	if known {
 		return state, nil
 	}
-	return n.storedState(ctx, id, until)
+	state, err := n.storedState(ctx, id, until)
+	if err != nil || state != verdict.Unknown {
+		return state, err
+	}
+	return n.stateElsewhere(ctx, id)
+}
+
+// stateElsewhere returns the state of a job that neither this entry nor the store had.
+func (n *Node) stateElsewhere(ctx context.Context, id job.ID) (verdict.State, error) {
+	state, err := n.askOthers(ctx, fleet.JobQuery{Job: id})
+	if err != nil || state != verdict.Unknown {
+		return state, err
+	}
+	// A job to be kept may have been stored since by an entry that has ended or lost its lease.
+	return n.reader.State(ctx, id)
 }
 
 // earlier returns the earlier of two times.
--- a/internal/standin/embedded/cancel_test.go
+++ b/internal/standin/embedded/cancel_test.go
@@ -94,12 +94,28 @@
 	}
 }
 
+// TestStateAtAnotherEntry guards against a job that is said not to exist while another entry holds it.
+func TestStateAtAnotherEntry(t *testing.T) {
+	cluster := start(t, 3, 2)
+	id := client.NewID()
+	answer := submitInBackground(t, cluster, 0, id, twoSteps())
+	eventually(t, "the job to run", func() bool { return cluster.Ledger.Running() == 2 })
+	for i := range cluster.Entries {
+		status, a := ask(t, cluster, i, http.MethodGet, id, nil)
+		qt.Check(t, status, qt.Equals, http.StatusAccepted)
+		qt.Check(t, a.State, qt.Equals, verdict.Running)
+	}
+	qt.Check(t, (<-answer).State, qt.Equals, verdict.Complete)
+	status, _ := ask(t, cluster, 1, http.MethodGet, id, nil)
+	qt.Check(t, status, qt.Equals, http.StatusNotFound, qt.Commentf("a job that is not kept is forgotten once it is answered"))
+}
+
 // registerEntry puts the row of an entry at an address into the store, as an entry that was lost leaves it behind.
 func registerEntry(cluster *embedded.Cluster, address string) {
 	cluster.Store.Put("hillreel_entries", address, []byte(`{"name":"lost"}`))
 }
 
-// TestUnknownJob checks the answers to the cancellation of a job that nobody has. While an entry that may have the job does not reply, the
+// TestUnknownJob checks the answers to requests about a job that nobody has. While an entry that may have the job does not reply, the
 // answer must not be that the job does not exist, and callers must not wait for that entry each time.
 func TestUnknownJob(t *testing.T) {
 	for _, test := range []struct {
@@ -122,15 +138,15 @@
 			t.Parallel()
 			cluster := start(t, 2, 1)
 			test.other(t, cluster)
-			for i := range 3 {
+			for i, method := range []string{http.MethodDelete, http.MethodDelete, http.MethodGet, http.MethodGet} {
 				began := time.Now()
-				status, _ := ask(t, cluster, 1, http.MethodDelete, client.NewID(), nil)
+				status, _ := ask(t, cluster, 1, method, client.NewID(), nil)
 				qt.Check(t, status, qt.Equals, test.want)
 				limit := time.Second
 				if i == 0 {
 					limit = 2 * time.Second
 				}
-				qt.Check(t, time.Since(began) < limit, qt.IsTrue, qt.Commentf("cancellation %d took %v", i, time.Since(began)))
+				qt.Check(t, time.Since(began) < limit, qt.IsTrue, qt.Commentf("%s took %v", method, time.Since(began)))
 			}
 		})
 	}
