node: a job that is being stored is not said not to exist

What callers saw: while the first write of a kept job was under way (or its entry waited for a lease), a GET was answered 410 at its own entry and at any other, and the job was accepted and ran.

A job in the phases before its rows are stored is in the memory of its entry alone, and Owner.State says nothing of it, since another entry may own the job already and only the store knows. Change: where the store has nothing, an entry tells a job that it is accepting as pending, to its own callers and to the other entries.

--- a/internal/entry/node/cancel_test.go
+++ b/internal/entry/node/cancel_test.go
@@ -15,9 +15,11 @@
 	"hillreel/internal/core/boottime"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/logs"
+	"hillreel/internal/core/route"
 	"hillreel/internal/core/rows"
 	"hillreel/internal/core/settings"
 	"hillreel/internal/core/verdict"
+	"hillreel/internal/entry/dispatch"
 	"hillreel/internal/entry/node"
 	"hillreel/internal/kept/record"
 	"hillreel/internal/link/members"
@@ -34,9 +36,18 @@
 	// reads counts the calls that read. afterReads are actions that happen just after the read with that number.
 	reads      int
 	afterReads map[int]func(s *memory.Store)
+	// holdWrites delays all writes until it is closed, unless it is nil.
+	holdWrites chan struct{}
 }
 
-func (s *sharedStore) Commit(_ context.Context, t rows.Txn) (rows.Version, error) {
+func (s *sharedStore) Commit(ctx context.Context, t rows.Txn) (rows.Version, error) {
+	if s.holdWrites != nil {
+		select {
+		case <-s.holdWrites:
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.rows.Commit(t) {
@@ -206,3 +217,47 @@
 	qt.Check(t, err, qt.IsNil)
 	qt.Check(t, state, qt.Equals, verdict.Unknown)
 }
+
+// TestJobThatIsBeingStored guards against a job to be kept that is said not to exist, by its entry or another one, while its first write is
+// under way. It can be cancelled at both.
+func TestJobThatIsBeingStored(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// cancelAt is the entry that is asked to cancel the job.
+		cancelAt int
+	}{{"cancelled at its entry", 0}, {"cancelled at another entry", 1}} {
+		t.Run(test.name, func(t *testing.T) {
+			store := &sharedStore{rows: memory.New(), holdWrites: make(chan struct{})}
+			nodes := startNodes(t, store, 2)
+			const id = job.ID(7)
+			accepted := make(chan dispatch.Answer, 1)
+			go func() {
+				a, _ := nodes[0].Submit(context.Background(), dispatch.Request{
+					Job: id, Route: route.Route{Service: "publish", Attempts: 2, Target: time.Minute}, Deadline: boottime.Now().Add(time.Minute),
+					Spec: &job.Spec{Text: "x", Steps: []job.Step{{Count: 1, Each: job.Resources{CPU: 1000}, Estimate: time.Second}}},
+				})
+				accepted <- a
+			}()
+			for i, n := range nodes {
+				for until := boottime.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+					state, err := n.State(context.Background(), id)
+					qt.Assert(t, err, qt.IsNil)
+					if state == verdict.Pending {
+						break
+					}
+					qt.Assert(t, i == 0 && boottime.Now().Before(until), qt.IsTrue, qt.Commentf("entry %d says %q", i, state))
+				}
+			}
+			time.AfterFunc(20*time.Millisecond, func() { close(store.holdWrites) })
+			state, err := nodes[test.cancelAt].Cancel(context.Background(), id)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, state, qt.Equals, verdict.Cancelled)
+			qt.Check(t, (<-accepted).State, qt.Equals, verdict.Accepted)
+			for _, n := range nodes {
+				state, err := n.State(context.Background(), id)
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, state, qt.Equals, verdict.Cancelled)
+			}
+		})
+	}
+}
--- a/internal/entry/node/peers.go
+++ b/internal/entry/node/peers.go
@@ -92,7 +92,7 @@
 	return n.ownState(q.Job)
 }
 
-// ownState returns the state of a job that this entry has, without waiting for its end.
+// ownState returns the state of a job that this entry has and the store did not have, without waiting for its end.
 func (n *Node) ownState(id job.ID) (fleet.JobReply, error) {
 	var reply fleet.JobReply
 	n.call(func(time.Time) {
@@ -101,6 +101,8 @@
 		switch {
 		case known:
 			reply.State = state
+		case n.keptJobs.IsAccepting(id):
+			reply.State = verdict.Pending
 		case n.table.Held(id):
 			reply.State = verdict.Running
 		}
--- a/internal/entry/node/state.go
+++ b/internal/entry/node/state.go
@@ -56,7 +56,12 @@
 
 // stateElsewhere returns the state of a job that neither this entry nor the store had.
 func (n *Node) stateElsewhere(ctx context.Context, id job.ID) (verdict.State, error) {
-	state, err := n.askOthers(ctx, fleet.JobQuery{Job: id})
+	q := fleet.JobQuery{Job: id}
+	own, err := n.ownState(id)
+	if err != nil || q.SettledBy(own) {
+		return own.State, err
+	}
+	state, err := n.askOthers(ctx, q)
 	if err != nil || state != verdict.Unknown {
 		return state, err
 	}
--- a/internal/kept/owner/submit.go
+++ b/internal/kept/owner/submit.go
@@ -31,8 +31,8 @@
 // Submit accepts a kept job. The caller is answered once the job is stored. A submission with the id of a known job is not
 // compared with that job: the submission that is stored first stays in force.
 func (o *Owner) Submit(now time.Time, r dispatch.Request) {
-	if k := o.jobs[r.Job]; k != nil && (k.phase == awaitingLease || k.phase == accepting) {
-		k.callers.add(r.Caller, r.Deadline)
+	if o.IsAccepting(r.Job) {
+		o.jobs[r.Job].callers.add(r.Caller, r.Deadline)
 		return
 	}
 	if o.jobs[r.Job] != nil || o.endedJobs.Has(r.Job) {
@@ -186,6 +186,12 @@
 	return verdict.Running, true
 }
 
+// IsAccepting reports whether this entry has a job that is not known to be stored yet.
+func (o *Owner) IsAccepting(id job.ID) bool {
+	k := o.jobs[id]
+	return k != nil && (k.phase == awaitingLease || k.phase == accepting)
+}
+
 // Watch answers a caller with a job's state when the job ends, or at the deadline if that is earlier. It reports whether
 // this entry runs the job; if not, the caller is not answered. Without Watch, a caller that asks just before the end would
 // learn of it only at its next poll.
