dispatch: a cancellation also ends the requests that would start its job anew

What callers saw: a job that its caller had sent again while the runs of its first request were still being stopped was answered 410 to its DELETE, even at its own entry, and started anew a moment later.

Cause: Table.Cancel looked at the job's state alone. A job that is ending keeps later requests in resubmitted and takes them once its last run has ended; they were neither cancelled nor reported. Found by going through the states of a job here, not by a user. Change: Cancel answers and removes them, and reports CancelledPart, as for a request that is held back: the caller had sent the job before.

Test: TestCancel/was_cancelled,_and_was_sent_again_while_its_run_is_being_stopped; without the change: got "nothing", want "part"; orders of the job: got 2, want 1. It passes now, as does the case of a job that was given up since its caller had gone.

--- a/internal/entry/dispatch/cancel.go
+++ b/internal/entry/dispatch/cancel.go
@@ -23,18 +23,28 @@
 // Cancel ends a job that is not kept at its caller's request.
 func (t *Table) Cancel(now time.Time, id job.ID) CancelResult {
 	elsewhere := t.heldElsewhere(now, id)
-	belated := t.cancelBelated(id)
+	withdrawn := t.cancelBelated(id)
 	j := t.jobs[id]
-	if j == nil || j.ending || j.kept {
-		if belated {
-			return CancelledPart // the request was held back because its caller may have sent the job to another entry before
-		}
-		return CancelledNothing
+	if j != nil && t.cancelResubmitted(j) {
+		withdrawn = true
 	}
-	t.close(now, j, Answer{State: verdict.Unresolved, Verdict: unfinishedVerdict(j), Reason: verdict.ByCaller})
-	t.placeAll(now)
-	if elsewhere {
-		return CancelledPart
+	switch {
+	case j != nil && !j.ending && !j.kept:
+		t.close(now, j, Answer{State: verdict.Unresolved, Verdict: unfinishedVerdict(j), Reason: verdict.ByCaller})
+		t.placeAll(now)
+		if elsewhere {
+			return CancelledPart
+		}
+		return CancelledJob
+	case withdrawn:
+		return CancelledPart // the request waited because its caller had sent the job before
 	}
-	return CancelledJob
+	return CancelledNothing
+}
+
+// cancelResubmitted answers and removes the requests that would start a job anew once its runs have ended, and reports whether there were any.
+func (t *Table) cancelResubmitted(j *jobState) bool {
+	found := len(j.resubmitted) > 0
+	t.answerResubmitted(j, Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.ByCaller})
+	return found
 }
--- a/internal/entry/dispatch/cancel_test.go
+++ b/internal/entry/dispatch/cancel_test.go
@@ -11,6 +11,16 @@
 	"hillreel/internal/entry/dispatch"
 )
 
+// ordersOf returns the orders for tasks of a job.
+func (b *harness) ordersOf(id job.ID) (out []order) {
+	for _, o := range b.orders {
+		if o.Job == id {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
 // TestCancel guards against a cancellation whose result claims more than this entry knows: only the end of a job that no other entry can
 // hold is the end of the job.
 func TestCancel(t *testing.T) {
@@ -52,16 +62,31 @@
 			b.hearing(60*time.Millisecond, 1)
 			b.table.HandleReleased(b.now, 1, fleet.Released{Takeover: fleet.Takeover{Job: 7, Holder: otherEntry}, ByHolder: true})
 		}, dispatch.CancelledJob, 1},
+		{"was cancelled, and was sent again while its run is being stopped", func(b *harness) {
+			b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+			b.table.Cancel(b.now, 7)
+			b.submit(7, 2, 1, 200*time.Millisecond, 5*time.Second)
+			b.stops = nil
+		}, dispatch.CancelledPart, 0},
+		{"was given up, and was sent again while its run is being stopped", func(b *harness) {
+			b.submit(7, 1, 1, 200*time.Millisecond, 5*time.Second)
+			b.table.Abandon(b.now, 7, 1)
+			b.submit(7, 2, 1, 200*time.Millisecond, 5*time.Second)
+			b.stops = nil
+		}, dispatch.CancelledPart, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			b := newHarness(t, 1)
 			b.hearing(100*time.Millisecond, 1)
 			test.happens(b)
-			orders := len(b.orders)
+			orders := b.ordersOf(7)
 			qt.Check(t, b.table.Cancel(b.now, 7), qt.Equals, test.want)
 			qt.Check(t, b.stops, qt.HasLen, test.stops)
+			for _, o := range orders {
+				b.end(o, 0, job.Stopped, fleet.OnRequest) // the runs that are being stopped end
+			}
 			b.hearing(200*time.Millisecond, 1)
-			qt.Check(t, b.orders, qt.HasLen, orders)
+			qt.Check(t, b.ordersOf(7), qt.HasLen, len(orders))
 			qt.Check(t, b.table.Held(7), qt.IsFalse)
 		})
 	}
