peer: an entry that was silent is asked for a short time, not once

Cause: an entry that did not reply to the last query was tried once. If that try joined a dial that an earlier query had begun, it failed with that dial, and the caller got one 503 more although the entry had ended meanwhile. Seen once in TestPausedEntry (the last cancellation returned an error, want "unknown"), not a matter of load: the earlier query's dial still waits for a hello when the next one begins.

--- a/internal/entry/peer/client.go
+++ b/internal/entry/peer/client.go
@@ -97,9 +97,9 @@
 }
 
 // askEntry sends a query to one entry until the entry replies, until it is known to have ended, or until ctx ends. An entry that did not
-// reply the last time is tried only once, so that callers do not wait for an entry without power again and again.
+// reply the last time is not tried again after ReplyTimeout, so that callers do not wait long for an entry without power again and again.
 func (c *Client) askEntry(ctx context.Context, e ident.Address, q fleet.JobQuery) (fleet.JobReply, error) {
-	once := c.isSilent(e)
+	silent, giveUp := c.isSilent(e), time.Now().Add(c.opts.ReplyTimeout)
 	for {
 		reply, err := c.try(ctx, e, q)
 		if errors.Is(err, syscall.ECONNREFUSED) {
@@ -110,7 +110,7 @@
 			c.unmarkSilent(e)
 			return reply, nil
 		}
-		if once || !sleep(ctx, c.opts.RetryPause) {
+		if silent && time.Now().After(giveUp) || !sleep(ctx, c.opts.RetryPause) {
 			return fleet.JobReply{}, err
 		}
 	}
--- a/internal/entry/peer/peer_test.go
+++ b/internal/entry/peer/peer_test.go
@@ -174,9 +174,9 @@
 	qt.Check(t, e.sessions.Load(), qt.Equals, int32(1))
 }
 
-// TestSilentEntryIsTriedOnce guards against callers that wait for the longest time for an entry that did not reply to the query before. Once
-// the entry replies again, it is tried repeatedly as before.
-func TestSilentEntryIsTriedOnce(t *testing.T) {
+// TestSilentEntryIsAskedBriefly guards against callers that wait for the longest time for an entry that did not reply to the query before, and
+// against an entry that stays silent because its present session is.
+func TestSilentEntryIsAskedBriefly(t *testing.T) {
 	e := startEntry(t, func(e *entry, n int32, s *session.Session) {
 		if n < 4 {
 			silent(e, n, s)
