dispatch: the caller of a cancelled job is told that it is cancelled, not that it may send it again

What callers saw: the PUT or POST of a best-effort job that was cancelled was answered 504 (unresolved), which asks for it to be sent again (API.md; PROTOCOL.md: after 504 it is sent again, to any node, and may run anew). Our own client did so, another entry took the job, and it ran from the start after its cancellation had been acknowledged.

Cause: Table.Cancel closed the job with Unresolved, the state of a job that was lost. A request that was held back, or a job that another entry has announced, stays Unresolved: it is not certain there that the job has ended, and the entries that are asked take no request for it for ten seconds.

--- a/internal/entry/dispatch/cancel.go
+++ b/internal/entry/dispatch/cancel.go
@@ -30,12 +30,13 @@
 	}
 	switch {
 	case j != nil && !j.ending && !j.kept:
-		t.close(now, j, Answer{State: verdict.Unresolved, Verdict: unfinishedVerdict(j), Reason: verdict.ByCaller})
-		t.placeAll(now)
+		result, state := CancelledJob, verdict.Cancelled
 		if elsewhere {
-			return CancelledPart
+			result, state = CancelledPart, verdict.Unresolved
 		}
-		return CancelledJob
+		t.close(now, j, Answer{State: state, Verdict: unfinishedVerdict(j), Reason: verdict.ByCaller})
+		t.placeAll(now)
+		return result
 	case withdrawn:
 		return CancelledPart // the request waited because its caller had sent the job before
 	}
--- a/internal/entry/dispatch/cancel_test.go
+++ b/internal/entry/dispatch/cancel_test.go
@@ -8,6 +8,7 @@
 
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/job"
+	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/dispatch"
 )
 
@@ -80,8 +81,14 @@
 			b.hearing(100*time.Millisecond, 1)
 			test.happens(b)
 			orders := b.ordersOf(7)
+			clear(b.answers)
 			qt.Check(t, b.table.Cancel(b.now, 7), qt.Equals, test.want)
 			qt.Check(t, b.stops, qt.HasLen, test.stops)
+			for caller, a := range b.answers {
+				qt.Check(t, a.State == verdict.Cancelled, qt.Equals, test.want == dispatch.CancelledJob, qt.Commentf("caller %d: %v", caller, a))
+				qt.Check(t, a.Reason, qt.Equals, verdict.ByCaller)
+			}
+			qt.Check(t, len(b.answers) > 0, qt.Equals, test.want != dispatch.CancelledNothing)
 			for _, o := range orders {
 				b.end(o, 0, job.Stopped, fleet.OnRequest) // the runs that are being stopped end
 			}
