peer: a caller that leaves does not end the sessions of others

Cause, found in the last reading: Ask took every query without a reply for the silence of its entry, also where its own caller had gone or had only some milliseconds left. It closed the session that other queries were waiting on, and let the next one wait for a shorter time. Change: an entry counts as silent only if the query has waited for ReplyTimeout. Test: TestCallerLeaves, without the change: sessions got 2, want 1. It passes now; entry/peer and entry/node four times with the race detector.

--- a/internal/entry/peer/client.go
+++ b/internal/entry/peer/client.go
@@ -79,13 +79,16 @@
 		}()
 	}
 	c.forgetOthers(entries)
+	began := time.Now()
 	out := Outcome{State: verdict.Unknown}
 	for range entries {
 		r := <-results
 		switch {
 		case r.err != nil:
 			c.counters.Add("silent", 1)
-			c.markSilent(r.entry)
+			if time.Since(began) >= c.opts.ReplyTimeout { // else the caller did not wait long enough to tell
+				c.markSilent(r.entry)
+			}
 			out.Silent = append(out.Silent, r.entry)
 		case q.SettledBy(r.reply):
 			return Outcome{State: r.reply.State}
--- a/internal/entry/peer/peer_test.go
+++ b/internal/entry/peer/peer_test.go
@@ -197,6 +197,24 @@
 	}
 }
 
+// TestCallerLeaves guards against a caller that leaves before an entry can reply, and so ends the session that other callers use.
+func TestCallerLeaves(t *testing.T) {
+	e := startEntry(t, func(e *entry, _ int32, s *session.Session) {
+		peer.Serve(s, func(fleet.JobQuery) fleet.JobReply { //nolint:errcheck // the session ends with the test
+			time.Sleep(50 * time.Millisecond)
+			return fleet.JobReply{State: verdict.Unknown}
+		})
+	})
+	c := newClient(t)
+	for _, patience := range []time.Duration{time.Second, 20 * time.Millisecond, time.Second} {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		out := c.Ask(ctx, []ident.Address{e.address}, fleet.JobQuery{Job: jobID})
+		cancel()
+		qt.Check(t, len(out.Silent) == 0, qt.Equals, patience == time.Second)
+	}
+	qt.Check(t, e.sessions.Load(), qt.Equals, int32(1))
+}
+
 // TestClose checks that no session is opened after Close.
 func TestClose(t *testing.T) {
 	e := startEntry(t, replying(verdict.Unknown, false))
