settings: entries reach each other's link addresses

Cause: since other entries connect to an entry's link address, and the options link and advertise spoke of agents only. Whoever lets only agents through to that port would get 503 for each cancel of a job that nobody has. Run: the tests of core/settings and commands pass.

--- a/internal/core/settings/options.go
+++ b/internal/core/settings/options.go
@@ -26,8 +26,8 @@
 	Name      string   `ini:"name" default:"node" doc:"Name of this VM's process."`
 	Zone      string   `ini:"zone" default:"zone-1" doc:"Availability zone."`
 	Region    string   `ini:"region" default:"region-1" doc:"Region: the availability zones that share entries and agents."`
-	Link      Address  `ini:"link" default:"127.0.0.1:7400" doc:"Address on which an entry accepts links from agents. All entries of a region use the same port."`
-	Advertise Address  `ini:"advertise" default:"" doc:"Address under which agents reach this entry's links, if it differs from link."`
+	Link      Address  `ini:"link" default:"127.0.0.1:7400" doc:"Address on which an entry accepts links from agents, and queries about jobs from other entries. All entries of a region use the same port."`
+	Advertise Address  `ini:"advertise" default:"" doc:"Address under which agents and other entries reach link, if it differs from link."`
 	Seeds     []string `ini:"seeds" default:"" doc:"Addresses of a few entries, separated by commas; only their IP addresses are used. They may be out of date: the store lists all entries."`
 	Metrics   Address  `ini:"metrics" default:"127.0.0.1:7500" doc:"Address that serves metrics, health and, with a token, the operators' API."`
 }
