--- a/review/stand2/cancelled.go
+++ b/review/stand2/cancelled.go
@@ -10,9 +10,9 @@
 const (
 	cutFor         = 4 * time.Second
 	cancelDelay    = 50 * time.Millisecond
-	cancelledTasks = 1500
+	cancelledTasks = 400
 	cancelledRunMs = 200
-	cancelledCPU   = 4000
+	cancelledCPU   = 12000
 	// cutAfter is when the path to the store is cut, after the job was accepted.
 	cutAfter = 650 * time.Millisecond
 )
