--- a/review/stand2/events.go
+++ b/review/stand2/events.go
@@ -30,3 +30,14 @@
 	}
 	return last
 }
+
+// countDone counts the tasks of a job that have ended done.
+func (w *world) countDone(job string) int {
+	done := make(map[string]bool)
+	for _, e := range w.eventsOf(job) {
+		if e.how == "done" {
+			done[e.task] = true
+		}
+	}
+	return len(done)
+}
--- a/review/stand2/restored.go
+++ b/review/stand2/restored.go
@@ -62,7 +62,7 @@
 			continue
 		}
 		open++
-		if time.Since(w.lastEvent(id)) > idleBound {
+		if w.countDone(id) < soundTasks && time.Since(w.lastEvent(id)) > idleBound {
 			idle++
 		}
 	}
