dispatch, agent: log why a task waits, and how far a stalled run had come

What a waiting task waits for, and whether a run that was taken for stalled had restored a checkpoint, could not be told from the logs: an entry said nothing of a task between its failed run and its next start, and run_ended had no progress. task_waits (once a second, for the job that has waited longest with nothing running) counts the upstreams by what keeps the task from them; run_ended of a stalled run has percent, idle_ms, resumed.

--- a/internal/agent/node/observe.go
+++ b/internal/agent/node/observe.go
@@ -60,6 +60,9 @@
 	if e.OwnerUnlinked {
 		f["unheard"] = true
 	}
+	if e.Outcome == job.Stalled {
+		f["percent"], f["idle_ms"], f["resumed"] = e.Percent, e.IdleFor.Milliseconds(), e.Resumed
+	}
 	if e.Stop != nil {
 		addStopFields(f, e.Stop)
 		o.recordStop(f, e.Stop)
--- a/internal/agent/node/observe_test.go
+++ b/internal/agent/node/observe_test.go
@@ -49,6 +49,9 @@
 		{"stopped late", upstream.Ending{End: end(job.Stopped), Owner: 1, Stop: &upstream.Stop{Unwanted: true, UnwantedFor: 709 * time.Millisecond}}, []string{
 			"unwanted_ms=709", "stop_overdue=true",
 		}, nil},
+		{"stalled", upstream.Ending{End: end(job.Stalled), Owner: 1, Percent: 62, IdleFor: 250 * time.Millisecond, Resumed: true}, []string{
+			"outcome=stalled", "percent=62", "idle_ms=250", "resumed=true",
+		}, nil},
 		{"ordered anew", upstream.Ending{End: end(job.Stopped), Owner: 1, Stop: stop, Successor: 2}, []string{
 			"ordered_anew_by=south", "ordered_anew_by_incarnation=" + ident.Incarnation(2).String(),
 		}, nil},
--- a/internal/agent/upstream/ending.go
+++ b/internal/agent/upstream/ending.go
@@ -27,6 +27,11 @@
 	Owner ident.Incarnation
 	// StartedAgo is how long ago the start call was made, whether or not it was carried out.
 	StartedAgo time.Duration
+	// Percent is the last progress that the upstream has listed, IdleFor the time since it last rose.
+	Percent int
+	IdleFor time.Duration
+	// Resumed: the run was started with a checkpoint.
+	Resumed bool
 	// Stop is nil if the run was not asked to stop.
 	Stop *Stop
 	// Successor is the entry that has ordered the task again in the meantime; zero if none has.
@@ -51,7 +56,10 @@
 // ending returns the description of a run's end.
 func (u *Controller) ending(now time.Time, r *run, e fleet.End) Ending {
 	owner := u.sessions[r.owner]
-	out := Ending{End: e, Owner: r.owner, StartedAgo: now.Sub(r.startedAt), OwnerUnlinked: owner == nil || !owner.linked}
+	out := Ending{
+		End: e, Owner: r.owner, StartedAgo: now.Sub(r.startedAt), OwnerUnlinked: owner == nil || !owner.linked,
+		Percent: r.percent, IdleFor: now.Sub(r.progressAt), Resumed: r.checkpoint != "",
+	}
 	if r.successor != nil {
 		out.Successor = r.successor.owner
 	}
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -154,6 +154,8 @@
 	// AgentChanged is called when the session with an agent ends or resumes while runs of this entry are there, and when
 	// those runs are settled. runs is the number of runs concerned.
 	AgentChanged(agent ident.UpstreamName, runs int, event AgentEvent)
+	// Waits is called now and then for the task that has waited longest while nothing of its job runs.
+	Waits(w Waiting)
 	// CutChanged is called when jobs beyond a team's part begin or cease to be refused, at most once a second for each team.
 	CutChanged(s shares.Status)
 	// DemandDropped is called for a report of an entry's demand that can't be true.
@@ -278,6 +280,8 @@
 	nearWaits   int64
 	// unplaced is set while there are waiting tasks that have not been checked against all agents yet.
 	unplaced bool
+	// waitReportedAt is when a waiting task was last looked for to be reported.
+	waitReportedAt time.Time
 	// lostAgents counts the agents whose session has ended but which are not forgotten yet.
 	lostAgents int
 	// allowed reports whether the configuration lets an upstream serve a service.
--- a/internal/entry/dispatch/dispatch_test.go
+++ b/internal/entry/dispatch/dispatch_test.go
@@ -61,6 +61,8 @@
 	// claims holds the newest claim sent to each agent, demands what other entries were told of this entry's demand.
 	claims  map[ident.Incarnation]fleet.Claim
 	demands []fleet.Demand
+	// waits holds the reports of tasks that wait.
+	waits []dispatch.Waiting
 	// cuts holds the reported changes of cuts; dropped counts the reports of demand that were dropped.
 	cuts    []shares.Status
 	dropped int
@@ -102,6 +104,7 @@
 }
 func (b *harness) OutOfTouch(time.Duration, int) {}
 func (b *harness) Belated(*dispatch.Request)     {}
+func (b *harness) Waits(w dispatch.Waiting)      { b.waits = append(b.waits, w) }
 func (b *harness) CutChanged(s shares.Status)    { b.cuts = append(b.cuts, s) }
 func (b *harness) DemandDropped(time.Time, ident.Incarnation, error) {
 	b.dropped++
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -51,6 +51,7 @@
 	delete(a.runs, k.id)
 	j := k.job
 	j.outstanding--
+	j.idleSince = now
 	j.longest = max(j.longest, e.Took)
 	if e.Checkpoint != "" {
 		k.checkpoint = e.Checkpoint
@@ -181,6 +182,7 @@
 		t.giveUpIfDue(now, j)
 	}
 	t.placeAll(now)
+	t.reportWaiting(now)
 }
 
 // expired reports whether the job's deadline has passed, so that its caller no longer waits.
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -106,6 +106,8 @@
 	blamed []ident.UpstreamID
 	// firstAt is the time at which the first task was placed.
 	firstAt time.Time
+	// idleSince is when the job was submitted or when the last of its runs ended. It means nothing while runs are outstanding.
+	idleSince time.Time
 	// begun is set once a run was, or may have been, started.
 	begun bool
 	// ending is set once the job was answered or given up. Runs of it may still remain.
--- a/internal/entry/dispatch/submit.go
+++ b/internal/entry/dispatch/submit.go
@@ -103,7 +103,7 @@
 func (t *Table) addJob(now time.Time, r Request) {
 	criticalPath := r.Spec.CriticalPath()
 	j := &jobState{
-		id: r.Job, spec: r.Spec, route: r.Route, kept: r.Kept != nil, requestID: r.RequestID, submitted: now, deadline: r.Deadline,
+		id: r.Job, spec: r.Spec, route: r.Route, kept: r.Kept != nil, requestID: r.RequestID, submitted: now, idleSince: now, deadline: r.Deadline,
 		objective: r.Route.Objective(criticalPath), steps: make([]stepState, len(r.Spec.Steps)),
 	}
 	if !j.kept {
--- a/internal/entry/node/observe.go
+++ b/internal/entry/node/observe.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"hillreel/internal/core/boottime"
+	"hillreel/internal/core/crash"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
@@ -183,6 +184,19 @@
 	o.log.WithFields(f).Info("job_answered")
 }
 
+// Waits logs for how long a task has waited while nothing of its job runs, and what keeps it from how many upstreams.
+func (o *Observer) Waits(w dispatch.Waiting) {
+	o.counters.Add("tasks_waiting_idle", 1)
+	f := logrus.Fields{"job": w.Task.Job, "task": w.Task, "waited_ms": w.Waited.Milliseconds()}
+	if w.Caution != crash.Unsuspected {
+		f["caution"] = w.Caution
+	}
+	for cause, n := range w.Causes {
+		f["upstreams_"+string(cause)] = n
+	}
+	o.log.WithFields(f).Info("task_waits")
+}
+
 // AgentChanged logs and counts what happens to the runs at an agent whose link was lost.
 func (o *Observer) AgentChanged(agent ident.UpstreamName, runs int, event dispatch.AgentEvent) {
 	o.counters.Add(string(event), 1)
--- a/internal/entry/node/observe_test.go
+++ b/internal/entry/node/observe_test.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"hillreel/internal/core/boottime"
+	"hillreel/internal/core/crash"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/logs"
@@ -233,3 +234,17 @@
 	qt.Assert(t, lines[0], qt.Contains, "msg=demand_dropped")
 	qt.Assert(t, lines[0], qt.Contains, "error=absurd")
 }
+
+// TestWaitsLine checks that the log line of a task that waits says for how long, and what keeps it from the upstreams.
+func TestWaitsLine(t *testing.T) {
+	task := job.TaskID{Job: 7, Index: 2}
+	lines := logLines(func(o *node.Observer) {
+		o.Waits(dispatch.Waiting{
+			Task: task, Waited: 3 * time.Second, Caution: crash.Suspected,
+			Causes: map[dispatch.WaitCause]int{dispatch.SetAside: 1, dispatch.NoLabel: 12},
+		})
+	})
+	for _, part := range []string{"msg=task_waits", "task=" + task.String(), "waited_ms=3000", "caution=suspected", "upstreams_set_aside=1", "upstreams_no_label=12"} {
+		qt.Check(t, lines[0], qt.Contains, part)
+	}
+}
--- a/internal/load/world/entry.go
+++ b/internal/load/world/entry.go
@@ -310,6 +310,9 @@
 // AgentChanged does nothing.
 func (countingObserver) AgentChanged(ident.UpstreamName, int, dispatch.AgentEvent) {}
 
+// Waits does nothing.
+func (countingObserver) Waits(dispatch.Waiting) {}
+
 // CutChanged does nothing: refusals are counted when their callers receive them.
 func (countingObserver) CutChanged(shares.Status) {}
 
--- a/internal/proof/schedule/io_test.go
+++ b/internal/proof/schedule/io_test.go
@@ -273,6 +273,7 @@
 func (nopObserver) Resubmitted(*dispatch.Request, dispatch.HeldJob)                  {}
 func (nopObserver) OutOfTouch(time.Duration, int)                                    {}
 func (nopObserver) Belated(*dispatch.Request)                                        {}
+func (nopObserver) Waits(dispatch.Waiting)                                           {}
 func (nopObserver) CutChanged(shares.Status)                                         {}
 func (nopObserver) DemandDropped(time.Time, ident.Incarnation, error)                {}
 func (nopObserver) TakeoverChanged(job.ID, ident.Incarnation, time.Duration, dispatch.TakeoverEvent) {
