dispatch: a task leaves an upstream aside only while another could run this very task

Cause: `eligible` set the upstream aside as long as `anyReady` found any other ready upstream of the service. None of the others had the label. Told apart by task_waits: upstreams_no_label=12 upstreams_set_aside=1 in 19 of 19 lines, so the upstream was neither suspect, probing (the second hypothesis: a task that has run before is not given probes either), full nor cordoned.

The same question, asked without the task, stood in five places: avoided upstreams, probes, suspects that keep away from the VMs of their crashes, suspects that wait 3 s for another VM, and (no other asked for at all) claims and held room. They share `couldRun` now: service, label, size with accelerators, cordons. Where another could run the task but stays full, room is left to others for 2 s at the longest.

Digests of TestSame are unchanged.

Both sides: a task that another could run is still not started where it failed (the cases "the other suits", "is full"), so failing upstreams are found by as many other tasks as before. The proof of a crash still needs another VM where one could run the task; where none could, nothing was proved before either.

--- a/internal/entry/dispatch/agents.go
+++ b/internal/entry/dispatch/agents.go
@@ -126,11 +126,9 @@
 	return n
 }
 
-// anyReady reports whether an upstream of a service is ready that is not in the avoid list.
-func (t *Table) anyReady(s ident.Service, avoid []ident.UpstreamID) bool {
-	return slices.ContainsFunc(t.agentList, func(a *agentState) bool {
-		return a.Serves(s, fleet.Ready) && !slices.Contains(avoid, a.Upstream.ID) && t.permits(a, s)
-	})
+// anyReady reports whether an upstream of a service is ready.
+func (t *Table) anyReady(s ident.Service) bool {
+	return slices.ContainsFunc(t.agentList, func(a *agentState) bool { return a.Serves(s, fleet.Ready) && t.permits(a, s) })
 }
 
 // HandleUpstream handles an agent's description of its upstream.
--- a/internal/entry/dispatch/bench_test.go
+++ b/internal/entry/dispatch/bench_test.go
@@ -98,3 +98,23 @@
 		}
 	})
 }
+
+// BenchmarkLeftRoom measures an agent's report of room that a waiting task leaves, because it has failed there. Only the agent that linked
+// last could run the task as well, and it is full.
+func BenchmarkLeftRoom(b *testing.B) {
+	bySize(b, func(b *testing.B, agents int) {
+		p := newHarness(nil, agents)
+		last := ident.Incarnation(agents)
+		for _, id := range []ident.Incarnation{1, last} {
+			p.describe(id, accelerated, "r-1")
+		}
+		p.room(last, fleet.Ready, 0, 0)
+		p.acceleratedRoom(1, fleet.Ready, 0)
+		p.submitPatient(1)
+		p.end(p.orders[0], 0, job.Failed, "")
+		for b.Loop() {
+			p.acceleratedRoom(1, fleet.Ready, 1<<32)
+		}
+		qt.Assert(b, p.orders, qt.HasLen, 1)
+	})
+}
--- a/internal/entry/dispatch/claims.go
+++ b/internal/entry/dispatch/claims.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"hillreel/internal/core/crash"
@@ -132,17 +131,15 @@
 // claimCandidates lists the agents whose upstreams could take a task if they had room.
 func (t *Table) claimCandidates(now time.Time, k *task) []ident.Incarnation {
 	var out []ident.Incarnation
-	step, service := t.step(k), k.job.route.Service
+	prefer := t.preferenceOf(now, k)
 	for _, a := range t.agentList {
-		if !a.Serves(service, fleet.Ready) || !a.Upstream.HasLabel(step.Requires) || !step.Each.Fits(a.Upstream.Total) {
+		if !t.couldRun(a, k) {
 			continue
 		}
 		offer := t.offer(now, a, k)
-		suits := offer.InTime() || offer.Take()
-		if !suits || !t.permits(a, service) || slices.Contains(k.avoid, a.Upstream.ID) {
-			continue
+		if (offer.InTime() || offer.Take()) && !prefer.setsAside(a) {
+			out = append(out, a.ID)
 		}
-		out = append(out, a.ID)
 	}
 	return out
 }
--- a/internal/entry/dispatch/crash.go
+++ b/internal/entry/dispatch/crash.go
@@ -309,42 +309,42 @@
 }
 
 // chooseAlone returns the agent for a task that must run alone, or nil if none fits. It prefers the emptiest upstream. It
-// excludes VMs that lost an upstream while they ran the task, if a ready upstream exists on another VM. For otherVMWait it
-// also excludes VMs on which the task was alone when the upstream was lost, if other VMs exist.
+// excludes VMs that lost an upstream while they ran the task, if a ready upstream on another VM could run the task. For
+// otherVMWait it also excludes VMs on which the task was alone when the upstream was lost, if other VMs could run it.
 func (t *Table) chooseAlone(now time.Time, k *task, among []*agentState) *agentState {
 	step := &k.job.spec.Steps[k.id.Step]
 	elsewhere := t.readyElsewhere(k)
 	others := t.hasOtherVMs(k)
+	prefer := t.preferenceOf(now, k)
+	defer func() { k.noteLeftRoom(now, prefer) }()
 	mayTake := func(a *agentState) bool {
 		switch {
 		case elsewhere && t.crashes.HasCrashOn(k.id, a.Name), others && t.crashes.HasAloneCrashOn(now, k.id, a.Name, otherVMWait):
 			return false
 		}
 		offer := t.offer(now, a, k)
-		return t.eligible(a, k, step) && (offer.InTime() || offer.Take())
+		return t.eligible(a, k, prefer) && (offer.InTime() || offer.Take())
 	}
 	return placement.Cheapest(among, mayTake, func(a *agentState) float64 {
 		return t.cost(a, step) + usedRoomCost*a.Utilization()
 	})
 }
 
-// hasOtherVMs reports whether at least two VMs have, or may have, an upstream of the task's service.
+// hasOtherVMs reports whether at least two VMs have, or may have, an upstream that suits the task.
 func (t *Table) hasOtherVMs(k *task) bool {
 	n := 0
 	for _, a := range t.agentList {
-		if !a.Known() || a.Upstream.Service == k.job.route.Service {
+		if !a.Known() || t.suits(a, k) {
 			n++
 		}
 	}
 	return n > 1
 }
 
-// readyElsewhere reports whether a ready upstream exists that the task need not avoid, on a VM that has not lost an
+// readyElsewhere reports whether an upstream could run the task that the task need not avoid, on a VM that has not lost an
 // upstream while it ran the task.
 func (t *Table) readyElsewhere(k *task) bool {
-	service := k.job.route.Service
 	return slices.ContainsFunc(t.agentList, func(a *agentState) bool {
-		return a.Serves(service, fleet.Ready) && t.permits(a, service) &&
-			!t.crashes.HasCrashOn(k.id, a.Name) && !slices.Contains(k.avoid, a.Upstream.ID)
+		return t.couldRun(a, k) && !t.crashes.HasCrashOn(k.id, a.Name) && !slices.Contains(k.avoid, a.Upstream.ID)
 	})
 }
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -41,10 +41,13 @@
 	placedAt time.Time
 	// declinedAt is when the task first declined room away from its data since it began to wait; zero if it has not.
 	declinedAt time.Time
+	// leftRoomAt is when the task first set an upstream with room aside since it began to wait; zero if it has not.
+	leftRoomAt time.Time
 	failures   int
 	// checkpoint is the newest checkpoint that a run of the task has saved, or empty.
 	checkpoint string
-	// avoid lists the upstreams at which the task failed or stalled, or from which it was moved away.
+	// avoid lists the upstreams at which the task failed or stalled, or from which it was moved away. The task sets them
+	// aside while another upstream could run it (preference).
 	avoid []ident.UpstreamID
 	// stopping is set once a stop was sent for the newest run, moving once that run was asked to end so that the task can
 	// run elsewhere.
@@ -162,6 +165,7 @@
 	j := k.job
 	step := &j.steps[k.id.Step]
 	t.clearDeclined(k)
+	k.leftRoomAt = time.Time{}
 	if i := slices.Index(step.waiting, k); i >= 0 {
 		step.waiting = slices.Delete(step.waiting, i, i+1)
 	}
--- a/internal/entry/dispatch/move.go
+++ b/internal/entry/dispatch/move.go
@@ -32,9 +32,10 @@
 func (t *Table) shouldMove(now time.Time, k *task, left time.Duration) bool {
 	took := now.Sub(k.job.submitted)
 	step := &k.job.spec.Steps[k.id.Step]
+	prefer := t.preferenceOf(now, k)
 	return slices.ContainsFunc(t.agentList, func(a *agentState) bool {
 		return a != k.agent && retry.ShouldMove(took, k.job.objective, left, t.runTime(a, step, t.pace)) &&
-			!fleet.Slow(t.paceFor(a, step), t.pace) && t.eligible(a, k, step)
+			!fleet.Slow(t.paceFor(a, step), t.pace) && t.eligible(a, k, prefer)
 	})
 }
 
--- a/internal/entry/dispatch/near.go
+++ b/internal/entry/dispatch/near.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"hillreel/internal/core/fleet"
 	"hillreel/internal/entry/placement"
 )
 
@@ -86,11 +85,7 @@
 // NearWaits counts the tasks that have declined room away from their data, once for each time that they had to be placed.
 func (t *Table) NearWaits() int64 { return t.nearWaits }
 
-// mayHaveRoom reports whether an upstream may take a task once enough of its runs have ended.
+// mayHaveRoom reports whether a task need not avoid an upstream, which may take it once enough of its runs have ended.
 func (t *Table) mayHaveRoom(a *agentState, k *task) bool {
-	step, service := &k.job.spec.Steps[k.id.Step], k.job.route.Service
-	if !a.Serves(service, fleet.Ready) || !a.Upstream.HasLabel(step.Requires) || !step.Each.Fits(a.Upstream.Total) {
-		return false
-	}
-	return t.permits(a, service) && !slices.Contains(k.avoid, a.Upstream.ID) && !t.hasMaxTasks(a, k)
+	return t.couldRun(a, k) && !slices.Contains(k.avoid, a.Upstream.ID) && !t.hasMaxTasks(a, k)
 }
--- a/internal/entry/dispatch/offer.go
+++ b/internal/entry/dispatch/offer.go
@@ -65,15 +65,12 @@
 	smallest, _ := q.Sizes.Smallest()
 	return slices.ContainsFunc(among, func(a *agentState) bool {
 		return a.AcceptsWork() && slices.ContainsFunc(j.steps, func(s stepState) bool {
-			return len(s.waiting) > 0 && s.waiting[0].cpu() >= holdRatio*smallest && t.noRoom.covers(j.spec.Steps[s.waiting[0].id.Step].Each) && t.couldTake(a, s.waiting[0])
+			return len(s.waiting) > 0 && s.waiting[0].cpu() >= holdRatio*smallest && t.noRoom.covers(j.spec.Steps[s.waiting[0].id.Step].Each) && t.wouldTake(now, a, s.waiting[0])
 		})
 	})
 }
 
-// couldTake reports whether an agent's upstream could take a task if nothing else ran there.
-func (t *Table) couldTake(a *agentState, k *task) bool {
-	step := &k.job.spec.Steps[k.id.Step]
-	service := k.job.route.Service
-	return a.Upstream.Service == service && a.Upstream.HasLabel(step.Requires) && step.Each.Fits(a.Upstream.Total) &&
-		t.permits(a, service) && !slices.Contains(k.avoid, a.Upstream.ID)
+// wouldTake reports whether a task would take an agent's upstream if nothing else ran there.
+func (t *Table) wouldTake(now time.Time, a *agentState, k *task) bool {
+	return t.suits(a, k) && !t.preferenceOf(now, k).setsAside(a)
 }
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"hillreel/internal/core/fleet"
@@ -164,13 +163,15 @@
 func (t *Table) choose(now time.Time, k *task, among []*agentState) (best *agentState, declined bool) {
 	step := &k.job.spec.Steps[k.id.Step]
 	near := t.near(k)
+	prefer := t.preferenceOf(now, k)
+	defer func() { k.noteLeftRoom(now, prefer) }()
 	foundRoom := false
 	hasRoom := func(a *agentState) bool {
 		if !a.CanTake(k.job.route.Service, step) {
 			return false
 		}
 		foundRoom = true
-		if !t.eligible(a, k, step) || t.reservedForOthers(now, a, k) || t.isProbablyTaken(now, a, k) {
+		if !t.eligible(a, k, prefer) || t.reservedForOthers(now, a, k) || t.isProbablyTaken(now, a, k) {
 			return false
 		}
 		if !t.declines(now, a, k, near) {
@@ -243,16 +244,9 @@
 }
 
 // eligible reports whether a task may go to an agent now.
-func (t *Table) eligible(a *agentState, k *task, step *job.Step) bool {
+func (t *Table) eligible(a *agentState, k *task, prefer *preference) bool {
 	service := k.job.route.Service
-	if !a.CanTake(service, step) || !t.permits(a, service) {
-		return false
-	}
-	unwanted := a.Probing() && k.run > 0 || slices.Contains(k.avoid, a.Upstream.ID)
-	if unwanted && t.anyReady(service, k.avoid) {
-		return false
-	}
-	return !t.hasMaxTasks(a, k)
+	return a.CanTake(service, t.step(k)) && t.permits(a, service) && !t.hasMaxTasks(a, k) && !prefer.setsAside(a)
 }
 
 // hasMaxTasks reports whether an agent has as many tasks of a task's step as may share an upstream.
--- a/internal/entry/dispatch/wait.go
+++ b/internal/entry/dispatch/wait.go
@@ -20,7 +20,7 @@
 // setWaitLimits sets how long a new job waits and its place among waiting jobs. criticalPath is the estimated time of the
 // job's longest chain of steps.
 func (t *Table) setWaitLimits(now time.Time, j *jobState, criticalPath time.Duration) {
-	s := admission.State{Pace: t.pace, Ready: t.anyReady(j.route.Service, nil)}
+	s := admission.State{Pace: t.pace, Ready: t.anyReady(j.route.Service)}
 	if s.Ready {
 		s.Pressure = t.pressure.Level(now)
 	}
--- a/internal/entry/dispatch/waiting.go
+++ b/internal/entry/dispatch/waiting.go
@@ -75,14 +75,15 @@
 	i := slices.IndexFunc(j.steps, func(s stepState) bool { return len(s.waiting) > 0 })
 	k := j.steps[i].waiting[0]
 	w := Waiting{Task: k.id, Waited: now.Sub(j.idleSince), Caution: t.caution(now, k), Causes: make(map[WaitCause]int)}
+	prefer := t.preferenceOf(now, k)
 	for _, a := range t.agentList {
-		w.Causes[t.waitCause(a, k)]++
+		w.Causes[t.waitCause(a, k, prefer)]++
 	}
 	return w
 }
 
 // waitCause returns what keeps a task from an agent's upstream.
-func (t *Table) waitCause(a *agentState, k *task) WaitCause {
+func (t *Table) waitCause(a *agentState, k *task, prefer *preference) WaitCause {
 	step, service := t.step(k), k.job.route.Service
 	switch {
 	case !a.Serves(service, fleet.Ready, fleet.Probing):
@@ -97,7 +98,7 @@
 		return NoRoom
 	case t.hasMaxTasks(a, k):
 		return MaxTasks
-	case !t.eligible(a, k, step):
+	case prefer.setsAside(a):
 		return SetAside
 	}
 	return Open
