dispatch: tasks behind one that leaves room are placed

A task that leaves room at the upstream where it failed stopped the search for its whole step: tasks behind it waited beside room that they could use.

Cause: placeStep broke off at the first task for which no upstream was found. A task that has not run before is the least particular of its step, so it may speak for the others; one that has run before may not.

Evidence: TestTasksBehindOneThatCannotBePlaced fails before in two of three cases and passes now (the third is the bound).

--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -88,11 +88,15 @@
 	t.placeSuspects(now, suspects, among)
 	orders := make(map[*agentState]*fleet.Order)
 	var agents []*agentState
+	tries := 0
 	for _, k := range others {
 		a, declined := t.choose(now, k, among)
 		if a == nil {
-			waits = !declined
-			break
+			waits = waits || !declined
+			if tries++; t.speaksForOthers(k) || tries == maxFailedChoices {
+				break
+			}
+			continue
 		}
 		o := orders[a]
 		if o == nil {
@@ -109,6 +113,13 @@
 	return waits
 }
 
+// maxFailedChoices bounds the tasks of a step for which no upstream is found before the others are not tried any more.
+const maxFailedChoices = 8
+
+// speaksForOthers reports whether a task for which no upstream was found shows that none would be found for the other tasks
+// of its step: those may be less particular if it has run before, unless all room is too small.
+func (t *Table) speaksForOthers(k *task) bool { return k.run == 0 || t.noRoom.covers(t.step(k).Each) }
+
 // newOrder returns an order to an agent for one step that has no tasks yet.
 func (t *Table) newOrder(a *agentState, j *jobState, s int) *fleet.Order {
 	step := &j.spec.Steps[s]
--- a/internal/entry/dispatch/preference_test.go
+++ b/internal/entry/dispatch/preference_test.go
@@ -224,3 +224,41 @@
 		})
 	}
 }
+
+// TestTasksBehindOneThatCannotBePlaced guards against tasks that wait beside room for them, because a task of their step that comes before
+// them leaves it.
+func TestTasksBehindOneThatCannotBePlaced(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// failed is how many tasks have failed at the first upstream, which has room for all that wait. The second one is full.
+		failed int
+		want   int
+	}{
+		{"one leaves room", 1, 1},
+		{"three leave room", 3, 1},
+		{"as many leave room as are tried", 8, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newHarness(t, 2)
+			total := job.Resources{CPU: 100_000}
+			b.describe(1, total)
+			b.describe(2, total)
+			b.room(2, fleet.Ready, 0, 0)
+			b.room(1, fleet.Ready, int64(test.failed+1)*1000, 0)
+			b.submitKept(1, job.Step{Count: uint32(test.failed + 1), Each: job.Resources{CPU: 1000}, Estimate: time.Second}, patient)
+			o := b.orders[0]
+			qt.Assert(t, o.Tasks, qt.HasLen, test.failed+1)
+			b.room(1, fleet.Ready, 0, o.Seq)
+			for i := range test.failed {
+				b.end(o, i, job.Failed, "")
+			}
+			b.end(o, test.failed, job.NotStarted, fleet.NoRoom)
+			b.room(1, fleet.Ready, 100_000, o.Seq)
+			placed := 0
+			for _, o := range b.orders[1:] {
+				placed += len(o.Tasks)
+			}
+			qt.Check(t, placed, qt.Equals, test.want)
+		})
+	}
+}
