dispatch: room is claimed for jobs behind one that can run nowhere

What callers saw: found by reading; in regions of six entries and more, where entries claim room. While the first waiting task could run at no upstream (its label or size is gone), the entry claimed nothing for all jobs behind it, so that other entries were offered the room first.

Cause: claims are made for the first waiting task; without agents that could run it, all claims were withdrawn. The first task of each of four steps is tried now.

Evidence: TestClaimsBehindAJobThatCannotBePlaced fails before and passes now.

--- a/internal/entry/dispatch/claims.go
+++ b/internal/entry/dispatch/claims.go
@@ -76,12 +76,14 @@
 	if t.contact.listenRemaining > 0 && !t.opts.Without.Has(rule.HearEnds) {
 		return
 	}
-	first, need := t.claimNeed(now, q)
-	if first == nil {
-		t.sendClaims(c.Withdraw())
-		return
+	first, count := t.waitingForRoom(now, q)
+	for _, k := range first {
+		if agents := t.claimCandidates(now, k); len(agents) > 0 {
+			t.sendClaims(c.Update(now, t.claimNeed(k, count), agents))
+			return
+		}
 	}
-	t.sendClaims(c.Update(now, need, t.claimCandidates(now, first)))
+	t.sendClaims(c.Withdraw())
 }
 
 // sendClaims sends claims to their agents.
@@ -95,34 +97,37 @@
 	}
 }
 
-// claimNeed returns the first task that waits for room, and what to claim: as many tasks as wait, each as large as the first. Tasks that
+// maxClaimSearches bounds the tasks for which agents are looked for: those before the last one can run nowhere at present.
+const maxClaimSearches = 4
+
+// waitingForRoom returns the first task of each of the first steps that wait for room, and counts their tasks. Tasks that
 // have to be started alone are left out.
-func (t *Table) claimNeed(now time.Time, q *queue.Queue[*jobState]) (*task, claim.Need) {
-	var first *task
-	n := 0
+func (t *Table) waitingForRoom(now time.Time, q *queue.Queue[*jobState]) (first []*task, count int) {
 	for _, j := range q.All() {
 		for i := range j.steps {
+			found := false
 			for _, k := range j.steps[i].waiting {
 				if t.caution(now, k) != crash.Unsuspected {
 					continue
 				}
-				if first == nil {
-					first = k
+				if !found && len(first) < maxClaimSearches {
+					first = append(first, k)
 				}
-				n++
+				found = true
+				count++
 			}
 		}
-		if n >= maxClaimed {
+		if count >= maxClaimed {
 			break
 		}
 	}
-	if first == nil {
-		return nil, claim.Need{}
-	}
+	return first, count
+}
+
+// claimNeed returns what to claim for some tasks, each as large as the first that could run somewhere.
+func (t *Table) claimNeed(first *task, count int) claim.Need {
 	r := first.job.Rank()
-	return first, claim.Need{
-		Tasks: min(n, maxClaimed), Each: t.step(first).Each, Begun: r.Begun, Late: r.Late, PlaceBy: r.PlaceBy,
-	}
+	return claim.Need{Tasks: min(count, maxClaimed), Each: t.step(first).Each, Begun: r.Begun, Late: r.Late, PlaceBy: r.PlaceBy}
 }
 
 // step returns the step of a task.
--- a/internal/entry/dispatch/preference_test.go
+++ b/internal/entry/dispatch/preference_test.go
@@ -262,3 +262,16 @@
 		})
 	}
 }
+
+// TestClaimsBehindAJobThatCannotBePlaced guards against jobs for which no room is claimed because no upstream has the label that the first
+// job requires.
+func TestClaimsBehindAJobThatCannotBePlaced(t *testing.T) {
+	b := newClaimHarness(t, 3)
+	b.submitKept(1, gpuStep, queue)
+	b.pass(20 * time.Millisecond)
+	qt.Assert(t, b.standing(), qt.Equals, 0)
+	b.submitKept(2, job.Step{Count: 1, Each: job.Resources{CPU: 1000}, Estimate: time.Second}, queue)
+	b.pass(20 * time.Millisecond)
+	qt.Assert(t, b.standing(), qt.Equals, 3)
+	qt.Check(t, b.claims[1].Each, qt.Equals, job.Resources{CPU: 1000})
+}
