dispatch: forecasts, moves and suspects count the time in which a task restores its checkpoint

An entry expected a resumed task to end after its estimate alone: it was placed where its job ends late, and moved off a slow upstream at a loss (each move restores a checkpoint anew); and a suspect was alone for too short a time to crash its upstream alone.

Cause: runTime is the estimate, whatever the task has saved. Entries have a setting restore_time like agents, and know from the job which steps save checkpoints, since a stopped run saves one: a moved task restores it. How much work a checkpoint spares isn't known, so all of it counts, as before.

Evidence: TestMovesCountRestoring (2 of 3 cases), TestOffersCountRestoring (1 of 2), TestSuspectsRestoreAlone fail with restore times of zero and pass with them; TestCheckpointsAreRead. Digests of TestSame are unchanged.

Both sides: only tasks with checkpoints change. A suspect with one keeps its upstream to itself for restore_time longer. Left: the ages at which a task crashes upstreams are compared as they are, so that a crash before and one after a checkpoint came in are two points of its run.

--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -105,6 +105,8 @@
 	Requires Label `json:"requires,omitempty"`
 	// Prefers is the rack that holds the step's data; empty means no preference.
 	Prefers Label `json:"prefers,omitempty"`
+	// Checkpoints: the tasks save checkpoints, from which later runs resume.
+	Checkpoints bool `json:"checkpoints,omitempty"`
 	// MaxPerUpstream bounds the step's tasks on one upstream; zero means no bound.
 	MaxPerUpstream uint32 `json:"max_per_upstream,omitempty"`
 }
--- a/internal/entry/dispatch/crash.go
+++ b/internal/entry/dispatch/crash.go
@@ -251,10 +251,10 @@
 }
 
 // aloneFor returns how long after its start a placed task is to be alone. If no crash tells when the task may crash its upstream,
-// it is for as long as the task should take.
+// it is for as long as the task should take. A task that first restores its checkpoint comes to the same points later.
 func (t *Table) aloneFor(now time.Time, k *task) time.Duration {
 	unconfirmed, _ := t.unconfirmed.Of(now, k.id)
-	alone := t.crashes.AloneFor(k.id, unconfirmed)
+	alone := t.crashes.AloneFor(k.id, unconfirmed) + t.restoreTime(k)
 	if len(t.crashes.Crashes(k.id))+len(unconfirmed) == 0 {
 		alone += t.runTime(k.agent, &k.job.spec.Steps[k.id.Step], 1)
 	}
@@ -289,7 +289,7 @@
 // storeSharedStart has the start of a task of a late generation stored that is not alone.
 func (t *Table) storeSharedStart(now time.Time, k *task) {
 	if k.job.generation >= storedGeneration {
-		took := t.runTime(k.agent, &k.job.spec.Steps[k.id.Step], 1)
+		took := t.runTime(k.agent, &k.job.spec.Steps[k.id.Step], 1) + t.restoreTime(k)
 		t.storeStart(now, exclusiveRun{task: k, id: k.runID, alone: took}, false)
 	}
 }
--- a/internal/entry/dispatch/dispatch.go
+++ b/internal/entry/dispatch/dispatch.go
@@ -230,6 +230,8 @@
 	ClaimFrom int
 	// RemoteFactor is how many times as long a task takes away from its data; zero means 1.
 	RemoteFactor float64
+	// RestoreTime is the longest time that an upstream needs to restore a task's checkpoint.
+	RestoreTime time.Duration
 	// Without disables safety rules, for experiments only.
 	Without rule.Set
 }
--- a/internal/entry/dispatch/move.go
+++ b/internal/entry/dispatch/move.go
@@ -28,13 +28,17 @@
 }
 
 // shouldMove reports whether a running task could be placed at another upstream now and would finish enough earlier there that its
-// job's result gains value.
+// job's result gains value. How much of the work a checkpoint spares is not known, so all of it counts.
 func (t *Table) shouldMove(now time.Time, k *task, left time.Duration) bool {
 	took := now.Sub(k.job.submitted)
 	step := &k.job.spec.Steps[k.id.Step]
 	prefer := t.preferenceOf(now, k)
+	var restore time.Duration
+	if step.Checkpoints || k.checkpoint != "" {
+		restore = t.opts.RestoreTime
+	}
 	return slices.ContainsFunc(t.agentList, func(a *agentState) bool {
-		return a != k.agent && retry.ShouldMove(took, k.job.objective, left, t.runTime(a, step, t.pace)) &&
+		return a != k.agent && retry.ShouldMove(took, k.job.objective, left, restore+t.runTime(a, step, t.pace)) &&
 			!fleet.Slow(t.paceFor(a, step), t.pace) && t.eligible(a, k, prefer)
 	})
 }
--- a/internal/entry/dispatch/near.go
+++ b/internal/entry/dispatch/near.go
@@ -28,7 +28,7 @@
 		if a.IsRemote(step) || !t.mayHaveRoom(a, k) {
 			continue
 		}
-		if run := t.runTime(a, step, t.paceFor(a, step)); n.run == 0 || run < n.run {
+		if run := t.runTime(a, step, t.paceFor(a, step)) + t.restoreTime(k); n.run == 0 || run < n.run {
 			n.run = run
 		}
 		slots += int(a.Upstream.Total.CPU / max(1, step.Each.CPU))
@@ -49,7 +49,7 @@
 		return false
 	}
 	room := placement.Remote{
-		Expected: near.wait, Near: near.run, Here: t.runTime(a, step, t.paceFor(a, step)),
+		Expected: near.wait, Near: near.run, Here: t.runTime(a, step, t.paceFor(a, step)) + t.restoreTime(k),
 		Left: j.objective - now.Sub(j.submitted), MayWait: j.waitUntil.Sub(now), Pause: lastResortMargin,
 	}
 	if j.begun {
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -239,6 +239,14 @@
 	return time.Duration(pace * a.RemoteFactor(step, t.opts.RemoteFactor) * float64(step.Estimate))
 }
 
+// restoreTime returns how long the next run of a task restores the task's checkpoint before it makes progress.
+func (t *Table) restoreTime(k *task) time.Duration {
+	if k.checkpoint == "" {
+		return 0
+	}
+	return t.opts.RestoreTime
+}
+
 // lastResortMargin is how long before a job's wait ends it accepts a slow upstream at which it will be late: the duration
 // of one tick.
 const lastResortMargin = 20 * time.Millisecond
@@ -247,7 +255,7 @@
 func (t *Table) offer(now time.Time, a *agentState, k *task) placement.Offer {
 	j := k.job
 	step := &j.spec.Steps[k.id.Step]
-	took := now.Sub(j.submitted)
+	took := now.Sub(j.submitted) + t.restoreTime(k)
 	return placement.Offer{
 		Here: took + t.runTime(a, step, t.paceFor(a, step)), Elsewhere: took + time.Duration(t.pace*float64(step.Estimate)),
 		Objective: j.objective, LastResort: !now.Before(j.waitUntil.Add(-lastResortMargin)),
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -101,6 +101,7 @@
 	options := dispatch.Options{
 		Timing: set.Links.Timing(), Zone: ident.Zone(set.Node.Zone), MaxQueue: set.Entry.QueueLimit, MaxTasks: set.Entry.MaxTasks,
 		AgentLinks: set.Links.Entries, ClaimFrom: set.Entry.ClaimFrom, RemoteFactor: set.Entry.RemoteFactor,
+		RestoreTime: set.Entry.RestoreTime,
 	}
 	n.table = dispatch.New(options, (*sender)(n), (*answerer)(n), observer, rand.Uint64())
 	n.keptJobs = n.newKeptJobs(store)
