node, peer: a cancellation is confirmed once the job's owner has stopped, or can't go on for longer than allowed

The client had its 200, and tasks of the job went on starting for 3.4 to 3.5 s, until the owner's lease ended (3 s are allowed).

Cause: the owner learns of a cancellation from the store alone, and acts on what it knows until its lease of 4 s ends.

The entry that has cancelled the job tells the owner over the sessions between entries; leases name the owner's address, and are read by a cancellation anyway. Nobody may act for a job whose end is stored, so the notice is right whoever gets it, late, twice, or in a new life. Without a reply, the confirmation waits until a lease that was renewed at the last moment, and a start on its way, end within cancel_ms: 1.5 s. It is not waited for where the lease has expired, is claimed or gone, or where no process listens at the address. The job's end in the store names the owner's lease, so that a client whose first DELETE was not answered gets the same from its next one.

Both sides: leases last and are lost as before. A cancellation of a job whose owner has just lost power, or stands still, takes up to 1.5 s longer.

--- a/internal/core/fleet/jobquery.go
+++ b/internal/core/fleet/jobquery.go
@@ -10,6 +10,8 @@
 	Job job.ID
 	// Cancel is set if the entry must also end what it has of the job, and must not take the job for a while.
 	Cancel bool
+	// Cancelled is set if the store has the kept job as cancelled. The entry must not act for it any more.
+	Cancelled bool
 }
 
 // JobReply is an entry's reply to a JobQuery.
--- a/internal/entry/node/cancel.go
+++ b/internal/entry/node/cancel.go
@@ -7,7 +7,9 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"hillreel/internal/core/boottime"
 	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/dispatch"
@@ -26,7 +28,7 @@
 	if err != nil || q.SettledBy(own) {
 		return own.State, err
 	}
-	state, err := n.reader.Cancel(ctx, id)
+	state, err := n.cancelStored(ctx, id)
 	if err != nil || state != verdict.Unknown {
 		return state, err
 	}
@@ -49,13 +51,71 @@
 		return state, err
 	}
 	// A job to be kept may have been stored since by an entry that has ended or lost its lease.
-	state, err = n.reader.Cancel(ctx, q.Job)
+	state, err = n.cancelStored(ctx, q.Job)
 	if err == nil && state == verdict.Unknown {
 		return own.State, nil
 	}
 	return state, err
 }
 
+// cancelStored cancels a job in the store and returns the state in which the job has ended, or verdict.Unknown if the store doesn't have it.
+// Tasks of the job do not start for longer than Kept.CancelWithin after that.
+func (n *Node) cancelStored(ctx context.Context, id job.ID) (verdict.State, error) {
+	c, err := n.reader.Cancel(ctx, id)
+	if err != nil || !c.OwnerMayAct {
+		return c.State, err
+	}
+	return c.State, n.stopOwner(ctx, id, c.OwnerLink)
+}
+
+// maxStartDelay is the longest time from an entry's decision to start a task until its upstream starts it.
+const maxStartDelay = 500 * time.Millisecond
+
+// stopOwner returns once the owner of a job that is cancelled in the store has stopped the job, or can't start tasks of it for longer than
+// Kept.CancelWithin: an owner that is cut off from the store does not learn of the cancellation there, and acts until its lease ends.
+func (n *Node) stopOwner(ctx context.Context, id job.ID, owner ident.Address) error {
+	if owner == n.set.Node.AdvertisedLink() {
+		n.loop.Post(jobsCancelled{[]job.ID{id}}) // the owner is this process, or one that has ended
+		return nil
+	}
+	began := boottime.Now()
+	enough, cancel := context.WithTimeout(ctx, max(0, n.set.Kept.Lease+maxStartDelay-n.set.Kept.CancelWithin))
+	defer cancel()
+	told := n.tellCancelled(enough, id, owner)
+	if !told {
+		<-enough.Done()
+	}
+	n.log.WithFields(logrus.Fields{
+		"job": id, "owner": owner, "told": told, "took_ms": boottime.Since(began).Milliseconds(),
+	}).Info("job_owner_told")
+	if !told && ctx.Err() != nil {
+		return errors.Wrapf(ctx.Err(), "entry: the owner of job %s does not reply and may start tasks", id)
+	}
+	return nil
+}
+
+// tellCancelled tells an entry that a job is cancelled in the store, and reports whether the entry has stopped the job or has ended.
+func (n *Node) tellCancelled(ctx context.Context, id job.ID, entry ident.Address) bool {
+	if entry == "" {
+		return false // its lease was written by an earlier release, which would not understand the query either
+	}
+	reply, err := n.peerClient.Tell(ctx, entry, fleet.JobQuery{Job: id, Cancelled: true})
+	return err == nil && (reply.State == verdict.Cancelled || reply.State == verdict.Unknown)
+}
+
+// handleCancelled stops a job that is cancelled in the store.
+func (n *Node) handleCancelled(id job.ID) (fleet.JobReply, error) {
+	var reply fleet.JobReply
+	n.call(func(now time.Time) {
+		n.keptJobs.HandleRemoteCancellations(now, []job.ID{id})
+		reply.State = verdict.Cancelled
+	})
+	if reply.State == "" {
+		return reply, errStopped
+	}
+	return reply, nil
+}
+
 // cancelOwn ends what this entry has of a job. If remember is set, or if the entry has something of the job, the entry does not take the
 // job for a while.
 func (n *Node) cancelOwn(ctx context.Context, id job.ID, remember bool) (fleet.JobReply, error) {
--- /dev/null
+++ b/internal/entry/node/cancel_owner_test.go
@@ -0,0 +1,248 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"hillreel/internal/core/boottime"
+	"hillreel/internal/core/fleet"
+	"hillreel/internal/core/ident"
+	"hillreel/internal/core/job"
+	"hillreel/internal/core/logs"
+	"hillreel/internal/core/route"
+	"hillreel/internal/core/rows"
+	"hillreel/internal/core/settings"
+	"hillreel/internal/core/verdict"
+	"hillreel/internal/entry/dispatch"
+	"hillreel/internal/entry/node"
+	"hillreel/internal/entry/peer"
+	"hillreel/internal/kept/record"
+	"hillreel/internal/link/session"
+	"hillreel/internal/link/wire"
+	"hillreel/internal/standin/loopback"
+	"hillreel/internal/standin/memory"
+)
+
+// cuttableStore is one entry's path to a store, which can be cut: calls then wait until their contexts end.
+type cuttableStore struct {
+	*sharedStore
+	cut atomic.Bool
+}
+
+func (s *cuttableStore) Commit(ctx context.Context, t rows.Txn) (rows.Version, error) {
+	if s.cut.Load() {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	return s.sharedStore.Commit(ctx, t)
+}
+
+func (s *cuttableStore) Read(ctx context.Context, k rows.Key) (rows.Row, error) {
+	if s.cut.Load() {
+		<-ctx.Done()
+		return rows.Row{}, ctx.Err()
+	}
+	return s.sharedStore.Read(ctx, k)
+}
+
+func (s *cuttableStore) Range(ctx context.Context, r rows.Range) (rows.Page, error) {
+	if s.cut.Load() {
+		<-ctx.Done()
+		return rows.Page{}, ctx.Err()
+	}
+	return s.sharedStore.Range(ctx, r)
+}
+
+// startCuttable starts an entry that reaches the store over a path of its own.
+func startCuttable(t *testing.T, store *sharedStore) (*node.Node, *cuttableStore) {
+	set, err := settings.Load("")
+	qt.Assert(t, err, qt.IsNil)
+	set.Node.Name, set.Node.Link, set.Links.Silence = "owner", settings.Address(loopback.Draw(loopback.Embedded, 7400)), time.Minute
+	path := &cuttableStore{sharedStore: store}
+	n := node.New(set, path, nil, node.NewObserver(logs.Discard(), nil), logs.Discard())
+	qt.Assert(t, n.Start(context.Background()), qt.IsNil)
+	t.Cleanup(n.Stop)
+	register(store, n.Address())
+	return n, path
+}
+
+// keepJob hands a job to be kept in at an entry, which accepts it.
+func keepJob(t *testing.T, n *node.Node, id job.ID) {
+	a, err := n.Submit(context.Background(), dispatch.Request{
+		Job: id, Route: route.Route{Service: "publish", Attempts: 2, Target: time.Minute}, Deadline: boottime.Now().Add(time.Minute),
+		Spec: &job.Spec{Text: "x", Steps: []job.Step{{Count: 1, Each: job.Resources{CPU: 1000}, Estimate: time.Second}}},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, a.State, qt.Equals, verdict.Accepted)
+}
+
+// TestCancelReachesOwnerCutOffFromStore guards against tasks that start after the cancellation of their kept job was confirmed, because the
+// job's owner is cut off from the store and goes on until its lease ends.
+func TestCancelReachesOwnerCutOffFromStore(t *testing.T) {
+	store := &sharedStore{rows: memory.New()}
+	owner, path := startCuttable(t, store)
+	other := startNodes(t, store, 1)[0]
+	keepJob(t, owner, 7)
+	keepJob(t, owner, 8)
+	path.cut.Store(true)
+	began := boottime.Now()
+	state, err := other.Cancel(context.Background(), 7)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, state, qt.Equals, verdict.Cancelled)
+	qt.Check(t, boottime.Since(began) < time.Second, qt.IsTrue, qt.Commentf("took %v", boottime.Since(began)))
+	for id, want := range map[job.ID]verdict.State{7: verdict.Cancelled, 8: verdict.Running} {
+		ctx, done := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		state, err = owner.State(ctx, id)
+		done()
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, state, qt.Equals, want, qt.Commentf("job %v", id))
+	}
+}
+
+// startPeer starts a stand-in for an entry that gives the same reply to each query, and returns its address.
+func startPeer(t *testing.T, reply verdict.State) ident.Address {
+	address := loopback.Draw(loopback.Embedded, 7400)
+	ln, err := net.Listen("tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s, err := session.Accept(conn, &wire.Hello{Role: "entry", Name: "peer"})
+			if err != nil {
+				continue
+			}
+			t.Cleanup(s.Close)
+			go peer.Serve(s, func(fleet.JobQuery) fleet.JobReply { return fleet.JobReply{State: reply} }) //nolint:errcheck // the session ends with the test
+		}
+	}()
+	return ident.Address(address)
+}
+
+// TestCancelOfUnreachableOwner guards against a cancellation that is confirmed while the job's owner, which can't be reached, may start
+// tasks for longer than is allowed after the confirmation, and against one that waits though the owner can't act any more.
+func TestCancelOfUnreachableOwner(t *testing.T) {
+	const (
+		id    = job.ID(7)
+		lease = record.LeaseID("lost-0")
+		// wait is for how long a confirmation waits: a lease of 4 s and the time to start a task, less the time that is allowed.
+		wait = 400 * time.Millisecond
+	)
+	alive := time.Minute + time.Millisecond // the store's clock stands at one minute
+	silent := func(t *testing.T) ident.Address {
+		address := loopback.Draw(loopback.Embedded, 7400)
+		listenWithoutReply(t, address)
+		return ident.Address(address)
+	}
+	replying := func(s verdict.State) func(*testing.T) ident.Address {
+		return func(t *testing.T) ident.Address { return startPeer(t, s) }
+	}
+	for _, test := range []struct {
+		name string
+		// owner returns the address of the job's owner.
+		owner func(t *testing.T) ident.Address
+		lease *record.Lease
+		waits bool
+	}{
+		{"silent", silent, &record.Lease{UntilMs: alive.Milliseconds()}, true},
+		{"silent, its lease has expired", silent, &record.Lease{UntilMs: time.Minute.Milliseconds()}, false},
+		{"silent, its lease is claimed", silent, &record.Lease{UntilMs: alive.Milliseconds(), Adopter: "x"}, false},
+		{"its lease is gone", silent, nil, false},
+		{"its address is not known", func(*testing.T) ident.Address { return "" }, &record.Lease{UntilMs: alive.Milliseconds()}, true},
+		{"its process has ended", func(*testing.T) ident.Address {
+			return ident.Address(loopback.Draw(loopback.Embedded, 7400))
+		}, &record.Lease{UntilMs: alive.Milliseconds()}, false},
+		{"a new process has its address", replying(verdict.Cancelled), &record.Lease{UntilMs: alive.Milliseconds()}, false},
+		{"of an earlier release, which says that it runs the job", replying(verdict.Running), &record.Lease{UntilMs: alive.Milliseconds()}, true},
+		{"it can't tell", replying(verdict.Unresolved), &record.Lease{UntilMs: alive.Milliseconds()}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			store := &sharedStore{rows: memory.New()}
+			set, err := settings.Load("")
+			qt.Assert(t, err, qt.IsNil)
+			set.Node.Link, set.Kept.CancelWithin = settings.Address(loopback.Draw(loopback.Embedded, 7400)), set.Kept.Lease+500*time.Millisecond-wait
+			n := node.New(set, store, nil, node.NewObserver(logs.Discard(), nil), logs.Discard())
+			qt.Assert(t, n.Start(context.Background()), qt.IsNil)
+			t.Cleanup(n.Stop)
+			layout := record.Layout{Parts: set.Kept.Parts()}
+			store.rows.Put(layout.OpenKey(id), record.EncodeLogged(logs.Discard(), record.OpenJob{Owner: lease, Generation: 1, Sequence: 1}))
+			if test.lease != nil {
+				test.lease.Link = test.owner(t)
+				store.rows.Put(record.LeaseKey(lease), record.EncodeLogged(logs.Discard(), test.lease))
+			}
+			if test.waits { // a caller that does not wait is told so, and asks again
+				ctx, done := context.WithTimeout(context.Background(), wait/4)
+				_, err := n.Cancel(ctx, id)
+				done()
+				qt.Check(t, err, qt.IsNotNil)
+			}
+			began := boottime.Now()
+			state, err := n.Cancel(context.Background(), id)
+			took := boottime.Since(began)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, state, qt.Equals, verdict.Cancelled)
+			qt.Check(t, took >= wait, qt.Equals, test.waits, qt.Commentf("took %v", took))
+			qt.Check(t, took < wait+300*time.Millisecond, qt.IsTrue, qt.Commentf("took %v", took))
+		})
+	}
+}
+
+// TestLateNoticeOfCancellation checks that notices of cancellations that come twice, late, or at an entry that has never had the job, are
+// confirmed and change nothing else.
+func TestLateNoticeOfCancellation(t *testing.T) {
+	store := &sharedStore{rows: memory.New()}
+	owner, _ := startCuttable(t, store)
+	keepJob(t, owner, 7)
+	c := peer.New(peer.Options{
+		Dial: session.TCP, Limits: session.Limits{Dial: time.Second, Handshake: time.Second}, ReplyTimeout: time.Second, RetryPause: 10 * time.Millisecond,
+		Hello: func() *wire.Hello { return &wire.Hello{Role: "entry", Name: "e"} }, Log: logs.Discard(),
+	})
+	t.Cleanup(c.Close)
+	for _, id := range []job.ID{8, 8, 9} {
+		reply, err := c.Tell(context.Background(), ident.Address(owner.Address()), fleet.JobQuery{Job: id, Cancelled: true})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, reply.State, qt.Equals, verdict.Cancelled)
+	}
+	state, err := owner.State(context.Background(), 7)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, state, qt.Equals, verdict.Running)
+	keepJob(t, owner, 8) // the store does not have this job: the notices were of a former one with its id
+	state, err = owner.State(context.Background(), 8)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, state, qt.Equals, verdict.Running)
+}
+
+// TestCancelOfKeptJobCosts guards against cancellations of other entries' kept jobs whose cost grows with the number of entries or agents: one
+// query and one reply each, whatever their number, on one session, and no further call of the store.
+func TestCancelOfKeptJobCosts(t *testing.T) {
+	for _, test := range []struct{ entries, agents, links int }{{2, 0, 0}, {12, 24, 12}, {184, 0, 0}} {
+		t.Run(fmt.Sprintf("%d entries, %d agents", test.entries, test.agents), func(t *testing.T) {
+			store := &sharedStore{rows: memory.New()}
+			nodes := startNodes(t, store, test.entries)
+			linkAgents(t, nodes, test.agents, test.links)
+			for i, opened := range []int{1, 0} {
+				id := job.ID(100 + i)
+				keepJob(t, nodes[1], id)
+				queries, replies, sessions := counter(t, "peers", "queries"), counter(t, "peers", "replies"), counter(t, "peers", "sessions")
+				began := boottime.Now()
+				state, err := nodes[0].Cancel(context.Background(), id)
+				t.Logf("cancellation %d took %v", i, boottime.Since(began))
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, state, qt.Equals, verdict.Cancelled)
+				qt.Check(t, counter(t, "peers", "queries")-queries, qt.Equals, 1)
+				qt.Check(t, counter(t, "peers", "replies")-replies, qt.Equals, 1)
+				qt.Check(t, counter(t, "peers", "sessions")-sessions, qt.Equals, opened)
+			}
+		})
+	}
+}
--- a/internal/entry/node/kept.go
+++ b/internal/entry/node/kept.go
@@ -59,7 +59,7 @@
 	n.reader = jobstore.NewReader(store, layout, k.Keep)
 	n.jobWriter = jobstore.New(store, func(r jobstore.Result) { n.loop.Post(r) }, n.log)
 	return owner.New(owner.Options{
-		Node: n.set.Node.Name, Incarnation: n.inc, Layout: layout, LeaseDuration: k.Lease, RenewInterval: k.Renew, Retention: k.Keep,
+		Node: n.set.Node.Name, Link: n.set.Node.AdvertisedLink(), Incarnation: n.inc, Layout: layout, LeaseDuration: k.Lease, RenewInterval: k.Renew, Retention: k.Keep,
 		MaxRow: int(k.MaxRow), SettleTime: n.set.Links.Timing().SettleAfter(), Log: n.log,
 		Count: func(event string) { counters.Add(event, 1) },
 	}, (*keptStore)(n), n.table, (*keptAgents)(n), (*answerer)(n), boottime.Now())
--- a/internal/entry/node/peers.go
+++ b/internal/entry/node/peers.go
@@ -86,7 +86,10 @@
 
 // answerOwn does what a query asks for, as far as this entry has the job.
 func (n *Node) answerOwn(ctx context.Context, q fleet.JobQuery) (fleet.JobReply, error) {
-	if q.Cancel {
+	switch {
+	case q.Cancelled:
+		return n.handleCancelled(q.Job)
+	case q.Cancel:
 		return n.cancelOwn(ctx, q.Job, true)
 	}
 	return n.ownState(q.Job)
--- a/internal/entry/peer/client.go
+++ b/internal/entry/peer/client.go
@@ -85,10 +85,7 @@
 		r := <-results
 		switch {
 		case r.err != nil:
-			c.counters.Add("silent", 1)
-			if time.Since(began) >= c.opts.ReplyTimeout { // else the caller did not wait long enough to tell
-				c.markSilent(r.entry)
-			}
+			c.recordSilent(r.entry, time.Since(began))
 			out.Silent = append(out.Silent, r.entry)
 		case q.SettledBy(r.reply):
 			return Outcome{State: r.reply.State}
@@ -99,6 +96,25 @@
 	return out
 }
 
+// Tell sends a query to one entry and returns the entry's reply. It waits until the entry has replied or has ended, or until ctx ends. An
+// entry that has ended has nothing of the job.
+func (c *Client) Tell(ctx context.Context, e ident.Address, q fleet.JobQuery) (fleet.JobReply, error) {
+	began := time.Now()
+	reply, err := c.askEntry(ctx, e, q)
+	if err != nil {
+		c.recordSilent(e, time.Since(began))
+	}
+	return reply, err
+}
+
+// recordSilent records that an entry has not replied to a query in a time. If that was too short to tell, the entry does not count as silent.
+func (c *Client) recordSilent(e ident.Address, waited time.Duration) {
+	c.counters.Add("silent", 1)
+	if waited >= c.opts.ReplyTimeout {
+		c.markSilent(e)
+	}
+}
+
 // askEntry sends a query to one entry until the entry replies, until it is known to have ended, or until ctx ends. An entry that did not
 // reply the last time is not tried again after ReplyTimeout, so that callers do not wait long for an entry without power again and again.
 func (c *Client) askEntry(ctx context.Context, e ident.Address, q fleet.JobQuery) (fleet.JobReply, error) {
--- a/internal/kept/jobstore/read.go
+++ b/internal/kept/jobstore/read.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/rows"
 	"hillreel/internal/core/verdict"
@@ -104,48 +106,94 @@
 // maxCancelTries bounds the attempts of a cancellation, which fails whenever the job's owner has written meanwhile.
 const maxCancelTries = 20
 
-// Cancel cancels a job that another entry owns, and returns the state in which the job has ended. It is verdict.Unknown if
-// there was no such job when the first of its rows was read. The owner learns of the cancellation because it follows the table of cancellations.
-func (r *Reader) Cancel(ctx context.Context, id job.ID) (verdict.State, error) {
+// Cancellation is the result of Reader.Cancel.
+type Cancellation struct {
+	// State is the state in which the job has ended. It is verdict.Unknown if there was no such job when the first of its rows
+	// was read.
+	State verdict.State
+	// OwnerMayAct is true if the job's owner may start tasks of it until it learns of the cancellation or loses its lease.
+	OwnerMayAct bool
+	// OwnerLink is the owner's link address, or empty if it is not known.
+	OwnerLink ident.Address
+}
+
+// Cancel cancels a job that another entry owns. The owner learns of the cancellation because it follows the table of
+// cancellations, unless it is cut off from the store.
+func (r *Reader) Cancel(ctx context.Context, id job.ID) (Cancellation, error) {
 	for range maxCancelTries {
 		open, err := r.store.Read(ctx, r.layout.OpenKey(id))
 		if err != nil {
-			return "", err
+			return Cancellation{}, err
 		}
 		if open.Version == 0 {
-			ended, err := r.store.Read(ctx, r.layout.EndedKey(id))
-			if err != nil {
-				return "", err
-			}
-			return endedState(ended)
+			return r.ended(ctx, id)
+		}
+		page, err := r.Leases(ctx) // also for the store's clock
+		if err != nil {
+			return Cancellation{}, err
 		}
-		t, err := r.cancelTxn(ctx, id, open)
+		t, owner, err := r.cancelTxn(id, open, page.Now)
 		if err != nil {
-			return "", err
+			return Cancellation{}, err
 		}
 		if _, err := r.store.Commit(ctx, t); err == nil {
-			return verdict.Cancelled, nil
+			return cancelled(page, owner)
 		}
 		// Whatever the error was, the next read of the rows shows whether the cancellation was done.
 		if ctx.Err() != nil {
-			return "", errors.Wrap(ctx.Err(), "jobstore: cancel")
+			return Cancellation{}, errors.Wrap(ctx.Err(), "jobstore: cancel")
 		}
 	}
-	return "", errors.Errorf("jobstore: cancel job %s: gave up after %d attempts", id, maxCancelTries)
+	return Cancellation{}, errors.Errorf("jobstore: cancel job %s: gave up after %d attempts", id, maxCancelTries)
 }
 
-// cancelTxn returns the transaction that cancels a job.
-func (r *Reader) cancelTxn(ctx context.Context, id job.ID, open rows.Row) (rows.Txn, error) {
-	page, err := r.Leases(ctx) // for the store's clock
+// ended returns the result for a job that is not open. The owner of a job that was cancelled before may not know of it yet.
+func (r *Reader) ended(ctx context.Context, id job.ID) (Cancellation, error) {
+	row, err := r.store.Read(ctx, r.layout.EndedKey(id))
+	switch {
+	case err != nil:
+		return Cancellation{}, err
+	case row.Version == 0:
+		return Cancellation{State: verdict.Unknown}, nil
+	}
+	e, err := record.Decode[record.EndedJob](row)
+	if err != nil || e.Owner == "" {
+		return Cancellation{State: e.State}, err
+	}
+	page, err := r.Leases(ctx)
 	if err != nil {
-		return rows.Txn{}, err
+		return Cancellation{}, err
 	}
-	t, err := EndTxn(r.layout, id, open.Version, record.EndedJob{State: verdict.Cancelled}, page.Now+r.retention)
+	return cancelled(page, e.Owner)
+}
+
+// cancelled returns the result for a job that is cancelled in the store, given the leases and the lease of its owner.
+func cancelled(leases rows.Page, owner record.LeaseID) (Cancellation, error) {
+	c := Cancellation{State: verdict.Cancelled}
+	i := slices.IndexFunc(leases.Rows, func(r rows.Row) bool { return r.Key == record.LeaseKey(owner) })
+	if i < 0 {
+		return c, nil
+	}
+	l, err := record.Decode[record.Lease](leases.Rows[i])
 	if err != nil {
-		return rows.Txn{}, err
+		return Cancellation{}, err
+	}
+	c.OwnerMayAct, c.OwnerLink = l.Adopter == "" && leases.Now < l.Until(), l.Link
+	return c, nil
+}
+
+// cancelTxn returns the transaction that cancels a job, and the lease of the job's owner.
+func (r *Reader) cancelTxn(id job.ID, row rows.Row, now time.Duration) (rows.Txn, record.LeaseID, error) {
+	open, err := record.Decode[record.OpenJob](row)
+	if err != nil {
+		return rows.Txn{}, "", err
+	}
+	t, err := EndTxn(r.layout, id, row.Version, record.EndedJob{State: verdict.Cancelled, Owner: open.Owner}, now+r.retention)
+	if err != nil {
+		return rows.Txn{}, "", err
 	}
 	t.Put = append(t.Put, rows.Row{Key: r.layout.CancelKey(id), Value: []byte("{}")})
-	return t, nil
+	return t, open.Owner, nil
 }
 
 // EndTxn returns the transaction that ends an open job whose open row has version open. The job's rows may be deleted once
--- a/internal/kept/jobstore/read_test.go
+++ b/internal/kept/jobstore/read_test.go
@@ -50,12 +50,12 @@
 	open := record.EncodeLogged(logs.Discard(), record.OpenJob{Owner: "own-0", Generation: 1, Sequence: 1})
 	for reads := range 4 {
 		s := &changingStore{Store: memory.New(), left: reads, store: func(m *memory.Store) { m.Put(layout.OpenKey(id), open) }}
-		state, err := jobstore.NewReader(s, layout, time.Hour).Cancel(context.Background(), id)
+		c, err := jobstore.NewReader(s, layout, time.Hour).Cancel(context.Background(), id)
 		qt.Assert(t, err, qt.IsNil)
 		want := verdict.Unknown
 		if reads == 0 {
 			want = verdict.Cancelled
 		}
-		qt.Check(t, state, qt.Equals, want, qt.Commentf("stored after %d reads", reads))
+		qt.Check(t, c.State, qt.Equals, want, qt.Commentf("stored after %d reads", reads))
 	}
 }
--- a/internal/kept/lease/lease.go
+++ b/internal/kept/lease/lease.go
@@ -49,8 +49,9 @@
 
 // Options configures a Lease.
 type Options struct {
-	// Node is the entry's VM. Incarnation identifies this process of the entry.
+	// Node is the entry's VM, Link its link address. Incarnation identifies this process of the entry.
 	Node        string
+	Link        ident.Address
 	Incarnation ident.Incarnation
 	// Duration is how long the lease lasts. RenewInterval is the pause between renewals.
 	Duration, RenewInterval time.Duration
@@ -185,7 +186,7 @@
 	id, number := l.id, l.leaseNumber
 	until := l.clock + l.opts.Duration
 	l.handler.Write(jobstore.Op{NoRetry: true, Txn: l.txn(id, v, record.Lease{
-		Node: l.opts.Node, UntilMs: until.Milliseconds(), Waiting: l.handler.Waiting(),
+		Node: l.opts.Node, Link: l.opts.Link, UntilMs: until.Milliseconds(), Waiting: l.handler.Waiting(),
 	})}, func(now time.Time, r jobstore.Result) {
 		l.writing = false
 		if r.Outcome != jobstore.Done || l.id != id || l.leaseNumber != number {
--- a/internal/kept/owner/owner.go
+++ b/internal/kept/owner/owner.go
@@ -61,8 +61,9 @@
 
 // Options configures an Owner.
 type Options struct {
-	// Node is the entry's VM. Incarnation identifies this process of the entry.
+	// Node is the entry's VM, Link its link address. Incarnation identifies this process of the entry.
 	Node        string
+	Link        ident.Address
 	Incarnation ident.Incarnation
 	Layout      record.Layout
 	// LeaseDuration is how long the entry's lease lasts. RenewInterval is the pause between renewals.
@@ -160,7 +161,7 @@
 		acks:          acks.New(a, s, opts.Log), inquiry: inquiry.New(a, opts.SettleTime, opts.Without),
 	}
 	o.lease = lease.New(lease.Options{
-		Node: opts.Node, Incarnation: opts.Incarnation, Duration: opts.LeaseDuration, RenewInterval: opts.RenewInterval,
+		Node: opts.Node, Link: opts.Link, Incarnation: opts.Incarnation, Duration: opts.LeaseDuration, RenewInterval: opts.RenewInterval,
 		Without: opts.Without, Log: opts.Log,
 	}, leaseCallbacks{o}, now)
 	o.claims = claims.New(claims.Options{
--- a/internal/kept/record/record.go
+++ b/internal/kept/record/record.go
@@ -179,6 +179,8 @@
 	State verdict.State `json:"state"`
 	// By is the lease of the owner that ended the job. It is empty if another entry cancelled the job.
 	By LeaseID `json:"by,omitempty"`
+	// Owner is set if another entry cancelled the job: the lease of the owner, which may not know of that yet.
+	Owner LeaseID `json:"owner,omitempty"`
 	// Runs holds the runs by which tasks of a complete job have ended well, except for tasks whose first run did.
 	Runs Ends `json:"runs,omitempty"`
 }
@@ -200,6 +202,8 @@
 type Lease struct {
 	// Node is the entry's VM.
 	Node string `json:"node"`
+	// Link is the entry's link address. Leases that an earlier release has written lack it.
+	Link ident.Address `json:"link,omitempty"`
 	// UntilMs is when the lease expires, in milliseconds of the store's clock.
 	UntilMs int64 `json:"until_ms"`
 	// Adopter is the lease of the entry that has claimed the jobs of this lease after it expired.
--- a/internal/link/codec/codec_test.go
+++ b/internal/link/codec/codec_test.go
@@ -67,7 +67,7 @@
 	qt.Assert(t, gotRefuted, qt.DeepEquals, refuted)
 	keepAlive := fleet.KeepAlive{Echo: 1500 * time.Microsecond, Config: 12, Pace: 1.5, Follows: true}
 	qt.Assert(t, codec.ReadPing(codec.Ping(keepAlive).GetPing()), qt.DeepEquals, keepAlive)
-	query := fleet.JobQuery{Job: 9, Cancel: true}
+	query := fleet.JobQuery{Job: 9, Cancel: true, Cancelled: true}
 	number, gotQuery := codec.ReadJobQuery(codec.JobQuery(5, query).GetJobQuery())
 	qt.Assert(t, number, qt.Equals, uint64(5))
 	qt.Assert(t, gotQuery, qt.Equals, query)
--- a/internal/proof/schedule/kept_test.go
+++ b/internal/proof/schedule/kept_test.go
@@ -100,11 +100,11 @@
 		if w.store.silent || w.store.busy || e.storeCut {
 			return
 		}
-		state, err := jobstore.NewReader(instantStore{w.store}, layout, time.Hour).Cancel(context.Background(), s.id)
+		c, err := jobstore.NewReader(instantStore{w.store}, layout, time.Hour).Cancel(context.Background(), s.id)
 		if err != nil {
 			w.violate("cancel: %v", err)
 		}
-		s.recordCancelled(state)
+		s.recordCancelled(c.State)
 	})
 }
 
