dispatch: ask for another upstream once for each wide task that waits

holdsRoom asked for each agent, and each time whether another upstream could run the task: with all upstreams probing that is the square of their number. It decides the same (digests of TestSame are unchanged, TestRoomIsHeldAtAvoidedUpstream passes).

--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -93,12 +93,11 @@
 	timing fleet.Timing
 	// restoreTime is the longest time that the upstream needs to restore a checkpoint.
 	restoreTime time.Duration
-
-	without  rule.Set
-	caller   Caller
-	entries  Entries
-	observer Observer
-	start    time.Time
+	without     rule.Set
+	caller      Caller
+	entries     Entries
+	observer    Observer
+	start       time.Time
 
 	// life is the upstream's present life, or its last one; hasLife is false while no life is present. All numbers, clock readings and runs
 	// kept here belong to that life alone.
--- a/internal/entry/dispatch/offer.go
+++ b/internal/entry/dispatch/offer.go
@@ -63,14 +63,20 @@
 		return false
 	}
 	smallest, _ := q.Sizes.Smallest()
-	return slices.ContainsFunc(among, func(a *agentState) bool {
-		return a.AcceptsWork() && slices.ContainsFunc(j.steps, func(s stepState) bool {
-			return len(s.waiting) > 0 && s.waiting[0].cpu() >= holdRatio*smallest && t.noRoom.covers(j.spec.Steps[s.waiting[0].id.Step].Each) && t.wouldTake(now, a, s.waiting[0])
-		})
+	return slices.ContainsFunc(j.steps, func(s stepState) bool {
+		if len(s.waiting) == 0 {
+			return false
+		}
+		first := s.waiting[0]
+		isWide := first.cpu() >= holdRatio*smallest && t.noRoom.covers(t.step(first).Each)
+		return isWide && t.anyWouldSuit(now, first, among)
 	})
 }
 
-// wouldTake reports whether a task would take an agent's upstream if nothing else ran there.
-func (t *Table) wouldTake(now time.Time, a *agentState, k *task) bool {
-	return t.suits(a, k) && !t.preferenceOf(now, k).setsAside(a)
+// anyWouldSuit reports whether a task would take one of the upstreams that accept work if nothing else ran there.
+func (t *Table) anyWouldSuit(now time.Time, k *task, among []*agentState) bool {
+	prefer := t.preferenceOf(now, k)
+	return slices.ContainsFunc(among, func(a *agentState) bool {
+		return a.AcceptsWork() && t.suits(a, k) && !prefer.setsAside(a)
+	})
 }
