node: a cancellation is confirmed by the owner's lease as it is then, not after a fixed wait

What callers would have seen: found on reading. It waited for 1.5 s whenever the owner did not reply. With a queue's time-out of 1.5 s, each DELETE of a job whose owner has lost power was answered 503 until its lease had ended, and each one at an entry that can't reach an owner which is well was, for ever.

Cause: the wait was the longest one that a lease can last, began anew with each request, and took no notice of an owner that goes on renewing its lease.

The lease is read after the cancellation, each 250 ms, while the owner is told again and again: the confirmation waits until the lease ends, with a start on its way, within cancel_ms, or until it has been renewed, so that the owner is in touch with the store and reads the cancellation there. The time of a request that was not answered counts.

Cost: only while the owner does not reply, a reading of the leases each 250 ms.

--- a/internal/entry/node/cancel.go
+++ b/internal/entry/node/cancel.go
@@ -11,8 +11,10 @@
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
+	"hillreel/internal/core/rows"
 	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/dispatch"
+	"hillreel/internal/kept/jobstore"
 )
 
 // cancelledBefore is the answer to a request for a job that was cancelled a short time ago.
@@ -62,45 +64,97 @@
 // Tasks of the job do not start for longer than Kept.CancelWithin after that.
 func (n *Node) cancelStored(ctx context.Context, id job.ID) (verdict.State, error) {
 	c, err := n.reader.Cancel(ctx, id)
-	if err != nil || !c.OwnerMayAct {
+	if err != nil || c.Owner.ID == "" {
 		return c.State, err
 	}
-	return c.State, n.stopOwner(ctx, id, c.OwnerLink)
+	return c.State, n.stopOwner(ctx, id, c.Owner)
 }
 
-// maxStartDelay is the longest time from an entry's decision to start a task until its upstream starts it.
-const maxStartDelay = 500 * time.Millisecond
+const (
+	// maxStartDelay is the longest time from an entry's decision to start a task until its upstream starts it.
+	maxStartDelay = 500 * time.Millisecond
+	// ownerCheckInterval is the pause between two looks at the lease of a cancelled job's owner that has not replied.
+	ownerCheckInterval = 250 * time.Millisecond
+)
 
 // stopOwner returns once the owner of a job that is cancelled in the store has stopped the job, or can't start tasks of it for longer than
 // Kept.CancelWithin: an owner that is cut off from the store does not learn of the cancellation there, and acts until its lease ends.
-func (n *Node) stopOwner(ctx context.Context, id job.ID, owner ident.Address) error {
-	if owner == n.set.Node.AdvertisedLink() {
+func (n *Node) stopOwner(ctx context.Context, id job.ID, owner jobstore.OwnerLease) error {
+	if owner.Link == n.set.Node.AdvertisedLink() {
 		n.loop.Post(jobsCancelled{[]job.ID{id}}) // the owner is this process, or one that has ended
 		return nil
 	}
 	began := boottime.Now()
-	enough, cancel := context.WithTimeout(ctx, max(0, n.set.Kept.Lease+maxStartDelay-n.set.Kept.CancelWithin))
-	defer cancel()
-	told := n.tellCancelled(enough, id, owner)
-	if !told {
-		<-enough.Done()
+	why, err := n.awaitOwner(ctx, id, owner)
+	f := logrus.Fields{"job": id, "owner": owner.Link, "why": why, "took_ms": boottime.Since(began).Milliseconds()}
+	if err != nil {
+		f["error"] = err.Error()
 	}
-	n.log.WithFields(logrus.Fields{
-		"job": id, "owner": owner, "told": told, "took_ms": boottime.Since(began).Milliseconds(),
-	}).Info("job_owner_told")
-	if !told && ctx.Err() != nil {
-		return errors.Wrapf(ctx.Err(), "entry: the owner of job %s does not reply and may start tasks", id)
+	n.log.WithFields(f).Info("job_owner_stopped")
+	return err
+}
+
+// ownerStop is why the owner of a cancelled job starts no tasks of it for long.
+type ownerStop string
+
+// The reasons.
+const (
+	// ownerTold: it has stopped the job, or has ended.
+	ownerTold ownerStop = "told"
+	// ownerInTouch: it has renewed its lease since the cancellation, so that it reads the cancellation as well.
+	ownerInTouch ownerStop = "in_touch"
+	// ownerLeaseEnds: its lease has ended, or ends in time.
+	ownerLeaseEnds ownerStop = "lease_ends"
+)
+
+// awaitOwner tells an owner of the cancellation, again and again, until one of the reasons holds. It returns an error if ctx ends before.
+func (n *Node) awaitOwner(ctx context.Context, id job.ID, owner jobstore.OwnerLease) (ownerStop, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	told := make(chan struct{})
+	go n.tellOwner(ctx, id, owner.Link, told)
+	check := time.NewTicker(ownerCheckInterval)
+	defer check.Stop()
+	var seen rows.Version
+	for {
+		select {
+		case <-told:
+			return ownerTold, nil
+		case <-ctx.Done():
+			return "", errors.Wrapf(ctx.Err(), "entry: the owner of job %s does not reply and may start tasks", id)
+		case <-check.C:
+		}
+		now, err := n.reader.Owner(ctx, owner.ID)
+		switch {
+		case err != nil:
+			return "", err
+		case now.ID == "", now.Left+maxStartDelay <= n.set.Kept.CancelWithin:
+			return ownerLeaseEnds, nil
+		case seen != 0 && now.Version != seen:
+			return ownerInTouch, nil
+		}
+		seen = now.Version
 	}
-	return nil
 }
 
-// tellCancelled tells an entry that a job is cancelled in the store, and reports whether the entry has stopped the job or has ended.
-func (n *Node) tellCancelled(ctx context.Context, id job.ID, entry ident.Address) bool {
+// tellOwner tells an entry that a job is cancelled in the store until the entry has stopped the job or has ended, and closes told then. It
+// gives up when ctx ends.
+func (n *Node) tellOwner(ctx context.Context, id job.ID, entry ident.Address, told chan<- struct{}) {
 	if entry == "" {
-		return false // its lease was written by an earlier release, which would not understand the query either
+		return // its lease was written by an earlier release, which would not understand the query either
+	}
+	for {
+		reply, err := n.peerClient.Tell(ctx, entry, fleet.JobQuery{Job: id, Cancelled: true})
+		if err == nil && (reply.State == verdict.Cancelled || reply.State == verdict.Unknown) {
+			close(told)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(ownerCheckInterval):
+		}
 	}
-	reply, err := n.peerClient.Tell(ctx, entry, fleet.JobQuery{Job: id, Cancelled: true})
-	return err == nil && (reply.State == verdict.Cancelled || reply.State == verdict.Unknown)
 }
 
 // handleCancelled stops a job that is cancelled in the store.
--- a/internal/entry/node/cancel_test.go
+++ b/internal/entry/node/cancel_test.go
@@ -36,6 +36,8 @@
 	// reads counts the calls that read. afterReads are actions that happen just after the read with that number.
 	reads      int
 	afterReads map[int]func(s *memory.Store)
+	// running makes the store's clock run from one minute on, since then; it stands there otherwise.
+	running time.Time
 	// holdWrites delays all writes until it is closed, unless it is nil.
 	holdWrites chan struct{}
 }
@@ -75,6 +77,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	page := rows.Page{Version: s.rows.Version, Now: time.Minute}
+	if !s.running.IsZero() {
+		page.Now += time.Since(s.running)
+	}
 	for k, row := range s.rows.Rows {
 		if k.Table == r.Table && k.Part == r.Part && k.Name >= r.From && (r.To == "" || k.Name < r.To) {
 			page.Rows = append(page.Rows, row)
--- a/internal/kept/jobstore/read.go
+++ b/internal/kept/jobstore/read.go
@@ -111,10 +111,19 @@
 	// State is the state in which the job has ended. It is verdict.Unknown if there was no such job when the first of its rows
 	// was read.
 	State verdict.State
-	// OwnerMayAct is true if the job's owner may start tasks of it until it learns of the cancellation or loses its lease.
-	OwnerMayAct bool
-	// OwnerLink is the owner's link address, or empty if it is not known.
-	OwnerLink ident.Address
+	// Owner is the lease under which tasks of the job may start until the job's owner learns of the cancellation.
+	Owner OwnerLease
+}
+
+// OwnerLease is a lease as the store had it at a time.
+type OwnerLease struct {
+	// ID is empty if nobody may act under the lease any more: it has expired, is claimed or gone.
+	ID record.LeaseID
+	// Link is the owner's link address, or empty if it is not known.
+	Link ident.Address
+	// Left is the time until the lease expires, if it is not renewed. Version changes with each renewal.
+	Left    time.Duration
+	Version rows.Version
 }
 
 // Cancel cancels a job that another entry owns. The owner learns of the cancellation because it follows the table of
@@ -169,17 +178,31 @@
 
 // cancelled returns the result for a job that is cancelled in the store, given the leases and the lease of its owner.
 func cancelled(leases rows.Page, owner record.LeaseID) (Cancellation, error) {
-	c := Cancellation{State: verdict.Cancelled}
-	i := slices.IndexFunc(leases.Rows, func(r rows.Row) bool { return r.Key == record.LeaseKey(owner) })
+	l, err := ownerLease(leases, owner)
+	return Cancellation{State: verdict.Cancelled, Owner: l}, err
+}
+
+// Owner reads the lease of a job's owner.
+func (r *Reader) Owner(ctx context.Context, id record.LeaseID) (OwnerLease, error) {
+	page, err := r.Leases(ctx)
+	if err != nil {
+		return OwnerLease{}, err
+	}
+	return ownerLease(page, id)
+}
+
+// ownerLease returns one of the leases that were read.
+func ownerLease(leases rows.Page, id record.LeaseID) (OwnerLease, error) {
+	i := slices.IndexFunc(leases.Rows, func(r rows.Row) bool { return r.Key == record.LeaseKey(id) })
 	if i < 0 {
-		return c, nil
+		return OwnerLease{}, nil
 	}
-	l, err := record.Decode[record.Lease](leases.Rows[i])
-	if err != nil {
-		return Cancellation{}, err
+	row := leases.Rows[i]
+	l, err := record.Decode[record.Lease](row)
+	if err != nil || l.Adopter != "" || l.Until() <= leases.Now {
+		return OwnerLease{}, err
 	}
-	c.OwnerMayAct, c.OwnerLink = l.Adopter == "" && leases.Now < l.Until(), l.Link
-	return c, nil
+	return OwnerLease{ID: id, Link: l.Link, Left: l.Until() - leases.Now, Version: row.Version}, nil
 }
 
 // cancelTxn returns the transaction that cancels a job, and the lease of the job's owner.
