--- a/review/stand3/cluster.go
+++ b/review/stand3/cluster.go
@@ -232,37 +232,6 @@
 	return nil
 }
 
-// kill ends a machine's process with SIGKILL.
-func (c *cluster) kill(m *machine) {
-	c.rec.printf("%s: process killed", m.name)
-	m.cmd.Process.Kill() //nolint:errcheck // it may have ended
-	<-m.done
-}
-
-// powerOff takes the power from agents' machines: their processes and their upstreams end.
-func (c *cluster) powerOff(all []*machine) {
-	for _, m := range all {
-		m.cmd.Process.Kill() //nolint:errcheck // it may have ended
-		m.upstream.crash()
-	}
-	for _, m := range all {
-		<-m.done
-	}
-	c.rec.printf("%d agents' machines have lost power", len(all))
-}
-
-// powerOn starts agents' machines again: each has a new executor.
-func (c *cluster) powerOn(all []*machine) error {
-	for _, m := range all {
-		if err := c.launch(m); err != nil {
-			return err
-		}
-		m.upstream.restart()
-	}
-	c.rec.printf("%d agents' machines have power again", len(all))
-	return nil
-}
-
 // stop ends all processes.
 func (c *cluster) stop() {
 	c.mu.Lock()
@@ -355,14 +324,12 @@
 }
 
 // submit hands a kept job in. After no answer or 504 it is sent again, as clients do.
-func (c *cluster) submit(m *machine, id string, body any, quiet bool) int {
+func (c *cluster) submit(m *machine, id string, body any) int {
 	status := 0
 	for range 5 {
 		var text string
 		status, text = c.call(m, http.MethodPost, id, body, 1500*time.Millisecond)
-		if !quiet {
-			c.rec.printf("client: POST %s to %s: %d %s", id, m.name, status, text)
-		}
+		c.rec.printf("client: POST %s to %s: %d %s", id, m.name, status, text)
 		if status != 0 && status != http.StatusBadGateway && status != http.StatusGatewayTimeout {
 			return status
 		}
@@ -383,17 +350,5 @@
 	return status, b.State
 }
 
-// waiting asks an entry for the number of waiting jobs; ok is false if there is no answer.
-func (c *cluster) waiting(m *machine) (n int, ok bool) {
-	status, text := c.call(m, http.MethodGet, "", nil, 1500*time.Millisecond)
-	var b struct {
-		Waiting int `json:"waiting"`
-	}
-	if status != http.StatusOK || json.Unmarshal([]byte(text), &b) != nil {
-		return 0, false
-	}
-	return b.Waiting, true
-}
-
 // jobID returns the id of the n-th job of a case.
 func jobID(n int) string { return fmt.Sprintf("5c0e7a21%08x", n+1) }
