--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -148,10 +148,10 @@
 	return nil, nil
 }
 
-// playCancelled: the store leaves one entry without answers for some seconds. A client hands a job in there, gets no answer, and cancels the
+// playCancelled: one entry is cut off from the store for some seconds. A client hands a job in there, gets no answer, and cancels the
 // job at another entry.
 func playCancelled(c *cluster, trouble bool) ([]string, error) {
-	const cutTime = 7 * time.Second
+	const cutTime = 5500 * time.Millisecond
 	for i, m := range c.entries[:2] {
 		if s := c.submit(m, jobID(100+i), keptJob(60, 1, 1000, 64)); s/100 != 2 {
 			return nil, fmt.Errorf("a job was not accepted: %d", s)
@@ -162,7 +162,7 @@
 	cutAt := time.Now()
 	if trouble {
 		cut.gate.silent.Store(true)
-		c.rec.printf("the store leaves %s without answers", cut.name)
+		c.rec.printf("%s is cut off from the store", cut.name)
 	}
 	time.Sleep(200 * time.Millisecond)
 	id := jobID(0)
@@ -183,7 +183,7 @@
 	time.Sleep(time.Until(cutAt.Add(cutTime)))
 	cut.gate.silent.Store(false)
 	healedAt := time.Now()
-	c.rec.printf("the store answers %s again", cut.name)
+	c.rec.printf("%s reaches the store again", cut.name)
 	time.Sleep(25 * time.Second)
 	for _, m := range c.entries {
 		status, state := c.state(m, id)
