owner: log the late result of a job's first write

Three hypotheses: (1) its entry repeats the write of the job's first rows after it has let the job go; (2) the store carries an earlier attempt out late; (3) another entry takes a copy of the request. No log line told them apart, since the result of a write whose job is gone was dropped without a word.

Now `job_write_settled_late` says it: outcome done is (1), a conflict with `stored_by_this_write` is (2), and (3) would have a `job_accepted` elsewhere.

--- a/internal/kept/owner/submit.go
+++ b/internal/kept/owner/submit.go
@@ -82,7 +82,8 @@
 // handleAccepted handles the result of the write of a new job's rows.
 func (o *Owner) handleAccepted(now time.Time, k *keptJob, r jobstore.Result) {
 	if o.jobs[k.id] != k {
-		return // the lease was lost meanwhile; the entry that claims it finds the job
+		o.handleLateAccepted(k, r)
+		return
 	}
 	switch {
 	case r.Outcome == jobstore.Done:
@@ -103,6 +104,17 @@
 	}
 }
 
+// handleLateAccepted handles the result of the write of a new job's rows after this entry has let the job go. If the job is stored, the
+// entry that claims the lease finds it.
+func (o *Owner) handleLateAccepted(k *keptJob, r jobstore.Result) {
+	f := logrus.Fields{"job": k.id, "lease": k.open.Owner, "outcome": r.Outcome}
+	if r.Outcome == jobstore.Conflict {
+		stored := r.Stored(o.opts.Log)
+		f["stored_by_this_write"], f["ended"] = stored.IsOpenAs(k.open), stored.Ended != nil
+	}
+	o.logEvent(logrus.WarnLevel, "job_write_settled_late", f)
+}
+
 // startAccepted answers the callers of a job that is stored, and runs the job.
 func (o *Owner) startAccepted(now time.Time, k *keptJob, v rows.Version) {
 	o.logEvent(logrus.InfoLevel, "job_accepted", logrus.Fields{
