entry: a cancelled job can't be stored any more

Cause: a write of a job's first rows that got no answer stays possible for as long as the job has no rows. "Nobody has it" was therefore no reason for a 410 to a DELETE: what an entry forgets in memory does not end the write.

Change: before the 410 the entry writes a tombstone, which makes the condition of each such write fail, whoever sent it.

--- a/internal/entry/node/cancel.go
+++ b/internal/entry/node/cancel.go
@@ -30,19 +30,20 @@
 	if err != nil || q.SettledBy(own) {
 		return own.State, err
 	}
-	state, err := n.cancelStored(ctx, id)
+	state, final, err := n.cancelStored(ctx, id)
 	if err != nil || state != verdict.Unknown {
 		return state, err
 	}
-	state, err = n.cancelElsewhere(ctx, q)
+	state, err = n.cancelElsewhere(ctx, q, final)
 	if err == nil && state == verdict.Unknown && own.State != verdict.Unknown {
 		return own.State, nil
 	}
 	return state, err
 }
 
-// cancelElsewhere cancels a job that the store did not have, at this entry and all others.
-func (n *Node) cancelElsewhere(ctx context.Context, q fleet.JobQuery) (verdict.State, error) {
+// cancelElsewhere cancels a job that the store did not have, at this entry and all others, and then in the store: a write that stores the
+// job may still be carried out there, even if its entry has ended or lost its lease. final is true if the store has a tombstone already.
+func (n *Node) cancelElsewhere(ctx context.Context, q fleet.JobQuery, final bool) (verdict.State, error) {
 	// This entry must not take the job any more once the others are asked.
 	own, err := n.cancelOwn(ctx, q.Job, true)
 	if err != nil || q.SettledBy(own) {
@@ -52,8 +53,9 @@
 	if err != nil || state != verdict.Unknown {
 		return state, err
 	}
-	// A job to be kept may have been stored since by an entry that has ended or lost its lease.
-	state, err = n.cancelStored(ctx, q.Job)
+	if !final {
+		state, err = n.cancelUnstored(ctx, q.Job)
+	}
 	if err == nil && state == verdict.Unknown {
 		return own.State, nil
 	}
@@ -61,9 +63,20 @@
 }
 
 // cancelStored cancels a job in the store and returns the state in which the job has ended, or verdict.Unknown if the store doesn't have it.
-// Tasks of the job do not start for longer than Kept.CancelWithin after that.
-func (n *Node) cancelStored(ctx context.Context, id job.ID) (verdict.State, error) {
+// Tasks of the job do not start for longer than Kept.CancelWithin after that. final is true if the store has a tombstone of the job.
+func (n *Node) cancelStored(ctx context.Context, id job.ID) (state verdict.State, final bool, err error) {
 	c, err := n.reader.Cancel(ctx, id)
+	if err != nil || c.Owner.ID == "" {
+		return c.State, c.Final, err
+	}
+	return c.State, c.Final, n.stopOwner(ctx, id, c.Owner)
+}
+
+// cancelUnstored stores that a job which the store did not have is cancelled. It returns the state in which the job has ended if it has
+// been stored meanwhile, and verdict.Unknown otherwise.
+func (n *Node) cancelUnstored(ctx context.Context, id job.ID) (verdict.State, error) {
+	n.call(func(now time.Time) { n.tombstones.Add(now.Add(n.set.Kept.Keep), n.set.Kept.Parts()) })
+	c, err := n.reader.CancelUnstored(ctx, id)
 	if err != nil || c.Owner.ID == "" {
 		return c.State, err
 	}
--- a/internal/entry/node/kept.go
+++ b/internal/entry/node/kept.go
@@ -190,27 +190,3 @@
 func (a *keptAgents) Ask(agent ident.Incarnation, number uint64, jobs []job.ID) {
 	a.links.Send(agent, codec.Ask(number, jobs))
 }
-
-// sweepEvery is the pause between two sweeps. Each sweep deletes expired jobs from one part of the store.
-const sweepEvery = 10 * time.Second
-
-// sweep deletes ended jobs whose retention time has passed, until the node stops.
-func (n *Node) sweep() {
-	parts := n.layout().AllParts()
-	for turn := 0; ; turn++ {
-		select {
-		case <-n.ctx.Done():
-			return
-		case <-time.After(sweepEvery):
-		}
-		active := false
-		n.loop.Call(func() { active = n.keptJobs.AnyLease(boottime.Now()) })
-		if !active {
-			continue // no entry has kept jobs, and each sweep costs a store call
-		}
-		count, err := n.reader.Sweep(n.ctx, parts[turn%len(parts)])
-		if err != nil || count > 0 {
-			n.log.WithFields(logrus.Fields{"jobs": count, "error": err}).Info("jobs_forgotten")
-		}
-	}
-}
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -62,6 +62,8 @@
 	// peers lists all entries; peersVersion is incremented when the list changes.
 	peers        []fleet.Entry
 	peersVersion int
+	// tombstones tells whether tombstones that this entry has written are to be deleted.
+	tombstones jobstore.SweepWindow
 	// cordons holds the zones that operators have cordoned, as far as this entry knows.
 	cordons *cordon.Set
 	pulse   links.PauseDetector
--- a/internal/kept/jobstore/read.go
+++ b/internal/kept/jobstore/read.go
@@ -111,6 +111,8 @@
 	// State is the state in which the job has ended. It is verdict.Unknown if there was no such job when the first of its rows
 	// was read.
 	State verdict.State
+	// Final is true if the store has a tombstone of the job: it does not exist, and can't be stored any more.
+	Final bool
 	// Owner is the lease under which tasks of the job may start until the job's owner learns of the cancellation.
 	Owner OwnerLease
 }
@@ -167,7 +169,7 @@
 	}
 	e, err := record.Decode[record.EndedJob](row)
 	if err != nil || e.Owner == "" {
-		return Cancellation{State: e.State}, err
+		return Cancellation{State: e.State, Final: e.IsTombstone()}, err
 	}
 	page, err := r.Leases(ctx)
 	if err != nil {
@@ -232,34 +234,3 @@
 		Put:    []rows.Row{{Key: l.EndedKey(id), Value: value}, {Key: l.ExpiryKey(id, expires), Value: []byte("{}")}},
 	}, nil
 }
-
-// sweepBatch is how many jobs are deleted in one transaction: each has four rows, and a transaction at most 100 entries.
-const sweepBatch = 25
-
-// maxSweepBatches bounds the transactions of one sweep: half of those that one part of the store accepts in two seconds.
-const maxSweepBatches = 200
-
-// Sweep deletes the rows of the jobs of a part that have expired, and returns the number of jobs.
-func (r *Reader) Sweep(ctx context.Context, part string) (count int, err error) {
-	page, err := r.Leases(ctx) // for the store's clock
-	if err != nil {
-		return 0, err
-	}
-	due := record.ExpiredRows(part, page.Now)
-	due.Limit = sweepBatch
-	for range maxSweepBatches {
-		expired, err := r.store.Range(ctx, due)
-		if err != nil || len(expired.Rows) == 0 {
-			return count, err
-		}
-		var t rows.Txn
-		for _, row := range expired.Rows {
-			t.Remove = append(t.Remove, r.layout.ExpiredJobKeys(row.Key)...)
-		}
-		if _, err := r.store.Commit(ctx, t); err != nil {
-			return count, err
-		}
-		count += len(expired.Rows)
-	}
-	return count, nil
-}
--- a/internal/kept/owner/submit.go
+++ b/internal/kept/owner/submit.go
@@ -50,7 +50,7 @@
 		return
 	}
 	if o.store.Unavailable() {
-		o.callers.Answer(r.Caller, o.refuse(k, "store_away"))
+		o.callers.Answer(r.Caller, o.refuse(k, "store_away", verdict.Overloaded))
 		return
 	}
 	o.jobs[k.id] = k
@@ -90,15 +90,21 @@
 		o.startAccepted(now, k, r.Version)
 	case r.Outcome == jobstore.Refused:
 		delete(o.jobs, k.id)
-		k.callers.answerAll(o.callers, o.refuse(k, "store_unavailable"))
+		k.callers.answerAll(o.callers, o.refuse(k, "store_unavailable", verdict.Overloaded))
 		k.cancellers.answerAll(o.callers, noSuchJobAnswer)
 	default:
-		if stored := r.Stored(o.opts.Log); stored.IsOpenAs(k.open) {
+		stored := r.Stored(o.opts.Log)
+		if stored.IsOpenAs(k.open) {
 			o.startAccepted(now, k, stored.Version)
 			return
 		}
-		// Another entry owns the job, or the job has ended.
 		delete(o.jobs, k.id)
+		if stored.Ended != nil && stored.Ended.IsTombstone() {
+			k.callers.answerAll(o.callers, o.refuse(k, "cancelled_before", verdict.ByCaller))
+			k.cancellers.answerAll(o.callers, noSuchJobAnswer)
+			return
+		}
+		// Another entry owns the job, or the job has ended.
 		k.callers.answerAll(o.callers, acceptedAnswer)
 		k.cancellers.answerAll(o.callers, dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Conflict})
 	}
@@ -156,10 +162,10 @@
 // logUnreadable logs the error of a row that can't be decoded; a nil error is not logged.
 func (o *Owner) logUnreadable(err error) { record.LogUnreadable(o.opts.Log, err) }
 
-// refuse logs a job that was not stored and never will be, and returns the answer for its callers.
-func (o *Owner) refuse(k *keptJob, why string) dispatch.Answer {
+// refuse logs a job that was not stored and never will be, and returns the answer for its callers. why is only logged.
+func (o *Owner) refuse(k *keptJob, why string, reason verdict.Reason) dispatch.Answer {
 	o.logEvent(logrus.InfoLevel, "job_not_accepted", logrus.Fields{"job": k.id, "request": k.requestID, "why": why})
-	return dispatch.Answer{State: verdict.Refused, Verdict: verdict.NotRun, Reason: verdict.Overloaded, RetryAfter: refusedRetryAfter}
+	return dispatch.Answer{State: verdict.Refused, Verdict: verdict.NotRun, Reason: reason, RetryAfter: refusedRetryAfter}
 }
 
 // expireCallers answers callers of a job that was not stored in time. The job is refused if its write has not started. Once
@@ -167,7 +173,7 @@
 func (o *Owner) expireCallers(now time.Time, k *keptJob) {
 	if k.phase == awaitingLease && now.After(k.acceptDeadline) {
 		delete(o.jobs, k.id)
-		k.callers.answerAll(o.callers, o.refuse(k, "no_lease"))
+		k.callers.answerAll(o.callers, o.refuse(k, "no_lease", verdict.Overloaded))
 		k.cancellers.answerAll(o.callers, noSuchJobAnswer)
 		return
 	}
--- a/internal/kept/record/record.go
+++ b/internal/kept/record/record.go
@@ -176,6 +176,7 @@
 
 // EndedJob is the state of a job that has ended.
 type EndedJob struct {
+	// State is verdict.Unknown in a tombstone: the job was cancelled before it was stored, and must not be stored any more.
 	State verdict.State `json:"state"`
 	// By is the lease of the owner that ended the job. It is empty if another entry cancelled the job.
 	By LeaseID `json:"by,omitempty"`
@@ -185,6 +186,9 @@
 	Runs Ends `json:"runs,omitempty"`
 }
 
+// IsTombstone reports whether the job was cancelled before it was stored.
+func (e *EndedJob) IsTombstone() bool { return e.State == verdict.Unknown }
+
 // Counted reports whether, according to the row, a task of the job has ended well by this run.
 func (e *EndedJob) Counted(step, index uint32, run job.Run) bool {
 	if e.State != verdict.Complete {
