entry: a kept job is refused only if no earlier request can store it

What callers saw: a POST without an answer, then 503 ("not taken, and will never run") for the same job at that entry or another one that can't reach the store, and the job ran: its first request had stored it, or its write was carried out later.

Cause: Owner.refuse told what this one request had done. It did not know of a write that the same entry had let go with its lease, nor of other entries.

Change: an entry remembers jobs that it has let go while their first write has no result (IsUnsettled), answers 504 for them, and says "can't tell" when it is asked. Before any other refusal for want of the store it asks the other entries, by the list in its memory, and takes nobody's word who has ended, or has started or left within [kept] late_writes (30 s). In doubt it answers 504, after which clients send the job again.

--- a/internal/core/fleet/jobquery.go
+++ b/internal/core/fleet/jobquery.go
@@ -12,6 +12,9 @@
 	Cancel bool
 	// Cancelled is set if the store has the kept job as cancelled. The entry must not act for it any more.
 	Cancelled bool
+	// Refusing is set if the asking entry is about to refuse the job for good. An entry that can't rule out that the job is stored later, by a
+	// write that got no answer, replies verdict.Unresolved.
+	Refusing bool
 }
 
 // JobReply is an entry's reply to a JobQuery.
--- a/internal/core/settings/options.go
+++ b/internal/core/settings/options.go
@@ -109,6 +109,7 @@
 	Renew        time.Duration `ini:"renew" default:"500ms" min:"50ms" max:"1m" doc:"Pause between two renewals of the lease. Each renewal takes two calls to the store."`
 	CancelWithin time.Duration `ini:"cancel_within" default:"3s" min:"500ms" max:"10m" doc:"Longest time for which tasks of a job may start after its cancellation was confirmed. While the job's owner does not reply, the confirmation waits until the owner's lease can't last longer than that."`
 	Keep         time.Duration `ini:"keep" default:"120s" min:"1s" max:"24h" doc:"How long the state of a job can be queried after the job has ended."`
+	LateWrites   time.Duration `ini:"late_writes" default:"30s" min:"0s" max:"10m" doc:"For how long the store may still carry out a write that got no answer, after its sender has ended. While such a write may store a job, the job is not refused for good (503) but answered with 504."`
 	Writes       float64       `ini:"writes" default:"800" doc:"Transactions per second that the store accepts from all entries together."`
 	PartWrites   float64       `ini:"part_writes" default:"200" doc:"Transactions per second that one part of the store accepts. Together with writes, it determines over how many parts jobs are spread, so neither may be changed while jobs are kept."`
 	MaxRow       Bytes         `ini:"max_row" default:"48kb" min:"1kb" max:"1mb" doc:"Largest row: three quarters of the platform's row_bytes, because values are sent in base64."`
--- a/internal/entry/node/config.go
+++ b/internal/entry/node/config.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"hillreel/internal/core/boottime"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/ident"
 	"hillreel/internal/core/invariant"
@@ -88,11 +89,23 @@
 	if slices.EqualFunc(n.peers, entries, same) {
 		return
 	}
+	if anyGone(n.peers, entries) {
+		n.peerGoneAt = boottime.Now()
+	}
 	n.peers, n.peersVersion = entries, n.peersVersion+1
 	n.table.SetEntries(len(entries))
 	n.log.WithField("entries", len(entries)).Info("entries_listed")
 }
 
+// anyGone reports whether an entry of the list before is missing from the list after.
+func anyGone(before, after []fleet.Entry) bool {
+	listed := make(map[ident.Address]bool, len(after))
+	for _, e := range after {
+		listed[e.Address] = true
+	}
+	return slices.ContainsFunc(before, func(e fleet.Entry) bool { return !listed[e.Address] })
+}
+
 // peersSpreadTicks is the number of ticks over which a new list of entries is sent to all agents. If all agents got the list in one tick,
 // orders would wait behind the copies of the list on a link with little bandwidth.
 const peersSpreadTicks = 50
--- a/internal/entry/node/node.go
+++ b/internal/entry/node/node.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"hillreel/internal/config/cordon"
 	"hillreel/internal/core/boottime"
@@ -20,6 +21,7 @@
 	"hillreel/internal/core/loop"
 	"hillreel/internal/core/route"
 	"hillreel/internal/core/settings"
+	"hillreel/internal/core/verdict"
 	"hillreel/internal/entry/cancels"
 	"hillreel/internal/entry/dispatch"
 	"hillreel/internal/entry/peer"
@@ -46,8 +48,11 @@
 	store          jobstore.Store
 	jobWriter      *jobstore.Writer
 	reader         *jobstore.Reader
-	// peerClient asks the other entries.
-	peerClient *peer.Client
+	// peerClient asks the other entries. refusalQueries bounds the queries about jobs that are to be refused.
+	peerClient     *peer.Client
+	refusalQueries *rate.Limiter
+	// started is when the process started.
+	started time.Time
 
 	// Only the control goroutine uses the fields from here to pulse.
 	table    *dispatch.Table
@@ -62,6 +67,8 @@
 	// peers lists all entries; peersVersion is incremented when the list changes.
 	peers        []fleet.Entry
 	peersVersion int
+	// peerGoneAt is when an entry was last removed from peers.
+	peerGoneAt time.Time
 	// tombstones tells whether tombstones that this entry has written are to be deleted.
 	tombstones jobstore.SweepWindow
 	// cordons holds the zones that operators have cordoned, as far as this entry knows.
@@ -98,7 +105,7 @@
 		links:   links.New[linkState]("agent", cordon.NewPeer, log),
 		pulse:   links.PauseDetector{MaxGap: set.Links.Silence / 2, MaxRunningGap: set.Links.Silence / 4, Interval: set.Links.Tick, OnTick: recordTickDelay, Log: log},
 		callers: make(map[dispatch.CallerID]chan dispatch.Answer), cancels: cancels.New(), cordons: cordon.NewSet(nil),
-		follows: func() bool { return false },
+		follows: func() bool { return false }, started: boottime.Now(), refusalQueries: rate.NewLimiter(maxRefusalQueries, refusalQueryBurst),
 	}
 	options := dispatch.Options{
 		Timing: set.Links.Timing(), Zone: ident.Zone(set.Node.Zone), MaxQueue: set.Entry.QueueLimit, MaxTasks: set.Entry.MaxTasks,
@@ -283,7 +290,11 @@
 	if !n.loop.Post(submitted{r, answer, ctx.Done()}) {
 		return dispatch.Answer{}, errStopped
 	}
-	return n.await(ctx, r.Job, caller, answer)
+	a, err := n.await(ctx, r.Job, caller, answer)
+	if err != nil || !n.mustKeep(&r) || a.State != verdict.Refused || a.Reason != verdict.Overloaded {
+		return a, err
+	}
+	return n.confirmRefusal(ctx, r, a), nil
 }
 
 // newCaller returns a new caller id and the channel for the caller's answer.
--- a/internal/entry/node/peers.go
+++ b/internal/entry/node/peers.go
@@ -91,11 +91,14 @@
 		return n.handleCancelled(q.Job)
 	case q.Cancel:
 		return n.cancelOwn(ctx, q.Job, true)
+	case q.Refusing && !n.hasOutlivedWrites(boottime.Now()):
+		return fleet.JobReply{State: verdict.Unresolved}, nil
 	}
 	return n.ownState(q.Job)
 }
 
-// ownState returns the state of a job that this entry has and the store did not have, without waiting for its end.
+// ownState returns the state of a job that this entry has and the store did not have, without waiting for its end. It is
+// verdict.Unresolved if a write of this entry may still store the job.
 func (n *Node) ownState(id job.ID) (fleet.JobReply, error) {
 	var reply fleet.JobReply
 	n.call(func(time.Time) {
@@ -106,6 +109,8 @@
 			reply.State = state
 		case n.keptJobs.IsAccepting(id):
 			reply.State = verdict.Pending
+		case n.keptJobs.IsUnsettled(id):
+			reply.State = verdict.Unresolved
 		case n.table.Held(id):
 			reply.State = verdict.Running
 		}
--- a/internal/entry/node/state.go
+++ b/internal/entry/node/state.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"hillreel/internal/core/boottime"
 	"hillreel/internal/core/fleet"
 	"hillreel/internal/core/job"
@@ -66,7 +68,11 @@
 		return state, err
 	}
 	// A job to be kept may have been stored since by an entry that has ended or lost its lease.
-	return n.reader.State(ctx, id)
+	state, err = n.reader.State(ctx, id)
+	if err == nil && state == verdict.Unknown && !own.CanTell() {
+		return "", errors.Errorf("entry: a write of job %s has no answer yet", id)
+	}
+	return state, err
 }
 
 // earlier returns the earlier of two times.
--- a/internal/entry/peer/client.go
+++ b/internal/entry/peer/client.go
@@ -87,6 +87,9 @@
 		case r.err != nil:
 			c.recordSilent(r.entry, time.Since(began))
 			out.Silent = append(out.Silent, r.entry)
+			if q.Refusing {
+				return out // one entry that can't tell suffices
+			}
 		case q.SettledBy(r.reply):
 			return Outcome{State: r.reply.State}
 		case r.reply.State != verdict.Unknown:
@@ -121,6 +124,9 @@
 	silent, giveUp := c.isSilent(e), time.Now().Add(c.opts.ReplyTimeout)
 	for {
 		reply, err := c.try(ctx, e, q)
+		if q.Refusing && (errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, errCantTell)) {
+			return reply, err // an entry that has ended may have left a write under way
+		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			// No process listens there: the entry has ended, and the jobs that it held have ended with it.
 			reply, err = fleet.JobReply{State: verdict.Unknown}, nil
@@ -194,11 +200,14 @@
 	}
 	c.counters.Add("replies", 1)
 	if !reply.CanTell() {
-		return reply, errors.New("peer: the entry can't tell")
+		return reply, errCantTell
 	}
 	return reply, nil
 }
 
+// errCantTell is the error of a query to an entry that does not know whether it has the job.
+var errCantTell = errors.New("peer: the entry can't tell")
+
 // connect returns the open session with an entry, or opens one. Concurrent callers share it.
 func (c *Client) connect(ctx context.Context, e ident.Address) (*conn, error) {
 	c.mu.Lock()
--- a/internal/kept/owner/ends.go
+++ b/internal/kept/owner/ends.go
@@ -259,6 +259,9 @@
 // dropJob stops acting for a job that this entry may no longer own. why is logged.
 func (o *Owner) dropJob(now time.Time, k *keptJob, why string) {
 	o.remove(k)
+	if k.phase == accepting {
+		o.unsettled[k.id]++
+	}
 	o.logEvent(logrus.WarnLevel, "job_let_go", logrus.Fields{"job": k.id, "why": why})
 	a := dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.LeaseLost}
 	k.callers.answerAll(o.callers, a)
--- a/internal/kept/owner/owner.go
+++ b/internal/kept/owner/owner.go
@@ -90,6 +90,9 @@
 
 	jobs      map[job.ID]*keptJob
 	endedJobs *recent.Jobs
+	// unsettled counts, by job, the writes of first rows that have no result yet and whose job this entry has let go. Such a job may be
+	// stored later.
+	unsettled map[job.ID]int
 	// acks tells agents which ends are stored and which are void.
 	acks *acks.Sender
 	// pendingWrites holds the callbacks of the writes in progress, by id.
@@ -156,7 +159,7 @@
 // New returns an Owner without jobs.
 func New(opts Options, s Store, t Table, a Agents, c dispatch.Callers, now time.Time) *Owner {
 	o := &Owner{
-		opts: opts, store: s, table: t, callers: c, jobs: make(map[job.ID]*keptJob), endedJobs: recent.New(),
+		opts: opts, store: s, table: t, callers: c, jobs: make(map[job.ID]*keptJob), endedJobs: recent.New(), unsettled: make(map[job.ID]int),
 		pendingWrites: make(map[jobstore.OpID]func(time.Time, jobstore.Result)),
 		acks:          acks.New(a, s, opts.Log), inquiry: inquiry.New(a, opts.SettleTime, opts.Without),
 	}
--- a/internal/kept/owner/submit.go
+++ b/internal/kept/owner/submit.go
@@ -119,8 +119,14 @@
 		f["stored_by_this_write"], f["ended"] = stored.IsOpenAs(k.open), stored.Ended != nil
 	}
 	o.logEvent(logrus.WarnLevel, "job_write_settled_late", f)
+	if o.unsettled[k.id]--; o.unsettled[k.id] <= 0 {
+		delete(o.unsettled, k.id)
+	}
 }
 
+// IsUnsettled reports whether a job may still be stored by a write of this entry, which has let the job go.
+func (o *Owner) IsUnsettled(id job.ID) bool { return o.unsettled[id] > 0 }
+
 // startAccepted answers the callers of a job that is stored, and runs the job.
 func (o *Owner) startAccepted(now time.Time, k *keptJob, v rows.Version) {
 	o.logEvent(logrus.InfoLevel, "job_accepted", logrus.Fields{
@@ -162,8 +168,13 @@
 // logUnreadable logs the error of a row that can't be decoded; a nil error is not logged.
 func (o *Owner) logUnreadable(err error) { record.LogUnreadable(o.opts.Log, err) }
 
-// refuse logs a job that was not stored and never will be, and returns the answer for its callers. why is only logged.
+// refuse logs a job that was not stored and never will be, and returns the answer for its callers. why is only logged. If an earlier write
+// may still store the job, the answer says so.
 func (o *Owner) refuse(k *keptJob, why string, reason verdict.Reason) dispatch.Answer {
+	if reason != verdict.ByCaller && o.IsUnsettled(k.id) {
+		o.logEvent(logrus.InfoLevel, "job_not_settled", logrus.Fields{"job": k.id, "request": k.requestID, "why": why})
+		return dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.LeaseLost}
+	}
 	o.logEvent(logrus.InfoLevel, "job_not_accepted", logrus.Fields{"job": k.id, "request": k.requestID, "why": why})
 	return dispatch.Answer{State: verdict.Refused, Verdict: verdict.NotRun, Reason: reason, RetryAfter: refusedRetryAfter}
 }
--- a/internal/link/codec/jobquery.go
+++ b/internal/link/codec/jobquery.go
@@ -9,12 +9,12 @@
 
 // JobQuery encodes a query to another entry; number tells the queries of one session apart.
 func JobQuery(number uint64, q fleet.JobQuery) *wire.Msg {
-	return &wire.Msg{Kind: &wire.Msg_JobQuery{JobQuery: &wire.JobQuery{Number: number, Job: uint64(q.Job), Cancel: q.Cancel, Cancelled: q.Cancelled}}}
+	return &wire.Msg{Kind: &wire.Msg_JobQuery{JobQuery: &wire.JobQuery{Number: number, Job: uint64(q.Job), Cancel: q.Cancel, Cancelled: q.Cancelled, Refusing: q.Refusing}}}
 }
 
 // ReadJobQuery decodes a query of another entry, and its number.
 func ReadJobQuery(m *wire.JobQuery) (number uint64, q fleet.JobQuery) {
-	return m.GetNumber(), fleet.JobQuery{Job: job.ID(m.GetJob()), Cancel: m.GetCancel(), Cancelled: m.GetCancelled()}
+	return m.GetNumber(), fleet.JobQuery{Job: job.ID(m.GetJob()), Cancel: m.GetCancel(), Cancelled: m.GetCancelled(), Refusing: m.GetRefusing()}
 }
 
 // JobReply encodes the reply to the query with a number.
