--- a/internal/kept/jobstore/sweep.go
+++ b/internal/kept/jobstore/sweep.go
@@ -22,13 +22,14 @@
 // Open reports whether there may be such rows.
 func (w *SweepWindow) Open(now time.Time) bool { return now.Before(w.until) }
 
-// sweepBatch is how many jobs are deleted in one transaction: each has four rows, and a transaction at most 100 entries.
-const sweepBatch = 25
+// sweepBatch is how many jobs are deleted in one transaction: each has four rows and a condition, and a transaction at most 100 entries.
+const sweepBatch = 20
 
 // maxSweepBatches bounds the transactions of one sweep: half of those that one part of the store accepts in two seconds.
 const maxSweepBatches = 200
 
-// Sweep deletes the rows of the jobs of a part that have expired, and returns the number of jobs.
+// Sweep deletes the rows of the jobs of a part that have expired, and returns the number of jobs. A transaction that is carried out late,
+// after another one has deleted the same rows, has no effect: a job may have come since under an ID that has expired.
 func (r *Reader) Sweep(ctx context.Context, part string) (count int, err error) {
 	page, err := r.Leases(ctx) // for the store's clock
 	if err != nil {
@@ -43,6 +44,7 @@
 		}
 		var t rows.Txn
 		for _, row := range expired.Rows {
+			t.If = append(t.If, rows.Condition{Key: row.Key, Version: row.Version})
 			t.Remove = append(t.Remove, r.layout.ExpiredJobKeys(row.Key)...)
 		}
 		if _, err := r.store.Commit(ctx, t); err != nil {
--- a/internal/kept/jobstore/sweep_test.go
+++ b/internal/kept/jobstore/sweep_test.go
@@ -22,9 +22,12 @@
 	unanswered int
 	late       bool
 	held       []rows.Txn
+	// largest is the most entries of a transaction.
+	largest int
 }
 
 func (s *clockStore) Commit(_ context.Context, t rows.Txn) (rows.Version, error) {
+	s.largest = max(s.largest, len(t.If)+len(t.Put)+len(t.Remove))
 	if s.unanswered > 0 {
 		s.unanswered--
 		if s.late {
@@ -45,7 +48,7 @@
 func (s *clockStore) Range(_ context.Context, r rows.Range) (rows.Page, error) {
 	page := rows.Page{Now: s.now}
 	for k, row := range s.Rows {
-		if k.Table == r.Table && k.Part == r.Part && k.Name >= r.From && (r.To == "" || k.Name < r.To) {
+		if k.Table == r.Table && k.Part == r.Part && k.Name >= r.From && (r.To == "" || k.Name < r.To) && (r.Limit == 0 || len(page.Rows) < r.Limit) {
 			page.Rows = append(page.Rows, row)
 		}
 	}
@@ -122,6 +125,46 @@
 	}
 }
 
+// TestLateSweep guards against a sweep that the store carries out late and that deletes the rows of a job which has come since under the same
+// ID, once another sweep had deleted the earlier job.
+func TestLateSweep(t *testing.T) {
+	const id = job.ID(7)
+	layout := record.Layout{Parts: 1}
+	ctx := context.Background()
+	s := &clockStore{Store: memory.New(), now: time.Hour, late: true}
+	r := jobstore.NewReader(s, layout, time.Minute)
+	_, err := r.CancelUnstored(ctx, id)
+	qt.Assert(t, err, qt.IsNil)
+	s.now, s.unanswered = 2*time.Hour, 1
+	for _, want := range []int{0, 1} {
+		count, _ := r.Sweep(ctx, layout.Part(id))
+		qt.Assert(t, count, qt.Equals, want)
+	}
+	qt.Assert(t, s.Rows, qt.HasLen, 0)
+	s.Put(layout.JobKey(id), []byte("{}"))
+	qt.Assert(t, s.held, qt.HasLen, 1)
+	s.Store.Commit(s.held[0])
+	qt.Check(t, s.Rows, qt.HasLen, 1)
+}
+
+// TestSweepIsBounded guards against transactions of more than 100 entries, which the platform does not accept.
+func TestSweepIsBounded(t *testing.T) {
+	layout := record.Layout{Parts: 1}
+	ctx := context.Background()
+	s := &clockStore{Store: memory.New(), now: time.Hour}
+	r := jobstore.NewReader(s, layout, time.Minute)
+	for id := range job.ID(100) {
+		_, err := r.CancelUnstored(ctx, id)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	s.now = 2 * time.Hour
+	count, err := r.Sweep(ctx, layout.Part(0))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, count, qt.Equals, 100)
+	qt.Check(t, s.Rows, qt.HasLen, 0)
+	qt.Check(t, s.largest <= 100, qt.IsTrue, qt.Commentf("%d entries", s.largest))
+}
+
 // TestSweepWindow guards against tombstones that stay because no entry has kept jobs: each part is swept once more after they expire.
 func TestSweepWindow(t *testing.T) {
 	var w jobstore.SweepWindow
