dispatch: jobs get probes in turn

Cause: a job that has begun comes first in the queue, wherever an upstream is probed. If its tasks are long, or stall or fail to start wherever they run, it takes all probes, and no upstream becomes ready.

Change: a job that has had a probe leaves them for a second to jobs that wait, fit there, and have not had one for longer.

--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -107,6 +107,8 @@
 	longest time.Duration
 	// blamed lists the upstreams at which a run failed, stalled or was lost.
 	blamed []ident.UpstreamID
+	// probedAt is when a task of the job was last placed as a probe.
+	probedAt time.Time
 	// firstAt is the time at which the first task was placed.
 	firstAt time.Time
 	// idleSince is when the job was submitted or when the last of its runs ended. It means nothing while runs are outstanding.
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -138,6 +138,9 @@
 	k.runID = t.nextRunID()
 	k.phase, k.agent, k.placedAt = placed, a, now
 	a.runs[k.id] = k
+	if a.Probing() {
+		j.probedAt = now
+	}
 	a.Reserve(o.Each)
 	j.outstanding++
 	j.runs++
@@ -182,7 +185,7 @@
 			return false
 		}
 		foundRoom = true
-		if !t.eligible(a, k, prefer) || t.reservedForOthers(now, a, k) || t.isProbablyTaken(now, a, k) {
+		if !t.eligible(a, k, prefer) || t.leavesProbe(now, a, k.job) || t.reservedForOthers(now, a, k) || t.isProbablyTaken(now, a, k) {
 			return false
 		}
 		if !t.declines(now, a, k, near) {
