agent: runs are judged by their progress, not by their estimate alone

Cause: a run could go without progress for 50 ms and a quarter of its estimate. Upstreams list whole percent, so that a run of 7 s stands still for 70 ms each time: 587 of the stalled runs were at 0%, 272 had moved on, nearly all were idle for 60 to 75 ms (docs/incidents/long-runs-stalled.md has what was ruled out). Each of these stops of our own counted as a failure of the upstream.

Change: - The limit follows the longer of the run's own projected time and its estimate, the latter up to ten times the former; 1 s where neither is known, 10 s at the most. It doubles with each stalled run of the task, or of the step if that has stalled at two upstreams (TaskRun.stalls). - Standstill counts from when the run is known to be there, not from a call that may be carried out late. - A stall counts against the upstream if its task has not stalled before, once a second for each job. - Runs without an estimate say nothing of an upstream's pace, and are not moved; others count as ten times too slow at the most. - run_ended of a stalled run says estimate_ms and stall_limit_ms.

--- a/internal/agent/health/health.go
+++ b/internal/agent/health/health.go
@@ -23,10 +23,9 @@
 	// paceWindow is how much time of runs the pace is based on. Estimates are off by 40%, so that a few runs say little; an upstream with
 	// ten present runs shows within 0.2 s that it has become slow.
 	paceWindow = 3 * time.Second
-	// A run may go without progress for stallBase plus stallShare of its estimate. Estimates are off by 40% and upstreams by 25%, so that
-	// a sound run advances at least once in a twentieth of this time.
-	stallBase  = 50 * time.Millisecond
-	stallShare = 0.25
+	// maxPaceRatio bounds how much slower than its estimate a run counts in the pace. Upstreams that became slow are eight times slower; what
+	// exceeds that tells of the estimate.
+	maxPaceRatio = 10
 )
 
 // Health rates one upstream. The zero Health is that of a sound upstream.
@@ -81,8 +80,13 @@
 	return entries[(h.probes+turn)%len(entries)]
 }
 
-// RecordProgress updates the pace: a run took actual for progress that should take expected by its estimate.
+// RecordProgress updates the pace: a run took actual for progress that should take expected by its estimate. A run without an estimate says
+// nothing.
 func (h *Health) RecordProgress(actual, expected time.Duration) {
+	if expected <= 0 {
+		return
+	}
+	expected = max(expected, actual/maxPaceRatio)
 	keep := math.Exp(-float64(actual) / float64(paceWindow))
 	h.actual = h.actual*keep + float64(actual)
 	h.expected = h.expected*keep + float64(expected)
@@ -101,8 +105,3 @@
 
 // IsSlow reports whether the upstream is slow compared with others. median is the median of all paces; zero if it is unknown.
 func (h *Health) IsSlow(median float64) bool { return fleet.Slow(h.Pace(), median) }
-
-// IsStalled reports whether a run that has made no progress for idle counts as stalled, given its estimate.
-func IsStalled(idle, estimate time.Duration) bool {
-	return idle > stallBase+time.Duration(stallShare*float64(estimate))
-}
--- a/internal/agent/node/observe.go
+++ b/internal/agent/node/observe.go
@@ -62,6 +62,7 @@
 	}
 	if e.Outcome == job.Stalled {
 		f["percent"], f["idle_ms"], f["resumed"] = e.Percent, e.IdleFor.Milliseconds(), e.Resumed
+		f["estimate_ms"], f["stall_limit_ms"] = e.Estimate.Milliseconds(), e.StallLimit.Milliseconds()
 	}
 	if e.Stop != nil {
 		addStopFields(f, e.Stop)
--- a/internal/agent/upstream/ending.go
+++ b/internal/agent/upstream/ending.go
@@ -30,6 +30,8 @@
 	// Percent is the last progress that the upstream has listed, IdleFor the time since it last rose.
 	Percent int
 	IdleFor time.Duration
+	// Estimate is how long the run should take, by its job's caller. StallLimit is how long it may go without progress.
+	Estimate, StallLimit time.Duration
 	// Resumed: the run was started with a checkpoint.
 	Resumed bool
 	// Stop is nil if the run was not asked to stop.
@@ -58,7 +60,7 @@
 	owner := u.sessions[r.owner]
 	out := Ending{
 		End: e, Owner: r.owner, StartedAgo: now.Sub(r.startedAt), OwnerUnlinked: owner == nil || !owner.linked,
-		Percent: r.percent, IdleFor: now.Sub(r.progressAt), Resumed: r.checkpoint != "",
+		Percent: r.percent, IdleFor: now.Sub(r.progressAt), Estimate: r.estimate, StallLimit: r.stallLimit(), Resumed: r.checkpoint != "",
 	}
 	if r.successor != nil {
 		out.Successor = r.successor.owner
--- a/internal/agent/upstream/listed.go
+++ b/internal/agent/upstream/listed.go
@@ -8,10 +8,8 @@
 
 	"hillreel/internal/agent/call"
 	"hillreel/internal/agent/ends"
-	"hillreel/internal/agent/health"
 	"hillreel/internal/agent/lease"
 	"hillreel/internal/core/fleet"
-	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/rule"
 )
@@ -152,7 +150,7 @@
 	r.listed, r.fromFormerLife = true, false
 	if r.phase != running && (r.phase == unsure || c.Sent.After(r.startedAt)) {
 		r.phase, r.provableFrom = running, now
-		r.beginRestoring(now, u.restoreTime)
+		r.beginProgress(now, u.restoreTime)
 	}
 	switch {
 	case r.restoring:
@@ -160,70 +158,11 @@
 	case l.Percent > r.percent:
 		u.recordProgress(now, r, l.Percent)
 	}
-	if r.stop == nil && stalled(now, r) {
+	if r.stop == nil && r.isStalled(now) {
 		u.stopRun(now, r, stopState{outcome: job.Stalled, reason: fleet.NoProgress, cause: NoProgress})
 	}
 }
 
-// stalled reports whether a run has made no progress for too long.
-func stalled(now time.Time, r *run) bool {
-	return r.phase == running && !r.restoring && r.percent < 100 && health.IsStalled(now.Sub(r.progressAt), r.estimate)
-}
-
-// recordProgress records that a run has made progress.
-func (u *Controller) recordProgress(now time.Time, r *run, percent int) {
-	u.health.RecordProgress(now.Sub(r.progressAt), r.estimate*time.Duration(percent-r.percent)/100)
-	r.percent, r.progressAt = percent, now
-}
-
-// beginRestoring records that a run with a checkpoint begins to restore it now, as far as is known.
-func (r *run) beginRestoring(now time.Time, restoreTime time.Duration) {
-	if r.checkpoint != "" {
-		r.restoring, r.restoreBy = true, now.Add(restoreTime)
-	}
-}
-
-// followRestoring follows the progress of a run that restores its checkpoint. It may rise to that of the checkpoint, at any time or only
-// at the end, and stands still otherwise.
-func (r *run) followRestoring(now time.Time, percent int) {
-	rose := percent > r.percent
-	r.percent = max(r.percent, percent)
-	if now.Before(r.restoreBy) {
-		return
-	}
-	r.restoring, r.progressAt = false, r.restoreBy
-	if rose {
-		r.progressAt = now
-	}
-}
-
-// progressInterval is the least time between two progress reports to entries.
-const progressInterval = 50 * time.Millisecond
-
-// sendProgress reports to entries how long their runs will still take, while the upstream is slow compared with others.
-func (u *Controller) sendProgress(now time.Time) {
-	if !u.health.IsSlow(u.medianPace) || now.Sub(u.progressSentAt) < progressInterval {
-		return
-	}
-	u.progressSentAt = now
-	byOwner := make(map[ident.Incarnation][]fleet.Progress)
-	for _, r := range u.sortedRuns() {
-		if r.phase != running || r.stop != nil {
-			continue
-		}
-		left := time.Duration(float64(r.estimate) * float64(100-r.percent) / 100 * u.health.Pace())
-		if r.restoring {
-			left += max(0, r.restoreBy.Sub(now))
-		}
-		byOwner[r.owner] = append(byOwner[r.owner], fleet.Progress{OrderedRun: r.ordered(), Left: left})
-	}
-	for _, s := range u.sessionOrder {
-		if runs := byOwner[s.entry]; s.linked && len(runs) > 0 {
-			u.entries.Progress(s.entry, runs)
-		}
-	}
-}
-
 // stopStray stops a stray: a run that the agent has no record of. An earlier incarnation of the agent has started it, or
 // its start call arrived late.
 func (u *Controller) stopStray(now time.Time, l call.Running) {
--- a/internal/agent/upstream/upstream.go
+++ b/internal/agent/upstream/upstream.go
@@ -174,6 +174,8 @@
 	// sessionOrder lists the sessions from the oldest to the newest, so that the state machine is deterministic.
 	sessionOrder []*session
 	health       health.Health
+	// stalledJobs holds the jobs whose stalls have lately counted as a failure of the upstream, with the time when they did.
+	stalledJobs map[job.ID]time.Time
 	// coldUntil is when the upstream's warm-up ends, as its heartbeats say. cold is whether it was warming up at the last check.
 	coldUntil time.Time
 	cold      bool
@@ -217,8 +219,10 @@
 	estimate time.Duration
 	// priorFailures counts the failures of the job before this run.
 	priorFailures uint32
-	checkpoint    string
-	kept          bool
+	// priorStalls counts the earlier runs of the task, or of its step, that were stopped because they made no progress.
+	priorStalls uint32
+	checkpoint  string
+	kept        bool
 	// aloneFor is for how long after its start nothing else is started.
 	aloneFor time.Duration
 
@@ -228,9 +232,7 @@
 	// list the run proves that the run is not there.
 	provableFrom time.Time
 
-	// percent is the run's progress, progressAt when it last rose.
-	percent    int
-	progressAt time.Time
+	progress
 	// restoring is true until the run must have restored its checkpoint, by restoreBy. Its progress says nothing until then.
 	restoring bool
 	restoreBy time.Time
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -112,6 +112,9 @@
 	ID RunID
 	// Failures is the number of failed runs of the job so far. If it is zero, a failure says more about the upstream.
 	Failures uint32
+	// Stalls is the number of earlier runs that were stopped because they made no progress: of the task or, if its step has stalled at several
+	// upstreams, of the task of the step that has stalled most often. If it is not zero, a further stall says more about the task.
+	Stalls uint32
 	// Checkpoint is the state that an earlier run saved; empty is none.
 	Checkpoint string
 	// AloneFor is how long after the task's start nothing else may be started on the upstream; zero means that the task need not be alone.
--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -97,6 +97,8 @@
 		k.failures++
 		k.avoidUpstream(upstream)
 	case job.Stalled:
+		k.stalls++
+		j.steps[k.id.Step].stalledAt.add(upstream)
 		k.avoidUpstream(upstream)
 	case job.Used:
 		k.run += usedRunSkip
@@ -148,6 +150,7 @@
 	k.phase = finished
 	j.remaining--
 	step := &j.steps[k.id.Step]
+	step.stalledAt = nil
 	step.left--
 	if j.remaining == 0 {
 		t.close(now, j, Answer{State: verdict.Complete, Verdict: verdict.Ran})
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -44,6 +44,8 @@
 	// leftRoomAt is when the task first set an upstream with room aside since it began to wait; zero if it has not.
 	leftRoomAt time.Time
 	failures   int
+	// stalls counts the runs of the task that were stopped because they made no progress.
+	stalls uint32
 	// checkpoint is the newest checkpoint that a run of the task has saved, or empty.
 	checkpoint string
 	// avoid lists the upstreams at which the task failed or stalled, or from which it was moved away. The task sets them
@@ -127,6 +129,8 @@
 	// waiting lists the tasks that can be placed. left counts the tasks that have not succeeded.
 	waiting []*task
 	left    int
+	// stalledAt lists the upstreams at which runs of the step have stalled since a task of it last succeeded.
+	stalledAt upstreamSet
 }
 
 // unblock queues the tasks of the steps whose preceding steps have all finished.
--- a/internal/entry/dispatch/move.go
+++ b/internal/entry/dispatch/move.go
@@ -32,6 +32,9 @@
 func (t *Table) shouldMove(now time.Time, k *task, left time.Duration) bool {
 	took := now.Sub(k.job.submitted)
 	step := &k.job.spec.Steps[k.id.Step]
+	if step.Estimate == 0 {
+		return false // how long it would take elsewhere is not known
+	}
 	prefer := t.preferenceOf(now, k)
 	var restore time.Duration
 	if step.Checkpoints || k.checkpoint != "" {
--- a/internal/entry/dispatch/place.go
+++ b/internal/entry/dispatch/place.go
@@ -149,7 +149,7 @@
 		j.firstAt = now
 	}
 	o.Tasks = append(o.Tasks, fleet.TaskRun{
-		Index: k.id.Index, Run: k.run, ID: k.runID, Failures: uint32(j.failures), Checkpoint: k.checkpoint,
+		Index: k.id.Index, Run: k.run, ID: k.runID, Failures: uint32(j.failures), Stalls: j.stallsBefore(k), Checkpoint: k.checkpoint,
 	})
 }
 
