owner: a row that can't be scheduled ends no process

What callers would see: entry after entry ends, and all its kept jobs wait. Cause: what a job was submitted with is checked where a client sends it, but not where an entry that takes the job over reads it. A row of another writer with a step after one that doesn't exist ended the process in the dispatch table (index out of range, shown by a trial), and that of the next owner; one with four billion tasks takes all memory.

Change: job.Spec.Check for jobs from rows. Such a job is logged and left, those beside it are taken over.

--- a/internal/core/job/job.go
+++ b/internal/core/job/job.go
@@ -91,6 +91,9 @@
 // Label is a property of an upstream that a step can require, such as its rack or hardware kind.
 type Label string
 
+// MaxEstimate is the longest estimate of a task's run time. Estimates of a job's steps and multiples of them are added up.
+const MaxEstimate = 365 * 24 * time.Hour
+
 // Step is a group of identical tasks.
 type Step struct {
 	// Count is the number of tasks, at least 1.
--- a/internal/entry/node/kept.go
+++ b/internal/entry/node/kept.go
@@ -60,7 +60,7 @@
 	n.jobWriter = jobstore.New(store, func(r jobstore.Result) { n.loop.Post(r) }, n.log)
 	return owner.New(owner.Options{
 		Node: n.set.Node.Name, Link: n.set.Node.AdvertisedLink(), Incarnation: n.inc, Layout: layout, LeaseDuration: k.Lease, RenewInterval: k.Renew, Retention: k.Keep,
-		MaxRow: int(k.MaxRow), SettleTime: n.set.Links.Timing().SettleAfter(), Log: n.log,
+		MaxRow: int(k.MaxRow), MaxTasks: n.set.Entry.MaxTasks, SettleTime: n.set.Links.Timing().SettleAfter(), Log: n.log,
 		Count: func(event string) { counters.Add(event, 1) },
 	}, (*keptStore)(n), n.table, (*keptAgents)(n), (*answerer)(n), boottime.Now())
 }
--- a/internal/kept/owner/harness_test.go
+++ b/internal/kept/owner/harness_test.go
@@ -85,7 +85,7 @@
 	}
 	h.owner = owner.New(owner.Options{
 		Node: "vm-1", Incarnation: 1, Layout: layout, LeaseDuration: lease, RenewInterval: 500 * time.Millisecond, Retention: time.Minute,
-		MaxRow: 1000, SettleTime: settle, Without: without, Count: func(string) {}, Log: logs.Discard(),
+		MaxRow: 1000, MaxTasks: 20, SettleTime: settle, Without: without, Count: func(string) {}, Log: logs.Discard(),
 	}, h, h, h, h, h.now)
 	return h
 }
--- a/internal/kept/owner/owner.go
+++ b/internal/kept/owner/owner.go
@@ -70,6 +70,8 @@
 	LeaseDuration, RenewInterval time.Duration
 	// MaxRow bounds the value of a row, in bytes.
 	MaxRow int
+	// MaxTasks bounds the tasks of a job; zero is no bound.
+	MaxTasks int
 	// Retention is how long the state of an ended job can be queried.
 	Retention time.Duration
 	// SettleTime is how long runs of an entry may go on after the entry has stopped acting.
--- a/internal/kept/owner/takeover.go
+++ b/internal/kept/owner/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"hillreel/internal/core/ident"
@@ -66,6 +67,9 @@
 			continue
 		}
 		k.record, err = record.Decode[record.Job](found[i])
+		if err == nil {
+			err = errors.Wrapf(k.record.Spec.Check(o.opts.MaxTasks), "owner: row of job %s", id)
+		}
 		if err != nil {
 			o.logUnreadable(err)
 			o.remove(k)
--- a/internal/kept/owner/takeover_test.go
+++ b/internal/kept/owner/takeover_test.go
@@ -1,11 +1,13 @@
 package owner_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"hillreel/internal/core/ident"
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/route"
 	"hillreel/internal/core/rows"
@@ -123,3 +125,59 @@
 	row := h.Rows[record.LeaseKey("strange")]
 	qt.Assert(t, string(row.Value), qt.Equals, `"no lease"`)
 }
+
+// TestOddRowsBesideGoodJobs guards against a row of another writer that ends each process which takes its job over, one after the other, and
+// against good jobs beside it that are not taken over.
+func TestOddRowsBesideGoodJobs(t *testing.T) {
+	const odd = job.ID(8)
+	good := job.Spec{Text: "x", Steps: []job.Step{{Count: 2}}}
+	nested := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	for _, test := range []struct {
+		name      string
+		open, job string
+	}{
+		{"a step after one that does not exist", "", `{"spec":{"steps":[{"count":1,"after":[7]}]}}`},
+		{"a number of tasks that takes all memory", "", `{"spec":{"steps":[{"count":4294967295}]}}`},
+		{"a number that is too large", "", `{"spec":{"steps":[{"count":1e400}]}}`},
+		{"no steps", "", `{}`},
+		{"very deeply nested", "", `{"spec":` + nested + `}`},
+		{"very deeply nested progress", `{"owner":"old-0","generation":1,"ends":` + nested + `}`, ""},
+		{"progress of tasks that do not exist", `{"owner":"old-0","generation":1,"ends":"7.9.1 4294967295.4294967295.4294967295f"}`, ""},
+		{"progress with a generation that is too large", `{"owner":"old-0","generation":99999999999}`, ""},
+		{"no progress", "\xff", ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, nil)
+			h.put(record.LeaseKey("old-0"), record.Lease{Node: "vm-2", UntilMs: h.clock().Milliseconds()})
+			for _, id := range []job.ID{jobID, odd} {
+				h.put(layout.JobKey(id), record.Job{Spec: good, Route: route.Route{Name: "r", Service: "publish"}})
+				h.put(layout.OpenKey(id), record.OpenJob{Owner: "old-0", Generation: 1, Sequence: 4})
+			}
+			if test.job != "" {
+				h.Put(layout.JobKey(odd), []byte(test.job))
+			}
+			if test.open != "" {
+				h.Put(layout.OpenKey(odd), []byte(test.open))
+			}
+			h.advance(4*time.Second, true)
+			h.owner.HandleScan(h.now, h.page(record.OpenRows("").Table).Rows, h.page(record.Leases), nil)
+			for _, ids := range h.fetches {
+				var found []rows.Row
+				for _, id := range ids {
+					found = append(found, h.Rows[layout.JobKey(id)])
+				}
+				h.owner.HandleFetch(h.now, ids, found, nil)
+			}
+			h.completeWrites()
+			for _, a := range []ident.Incarnation{agentA, agentB} {
+				h.owner.HandleEndsReported(h.now, a, h.asked[a])
+			}
+			var submitted []job.ID
+			for _, r := range h.submitted {
+				qt.Check(t, r.Spec.Check(0), qt.IsNil)
+				submitted = append(submitted, r.Job)
+			}
+			qt.Check(t, submitted, qt.Contains, jobID)
+		})
+	}
+}
