platform: numbers that are too large stay times

Cause: milliseconds times a million, and estimates times a factor, were converted without a bound. A number of another writer near the largest turned into a negative or short time, a different one on x86-64 and arm64: a timeout of nothing, an objective in the past.

--- a/internal/config/view/view.go
+++ b/internal/config/view/view.go
@@ -131,9 +131,12 @@
 // MaxTasks returns the maximum number of tasks in a job of a service. Zero means that the service has no limit of its own.
 func (v *View) MaxTasks(s ident.Service) int { return v.services[s].MaxTasks }
 
+// maxDeadlineMs is the longest deadline of a service, a year: a larger number would not fit into a duration.
+const maxDeadlineMs = 365 * 24 * 3600 * 1000
+
 // Deadline returns the deadline of a service's jobs that have none of their own. Zero means no deadline.
 func (v *View) Deadline(s ident.Service) time.Duration {
-	return time.Duration(v.services[s].DeadlineMs) * time.Millisecond
+	return time.Duration(min(v.services[s].DeadlineMs, maxDeadlineMs)) * time.Millisecond
 }
 
 // Knows reports whether jobs of a service are accepted. If no service is configured, jobs of all services are.
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -36,9 +36,12 @@
 // Objective returns the response time that a job should keep. criticalPath is the estimated time of the job's longest chain of
 // dependent steps.
 func (r *Route) Objective(criticalPath time.Duration) time.Duration {
-	return time.Duration(r.Stretch*float64(criticalPath)) + r.Target
+	return time.Duration(max(0, min(r.Stretch*float64(criticalPath), float64(maxObjective)))) + r.Target
 }
 
+// maxObjective bounds the part of an objective that follows from a job's estimates. Times that far ahead can still be added up.
+const maxObjective = 365 * 24 * time.Hour
+
 // Limits bound the requests of callers.
 type Limits struct {
 	// HeaderBytes and BodyBytes are the largest sizes in bytes; zero means no limit.
--- a/internal/entry/caller/read.go
+++ b/internal/entry/caller/read.go
@@ -68,6 +68,8 @@
 		return out, at("mem_mb"), fmt.Sprintf("is %d, must not be negative", s.MemMB)
 	case s.GPU < 0:
 		return out, at("gpu"), fmt.Sprintf("is %d, must not be negative", s.GPU)
+	case s.EstimateMs > job.MaxEstimate.Milliseconds():
+		return out, at("estimate_ms"), fmt.Sprintf("is %d, must be at most %d", s.EstimateMs, job.MaxEstimate.Milliseconds())
 	case s.EstimateMs < 0:
 		return out, at("estimate_ms"), fmt.Sprintf("is %d, must not be negative", s.EstimateMs)
 	}
