platform: one odd row does not hide the others

Cause: one value that is not in base64 failed the whole page, so that a table was followed no more; one row of another program's task, or a percentage with a fraction, failed the whole listing of an upstream, which then counted as silent for good.

If a row may be of one of the agent's runs, the listing is partial: no run counts as absent, since a run that is taken for lost would be started a second time.

--- a/internal/agent/call/call.go
+++ b/internal/agent/call/call.go
@@ -121,4 +121,6 @@
 	Born     ident.Born
 	Running  []Running
 	Finished []Finished
+	// Partial: something that runs is missing from Running, because it could not be decoded.
+	Partial bool
 }
--- a/internal/agent/upstream/listed.go
+++ b/internal/agent/upstream/listed.go
@@ -40,7 +40,7 @@
 		return hasNewEnd
 	}
 	u.listedClock = h.Clock
-	u.applyRunning(now, c, h.Running)
+	u.applyRunning(now, c, h)
 	u.runsKnown = true
 	u.sendProgress(now)
 	return hasNewEnd
@@ -57,13 +57,16 @@
 	return hasNewEnd
 }
 
-// applyRunning applies the list of what runs: to the listed runs, and to the known runs that are missing from it.
-func (u *Controller) applyRunning(now time.Time, c call.Hold, running []call.Running) {
-	listed := make(map[job.TaskID]call.Running, len(running))
-	for _, l := range running {
+// applyRunning applies the list of what runs: to the listed runs, and to the known runs that are missing from it, unless it is partial.
+func (u *Controller) applyRunning(now time.Time, c call.Hold, h call.HoldResult) {
+	listed := make(map[job.TaskID]call.Running, len(h.Running))
+	for _, l := range h.Running {
 		listed[l.Task] = l
 		u.handleListedRun(now, c, l)
 	}
+	if h.Partial {
+		return
+	}
 	isListed := func(r fleet.RunRef) bool {
 		l, ok := listed[r.Task]
 		return ok && l.Run == r.Run
