claims: a lease that another program has changed expires

Cause: a lease that can't be read was skipped, and one that ends in the far future never expired, so that the jobs of its entry, if that was lost, were never taken over. A negative or absurd number of waiting jobs in one lease went into the sum that clients get.

Change: such a lease counts as expired once its row has stayed the same for a lease's time and the settle time; a living entry renews it long before. Numbers of waiting jobs are bounded. Log line lease_invalid.

--- a/internal/kept/claims/claims.go
+++ b/internal/kept/claims/claims.go
@@ -62,6 +62,8 @@
 	store    Store
 	// otherLeases are the leases of other entries according to the last read.
 	otherLeases map[record.LeaseID]record.Lease
+	// invalid holds the leases of other entries whose rows can't be read or can't be true, with what was seen of them first.
+	invalid map[record.LeaseID]sighting
 	// claims holds, by lease, the claims whose jobs this entry takes over. scanning is true while the open jobs are being
 	// read. nextScan is when the next scan for jobs is due whose owner's lease no longer exists.
 	claims   map[record.LeaseID]*claim
@@ -78,6 +80,12 @@
 	scanned   bool
 }
 
+// sighting is when a row was first seen in a version.
+type sighting struct {
+	version rows.Version
+	at      time.Time
+}
+
 // Job is an open job and the lease of its owner.
 type Job struct {
 	ID    job.ID
@@ -88,7 +96,7 @@
 func New(o Options, own Lease, s Store) *Claims {
 	return &Claims{
 		opts: o, ownLease: own, store: s,
-		otherLeases: make(map[record.LeaseID]record.Lease), claims: make(map[record.LeaseID]*claim),
+		otherLeases: make(map[record.LeaseID]record.Lease), invalid: make(map[record.LeaseID]sighting), claims: make(map[record.LeaseID]*claim),
 	}
 }
 
@@ -98,11 +106,14 @@
 // HasClaims reports whether the jobs of any lease are being taken over.
 func (c *Claims) HasClaims() bool { return len(c.claims) > 0 }
 
+// maxWaiting is the highest number of waiting jobs that is believed of one entry.
+const maxWaiting = 1_000_000
+
 // NotBegun returns how many jobs of a queue have not started at other entries, according to the last read of their leases.
 func (c *Claims) NotBegun(r route.Name) int {
 	n := 0
 	for _, l := range c.otherLeases {
-		n += l.Waiting[r]
+		n += max(0, min(l.Waiting[r], maxWaiting))
 	}
 	return n
 }
@@ -110,17 +121,43 @@
 // HandleLeases handles a read of all leases of other entries. clock is the store's clock at the time of the read.
 func (c *Claims) HandleLeases(now time.Time, clock time.Duration, leases []rows.Row) {
 	clear(c.otherLeases)
+	c.forgetInvalid(leases)
 	for _, row := range leases {
 		l, err := record.Decode[record.Lease](row)
-		if err != nil {
-			record.LogUnreadable(c.opts.Log, err)
-			continue // the owner and the expiry of the lease are unknown
+		record.LogUnreadable(c.opts.Log, err)
+		if err != nil || !l.IsValid(clock) {
+			c.handleInvalid(now, clock, row)
+			continue
 		}
+		delete(c.invalid, record.LeaseID(row.Key.Name))
 		c.otherLeases[record.LeaseID(row.Key.Name)] = l
 		c.claimExpired(now, clock, row, l)
 	}
 }
 
+// forgetInvalid forgets the invalid leases that are not listed any more.
+func (c *Claims) forgetInvalid(leases []rows.Row) {
+	maps.DeleteFunc(c.invalid, func(id record.LeaseID, _ sighting) bool {
+		return !slices.ContainsFunc(leases, func(row rows.Row) bool { return row.Key.Name == string(id) })
+	})
+}
+
+// handleInvalid handles the row of a lease that can't be read or can't be true, since another program has written it. Its entry, if it lives,
+// soon writes the row again, or loses the lease by its own clock. The lease counts as expired once it has not done so for that time.
+func (c *Claims) handleInvalid(now time.Time, clock time.Duration, row rows.Row) {
+	id := record.LeaseID(row.Key.Name)
+	first, seen := c.invalid[id]
+	if !seen || first.version != row.Version {
+		c.invalid[id] = sighting{row.Version, now}
+		c.opts.LogEvent(logrus.WarnLevel, "lease_invalid", logrus.Fields{"lease": id})
+		return
+	}
+	if now.Sub(first.at) <= c.opts.LeaseDuration+c.opts.SettleTime+lease.ClockMargin {
+		return
+	}
+	c.claimExpired(now, clock, row, record.Lease{})
+}
+
 // claimExpired claims a lease if it has expired and no run of its entry can still be running. It requests a lease for this
 // entry first if there is none.
 func (c *Claims) claimExpired(now time.Time, clock time.Duration, row rows.Row, l record.Lease) {
--- a/internal/kept/claims/claims_test.go
+++ b/internal/kept/claims/claims_test.go
@@ -1,6 +1,9 @@
 package claims_test
 
 import (
+	"fmt"
+	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +12,7 @@
 
 	"hillreel/internal/core/job"
 	"hillreel/internal/core/logs"
+	"hillreel/internal/core/route"
 	"hillreel/internal/core/rows"
 	"hillreel/internal/kept/claims"
 	"hillreel/internal/kept/jobstore"
@@ -137,3 +141,52 @@
 		})
 	}
 }
+
+// TestOddLeases guards against the jobs of a lost entry that nobody ever takes over because another program has changed the row of its lease,
+// and against those of a living entry that are taken over because of that.
+func TestOddLeases(t *testing.T) {
+	const clock = time.Hour
+	nested := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	good := rows.Row{Key: record.LeaseKey("good-0"), Version: 4, Value: record.EncodeLogged(logs.Discard(), record.Lease{
+		Node: "vm-3", UntilMs: (clock + time.Minute).Milliseconds(), Waiting: map[route.Name]int{"r": 2},
+	})}
+	for _, value := range []string{
+		"", "\xff", "7", nested, `{"until_ms":1e400}`, `{"until_ms":9223372036854775807}`, `{"until_ms":-9223372036854775808}`,
+		`{"until_ms":3600000000,"waiting":{"r":1}}`, `{"until_ms":7,"waiting":{"r":1e400}}`,
+	} {
+		for _, renews := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%.40q, renewed %t", value, renews), func(t *testing.T) {
+				e := &entry{held: true}
+				c := newClaims(e)
+				row := rows.Row{Key: record.LeaseKey(old), Version: 3, Value: []byte(value)}
+				for i := range 20 {
+					c.HandleLeases(start.Add(time.Duration(i)*500*time.Millisecond), clock, []rows.Row{row, good})
+					if i < 10 {
+						qt.Assert(t, e.writes, qt.HasLen, 0, qt.Commentf("claimed after %d reads", i))
+					}
+					if renews {
+						row.Version++
+					}
+				}
+				qt.Check(t, len(e.writes) > 0, qt.Equals, !renews)
+				qt.Check(t, c.NotBegun("r"), qt.Equals, 2)
+			})
+		}
+	}
+}
+
+// TestOddNumbersOfWaitingJobs guards against a number of waiting jobs that is negative or absurd because of one lease.
+func TestOddNumbersOfWaitingJobs(t *testing.T) {
+	e := &entry{held: true}
+	c := newClaims(e)
+	var all []rows.Row
+	for i, waiting := range []int{-5, 3, math.MaxInt, math.MaxInt} {
+		all = append(all, rows.Row{
+			Key: record.LeaseKey(record.LeaseID(fmt.Sprint("lease-", i))), Version: 3,
+			Value: record.EncodeLogged(logs.Discard(), record.Lease{Node: "vm-2", UntilMs: time.Hour.Milliseconds(), Waiting: map[route.Name]int{"r": waiting}}),
+		})
+	}
+	c.HandleLeases(start, time.Minute, all)
+	n := c.NotBegun("r")
+	qt.Check(t, n >= 3 && n <= 3_000_000, qt.IsTrue, qt.Commentf("%d", n))
+}
--- a/internal/kept/record/record.go
+++ b/internal/kept/record/record.go
@@ -216,9 +216,17 @@
 	Waiting map[route.Name]int `json:"waiting,omitempty"`
 }
 
+// maxLease is longer than any lease lasts.
+const maxLease = time.Hour
+
 // Until returns when the lease expires, by the store's clock.
 func (l *Lease) Until() time.Duration { return time.Duration(l.UntilMs) * time.Millisecond }
 
+// IsValid reports whether the lease can have been written by an entry, given the store's clock.
+func (l *Lease) IsValid(now time.Duration) bool {
+	return l.UntilMs >= 0 && l.UntilMs <= (now+maxLease).Milliseconds()
+}
+
 // Encode encodes a row's value, which is one of the types above.
 func Encode(v any) ([]byte, error) {
 	raw, err := json.Marshal(v)
