members: odd rows remove no living entry and do not stay

Cause: a renewal that can't be read counted as abandoned at once, so that a living entry was not listed until its next renewal; one from the future, or a row without a renewal, stayed for good. While the address in such a row is silent, no entry can say that nobody has a job. Port 0, 0.0.0.0 and multicast counted as addresses.

Change: rows that tell no valid time of a renewal are abandoned once they have stayed the same for removeAfter. Such addresses are no entries'.

--- a/internal/link/members/members.go
+++ b/internal/link/members/members.go
@@ -106,8 +106,16 @@
 
 // checkAddress returns an error if the name of a row is not an entry's address.
 func checkAddress(a ident.Address) error {
-	_, err := netip.ParseAddrPort(string(a))
-	return err
+	parsed, err := netip.ParseAddrPort(string(a))
+	switch {
+	case err != nil:
+		return err
+	case parsed.Port() == 0:
+		return errors.Errorf("members: address %s: port 0", a)
+	case parsed.Addr().IsUnspecified() || parsed.Addr().IsMulticast():
+		return errors.Errorf("members: address %s: not of one process", a)
+	}
+	return nil
 }
 
 // Reader reads ranges of rows.
--- a/internal/link/members/members_test.go
+++ b/internal/link/members/members_test.go
@@ -36,12 +36,14 @@
 	read int
 	// late are writes that are carried out just before the next one.
 	late []rows.Txn
+	// passed is the time by which the store's clock has moved on.
+	passed time.Duration
 }
 
 func (s *delayedStore) Range(_ context.Context, of rows.Range) (rows.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	page := rows.Page{Version: s.rows.Version, Now: time.Minute}
+	page := rows.Page{Version: s.rows.Version, Now: time.Minute + s.passed}
 	for k, r := range s.rows.Rows {
 		if k.Table == of.Table && k.Name >= of.From && (of.To == "" || k.Name < of.To) {
 			s.read++
--- a/internal/link/members/registrar.go
+++ b/internal/link/members/registrar.go
@@ -50,13 +50,16 @@
 	// wake triggers a renewal before the next one is due.
 	wake chan struct{}
 
+	// unclear holds the other entries whose rows tell no valid time of a renewal.
+	unclear map[ident.Address]sighting
+
 	mu    sync.Mutex
 	entry Entry
 }
 
 // NewRegistrar returns a Registrar for the entry at an address; entries returns the number of known entries.
 func NewRegistrar(s Store, address ident.Address, e Entry, entries func() int, log *logrus.Entry) *Registrar {
-	return &Registrar{store: s, address: address, entry: e, entries: entries, log: log, done: make(chan struct{}), wake: make(chan struct{}, 1)}
+	return &Registrar{store: s, address: address, entry: e, entries: entries, log: log, done: make(chan struct{}), wake: make(chan struct{}, 1), unclear: make(map[ident.Address]sighting)}
 }
 
 // RequestAgents asks the agents of some services to link to the entry, in addition to those that do so anyway. The request lasts as long
@@ -139,8 +142,11 @@
 // key returns the key of the entry's row in a table.
 func (r *Registrar) key(t rows.Table) rows.Key { return rows.Key{Table: t, Name: string(r.address)} }
 
-// listing holds rows read from the two tables.
-type listing struct{ entries, renewals rows.Page }
+// listing holds rows read from the two tables. complete is true if all rows were read.
+type listing struct {
+	entries, renewals rows.Page
+	complete          bool
+}
 
 // sweepsPerInterval is how many entries, on average, read all rows in each renewal interval to find abandoned ones. If every entry did so,
 // the number of rows read would grow with the square of the number of entries.
@@ -161,6 +167,7 @@
 
 // read reads a range of names from both tables.
 func (r *Registrar) read(ctx context.Context, names rows.Range) (listing, error) {
+	complete := names == rows.Range{}
 	names.Table = Table
 	entries, err := r.store.Range(ctx, names)
 	if err != nil {
@@ -168,7 +175,7 @@
 	}
 	names.Table = renewals
 	renewalRows, err := r.store.Range(ctx, names)
-	return listing{entries, renewalRows}, err
+	return listing{entries, renewalRows, complete}, err
 }
 
 // entry returns the row of the entry at an address, or nil.
@@ -232,12 +239,10 @@
 	if err != nil {
 		return err
 	}
-	for _, row := range read.renewals.Rows {
-		if row.Key.Name != string(r.address) && isAbandoned(row, read.renewals.Now) {
-			txn.If = append(txn.If, rows.Condition{Key: row.Key, Version: row.Version})
-			txn.Remove = append(txn.Remove, row.Key, rows.Key{Table: Table, Name: row.Key.Name})
-			r.log.WithField("link", row.Key.Name).Info("member_removed")
-		}
+	for _, a := range r.findAbandoned(&read) {
+		txn.If = append(txn.If, read.conditionalTxn(a).If...)
+		txn.Remove = append(txn.Remove, rows.Key{Table: renewals, Name: string(a)}, rows.Key{Table: Table, Name: string(a)})
+		r.log.WithField("link", a).Info("member_removed")
 	}
 	_, err = r.store.Commit(ctx, txn)
 	return err
@@ -270,13 +275,3 @@
 	}
 	return txn, nil
 }
-
-// isAbandoned reports whether a renewal is older than removeAfter by the store's clock, which is steady. A renewal that can't be decoded
-// counts as abandoned.
-func isAbandoned(row rows.Row, now time.Duration) bool {
-	var at renewal
-	if err := json.Unmarshal(row.Value, &at); err != nil {
-		return true
-	}
-	return now-time.Duration(at.AtMs)*time.Millisecond > removeAfter
-}
