config: odd objects of another writer take nothing out of force

Cause: an entry decoded the objects of the store without the checks that the operators' API makes, and dropped an object whose new version it couldn't read.

Change: stored objects are checked too, but for unknown fields, which a newer release may have added.

--- a/internal/config/object/object.go
+++ b/internal/config/object/object.go
@@ -102,7 +102,21 @@
 
 // Check validates an object. It refuses unknown kinds, invalid names, unknown fields and values that are out of bounds. Its
 // error is a *FieldError.
-func Check(r Ref, spec json.RawMessage) error {
+func Check(r Ref, spec json.RawMessage) error { return checkSpec(r, spec, decode) }
+
+// CheckStored validates an object that was read from the store, where another program may have written it. Unknown fields are allowed: a
+// newer release may have added them.
+func CheckStored(o Object) error {
+	return checkSpec(o.Ref, o.Spec, func(spec json.RawMessage, into any) error {
+		if err := json.Unmarshal(spec, into); err != nil {
+			return newFieldError("spec", "%s", err)
+		}
+		return nil
+	})
+}
+
+// checkSpec validates an object whose spec is decoded by decode.
+func checkSpec(r Ref, spec json.RawMessage, decode func(spec json.RawMessage, into any) error) error {
 	if !namePattern.MatchString(string(r.Name)) {
 		return newFieldError("name", "want 1 to 63 of a-z, 0-9, '-', '_' and '.', with a letter or digit at both ends, not %q", r.Name)
 	}
