proof: callers cancel kept jobs whose requests got no answer

A new kind of random schedules: the store loses answers and carries calls out up to 6 s late, entries are cut off, frozen and killed, and callers cancel kept jobs that they know nothing of, at the store alone. No task of such a job may start 3 s after the confirmation or later, and none may have started, nor a caller been told of an acceptance, where the store has a tombstone. The other kinds draw as before, and TestSame is unchanged.

--- a/internal/proof/schedule/callers_test.go
+++ b/internal/proof/schedule/callers_test.go
@@ -156,6 +156,9 @@
 				})
 			})
 		}
+		if s.cancelUnsure() {
+			return
+		}
 		if !e.callersCut && e.alive && e.inc == inc && w.chance(w.profile.resubmitRate) {
 			// An impatient caller sends the job again at once. It may do so only to the same entry.
 			w.After(w.between(4*time.Millisecond, 100*time.Millisecond), func() { s.sendAgain(e, inc) })
--- a/internal/proof/schedule/kept_test.go
+++ b/internal/proof/schedule/kept_test.go
@@ -203,6 +203,10 @@
 		if err != nil {
 			w.violate("a row that can't be read: %v", err)
 		}
+		if ended.IsTombstone() {
+			s.checkTombstone()
+			continue
+		}
 		s.checkEndState(ended.State)
 	}
 	for _, e := range w.entries {
--- a/internal/proof/schedule/world_test.go
+++ b/internal/proof/schedule/world_test.go
@@ -110,6 +110,8 @@
 	agentsReachable bool
 	// shares: the team that all jobs belong to may use only a part of the capacity.
 	shares bool
+	// unsureCancels: callers cancel kept jobs whose requests got no answer.
+	unsureCancels bool
 }
 
 // impatientFrom is the first seed of the worlds in which many callers give up early and send again at once, over slow
@@ -123,6 +125,9 @@
 const cordonsFrom = 3_000_000_000
 
 func profileOf(seed uint64) profile {
+	if seed >= unsureCancelsFrom {
+		return profile{abandonRate: 0.2, resubmitRate: 0.2, jobFactor: 2, unsureCancels: true}
+	}
 	if isSilence(seed) {
 		return profile{abandonRate: 0.05, resubmitRate: 0.2, jobFactor: 1, crashes: true, lateCrashes: true, extraAgents: 1}
 	}
