--- a/internal/entry/dispatch/ends.go
+++ b/internal/entry/dispatch/ends.go
@@ -97,8 +97,7 @@
 		k.failures++
 		k.avoidUpstream(upstream)
 	case job.Stalled:
-		k.stalls++
-		j.steps[k.id.Step].stalledAt.add(upstream)
+		k.recordStall(upstream)
 		k.avoidUpstream(upstream)
 	case job.Used:
 		k.run += usedRunSkip
--- a/internal/entry/dispatch/job.go
+++ b/internal/entry/dispatch/job.go
@@ -131,6 +131,8 @@
 	left    int
 	// stalledAt lists the upstreams at which runs of the step have stalled since a task of it last succeeded.
 	stalledAt upstreamSet
+	// mostStalls is the highest number of stalls of one of the step's tasks.
+	mostStalls uint32
 }
 
 // unblock queues the tasks of the steps whose preceding steps have all finished.
--- a/internal/entry/dispatch/probe.go
+++ b/internal/entry/dispatch/probe.go
@@ -1,8 +1,6 @@
 package dispatch
 
-import (
-	"time"
-)
+import "time"
 
 // probeTurn is how long after a probe a job leaves further probes to other jobs that wait for one.
 const probeTurn = time.Second
--- a/internal/entry/dispatch/stall.go
+++ b/internal/entry/dispatch/stall.go
@@ -26,9 +26,13 @@
 	if len(step.stalledAt) < doubtfulAt {
 		return k.stalls
 	}
-	most := k.stalls
-	for _, other := range step.tasks {
-		most = max(most, other.stalls)
-	}
-	return most
+	return step.mostStalls
+}
+
+// recordStall records that a run of the task was stopped at an upstream because it made no progress.
+func (k *task) recordStall(upstream ident.UpstreamID) {
+	k.stalls++
+	step := &k.job.steps[k.id.Step]
+	step.stalledAt.add(upstream)
+	step.mostStalls = max(step.mostStalls, k.stalls)
 }
--- a/internal/entry/node/refusal.go
+++ b/internal/entry/node/refusal.go
@@ -18,7 +18,6 @@
 const refusalWait = 200 * time.Millisecond
 
 // maxRefusalQueries bounds the queries to other entries about jobs that are to be refused, per second, and refusalQueryBurst those at once.
-// A query takes some 20 us at each of the two entries.
 const (
 	maxRefusalQueries = 5000
 	refusalQueryBurst = 1000
@@ -27,11 +26,28 @@
 // unsureAnswer is the answer to a job that this entry can't accept and that an earlier request may have stored, or may still store.
 var unsureAnswer = dispatch.Answer{State: verdict.Unresolved, Verdict: verdict.MayHaveRun, Reason: verdict.Unreachable}
 
+// doubt is why a job that is to be refused may exist, or may still be stored. It is empty if neither can be.
+type doubt string
+
+// The doubts.
+const (
+	// startedLately: an earlier process at this address may have left a write under way.
+	startedLately doubt = "started_lately"
+	// entriesUnknown: the list of entries was never read, or an entry that has left it may have left a write under way.
+	entriesUnknown doubt = "entries_unknown"
+	// tooManyQueries: the other entries are not asked, since that would load them too much.
+	tooManyQueries doubt = "too_many_queries"
+	// entryUnsure: another entry does not reply, or can't tell.
+	entryUnsure doubt = "entry_unsure"
+	// entryHasJob: another entry has the job.
+	entryHasJob doubt = "entry_has_job"
+)
+
 // confirmRefusal returns the answer to a kept job that this entry can't store now. A refusal says that the job will never run, so it is given
 // only if no other entry has the job from an earlier request, and no write of an earlier request can be under way. The store can't be asked:
 // it is the store that is out of reach.
 func (n *Node) confirmRefusal(ctx context.Context, r dispatch.Request, refusal dispatch.Answer) dispatch.Answer {
-	why := n.doubt(ctx, r)
+	why := n.doubtOf(ctx, r)
 	if why == "" {
 		return refusal
 	}
@@ -39,27 +55,27 @@
 	return unsureAnswer
 }
 
-// doubt returns why a job may exist or may still be stored, or an empty string if it can't.
-func (n *Node) doubt(ctx context.Context, r dispatch.Request) string {
+// doubtOf returns why a job may exist or may still be stored, or an empty doubt if neither can be.
+func (n *Node) doubtOf(ctx context.Context, r dispatch.Request) doubt {
 	now := boottime.Now()
 	if !n.hasOutlivedWrites(now) {
-		return "started lately"
+		return startedLately
 	}
 	others, complete := n.listedOthers(now)
 	switch {
 	case !complete:
-		return "entries not known"
+		return entriesUnknown
 	case !n.refusalQueries.AllowN(time.Now(), len(others)):
-		return "too many queries"
+		return tooManyQueries
 	}
 	ctx, cancel := context.WithTimeout(ctx, refusalWait)
 	defer cancel()
 	out := n.peerClient.Ask(ctx, others, fleet.JobQuery{Job: r.Job, Refusing: true})
 	switch {
 	case len(out.Silent) > 0:
-		return "an entry can't tell"
+		return entryUnsure
 	case out.State != verdict.Unknown:
-		return "an entry has the job"
+		return entryHasJob
 	}
 	return ""
 }
