members: a renewal from before the store's start is an old one

Cause: took each negative time of a renewal for an odd one, whose rows stay for 45 s.

Change: only a time that is in the future or over a year old can't be true.

--- a/internal/link/members/abandoned.go
+++ b/internal/link/members/abandoned.go
@@ -10,6 +10,9 @@
 	"hillreel/internal/core/rows"
 )
 
+// maxAge is the age above which a renewal can't be true. An entry that ended earlier is still removed, only later.
+const maxAge = 365 * 24 * time.Hour
+
 // maxRemovals bounds the entries whose rows one renewal removes: each takes four entries of a transaction, which may have 100.
 const maxRemovals = 20
 
@@ -70,7 +73,7 @@
 		return 0, false
 	}
 	var v renewal
-	if err := json.Unmarshal(row.Value, &v); err != nil || v.AtMs < 0 || v.AtMs > now.Milliseconds() {
+	if err := json.Unmarshal(row.Value, &v); err != nil || v.AtMs > now.Milliseconds() || v.AtMs < (now-maxAge).Milliseconds() {
 		return 0, false
 	}
 	return time.Duration(v.AtMs) * time.Millisecond, true
